Drop worker claims once the membership lease lapses by our own clock

Cause: Membership.run treated a failed keep-alive (store down or cut off) like a renewed one; only an explicit "lease gone" reply made it drop its claims. An entry process cut off from the key-value service kept acting as owner of its workers indefinitely, while a successor that could reach the store claimed them.

Ruled out: relying on the workers' fences alone. They refuse the stale owner once the successor has reported to them, but not before, and the stale owner would keep trying.

Conclusion: ownership ends at the holder first, then at the store; fences cover the gap in between.

--- a/sycamorefield/entry.py
+++ b/sycamorefield/entry.py
@@ -54,6 +54,7 @@
                                         placement.POLICIES[policy]())
         self.members.on_claim = self.scheduler.claimed
         self.members.on_release = self.scheduler.released
+        self.scheduler.holds = self.members.holds
         self.router = routing.Router(opts, self.spec.zone, self.http,
                                      seed=opts.entries.index(self.spec))
         self.ledger = idempotency.Ledger(self.kv, name)
--- a/sycamorefield/jobs.py
+++ b/sycamorefield/jobs.py
@@ -142,6 +142,7 @@
         self.stopped = threading.Event()
         self.evictions = 0
         self.finished = 0
+        self.holds: typing.Callable[[], bool] = lambda: True
 
     def claimed(self, claim: membership.Claim) -> None:
         """Start following a worker this process now owns."""
@@ -233,7 +234,10 @@
                                    s.record.accepted_at))
         started = 0
         for stored in queued:
-            if self.stopped.is_set():
+            # A paused process wakes up with claims it may no longer hold;
+            # placing nothing until the lease is known live keeps its stale
+            # fences away from the workers in the first place.
+            if self.stopped.is_set() or not self.holds():
                 break
             started += self._place(stored)
         return started
@@ -330,4 +334,3 @@
                      accepted_at=time.time())
 
 
-Callback = typing.Callable[[membership.Claim], None]
--- a/sycamorefield/membership.py
+++ b/sycamorefield/membership.py
@@ -39,6 +39,7 @@
         self.opts = opts
         self.name = name
         self.lease = 0
+        self.renewed_at = 0.0
         self.members: tuple[str, ...] = ()
         self.claims: dict[str, Claim] = {}
         self.lock = threading.Lock()
@@ -49,10 +50,12 @@
     def join(self) -> bool:
         """Grant a lease and write the member key; False if the store fails."""
         ttl_ms = int(self.opts.timings.member_ttl * 1000)
+        asked_at = time.monotonic()
         granted = self.kv.grant(ttl_ms)
         if not isinstance(granted, kvclient.result.Success):
             return False
         self.lease = granted.unwrap()
+        self.renewed_at = asked_at
         value = kvclient.encode({"name": self.name,
                                  "zone": self.opts.entry(self.name).zone})
         put = self.kv.put(MEMBERS + self.name, value, self.lease)
@@ -68,12 +71,17 @@
             if not self.lease and not self.join():
                 self.stopped.wait(self.opts.timings.heartbeat)
                 continue
+            asked_at = time.monotonic()
             renewed = self.kv.keep_alive(self.lease)
-            if renewed.value_or(-1) == 0:
-                # The lease lapsed while we were paused or cut off: our
-                # member key and every claim are gone, and workers will
-                # refuse our fences once a successor claims them.  Drop all
-                # claims at once and join again with a fresh lease.
+            if renewed.value_or(-1) > 0:
+                self.renewed_at = asked_at
+            if renewed.value_or(-1) == 0 or not self.holds():
+                # The lease lapsed while we were paused or cut off from the
+                # store: our member key and claims are gone or soon will be,
+                # and a successor may already own our workers.  By our own
+                # clock the lease is over once a TTL has passed since the
+                # last renewal we sent, whether or not the store said so;
+                # drop every claim then and join again with a fresh lease.
                 events.emit(events.LEASE_LOST, member=self.name,
                             lease=self.lease)
                 self._drop_all()
@@ -82,6 +90,11 @@
             self.refresh()
             self.stopped.wait(self.opts.timings.heartbeat)
 
+    def holds(self) -> bool:
+        """Return whether our lease is still live by our own clock."""
+        return bool(self.lease) and (time.monotonic() - self.renewed_at
+                                     < self.opts.timings.member_ttl)
+
     def refresh(self) -> None:
         """Read members and owners; claim or release workers to match."""
         found = self.kv.range(MEMBERS)
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,67 @@
+"""Hold worker ownership only while the membership lease holds."""
+
+import threading
+
+import pytest
+
+from sycamorefield import membership
+from tests import deployment
+from tests import standins
+
+
+@pytest.fixture
+def kv():
+    stand_in = standins.Kv()
+    yield stand_in
+    stand_in.close()
+
+
+def _member(kv, name, opts):
+    member = membership.Membership(kv.client, opts, name)
+    threading.Thread(target=member.run, daemon=True).start()
+    return member
+
+
+def test_claims_dropped_when_lease_cannot_be_renewed(kv):
+    """Symptom: an entry process cut off from the key-value service keeps
+    placing work on workers as their owner, long after its lease lapsed.
+
+    Sequence: entry-1 joins and claims every worker; the store goes down
+    for longer than the membership TTL; entry-1's keep-alives fail.
+
+    Cause: a failed keep-alive was treated like a renewed one, so the
+    process never noticed that its lease had run out by its own clock.
+    """
+    opts = standins.sample_options(kv.port, member_ttl=1.0, heartbeat=0.2)
+    member = _member(kv, "entry-1", opts)
+    assert deployment.wait_until(
+        lambda: len(member.owned()) == len(opts.machines), 5)
+    kv.faults(down=True)
+    assert deployment.wait_until(lambda: not member.owned(), 1.5)
+    member.stopped.set()
+
+
+def test_ownership_moves_with_a_higher_fence(kv):
+    """Symptom: two entry processes act as owners of one worker.
+
+    Sequence: entry-1 owns all workers; entry-2 joins; the workers move
+    to their new owners by consistent hashing.
+
+    Cause guarded against: a claim without a fence, or a fence that does
+    not grow, would let the old owner's starts be accepted.
+    """
+    opts = standins.sample_options(kv.port, member_ttl=1.0, heartbeat=0.2)
+    first = _member(kv, "entry-1", opts)
+    assert deployment.wait_until(
+        lambda: len(first.owned()) == len(opts.machines), 5)
+    old = {c.worker: c.fence for c in first.owned()}
+    second = _member(kv, "entry-2", opts)
+    assert deployment.wait_until(
+        lambda: len(first.owned()) + len(second.owned())
+        == len(opts.machines) and second.owned(), 5)
+    assert not {c.worker for c in first.owned()} & {
+        c.worker for c in second.owned()}
+    for claim in second.owned():
+        assert claim.fence > old[claim.worker]
+    first.stopped.set()
+    second.stopped.set()
