--- a/sycamorefield/jobs.py
+++ b/sycamorefield/jobs.py
@@ -332,5 +332,3 @@
     return JobRecord(job_id=job_id, customer=customer, work=work.name,
                      kind=work.kind, priority=priority,
                      accepted_at=time.time())
-
-
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -23,7 +23,9 @@
 
 
 def test_claims_dropped_when_lease_cannot_be_renewed(kv):
-    """Symptom: an entry process cut off from the key-value service keeps
+    """Drop claims when the store cannot renew the lease.
+
+    Symptom: an entry process cut off from the key-value service keeps
     placing work on workers as their owner, long after its lease lapsed.
 
     Sequence: entry-1 joins and claims every worker; the store goes down
@@ -42,7 +44,9 @@
 
 
 def test_ownership_moves_with_a_higher_fence(kv):
-    """Symptom: two entry processes act as owners of one worker.
+    """Move ownership to a joining member under a higher fence.
+
+    Symptom: two entry processes act as owners of one worker.
 
     Sequence: entry-1 owns all workers; entry-2 joins; the workers move
     to their new owners by consistent hashing.
