Say "not run" only when nothing was sent, and free the record then

Cause: two faults on the latency-critical path. (1) A non-idempotent request recorded as "started" before dispatch kept that record when no backend took it, so the caller, told "not run, come back in 1 s", was told "in progress" on every retry for ever. (2) Every backend answer other than 200-with-our-request-id was reported as "not run", although a 500 or an answer for another request means the backend had the request in hand and may have run it; a caller would then retry with a new key and get two certificates.

--- a/sycamorefield/entry.py
+++ b/sycamorefield/entry.py
@@ -33,6 +33,7 @@
 NOT_RUN_RETRY = 1.0
 STOPPING_RETRY = 1.0
 ROUTE_TRIES = 3
+NOT_SENT = (errors.NOT_RUN, errors.NO_BACKEND)
 VM_LIST_PERIOD = 0.5
 
 
@@ -147,20 +148,21 @@
                 errors.REJECTED, rule=decision.rule,
                 retry_after=decision.action.retry_after_seconds))
         key = request.idempotency_key
+        begun = None
         if not work.idempotent:
             if key is None:
                 return result.Failure(errors.Problem(
                     errors.BAD_FIELDS, "this work needs an idempotency_key",
                     (errors.Finding("body.idempotency_key", "required"),)))
-            begun = self.ledger.begin(key, request_id)
-            if not isinstance(begun, result.Success):
-                return result.Failure(begun.failure())
-            if begun.unwrap().start == idempotency.Start.REPLAY:
+            recorded = self.ledger.begin(key, request_id)
+            if not isinstance(recorded, result.Success):
+                return result.Failure(recorded.failure())
+            begun = recorded.unwrap()
+            if begun.start == idempotency.Start.REPLAY:
                 events.emit(events.REQUEST_REPLAYED, request_id=request_id,
                             key=key)
                 self.count("replayed")
-                return result.Success((200, dict(begun.unwrap().answer
-                                                 or {})))
+                return result.Success((200, dict(begun.answer or {})))
         answer = self._dispatch(request, request_id, work, decision)
         if isinstance(answer, result.Success):
             elapsed = time.monotonic() - began
@@ -172,9 +174,12 @@
                         worker=answer.unwrap()[1].get("worker"))
             self.count("answered")
         else:
+            code = answer.failure().code
+            if key is not None and begun is not None and code in NOT_SENT:
+                self.ledger.abandon(key, begun)
             self.count("failed")
             events.emit(events.REQUEST_FAILED, request_id=request_id,
-                        work=work.name, error=answer.failure().code.name)
+                        work=work.name, error=code.name)
         return answer
 
     def _dispatch(self, request: api.RequestModel, request_id: str,
@@ -183,6 +188,7 @@
         body = {"request_id": request_id, "customer": request.customer,
                 "payload": request.payload,
                 "idempotency_key": request.idempotency_key}
+        maybe_ran = False
         for _ in range(ROUTE_TRIES):
             view = self.router.pick(decision.action.zone)
             if view is None:
@@ -201,21 +207,35 @@
                 continue
             except urllib3.exceptions.HTTPError:
                 self.router.done(view, None)
+                maybe_ran = True
                 if not work.idempotent:
                     return result.Failure(errors.problem(
                         errors.OUTCOME_UNKNOWN, retry_after=NOT_RUN_RETRY))
                 continue
             self.router.done(view, time.monotonic() - sent_at)
-            if reply.status == 200:
-                answer = kvclient.decode(reply.data)
-                if answer.get("request_id") == request_id:
-                    return result.Success((200, answer))
             if reply.status == 503:
+                # The backend refused before running: it is leaving.
                 self.router.mark_leaving(view.name)
                 continue
+            if 400 <= reply.status < 500:
+                return result.Failure(errors.problem(
+                    errors.NOT_RUN, retry_after=NOT_RUN_RETRY,
+                    detail=f"backend refused with {reply.status}"))
+            answer = kvclient.decode(reply.data) if reply.status == 200 \
+                else None
+            if answer is not None and answer.get("request_id") == request_id:
+                return result.Success((200, answer))
+            # The backend had the request in hand and may have run it: a
+            # server error, or an answer that is not for this request (which
+            # must never reach this caller).  Only idempotent work may be
+            # tried again; for the rest the outcome is unknown.
+            maybe_ran = True
+            if not work.idempotent:
+                return result.Failure(errors.problem(
+                    errors.OUTCOME_UNKNOWN, retry_after=NOT_RUN_RETRY))
+        if maybe_ran:
             return result.Failure(errors.problem(
-                errors.NOT_RUN, retry_after=NOT_RUN_RETRY,
-                detail=f"backend answered {reply.status}"))
+                errors.OUTCOME_UNKNOWN, retry_after=NOT_RUN_RETRY))
         return result.Failure(errors.problem(
             errors.NO_BACKEND, work=work.name, retry_after=NOT_RUN_RETRY))
 
--- a/sycamorefield/idempotency.py
+++ b/sycamorefield/idempotency.py
@@ -34,6 +34,7 @@
 
     start: Start
     answer: dict[str, object] | None = None
+    revision: int = 0
 
 
 class Ledger:
@@ -52,7 +53,8 @@
         if isinstance(swap, result.Success):
             outcome = swap.unwrap()
             if outcome.succeeded:
-                return result.Success(Begun(Start.FRESH))
+                return result.Success(Begun(Start.FRESH,
+                                            revision=outcome.revision))
             return self._existing(outcome.current, request_id)
         failure = swap.failure()
         if not failure.maybe_applied:
@@ -76,10 +78,30 @@
             return result.Success(Begun(Start.REPLAY, record.get("answer")))
         if (record.get("request_id") == request_id
                 and record.get("entry") == self.entry):
-            return result.Success(Begun(Start.FRESH))
+            return result.Success(Begun(
+                Start.FRESH, revision=getattr(item, "mod_revision", 0)))
         return result.Failure(errors.problem(errors.IN_PROGRESS,
                                              retry_after=RETRY_AFTER))
 
+    def abandon(self, key: str, begun: Begun) -> bool:
+        """Remove our record of a request that was not dispatched.
+
+        Without this, a caller told "not run" who retries with the same
+        key would find the record "started" and wait on it for ever.
+        """
+        for _ in range(FINISH_TRIES):
+            swap = self.kv.cas(PREFIX + key, begun.revision, b"",
+                               delete=True)
+            if isinstance(swap, result.Success):
+                return swap.unwrap().succeeded
+            if swap.failure().maybe_applied:
+                back = self.kv.get(PREFIX + key)
+                if isinstance(back, result.Success) and (
+                        back.unwrap() is None
+                        or back.unwrap().mod_revision != begun.revision):
+                    return True
+        return False
+
     def finish(self, key: str, answer: dict[str, object]) -> bool:
         """Store the answer under key; return whether it was stored."""
         value = kvclient.encode({"state": "done", "answer": answer})
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,113 @@
+"""Tell callers the truth: not run only when not run, and a final answer."""
+
+import dataclasses
+import http.server
+import json
+import threading
+
+import pytest
+
+from sycamorefield import api
+from sycamorefield import entry
+from tests import standins
+
+
+class FakeBackend(http.server.BaseHTTPRequestHandler):
+    """Answer every request as the class's attributes say; count them."""
+
+    status = 200
+    wrong_id = False
+    served: list[str] = []
+
+    def do_POST(self):
+        body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
+        type(self).served.append(body["request_id"])
+        answer = {"request_id": "someone-else" if self.wrong_id
+                  else body["request_id"], "worker": "fake"}
+        data = json.dumps(answer).encode()
+        self.send_response(self.status)
+        self.send_header("Content-Type", "application/json")
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+    def log_message(self, *args):
+        pass
+
+
+@pytest.fixture
+def kv():
+    stand_in = standins.Kv()
+    yield stand_in
+    stand_in.close()
+
+
+def _entry(kv, backend_port=None):
+    opts = standins.sample_options(kv.port)
+    ports = [backend_port or standins.free_port() for _ in opts.machines]
+    machines = tuple(dataclasses.replace(m, http_port=p)
+                     for m, p in zip(opts.machines, ports))
+    return entry.Entry(dataclasses.replace(opts, machines=machines),
+                       "entry-1")
+
+
+def _certificate(request_id, key="cert-1"):
+    return api.RequestModel(customer="surveyors", work="certificate-issue",
+                            idempotency_key=key, request_id=request_id)
+
+
+def _serve_fake(**behaviour):
+    handler = type("Handler", (FakeBackend,), dict(behaviour, served=[]))
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), handler)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server, handler
+
+
+def test_retry_after_not_run_gets_a_final_answer(kv):
+    """Answer a retry of a request that was not run; never "in progress".
+
+    Symptom: a caller told "not run, come back in 1 s" comes back with the
+    same idempotency key and is told "in progress" for ever.
+
+    Sequence: a certificate issue is recorded as started; no backend takes
+    a connection; the caller is told no backend ran it; it retries.
+
+    Cause: the record made before dispatch stayed "started" although
+    nothing was dispatched, so every retry found it and waited on it.
+    """
+    process = _entry(kv)
+    first = process.serve_request(_certificate("a"))
+    again = process.serve_request(_certificate("b"))
+    assert first.failure().code.name == "no-backend"
+    assert again.failure().code.name == "no-backend"
+
+
+OUTCOMES = [
+    ("server error after running", {"status": 500}, "outcome-unknown"),
+    ("answer for another request", {"wrong_id": True}, "outcome-unknown"),
+]
+
+
+@pytest.mark.parametrize("label,behaviour,code", OUTCOMES,
+                         ids=[row[0] for row in OUTCOMES])
+def test_not_run_is_said_only_when_not_run(kv, label, behaviour, code):
+    """Say "outcome unknown" when the backend may have run the request.
+
+    Symptom: a caller is told a certificate issue was not run, retries with
+    a new key, and two certificates are issued.
+
+    Sequence: the backend takes the request and answers 500, or answers
+    with another request's id; the entry process reports the outcome.
+
+    Cause: every answer but 200-with-our-id was reported as "not run",
+    although the backend had the request in hand.
+    """
+    server, handler = _serve_fake(**behaviour)
+    try:
+        process = _entry(kv, server.server_address[1])
+        answer = process.serve_request(_certificate("c", key="cert-9"))
+        assert handler.served == ["c"]
+        assert answer.failure().code.name == code
+        assert answer.failure().retry_after is not None
+    finally:
+        server.shutdown()
