Keep an ended task on its worker until its owner has recorded it

Cause: found by the new checked mode. Time line: the task ended on its worker while the key-value service was down; the owner's compare-and-swap of the record to "done" failed; the worker had already dropped the ended task after that one report; when the store came back the owner's reconciliation saw a "placed" record with no task on the worker and queued the job again.

Ruled out: the fence (the same owner held the worker throughout) and the placement compare-and-swap (one record revision per placement, as logged).

Fix: reports carry the ids of ended tasks whose outcome the owner has recorded; the worker drops an ended task only then.

--- a/bench/idle.py
+++ b/bench/idle.py
@@ -40,7 +40,7 @@
     parser.add_argument("--base-port", type=int, default=23400)
     args = parser.parse_args()
     with tempfile.TemporaryDirectory() as tmp:
-        deploy = deployment.Deployment(tmp, args.base_port)
+        deploy = deployment.start(tmp, args.base_port)
         try:
             deploy.up()
             time.sleep(2.0)
--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -50,6 +50,7 @@
 REQUEST_REPLAYED = Event("SF1304", INFO, "idempotent request answered "
                                          "from record")
 BACKEND_LEAVING = Event("SF1305", INFO, "backend server marked leaving")
+REQUEST_SERVED = Event("SF1306", INFO, "backend served a request")
 
 JOB_ACCEPTED = Event("SF1401", INFO, "batch job accepted")
 TASK_STARTED = Event("SF1402", INFO, "task started on worker")
@@ -59,6 +60,8 @@
 JOB_ADOPTED = Event("SF1406", INFO, "job adopted from a lost owner")
 FENCE_REFUSED = Event("SF1407", WARNING, "stale fence refused")
 TASK_LAPSED = Event("SF1408", WARNING, "task lease lapsed on worker")
+TASK_BEGAN = Event("SF1409", INFO, "worker began a task")
+TASK_ENDED = Event("SF1410", INFO, "worker ended a task")
 
 KV_UNAVAILABLE = Event("SF1501", WARNING, "key-value service unavailable")
 KV_FAULTS_SET = Event("SF1502", INFO, "stand-in faults changed")
--- a/sycamorefield/jobs.py
+++ b/sycamorefield/jobs.py
@@ -115,6 +115,7 @@
     reply: pb.ReportReply | None = None
     placed: dict[str, options.Capacity] = dataclasses.field(
         default_factory=dict)
+    acknowledged: list[str] = dataclasses.field(default_factory=list)
 
     def candidate(self) -> placement.Candidate:
         """Return this worker as a placement candidate."""
@@ -173,7 +174,8 @@
         while not self.stopped.is_set() and self._current(view):
             try:
                 reply = view.stub.Report(
-                    pb.ReportRequest(fence=view.claim.fence, owner=self.name),
+                    pb.ReportRequest(fence=view.claim.fence, owner=self.name,
+                                     acknowledged=view.acknowledged),
                     timeout=CALL_TIMEOUT)
             except grpc.RpcError:
                 self.stopped.wait(self.opts.timings.report)
@@ -184,19 +186,27 @@
 
     def _settle(self, view: WorkerView, reply: pb.ReportReply) -> None:
         running = {}
+        recorded = []
         for task in reply.tasks:
             if task.state == "running":
                 running[task.task_id] = options.Capacity(
                     task.declared.cpus, task.declared.memory_mb,
                     task.declared.accelerators)
-                continue
-            self._finish(task)
+            elif self._finish(task):
+                recorded.append(task.task_id)
         view.placed = running
+        view.acknowledged = recorded
 
-    def _finish(self, task: pb.TaskStatus) -> None:
-        got = self.board.get(task.job_id).value_or(None)
+    def _finish(self, task: pb.TaskStatus) -> bool:
+        """Record an ended task's outcome; return whether it is recorded."""
+        found = self.board.get(task.job_id)
+        if not isinstance(found, result.Success):
+            return False
+        got = found.unwrap()
         if got is None or got.record.task_id != task.task_id:
-            return
+            return True
+        if got.record.state != PLACED:
+            return True
         record = dataclasses.replace(got.record)
         if task.state == "done":
             record.state = DONE
@@ -208,14 +218,16 @@
             record.progress = task.progress
             record.evictions += 1
             event = events.TASK_EVICTED
-        if self.board.swap(got, record):
-            if record.state == DONE:
-                self.finished += 1
-            else:
-                self.evictions += 1
-            events.emit(event, job=record.job_id, worker=record.worker,
-                        task=task.task_id, state=task.state,
-                        progress=round(task.progress, 3))
+        if not self.board.swap(got, record):
+            return False
+        if record.state == DONE:
+            self.finished += 1
+        else:
+            self.evictions += 1
+        events.emit(event, job=record.job_id, worker=record.worker,
+                    task=task.task_id, state=task.state,
+                    progress=round(task.progress, 3))
+        return True
 
     def place_forever(self) -> None:
         """Place queued jobs every report period until stopped."""
--- a/sycamorefield/worker.py
+++ b/sycamorefield/worker.py
@@ -22,6 +22,7 @@
 
 TICK = 0.05
 REPORT_LAG = 1.0
+LEAVING_LIMIT = 3.0
 RUNNING = "running"
 DONE = "done"
 STOPPED = "stopped"
@@ -78,7 +79,7 @@
             maxlen=200)
         self.served = 0
         self.served_by_key: collections.Counter[str] = collections.Counter()
-        self.leaving = False
+        self.leaving_since = 0.0
         self.served_after_leaving = 0
         self.peak = options.ZERO
         self.stopped = threading.Event()
@@ -132,9 +133,29 @@
                         now + request.lease_ms / 1000.0, request.progress)
             self.tasks[request.task_id] = task
             self.peak = self._peak(self.used())
+            self._check_capacity()
+        events.emit(events.TASK_BEGAN, worker=self.spec.name,
+                    task=task.task_id, job=task.job_id, fence=task.fence,
+                    owner=task.owner, progress=round(task.progress, 3))
         return pb.TaskReply(accepted=True, state=RUNNING,
                             progress=task.progress)
 
+    def _check_capacity(self) -> None:
+        # The checked mode's own assertion: the worker is the one place
+        # that sees every start, whoever sent it, so an overcommit is
+        # caught here at once and logged for the run's checker.
+        used = self.used()
+        if not self.spec.capacity.fits(options.ZERO, used):
+            events.emit(events.INVARIANT_BROKEN, invariant="capacity",
+                        worker=self.spec.name,
+                        used=dataclasses.asdict(used))
+
+    def _end(self, task: Task, state: str) -> None:
+        task.state = state
+        events.emit(events.TASK_ENDED, worker=self.spec.name,
+                    task=task.task_id, job=task.job_id, state=state,
+                    progress=round(task.progress, 3))
+
     def _peak(self, used: options.Capacity) -> options.Capacity:
         return options.Capacity(max(self.peak.cpus, used.cpus),
                                 max(self.peak.memory_mb, used.memory_mb),
@@ -150,7 +171,7 @@
             if task is None:
                 return pb.TaskReply(accepted=False, reason="unknown-task")
             if task.state == RUNNING:
-                task.state = STOPPED
+                self._end(task, STOPPED)
             return pb.TaskReply(accepted=True, state=task.state,
                                 progress=task.progress)
 
@@ -166,12 +187,16 @@
                         task.owner = request.owner
                         task.lease_until = now + task.lease_ms / 1000.0
             lagged = self._lagged()
-            statuses = [task.status() for task in self.tasks.values()]
-            finished = [t.task_id for t in self.tasks.values()
-                        if t.state != RUNNING]
             if request.fence and request.fence >= self.fence_seen:
-                for task_id in finished:
-                    del self.tasks[task_id]
+                # An ended task is kept until its owner says it recorded
+                # the outcome: dropping it on the first report lost every
+                # outcome whose write to the store failed, and the job ran
+                # again from the start (a double run, found by checks.py).
+                for task_id in request.acknowledged:
+                    ended = self.tasks.get(task_id)
+                    if ended is not None and ended.state != RUNNING:
+                        del self.tasks[task_id]
+            statuses = [task.status() for task in self.tasks.values()]
         cap = self.spec.capacity
         return pb.ReportReply(
             worker=self.spec.name,
@@ -216,15 +241,15 @@
         if task.state != RUNNING:
             return
         if now > task.lease_until:
-            task.state = LAPSED
             events.emit(events.TASK_LAPSED, worker=self.spec.name,
                         task=task.task_id, job=task.job_id)
+            self._end(task, LAPSED)
             return
         if task.run_seconds > 0:
             task.progress = min(1.0, task.progress
                                 + elapsed / task.run_seconds)
             if task.progress >= 1.0:
-                task.state = DONE
+                self._end(task, DONE)
 
     def service_seconds(self, service_ms: float) -> float:
         """Return how long a latency-critical request takes here now."""
@@ -251,17 +276,37 @@
             raise cherrypy.HTTPError(404, f"no latency work {name!r}")
         time.sleep(self.machine.service_seconds(spec.service_ms))
         key = str(body.get("idempotency_key") or "")
-        with self.machine.lock:
-            self.machine.served += 1
-            if key:
-                self.machine.served_by_key[key] += 1
-            if self.machine.leaving:
-                self.machine.served_after_leaving += 1
+        late = self._note(key, spec)
+        events.emit(events.REQUEST_SERVED, request_id=body.get("request_id"),
+                    key=key, work=name, late_after_leaving=late)
         return {"request_id": body.get("request_id"),
                 "worker": self.machine.spec.name,
                 "result": f"{name} done for {body.get('customer')}",
                 "payload": body.get("payload")}
 
+    def _note(self, key: str, spec: options.Work) -> bool:
+        # Checked mode: the backend is the one place that sees every run of
+        # a request, so a second run of a non-idempotent key, or new work
+        # past the grace after it was marked leaving, is caught here.
+        m = self.machine
+        with m.lock:
+            m.served += 1
+            repeated = False
+            if key:
+                m.served_by_key[key] += 1
+                repeated = m.served_by_key[key] > 1 and not spec.idempotent
+            late = bool(m.leaving_since) and (
+                time.time() - m.leaving_since > LEAVING_LIMIT)
+            if late:
+                m.served_after_leaving += 1
+        if repeated:
+            events.emit(events.INVARIANT_BROKEN, invariant="at-most-once",
+                        worker=m.spec.name, key=key)
+        if late:
+            events.emit(events.INVARIANT_BROKEN, invariant="leaving",
+                        worker=m.spec.name)
+        return late
+
     @cherrypy.expose
     @cherrypy.tools.json_out()
     def stats(self) -> dict[str, object]:
@@ -280,7 +325,9 @@
     @cherrypy.tools.json_out()
     def leaving(self) -> dict[str, object]:
         """Mark this backend leaving, as the fault tool does."""
-        self.machine.leaving = True
+        with self.machine.lock:
+            if not self.machine.leaving_since:
+                self.machine.leaving_since = time.time()
         return {"worker": self.machine.spec.name, "leaving": True}
 
 
@@ -292,16 +339,23 @@
             "environment": "embedded", "server.shutdown_timeout": 1}
 
 
-def serve(opts: options.Options, name: str) -> tuple[grpc.Server, Machine]:
-    """Start the worker's gRPC and HTTP sides; return them."""
-    spec = opts.machine(name)
+def serve_grpc(host: str, spec: options.Machine
+               ) -> tuple[grpc.Server, Machine]:
+    """Start the worker's gRPC side and its clock; return them."""
     machine = Machine(spec)
     server = grpc.server(concurrent.futures.ThreadPoolExecutor(max_workers=16))
     pb_grpc.add_WorkerServicer_to_server(machine, server)
-    server.add_insecure_port(f"{opts.host}:{spec.grpc_port}")
+    server.add_insecure_port(f"{host}:{spec.grpc_port}")
     server.start()
     threading.Thread(target=machine.tick_forever, name="tick",
                      daemon=True).start()
+    return server, machine
+
+
+def serve(opts: options.Options, name: str) -> tuple[grpc.Server, Machine]:
+    """Start the worker's gRPC and HTTP sides; return them."""
+    spec = opts.machine(name)
+    server, machine = serve_grpc(opts.host, spec)
     cherrypy.config.update(http_config(opts.host, spec.http_port, 60))
     cherrypy.tree.mount(Backend(machine, opts), "/")
     cherrypy.engine.start()
--- a/tests/test_endtoend.py
+++ b/tests/test_endtoend.py
@@ -9,8 +9,8 @@
 
 @pytest.fixture(scope="module")
 def cluster(tmp_path_factory):
-    deploy = deployment.Deployment(str(tmp_path_factory.mktemp("e2e")),
-                                   BASE_PORT)
+    deploy = deployment.start(str(tmp_path_factory.mktemp("e2e")),
+                              BASE_PORT)
     try:
         deploy.up()
         yield deploy
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -3,8 +3,9 @@
 Product processes start no other process (the brief), so this launcher is
 kept apart from the package.  It starts the stand-ins, the workers and the
 entry processes as separate processes of the one binary, waits until every
-worker is owned, runs the load tool, prints its report and where the logs
-and the time line are, and stops everything with SIGTERM (a planned stop).
+worker is owned, runs the load tool (with a seeded fault plan if asked),
+prints its report, checks the merged time line against the invariants, and
+stops everything with SIGTERM (a planned stop).
 """
 
 import argparse
@@ -14,15 +15,21 @@
 import signal
 import subprocess
 import sys
+import threading
 import time
 
 import urllib3
+import yaml
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
 
+from sycamorefield import checks  # noqa: E402
 from sycamorefield import settings  # noqa: E402
+from sycamorefield import timeline  # noqa: E402
+from tools import faults  # noqa: E402
 
 READY_SECONDS = 30.0
+STOP_SECONDS = 10.0
 
 
 def command(binary: str | None) -> list[str]:
@@ -32,33 +39,114 @@
     return [sys.executable, "-m", "sycamorefield"]
 
 
-def start(argv: list[str], log_dir: str, label: str) -> subprocess.Popen:
-    """Start one process with its stderr in log_dir/<label>.stderr."""
-    err = open(os.path.join(log_dir, label + ".stderr"), "w")
-    return subprocess.Popen(argv, stdout=subprocess.DEVNULL, stderr=err)
-
-
-def wait_ready(opts, http: urllib3.PoolManager) -> bool:
-    """Wait until every entry answers and every worker is owned."""
-    deadline = time.monotonic() + READY_SECONDS
-    while time.monotonic() < deadline:
-        owned = set()
-        answered = 0
-        for spec in opts.entries:
+class Deployment:
+    """A local deployment: its settings file, options and processes."""
+
+    def __init__(self, settings_path: str, binary: str | None = None,
+                 policy: str = "spread") -> None:
+        self.path = settings_path
+        self.opts = settings.load(settings_path).unwrap()
+        self.base = command(binary)
+        self.policy = policy
+        self.procs: dict[str, subprocess.Popen] = {}
+        self.http = urllib3.PoolManager()
+        os.makedirs(self.opts.log_dir, exist_ok=True)
+
+    @classmethod
+    def from_sample(cls, directory: str, base_port: int,
+                    sample: str = settings.DEFAULT,
+                    **changes: object) -> "Deployment":
+        """Write a sample's settings with its own ports and log dir."""
+        raw = yaml.safe_load(settings.sample_text(sample))
+        raw["base_port"] = base_port
+        raw["log_dir"] = os.path.join(directory, "logs")
+        raw.update(changes)
+        path = os.path.join(directory, "settings.yaml")
+        with open(path, "w", encoding="utf-8") as handle:
+            yaml.safe_dump(raw, handle)
+        return cls(path)
+
+    def start(self, role: str, name: str = "") -> None:
+        """Start one process of a role (and name), replacing a dead one."""
+        label = name or role
+        argv = self.base + [role] + ([name] if name else []) + [
+            "--settings", self.path]
+        if role == "entry":
+            argv += ["--policy", self.policy]
+        err = open(os.path.join(self.opts.log_dir, label + ".stderr"), "a")
+        self.procs[label] = subprocess.Popen(
+            argv, stdout=subprocess.DEVNULL, stderr=err)
+
+    def signal(self, label: str, number: int) -> None:
+        """Send a signal to one process."""
+        proc = self.procs[label]
+        if proc.poll() is None:
+            proc.send_signal(number)
+
+    def up(self) -> None:
+        """Start every process and wait until every worker is owned."""
+        self.start("kv")
+        self.start("vm-list")
+        for machine in self.opts.machines:
+            self.start("worker", machine.name)
+        time.sleep(0.3)
+        for spec in self.opts.entries:
+            self.start("entry", spec.name)
+        if not self.ready():
+            raise RuntimeError("deployment did not come up; see "
+                               + self.opts.log_dir)
+
+    def ready(self) -> bool:
+        """Wait until every entry answers and every worker is owned."""
+        deadline = time.monotonic() + READY_SECONDS
+        while time.monotonic() < deadline:
+            owned: set[str] = set()
+            answered = 0
+            for index in range(len(self.opts.entries)):
+                status, body = self.call("GET", self.url(index) + "/healthz")
+                if status == 200:
+                    answered += 1
+                    owned.update(body.get("owned", []))
+            if answered == len(self.opts.entries) and len(owned) == len(
+                    self.opts.machines):
+                return True
+            time.sleep(0.2)
+        return False
+
+    def url(self, entry: int = 0) -> str:
+        """Return the base URL of an entry process."""
+        spec = self.opts.entries[entry]
+        return f"http://{self.opts.host}:{spec.http_port}"
+
+    def call(self, method: str, url: str, body: object = None,
+             raw: bytes | None = None) -> tuple[int, dict]:
+        """Send one HTTP call; return status and JSON body (0 on failure)."""
+        data = raw if raw is not None else (
+            json.dumps(body).encode() if body is not None else None)
+        try:
+            reply = self.http.request(method, url, body=data, headers={
+                "Content-Type": "application/json"}, timeout=10.0,
+                retries=False)
+            return reply.status, json.loads(reply.data or b"{}")
+        except (urllib3.exceptions.HTTPError, ValueError):
+            return 0, {}
+
+    def down(self) -> None:
+        """Stop every process with SIGTERM, then SIGKILL what remains."""
+        for proc in self.procs.values():
+            if proc.poll() is None:
+                proc.send_signal(signal.SIGCONT)
+                proc.send_signal(signal.SIGTERM)
+        for proc in self.procs.values():
             try:
-                reply = http.request(
-                    "GET", f"http://{opts.host}:{spec.http_port}/healthz",
-                    timeout=1.0, retries=False)
-                body = json.loads(reply.data)
-            except (urllib3.exceptions.HTTPError, ValueError):
-                continue
-            answered += 1
-            owned.update(body.get("owned", []))
-        if answered == len(opts.entries) and len(owned) == len(
-                opts.machines):
-            return True
-        time.sleep(0.2)
-    return False
+                proc.wait(timeout=STOP_SECONDS)
+            except subprocess.TimeoutExpired:
+                proc.kill()
+                proc.wait()
+
+    def check(self) -> list:
+        """Merge the time line and return every invariant finding."""
+        return checks.check(timeline.merge(self.opts.log_dir))
 
 
 def main() -> int:
@@ -70,47 +158,43 @@
     parser.add_argument("--seconds", type=float, default=None)
     parser.add_argument("--policy", default="spread")
     parser.add_argument("--report", default=None)
+    parser.add_argument("--faults", type=int, default=0,
+                        help="number of seeded faults during the load")
+    parser.add_argument("--seed", type=int, default=1)
     args = parser.parse_args()
     loaded = settings.load(args.settings)
     if not isinstance(loaded, settings.result.Success):
         for finding in loaded.failure():
             print(finding, file=sys.stderr)
         return 2
-    opts = loaded.unwrap()
-    shutil.rmtree(opts.log_dir, ignore_errors=True)
-    os.makedirs(opts.log_dir, exist_ok=True)
-    base = command(args.binary)
-    common = ["--settings", args.settings]
-    procs = [start(base + ["kv"] + common, opts.log_dir, "kv"),
-             start(base + ["vm-list"] + common, opts.log_dir, "vm-list")]
-    procs += [start(base + ["worker", m.name] + common, opts.log_dir, m.name)
-              for m in opts.machines]
-    time.sleep(0.5)
-    procs += [start(base + ["entry", e.name, "--policy", args.policy]
-                    + common, opts.log_dir, e.name) for e in opts.entries]
-    http = urllib3.PoolManager()
+    shutil.rmtree(loaded.unwrap().log_dir, ignore_errors=True)
+    deploy = Deployment(args.settings, args.binary, args.policy)
+    seconds = args.seconds or deploy.opts.load.seconds
     code = 0
     try:
-        if not wait_ready(opts, http):
-            print("deployment did not come up; see", opts.log_dir)
-            return 1
-        load = subprocess.run(base + ["load"] + common + (
-            ["--seconds", str(args.seconds)] if args.seconds else []) + (
-            ["--out", args.report] if args.report else []))
+        deploy.up()
+        plan = faults.Plan(deploy, args.seed, args.faults, seconds)
+        injector = threading.Thread(target=plan.run, daemon=True)
+        injector.start()
+        load = subprocess.run(deploy.base + ["load", "--settings",
+                                             deploy.path,
+                                             "--seconds", str(seconds)]
+                              + (["--out", args.report] if args.report
+                                 else []))
+        injector.join(timeout=30)
         code = load.returncode
+        for line in plan.done:
+            print(f"  fault: {line}")
     finally:
-        for proc in reversed(procs):
-            proc.send_signal(signal.SIGTERM)
-        for proc in procs:
-            try:
-                proc.wait(timeout=10)
-            except subprocess.TimeoutExpired:
-                proc.kill()
-    timeline = os.path.join(opts.log_dir, "..", "timeline.jsonl")
-    subprocess.run(base + ["timeline", "--log-dir", opts.log_dir,
-                           "--out", timeline])
-    print(f"  time line: {os.path.normpath(timeline)}")
-    return code
+        deploy.down()
+    path = os.path.join(deploy.opts.log_dir, "..", "timeline.jsonl")
+    timeline.write(timeline.merge(deploy.opts.log_dir), path)
+    print(f"  time line: {os.path.normpath(path)}")
+    findings = deploy.check()
+    print(f"  invariants: {len(findings)} finding(s)")
+    for finding in findings:
+        print(f"    {finding}")
+    return code or (1 if findings else 0)
 
 
 if __name__ == "__main__":
