--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -17,11 +17,19 @@
 
     status = 200
     wrong_id = False
+    count_keys = False
+    fault_during_run = False
     served: list[str] = []
 
+    @staticmethod
+    def on_run():
+        """Do nothing; a test may put a fault here."""
+
     def do_POST(self):
         body = json.loads(self.rfile.read(int(self.headers["Content-Length"])))
-        type(self).served.append(body["request_id"])
+        type(self).served.append(body["idempotency_key"] if self.count_keys
+                                 else body["request_id"])
+        self.on_run()
         answer = {"request_id": "someone-else" if self.wrong_id
                   else body["request_id"], "worker": "fake"}
         data = json.dumps(answer).encode()
@@ -42,21 +50,23 @@
     stand_in.close()
 
 
-def _entry(kv, backend_port=None):
+def entry_for(kv, backend_port=None, name="entry-1"):
+    """Return an entry process (not started) whose backends are one port."""
     opts = standins.sample_options(kv.port)
     ports = [backend_port or standins.free_port() for _ in opts.machines]
     machines = tuple(dataclasses.replace(m, http_port=p)
                      for m, p in zip(opts.machines, ports))
-    return entry.Entry(dataclasses.replace(opts, machines=machines),
-                       "entry-1")
+    return entry.Entry(dataclasses.replace(opts, machines=machines), name)
 
 
-def _certificate(request_id, key="cert-1"):
+def certificate(request_id, key="cert-1"):
+    """Return a certificate-issue request."""
     return api.RequestModel(customer="surveyors", work="certificate-issue",
                             idempotency_key=key, request_id=request_id)
 
 
-def _serve_fake(**behaviour):
+def serve_fake(**behaviour):
+    """Serve a fake backend with the given behaviour; return it."""
     handler = type("Handler", (FakeBackend,), dict(behaviour, served=[]))
     server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), handler)
     threading.Thread(target=server.serve_forever, daemon=True).start()
@@ -75,9 +85,9 @@
     Cause: the record made before dispatch stayed "started" although
     nothing was dispatched, so every retry found it and waited on it.
     """
-    process = _entry(kv)
-    first = process.serve_request(_certificate("a"))
-    again = process.serve_request(_certificate("b"))
+    process = entry_for(kv)
+    first = process.serve_request(certificate("a"))
+    again = process.serve_request(certificate("b"))
     assert first.failure().code.name == "no-backend"
     assert again.failure().code.name == "no-backend"
 
@@ -102,10 +112,10 @@
     Cause: every answer but 200-with-our-id was reported as "not run",
     although the backend had the request in hand.
     """
-    server, handler = _serve_fake(**behaviour)
+    server, handler = serve_fake(**behaviour)
     try:
-        process = _entry(kv, server.server_address[1])
-        answer = process.serve_request(_certificate("c", key="cert-9"))
+        process = entry_for(kv, server.server_address[1])
+        answer = process.serve_request(certificate("c", key="cert-9"))
         assert handler.served == ["c"]
         assert answer.failure().code.name == code
         assert answer.failure().retry_after is not None
