--- a/sycamorefield/entry.py
+++ b/sycamorefield/entry.py
@@ -33,6 +33,7 @@
 NOT_RUN_RETRY = 1.0
 STOPPING_RETRY = 1.0
 STOP_GRACE = 1.0
+NAIVE = "first-fit"
 ROUTE_TRIES = 3
 NOT_SENT = (errors.NOT_RUN, errors.NO_BACKEND)
 VM_LIST_PERIOD = 0.5
@@ -57,8 +58,11 @@
         self.members.on_claim = self.scheduler.claimed
         self.members.on_release = self.scheduler.released
         self.scheduler.holds = self.members.holds
+        # The naive version of our own, for the measurements: first-fit
+        # placement and routing blind to measured latency.
         self.router = routing.Router(opts, self.spec.zone, self.http,
-                                     seed=opts.entries.index(self.spec))
+                                     seed=opts.entries.index(self.spec),
+                                     aware=policy != NAIVE)
         self.ledger = idempotency.Ledger(self.kv, name)
         self.latencies = metrics.Latencies()
         self.counters: dict[str, int] = {}
--- a/sycamorefield/routing.py
+++ b/sycamorefield/routing.py
@@ -50,8 +50,10 @@
     """Hold the backend views and pick among them."""
 
     def __init__(self, opts: options.Options, zone: str,
-                 http: urllib3.PoolManager, seed: int) -> None:
+                 http: urllib3.PoolManager, seed: int,
+                 aware: bool = True) -> None:
         self.opts = opts
+        self.aware = aware
         self.zone = zone
         self.http = http
         self.random = random.Random(seed)
@@ -95,6 +97,10 @@
             usable = [b for b in self.backends.values() if b.usable(now)]
             if not usable:
                 return None
+            if not self.aware:
+                best = self.random.choice(usable)
+                best.in_flight += 1
+                return best
             pair = self.random.sample(usable, min(2, len(usable)))
             best = min(pair, key=lambda b: b.score(zone or self.zone))
             best.in_flight += 1
