--- a/sycamorefield/api.py
+++ b/sycamorefield/api.py
@@ -207,13 +207,15 @@
 
     @endpoint
     def jobs(self, job_id: str = "") -> Answer:
-        """Accept a batch or standing job, or show one."""
+        """Accept a batch or standing job, show one or cancel one."""
         method = cherrypy.request.method
         if not job_id and method == "POST":
             return parse_body(JobModel, self.entry.opts.max_body_bytes).bind(
                 self.entry.submit_job)
         if job_id and method == "GET":
             return self.entry.show_job(job_id)
+        if job_id and method == "DELETE":
+            return self.entry.cancel_job(job_id)
         return method_not_allowed()
 
 
--- /dev/null
+++ b/sycamorefield/cell.py
@@ -0,0 +1,373 @@
+"""Decide for one cell: a set of workers and the jobs that run on them.
+
+The fleet is divided into cells.  Exactly one entry process owns a cell at a
+time; it alone places the cell's jobs on the cell's workers, so a placement
+needs no agreement with anyone, only a committed record (jobtable.py) and a
+fence that the workers check.
+"""
+
+import dataclasses
+import threading
+import time
+import typing
+
+from sycamorefield import events
+from sycamorefield import jobtable
+from sycamorefield import options
+from sycamorefield import placement
+from sycamorefield import workerlink
+
+PRIORITY_ORDER = {"urgent": 0, "normal": 1, "low": 2}
+MAX_FAILED_WORKERS = 3
+MAX_FAILURES = 6
+COMMIT_TIMEOUT = 2.0
+LOAD_RETRY = 0.2
+FLUSH_SECONDS = 2.0
+
+
+@dataclasses.dataclass
+class Counters:
+    """What an entry process has done with tasks since it started."""
+
+    started: int = 0
+    finished: int = 0
+    evictions: int = 0
+    lost_workers: int = 0
+
+
+class Cell:
+    """An owned cell: its job table, its workers and its decisions."""
+
+    def __init__(self, opts: options.Options, number: int, fence: int,
+                 table: jobtable.JobTable, policy: placement.Policy,
+                 owner: str, holds: typing.Callable[[], bool],
+                 counters: Counters) -> None:
+        self.opts = opts
+        self.number = number
+        self.fence = fence
+        self.table = table
+        self.policy = policy
+        self.owner = owner
+        self.holds = holds
+        self.counters = counters
+        self.links = {
+            m.name: workerlink.WorkerLink(opts, m, owner, fence, self, holds)
+            for m in opts.machines_of(number)}
+        self.wake = threading.Event()
+        self.stopped = threading.Event()
+        self.loaded = False
+        self.evicting: set[str] = set()
+        # Held while a decision is made from records and staged, so that a
+        # placement cannot overwrite a cancellation staged in between.
+        self.lock = threading.RLock()
+        self.over_quota: typing.Callable[[str, float], bool] = (
+            lambda customer, cpus: False)
+        self.move_target: typing.Callable[[int, options.Capacity], int] = (
+            lambda leaving, demand: jobtable.NO_CELL)
+
+    def run(self) -> None:
+        """Take the cell over, then place its jobs until it is given up."""
+        while not self.table.load():
+            if self.stopped.wait(LOAD_RETRY):
+                return
+        with self.table.changed:
+            records = list(self.table.records.values())
+        for record in records:
+            link = self.links.get(record.worker)
+            if record.state == jobtable.PLACED and link is not None:
+                link.reserve(record.task_id, self._demand(record))
+        self.loaded = True
+        events.emit(events.CELL_TAKEN, cell=self.number, fence=self.fence,
+                    jobs=len(records))
+        threading.Thread(target=self.table.run, daemon=True,
+                         name=f"commit-{self.number}").start()
+        for name, link in self.links.items():
+            threading.Thread(target=link.run, daemon=True,
+                             name=f"worker-{name}").start()
+        while not self.stopped.is_set():
+            self.place_once()
+            self.wake.wait(self.opts.timings.report / 2)
+            self.wake.clear()
+
+    def stop(self, flush: bool = True) -> None:
+        """Give the cell up, committing first what is staged."""
+        self.stopped.set()
+        self.wake.set()
+        for link in self.links.values():
+            link.stop()
+        self.table.stop(FLUSH_SECONDS if flush and self.table.healthy
+                        else 0.0)
+
+    def _demand(self, record: jobtable.JobRecord) -> options.Capacity:
+        work = self.opts.work.get(record.work)
+        return work.demand if work else options.ZERO
+
+    def place_once(self) -> int:
+        """Place what can be placed now; return how many were committed."""
+        if not self.holds() or not self.table.healthy:
+            # A paused process wakes up with a cell it may no longer own.
+            return 0
+        with self.lock:
+            placed, version = self._decide()
+        if not placed or not self.table.wait(version, COMMIT_TIMEOUT):
+            return 0
+        self.counters.started += len(placed)
+        for name in {record.worker for record in placed}:
+            self.links[name].wake.set()
+        return len(placed)
+
+    def _decide(self) -> tuple[list[jobtable.JobRecord], int]:
+        queued = self.table.in_state(jobtable.QUEUED)
+        queued.sort(key=lambda r: (PRIORITY_ORDER.get(r.priority, 1),
+                                   r.accepted_at))
+        version = 0
+        placed = []
+        candidates = self._candidates()
+        for record in queued:
+            if record.cancelled:
+                self._finish(record, jobtable.CANCELLED)
+                continue
+            if self.over_quota(record.customer, self._demand(record).cpus):
+                continue
+            chosen = self._choose(record, candidates)
+            if chosen is None:
+                self._make_room(record)
+                continue
+            version = self._stage_placed(record, chosen)
+            placed.append(record)
+        return placed, version
+
+    def _candidates(self) -> list[placement.Candidate]:
+        now = time.monotonic()
+        out = []
+        for link in self.links.values():
+            if link.usable(now):
+                out.append(placement.Candidate(
+                    link.machine.name, link.machine.zone,
+                    link.machine.capacity, link.used(),
+                    link.machine.slots - len(link.committed),
+                    link.interference,
+                    quiet=link.machine.name in self.opts.quiet_machines))
+        return out
+
+    def _choose(self, record: jobtable.JobRecord,
+                candidates: list[placement.Candidate]
+                ) -> placement.Candidate | None:
+        work = self.opts.work[record.work]
+        others = [c for c in candidates if c.name not in record.failed_on]
+        chosen = self.policy.choose(work, others or candidates)
+        if chosen is not None:
+            chosen.take(work.demand)
+        return chosen
+
+    def _stage_placed(self, record: jobtable.JobRecord,
+                      chosen: placement.Candidate) -> int:
+        record.attempts += 1
+        record.state = jobtable.PLACED
+        record.worker = chosen.name
+        record.task_id = f"{record.job_id}.{record.attempts}"
+        record.placed_at = time.time()
+        self.links[chosen.name].reserve(record.task_id,
+                                        self._demand(record))
+        return self.table.stage(record)
+
+    def _make_room(self, record: jobtable.JobRecord) -> None:
+        """Evict for an urgent job, or move a job this cell has no room for."""
+        waited = time.time() - record.accepted_at
+        if record.priority == "urgent" and self._evict_for(record):
+            return
+        if (waited < self.opts.timings.move_after
+                or record.moved_to != jobtable.NO_CELL):
+            # A job moves once: its first cell keeps a pointer to where it
+            # went, and a second move could lead back to that pointer and
+            # be taken for a job already there.
+            return
+        target = self.move_target(self.number, self._demand(record))
+        if target != jobtable.NO_CELL:
+            record.state = jobtable.MOVING
+            record.moved_to = target
+            self.table.stage(record)
+
+    def _evict_for(self, record: jobtable.JobRecord) -> bool:
+        """Stop the cheapest lower-priority tasks that make enough room.
+
+        Cheapest is least priority first, then least work thrown away: a
+        worker keeps checkpoints, but a restore costs time on every resume.
+        """
+        demand = self._demand(record)
+        best: list[jobtable.JobRecord] | None = None
+        by_worker: dict[str, list[jobtable.JobRecord]] = {}
+        for other in self.table.in_state(jobtable.PLACED):
+            by_worker.setdefault(other.worker, []).append(other)
+        for name, link in self.links.items():
+            running = by_worker.get(name, [])
+            if any(r.task_id in self.evicting for r in running):
+                # An eviction under way frees room within a report period;
+                # evicting more for the same job would throw work away.
+                return True
+            if not link.usable(time.monotonic()):
+                continue
+            victims = self._victims(link, running, demand)
+            if victims and (best is None or len(victims) < len(best)):
+                best = victims
+        for victim in best or []:
+            self.evicting.add(victim.task_id)
+            self.links[victim.worker].stop_task(victim.task_id)
+        return best is not None
+
+    def _victims(self, link: workerlink.WorkerLink,
+                 running: list[jobtable.JobRecord],
+                 demand: options.Capacity) -> list[jobtable.JobRecord]:
+        lower = [r for r in running if r.priority != "urgent"]
+        lower.sort(key=lambda r: (-PRIORITY_ORDER.get(r.priority, 1),
+                                  -r.placed_at))
+        used = link.used()
+        slots = link.machine.slots - len(link.committed)
+        victims = []
+        for victim in lower:
+            victims.append(victim)
+            used = used.minus(self._demand(victim))
+            slots += 1
+            if slots > 0 and link.machine.capacity.fits(used, demand):
+                return victims
+        return []
+
+    def expected(self, worker: str) -> dict[str, workerlink.Start]:
+        """Return the placements on a worker, by task id."""
+        out = {}
+        with self.table.changed:
+            for record in self.table.records.values():
+                if (record.state == jobtable.PLACED
+                        and record.worker == worker):
+                    out[record.task_id] = workerlink.Start(
+                        record.job_id, record.task_id,
+                        self.opts.work[record.work], record.progress,
+                        durable=self.table.durable(record.job_id))
+        return out
+
+    def settle(self, link: workerlink.WorkerLink,
+               ended: list[workerlink.Ended]) -> list[str]:
+        """Record ended tasks; return the ids whose outcome is durable."""
+        version = 0
+        with self.lock:
+            for task in ended:
+                record = self.table.get(task.job_id)
+                if (record is not None and record.task_id == task.task_id
+                        and record.state == jobtable.PLACED):
+                    self._record_end(link, record, task)
+                version = max(version, self.table.version_of(task.job_id))
+        if not self.table.wait(version, COMMIT_TIMEOUT):
+            return []
+        self.wake.set()
+        return [task.task_id for task in ended]
+
+    def _record_end(self, link: workerlink.WorkerLink,
+                    record: jobtable.JobRecord,
+                    task: workerlink.Ended) -> None:
+        self.evicting.discard(task.task_id)
+        event = events.TASK_FINISHED
+        if task.state == "done":
+            record.progress = 1.0
+            self.counters.finished += 1
+            link.note_success()
+            self._finish(record, jobtable.DONE)
+        elif task.state == workerlink.FAILED:
+            event = events.TASK_FAILED
+            link.note_failure()
+            self._after_failure(record, link.machine.name)
+        elif record.cancelled:
+            self._finish(record, jobtable.CANCELLED)
+        else:
+            event = events.TASK_EVICTED
+            self.counters.evictions += 1
+            record.evictions += 1
+            self._requeue(record, task.progress)
+        events.emit(event, job=record.job_id, worker=link.machine.name,
+                    task=task.task_id, state=task.state,
+                    progress=round(task.progress, 3))
+
+    def _after_failure(self, record: jobtable.JobRecord,
+                       worker: str) -> None:
+        # A job that fails wherever it runs can never run; one that meets
+        # workers that fail all they start can.  Only failures on several
+        # different workers tell the first from the second.
+        record.failed_on.append(worker)
+        if (len(set(record.failed_on)) >= MAX_FAILED_WORKERS
+                or len(record.failed_on) >= MAX_FAILURES):
+            record.reason = ("failed on workers "
+                             + ", ".join(sorted(set(record.failed_on))))
+            self._finish(record, jobtable.FAILED)
+        else:
+            self._requeue(record, record.progress)
+
+    def _finish(self, record: jobtable.JobRecord, state: str) -> int:
+        record.state = state
+        record.finished_at = time.time()
+        return self.table.stage(record)
+
+    def _requeue(self, record: jobtable.JobRecord, progress: float) -> int:
+        record.state = jobtable.QUEUED
+        record.progress = progress
+        record.worker = ""
+        return self.table.stage(record)
+
+    def refused(self, link: workerlink.WorkerLink, start: workerlink.Start,
+                reason: str) -> None:
+        """Queue a job again whose start its worker refused."""
+        events.emit(events.TASK_REFUSED, job=start.job_id,
+                    worker=link.machine.name, reason=reason)
+        if reason == "stale-fence":
+            return
+        with self.lock:
+            record = self.table.get(start.job_id)
+            if (record is not None and record.task_id == start.task_id
+                    and record.state == jobtable.PLACED):
+                self._requeue(record, record.progress)
+        self.wake.set()
+
+    def worker_lost(self, link: workerlink.WorkerLink) -> None:
+        """Queue again the jobs of a worker whose leases have all lapsed."""
+        self.counters.lost_workers += 1
+        with self.lock:
+            for record in self.table.in_state(jobtable.PLACED):
+                if record.worker == link.machine.name:
+                    link.free(record.task_id)
+                    record.evictions += 1
+                    self.counters.evictions += 1
+                    self._requeue(record, record.progress)
+        self.wake.set()
+
+    def cancel(self, job_id: str) -> jobtable.JobRecord | None:
+        """Cancel a job; return its record, or None when it is unknown."""
+        with self.lock:
+            record = self.table.get(job_id)
+            if (record is None or record.state in jobtable.FINISHED
+                    or record.state == jobtable.MOVING):
+                return record
+            record.cancelled = True
+            if record.state == jobtable.QUEUED:
+                version = self._finish(record, jobtable.CANCELLED)
+            else:
+                version = self.table.stage(record)
+                link = self.links.get(record.worker)
+                if link is not None:
+                    link.stop_task(record.task_id)
+        self.table.wait(version, COMMIT_TIMEOUT)
+        return self.table.get(job_id)
+
+    def room(self) -> options.Capacity:
+        """Return what the freest worker could still take; ZERO when none."""
+        best = options.ZERO
+        for candidate in self._candidates():
+            left = candidate.capacity.minus(candidate.committed)
+            if candidate.slots_free > 0 and left.cpus > best.cpus:
+                best = left
+        return best
+
+    def usage(self) -> dict[str, float]:
+        """Return the processors placed per customer in this cell."""
+        out: dict[str, float] = {}
+        for record in self.table.in_state(jobtable.PLACED):
+            out[record.customer] = (out.get(record.customer, 0.0)
+                                    + self._demand(record).cpus)
+        return out
--- /dev/null
+++ b/sycamorefield/cells.py
@@ -0,0 +1,79 @@
+"""Hold the cells that this entry process owns and say whose a job is."""
+
+import threading
+import typing
+
+import uhashring
+
+from sycamorefield import cell as cell_mod
+from sycamorefield import jobtable
+from sycamorefield import kvclient
+from sycamorefield import membership
+from sycamorefield import options
+from sycamorefield import placement
+
+
+class Cells:
+    """The cells owned here, kept in step with the membership's claims."""
+
+    def __init__(self, opts: options.Options, name: str,
+                 kv: kvclient.Client, policy: placement.Policy,
+                 members: membership.Membership) -> None:
+        self.opts = opts
+        self.name = name
+        self.kv = kv
+        self.policy = policy
+        self.members = members
+        self.ring = uhashring.HashRing(nodes=list(range(opts.cells)))
+        self.lock = threading.Lock()
+        self.owned: dict[int, cell_mod.Cell] = {}
+        self.counters = cell_mod.Counters()
+        self.over_quota: typing.Callable[[str, float], bool] = (
+            lambda customer, cpus: False)
+        self.move_target: typing.Callable[[int, options.Capacity], int] = (
+            lambda leaving, demand: jobtable.NO_CELL)
+        members.on_claim = self.claimed
+        members.on_release = self.released
+
+    def home(self, job_id: str) -> int:
+        """Return the cell where a job is first recorded."""
+        return self.ring.get_node(job_id)
+
+    def claimed(self, claim: membership.Claim) -> None:
+        """Start running a cell this process now owns."""
+        table = jobtable.JobTable(
+            self.kv, claim.cell, self.name, claim.fence,
+            self.opts.commit_pace, self.opts.timings.job_retention)
+        owned = cell_mod.Cell(self.opts, claim.cell, claim.fence, table,
+                              self.policy, self.name, self.members.holds,
+                              self.counters)
+        owned.over_quota = self.over_quota
+        owned.move_target = self.move_target
+        with self.lock:
+            self.owned[claim.cell] = owned
+        threading.Thread(target=owned.run, daemon=True,
+                         name=f"cell-{claim.cell}").start()
+
+    def released(self, number: int, held: bool) -> None:
+        """Stop running a cell; commit what is staged if still held."""
+        with self.lock:
+            owned = self.owned.pop(number, None)
+        if owned is not None:
+            owned.stop(flush=held)
+
+    def get(self, number: int) -> cell_mod.Cell | None:
+        """Return an owned, loaded cell, or None when it is not ours."""
+        with self.lock:
+            owned = self.owned.get(number)
+        if owned is None or not owned.loaded or owned.table.lost:
+            return None
+        return owned if self.members.holds() else None
+
+    def all(self) -> list[cell_mod.Cell]:
+        """Return every owned, loaded cell."""
+        with self.lock:
+            return [c for c in self.owned.values() if c.loaded]
+
+    def workers(self) -> list[str]:
+        """Return the names of the workers followed here."""
+        return sorted(name for cell in self.all() for name in cell.links)
--- a/sycamorefield/checks.py
+++ b/sycamorefield/checks.py
@@ -49,7 +49,9 @@
         elif line.get("event") == events.TASK_ENDED.code:
             interval = open_tasks.pop(key, None)
             if interval is not None:
-                interval.ended = line["t"]
+                # A lapsed lease ended the task when it ran out, which a
+                # frozen worker logs only once it wakes.
+                interval.ended = line.get("ended_at", line["t"])
                 interval.state = line.get("state", "")
                 interval.to_progress = line.get("progress", 0.0)
                 done.append(interval)
--- a/sycamorefield/cli.py
+++ b/sycamorefield/cli.py
@@ -61,7 +61,7 @@
 @app.command
 def entry(name: str, *, settings_path: typing.Annotated[
         str | None, cyclopts.Parameter(name="--settings")] = None,
-        policy: str = "spread") -> None:
+        policy: str = "guarded") -> None:
     """Run an entry process."""
     opts = _options(settings_path)
     spec = opts.entry(name)
--- a/sycamorefield/entry.py
+++ b/sycamorefield/entry.py
@@ -15,14 +15,17 @@
 import urllib3
 
 from sycamorefield import api
+from sycamorefield import cells
 from sycamorefield import errors
 from sycamorefield import events
 from sycamorefield import idempotency
 from sycamorefield import jobs
+from sycamorefield import jobtable
 from sycamorefield import kvclient
 from sycamorefield import membership
 from sycamorefield import metrics
 from sycamorefield import options
+from sycamorefield import peers
 from sycamorefield import placement
 from sycamorefield import routing
 from sycamorefield import ruleadmin
@@ -43,7 +46,7 @@
     """One entry process and everything it holds."""
 
     def __init__(self, opts: options.Options, name: str,
-                 policy: str = "spread") -> None:
+                 policy: str = "guarded") -> None:
         self.opts = opts
         self.name = name
         self.spec = opts.entry(name)
@@ -52,12 +55,13 @@
         self.book = rulebook.Rulebook(self.kv, opts.timings.rules_poll)
         self.admin = ruleadmin.RuleAdmin(self.kv, self.book, name)
         self.members = membership.Membership(self.kv, opts, name)
-        self.board = jobs.Board(self.kv)
-        self.scheduler = jobs.Scheduler(opts, name, self.board,
-                                        placement.POLICIES[policy]())
-        self.members.on_claim = self.scheduler.claimed
-        self.members.on_release = self.scheduler.released
-        self.scheduler.holds = self.members.holds
+        self.cells = cells.Cells(opts, name, self.kv,
+                                 placement.POLICIES[policy](), self.members)
+        self.peer_server = peers.PeerServer(opts, name, self.cells)
+        self.peers = peers.Peers(opts, name, self.peer_server, self.members)
+        self.cells.over_quota = self.peers.over_quota
+        self.cells.move_target = self.peers.move_target
+        self.desk = jobs.Desk(opts, self.cells.home, self.peers)
         # The naive version of our own, for the measurements: first-fit
         # placement and routing blind to measured latency.
         self.router = routing.Router(opts, self.spec.zone, self.http,
@@ -78,10 +82,12 @@
     def start(self) -> None:
         """Start every task of the process and its HTTP listener."""
         self.book.poll()
+        self.peer_listener = peers.serve(self.peer_server, self.opts.host,
+                                         self.spec.grpc_port)
         for target, label in ((self.members.run, "membership"),
                               (self.book.run_watch, "rules-watch"),
                               (self.book.run_poll, "rules-poll"),
-                              (self.scheduler.place_forever, "placement")):
+                              (self.peers.run, "peers")):
             threading.Thread(target=target, name=label, daemon=True).start()
         threading.Thread(target=self.router.run, args=(VM_LIST_PERIOD,),
                          name="vm-list", daemon=True).start()
@@ -110,10 +116,11 @@
         self._drain(deadline)
         cherrypy.server.stop()
         self._drain(deadline)
-        self.scheduler.stop()
         self.book.stop()
         self.router.stopped.set()
+        self.peers.stop()
         self.members.leave()
+        self.peer_listener.stop(STOP_GRACE).wait()
         cherrypy.engine.exit()
         events.emit(events.PROCESS_STOPPED, in_flight=self.in_flight)
 
@@ -127,14 +134,16 @@
                 "stopping": self.stopping,
                 "rules_revision": self.book.current.revision,
                 "members": list(self.members.members),
-                "owned": sorted(c.worker for c in self.members.owned())}
+                "cells": sorted(c.number for c in self.cells.all()),
+                "owned": self.cells.workers()}
 
     def metrics_body(self) -> dict[str, object]:
         """Return latency summaries and counters."""
         with self.lock:
             counters = dict(self.counters)
-        counters["evictions"] = self.scheduler.evictions
-        counters["batch_finished"] = self.scheduler.finished
+        counters["evictions"] = self.cells.counters.evictions
+        counters["batch_started"] = self.cells.counters.started
+        counters["batch_finished"] = self.cells.counters.finished
         return {"entry": self.name, "latency": self.latencies.summary(),
                 "counters": counters}
 
@@ -273,36 +282,29 @@
             return result.Failure(errors.problem(
                 errors.REJECTED, rule=decision.rule,
                 retry_after=decision.action.retry_after_seconds))
+        if not self.desk.can_run(work):
+            return result.Failure(errors.problem(errors.CANNOT_RUN,
+                                                 name=work.name))
         job_id = request.job_id or uuid.uuid4().hex
-        record = jobs.new_record(job_id, request.customer, work,
-                                 decision.action.priority)
-        accepted = self.board.accept(record)
+        accepted = self.desk.accept(jobtable.new_record(
+            job_id, request.customer, work, decision.action.priority))
         if isinstance(accepted, result.Success):
             events.emit(events.JOB_ACCEPTED, job=job_id, work=work.name,
-                        priority=record.priority)
+                        priority=accepted.unwrap().priority)
             self.count("jobs_accepted")
-            return result.Success((202, dataclasses.asdict(record)))
-        failure = accepted.failure()
-        if failure.status == "ALREADY_EXISTS":
-            return self.show_job(job_id)
-        if failure.maybe_applied:
-            return result.Failure(errors.problem(
-                errors.OUTCOME_UNKNOWN, retry_after=NOT_RUN_RETRY))
-        return result.Failure(errors.problem(
-            errors.NOT_RUN, retry_after=NOT_RUN_RETRY, detail=failure.status))
+        return accepted.map(lambda record: job_answer(record, 202))
 
     def show_job(self, job_id: str) -> api.Answer:
-        """Return the stored record of a job."""
-        got = self.board.get(job_id)
-        if not isinstance(got, result.Success):
-            return result.Failure(errors.problem(
-                errors.STORE_UNAVAILABLE, retry_after=NOT_RUN_RETRY,
-                detail=got.failure().status))
-        stored = got.unwrap()
-        if stored is None:
-            return result.Failure(errors.problem(errors.UNKNOWN_JOB,
-                                                 job_id=job_id))
-        return result.Success((200, dataclasses.asdict(stored.record)))
+        """Return the record of a job."""
+        return self.desk.show(job_id).map(job_answer)
+
+    def cancel_job(self, job_id: str) -> api.Answer:
+        """Cancel a job: a queued one at once, a running one by stopping it."""
+        cancelled = self.desk.cancel(job_id)
+        if isinstance(cancelled, result.Success):
+            events.emit(events.JOB_CANCELLED, job=job_id,
+                        state=cancelled.unwrap().state)
+        return cancelled.map(job_answer)
 
     def add_rule(self, model: api.AddRuleModel
                  ) -> result.Result[rules.RuleSet, errors.Problem]:
@@ -361,6 +363,12 @@
         return tuple(found)
 
 
+def job_answer(record: jobtable.JobRecord, status: int = 200
+               ) -> tuple[int, dict[str, object]]:
+    """Return the answer that shows a job's record."""
+    return status, dataclasses.asdict(record)
+
+
 def seed_rules(opts: options.Options, kv: kvclient.Client) -> None:
     """Write the settings' rules if the store has none yet."""
     kv.cas(rulebook.KEY, 0, rulebook.encode(list(opts.rules)))
--- a/sycamorefield/errors.py
+++ b/sycamorefield/errors.py
@@ -26,6 +26,11 @@
 OUTCOME_UNKNOWN = Code("outcome-unknown", 504,
                        "request may have run; ask again with the same "
                        "idempotency key")
+JOB_UNKNOWN = Code("outcome-unknown", 504,
+                   "the job may have been accepted; submit it again with "
+                   "the same job_id")
+CANNOT_RUN = Code("cannot-run", 422,
+                  "work {name!r} fits no worker of the fleet")
 IN_PROGRESS = Code("in-progress", 409,
                    "a request with this idempotency key is in progress")
 STORE_UNAVAILABLE = Code("store-unavailable", 503,
--- /dev/null
+++ b/sycamorefield/jobtable.py
@@ -0,0 +1,262 @@
+"""Keep one cell's jobs in the key-value service by group commit.
+
+A cell's owner holds its jobs in memory and writes them, all together, to
+one key, /cells/<cell>/jobs, by compare-and-swap.  Many changes made between
+two writes share one write, so that task starts are not bounded by the
+writes per second that the service allows.  Effects outside the process (a
+start sent to a worker, an "accepted" answer) wait until the change they
+depend on is committed.
+
+Taking over a cell rewrites the key first, under the new owner's epoch.  Any
+write still under way from an earlier owner then fails its compare-and-swap,
+whatever that owner believes about its lease.
+"""
+
+import dataclasses
+import threading
+import time
+
+from sycamorefield import events
+from sycamorefield import kvclient
+from sycamorefield import options
+from sycamorefield import sycamorefield_pb2 as pb
+
+QUEUED = "queued"
+PLACED = "placed"
+DONE = "done"
+FAILED = "failed"
+CANCELLED = "cancelled"
+MOVING = "moving"
+MOVED = "moved"
+FINISHED = (DONE, FAILED, CANCELLED, MOVED)
+NO_CELL = -1
+RETRY_SECONDS = 0.1
+IDLE_WAIT = 0.2
+MAX_VALUE_BYTES = 900_000
+
+
+@dataclasses.dataclass
+class JobRecord:
+    """A job: what it is, where it runs and how far it got."""
+
+    job_id: str
+    customer: str
+    work: str
+    kind: str
+    priority: str
+    state: str = QUEUED
+    worker: str = ""
+    task_id: str = ""
+    progress: float = 0.0
+    attempts: int = 0
+    evictions: int = 0
+    failed_on: list[str] = dataclasses.field(default_factory=list)
+    cancelled: bool = False
+    moved_to: int = NO_CELL
+    accepted_at: float = 0.0
+    placed_at: float = 0.0
+    finished_at: float = 0.0
+    reason: str = ""
+
+    def message(self) -> pb.JobRecord:
+        """Return the record as sent and stored."""
+        return pb.JobRecord(**vars(self))
+
+    @classmethod
+    def from_message(cls, message: pb.JobRecord) -> "JobRecord":
+        """Return the record that a message holds."""
+        values = {f.name: getattr(message, f.name)
+                  for f in dataclasses.fields(cls)}
+        values["failed_on"] = list(message.failed_on)
+        return cls(**values)
+
+
+def new_record(job_id: str, customer: str, work: options.Work,
+               priority: str) -> JobRecord:
+    """Return the record of a newly accepted job."""
+    return JobRecord(job_id=job_id, customer=customer, work=work.name,
+                     kind=work.kind, priority=priority,
+                     accepted_at=time.time())
+
+
+def table_key(cell: int) -> str:
+    """Return the key that holds a cell's jobs."""
+    return f"/cells/{cell}/jobs"
+
+
+class JobTable:
+    """The jobs of one cell, held by the owner of the cell."""
+
+    def __init__(self, kv: kvclient.Client, cell: int, owner: str,
+                 epoch: int, pace: float, retention: float) -> None:
+        self.kv = kv
+        self.cell = cell
+        self.key = table_key(cell)
+        self.header = pb.JobTable(owner=owner,
+                                  epoch=epoch).SerializeToString()
+        self.pace = pace
+        self.retention = retention
+        self.changed = threading.Condition()
+        self.records: dict[str, JobRecord] = {}
+        # Each job's part of the stored value, encoded once per change: a
+        # repeated field's encoding is the concatenation of its elements'.
+        self.parts: dict[str, bytes] = {}
+        self.versions: dict[str, int] = {}
+        self.size = len(self.header)
+        self.revision = 0
+        self.version = 0
+        self.committed = 0
+        self.commits = 0
+        self.healthy = False
+        self.lost = False
+        self.stopped = False
+        self.in_doubt: tuple[int, bytes] | None = None
+
+    def load(self) -> bool:
+        """Take the table over from whoever held it; False to try again."""
+        got = self.kv.get(self.key)
+        if not isinstance(got, kvclient.result.Success):
+            return False
+        item = got.unwrap()
+        stored = pb.JobTable.FromString(item.value if item else b"")
+        with self.changed:
+            self.records = {}
+            self.parts = {}
+            self.size = len(self.header)
+            for message in stored.jobs:
+                self._put(JobRecord.from_message(message))
+            value = self._value()
+        self.revision = item.mod_revision if item else 0
+        if item is not None and item.value == value:
+            self.healthy = True
+            return True
+        swap = self.kv.cas(self.key, self.revision, value).value_or(None)
+        if swap is None or not swap.succeeded:
+            # Lost reply or a last write of the earlier owner: read again.
+            return False
+        self.revision = swap.revision
+        self.healthy = True
+        return True
+
+    def _put(self, record: JobRecord) -> None:
+        self.size -= len(self.parts.get(record.job_id, b""))
+        part = pb.JobTable(jobs=[record.message()]).SerializeToString()
+        self.records[record.job_id] = record
+        self.parts[record.job_id] = part
+        self.size += len(part)
+
+    def _value(self) -> bytes:
+        return b"".join([self.header, *self.parts.values()])
+
+    def stage(self, record: JobRecord) -> int:
+        """Add or replace a record; return the version to wait for."""
+        with self.changed:
+            self._put(record)
+            self.version += 1
+            self.versions[record.job_id] = self.version
+            self.changed.notify_all()
+            return self.version
+
+    def get(self, job_id: str) -> JobRecord | None:
+        """Return a copy of a record, or None."""
+        with self.changed:
+            record = self.records.get(job_id)
+            return dataclasses.replace(record) if record else None
+
+    def in_state(self, *states: str) -> list[JobRecord]:
+        """Return copies of the records in any of the states."""
+        with self.changed:
+            return [dataclasses.replace(r) for r in self.records.values()
+                    if r.state in states]
+
+    def version_of(self, job_id: str) -> int:
+        """Return the version of a job's last change (0: as loaded)."""
+        with self.changed:
+            return self.versions.get(job_id, 0)
+
+    def durable(self, job_id: str) -> bool:
+        """Return whether a job's last change is committed."""
+        with self.changed:
+            return self.versions.get(job_id, 0) <= self.committed
+
+    def full(self) -> bool:
+        """Return whether the stored value has no room for new jobs."""
+        return self.size > MAX_VALUE_BYTES
+
+    def wait(self, version: int, timeout: float) -> bool:
+        """Wait until version is committed; False on loss or timeout."""
+        with self.changed:
+            self.changed.wait_for(
+                lambda: self.committed >= version or self.lost
+                or self.stopped, timeout)
+            return self.committed >= version
+
+    def run(self) -> None:
+        """Commit staged changes, at most one write per pace seconds."""
+        while not self.stopped and not self.lost:
+            with self.changed:
+                self.changed.wait_for(lambda: self.version > self.committed
+                                      or self.stopped, IDLE_WAIT)
+            if self.version > self.committed:
+                pause = self.pace if self.commit_once() else RETRY_SECONDS
+                time.sleep(pause)
+
+    def commit_once(self) -> bool:
+        """Write everything staged so far; return whether it is settled."""
+        if self.in_doubt is None:
+            with self.changed:
+                self._prune(time.time())
+                self.in_doubt = (self.version, self._value())
+        # A write whose reply was lost is repeated to the letter until its
+        # outcome is known: the stored value then tells our own write (it
+        # took effect, take its revision) from a successor's (ours never
+        # will).  A changed value could not be told apart from a race.
+        version, value = self.in_doubt
+        outcome = self.kv.cas(self.key, self.revision, value)
+        self.commits += 1
+        if not isinstance(outcome, kvclient.result.Success):
+            if self.healthy:
+                events.emit(events.KV_UNAVAILABLE, key=self.key,
+                            status=outcome.failure().status)
+            self.healthy = False
+            return False
+        swap = outcome.unwrap()
+        if swap.succeeded:
+            self._settle(version, swap.revision)
+        elif swap.current is not None and swap.current.value == value:
+            self._settle(version, swap.current.mod_revision)
+        else:
+            self._lose()
+        return True
+
+    def _settle(self, version: int, revision: int) -> None:
+        with self.changed:
+            self.revision = revision
+            self.committed = version
+            self.in_doubt = None
+            self.healthy = True
+            self.changed.notify_all()
+
+    def _lose(self) -> None:
+        events.emit(events.TABLE_LOST, cell=self.cell)
+        with self.changed:
+            self.lost = True
+            self.healthy = False
+            self.changed.notify_all()
+
+    def _prune(self, now: float) -> None:
+        old = [r.job_id for r in self.records.values()
+               if r.state in FINISHED and now - r.finished_at
+               > self.retention]
+        for job_id in old:
+            self.size -= len(self.parts.pop(job_id))
+            del self.records[job_id]
+            self.versions.pop(job_id, None)
+
+    def stop(self, flush: float = 0.0) -> None:
+        """Stop committing, after up to flush seconds for what is staged."""
+        if flush:
+            self.wait(self.version, flush)
+        with self.changed:
+            self.stopped = True
+            self.changed.notify_all()
--- a/sycamorefield/load.py
+++ b/sycamorefield/load.py
@@ -21,6 +21,8 @@
 CALLERS = 16
 JOB_WAIT = 20.0
 DIRECT_SAMPLES = 200
+SUBMIT_TRIES = 8
+COME_BACK = (0, 503, 504)
 
 
 class Caller:
@@ -84,6 +86,19 @@
         latencies.record(work.name, elapsed)
 
 
+def _submit(caller: Caller, body: dict[str, object]) -> bool:
+    """Submit one job, coming back when told to; return if accepted."""
+    for _ in range(SUBMIT_TRIES):
+        status, answer = caller.post("/v1/jobs", body)
+        if status == 202:
+            return True
+        if status not in COME_BACK:
+            return False
+        wait = answer.get("retry_after_seconds", 1.0)
+        time.sleep(float(wait) if isinstance(wait, int | float) else 1.0)
+    return False
+
+
 def _submit_jobs(caller: Caller, opts: options.Options,
                  rng: random.Random) -> list[str]:
     batch = [w for w in opts.work.values() if w.kind == "batch"]
@@ -94,10 +109,10 @@
              for _ in range(opts.load.standing_jobs)]
     for work, kind in plan:
         job_id = f"{kind}-{uuid.UUID(int=rng.getrandbits(128)).hex[:12]}"
-        status, _ = caller.post("/v1/jobs", {
+        body: dict[str, object] = {
             "customer": rng.choice(opts.load.customers),
-            "work": work.name, "job_id": job_id})
-        if status == 202 and kind == "batch":
+            "work": work.name, "job_id": job_id}
+        if _submit(caller, body) and kind == "batch":
             ids.append(job_id)
     return ids
 
--- a/sycamorefield/membership.py
+++ b/sycamorefield/membership.py
@@ -1,10 +1,12 @@
-"""Keep an entry process in the membership table and divide the workers.
+"""Keep an entry process in the membership and divide the cells.
 
 Each entry process holds a lease in the key-value service and a key
-/members/<name> bound to it.  Workers are divided among the live members by
-consistent hashing; an owner claims /owners/<worker> under its own lease, and
-the claim's mod_revision is the fence every worker checks.  When a member's
-lease lapses its claims vanish with it and the next owner claims them.
+/members/<name> bound to it, which also tells its peers where it listens.
+An owner claims /owners/<cell> under its own lease, and the claim's
+mod_revision is the fence that every worker of the cell checks.  When a
+member's lease lapses its claims vanish with it and others claim the cells.
+Members keep the division even by giving up what they hold beyond their
+share; nobody directs it.
 """
 
 import dataclasses
@@ -12,8 +14,6 @@
 import time
 import typing
 
-import uhashring
-
 from sycamorefield import events
 from sycamorefield import kvclient
 from sycamorefield import options
@@ -24,12 +24,21 @@
 
 @dataclasses.dataclass(frozen=True)
 class Claim:
-    """This process's ownership of one worker, fenced by a revision."""
+    """This process's ownership of one cell, fenced by a revision."""
 
-    worker: str
+    cell: int
     fence: int
 
 
+@dataclasses.dataclass(frozen=True)
+class Member:
+    """A live entry process: its zone and where its peers reach it."""
+
+    name: str
+    zone: str
+    address: str
+
+
 class Membership:
     """Hold this member's lease, the live members and the claims."""
 
@@ -40,12 +49,14 @@
         self.name = name
         self.lease = 0
         self.renewed_at = 0.0
-        self.members: tuple[str, ...] = ()
-        self.claims: dict[str, Claim] = {}
+        self.members: dict[str, Member] = {}
+        self.owners: dict[int, str] = {}
+        self.claims: dict[int, Claim] = {}
         self.lock = threading.Lock()
         self.stopped = threading.Event()
         self.on_claim: typing.Callable[[Claim], None] = lambda claim: None
-        self.on_release: typing.Callable[[str], None] = lambda worker: None
+        self.on_release: typing.Callable[[int, bool], None] = (
+            lambda cell, held: None)
 
     def join(self) -> bool:
         """Grant a lease and write the member key; False if the store fails."""
@@ -54,16 +65,18 @@
         granted = self.kv.grant(ttl_ms)
         if not isinstance(granted, kvclient.result.Success):
             return False
+        spec = self.opts.entry(self.name)
+        value = kvclient.encode({
+            "name": self.name, "zone": spec.zone,
+            "address": f"{self.opts.host}:{spec.grpc_port}"})
+        put = self.kv.put(MEMBERS + self.name, value, granted.unwrap())
+        if not isinstance(put, kvclient.result.Success):
+            return False
         self.lease = granted.unwrap()
         self.renewed_at = asked_at
-        value = kvclient.encode({"name": self.name,
-                                 "zone": self.opts.entry(self.name).zone})
-        put = self.kv.put(MEMBERS + self.name, value, self.lease)
-        if isinstance(put, kvclient.result.Success):
-            events.emit(events.MEMBER_JOINED, member=self.name,
-                        lease=self.lease)
-            return True
-        return False
+        events.emit(events.MEMBER_JOINED, member=self.name,
+                    lease=self.lease)
+        return True
 
     def run(self) -> None:
         """Renew the lease and keep claims in step with the members."""
@@ -78,7 +91,7 @@
             if renewed.value_or(-1) == 0 or not self.holds():
                 # The lease lapsed while we were paused or cut off from the
                 # store: our member key and claims are gone or soon will be,
-                # and a successor may already own our workers.  By our own
+                # and a successor may already own our cells.  By our own
                 # clock the lease is over once a TTL has passed since the
                 # last renewal we sent, whether or not the store said so;
                 # drop every claim then and join again with a fresh lease.
@@ -96,67 +109,109 @@
                                      < self.opts.timings.member_ttl)
 
     def refresh(self) -> None:
-        """Read members and owners; claim or release workers to match."""
+        """Read members and owners; claim or release cells to match."""
         found = self.kv.range(MEMBERS)
         if not isinstance(found, kvclient.result.Success):
             return
-        members = tuple(sorted(item.key[len(MEMBERS):]
-                               for item in found.unwrap().items))
-        if members != self.members:
-            for gone in set(self.members) - set(members):
-                events.emit(events.MEMBER_LEFT, member=gone)
-            self.members = members
+        members = {}
+        for item in found.unwrap().items:
+            member = Member(**kvclient.decode(item.value))
+            members[member.name] = member
+        for gone in sorted(set(self.members) - set(members)):
+            events.emit(events.MEMBER_LEFT, member=gone)
+        self.members = members
+        claimed = self.kv.range(OWNERS)
+        if not isinstance(claimed, kvclient.result.Success):
+            return
+        self.owners = {int(item.key[len(OWNERS):]):
+                       kvclient.decode(item.value)["owner"]
+                       for item in claimed.unwrap().items}
         if self.name not in members:
             return
-        ring = uhashring.HashRing(nodes=list(members))
-        for machine in self.opts.machines:
-            mine = ring.get_node(machine.name) == self.name
-            if mine and machine.name not in self.claims:
-                self._claim(machine.name)
-            elif not mine and machine.name in self.claims:
-                self._release(machine.name)
-
-    def _claim(self, worker: str) -> None:
+        for cell in self._unowned():
+            self._claim(cell)
+        for cell in self._surplus():
+            self._release(cell)
+
+    def _counts(self) -> dict[str, int]:
+        counts = dict.fromkeys(self.members, 0)
+        for owner in self.owners.values():
+            if owner in counts:
+                counts[owner] += 1
+        return counts
+
+    def _unowned(self) -> list[int]:
+        """Return the free cells this member should claim now."""
+        free = [cell for cell in range(self.opts.cells)
+                if self.owners.get(cell) in (None, self.name)
+                and cell not in self.claims]
+        share = -(-self.opts.cells // len(self.members))
+        mine = self._counts()[self.name]
+        # Members start in different places so that they seldom race for
+        # the same cell; a lost race costs one write and is harmless.
+        ranked = sorted(self.members)
+        shift = ranked.index(self.name) * share
+        free.sort(key=lambda cell: (cell - shift) % self.opts.cells)
+        held = [c for c in free if self.owners.get(c) == self.name]
+        return (held + [c for c in free if c not in held]
+                [:max(0, share - mine)])
+
+    def _surplus(self) -> list[int]:
+        """Return the cells this member should give up now."""
+        counts = self._counts()
+        cells = sorted(self.claims)
+        share = -(-self.opts.cells // len(self.members))
+        floor = self.opts.cells // len(self.members)
+        if len(cells) > share:
+            return cells[share:]
+        if len(cells) > floor and min(counts.values()) < floor:
+            most = max(counts.values())
+            if self.name == min(n for n, c in counts.items() if c == most):
+                return cells[-1:]
+        return []
+
+    def _claim(self, cell: int) -> None:
         value = kvclient.encode({"owner": self.name, "lease": self.lease})
-        swap = self.kv.cas(OWNERS + worker, 0, value, self.lease)
+        swap = self.kv.cas(OWNERS + str(cell), 0, value, self.lease)
         if not isinstance(swap, kvclient.result.Success):
             return
         outcome = swap.unwrap()
-        if not outcome.succeeded:
-            current = outcome.current
-            holder = kvclient.decode(current.value) if current else None
-            if not holder or holder.get("owner") != self.name:
-                return
-            fence = current.mod_revision if current else 0
-        else:
+        if outcome.succeeded:
             fence = outcome.revision
-        claim = Claim(worker, fence)
+        elif outcome.current is not None and outcome.current.value == value:
+            # Our own earlier claim under this lease, its reply lost.
+            fence = outcome.current.mod_revision
+        else:
+            return
+        claim = Claim(cell, fence)
         with self.lock:
-            self.claims[worker] = claim
-        events.emit(events.WORKER_CLAIMED, worker=worker, fence=fence)
+            self.claims[cell] = claim
+        self.owners[cell] = self.name
+        events.emit(events.CELL_CLAIMED, cell=cell, fence=fence)
         self.on_claim(claim)
 
-    def _release(self, worker: str) -> None:
+    def _release(self, cell: int) -> None:
         with self.lock:
-            claim = self.claims.pop(worker, None)
+            claim = self.claims.pop(cell, None)
         if claim is None:
             return
-        self.on_release(worker)
-        self.kv.cas(OWNERS + worker, claim.fence, b"", delete=True)
-        events.emit(events.WORKER_RELEASED, worker=worker)
+        self.on_release(cell, True)
+        self.kv.cas(OWNERS + str(cell), claim.fence, b"", delete=True)
+        self.owners.pop(cell, None)
+        events.emit(events.CELL_RELEASED, cell=cell)
 
     def _drop_all(self) -> None:
         with self.lock:
-            workers = list(self.claims)
+            cells = list(self.claims)
             self.claims.clear()
-        for worker in workers:
-            self.on_release(worker)
+        for cell in cells:
+            self.on_release(cell, False)
 
     def leave(self) -> None:
         """Release every claim and revoke the lease, for a planned stop."""
         self.stopped.set()
-        for worker in list(self.claims):
-            self._release(worker)
+        for cell in list(self.claims):
+            self._release(cell)
         if self.lease:
             self.kv.revoke(self.lease)
         events.emit(events.MEMBER_LEFT, member=self.name)
@@ -166,13 +221,6 @@
         with self.lock:
             return list(self.claims.values())
 
-
-def wait_for(condition: typing.Callable[[], bool], seconds: float,
-             step: float = 0.05) -> bool:
-    """Poll condition until true or seconds pass; return its last value."""
-    deadline = time.monotonic() + seconds
-    while time.monotonic() < deadline:
-        if condition():
-            return True
-        time.sleep(step)
-    return condition()
+    def owner_of(self, cell: int) -> Member | None:
+        """Return the live member that owns a cell, as last read."""
+        return self.members.get(self.owners.get(cell, ""))
--- a/sycamorefield/options.py
+++ b/sycamorefield/options.py
@@ -26,8 +26,15 @@
                         self.memory_mb + other.memory_mb,
                         self.accelerators + other.accelerators)
 
+    def minus(self, other: "Capacity") -> "Capacity":
+        """Return what is left of this capacity beside other."""
+        return Capacity(self.cpus - other.cpus,
+                        self.memory_mb - other.memory_mb,
+                        self.accelerators - other.accelerators)
+
 
 ZERO = Capacity(0.0, 0, 0)
+MIN_COMMIT_PACE = 0.02
 
 
 @dataclasses.dataclass(frozen=True)
@@ -45,11 +52,12 @@
 
 @dataclasses.dataclass(frozen=True)
 class EntrySpec:
-    """An entry process: its name, zone and HTTP port."""
+    """An entry process: its name, zone, HTTP port and peers' gRPC port."""
 
     name: str
     zone: str
     http_port: int
+    grpc_port: int
 
 
 @dataclasses.dataclass(frozen=True)
@@ -77,6 +85,9 @@
     request_timeout: float
     leaving_grace: float
     drain: float
+    move_after: float
+    clock_skew: float
+    job_retention: float
 
 
 @dataclasses.dataclass(frozen=True)
@@ -107,6 +118,9 @@
     machines: tuple[Machine, ...]
     work: dict[str, Work]
     customers: tuple[str, ...]
+    quotas: dict[str, float]
+    cells: int
+    quiet_machines: frozenset[str]
     rules: tuple[rules.Rule, ...]
     timings: Timings
     load: Load
@@ -126,6 +140,24 @@
                 return machine
         raise KeyError(name)
 
+    def machines_of(self, cell: int) -> list[Machine]:
+        """Return a cell's workers: every cells-th one, in settings order.
+
+        Neighbours in a rack fall into different cells, so that losing a
+        rack takes a part of many cells rather than all of one.
+        """
+        return list(self.machines[cell::self.cells])
+
+    @property
+    def commit_pace(self) -> float:
+        """Return the seconds between two writes of one cell's job table.
+
+        All cells writing as fast as they may take half of the writes that
+        the key-value service allows; the other half stays for the rest.
+        """
+        return max(MIN_COMMIT_PACE,
+                   self.cells / (0.5 * self.kv_writes_per_second))
+
     @property
     def kv_target(self) -> str:
         """Return host:port of the key-value service."""
--- /dev/null
+++ b/sycamorefield/peers.py
@@ -0,0 +1,313 @@
+"""Let entry processes reach the owner of each cell, over gRPC.
+
+PeerServer answers for the cells owned here.  PeerLink is the one task per
+peer: it asks the peer every period what its cells have room for, what its
+customers use and how its workers interfere, and carries single calls to
+the peer in between.
+"""
+
+import concurrent.futures
+import dataclasses
+import threading
+import time
+import typing
+
+import grpc
+
+from sycamorefield import cells as cells_mod
+from sycamorefield import events
+from sycamorefield import jobtable
+from sycamorefield import membership
+from sycamorefield import options
+from sycamorefield import sycamorefield_pb2 as pb
+from sycamorefield import sycamorefield_pb2_grpc as pb_grpc
+
+CALL_TIMEOUT = 3.0
+STATUS_TIMEOUT = 1.0
+COMMIT_TIMEOUT = 2.0
+STATUS_PERIOD = 0.5
+STALE_SECONDS = 5.0
+
+ACCEPTED = "accepted"
+EXISTS = "exists"
+NOT_OWNER = "not-owner"
+NOT_RUN = "not-run"
+UNKNOWN = "unknown"
+FOUND = "found"
+ABSENT = "absent"
+
+
+class PeerServer(pb_grpc.PeerServicer):
+    """Answer the peers about the cells owned here."""
+
+    def __init__(self, opts: options.Options, name: str,
+                 cells: cells_mod.Cells) -> None:
+        self.opts = opts
+        self.name = name
+        self.cells = cells
+
+    def Submit(self, request: pb.SubmitRequest,
+               context: grpc.ServicerContext | None) -> pb.SubmitReply:
+        cell = self.cells.get(request.cell)
+        if cell is None:
+            return pb.SubmitReply(outcome=NOT_OWNER)
+        table = cell.table
+        with cell.lock:
+            known = table.get(request.job.job_id)
+            if known is None:
+                if not table.healthy or table.full():
+                    # Refuse before anything is recorded, so that "not
+                    # run" is true: a job staged while the store is down
+                    # might be committed after its caller was told no.
+                    return pb.SubmitReply(
+                        outcome=NOT_RUN,
+                        detail="store unavailable" if not table.healthy
+                        else "cell is full")
+                table.stage(jobtable.JobRecord.from_message(request.job))
+        version = table.version_of(request.job.job_id)
+        if not table.wait(version, COMMIT_TIMEOUT):
+            return pb.SubmitReply(outcome=UNKNOWN)
+        if known is not None:
+            return pb.SubmitReply(outcome=EXISTS, job=known.message())
+        cell.wake.set()
+        return pb.SubmitReply(outcome=ACCEPTED, job=request.job)
+
+    def Show(self, request: pb.JobQuery,
+             context: grpc.ServicerContext | None) -> pb.ShowReply:
+        cell = self.cells.get(request.cell)
+        if cell is None:
+            return pb.ShowReply(outcome=NOT_OWNER)
+        return _shown(cell.table.get(request.job_id))
+
+    def Cancel(self, request: pb.JobQuery,
+               context: grpc.ServicerContext | None) -> pb.ShowReply:
+        cell = self.cells.get(request.cell)
+        if cell is None:
+            return pb.ShowReply(outcome=NOT_OWNER)
+        record = cell.cancel(request.job_id)
+        if record is not None and not cell.table.durable(request.job_id):
+            return pb.ShowReply(outcome=UNKNOWN)
+        return _shown(record)
+
+    def Status(self, request: pb.StatusRequest,
+               context: grpc.ServicerContext | None) -> pb.StatusReply:
+        usage: dict[str, float] = {}
+        statuses = []
+        for cell in self.cells.all():
+            room = cell.room()
+            statuses.append(pb.CellStatus(
+                cell=cell.number, room=pb.Resources(
+                    cpus=room.cpus, memory_mb=room.memory_mb,
+                    accelerators=room.accelerators),
+                queued=len(cell.table.in_state(jobtable.QUEUED)),
+                workers=[pb.WorkerStatus(worker=link.machine.name,
+                                         interference=link.interference)
+                         for link in cell.links.values()
+                         if link.interference]))
+            for customer, cpus in cell.usage().items():
+                usage[customer] = usage.get(customer, 0.0) + cpus
+        return pb.StatusReply(
+            entry=self.name, cells=statuses,
+            usage=[pb.CustomerUsage(customer=c, cpus=v)
+                   for c, v in sorted(usage.items())])
+
+
+def _shown(record: jobtable.JobRecord | None) -> pb.ShowReply:
+    if record is None:
+        return pb.ShowReply(outcome=ABSENT)
+    return pb.ShowReply(outcome=FOUND, job=record.message())
+
+
+def serve(server: PeerServer, host: str, port: int) -> grpc.Server:
+    """Start answering peers on host:port; return the gRPC server."""
+    listener = grpc.server(
+        concurrent.futures.ThreadPoolExecutor(max_workers=32))
+    pb_grpc.add_PeerServicer_to_server(server, listener)
+    listener.add_insecure_port(f"{host}:{port}")
+    listener.start()
+    return listener
+
+
+@dataclasses.dataclass
+class PeerLink:
+    """The connection to one peer and what it last said of itself."""
+
+    member: membership.Member
+    asker: str
+
+    def __post_init__(self) -> None:
+        self.channel = grpc.insecure_channel(self.member.address)
+        self.stub = pb_grpc.PeerStub(self.channel)
+        self.stopped = threading.Event()
+        self.status = pb.StatusReply()
+        self.heard_at = 0.0
+
+    def run(self) -> None:
+        """Ask the peer for its status every period until stopped."""
+        while not self.stopped.wait(STATUS_PERIOD):
+            try:
+                self.status = self.stub.Status(
+                    pb.StatusRequest(asker=self.asker),
+                    timeout=STATUS_TIMEOUT)
+                self.heard_at = time.monotonic()
+            except grpc.RpcError:
+                continue
+        self.channel.close()
+
+    def fresh(self) -> bool:
+        """Return whether the peer answered lately."""
+        return time.monotonic() - self.heard_at < STALE_SECONDS
+
+
+class Peers:
+    """Every peer of this entry process, and calls to cell owners."""
+
+    def __init__(self, opts: options.Options, name: str,
+                 server: PeerServer,
+                 members: membership.Membership) -> None:
+        self.opts = opts
+        self.name = name
+        self.server = server
+        self.members = members
+        self.lock = threading.Lock()
+        self.links: dict[str, PeerLink] = {}
+        self.stopped = threading.Event()
+        self.own = pb.StatusReply()
+
+    def run(self) -> None:
+        """Keep one link per live peer and move jobs that wait here."""
+        while not self.stopped.wait(STATUS_PERIOD):
+            self.refresh_links()
+            self.own = self.server.Status(pb.StatusRequest(), None)
+            self.move_jobs()
+        for link in self.links.values():
+            link.stopped.set()
+
+    def refresh_links(self) -> None:
+        """Open links to new members and close those of members gone."""
+        live = {n: m for n, m in self.members.members.items()
+                if n != self.name}
+        with self.lock:
+            for name, link in list(self.links.items()):
+                if live.get(name) != link.member:
+                    link.stopped.set()
+                    del self.links[name]
+            for name, member in live.items():
+                if name not in self.links:
+                    link = PeerLink(member, self.name)
+                    self.links[name] = link
+                    threading.Thread(target=link.run, daemon=True,
+                                     name=f"peer-{name}").start()
+
+    def statuses(self) -> list[pb.StatusReply]:
+        """Return what is known now of every entry process, this one too."""
+        with self.lock:
+            return [self.own] + [link.status for link in self.links.values()
+                                 if link.fresh()]
+
+    def interference(self) -> dict[str, float]:
+        """Return the last reported interference per worker."""
+        return {w.worker: w.interference for status in self.statuses()
+                for cell in status.cells for w in cell.workers}
+
+    def over_quota(self, customer: str, cpus: float) -> bool:
+        """Return whether cpus more would put a customer over its quota.
+
+        What the peers run is as old as their last status, so a burst may
+        overshoot by what they place within a status period.
+        """
+        quota = self.opts.quotas.get(customer)
+        if quota is None:
+            return False
+        used = sum(u.cpus for status in self.statuses()[1:]
+                   for u in status.usage if u.customer == customer)
+        used += sum(cell.usage().get(customer, 0.0)
+                    for cell in self.server.cells.all())
+        return used + cpus > quota
+
+    def move_target(self, leaving: int, demand: options.Capacity) -> int:
+        """Return another cell with room for demand, or NO_CELL."""
+        best, best_cpus = jobtable.NO_CELL, 0.0
+        for status in self.statuses():
+            for cell in status.cells:
+                room = options.Capacity(cell.room.cpus, cell.room.memory_mb,
+                                        cell.room.accelerators)
+                if (cell.cell != leaving and not cell.queued
+                        and room.fits(options.ZERO, demand)
+                        and room.cpus > best_cpus):
+                    best, best_cpus = cell.cell, room.cpus
+        return best
+
+    def _call(self, cell: int, method: str, request: typing.Any,
+              unknown: typing.Any, not_owner: typing.Any) -> typing.Any:
+        owner = self.members.owner_of(cell)
+        if owner is None:
+            return not_owner
+        if owner.name == self.name:
+            return getattr(self.server, method)(request, None)
+        if owner.name not in self.links:
+            self.refresh_links()
+        with self.lock:
+            link = self.links.get(owner.name)
+        if link is None:
+            return not_owner
+        try:
+            return getattr(link.stub, method)(request, timeout=CALL_TIMEOUT)
+        except grpc.RpcError:
+            return unknown
+
+    def submit(self, cell: int, record: jobtable.JobRecord
+               ) -> pb.SubmitReply:
+        """Hand a job to the owner of a cell."""
+        return self._call(cell, "Submit",
+                          pb.SubmitRequest(cell=cell, job=record.message()),
+                          pb.SubmitReply(outcome=UNKNOWN),
+                          pb.SubmitReply(outcome=NOT_OWNER))
+
+    def show(self, cell: int, job_id: str) -> pb.ShowReply:
+        """Ask the owner of a cell for a job."""
+        return self._call(cell, "Show",
+                          pb.JobQuery(cell=cell, job_id=job_id),
+                          pb.ShowReply(outcome=UNKNOWN),
+                          pb.ShowReply(outcome=NOT_OWNER))
+
+    def cancel(self, cell: int, job_id: str) -> pb.ShowReply:
+        """Ask the owner of a cell to cancel a job."""
+        return self._call(cell, "Cancel",
+                          pb.JobQuery(cell=cell, job_id=job_id),
+                          pb.ShowReply(outcome=UNKNOWN),
+                          pb.ShowReply(outcome=NOT_OWNER))
+
+    def move_jobs(self) -> None:
+        """Hand each job marked as moving to the cell it moves to."""
+        for cell in self.server.cells.all():
+            for record in cell.table.in_state(jobtable.MOVING):
+                if cell.table.durable(record.job_id):
+                    self._move(cell, record)
+
+    def _move(self, cell: typing.Any, record: jobtable.JobRecord) -> None:
+        # The mark is durable before the job is handed over, and the target
+        # takes a job id once, so a crash on either side at any point leads
+        # to the same hand-over again and to one copy that can run.
+        arriving = dataclasses.replace(record, state=jobtable.QUEUED,
+                                       worker="")
+        reply = self.submit(record.moved_to, arriving)
+        with cell.lock:
+            now = cell.table.get(record.job_id)
+            if now is None or now.state != jobtable.MOVING:
+                return
+            if reply.outcome in (ACCEPTED, EXISTS):
+                now.state = jobtable.MOVED
+                now.finished_at = time.time()
+                events.emit(events.JOB_MOVED, job=record.job_id,
+                            cell=cell.number, to=record.moved_to)
+            elif reply.outcome == NOT_RUN:
+                now.state = jobtable.QUEUED
+                now.moved_to = jobtable.NO_CELL
+            else:
+                return
+            cell.table.stage(now)
+
+    def stop(self) -> None:
+        """Stop the links."""
+        self.stopped.set()
--- a/sycamorefield/placement.py
+++ b/sycamorefield/placement.py
@@ -1,15 +1,20 @@
 """Choose the worker for a batch task, within its resources.
 
 Placement policies vary, so they share an abstract base.  FirstFit is the
-naive version the measurements compare against; Spread avoids workers whose
-lagged reports show interference, and packs by the tightest fit.
+naive version the measurements compare against; Spread is the policy of
+earlier versions; Guarded keeps noisy work off the quiet workers that the
+latency-critical services rely on, and samples so that one decision costs
+the same on a fleet of any size.
 """
 
 import abc
 import dataclasses
+import random
 
 from sycamorefield import options
 
+SAMPLE = 24
+
 
 @dataclasses.dataclass
 class Candidate:
@@ -21,12 +26,18 @@
     committed: options.Capacity
     slots_free: int
     interference: float = 0.0
+    quiet: bool = False
 
     def fits(self, demand: options.Capacity) -> bool:
         """Return whether demand fits beside what is committed."""
         return (self.slots_free > 0
                 and self.capacity.fits(self.committed, demand))
 
+    def take(self, demand: options.Capacity) -> None:
+        """Count a task just placed here."""
+        self.committed = self.committed.plus(demand)
+        self.slots_free -= 1
+
 
 class Policy(abc.ABC):
     """Pick a worker for a demand from candidates."""
@@ -34,20 +45,20 @@
     name = "policy"
 
     @abc.abstractmethod
-    def choose(self, demand: options.Capacity,
+    def choose(self, work: options.Work,
                candidates: list[Candidate]) -> Candidate | None:
         """Return the chosen candidate, or None when nothing fits."""
 
 
 class FirstFit(Policy):
-    """Take the first worker, in name order, that has room."""
+    """Take the first worker, in the order given, that has room."""
 
     name = "first-fit"
 
-    def choose(self, demand: options.Capacity,
+    def choose(self, work: options.Work,
                candidates: list[Candidate]) -> Candidate | None:
-        for candidate in sorted(candidates, key=lambda c: c.name):
-            if candidate.fits(demand):
+        for candidate in candidates:
+            if candidate.fits(work.demand):
                 return candidate
         return None
 
@@ -57,9 +68,9 @@
 
     name = "spread"
 
-    def choose(self, demand: options.Capacity,
+    def choose(self, work: options.Work,
                candidates: list[Candidate]) -> Candidate | None:
-        fitting = [c for c in candidates if c.fits(demand)]
+        fitting = [c for c in candidates if c.fits(work.demand)]
         if not fitting:
             return None
         return min(fitting, key=lambda c: (
@@ -67,5 +78,44 @@
             c.capacity.cpus - c.committed.cpus, c.name))
 
 
-POLICIES: dict[str, type[Policy]] = {"first-fit": FirstFit,
-                                     "spread": Spread}
+class Guarded(Policy):
+    """Keep noisy work off quiet workers; else the emptiest of a sample.
+
+    Noisy work slows every service beside it, so it goes to the workers
+    that are not kept quiet.  Among those, the least loaded of a random
+    sample spreads interference evenly, which costs batch work the least.
+    """
+
+    name = "guarded"
+
+    def __init__(self, seed: int = 1) -> None:
+        self.random = random.Random(seed)
+
+    def choose(self, work: options.Work,
+               candidates: list[Candidate]) -> Candidate | None:
+        if len(candidates) > SAMPLE:
+            start = self.random.randrange(len(candidates))
+            some = [candidates[(start + n * 7919) % len(candidates)]
+                    for n in range(SAMPLE)]
+            found = self._best(work, some)
+            if found is not None:
+                return found
+        return self._best(work, candidates)
+
+    @staticmethod
+    def _best(work: options.Work,
+              candidates: list[Candidate]) -> Candidate | None:
+        best = None
+        best_load = 0.0
+        for candidate in candidates:
+            if work.noise and candidate.quiet:
+                continue
+            load = candidate.committed.cpus / candidate.capacity.cpus
+            if ((best is None or load < best_load)
+                    and candidate.fits(work.demand)):
+                best, best_load = candidate, load
+        return best
+
+
+POLICIES: dict[str, type[Policy]] = {
+    policy.name: policy for policy in (FirstFit, Spread, Guarded)}
--- a/sycamorefield/settings.py
+++ b/sycamorefield/settings.py
@@ -5,6 +5,8 @@
 """
 
 import importlib.resources
+import itertools
+import math
 import typing
 
 import pydantic
@@ -21,6 +23,7 @@
 KV_OFFSET = 0
 VM_LIST_OFFSET = 1
 ENTRY_OFFSET = 10
+PEER_OFFSET = 30
 WORKER_GRPC_OFFSET = 100
 WORKER_HTTP_OFFSET = 400
 
@@ -77,6 +80,9 @@
     request_timeout_seconds: float = pydantic.Field(default=2.0, gt=0)
     leaving_grace_seconds: float = pydantic.Field(default=1.0, ge=0)
     drain_seconds: float = pydantic.Field(default=5.0, ge=0)
+    move_after_seconds: float = pydantic.Field(default=1.0, ge=0)
+    clock_skew_seconds: float = pydantic.Field(default=0.5, ge=0)
+    job_retention_seconds: float = pydantic.Field(default=3600.0, gt=0)
 
 
 class LoadModel(_Model):
@@ -104,6 +110,9 @@
     worker: WorkerModel
     work: list[WorkModel] = pydantic.Field(min_length=1)
     customers: list[str] = pydantic.Field(min_length=1)
+    quotas: dict[str, float] = pydantic.Field(default_factory=dict)
+    cells: int | None = pydantic.Field(default=None, ge=1)
+    quiet_share: float = pydantic.Field(default=0.1, ge=0, lt=1)
     rules: list[rules_mod.RuleModel] = pydantic.Field(default_factory=list)
     timings: TimingsModel = TimingsModel()
     load: LoadModel = LoadModel()
@@ -137,6 +146,18 @@
             findings.append(errors.Finding(
                 _place(path, ("rules", index, "then", "zone")),
                 f"no zone named {zone!r}"))
+    workers = sum(r.workers for z in model.zones for r in z.racks)
+    if model.cells is not None and model.cells > workers:
+        findings.append(errors.Finding(
+            _place(path, ("cells",)),
+            f"{model.cells} cells for {workers} workers"))
+    for customer, cpus in model.quotas.items():
+        where = _place(path, ("quotas", customer))
+        if customer not in model.customers:
+            findings.append(errors.Finding(
+                where, f"no customer named {customer!r}"))
+        if cpus < 0:
+            findings.append(errors.Finding(where, "is below zero"))
     for index, customer in enumerate(model.load.customers):
         if customer not in model.customers:
             findings.append(errors.Finding(
@@ -145,6 +166,17 @@
     return findings
 
 
+def _quiet(machines: list[options.Machine],
+           share: float) -> frozenset[str]:
+    """Return the workers kept quiet, taken from the zones in turn."""
+    by_zone: dict[str, list[str]] = {}
+    for machine in machines:
+        by_zone.setdefault(machine.zone, []).append(machine.name)
+    in_turn = [name for row in itertools.zip_longest(*by_zone.values())
+               for name in row if name is not None]
+    return frozenset(in_turn[:math.ceil(share * len(machines))])
+
+
 def _build(model: SettingsModel) -> options.Options:
     machines: list[options.Machine] = []
     for zone in model.zones:
@@ -163,7 +195,8 @@
     entries = tuple(
         options.EntrySpec(f"entry-{n + 1}",
                           model.zones[n % len(model.zones)].name,
-                          model.base_port + ENTRY_OFFSET + n)
+                          model.base_port + ENTRY_OFFSET + n,
+                          model.base_port + PEER_OFFSET + n)
         for n in range(model.entries))
     work = {w.name: options.Work(
         name=w.name, kind=w.kind, service_ms=w.service_ms,
@@ -175,7 +208,9 @@
         member_ttl=t.member_ttl_seconds, heartbeat=t.heartbeat_seconds,
         task_lease=t.task_lease_seconds, rules_poll=t.rules_poll_seconds,
         report=t.report_seconds, request_timeout=t.request_timeout_seconds,
-        leaving_grace=t.leaving_grace_seconds, drain=t.drain_seconds)
+        leaving_grace=t.leaving_grace_seconds, drain=t.drain_seconds,
+        move_after=t.move_after_seconds, clock_skew=t.clock_skew_seconds,
+        job_retention=t.job_retention_seconds)
     load = options.Load(
         seconds=model.load.seconds,
         latency_per_second=model.load.latency_per_second,
@@ -191,7 +226,9 @@
         vm_list_lag=model.vm_list_lag_seconds, log_dir=model.log_dir,
         zones=tuple(zone.name for zone in model.zones), entries=entries,
         machines=tuple(machines), work=work,
-        customers=tuple(model.customers),
+        customers=tuple(model.customers), quotas=dict(model.quotas),
+        cells=model.cells or min(model.entries, len(machines)),
+        quiet_machines=_quiet(machines, model.quiet_share),
         rules=tuple(rules_mod.from_model(rule) for rule in model.rules),
         timings=timings, load=load)
 
--- a/sycamorefield/worker.py
+++ b/sycamorefield/worker.py
@@ -49,6 +49,7 @@
     lease_until: float
     progress: float = 0.0
     state: str = RUNNING
+    doomed: bool = False
 
     def status(self) -> pb.TaskStatus:
         """Return the task's status message."""
@@ -117,12 +118,17 @@
                             owner=request.owner)
                 return pb.TaskReply(accepted=False, reason="stale-fence")
             self.fence_seen = request.fence
+            self._lapse()
             existing = self.tasks.get(request.task_id)
-            if existing is not None and existing.state == RUNNING:
+            if existing is not None:
+                # A repeated start, also one repeated after the task ended:
+                # running it again would run the job twice.
                 return pb.TaskReply(accepted=True, state=existing.state,
                                     progress=existing.progress)
-            if self.faults.fail_all:
-                return self._refuse("worker-fails-all")
+            if request.not_after and time.time() > request.not_after:
+                # The start waited in our socket while we were frozen; its
+                # sender may have counted us as lost and moved the job.
+                return self._refuse("too-late")
             running = sum(1 for t in self.tasks.values()
                           if t.state == RUNNING)
             if running >= self.spec.slots:
@@ -133,7 +139,8 @@
             task = Task(request.task_id, request.job_id, request.work,
                         demand, request.run_seconds, request.noise,
                         request.fence, request.owner, request.lease_ms,
-                        now + request.lease_ms / 1000.0, request.progress)
+                        now + request.lease_ms / 1000.0, request.progress,
+                        doomed=self.faults.fail_all)
             self.tasks[request.task_id] = task
             self.peak = self._peak(self.used())
             self._check_capacity()
@@ -153,10 +160,11 @@
                         worker=self.spec.name,
                         used=dataclasses.asdict(used))
 
-    def _end(self, task: Task, state: str) -> None:
+    def _end(self, task: Task, state: str, ago: float = 0.0) -> None:
         task.state = state
         events.emit(events.TASK_ENDED, worker=self.spec.name,
                     task=task.task_id, job=task.job_id, state=state,
+                    ended_at=round(time.time() - ago, 6),
                     progress=round(task.progress, 3))
 
     def _peak(self, used: options.Capacity) -> options.Capacity:
@@ -181,8 +189,14 @@
     def Report(self, request: pb.ReportRequest,
                context: grpc.ServicerContext) -> pb.ReportReply:
         with self.lock:
-            if request.fence >= self.fence_seen and request.fence:
+            # Lapse first: a report that waited in our socket while we were
+            # frozen must not renew a lease that ran out meanwhile.
+            self._lapse()
+            current = request.fence and request.fence >= self.fence_seen
+            if current:
                 self.fence_seen = request.fence
+            late = request.not_after and time.time() > request.not_after
+            if current and request.renew and not late:
                 now = time.monotonic()
                 for task in self.tasks.values():
                     if task.state == RUNNING:
@@ -190,7 +204,7 @@
                         task.owner = request.owner
                         task.lease_until = now + task.lease_ms / 1000.0
             lagged = self._lagged()
-            if request.fence and request.fence >= self.fence_seen:
+            if current:
                 # An ended task is kept until its owner says it recorded
                 # the outcome: dropping it on the first report lost every
                 # outcome whose write to the store failed, and the job ran
@@ -234,19 +248,27 @@
             elapsed = now - last
             last = now
             with self.lock:
+                self._lapse()
                 slowdown = 1.0 + 0.5 * self.interference()
                 for task in self.tasks.values():
-                    self._advance(task, now, elapsed / slowdown)
+                    self._advance(task, elapsed / slowdown)
                 self.history.append(Snapshot(time.time(), self.used(),
                                              self.interference()))
 
-    def _advance(self, task: Task, now: float, elapsed: float) -> None:
+    def _lapse(self) -> None:
+        """End the tasks whose lease has run out."""
+        now = time.monotonic()
+        for task in self.tasks.values():
+            if task.state == RUNNING and now > task.lease_until:
+                events.emit(events.TASK_LAPSED, worker=self.spec.name,
+                            task=task.task_id, job=task.job_id)
+                self._end(task, LAPSED, ago=now - task.lease_until)
+
+    def _advance(self, task: Task, elapsed: float) -> None:
         if task.state != RUNNING:
             return
-        if now > task.lease_until:
-            events.emit(events.TASK_LAPSED, worker=self.spec.name,
-                        task=task.task_id, job=task.job_id)
-            self._end(task, LAPSED)
+        if task.doomed:
+            self._end(task, FAILED)
             return
         if task.run_seconds > 0:
             task.progress = min(1.0, task.progress
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -1,13 +1,17 @@
-"""Run each batch job once, through store outages and owner changes."""
+"""Run each batch job once, through outages, lost workers and moves."""
 
 import dataclasses
+import threading
 import time
 
 import pytest
 
-from sycamorefield import jobs
-from sycamorefield import membership
+from sycamorefield import cell as cell_mod
+from sycamorefield import jobtable
+from sycamorefield import options
+from sycamorefield import peers
 from sycamorefield import placement
+from sycamorefield import sycamorefield_pb2 as pb
 from sycamorefield import worker
 from tests import deployment
 from tests import standins
@@ -20,21 +24,63 @@
     stand_in.close()
 
 
-def _setup(kv, run_seconds=0.3):
-    opts = standins.sample_options(kv.port, report=0.1, task_lease=0.5)
-    spec = dataclasses.replace(opts.machines[0],
-                               grpc_port=standins.free_port())
-    renewal = dataclasses.replace(opts.work["class-renewal"],
-                                  run_seconds=run_seconds)
-    opts = dataclasses.replace(opts, machines=(spec,),
-                               work=dict(opts.work, **{
-                                   "class-renewal": renewal}))
-    server, machine = worker.serve_grpc("127.0.0.1", spec)
-    board = jobs.Board(kv.client)
-    scheduler = jobs.Scheduler(opts, "entry-1", board, placement.Spread())
-    scheduler.claimed(membership.Claim(spec.name, fence=1))
-    board.accept(jobs.new_record("j1", "owners", renewal, "low")).unwrap()
-    return server, machine, board, scheduler
+class OneCell:
+    """One cell over in-process workers, without membership."""
+
+    def __init__(self, kv, workers=1, run_seconds=0.3, **timings):
+        timings = {"report": 0.1, "task_lease": 0.5, "clock_skew": 0.0,
+                   **timings}
+        opts = standins.sample_options(kv.port, **timings)
+        machines = tuple(dataclasses.replace(
+            m, grpc_port=standins.free_port())
+            for m in opts.machines[:workers])
+        renewal = dataclasses.replace(opts.work["class-renewal"],
+                                      run_seconds=run_seconds)
+        self.opts = dataclasses.replace(
+            opts, machines=machines, cells=1, quiet_machines=frozenset(),
+            work=dict(opts.work, **{"class-renewal": renewal}))
+        self.servers, self.machines = zip(*(
+            worker.serve_grpc("127.0.0.1", m) for m in machines))
+        self.renewal = renewal
+        self.kv = kv
+
+    def start(self, fence=1):
+        """Run the cell as its owner under a fence."""
+        table = jobtable.JobTable(self.kv.client, 0, "entry-1", fence,
+                                  0.02, 3600.0)
+        cell = cell_mod.Cell(self.opts, 0, fence, table,
+                             placement.Guarded(), "entry-1", lambda: True,
+                             cell_mod.Counters())
+        threading.Thread(target=cell.run, daemon=True).start()
+        assert deployment.wait_until(
+            lambda: cell.loaded and all(link.reached for link
+                                        in cell.links.values()), 3)
+        return cell
+
+    def submit(self, cell, job_id, priority="low"):
+        """Accept a class renewal and wait until it is durable."""
+        version = cell.table.stage(jobtable.new_record(
+            job_id, "owners", self.renewal, priority))
+        assert cell.table.wait(version, 2)
+        cell.wake.set()
+
+    def running(self, index=0):
+        """Return the tasks running on one worker."""
+        return [t for t in list(self.machines[index].tasks.values())
+                if t.state == "running"]
+
+    def close(self, *cells):
+        """Stop the cells and the workers."""
+        for cell in cells:
+            cell.stop(flush=False)
+        for machine, server in zip(self.machines, self.servers):
+            machine.stopped.set()
+            server.stop(0)
+
+
+def state_of(cell, job_id):
+    """Return the state of a job in a cell."""
+    return cell.table.get(job_id).state
 
 
 def test_outcome_kept_until_recorded(kv):
@@ -48,22 +94,278 @@
     Cause: the worker dropped the ended task at the first report, so the
     owner found no task and queued the job again.
     """
-    server, machine, board, scheduler = _setup(kv)
+    one = OneCell(kv, run_seconds=0.6)
+    cell = one.start()
     try:
-        assert scheduler.place_once() == 1
+        one.submit(cell, "j1")
+        assert deployment.wait_until(one.running, 3)
         kv.faults(down=True)
         assert deployment.wait_until(
-            lambda: all(t.state == "done" for t in machine.tasks.values()),
-            3)
+            lambda: [t.state for t in one.machines[0].tasks.values()]
+            == ["done"], 3)
         time.sleep(0.5)
+        assert [t.state for t in one.machines[0].tasks.values()] == ["done"]
         kv.faults()
         assert deployment.wait_until(
-            lambda: board.get("j1").unwrap().record.state == "done", 3)
-        time.sleep(1.5)
-        scheduler.place_once()
-        record = board.get("j1").unwrap().record
-        assert (record.state, record.attempts) == ("done", 1)
+            lambda: cell.table.durable("j1")
+            and state_of(cell, "j1") == "done", 3)
+        assert deployment.wait_until(
+            lambda: not one.machines[0].tasks, 3)
+        assert cell.table.get("j1").attempts == 1
+    finally:
+        one.close(cell)
+
+
+def test_no_start_before_the_placement_is_durable(kv):
+    """Send no start while the placement's commit is not known.
+
+    Symptom: a job runs on two workers after its cell changed owners.
+
+    Sequence: the store goes down after a job is accepted; the owner
+    places it; the placement cannot be written; the owner dies and a
+    successor, who reads "queued", places the job somewhere else.
+
+    Cause guarded against: a start sent for a placement that only the
+    owner's memory holds.
+    """
+    one = OneCell(kv)
+    cell = one.start()
+    try:
+        kv.faults(down=True)
+        cell.table.stage(jobtable.new_record("j1", "owners", one.renewal,
+                                             "low"))
+        cell.wake.set()
+        time.sleep(0.6)
+        assert not one.machines[0].tasks
+        kv.faults()
+        assert deployment.wait_until(
+            lambda: state_of(cell, "j1") == "done", 4)
+    finally:
+        one.close(cell)
+
+
+def test_lost_workers_jobs_run_elsewhere(kv):
+    """Run a lost worker's job elsewhere, after its leases lapsed.
+
+    Symptom: a renewal whose worker VM failed for good never finishes.
+
+    Sequence: a worker dies with a task; nobody ever answers for it again.
+
+    Cause: only a report from the worker itself could queue its jobs again.
+    """
+    one = OneCell(kv, workers=2, run_seconds=1.0)
+    cell = one.start()
+    try:
+        one.submit(cell, "j1")
+        assert deployment.wait_until(
+            lambda: one.running(0) or one.running(1), 3)
+        gone = 0 if one.running(0) else 1
+        one.machines[gone].stopped.set()
+        one.servers[gone].stop(0)
+        assert deployment.wait_until(
+            lambda: state_of(cell, "j1") == "done", 12)
+        assert cell.table.get("j1").worker == one.machines[1 - gone].spec.name
+    finally:
+        one.close(cell)
+
+
+def test_successor_takes_over_running_tasks(kv):
+    """Carry a running task over to the cell's next owner, untouched.
+
+    Symptom: a renewal starts again, or runs twice, when its owner dies.
+
+    Sequence: the owner dies with a task running; a successor takes the
+    cell over under a higher fence; the first owner wakes up and tries to
+    record and to start.
+
+    Cause guarded against: two owners that both act on the cell's jobs.
+    """
+    one = OneCell(kv, run_seconds=2.0, task_lease=2.0)
+    first = one.start(fence=1)
+    second = None
+    try:
+        one.submit(first, "j1")
+        assert deployment.wait_until(one.running, 3)
+        for link in first.links.values():
+            link.stop()
+        second = one.start(fence=2)
+        first.table.stage(jobtable.new_record("j2", "owners", one.renewal,
+                                              "low"))
+        assert deployment.wait_until(lambda: first.table.lost, 3)
+        assert second.table.get("j2") is None
+        stale = first.links[one.machines[0].spec.name]
+        refused = one.machines[0].StartTask(pb.StartTaskRequest(
+            task_id="j2.1", job_id="j2", fence=stale.fence), None)
+        assert (refused.accepted, refused.reason) == (False, "stale-fence")
+        assert deployment.wait_until(
+            lambda: state_of(second, "j1") == "done", 5)
+        assert second.table.get("j1").attempts == 1
+    finally:
+        one.close(first, *([second] if second else []))
+
+
+def test_evicted_job_resumes_once_though_its_evictor_dies(kv):
+    """Resume an evicted job once, from its checkpoint, whoever owns it.
+
+    Symptom: an evicted renewal is lost, or starts again from nothing.
+
+    Sequence: an urgent job evicts a renewal; the owner dies right after
+    the stop reached the worker, before it recorded the eviction.
+
+    Cause guarded against: an eviction known only to the evicting process.
+    """
+    one = OneCell(kv, run_seconds=3.0, task_lease=5.0)
+    first = one.start(fence=1)
+    second = None
+    try:
+        one.submit(first, "old")
+        assert deployment.wait_until(one.running, 3)
+        time.sleep(0.5)
+        for link in first.links.values():
+            link.stop()
+        first.stop(flush=False)
+        time.sleep(0.3)
+        one.machines[0].StopTask(pb.StopTaskRequest(
+            task_id="old.1", fence=1, checkpoint=True), None)
+        checkpoint = one.machines[0].tasks["old.1"].progress
+        assert checkpoint > 0.1
+        second = one.start(fence=2)
+        assert deployment.wait_until(one.running, 3)
+        resumed = one.running()[0]
+        assert resumed.task_id == "old.2"
+        assert resumed.progress >= checkpoint
+        record = second.table.get("old")
+        assert (record.evictions, record.attempts) == (1, 2)
+        assert len(one.running()) == 1
+    finally:
+        one.close(first, *([second] if second else []))
+
+
+def test_urgent_job_evicts_only_what_it_needs(kv):
+    one = OneCell(kv, run_seconds=30.0, task_lease=5.0)
+    cell = one.start()
+    try:
+        for number in range(5):
+            one.submit(cell, f"low-{number}")
+        assert deployment.wait_until(lambda: len(one.running()) == 5, 3)
+        began = time.monotonic()
+        one.submit(cell, "now", priority="urgent")
+        assert deployment.wait_until(
+            lambda: state_of(cell, "now") == "placed"
+            and any(t.job_id == "now" for t in one.running()), 3, 0.01)
+        assert time.monotonic() - began < 3
+        assert cell.counters.evictions == 1
+    finally:
+        one.close(cell)
+
+
+def test_job_that_fails_everywhere_ends_and_others_go_on(kv):
+    """End a job that fails on every worker; keep one bad worker's jobs.
+
+    Symptom: jobs are lost to a worker that fails all it starts.
+
+    Sequence: one of two workers fails every task; jobs keep arriving.
+
+    Cause guarded against: counting a bad worker's failures against the
+    jobs, or sending it job after job because it looks free.
+    """
+    one = OneCell(kv, workers=2, run_seconds=0.2)
+    cell = one.start()
+    try:
+        one.machines[0].faults = pb.WorkerFaults(fail_all=True,
+                                                 slow_factor=1.0)
+        for number in range(6):
+            one.submit(cell, f"j{number}")
+        assert deployment.wait_until(
+            lambda: all(state_of(cell, f"j{n}") == "done"
+                        for n in range(6)), 10)
+        one.machines[1].faults = one.machines[0].faults
+        one.submit(cell, "never")
+        assert deployment.wait_until(
+            lambda: state_of(cell, "never") == "failed", 20)
+        assert "failed on workers" in cell.table.get("never").reason
     finally:
-        scheduler.stop()
-        machine.stopped.set()
-        server.stop(0)
+        one.close(cell)
+
+
+CANCELS = [("queued", 0), ("running", 1)]
+
+
+@pytest.mark.parametrize("label,running", CANCELS,
+                         ids=[row[0] for row in CANCELS])
+def test_cancelled_job_stops_and_never_runs_again(kv, label, running):
+    one = OneCell(kv, run_seconds=30.0)
+    cell = one.start()
+    try:
+        if not running:
+            for link in cell.links.values():
+                link.shunned_until = time.monotonic() + 60
+        one.submit(cell, "j1")
+        if running:
+            assert deployment.wait_until(one.running, 3)
+        cell.cancel("j1")
+        assert deployment.wait_until(
+            lambda: state_of(cell, "j1") == "cancelled", 3)
+        time.sleep(0.4)
+        assert not one.running()
+    finally:
+        one.close(cell)
+
+
+def _late(machine, what):
+    past = time.time() - 1.0
+    start = pb.StartTaskRequest(task_id="j1.1", job_id="j1", fence=1,
+                                lease_ms=300, run_seconds=60.0)
+    if what == "start":
+        start.not_after = past
+        return machine.StartTask(start, None).accepted
+    assert machine.StartTask(start, None).accepted
+    time.sleep(0.4)
+    machine.Report(pb.ReportRequest(
+        fence=1, renew=True, not_after=past if what == "renewal" else 0),
+        None)
+    if what == "repeat":
+        machine.StartTask(start, None)
+    return machine.tasks["j1.1"].state == "running"
+
+
+@pytest.mark.parametrize("what", ["start", "renewal", "wake", "repeat"])
+def test_message_from_before_a_freeze_has_no_effect(what):
+    """Ignore starts and renewals that waited while the worker was frozen.
+
+    Symptom: a job runs in two places after a worker thaws.
+
+    Sequence: the worker freezes with messages in its socket; its owner
+    counts it as lost and runs the job elsewhere; it thaws and reads them.
+
+    Cause guarded against: a late start that begins the job here too, a
+    late renewal that revives a lapsed lease, a repeated start of a task
+    that ended.
+    """
+    spec = standins.sample_options(1).machines[0]
+    assert not _late(worker.Machine(spec), what)
+
+
+def test_job_never_moves_to_the_cell_it_leaves(kv):
+    """Move a job to another cell only.
+
+    Symptom: jobs vanish: "moved", but never run anywhere.
+
+    Sequence: a cell's only usable worker is shunned after failures; its
+    queued jobs look for a cell with room; the worker is free again and
+    the cell itself offers the most room.
+
+    Cause: the cell chose itself, found the job already there, and took
+    that for a finished hand-over.
+    """
+    opts = standins.sample_options(kv.port)
+    board = peers.Peers(opts, "entry-1", server=None, members=None)
+    board.own = pb.StatusReply(cells=[
+        pb.CellStatus(cell=0, room=pb.Resources(cpus=30, memory_mb=125000)),
+        pb.CellStatus(cell=1, room=pb.Resources(cpus=12,
+                                                memory_mb=125000))])
+    demand = opts.work["class-renewal"].demand
+    assert board.move_target(0, demand) == 1
+    assert board.move_target(1, demand) == 0
+    assert board.move_target(0, options.Capacity(20, 1000)) == (
+        jobtable.NO_CELL)
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -43,7 +43,7 @@
     """A local deployment: its settings file, options and processes."""
 
     def __init__(self, settings_path: str, binary: str | None = None,
-                 policy: str = "spread") -> None:
+                 policy: str = "guarded") -> None:
         self.path = settings_path
         self.opts = settings.load(settings_path).unwrap()
         self.base = command(binary)
@@ -156,7 +156,7 @@
     parser.add_argument("--binary", default=None,
                         help="path of the zipapp (default: the source)")
     parser.add_argument("--seconds", type=float, default=None)
-    parser.add_argument("--policy", default="spread")
+    parser.add_argument("--policy", default="guarded")
     parser.add_argument("--report", default=None)
     parser.add_argument("--faults", type=int, default=0,
                         help="number of seeded faults during the load")
