--- a/sycamorefield/cell.py
+++ b/sycamorefield/cell.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import math
 import threading
 import time
 import typing
@@ -57,11 +58,12 @@
         self.stopped = threading.Event()
         self.loaded = False
         self.evicting: set[str] = set()
+        self.unsent: set[str] = set()
+        table.on_commit = self._committed
         # Held while a decision is made from records and staged, so that a
         # placement cannot overwrite a cancellation staged in between.
         self.lock = threading.RLock()
-        self.over_quota: typing.Callable[[str, float], bool] = (
-            lambda customer, cpus: False)
+        self.usage_everywhere: typing.Callable[[], dict[str, float]] = dict
         self.move_target: typing.Callable[[int, options.Capacity], int] = (
             lambda leaving, demand: jobtable.NO_CELL)
 
@@ -103,39 +105,40 @@
         return work.demand if work else options.ZERO
 
     def place_once(self) -> int:
-        """Place what can be placed now; return how many were committed."""
+        """Place what can be placed now; return how many jobs that is.
+
+        Nothing is sent here: the commit that makes the placements durable
+        wakes the workers' links, which send the starts.
+        """
         if not self.holds() or not self.table.healthy:
             # A paused process wakes up with a cell it may no longer own.
             return 0
         with self.lock:
-            placed, version = self._decide()
-        if not placed or not self.table.wait(version, COMMIT_TIMEOUT):
-            return 0
-        self.counters.started += len(placed)
-        for name in {record.worker for record in placed}:
-            self.links[name].wake.set()
-        return len(placed)
+            return self._decide()
 
-    def _decide(self) -> tuple[list[jobtable.JobRecord], int]:
+    def _decide(self) -> int:
         queued = self.table.in_state(jobtable.QUEUED)
         queued.sort(key=lambda r: (PRIORITY_ORDER.get(r.priority, 1),
                                    r.accepted_at))
-        version = 0
-        placed = []
+        placed = 0
         candidates = self._candidates()
+        usage = self.usage_everywhere() if self.opts.quotas else {}
         for record in queued:
             if record.cancelled:
                 self._finish(record, jobtable.CANCELLED)
                 continue
-            if self.over_quota(record.customer, self._demand(record).cpus):
+            wanted = (usage.get(record.customer, 0.0)
+                      + self._demand(record).cpus)
+            if wanted > self.opts.quotas.get(record.customer, math.inf):
                 continue
             chosen = self._choose(record, candidates)
             if chosen is None:
                 self._make_room(record)
                 continue
-            version = self._stage_placed(record, chosen)
-            placed.append(record)
-        return placed, version
+            usage[record.customer] = wanted
+            self._stage_placed(record, chosen)
+            placed += 1
+        return placed
 
     def _candidates(self) -> list[placement.Candidate]:
         now = time.monotonic()
@@ -161,7 +164,7 @@
         return chosen
 
     def _stage_placed(self, record: jobtable.JobRecord,
-                      chosen: placement.Candidate) -> int:
+                      chosen: placement.Candidate) -> None:
         record.attempts += 1
         record.state = jobtable.PLACED
         record.worker = chosen.name
@@ -169,7 +172,8 @@
         record.placed_at = time.time()
         self.links[chosen.name].reserve(record.task_id,
                                         self._demand(record))
-        return self.table.stage(record)
+        self.unsent.add(chosen.name)
+        self.table.stage(record)
 
     def _make_room(self, record: jobtable.JobRecord) -> None:
         """Evict for an urgent job, or move a job this cell has no room for."""
@@ -196,11 +200,8 @@
         """
         demand = self._demand(record)
         best: list[jobtable.JobRecord] | None = None
-        by_worker: dict[str, list[jobtable.JobRecord]] = {}
-        for other in self.table.in_state(jobtable.PLACED):
-            by_worker.setdefault(other.worker, []).append(other)
         for name, link in self.links.items():
-            running = by_worker.get(name, [])
+            running = self.table.placed_on(name)
             if any(r.task_id in self.evicting for r in running):
                 # An eviction under way frees room within a report period;
                 # evicting more for the same job would throw work away.
@@ -234,32 +235,36 @@
 
     def expected(self, worker: str) -> dict[str, workerlink.Start]:
         """Return the placements on a worker, by task id."""
-        out = {}
-        with self.table.changed:
-            for record in self.table.records.values():
-                if (record.state == jobtable.PLACED
-                        and record.worker == worker):
-                    out[record.task_id] = workerlink.Start(
-                        record.job_id, record.task_id,
-                        self.opts.work[record.work], record.progress,
-                        durable=self.table.durable(record.job_id))
-        return out
+        return {record.task_id: workerlink.Start(
+            record.job_id, record.task_id, self.opts.work[record.work],
+            record.progress, durable=self.table.durable(record.job_id))
+            for record in self.table.placed_on(worker)}
+
+    def started(self, start: workerlink.Start) -> None:
+        """Count a start that its worker accepted."""
+        self.counters.started += 1
+
+    def _committed(self) -> None:
+        """Wake the links whose placements have just become durable."""
+        with self.lock:
+            due, self.unsent = self.unsent, set()
+        for name in due:
+            self.links[name].wake.set()
 
     def settle(self, link: workerlink.WorkerLink,
                ended: list[workerlink.Ended]) -> list[str]:
         """Record ended tasks; return the ids whose outcome is durable."""
-        version = 0
         with self.lock:
             for task in ended:
                 record = self.table.get(task.job_id)
                 if (record is not None and record.task_id == task.task_id
                         and record.state == jobtable.PLACED):
                     self._record_end(link, record, task)
-                version = max(version, self.table.version_of(task.job_id))
-        if not self.table.wait(version, COMMIT_TIMEOUT):
-            return []
-        self.wake.set()
-        return [task.task_id for task in ended]
+                    self.wake.set()
+        # Not waiting for the commit here keeps starts flowing; the worker
+        # lists an ended task again until a later report acknowledges it.
+        return [task.task_id for task in ended
+                if self.table.durable(task.job_id)]
 
     def _record_end(self, link: workerlink.WorkerLink,
                     record: jobtable.JobRecord,
@@ -329,12 +334,11 @@
         """Queue again the jobs of a worker whose leases have all lapsed."""
         self.counters.lost_workers += 1
         with self.lock:
-            for record in self.table.in_state(jobtable.PLACED):
-                if record.worker == link.machine.name:
-                    link.free(record.task_id)
-                    record.evictions += 1
-                    self.counters.evictions += 1
-                    self._requeue(record, record.progress)
+            for record in self.table.placed_on(link.machine.name):
+                link.free(record.task_id)
+                record.evictions += 1
+                self.counters.evictions += 1
+                self._requeue(record, record.progress)
         self.wake.set()
 
     def cancel(self, job_id: str) -> jobtable.JobRecord | None:
--- a/sycamorefield/cells.py
+++ b/sycamorefield/cells.py
@@ -28,8 +28,7 @@
         self.lock = threading.Lock()
         self.owned: dict[int, cell_mod.Cell] = {}
         self.counters = cell_mod.Counters()
-        self.over_quota: typing.Callable[[str, float], bool] = (
-            lambda customer, cpus: False)
+        self.usage_elsewhere: typing.Callable[[], dict[str, float]] = dict
         self.move_target: typing.Callable[[int, options.Capacity], int] = (
             lambda leaving, demand: jobtable.NO_CELL)
         members.on_claim = self.claimed
@@ -47,7 +46,7 @@
         owned = cell_mod.Cell(self.opts, claim.cell, claim.fence, table,
                               self.policy, self.name, self.members.holds,
                               self.counters)
-        owned.over_quota = self.over_quota
+        owned.usage_everywhere = self.usage_everywhere
         owned.move_target = self.move_target
         with self.lock:
             self.owned[claim.cell] = owned
@@ -74,6 +73,21 @@
         with self.lock:
             return [c for c in self.owned.values() if c.loaded]
 
+    def usage(self) -> dict[str, float]:
+        """Return the processors placed per customer in the cells here."""
+        out: dict[str, float] = {}
+        for cell in self.all():
+            for customer, cpus in cell.usage().items():
+                out[customer] = out.get(customer, 0.0) + cpus
+        return out
+
+    def usage_everywhere(self) -> dict[str, float]:
+        """Return the processors placed per customer in the whole fleet."""
+        out = self.usage()
+        for customer, cpus in self.usage_elsewhere().items():
+            out[customer] = out.get(customer, 0.0) + cpus
+        return out
+
     def workers(self) -> list[str]:
         """Return the names of the workers followed here."""
         return sorted(name for cell in self.all() for name in cell.links)
--- a/sycamorefield/entry.py
+++ b/sycamorefield/entry.py
@@ -59,7 +59,7 @@
                                  placement.POLICIES[policy](), self.members)
         self.peer_server = peers.PeerServer(opts, name, self.cells)
         self.peers = peers.Peers(opts, name, self.peer_server, self.members)
-        self.cells.over_quota = self.peers.over_quota
+        self.cells.usage_elsewhere = self.peers.usage
         self.cells.move_target = self.peers.move_target
         self.desk = jobs.Desk(opts, self.cells.home, self.peers)
         # The naive version of our own, for the measurements: first-fit
--- a/sycamorefield/jobtable.py
+++ b/sycamorefield/jobtable.py
@@ -15,6 +15,7 @@
 import dataclasses
 import threading
 import time
+import typing
 
 from sycamorefield import events
 from sycamorefield import kvclient
@@ -102,6 +103,7 @@
         # repeated field's encoding is the concatenation of its elements'.
         self.parts: dict[str, bytes] = {}
         self.versions: dict[str, int] = {}
+        self.placed: dict[str, set[str]] = {}
         self.size = len(self.header)
         self.revision = 0
         self.version = 0
@@ -111,6 +113,7 @@
         self.lost = False
         self.stopped = False
         self.in_doubt: tuple[int, bytes] | None = None
+        self.on_commit: typing.Callable[[], None] = lambda: None
 
     def load(self) -> bool:
         """Take the table over from whoever held it; False to try again."""
@@ -122,6 +125,7 @@
         with self.changed:
             self.records = {}
             self.parts = {}
+            self.placed = {}
             self.size = len(self.header)
             for message in stored.jobs:
                 self._put(JobRecord.from_message(message))
@@ -139,6 +143,11 @@
         return True
 
     def _put(self, record: JobRecord) -> None:
+        old = self.records.get(record.job_id)
+        if old is not None and old.state == PLACED:
+            self.placed[old.worker].discard(old.job_id)
+        if record.state == PLACED:
+            self.placed.setdefault(record.worker, set()).add(record.job_id)
         self.size -= len(self.parts.get(record.job_id, b""))
         part = pb.JobTable(jobs=[record.message()]).SerializeToString()
         self.records[record.job_id] = record
@@ -169,6 +178,12 @@
             return [dataclasses.replace(r) for r in self.records.values()
                     if r.state in states]
 
+    def placed_on(self, worker: str) -> list[JobRecord]:
+        """Return copies of the records placed on a worker."""
+        with self.changed:
+            return [dataclasses.replace(self.records[job_id])
+                    for job_id in self.placed.get(worker, ())]
+
     def version_of(self, job_id: str) -> int:
         """Return the version of a job's last change (0: as loaded)."""
         with self.changed:
@@ -236,6 +251,7 @@
             self.in_doubt = None
             self.healthy = True
             self.changed.notify_all()
+        self.on_commit()
 
     def _lose(self) -> None:
         events.emit(events.TABLE_LOST, cell=self.cell)
--- a/sycamorefield/peers.py
+++ b/sycamorefield/peers.py
@@ -91,7 +91,6 @@
 
     def Status(self, request: pb.StatusRequest,
                context: grpc.ServicerContext | None) -> pb.StatusReply:
-        usage: dict[str, float] = {}
         statuses = []
         for cell in self.cells.all():
             room = cell.room()
@@ -104,12 +103,10 @@
                                          interference=link.interference)
                          for link in cell.links.values()
                          if link.interference]))
-            for customer, cpus in cell.usage().items():
-                usage[customer] = usage.get(customer, 0.0) + cpus
         return pb.StatusReply(
             entry=self.name, cells=statuses,
             usage=[pb.CustomerUsage(customer=c, cpus=v)
-                   for c, v in sorted(usage.items())])
+                   for c, v in sorted(self.cells.usage().items())])
 
 
 def _shown(record: jobtable.JobRecord | None) -> pb.ShowReply:
@@ -210,20 +207,17 @@
         return {w.worker: w.interference for status in self.statuses()
                 for cell in status.cells for w in cell.workers}
 
-    def over_quota(self, customer: str, cpus: float) -> bool:
-        """Return whether cpus more would put a customer over its quota.
+    def usage(self) -> dict[str, float]:
+        """Return the processors per customer at the peers, as last heard.
 
-        What the peers run is as old as their last status, so a burst may
-        overshoot by what they place within a status period.
+        It is as old as the peers' last status, so a burst may overshoot a
+        quota by what the peers place within a status period.
         """
-        quota = self.opts.quotas.get(customer)
-        if quota is None:
-            return False
-        used = sum(u.cpus for status in self.statuses()[1:]
-                   for u in status.usage if u.customer == customer)
-        used += sum(cell.usage().get(customer, 0.0)
-                    for cell in self.server.cells.all())
-        return used + cpus > quota
+        out: dict[str, float] = {}
+        for status in self.statuses()[1:]:
+            for used in status.usage:
+                out[used.customer] = out.get(used.customer, 0.0) + used.cpus
+        return out
 
     def move_target(self, leaving: int, demand: options.Capacity) -> int:
         """Return another cell with room for demand, or NO_CELL."""
--- a/sycamorefield/workerlink.py
+++ b/sycamorefield/workerlink.py
@@ -58,6 +58,9 @@
     def expected(self, worker: str) -> dict[str, Start]:
         """Return the placements on a worker, by task id."""
 
+    def started(self, start: Start) -> None:
+        """Note a start that the worker accepted."""
+
     def refused(self, link: "WorkerLink", start: Start, reason: str) -> None:
         """Take back a start that the worker refused."""
 
@@ -243,6 +246,7 @@
             if answer is None:
                 continue
             if answer.accepted:
+                self.cell.started(start)
                 events.emit(events.TASK_STARTED, job=start.job_id,
                             worker=self.machine.name, task=task_id,
                             fence=self.fence)
