Give every retry of a non-idempotent request a final answer

Cause: a record stayed "started" when the backend's outcome was not known, when its entry process died, or when the store was down for the answer's write; every retry was then told "in progress, come back in 1 s" for ever. The write of the answer also held the caller's answer back for up to five timeouts while the store was down.

What: the record names the recorder's membership lease. A retry that finds "started" asks whether that incarnation lives (else: outcome unknown, final); an unknown outcome is recorded as such; what cannot be written at once is written in the background when the store is back, and the answer waits for one try at most.

Ruled out: reading the membership as last polled (a member that joined within the last second would be taken for dead).

Also found: the state machine's "store goes down during the run" fault never happened; its hook got an unexpected argument and broke the connection instead. Mended (staticmethod); the naive ledger now makes its one write of the answer itself, and each example waits for what the last left to write.

Before: test_retry_is_never_in_progress_for_ever 3 of 4 failed. After: 4 of 4; test_answers and test_idempotency 9 passed; the naive ledger still runs a key twice under the (now real) outage.

--- a/sycamorefield/entry.py
+++ b/sycamorefield/entry.py
@@ -67,7 +67,8 @@
         self.router = routing.Router(opts, self.spec.zone, self.http,
                                      seed=opts.entries.index(self.spec),
                                      aware=policy != NAIVE)
-        self.ledger = idempotency.Ledger(self.kv, name)
+        self.ledger = idempotency.Ledger(self.kv, name,
+                                         lambda: self.members.lease)
         self.latencies = metrics.Latencies()
         self.counters: dict[str, int] = {}
         self.lock = threading.Lock()
@@ -195,16 +196,18 @@
         if isinstance(answer, result.Success):
             elapsed = time.monotonic() - began
             self.latencies.record(work.name, elapsed)
-            if key is not None and not work.idempotent:
-                self.ledger.finish(key, answer.unwrap()[1])
+            if key is not None and begun is not None:
+                self.ledger.finish(key, begun, answer.unwrap()[1])
             events.emit(events.REQUEST_DONE, request_id=request_id,
                         work=work.name, ms=round(elapsed * 1000, 3),
                         worker=answer.unwrap()[1].get("worker"))
             self.count("answered")
         else:
             code = answer.failure().code
-            if key is not None and begun is not None and code in NOT_SENT:
-                self.ledger.abandon(key, begun)
+            if key is not None and begun is not None:
+                settle = (self.ledger.abandon if code in NOT_SENT
+                          else self.ledger.give_up)
+                settle(key, begun)
             self.count("failed")
             events.emit(events.REQUEST_FAILED, request_id=request_id,
                         work=work.name, error=code.name)
--- a/sycamorefield/idempotency.py
+++ b/sycamorefield/idempotency.py
@@ -10,15 +10,23 @@
 
 import dataclasses
 import enum
+import queue
+import threading
+import time
+import typing
 
 from returns import result
 
 from sycamorefield import errors
 from sycamorefield import kvclient
+from sycamorefield import membership
 
 PREFIX = "/idem/"
-FINISH_TRIES = 5
 RETRY_AFTER = 1.0
+RETRY_WRITE = 0.2
+STARTED = "started"
+DONE = "done"
+UNKNOWN = "unknown"
 
 
 class Start(enum.Enum):
@@ -35,26 +43,43 @@
     start: Start
     answer: dict[str, object] | None = None
     revision: int = 0
+    request_id: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class Settlement:
+    """What became of a recorded request, still to be written."""
+
+    key: str
+    value: bytes
+    revision: int | None = None
+    delete: bool = False
 
 
 class Ledger:
     """Record and look up requests by idempotency key."""
 
-    def __init__(self, kv: kvclient.Client, entry: str) -> None:
+    def __init__(self, kv: kvclient.Client, entry: str,
+                 lease: typing.Callable[[], int] = lambda: 0) -> None:
         self.kv = kv
         self.entry = entry
+        self.lease = lease
+        self.lock = threading.Lock()
+        self.active: set[str] = set()
+        self.unwritten: queue.Queue[Settlement] = queue.Queue()
+        self.writer: threading.Thread | None = None
 
     def begin(self, key: str, request_id: str
               ) -> result.Result[Begun, errors.Problem]:
         """Record key as started by request_id before dispatch."""
-        mine = {"state": "started", "request_id": request_id,
-                "entry": self.entry}
+        mine = {"state": STARTED, "request_id": request_id,
+                "entry": self.entry, "lease": self.lease()}
         swap = self.kv.cas(PREFIX + key, 0, kvclient.encode(mine))
         if isinstance(swap, result.Success):
             outcome = swap.unwrap()
             if outcome.succeeded:
-                return result.Success(Begun(Start.FRESH,
-                                            revision=outcome.revision))
+                return result.Success(self._fresh(outcome.revision,
+                                                  request_id))
             return self._existing(outcome.current, request_id)
         failure = swap.failure()
         if not failure.maybe_applied:
@@ -74,38 +99,88 @@
     def _existing(self, item: object, request_id: str
                   ) -> result.Result[Begun, errors.Problem]:
         record = kvclient.decode(getattr(item, "value", b"")) or {}
-        if record.get("state") == "done":
+        if record.get("state") == DONE:
             return result.Success(Begun(Start.REPLAY, record.get("answer")))
         if (record.get("request_id") == request_id
-                and record.get("entry") == self.entry):
-            return result.Success(Begun(
-                Start.FRESH, revision=getattr(item, "mod_revision", 0)))
-        return result.Failure(errors.problem(errors.IN_PROGRESS,
+                and record.get("entry") == self.entry
+                and record.get("lease") == self.lease()):
+            # Our own write of a moment ago, its reply lost.
+            return result.Success(self._fresh(
+                getattr(item, "mod_revision", 0), request_id))
+        if record.get("state") == STARTED and self._recorder_lives(record):
+            return result.Failure(errors.problem(errors.IN_PROGRESS,
+                                                 retry_after=RETRY_AFTER))
+        return result.Failure(errors.problem(errors.OUTCOME_UNKNOWN,
                                              retry_after=RETRY_AFTER))
 
-    def abandon(self, key: str, begun: Begun) -> bool:
+    def _fresh(self, revision: int, request_id: str) -> Begun:
+        with self.lock:
+            self.active.add(request_id)
+        return Begun(Start.FRESH, revision=revision, request_id=request_id)
+
+    def _recorder_lives(self, record: dict[str, object]) -> bool:
+        if record.get("entry") == self.entry:
+            with self.lock:
+                return record.get("request_id") in self.active
+        got = self.kv.get(membership.MEMBERS + str(record.get("entry")))
+        if not isinstance(got, result.Success):
+            return True
+        item = got.unwrap()
+        member = kvclient.decode(item.value) if item is not None else {}
+        return bool(member) and member["lease"] == record.get("lease")
+
+    def abandon(self, key: str, begun: Begun) -> None:
         """Remove our record of a request that was not dispatched.
 
         Without this, a caller told "not run" who retries with the same
-        key would find the record "started" and wait on it for ever.
+        key would be told that the request may have run.
         """
-        for _ in range(FINISH_TRIES):
-            swap = self.kv.cas(PREFIX + key, begun.revision, b"",
-                               delete=True)
-            if isinstance(swap, result.Success):
-                return swap.unwrap().succeeded
-            if swap.failure().maybe_applied:
-                back = self.kv.get(PREFIX + key)
-                if isinstance(back, result.Success) and (
-                        back.unwrap() is None
-                        or back.unwrap().mod_revision != begun.revision):
-                    return True
-        return False
-
-    def finish(self, key: str, answer: dict[str, object]) -> bool:
-        """Store the answer under key; return whether it was stored."""
-        value = kvclient.encode({"state": "done", "answer": answer})
-        for _ in range(FINISH_TRIES):
-            if isinstance(self.kv.put(PREFIX + key, value), result.Success):
-                return True
-        return False
+        self._settle(begun, Settlement(key, b"", begun.revision,
+                                       delete=True))
+
+    def give_up(self, key: str, begun: Begun) -> None:
+        """Record that a dispatched request's outcome is not known."""
+        self._settle(begun, Settlement(
+            key, kvclient.encode({"state": UNKNOWN}), begun.revision))
+
+    def finish(self, key: str, begun: Begun,
+               answer: dict[str, object]) -> None:
+        """Record the answer under key, for retries to be given."""
+        self._settle(begun, Settlement(key, kvclient.encode(
+            {"state": DONE, "answer": answer})))
+
+    def _settle(self, begun: Begun, settlement: Settlement) -> None:
+        # The caller is waiting, so one try is made here and only while
+        # nothing is left over from earlier: a store that is down would
+        # hold every answer back by a timeout.  What cannot be written now
+        # is written in the background when the store is back; without it
+        # a retry would find the request "in progress" for ever.
+        if self.unwritten.unfinished_tasks or not self._write(settlement):
+            self.unwritten.put(settlement)
+            with self.lock:
+                if self.writer is None:
+                    self.writer = threading.Thread(
+                        target=self._write_left_over, daemon=True,
+                        name="ledger")
+                    self.writer.start()
+        with self.lock:
+            self.active.discard(begun.request_id)
+
+    def _write(self, settlement: Settlement) -> bool:
+        """Write once; return whether nothing is left to do."""
+        key = PREFIX + settlement.key
+        if settlement.revision is None:
+            return isinstance(self.kv.put(key, settlement.value),
+                              result.Success)
+        # A swap that loses has been overtaken by an outcome already there
+        # (ours, its reply lost); either way nothing is left to write.
+        return isinstance(self.kv.cas(
+            key, settlement.revision, settlement.value,
+            delete=settlement.delete), result.Success)
+
+    def _write_left_over(self) -> None:
+        while True:
+            settlement = self.unwritten.get()
+            while not self._write(settlement):
+                time.sleep(RETRY_WRITE)
+            self.unwritten.task_done()
--- a/sycamorefield/membership.py
+++ b/sycamorefield/membership.py
@@ -37,6 +37,7 @@
     name: str
     zone: str
     address: str
+    lease: int
 
 
 class Membership:
@@ -68,7 +69,8 @@
         spec = self.opts.entry(self.name)
         value = kvclient.encode({
             "name": self.name, "zone": spec.zone,
-            "address": f"{self.opts.host}:{spec.grpc_port}"})
+            "address": f"{self.opts.host}:{spec.grpc_port}",
+            "lease": granted.unwrap()})
         put = self.kv.put(MEMBERS + self.name, value, granted.unwrap())
         if not isinstance(put, kvclient.result.Success):
             return False
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -6,9 +6,11 @@
 import threading
 
 import pytest
+from returns import result
 
 from sycamorefield import api
 from sycamorefield import entry
+from tests import deployment
 from tests import standins
 
 
@@ -121,3 +123,69 @@
         assert answer.failure().retry_after is not None
     finally:
         server.shutdown()
+
+
+def _retry_after_unknown(kv, port):
+    process = entry_for(kv, port)
+    process.serve_request(certificate("a"))
+    return process.serve_request(certificate("b"))
+
+
+def _retry_after_recorder_died(kv, port):
+    died = entry_for(kv, port, "entry-2")
+    died.ledger.begin("cert-1", "a").unwrap()
+    return entry_for(kv, port).serve_request(certificate("b"))
+
+
+def _retry_while_recorder_lives(kv, port):
+    other = entry_for(kv, port, "entry-2")
+    assert other.members.join()
+    other.ledger.begin("cert-1", "a").unwrap()
+    process = entry_for(kv, port)
+    process.members.join()
+    process.members.refresh()
+    return process.serve_request(certificate("b"))
+
+
+def _retry_after_outage_ate_the_answer(kv, port):
+    process = entry_for(kv, port)
+    FakeBackend.on_run = staticmethod(lambda: kv.faults(down=True))
+    assert process.serve_request(certificate("a")).unwrap()[0] == 200
+    FakeBackend.on_run = staticmethod(lambda: None)
+    kv.faults()
+    assert deployment.wait_until(
+        lambda: b"done" in kv.client.get("/idem/cert-1").unwrap().value, 5)
+    return process.serve_request(certificate("b"))
+
+
+RETRIES = [
+    # what happened to the first try, backend status, code of the retry
+    (_retry_after_unknown, 500, "outcome-unknown"),
+    (_retry_after_recorder_died, 200, "outcome-unknown"),
+    (_retry_while_recorder_lives, 200, "in-progress"),
+    (_retry_after_outage_ate_the_answer, 200, None),
+]
+
+
+@pytest.mark.parametrize("first_try,status,code", RETRIES,
+                         ids=[row[0].__name__[1:] for row in RETRIES])
+def test_retry_is_never_in_progress_for_ever(kv, first_try, status, code):
+    """Answer a retry once nobody works on the request any more.
+
+    Symptom: a caller who retries a certificate issue is told "in
+    progress, come back in 1 s" on every retry, for ever.
+
+    Sequence: the backend answers 500, or the entry process that recorded
+    the request dies, or the store is down while the answer is written.
+
+    Cause: the record stayed "started" whatever became of the request.
+    """
+    server, handler = serve_fake(status=status)
+    try:
+        answer = first_try(kv, server.server_address[1])
+        got = None if isinstance(answer, result.Success) else (
+            answer.failure().code.name)
+        assert got == code
+        assert len(handler.served) <= 1
+    finally:
+        server.shutdown()
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -39,7 +39,14 @@
         return result.Success(idempotency.Begun(idempotency.Start.FRESH))
 
     def abandon(self, key, begun):
-        return True
+        pass
+
+    def give_up(self, key, begun):
+        pass
+
+    def finish(self, key, begun, answer):
+        self._write(idempotency.Settlement(key, idempotency.kvclient.encode(
+            {"state": idempotency.DONE, "answer": answer})))
 
 
 class AtMostOnce(stateful.RuleBasedStateMachine):
@@ -88,6 +95,12 @@
     def store_loses_replies(self):
         self.kv.faults(lose_reply_ratio=1.0)
 
+    def teardown(self):
+        # What one example left to write must not reach the next one.
+        self.kv.faults()
+        for process in self.entries:
+            process.ledger.unwritten.join()
+
     def _runs(self):
         return collections.Counter(key for key in self.backend.served)
 
@@ -100,8 +113,8 @@
 def rig():
     kv = standins.Kv()
     server, handler = test_answers.serve_fake(count_keys=True)
-    handler.on_run = lambda: (kv.faults(down=True)
-                              if handler.fault_during_run else None)
+    handler.on_run = staticmethod(
+        lambda: kv.faults(down=True) if handler.fault_during_run else None)
     AtMostOnce.kv = kv
     AtMostOnce.backend = handler
     AtMostOnce.port = server.server_address[1]
