--- a/bench/placement_speed.py
+++ b/bench/placement_speed.py
@@ -15,24 +15,37 @@
 DECISIONS = 2000
 
 
+def fleet(rng: random.Random, crowded: bool) -> list[placement.Candidate]:
+    """Return modelled workers; crowded leaves room on one in a thousand."""
+    capacity = options.Capacity(30, 125000, 0)
+    out = []
+    for number in range(WORKERS):
+        cpus = (rng.uniform(25, 30) if crowded and rng.random() > 0.001
+                else rng.uniform(0, 24))
+        out.append(placement.Candidate(
+            f"w{number}", f"z{number % 7}", capacity,
+            options.Capacity(cpus, rng.randrange(0, 100000), 0),
+            rng.randrange(1, 8), rng.uniform(0, 2)))
+    return out
+
+
 def main() -> int:
     """Print p50/p99 of one decision for each policy."""
-    rng = random.Random(3)
-    capacity = options.Capacity(30, 125000, 0)
-    candidates = [placement.Candidate(
-        f"w{n}", f"z{n % 7}", capacity,
-        options.Capacity(rng.uniform(0, 28), rng.randrange(0, 120000), 0),
-        rng.randrange(0, 8), rng.uniform(0, 2)) for n in range(WORKERS)]
-    demand = options.Capacity(6, 24000, 0)
-    for policy in (placement.FirstFit(), placement.Spread()):
-        times = metrics.Latencies()
-        for _ in range(DECISIONS):
-            began = time.perf_counter()
-            policy.choose(demand, candidates)
-            times.record(policy.name, time.perf_counter() - began)
-        summary = times.summary()[policy.name]
-        print(f"{policy.name:10} {WORKERS} workers: p50 "
-              f"{summary['p50_ms']:.2f} ms p99 {summary['p99_ms']:.2f} ms")
+    work = options.Work("class-renewal", "batch", noise=0.6,
+                        demand=options.Capacity(6, 24000, 0))
+    for crowded in (False, True):
+        candidates = fleet(random.Random(3), crowded)
+        for policy in (placement.FirstFit(), placement.Spread(),
+                       placement.Guarded()):
+            times = metrics.Latencies()
+            for _ in range(DECISIONS):
+                began = time.perf_counter()
+                policy.choose(work, candidates)
+                times.record(policy.name, time.perf_counter() - began)
+            summary = times.summary()[policy.name]
+            print(f"{'crowded' if crowded else 'roomy':8} {policy.name:10} "
+                  f"{WORKERS} workers: p50 {summary['p50_ms']:.2f} ms "
+                  f"p99 {summary['p99_ms']:.2f} ms")
     return 0
 
 
--- a/bench/starts.py
+++ b/bench/starts.py
@@ -28,8 +28,8 @@
 from sycamorefield import kvclient  # noqa: E402
 from sycamorefield import metrics  # noqa: E402
 from sycamorefield import options  # noqa: E402
-from sycamorefield import placement  # noqa: E402
 from sycamorefield import settings  # noqa: E402
+from sycamorefield import strategy  # noqa: E402
 from sycamorefield import sycamorefield_pb2 as pb  # noqa: E402
 from sycamorefield import sycamorefield_pb2_grpc as pb_grpc  # noqa: E402
 from tests import deployment  # noqa: E402
@@ -116,7 +116,7 @@
     for index in range(OWN_CELLS):
         table = table_class(kv, number * 100 + index, "entry-1", 1, pace,
                             5.0)
-        cell = cell_mod.Cell(opts, index, 1, table, placement.Guarded(),
+        cell = cell_mod.Cell(opts, index, 1, table, strategy.named("guarded"),
                              "entry-1", lambda: True, cell_mod.Counters())
         threading.Thread(target=cell.run, daemon=True).start()
         cells.append(cell)
--- a/sycamorefield/api.py
+++ b/sycamorefield/api.py
@@ -144,7 +144,22 @@
                        "message": message})
 
 
-HTTP_CONFIG = {"request.methods_with_bodies": ("POST", "PUT", "PATCH",
+def assume_no_body() -> None:
+    """Let a DELETE without a body say nothing of its length.
+
+    cherrypy answers 411 to it otherwise, although most clients send no
+    Content-Length with a DELETE.
+    """
+    headers = cherrypy.request.headers
+    if (cherrypy.request.method == "DELETE"
+            and "Transfer-Encoding" not in headers):
+        headers.setdefault("Content-Length", "0")
+
+
+cherrypy.tools.assume_no_body = cherrypy.Tool("before_request_body",
+                                              assume_no_body)
+HTTP_CONFIG = {"tools.assume_no_body.on": True,
+               "request.methods_with_bodies": ("POST", "PUT", "PATCH",
                                                "DELETE"),
                "error_page.default": error_page,
                "request.show_tracebacks": False}
--- a/sycamorefield/cell.py
+++ b/sycamorefield/cell.py
@@ -13,17 +13,22 @@
 import typing
 
 from sycamorefield import events
+from sycamorefield import eviction
 from sycamorefield import jobtable
 from sycamorefield import options
 from sycamorefield import placement
+from sycamorefield import strategy
 from sycamorefield import workerlink
 
-PRIORITY_ORDER = {"urgent": 0, "normal": 1, "low": 2}
 MAX_FAILED_WORKERS = 3
 MAX_FAILURES = 6
 COMMIT_TIMEOUT = 2.0
 LOAD_RETRY = 0.2
 FLUSH_SECONDS = 2.0
+# An urgent job waits this long for room that is on its way before it makes
+# another task give way; the rest of the 1.1 s is for the stop and the start.
+SOON = 0.6
+URGENT_PERIOD = 0.1
 
 
 @dataclasses.dataclass
@@ -40,14 +45,14 @@
     """An owned cell: its job table, its workers and its decisions."""
 
     def __init__(self, opts: options.Options, number: int, fence: int,
-                 table: jobtable.JobTable, policy: placement.Policy,
+                 table: jobtable.JobTable, plan: strategy.Strategy,
                  owner: str, holds: typing.Callable[[], bool],
                  counters: Counters) -> None:
         self.opts = opts
         self.number = number
         self.fence = fence
         self.table = table
-        self.policy = policy
+        self.strategy = plan
         self.owner = owner
         self.holds = holds
         self.counters = counters
@@ -59,6 +64,8 @@
         self.loaded = False
         self.evicting: set[str] = set()
         self.unsent: set[str] = set()
+        self.coming = 0
+        self.urgent_waiting = False
         table.on_commit = self._committed
         # Held while a decision is made from records and staged, so that a
         # placement cannot overwrite a cancellation staged in between.
@@ -88,7 +95,8 @@
                              name=f"worker-{name}").start()
         while not self.stopped.is_set():
             self.place_once()
-            self.wake.wait(self.opts.timings.report / 2)
+            self.wake.wait(URGENT_PERIOD if self.urgent_waiting
+                           else self.opts.timings.report / 2)
             self.wake.clear()
 
     def stop(self, flush: bool = True) -> None:
@@ -118,11 +126,15 @@
 
     def _decide(self) -> int:
         queued = self.table.in_state(jobtable.QUEUED)
-        queued.sort(key=lambda r: (PRIORITY_ORDER.get(r.priority, 1),
+        queued.sort(key=lambda r: (eviction.PRIORITY_ORDER.get(r.priority, 1),
                                    r.accepted_at))
         placed = 0
         candidates = self._candidates()
         usage = self.usage_everywhere() if self.opts.quotas else {}
+        self.urgent_waiting = any(r.priority == eviction.URGENT
+                                  for r in queued)
+        if self.urgent_waiting:
+            self.coming = self._coming()
         for record in queued:
             if record.cancelled:
                 self._finish(record, jobtable.CANCELLED)
@@ -158,7 +170,7 @@
                 ) -> placement.Candidate | None:
         work = self.opts.work[record.work]
         others = [c for c in candidates if c.name not in record.failed_on]
-        chosen = self.policy.choose(work, others or candidates)
+        chosen = self.strategy.placement.choose(work, others or candidates)
         if chosen is not None:
             chosen.take(work.demand)
         return chosen
@@ -178,7 +190,7 @@
     def _make_room(self, record: jobtable.JobRecord) -> None:
         """Evict for an urgent job, or move a job this cell has no room for."""
         waited = time.time() - record.accepted_at
-        if record.priority == "urgent" and self._evict_for(record):
+        if record.priority == eviction.URGENT and self._evict_for(record):
             return
         if (waited < self.opts.timings.move_after
                 or record.moved_to != jobtable.NO_CELL):
@@ -192,52 +204,54 @@
             record.moved_to = target
             self.table.stage(record)
 
-    def _evict_for(self, record: jobtable.JobRecord) -> bool:
-        """Stop the cheapest lower-priority tasks that make enough room.
-
-        Cheapest is least priority first, then least work thrown away: a
-        worker keeps checkpoints, but a restore costs time on every resume.
-        """
-        demand = self._demand(record)
-        best: list[jobtable.JobRecord] | None = None
+    def _occupied(self) -> list[eviction.Occupied]:
+        """Return the usable workers with what runs there and for how long."""
+        now = time.monotonic()
+        out = []
         for name, link in self.links.items():
-            running = self.table.placed_on(name)
-            if any(r.task_id in self.evicting for r in running):
-                # An eviction under way frees room within a report period;
-                # evicting more for the same job would throw work away.
-                return True
-            if not link.usable(time.monotonic()):
+            if not link.usable(now):
                 continue
-            victims = self._victims(link, running, demand)
-            if victims and (best is None or len(victims) < len(best)):
-                best = victims
-        for victim in best or []:
-            self.evicting.add(victim.task_id)
-            self.links[victim.worker].stop_task(victim.task_id)
-        return best is not None
-
-    def _victims(self, link: workerlink.WorkerLink,
-                 running: list[jobtable.JobRecord],
-                 demand: options.Capacity) -> list[jobtable.JobRecord]:
-        lower = [r for r in running if r.priority != "urgent"]
-        lower.sort(key=lambda r: (-PRIORITY_ORDER.get(r.priority, 1),
-                                  -r.placed_at))
-        used = link.used()
-        slots = link.machine.slots - len(link.committed)
-        victims = []
-        for victim in lower:
-            victims.append(victim)
-            used = used.minus(self._demand(victim))
-            slots += 1
-            if slots > 0 and link.machine.capacity.fits(used, demand):
-                return victims
-        return []
+            running = [eviction.Running(r, self._demand(r),
+                                        link.remaining(r))
+                       for r in self.table.placed_on(name)
+                       if r.task_id not in self.evicting]
+            out.append(eviction.Occupied(
+                name, link.machine.capacity, link.used(),
+                link.machine.slots - len(link.committed), running))
+        return out
+
+    def _coming(self) -> int:
+        """Count the tasks that are about to give their room back."""
+        if not self.strategy.eviction.waits:
+            return 0
+        soon = 0
+        for worker in self._occupied():
+            ending = [r for r in worker.running if r.remaining < SOON]
+            if ending:
+                # Ask at once: the end of a task shows in a report, and an
+                # urgent job is waiting for the room.
+                self.links[worker.name].wake.set()
+                soon += len(ending)
+        return len(self.evicting) + soon
+
+    def _evict_for(self, record: jobtable.JobRecord) -> bool:
+        """Make room for an urgent job; return whether it is on its way."""
+        if self.coming > 0 and time.time() - record.accepted_at < SOON:
+            self.coming -= 1
+            return True
+        victims = self.strategy.eviction.choose(self._demand(record),
+                                                self._occupied())
+        for victim in victims:
+            self.evicting.add(victim.job.task_id)
+            self.links[victim.job.worker].stop_task(victim.job.task_id)
+        return bool(victims)
 
     def expected(self, worker: str) -> dict[str, workerlink.Start]:
         """Return the placements on a worker, by task id."""
         return {record.task_id: workerlink.Start(
             record.job_id, record.task_id, self.opts.work[record.work],
-            record.progress, durable=self.table.durable(record.job_id))
+            record.progress, durable=self.table.durable(record.job_id),
+            cancelled=record.cancelled)
             for record in self.table.placed_on(worker)}
 
     def started(self, start: workerlink.Start) -> None:
@@ -247,7 +261,13 @@
     def _committed(self) -> None:
         """Wake the links whose placements have just become durable."""
         with self.lock:
-            due, self.unsent = self.unsent, set()
+            due = self.unsent
+            # A placement staged while this commit was under way is not in
+            # it; its worker stays on the list for the next commit.
+            self.unsent = {
+                name for name in due if not all(
+                    self.table.durable(r.job_id)
+                    for r in self.table.placed_on(name))}
         for name in due:
             self.links[name].wake.set()
 
@@ -281,6 +301,7 @@
             link.note_failure()
             self._after_failure(record, link.machine.name)
         elif record.cancelled:
+            event = events.TASK_STOPPED
             self._finish(record, jobtable.CANCELLED)
         else:
             event = events.TASK_EVICTED
@@ -316,9 +337,9 @@
         record.worker = ""
         return self.table.stage(record)
 
-    def refused(self, link: workerlink.WorkerLink, start: workerlink.Start,
-                reason: str) -> None:
-        """Queue a job again whose start its worker refused."""
+    def not_started(self, link: workerlink.WorkerLink,
+                    start: workerlink.Start, reason: str) -> None:
+        """Queue a job again that was not started, unless it is cancelled."""
         events.emit(events.TASK_REFUSED, job=start.job_id,
                     worker=link.machine.name, reason=reason)
         if reason == "stale-fence":
@@ -327,7 +348,10 @@
             record = self.table.get(start.job_id)
             if (record is not None and record.task_id == start.task_id
                     and record.state == jobtable.PLACED):
-                self._requeue(record, record.progress)
+                if record.cancelled:
+                    self._finish(record, jobtable.CANCELLED)
+                else:
+                    self._requeue(record, record.progress)
         self.wake.set()
 
     def worker_lost(self, link: workerlink.WorkerLink) -> None:
@@ -336,28 +360,29 @@
         with self.lock:
             for record in self.table.placed_on(link.machine.name):
                 link.free(record.task_id)
+                self.evicting.discard(record.task_id)
                 record.evictions += 1
                 self.counters.evictions += 1
                 self._requeue(record, record.progress)
         self.wake.set()
 
-    def cancel(self, job_id: str) -> jobtable.JobRecord | None:
-        """Cancel a job; return its record, or None when it is unknown."""
+    def cancel(self, job_id: str) -> int:
+        """Cancel a job if it can be; return the version to wait for."""
         with self.lock:
             record = self.table.get(job_id)
             if (record is None or record.state in jobtable.FINISHED
                     or record.state == jobtable.MOVING):
-                return record
+                return self.table.version_of(job_id)
             record.cancelled = True
             if record.state == jobtable.QUEUED:
-                version = self._finish(record, jobtable.CANCELLED)
-            else:
-                version = self.table.stage(record)
-                link = self.links.get(record.worker)
-                if link is not None:
-                    link.stop_task(record.task_id)
-        self.table.wait(version, COMMIT_TIMEOUT)
-        return self.table.get(job_id)
+                return self._finish(record, jobtable.CANCELLED)
+            # The worker's link stops the task, or does not start it, when
+            # it next looks at what the record says.
+            version = self.table.stage(record)
+            link = self.links.get(record.worker)
+            if link is not None:
+                link.wake.set()
+            return version
 
     def room(self) -> options.Capacity:
         """Return what the freest worker could still take; ZERO when none."""
--- a/sycamorefield/cells.py
+++ b/sycamorefield/cells.py
@@ -10,19 +10,19 @@
 from sycamorefield import kvclient
 from sycamorefield import membership
 from sycamorefield import options
-from sycamorefield import placement
+from sycamorefield import strategy
 
 
 class Cells:
     """The cells owned here, kept in step with the membership's claims."""
 
     def __init__(self, opts: options.Options, name: str,
-                 kv: kvclient.Client, policy: placement.Policy,
+                 kv: kvclient.Client, plan: strategy.Strategy,
                  members: membership.Membership) -> None:
         self.opts = opts
         self.name = name
         self.kv = kv
-        self.policy = policy
+        self.strategy = plan
         self.members = members
         self.ring = uhashring.HashRing(nodes=list(range(opts.cells)))
         self.lock = threading.Lock()
@@ -44,7 +44,7 @@
             self.kv, claim.cell, self.name, claim.fence,
             self.opts.commit_pace, self.opts.timings.job_retention)
         owned = cell_mod.Cell(self.opts, claim.cell, claim.fence, table,
-                              self.policy, self.name, self.members.holds,
+                              self.strategy, self.name, self.members.holds,
                               self.counters)
         owned.usage_everywhere = self.usage_everywhere
         owned.move_target = self.move_target
--- a/sycamorefield/cli.py
+++ b/sycamorefield/cli.py
@@ -67,7 +67,6 @@
     spec = opts.entry(name)
     events.configure(name, spec.zone, opts.log_dir)
     process = entry_mod.Entry(opts, name, policy)
-    entry_mod.seed_rules(opts, process.kv)
     process.start()
     events.emit(events.PROCESS_STARTED, role="entry",
                 port=spec.http_port, policy=policy)
--- a/sycamorefield/entry.py
+++ b/sycamorefield/entry.py
@@ -26,17 +26,17 @@
 from sycamorefield import metrics
 from sycamorefield import options
 from sycamorefield import peers
-from sycamorefield import placement
 from sycamorefield import routing
 from sycamorefield import ruleadmin
 from sycamorefield import rulebook
 from sycamorefield import rules
+from sycamorefield import strategy
 from sycamorefield import worker
 
 NOT_RUN_RETRY = 1.0
+SEED_RETRY = 0.5
 STOPPING_RETRY = 1.0
 STOP_GRACE = 1.0
-NAIVE = "first-fit"
 ROUTE_TRIES = 3
 NOT_SENT = (errors.NOT_RUN, errors.NO_BACKEND)
 VM_LIST_PERIOD = 0.5
@@ -55,18 +55,16 @@
         self.book = rulebook.Rulebook(self.kv, opts.timings.rules_poll)
         self.admin = ruleadmin.RuleAdmin(self.kv, self.book, name)
         self.members = membership.Membership(self.kv, opts, name)
-        self.cells = cells.Cells(opts, name, self.kv,
-                                 placement.POLICIES[policy](), self.members)
+        plan = strategy.named(policy, seed=opts.entries.index(self.spec))
+        self.cells = cells.Cells(opts, name, self.kv, plan, self.members)
         self.peer_server = peers.PeerServer(opts, name, self.cells)
         self.peers = peers.Peers(opts, name, self.peer_server, self.members)
         self.cells.usage_elsewhere = self.peers.usage
         self.cells.move_target = self.peers.move_target
         self.desk = jobs.Desk(opts, self.cells.home, self.peers)
-        # The naive version of our own, for the measurements: first-fit
-        # placement and routing blind to measured latency.
         self.router = routing.Router(opts, self.spec.zone, self.http,
-                                     seed=opts.entries.index(self.spec),
-                                     aware=policy != NAIVE)
+                                     plan.routing)
+        self.router.interference = self.peers.interference
         self.ledger = idempotency.Ledger(self.kv, name,
                                          lambda: self.members.lease)
         self.latencies = metrics.Latencies()
@@ -90,6 +88,9 @@
                               (self.book.run_poll, "rules-poll"),
                               (self.peers.run, "peers")):
             threading.Thread(target=target, name=label, daemon=True).start()
+        threading.Thread(target=seed_rules, name="seed-rules", daemon=True,
+                         args=(self.opts, self.kv, self.book.stopped)
+                         ).start()
         threading.Thread(target=self.router.run, args=(VM_LIST_PERIOD,),
                          name="vm-list", daemon=True).start()
         cherrypy.config.update(worker.http_config(
@@ -185,6 +186,7 @@
                     (errors.Finding("body.idempotency_key", "required"),)))
             recorded = self.ledger.begin(key, request_id)
             if not isinstance(recorded, result.Success):
+                self._note_failure(request_id, work, recorded.failure())
                 return result.Failure(recorded.failure())
             begun = recorded.unwrap()
             if begun.start == idempotency.Start.REPLAY:
@@ -208,11 +210,16 @@
                 settle = (self.ledger.abandon if code in NOT_SENT
                           else self.ledger.give_up)
                 settle(key, begun)
-            self.count("failed")
-            events.emit(events.REQUEST_FAILED, request_id=request_id,
-                        work=work.name, error=code.name)
+            self._note_failure(request_id, work, answer.failure())
         return answer
 
+    def _note_failure(self, request_id: str, work: options.Work,
+                      problem: errors.Problem) -> None:
+        self.count("failed")
+        events.emit(events.REQUEST_FAILED, request_id=request_id,
+                    work=work.name, error=problem.code.name,
+                    detail=problem.message)
+
     def _dispatch(self, request: api.RequestModel, request_id: str,
                   work: options.Work, decision: rules.Decision
                   ) -> api.Answer:
@@ -243,7 +250,8 @@
                     return result.Failure(errors.problem(
                         errors.OUTCOME_UNKNOWN, retry_after=NOT_RUN_RETRY))
                 continue
-            self.router.done(view, time.monotonic() - sent_at)
+            self.router.done(view, (time.monotonic() - sent_at) * 1000.0
+                             / work.service_ms)
             if reply.status == 503:
                 # The backend refused before running: it is leaving.
                 self.router.mark_leaving(view.name)
@@ -372,6 +380,11 @@
     return status, dataclasses.asdict(record)
 
 
-def seed_rules(opts: options.Options, kv: kvclient.Client) -> None:
-    """Write the settings' rules if the store has none yet."""
-    kv.cas(rulebook.KEY, 0, rulebook.encode(list(opts.rules)))
+def seed_rules(opts: options.Options, kv: kvclient.Client,
+               stopped: threading.Event) -> None:
+    """Write the settings' rules if the store has none, once it answers."""
+    value = rulebook.encode(list(opts.rules))
+    while not stopped.is_set():
+        if isinstance(kv.cas(rulebook.KEY, 0, value), result.Success):
+            return
+        stopped.wait(SEED_RETRY)
--- a/sycamorefield/kvclient.py
+++ b/sycamorefield/kvclient.py
@@ -12,6 +12,7 @@
 import grpc
 from returns import result
 
+from sycamorefield import channels
 from sycamorefield import sycamorefield_pb2 as pb
 from sycamorefield import sycamorefield_pb2_grpc as pb_grpc
 
@@ -67,7 +68,7 @@
     def __init__(self, target: str, timeout: float = CALL_TIMEOUT) -> None:
         self.target = target
         self.timeout = timeout
-        self.channel = grpc.insecure_channel(target)
+        self.channel = channels.connect(target)
         self.stub = pb_grpc.KeyValueStub(self.channel)
         self.lock = threading.Lock()
 
--- a/sycamorefield/load.py
+++ b/sycamorefield/load.py
@@ -7,6 +7,7 @@
 """
 
 import concurrent.futures
+import dataclasses
 import json
 import random
 import threading
@@ -19,7 +20,8 @@
 from sycamorefield import options
 
 CALLERS = 16
-JOB_WAIT = 20.0
+JOB_WAIT = 90.0
+WAVE_SPAN = 0.75
 DIRECT_SAMPLES = 200
 SUBMIT_TRIES = 8
 COME_BACK = (0, 503, 504)
@@ -54,6 +56,15 @@
             return 0, {"error": type(exc).__name__}
         return reply.status, json.loads(reply.data or b"{}")
 
+    def delete(self, path: str) -> bool:
+        """DELETE a path at the next entry process; return if it worked."""
+        try:
+            reply = self.http.request("DELETE", self.next_url() + path,
+                                      timeout=5.0, retries=False)
+        except urllib3.exceptions.HTTPError:
+            return False
+        return reply.status == 200
+
     def get(self, url: str) -> dict[str, object]:
         """GET JSON from a URL; an empty dict when it fails."""
         try:
@@ -99,22 +110,40 @@
     return False
 
 
-def _submit_jobs(caller: Caller, opts: options.Options,
-                 rng: random.Random) -> list[str]:
+@dataclasses.dataclass
+class Submitted:
+    """The batch jobs accepted so far, and those cancelled again."""
+
+    batch: list[str] = dataclasses.field(default_factory=list)
+    cancelled: set[str] = dataclasses.field(default_factory=set)
+
+
+def _submit_jobs(caller: Caller, opts: options.Options, rng: random.Random,
+                 seconds: float, submitted: Submitted) -> None:
+    """Submit the jobs in waves, cancelling a share of each wave."""
     batch = [w for w in opts.work.values() if w.kind == "batch"]
     standing = [w for w in opts.work.values() if w.kind == "standing"]
-    ids = []
-    plan = [(w, "batch") for w in batch for _ in range(opts.load.batch_jobs)]
-    plan += [(w, "standing") for w in standing
-             for _ in range(opts.load.standing_jobs)]
-    for work, kind in plan:
-        job_id = f"{kind}-{uuid.UUID(int=rng.getrandbits(128)).hex[:12]}"
-        body: dict[str, object] = {
-            "customer": rng.choice(opts.load.customers),
-            "work": work.name, "job_id": job_id}
-        if _submit(caller, body) and kind == "batch":
-            ids.append(job_id)
-    return ids
+    plan = [w for w in standing for _ in range(opts.load.standing_jobs)]
+    plan += [w for w in batch for _ in range(opts.load.batch_jobs)]
+    waves = opts.load.batch_waves
+    began = time.monotonic()
+    for wave in range(waves):
+        time.sleep(max(0.0, began + wave * seconds * WAVE_SPAN / waves
+                       - time.monotonic()))
+        accepted = []
+        for work in plan[wave::waves]:
+            job_id = (f"{work.kind}-"
+                      f"{uuid.UUID(int=rng.getrandbits(128)).hex[:12]}")
+            body: dict[str, object] = {
+                "customer": rng.choice(opts.load.customers),
+                "work": work.name, "job_id": job_id}
+            if _submit(caller, body) and work.kind == "batch":
+                accepted.append(job_id)
+        submitted.batch += accepted
+        for job_id in rng.sample(accepted, int(len(accepted)
+                                               * opts.load.cancel_share)):
+            if caller.delete(f"/v1/jobs/{job_id}"):
+                submitted.cancelled.add(job_id)
 
 
 def _direct(caller: Caller, opts: options.Options) -> dict[str, float]:
@@ -135,20 +164,28 @@
     return histogram.summary().get(work.name, {})
 
 
-def _finished(caller: Caller, opts: options.Options,
-              ids: list[str], wait: float) -> tuple[int, float]:
+def _finished(caller: Caller, ids: list[str],
+              wait: float) -> list[dict[str, object]]:
+    """Wait for jobs to finish; return the records of those that did."""
     deadline = time.monotonic() + wait
-    done: set[str] = set()
-    began = time.monotonic()
+    done: dict[str, dict[str, object]] = {}
     while time.monotonic() < deadline and len(done) < len(ids):
         for job_id in ids:
             if job_id in done:
                 continue
             body = caller.get(caller.next_url() + f"/v1/jobs/{job_id}")
             if body.get("state") == "done":
-                done.add(job_id)
+                done[job_id] = body
         time.sleep(0.25)
-    return len(done), time.monotonic() - began
+    return list(done.values())
+
+
+def _makespan(records: list[dict[str, object]]) -> float:
+    """Return seconds from the first acceptance to the last finish."""
+    if not records:
+        return 0.0
+    return (max(float(str(r["finished_at"])) for r in records)
+            - min(float(str(r["accepted_at"])) for r in records))
 
 
 def run(opts: options.Options, seconds: float | None = None) -> dict:
@@ -160,7 +197,12 @@
     outcomes: dict[str, int] = {}
     lock = threading.Lock()
     started = time.monotonic()
-    ids = _submit_jobs(caller, opts, rng)
+    submitted = Submitted()
+    submitter = threading.Thread(
+        target=_submit_jobs, daemon=True,
+        args=(caller, opts, random.Random(opts.load.seed + 1), duration,
+              submitted))
+    submitter.start()
     interval = 1.0 / opts.load.latency_per_second
     with concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
         due = time.monotonic()
@@ -169,16 +211,24 @@
                         lock)
             due += interval
             time.sleep(max(0.0, due - time.monotonic()))
-    finished, waited = _finished(caller, opts, ids, JOB_WAIT)
+    submitter.join(JOB_WAIT)
+    ids = [j for j in submitted.batch if j not in submitted.cancelled]
+    waiting = time.monotonic()
+    records = _finished(caller, ids, JOB_WAIT)
+    waited = time.monotonic() - waiting
     entries = [caller.get(url + "/metrics") for url in caller.urls]
     evictions = 0
     for body in entries:
         counters = body.get("counters")
         if isinstance(counters, dict):
             evictions += int(counters.get("evictions", 0))
+    makespan = _makespan(records)
     return {"deployment": opts.deployment, "seconds": duration,
             "latency": latencies.summary(), "outcomes": outcomes,
-            "batch_submitted": len(ids), "batch_finished": finished,
+            "batch_submitted": len(ids), "batch_finished": len(records),
+            "batch_cancelled": len(submitted.cancelled),
+            "batch_per_minute": round(60 * len(records) / makespan, 1)
+            if makespan else 0.0,
             "batch_wait_seconds": round(waited, 2), "evictions": evictions,
             "direct": _direct(caller, opts), "log_dir": opts.log_dir}
 
@@ -199,7 +249,9 @@
     lines.append(f"  answers by status: {report['outcomes']}")
     lines.append(f"  batch runs finished: {report['batch_finished']} of "
                  f"{report['batch_submitted']} "
-                 f"(waited {report['batch_wait_seconds']} s after load)")
+                 f"(waited {report['batch_wait_seconds']} s after load; "
+                 f"{report['batch_per_minute']:g} a minute; "
+                 f"{report['batch_cancelled']} cancelled)")
     lines.append(f"  evictions: {report['evictions']}")
     lines.append(f"  logs: {report['log_dir']}")
     return "\n".join(lines)
--- a/sycamorefield/options.py
+++ b/sycamorefield/options.py
@@ -71,6 +71,7 @@
     demand: Capacity = ZERO
     run_seconds: float = 1.0
     noise: float = 0.0
+    misdeclared: float = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -97,6 +98,8 @@
     seconds: float
     latency_per_second: float
     batch_jobs: int
+    batch_waves: int
+    cancel_share: float
     standing_jobs: int
     customers: tuple[str, ...]
     seed: int
--- a/sycamorefield/peers.py
+++ b/sycamorefield/peers.py
@@ -15,6 +15,7 @@
 import grpc
 
 from sycamorefield import cells as cells_mod
+from sycamorefield import channels
 from sycamorefield import events
 from sycamorefield import jobtable
 from sycamorefield import membership
@@ -84,10 +85,9 @@
         cell = self.cells.get(request.cell)
         if cell is None:
             return pb.ShowReply(outcome=NOT_OWNER)
-        record = cell.cancel(request.job_id)
-        if record is not None and not cell.table.durable(request.job_id):
+        if not cell.table.wait(cell.cancel(request.job_id), COMMIT_TIMEOUT):
             return pb.ShowReply(outcome=UNKNOWN)
-        return _shown(record)
+        return _shown(cell.table.get(request.job_id))
 
     def Status(self, request: pb.StatusRequest,
                context: grpc.ServicerContext | None) -> pb.StatusReply:
@@ -133,7 +133,7 @@
     asker: str
 
     def __post_init__(self) -> None:
-        self.channel = grpc.insecure_channel(self.member.address)
+        self.channel = channels.connect(self.member.address)
         self.stub = pb_grpc.PeerStub(self.channel)
         self.stopped = threading.Event()
         self.status = pb.StatusReply()
--- a/sycamorefield/placement.py
+++ b/sycamorefield/placement.py
@@ -115,7 +115,3 @@
                     and candidate.fits(work.demand)):
                 best, best_load = candidate, load
         return best
-
-
-POLICIES: dict[str, type[Policy]] = {
-    policy.name: policy for policy in (FirstFit, Spread, Guarded)}
--- a/sycamorefield/routing.py
+++ b/sycamorefield/routing.py
@@ -2,16 +2,20 @@
 
 Backends come from the platform's VM list, which lags; the router also uses
 its own evidence: a backend that refused a connection or answered "leaving"
-is kept out for a while.  Among the rest it takes the better of two random
-choices by a moving average of measured latency, so a backend slowed by
-colocated batch tasks gets less work as soon as its answers show it.
+is kept out for a while.  How a backend is chosen among the rest varies:
+LeastExpected is ours, BetterOfTwo is what earlier versions did and Blind is
+the naive version the measurements compare against.
 """
 
+import abc
 import dataclasses
+import heapq
 import json
+import math
 import random
 import threading
 import time
+import typing
 
 import urllib3
 
@@ -19,20 +23,33 @@
 from sycamorefield import options
 
 EWMA_WEIGHT = 0.2
-INITIAL_MS = 20.0
+FORGET_SECONDS = 10.0
 SHUN_SECONDS = 5.0
-ZONE_PENALTY_MS = 2.0
+ZONE_PENALTY = 0.15
+# Reports lag: a worker that takes noisy work may be noisy already.  Between
+# equal reports the workers kept quiet go first.
+NOISE_PENALTY = 0.5
+FRONT_LEAST = 8
+FRONT_SHARE = 0.1
 
 
 @dataclasses.dataclass
 class BackendView:
-    """What the router knows of one backend server."""
+    """What the router knows of one backend server.
+
+    slowdown is a moving average of measured latency over the latency that
+    the work declares; interference is what the worker last reported.
+    """
 
     name: str
     zone: str
     url: str
+    slots: int
     state: str = "live"
-    ewma_ms: float = INITIAL_MS
+    slowdown: float = 1.0
+    measured_at: float = 0.0
+    interference: float = 0.0
+    quiet: bool = False
     shunned_until: float = 0.0
     in_flight: int = 0
 
@@ -40,29 +57,102 @@
         """Return whether new work may go here now."""
         return self.state == "live" and now >= self.shunned_until
 
-    def score(self, zone: str) -> float:
-        """Return the expected latency in ms, counting queue and zone."""
-        penalty = 0.0 if self.zone == zone else ZONE_PENALTY_MS
-        return self.ewma_ms * (1 + self.in_flight) + penalty
+    def measured(self, now: float) -> float:
+        """Return the measured slowdown, forgotten bit by bit when unused."""
+        age = max(0.0, now - self.measured_at)
+        return 1.0 + (self.slowdown - 1.0) * math.exp(-age / FORGET_SECONDS)
+
+    def expected(self, zone: str, now: float) -> float:
+        """Return the slowdown to expect here, zone and queue aside."""
+        penalty = 0.0 if self.zone == zone else ZONE_PENALTY
+        if not self.quiet:
+            penalty += NOISE_PENALTY
+        return max(1.0 + self.interference, self.measured(now)) + penalty
+
+    def note(self, ratio: float, now: float) -> None:
+        """Take in one measured latency over the declared one."""
+        before = self.measured(now)
+        self.slowdown = before + EWMA_WEIGHT * (ratio - before)
+        self.measured_at = now
+
+
+class Choice(abc.ABC):
+    """Pick one of the usable backends."""
+
+    def __init__(self, seed: int) -> None:
+        self.random = random.Random(seed)
+
+    def refresh(self, usable: list[BackendView], zone: str) -> None:
+        """Prepare for picks from these backends, a few times a second."""
+
+    @abc.abstractmethod
+    def pick(self, usable: list[BackendView], zone: str) -> BackendView:
+        """Return one of usable, which is not empty."""
+
+
+class Blind(Choice):
+    """Pick at random."""
+
+    def pick(self, usable: list[BackendView], zone: str) -> BackendView:
+        return self.random.choice(usable)
+
+
+class BetterOfTwo(Choice):
+    """Pick the better of two random backends by measured latency."""
+
+    def pick(self, usable: list[BackendView], zone: str) -> BackendView:
+        now = time.monotonic()
+        pair = self.random.sample(usable, min(2, len(usable)))
+        return min(pair, key=lambda b: (
+            b.measured(now) * (1 + b.in_flight)
+            + (0.0 if b.zone == zone else ZONE_PENALTY)))
+
+
+class LeastExpected(Choice):
+    """Pick the least expected slowdown among a front of good backends.
+
+    The front is chosen a few times a second from what workers reported
+    and what was measured, so a pick costs the same on a fleet of any
+    size.  Within it the queue counts too: a quiet backend takes most of
+    the work until its slots fill, then the next best shares it.
+    """
+
+    def __init__(self, seed: int) -> None:
+        super().__init__(seed)
+        self.front: list[BackendView] = []
+
+    def refresh(self, usable: list[BackendView], zone: str) -> None:
+        now = time.monotonic()
+        size = max(FRONT_LEAST, int(len(usable) * FRONT_SHARE))
+        self.front = heapq.nsmallest(
+            size, usable,
+            key=lambda b: (b.expected(zone, now), self.random.random()))
+
+    def pick(self, usable: list[BackendView], zone: str) -> BackendView:
+        now = time.monotonic()
+        front = [b for b in self.front if b.usable(now)] or usable
+        return min(front, key=lambda b: (
+            b.expected(zone, now) * (1 + b.in_flight / b.slots),
+            self.random.random()))
 
 
 class Router:
     """Hold the backend views and pick among them."""
 
     def __init__(self, opts: options.Options, zone: str,
-                 http: urllib3.PoolManager, seed: int,
-                 aware: bool = True) -> None:
+                 http: urllib3.PoolManager, choice: Choice) -> None:
         self.opts = opts
-        self.aware = aware
         self.zone = zone
         self.http = http
-        self.random = random.Random(seed)
+        self.choice = choice
         self.lock = threading.Lock()
         self.backends = {
             m.name: BackendView(m.name, m.zone,
-                                f"http://{opts.host}:{m.http_port}")
+                                f"http://{opts.host}:{m.http_port}", m.slots,
+                                quiet=m.name in opts.quiet_machines)
             for m in opts.machines}
         self.stopped = threading.Event()
+        self.interference: typing.Callable[[], dict[str, float]] = dict
 
     def refresh(self) -> bool:
         """Read the VM list once; return whether it answered."""
@@ -85,35 +175,39 @@
         return True
 
     def run(self, period: float) -> None:
-        """Refresh from the VM list every period seconds until stopped."""
+        """Refresh list and reports every period seconds until stopped."""
         while not self.stopped.is_set():
             self.refresh()
+            reported = self.interference()
+            with self.lock:
+                for view in self.backends.values():
+                    view.interference = reported.get(view.name, 0.0)
+                self.choice.refresh(self._usable(), self.zone)
             self.stopped.wait(period)
 
+    def _usable(self) -> list[BackendView]:
+        now = time.monotonic()
+        return [b for b in self.backends.values() if b.usable(now)]
+
     def pick(self, zone: str | None = None) -> BackendView | None:
         """Return the backend to use, or None when none is usable."""
-        now = time.monotonic()
         with self.lock:
-            usable = [b for b in self.backends.values() if b.usable(now)]
+            usable = self._usable()
             if not usable:
                 return None
-            if not self.aware:
-                best = self.random.choice(usable)
-                best.in_flight += 1
-                return best
-            pair = self.random.sample(usable, min(2, len(usable)))
-            best = min(pair, key=lambda b: b.score(zone or self.zone))
+            best = self.choice.pick(usable, zone or self.zone)
             best.in_flight += 1
             return best
 
-    def done(self, view: BackendView, seconds: float | None) -> None:
-        """Record the outcome of one call: its latency, or None on failure."""
+    def done(self, view: BackendView, ratio: float | None) -> None:
+        """Record one call: latency over the declared one, None on failure."""
+        now = time.monotonic()
         with self.lock:
             view.in_flight -= 1
-            if seconds is None:
-                view.shunned_until = time.monotonic() + SHUN_SECONDS
+            if ratio is None:
+                view.shunned_until = now + SHUN_SECONDS
                 return
-            view.ewma_ms += EWMA_WEIGHT * (seconds * 1000.0 - view.ewma_ms)
+            view.note(ratio, now)
 
     def mark_leaving(self, name: str) -> None:
         """Keep a backend out because it said it is leaving."""
--- a/sycamorefield/settings.py
+++ b/sycamorefield/settings.py
@@ -67,6 +67,7 @@
     accelerators: int = pydantic.Field(default=0, ge=0)
     run_seconds: float = pydantic.Field(default=1.0, ge=0)
     noise: float = pydantic.Field(default=0.0, ge=0, le=5)
+    misdeclared: float = pydantic.Field(default=1.0, ge=1, le=10)
 
 
 class TimingsModel(_Model):
@@ -91,6 +92,8 @@
     seconds: float = pydantic.Field(default=8.0, gt=0, le=600)
     latency_per_second: float = pydantic.Field(default=30.0, gt=0)
     batch_jobs: int = pydantic.Field(default=12, ge=0)
+    batch_waves: int = pydantic.Field(default=1, ge=1, le=20)
+    cancel_share: float = pydantic.Field(default=0.0, ge=0, le=1)
     standing_jobs: int = pydantic.Field(default=2, ge=0)
     customers: list[str] = pydantic.Field(default_factory=list)
     seed: int = 7
@@ -112,7 +115,7 @@
     customers: list[str] = pydantic.Field(min_length=1)
     quotas: dict[str, float] = pydantic.Field(default_factory=dict)
     cells: int | None = pydantic.Field(default=None, ge=1)
-    quiet_share: float = pydantic.Field(default=0.1, ge=0, lt=1)
+    quiet_share: float = pydantic.Field(default=0.05, ge=0, lt=1)
     rules: list[rules_mod.RuleModel] = pydantic.Field(default_factory=list)
     timings: TimingsModel = TimingsModel()
     load: LoadModel = LoadModel()
@@ -202,7 +205,8 @@
         name=w.name, kind=w.kind, service_ms=w.service_ms,
         idempotent=w.idempotent,
         demand=options.Capacity(w.cpus, w.memory_mb, w.accelerators),
-        run_seconds=w.run_seconds, noise=w.noise) for w in model.work}
+        run_seconds=w.run_seconds, noise=w.noise,
+        misdeclared=w.misdeclared) for w in model.work}
     t = model.timings
     timings = options.Timings(
         member_ttl=t.member_ttl_seconds, heartbeat=t.heartbeat_seconds,
@@ -215,6 +219,8 @@
         seconds=model.load.seconds,
         latency_per_second=model.load.latency_per_second,
         batch_jobs=model.load.batch_jobs,
+        batch_waves=model.load.batch_waves,
+        cancel_share=model.load.cancel_share,
         standing_jobs=model.load.standing_jobs,
         customers=tuple(model.load.customers or model.customers),
         seed=model.load.seed)
--- /dev/null
+++ b/sycamorefield/strategy.py
@@ -0,0 +1,34 @@
+"""Bundle the decisions that vary: placement, eviction and routing.
+
+The names are what `entry --policy` takes.  "guarded" is the product;
+"spread" is what versions before it did, and "first-fit" is the naive
+version of our own; both are kept for the measurements.
+"""
+
+import dataclasses
+
+from sycamorefield import eviction
+from sycamorefield import placement
+from sycamorefield import routing
+
+
+@dataclasses.dataclass(frozen=True)
+class Strategy:
+    """One way of deciding, for a whole entry process."""
+
+    name: str
+    placement: placement.Policy
+    eviction: eviction.Eviction
+    routing: routing.Choice
+
+
+def named(name: str, seed: int = 1) -> Strategy:
+    """Return the strategy of a name; KeyError if there is none."""
+    return {
+        "guarded": Strategy(name, placement.Guarded(seed),
+                            eviction.Fewest(), routing.LeastExpected(seed)),
+        "spread": Strategy(name, placement.Spread(), eviction.Fewest(),
+                           routing.BetterOfTwo(seed)),
+        "first-fit": Strategy(name, placement.FirstFit(),
+                              eviction.FirstTasks(), routing.Blind(seed)),
+    }[name]
--- a/sycamorefield/timeline.py
+++ b/sycamorefield/timeline.py
@@ -4,6 +4,9 @@
 import json
 import os
 
+from sycamorefield import events
+from sycamorefield import metrics
+
 
 def merge(log_dir: str, request_id: str | None = None) -> list[dict]:
     """Return every event under log_dir in time order, or one request's."""
@@ -31,6 +34,26 @@
             f"{json.dumps(rest, sort_keys=True) if rest else ''}").rstrip()
 
 
+def start_latencies(lines: list[dict], priority: str
+                    ) -> metrics.Latencies:
+    """Return how long jobs of a priority waited for their first start.
+
+    From the entry process's "accepted" to the worker's "began", in wall
+    clock time of their two machines; recorded under the priority's name.
+    """
+    accepted: dict[str, float] = {}
+    out = metrics.Latencies()
+    for line in lines:
+        if (line.get("event") == events.JOB_ACCEPTED.code
+                and line.get("priority") == priority):
+            accepted.setdefault(line["job"], line["t"])
+        elif line.get("event") == events.TASK_BEGAN.code:
+            since = accepted.pop(line["job"], None)
+            if since is not None:
+                out.record(priority, line["t"] - since)
+    return out
+
+
 def write(lines: list[dict], path: str) -> int:
     """Write the time line to path as JSON lines; return the count."""
     with open(path, "w", encoding="utf-8") as handle:
--- a/sycamorefield/worker.py
+++ b/sycamorefield/worker.py
@@ -9,6 +9,7 @@
 import collections
 import concurrent.futures
 import dataclasses
+import random
 import threading
 import time
 
@@ -86,6 +87,7 @@
         self.leaving_since = 0.0
         self.served_after_leaving = 0
         self.peak = options.ZERO
+        self.misdeclared: dict[str, float] = {}
         self.stopped = threading.Event()
 
     def used(self) -> options.Capacity:
@@ -137,7 +139,7 @@
                 return self._refuse("no-room")
             now = time.monotonic()
             task = Task(request.task_id, request.job_id, request.work,
-                        demand, request.run_seconds, request.noise,
+                        demand, self._true_seconds(request), request.noise,
                         request.fence, request.owner, request.lease_ms,
                         now + request.lease_ms / 1000.0, request.progress,
                         doomed=self.faults.fail_all)
@@ -150,6 +152,12 @@
         return pb.TaskReply(accepted=True, state=RUNNING,
                             progress=task.progress)
 
+    def _true_seconds(self, request: pb.StartTaskRequest) -> float:
+        """Return how long a job truly runs: declared times are far off."""
+        off = self.misdeclared.get(request.work, 1.0)
+        factor = random.Random(request.job_id).uniform(-1.0, 1.0)
+        return request.run_seconds * off ** factor
+
     def _check_capacity(self) -> None:
         # The checked mode's own assertion: the worker is the one place
         # that sees every start, whoever sent it, so an overcommit is
@@ -382,6 +390,7 @@
     """Start the worker's gRPC and HTTP sides; return them."""
     spec = opts.machine(name)
     server, machine = serve_grpc(opts.host, spec)
+    machine.misdeclared = {w.name: w.misdeclared for w in opts.work.values()}
     cherrypy.config.update(http_config(opts.host, spec.http_port, 60))
     cherrypy.tree.mount(Backend(machine, opts), "/")
     cherrypy.engine.start()
--- a/sycamorefield/workerlink.py
+++ b/sycamorefield/workerlink.py
@@ -8,13 +8,16 @@
 """
 
 import dataclasses
+import math
 import threading
 import time
 import typing
 
 import grpc
 
+from sycamorefield import channels
 from sycamorefield import events
+from sycamorefield import jobtable
 from sycamorefield import options
 from sycamorefield import sycamorefield_pb2 as pb
 from sycamorefield import sycamorefield_pb2_grpc as pb_grpc
@@ -26,6 +29,7 @@
 SHUN_LONGEST = 30.0
 RUNNING = "running"
 FAILED = "failed"
+CANCELLED = "cancelled"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -37,6 +41,7 @@
     work: options.Work
     progress: float
     durable: bool
+    cancelled: bool
 
 
 @dataclasses.dataclass(frozen=True)
@@ -61,8 +66,9 @@
     def started(self, start: Start) -> None:
         """Note a start that the worker accepted."""
 
-    def refused(self, link: "WorkerLink", start: Start, reason: str) -> None:
-        """Take back a start that the worker refused."""
+    def not_started(self, link: "WorkerLink", start: Start,
+                    reason: str) -> None:
+        """Take back a start that the worker refused or that is cancelled."""
 
     def worker_lost(self, link: "WorkerLink") -> None:
         """Queue again every job of a lost worker."""
@@ -80,7 +86,7 @@
         self.fence = fence
         self.cell = cell
         self.holds = holds
-        self.channel = grpc.insecure_channel(
+        self.channel = channels.connect(
             f"{opts.host}:{machine.grpc_port}")
         self.stub = pb_grpc.WorkerStub(self.channel)
         self.lock = threading.Lock()
@@ -89,6 +95,7 @@
         self.stopped = threading.Event()
         self.committed: dict[str, options.Capacity] = {}
         self.interference = 0.0
+        self.progress: dict[str, float] = {}
         self.reached = False
         self.lost = False
         self.misses = 0
@@ -113,6 +120,19 @@
                 total = total.plus(demand)
         return total
 
+    def remaining(self, record: jobtable.JobRecord) -> float:
+        """Return how many seconds a task placed here still needs.
+
+        From the progress it made since it was placed, as last reported;
+        what jobs declare is far off.
+        """
+        made = self.progress.get(record.task_id, 0.0) - record.progress
+        if made <= 0.0:
+            return math.inf
+        ran = time.time() - record.placed_at
+        left = 1.0 - record.progress - made
+        return left * ran / made
+
     def reserve(self, task_id: str, demand: options.Capacity) -> None:
         """Count a placed task against this worker's room."""
         with self.lock:
@@ -192,15 +212,18 @@
 
     def _settle(self, reply: pb.ReportReply) -> list[str]:
         running: dict[str, options.Capacity] = {}
+        progress: dict[str, float] = {}
         ended = []
         for task in reply.tasks:
             if task.state == RUNNING:
+                progress[task.task_id] = task.progress
                 running[task.task_id] = options.Capacity(
                     task.declared.cpus, task.declared.memory_mb,
                     task.declared.accelerators)
             else:
                 ended.append(Ended(task.job_id, task.task_id, task.state,
                                    task.progress))
+        self.progress = progress
         recorded = self.cell.settle(self, ended) if ended else []
         expected = self.cell.expected(self.machine.name)
         for task_id in running:
@@ -210,6 +233,8 @@
                 events.emit(events.TASK_ORPHANED, task=task_id,
                             worker=self.machine.name)
                 self.stops.add(task_id)
+            elif expected[task_id].cancelled:
+                self.stops.add(task_id)
         with self.lock:
             for task_id, start in expected.items():
                 running.setdefault(task_id, start.work.demand)
@@ -242,6 +267,10 @@
             if (task_id in listed or not start.durable
                     or not self.holds()):
                 continue
+            if start.cancelled:
+                self.free(task_id)
+                self.cell.not_started(self, start, CANCELLED)
+                continue
             answer = self._start(start)
             if answer is None:
                 continue
@@ -252,7 +281,7 @@
                             fence=self.fence)
             else:
                 self.free(task_id)
-                self.cell.refused(self, start, answer.reason)
+                self.cell.not_started(self, start, answer.reason)
 
     def _start(self, start: Start) -> pb.TaskReply | None:
         work = start.work
--- /dev/null
+++ b/tests/test_channels.py
@@ -0,0 +1,40 @@
+"""Come back soon after the other end of a channel does."""
+
+import time
+
+from sycamorefield import kvclient
+from sycamorefield import kvstore
+from tests import deployment
+from tests import standins
+
+DOWN_SECONDS = 6.0
+BACK_SECONDS = 2.0
+
+
+def test_store_back_after_a_long_outage():
+    """Use the key-value service within seconds of its return.
+
+    Symptom: entry processes answer "not run" for a minute or more after
+    the key-value service is back.
+
+    Sequence: the service's process is gone for a long stretch; calls go
+    on; the service starts again at the same address.
+
+    Cause: the channel's wait between connection attempts had grown with
+    each failure.
+    """
+    port = standins.free_port()
+    client = kvclient.Client(f"127.0.0.1:{port}")
+    gone = time.monotonic() + DOWN_SECONDS
+    while time.monotonic() < gone:
+        assert not isinstance(client.get("/x"), kvclient.result.Success)
+        time.sleep(0.1)
+    server, store = kvstore.serve("127.0.0.1", port, 100)
+    try:
+        assert deployment.wait_until(
+            lambda: isinstance(client.get("/x"), kvclient.result.Success),
+            BACK_SECONDS)
+    finally:
+        store.stopped.set()
+        client.close()
+        server.stop(0)
--- a/tests/test_endtoend.py
+++ b/tests/test_endtoend.py
@@ -46,6 +46,24 @@
     assert deployment.wait_until(done, 15)
 
 
+def test_cancel_without_a_body_ends_the_job(cluster):
+    """Cancel with a plain DELETE, as most clients send it.
+
+    Symptom: every cancellation is answered 411, Length Required.
+
+    Sequence: a job is accepted; its customer sends DELETE with no body.
+
+    Cause: DELETE may carry a body here (retiring a rule), so the server
+    asked each one for its length.
+    """
+    job = {"customer": "owners", "work": "fleet-watch", "job_id": "watch"}
+    assert cluster.call("POST", cluster.url(0) + "/v1/jobs", job)[0] == 202
+    url = cluster.url(1) + "/v1/jobs/watch"
+    assert cluster.call("DELETE", url)[0] == 200
+    assert deployment.wait_until(
+        lambda: cluster.call("GET", url)[1].get("state") == "cancelled", 5)
+
+
 def test_rule_change_in_force_on_every_entry(cluster):
     status, body = cluster.call("POST", cluster.url(2) + "/admin/rules", {
         "rule": {"name": "no-owners-certificates",
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -10,7 +10,7 @@
 from sycamorefield import jobtable
 from sycamorefield import options
 from sycamorefield import peers
-from sycamorefield import placement
+from sycamorefield import strategy
 from sycamorefield import sycamorefield_pb2 as pb
 from sycamorefield import worker
 from tests import deployment
@@ -49,8 +49,8 @@
         table = jobtable.JobTable(self.kv.client, 0, "entry-1", fence,
                                   0.02, 3600.0)
         cell = cell_mod.Cell(self.opts, 0, fence, table,
-                             placement.Guarded(), "entry-1", lambda: True,
-                             cell_mod.Counters())
+                             strategy.named("guarded"), "entry-1",
+                             lambda: True, cell_mod.Counters())
         threading.Thread(target=cell.run, daemon=True).start()
         assert deployment.wait_until(
             lambda: cell.loaded and all(link.reached for link
@@ -369,3 +369,66 @@
     assert board.move_target(1, demand) == 0
     assert board.move_target(0, options.Capacity(20, 1000)) == (
         jobtable.NO_CELL)
+
+
+def test_commit_wakes_placements_staged_during_an_earlier_one(kv):
+    """Wake a worker's link by the commit that makes its placement durable.
+
+    Symptom: one urgent job in fifty starts half a second late.
+
+    Sequence: a commit is under way; a job is placed and staged; the
+    commit, which does not hold it, ends; the next commit holds it.
+
+    Cause: the first commit's end used up the wake meant for the second.
+    """
+    one = OneCell(kv)
+    table = jobtable.JobTable(kv.client, 0, "entry-1", 1, 0.02, 3600.0)
+    cell = cell_mod.Cell(one.opts, 0, 1, table, strategy.named("guarded"),
+                         "entry-1", lambda: True, cell_mod.Counters())
+    try:
+        assert table.load()
+        name, link = next(iter(cell.links.items()))
+        cell.unsent.add(name)
+        table.stage(jobtable.JobRecord(
+            "j1", "owners", "class-renewal", "batch", "urgent",
+            state="placed", worker=name, task_id="j1.1"))
+        table.on_commit()
+        link.wake.clear()
+        table.commit_once()
+        assert link.wake.is_set()
+    finally:
+        one.close(cell)
+
+
+@pytest.mark.parametrize("begun", [False, True],
+                         ids=["start not sent yet", "stop never sent"])
+def test_cancelled_placement_does_not_run_on(kv, begun):
+    """Stop, or never start, a placed job that is cancelled.
+
+    Symptom: a cancelled renewal runs to its end.
+
+    Sequence: a job is placed; it is cancelled before its start is sent,
+    or its owner dies between the cancellation's commit and the stop.
+
+    Cause: the stop was sent once and forgotten, and a worker that did not
+    know the task yet began it afterwards.
+    """
+    one = OneCell(kv, run_seconds=60.0, task_lease=5.0)
+    name = one.machines[0].spec.name
+    if begun:
+        one.machines[0].StartTask(pb.StartTaskRequest(
+            task_id="j1.1", job_id="j1", fence=1, lease_ms=5000,
+            run_seconds=60.0), None)
+    table = jobtable.JobTable(kv.client, 0, "entry-0", 1, 0.02, 3600.0)
+    assert table.load()
+    table.stage(jobtable.JobRecord(
+        "j1", "owners", "class-renewal", "batch", "low", state="placed",
+        worker=name, task_id="j1.1", cancelled=True))
+    assert table.commit_once()
+    cell = one.start(fence=2)
+    try:
+        assert deployment.wait_until(
+            lambda: state_of(cell, "j1") == "cancelled", 3)
+        assert not one.running()
+    finally:
+        one.close(cell)
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -97,14 +97,15 @@
                                + self.opts.log_dir)
 
     def ready(self) -> bool:
-        """Wait until every entry answers and every worker is owned."""
+        """Wait until all entries know each other and own every worker."""
         deadline = time.monotonic() + READY_SECONDS
         while time.monotonic() < deadline:
             owned: set[str] = set()
             answered = 0
             for index in range(len(self.opts.entries)):
                 status, body = self.call("GET", self.url(index) + "/healthz")
-                if status == 200:
+                if status == 200 and len(body.get("members", [])) == len(
+                        self.opts.entries):
                     answered += 1
                     owned.update(body.get("owned", []))
             if answered == len(self.opts.entries) and len(owned) == len(
