--- a/sycamorefield/checks.py
+++ b/sycamorefield/checks.py
@@ -68,7 +68,8 @@
             if line.get("event") == events.INVARIANT_BROKEN.code]
 
 
-def _two_places(spans: list[Interval]) -> list[errors.Finding]:
+def _two_places(spans: list[Interval],
+                losses: "Losses") -> list[errors.Finding]:
     by_job = collections.defaultdict(list)
     for span in spans:
         by_job[span.job].append(span)
@@ -76,7 +77,8 @@
     for job, runs in sorted(by_job.items()):
         runs.sort(key=lambda s: s.began)
         for first, second in zip(runs, runs[1:]):
-            end = first.ended if first.ended is not None else float("inf")
+            end = (first.ended if first.ended is not None
+                   else losses.gone(first))
             if second.began + CLOCK_SLACK < end:
                 found.append(errors.Finding(
                     f"{second.worker}@{second.began:.3f}",
@@ -85,7 +87,52 @@
     return found
 
 
-def _resumes(spans: list[Interval]) -> list[errors.Finding]:
+@dataclasses.dataclass
+class Losses:
+    """When workers were restarted or counted as lost, and what was known.
+
+    What a worker alone knew is gone with it: a checkpoint no owner could
+    reach, an outcome no owner had recorded.  Running that job again from
+    what was recorded is then right, not a breach.
+    """
+
+    at: dict[str, list[float]]
+    recorded: dict[str, float]
+
+    @classmethod
+    def of(cls, lines: list[dict]) -> "Losses":
+        """Collect the losses and recorded outcomes of a time line."""
+        at = collections.defaultdict(list)
+        recorded: dict[str, float] = {}
+        for line in lines:
+            if line.get("event") == events.WORKER_LOST.code:
+                at[line["worker"]].append(line["t"])
+            elif line.get("event") == events.PROCESS_STARTED.code:
+                at[line["process"]].append(line["t"])
+            elif line.get("event") in (events.TASK_FINISHED.code,
+                                       events.TASK_EVICTED.code):
+                recorded.setdefault(line["task"], line["t"])
+        return cls(at, recorded)
+
+    def gone(self, span: Interval) -> float:
+        """Return when a task that logged no end was gone, at the latest.
+
+        Only a killed worker logs no end; one that is cut off or frozen
+        logs the lapse of its tasks' leases.
+        """
+        return min((t for t in self.at.get(span.worker, ())
+                    if t > span.began), default=float("inf"))
+
+    def excuse(self, first: Interval, second: Interval) -> bool:
+        """Return whether first's end was lost before second began."""
+        if self.recorded.get(first.task, second.began) < second.began:
+            return False
+        return any(first.began < t <= second.began
+                   for t in self.at.get(first.worker, ()))
+
+
+def _resumes(spans: list[Interval],
+             losses: Losses) -> list[errors.Finding]:
     by_job = collections.defaultdict(list)
     for span in spans:
         by_job[span.job].append(span)
@@ -93,16 +140,20 @@
     for job, runs in sorted(by_job.items()):
         runs.sort(key=lambda s: s.began)
         for first, second in zip(runs, runs[1:]):
-            if second.from_progress + PROGRESS_SLACK < first.to_progress:
+            if losses.excuse(first, second):
+                continue
+            # A task that failed saved nothing past where it began.
+            checkpoint = (first.from_progress if first.state == "failed"
+                          else first.to_progress)
+            if second.from_progress + PROGRESS_SLACK < checkpoint:
                 found.append(errors.Finding(
                     f"{second.worker}@{second.began:.3f}",
                     f"job {job} resumed at {second.from_progress:.2f}, "
-                    f"not at its checkpoint {first.to_progress:.2f}"))
-        finished = [r for r in runs if r.state == "done"]
-        if len(finished) > 1:
-            found.append(errors.Finding(
-                f"{finished[1].worker}@{finished[1].began:.3f}",
-                f"job {job} finished {len(finished)} times"))
+                    f"not at its checkpoint {checkpoint:.2f}"))
+            if first.state == "done":
+                found.append(errors.Finding(
+                    f"{second.worker}@{second.began:.3f}",
+                    f"job {job} runs again after {first.task} was done"))
     return found
 
 
@@ -122,8 +173,40 @@
     return found
 
 
+def _ran_though_told_not(lines: list[dict]) -> list[errors.Finding]:
+    told = {line["request_id"]: line for line in lines
+            if line.get("event") == events.CALLER_TOLD_NOT_RUN.code}
+    return [errors.Finding(
+        _place(line), f"request {line['request_id']} ran on "
+        f"{line.get('process')} though its caller was told it did not")
+        for line in lines
+        if line.get("event") == events.REQUEST_SERVED.code
+        and line.get("request_id") in told]
+
+
+def _rules_behind(lines: list[dict]) -> list[errors.Finding]:
+    """Find entry processes that ended without the last accepted rules."""
+    accepted = max((int(line.get("revision", 0)) for line in lines
+                    if line.get("event") == events.RULES_CHANGED.code),
+                   default=0)
+    applied: dict[str, int] = {}
+    stopped: dict[str, dict] = {}
+    for line in lines:
+        process = line.get("process", "")
+        if line.get("event") == events.RULES_APPLIED.code:
+            applied[process] = int(line.get("revision", 0))
+        elif line.get("event") == events.PROCESS_STOPPED.code:
+            stopped[process] = line
+    return [errors.Finding(
+        _place(stopped[process]), f"ended at rules revision {revision}, "
+        f"not {accepted}") for process, revision in sorted(applied.items())
+        if process in stopped and revision < accepted]
+
+
 def check(lines: list[dict]) -> list[errors.Finding]:
     """Return every finding over a merged time line, in place order."""
     spans = intervals(lines)
-    return (_breaches(lines) + _two_places(spans) + _resumes(spans)
-            + _revisions(lines))
+    losses = Losses.of(lines)
+    return (_breaches(lines) + _two_places(spans, losses)
+            + _resumes(spans, losses) + _revisions(lines)
+            + _ran_though_told_not(lines) + _rules_behind(lines))
--- a/sycamorefield/cli.py
+++ b/sycamorefield/cli.py
@@ -126,6 +126,7 @@
         seconds: float | None = None, out: str | None = None) -> None:
     """Drive the deployment's mixed load and print what it measured."""
     opts = _options(settings_path)
+    events.configure("load", "", opts.log_dir)
     report = load_mod.run(opts, seconds)
     text = json.dumps(report, indent=2)
     if out:
--- a/sycamorefield/entry.py
+++ b/sycamorefield/entry.py
@@ -50,7 +50,7 @@
         self.opts = opts
         self.name = name
         self.spec = opts.entry(name)
-        self.kv = kvclient.Client(opts.kv_target)
+        self.kv = kvclient.Client(opts.kv_target, name=name)
         self.http = urllib3.PoolManager(maxsize=64, block=False)
         self.book = rulebook.Rulebook(self.kv, opts.timings.rules_poll)
         self.admin = ruleadmin.RuleAdmin(self.kv, self.book, name)
--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -73,6 +73,9 @@
 
 KV_UNAVAILABLE = Event("SF1501", WARNING, "key-value service unavailable")
 KV_FAULTS_SET = Event("SF1502", INFO, "stand-in faults changed")
+CALLER_TOLD_NOT_RUN = Event("SF1701", INFO, "caller told its request was "
+                                            "not run")
+
 INVARIANT_BROKEN = Event("SF1601", ERROR, "invariant broken")
 
 CATALOGUE = tuple(value for value in list(globals().values())
--- a/sycamorefield/idempotency.py
+++ b/sycamorefield/idempotency.py
@@ -122,12 +122,12 @@
         if record.get("entry") == self.entry:
             with self.lock:
                 return record.get("request_id") in self.active
-        got = self.kv.get(membership.MEMBERS + str(record.get("entry")))
-        if not isinstance(got, result.Success):
-            return True
-        item = got.unwrap()
-        member = kvclient.decode(item.value) if item is not None else {}
-        return bool(member) and member["lease"] == record.get("lease")
+        recorder = membership.member_id(str(record.get("entry")),
+                                        int(str(record.get("lease"))))
+        got = self.kv.get(membership.MEMBERS + recorder)
+        # A store that does not answer says nothing of the recorder: come
+        # back, the request may still be in hand.
+        return got.map(lambda item: item is not None).value_or(True)
 
     def abandon(self, key: str, begun: Begun) -> None:
         """Remove our record of a request that was not dispatched.
--- a/sycamorefield/kvclient.py
+++ b/sycamorefield/kvclient.py
@@ -17,6 +17,7 @@
 from sycamorefield import sycamorefield_pb2_grpc as pb_grpc
 
 CALL_TIMEOUT = 1.0
+CLIENT_METADATA = "client"
 
 
 @dataclasses.dataclass(frozen=True)
@@ -65,8 +66,10 @@
 class Client:
     """A connection to the key-value service."""
 
-    def __init__(self, target: str, timeout: float = CALL_TIMEOUT) -> None:
+    def __init__(self, target: str, timeout: float = CALL_TIMEOUT,
+                 name: str = "") -> None:
         self.target = target
+        self.metadata = ((CLIENT_METADATA, name),)
         self.timeout = timeout
         self.channel = channels.connect(target)
         self.stub = pb_grpc.KeyValueStub(self.channel)
@@ -79,7 +82,8 @@
     def _call(self, method: typing.Callable[..., T],
               request: object) -> Outcome[T]:
         try:
-            return result.Success(method(request, timeout=self.timeout))
+            return result.Success(method(request, timeout=self.timeout,
+                                         metadata=self.metadata))
         except grpc.RpcError as exc:
             return result.Failure(_error(exc))
 
@@ -132,7 +136,8 @@
               start_revision: int = 0) -> typing.Iterator[pb.WatchEvent]:
         """Yield changes to key (or a prefix) until the stream breaks."""
         return self.stub.Watch(pb.WatchRequest(
-            key=key, prefix=prefix, start_revision=start_revision))
+            key=key, prefix=prefix, start_revision=start_revision),
+            metadata=self.metadata)
 
     def set_faults(self, faults: pb.KvFaults) -> Outcome[pb.KvFaults]:
         """Set the stand-in's fault knobs."""
--- a/sycamorefield/kvstore.py
+++ b/sycamorefield/kvstore.py
@@ -7,7 +7,6 @@
 """
 
 import collections
-import concurrent.futures
 import dataclasses
 import queue
 import random
@@ -17,7 +16,9 @@
 
 import grpc
 
+from sycamorefield import channels
 from sycamorefield import events
+from sycamorefield import kvclient
 from sycamorefield import sycamorefield_pb2 as pb
 from sycamorefield import sycamorefield_pb2_grpc as pb_grpc
 
@@ -91,12 +92,18 @@
         self.calls[name] += 1
         if self.faults.delay_ms:
             time.sleep(self.faults.delay_ms / 1000.0)
-        if self.faults.down:
+        if self.faults.down or self._cut(context):
             context.abort(grpc.StatusCode.UNAVAILABLE, "stand-in is down")
         if write and not self.limiter.take():
             context.abort(grpc.StatusCode.RESOURCE_EXHAUSTED,
                           "write budget spent")
 
+    def _cut(self, context: grpc.ServicerContext) -> bool:
+        """Return whether the fault knobs cut this call's client off."""
+        return bool(self.faults.cut) and any(
+            key == kvclient.CLIENT_METADATA and value in self.faults.cut
+            for key, value in context.invocation_metadata())
+
     def _leave(self, context: grpc.ServicerContext) -> None:
         # A reply lost after its write took effect: the caller sees an error
         # although the write holds, as the brief says the platform does.
@@ -247,7 +254,7 @@
         try:
             yield from backlog
             while context.is_active() and not self.stopped.is_set():
-                if self.faults.down:
+                if self.faults.down or self._cut(context):
                     return
                 try:
                     event = watcher.events.get(timeout=WATCH_POLL)
@@ -266,10 +273,11 @@
         if not request.query:
             self.faults = pb.KvFaults(
                 down=request.down, delay_ms=request.delay_ms,
-                lose_reply_ratio=request.lose_reply_ratio)
+                lose_reply_ratio=request.lose_reply_ratio, cut=request.cut)
             events.emit(events.KV_FAULTS_SET, down=request.down,
                         delay_ms=request.delay_ms,
-                        lose_reply_ratio=request.lose_reply_ratio)
+                        lose_reply_ratio=request.lose_reply_ratio,
+                        cut=list(request.cut))
         return self.faults
 
     def expire_forever(self) -> None:
@@ -287,7 +295,7 @@
                                                                  Store]:
     """Start the stand-in on host:port; return the server and its store."""
     store = Store(writes_per_second)
-    server = grpc.server(concurrent.futures.ThreadPoolExecutor(max_workers=64))
+    server = channels.server(threads=64)
     pb_grpc.add_KeyValueServicer_to_server(store, server)
     server.add_insecure_port(f"{host}:{port}")
     server.start()
--- a/sycamorefield/load.py
+++ b/sycamorefield/load.py
@@ -16,6 +16,7 @@
 
 import urllib3
 
+from sycamorefield import events
 from sycamorefield import metrics
 from sycamorefield import options
 
@@ -25,6 +26,7 @@
 DIRECT_SAMPLES = 200
 SUBMIT_TRIES = 8
 COME_BACK = (0, 503, 504)
+NOT_RUN = ("not-run", "no-backend", "rejected", "stopping")
 
 
 class Caller:
@@ -78,6 +80,18 @@
     return [w for w in opts.work.values() if w.kind == "latency"]
 
 
+def _check_answer(request_id: str, key: str | None, status: int,
+                  body: dict[str, object]) -> None:
+    """Check that an answer is whole and ours; note what it promises."""
+    if status == 200 and (body.get("request_id") != request_id or body.get(
+            "payload") != {"note": request_id}):
+        events.emit(events.INVARIANT_BROKEN, invariant="own-answer",
+                    request_id=request_id, got=body)
+    if body.get("error") in NOT_RUN:
+        events.emit(events.CALLER_TOLD_NOT_RUN, request_id=request_id,
+                    key=key or "")
+
+
 def _request(caller: Caller, rng: random.Random, opts: options.Options,
              latencies: metrics.Latencies, outcomes: dict[str, int],
              lock: threading.Lock) -> None:
@@ -87,10 +101,12 @@
         key = None if work.idempotent else uuid.UUID(
             int=rng.getrandbits(128)).hex
     began = time.monotonic()
+    request_id = uuid.uuid4().hex
     status, body = caller.post("/v1/requests", {
-        "customer": customer, "work": work.name,
-        "payload": {"note": "load"}, "idempotency_key": key})
+        "customer": customer, "work": work.name, "request_id": request_id,
+        "payload": {"note": request_id}, "idempotency_key": key})
     elapsed = time.monotonic() - began
+    _check_answer(request_id, key, status, body)
     with lock:
         outcomes[str(status)] = outcomes.get(str(status), 0) + 1
     if status == 200:
--- a/sycamorefield/membership.py
+++ b/sycamorefield/membership.py
@@ -1,7 +1,9 @@
 """Keep an entry process in the membership and divide the cells.
 
 Each entry process holds a lease in the key-value service and a key
-/members/<name> bound to it, which also tells its peers where it listens.
+/members/<id> bound to it, which also tells its peers where it listens.  The
+id is the process's name and its lease, so that a process and the one that
+replaces it under the same name are two members while both run.
 An owner claims /owners/<cell> under its own lease, and the claim's
 mod_revision is the fence that every worker of the cell checks.  When a
 member's lease lapses its claims vanish with it and others claim the cells.
@@ -39,6 +41,16 @@
     address: str
     lease: int
 
+    @property
+    def id(self) -> str:
+        """Return what tells this member from every other, ever."""
+        return member_id(self.name, self.lease)
+
+
+def member_id(name: str, lease: int) -> str:
+    """Return the id of the member of a name under a lease."""
+    return f"{name}.{lease}"
+
 
 class Membership:
     """Hold this member's lease, the live members and the claims."""
@@ -66,20 +78,27 @@
         granted = self.kv.grant(ttl_ms)
         if not isinstance(granted, kvclient.result.Success):
             return False
-        spec = self.opts.entry(self.name)
-        value = kvclient.encode({
-            "name": self.name, "zone": spec.zone,
-            "address": f"{self.opts.host}:{spec.grpc_port}",
-            "lease": granted.unwrap()})
-        put = self.kv.put(MEMBERS + self.name, value, granted.unwrap())
-        if not isinstance(put, kvclient.result.Success):
+        if not self._announce(granted.unwrap()):
             return False
         self.lease = granted.unwrap()
         self.renewed_at = asked_at
-        events.emit(events.MEMBER_JOINED, member=self.name,
-                    lease=self.lease)
+        events.emit(events.MEMBER_JOINED, member=self.id)
         return True
 
+    def _announce(self, lease: int) -> bool:
+        """Write the member key; return whether the store took it."""
+        spec = self.opts.entry(self.name)
+        member = Member(self.name, spec.zone,
+                        f"{self.opts.host}:{spec.grpc_port}", lease)
+        put = self.kv.put(MEMBERS + member.id,
+                          kvclient.encode(dataclasses.asdict(member)), lease)
+        return isinstance(put, kvclient.result.Success)
+
+    @property
+    def id(self) -> str:
+        """Return this process's member id under its present lease."""
+        return member_id(self.name, self.lease)
+
     def run(self) -> None:
         """Renew the lease and keep claims in step with the members."""
         while not self.stopped.is_set():
@@ -97,8 +116,7 @@
                 # clock the lease is over once a TTL has passed since the
                 # last renewal we sent, whether or not the store said so;
                 # drop every claim then and join again with a fresh lease.
-                events.emit(events.LEASE_LOST, member=self.name,
-                            lease=self.lease)
+                events.emit(events.LEASE_LOST, member=self.id)
                 self._drop_all()
                 self.lease = 0
                 continue
@@ -118,7 +136,7 @@
         members = {}
         for item in found.unwrap().items:
             member = Member(**kvclient.decode(item.value))
-            members[member.name] = member
+            members[member.id] = member
         for gone in sorted(set(self.members) - set(members)):
             events.emit(events.MEMBER_LEFT, member=gone)
         self.members = members
@@ -128,7 +146,10 @@
         self.owners = {int(item.key[len(OWNERS):]):
                        kvclient.decode(item.value)["owner"]
                        for item in claimed.unwrap().items}
-        if self.name not in members:
+        if self.id not in members:
+            # Gone although our lease is live (an operator's slip, a late
+            # delete): without it nobody could reach the cells we own.
+            self._announce(self.lease)
             return
         for cell in self._unowned():
             self._claim(cell)
@@ -145,16 +166,16 @@
     def _unowned(self) -> list[int]:
         """Return the free cells this member should claim now."""
         free = [cell for cell in range(self.opts.cells)
-                if self.owners.get(cell) in (None, self.name)
+                if self.owners.get(cell) in (None, self.id)
                 and cell not in self.claims]
         share = -(-self.opts.cells // len(self.members))
-        mine = self._counts()[self.name]
+        mine = self._counts()[self.id]
         # Members start in different places so that they seldom race for
         # the same cell; a lost race costs one write and is harmless.
         ranked = sorted(self.members)
-        shift = ranked.index(self.name) * share
+        shift = ranked.index(self.id) * share
         free.sort(key=lambda cell: (cell - shift) % self.opts.cells)
-        held = [c for c in free if self.owners.get(c) == self.name]
+        held = [c for c in free if self.owners.get(c) == self.id]
         return (held + [c for c in free if c not in held]
                 [:max(0, share - mine)])
 
@@ -168,12 +189,12 @@
             return cells[share:]
         if len(cells) > floor and min(counts.values()) < floor:
             most = max(counts.values())
-            if self.name == min(n for n, c in counts.items() if c == most):
+            if self.id == min(n for n, c in counts.items() if c == most):
                 return cells[-1:]
         return []
 
     def _claim(self, cell: int) -> None:
-        value = kvclient.encode({"owner": self.name, "lease": self.lease})
+        value = kvclient.encode({"owner": self.id})
         swap = self.kv.cas(OWNERS + str(cell), 0, value, self.lease)
         if not isinstance(swap, kvclient.result.Success):
             return
@@ -188,7 +209,7 @@
         claim = Claim(cell, fence)
         with self.lock:
             self.claims[cell] = claim
-        self.owners[cell] = self.name
+        self.owners[cell] = self.id
         events.emit(events.CELL_CLAIMED, cell=cell, fence=fence)
         self.on_claim(claim)
 
@@ -216,7 +237,7 @@
             self._release(cell)
         if self.lease:
             self.kv.revoke(self.lease)
-        events.emit(events.MEMBER_LEFT, member=self.name)
+        events.emit(events.MEMBER_LEFT, member=self.id)
 
     def owned(self) -> list[Claim]:
         """Return this process's current claims."""
--- a/sycamorefield/peers.py
+++ b/sycamorefield/peers.py
@@ -6,7 +6,6 @@
 the peer in between.
 """
 
-import concurrent.futures
 import dataclasses
 import threading
 import time
@@ -117,8 +116,7 @@
 
 def serve(server: PeerServer, host: str, port: int) -> grpc.Server:
     """Start answering peers on host:port; return the gRPC server."""
-    listener = grpc.server(
-        concurrent.futures.ThreadPoolExecutor(max_workers=32))
+    listener = channels.server(threads=32)
     pb_grpc.add_PeerServicer_to_server(server, listener)
     listener.add_insecure_port(f"{host}:{port}")
     listener.start()
@@ -183,7 +181,7 @@
     def refresh_links(self) -> None:
         """Open links to new members and close those of members gone."""
         live = {n: m for n, m in self.members.members.items()
-                if n != self.name}
+                if n != self.members.id}
         with self.lock:
             for name, link in list(self.links.items()):
                 if live.get(name) != link.member:
@@ -237,12 +235,12 @@
         owner = self.members.owner_of(cell)
         if owner is None:
             return not_owner
-        if owner.name == self.name:
+        if owner.id == self.members.id:
             return getattr(self.server, method)(request, None)
-        if owner.name not in self.links:
+        if owner.id not in self.links:
             self.refresh_links()
         with self.lock:
-            link = self.links.get(owner.name)
+            link = self.links.get(owner.id)
         if link is None:
             return not_owner
         try:
--- a/sycamorefield/worker.py
+++ b/sycamorefield/worker.py
@@ -7,7 +7,6 @@
 """
 
 import collections
-import concurrent.futures
 import dataclasses
 import random
 import threading
@@ -16,6 +15,7 @@
 import cherrypy
 import grpc
 
+from sycamorefield import channels
 from sycamorefield import events
 from sycamorefield import options
 from sycamorefield import sycamorefield_pb2 as pb
@@ -377,7 +377,7 @@
                ) -> tuple[grpc.Server, Machine]:
     """Start the worker's gRPC side and its clock; return them."""
     machine = Machine(spec)
-    server = grpc.server(concurrent.futures.ThreadPoolExecutor(max_workers=16))
+    server = channels.server(threads=16)
     pb_grpc.add_WorkerServicer_to_server(machine, server)
     server.add_insecure_port(f"{host}:{spec.grpc_port}")
     server.start()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -69,3 +69,43 @@
         assert claim.fence > old[claim.cell]
     first.stopped.set()
     second.stopped.set()
+
+
+def test_namesake_replaced_while_still_running(kv):
+    """Stay a member, reachable, when an older namesake goes away.
+
+    Symptom: a cell's jobs cannot be reached although its owner is up;
+    callers are told for ever that the cell is changing owners.
+
+    Sequence: an entry VM is replaced while its old process still runs;
+    the new process joins under the same name; the old one ends, or its
+    lease lapses.
+
+    Cause: both wrote one member key; the old one's end took it away, and
+    the new one, whose lease was live, never wrote it again.
+    """
+    opts = standins.sample_options(kv.port, member_ttl=1.0, heartbeat=0.2)
+    old = _member(kv, "entry-1", opts)
+    assert deployment.wait_until(lambda: old.owned(), 5)
+    new = _member(kv, "entry-1", opts)
+    assert deployment.wait_until(lambda: new.owned() and all(
+        new.owner_of(c.cell) is not None for c in new.owned()), 5)
+    old.leave()
+    assert deployment.wait_until(
+        lambda: len(new.owned()) == opts.cells, 5)
+    assert deployment.wait_until(
+        lambda: all(new.owner_of(c) is not None
+                    for c in range(opts.cells)), 2)
+    new.stopped.set()
+
+
+def test_member_key_written_again_when_it_is_gone(kv):
+    """Write the member key again when it vanished under a live lease."""
+    opts = standins.sample_options(kv.port, member_ttl=5.0, heartbeat=0.2)
+    member = _member(kv, "entry-1", opts)
+    assert deployment.wait_until(
+        lambda: len(member.owned()) == opts.cells, 5)
+    kv.client.delete(membership.MEMBERS, prefix=True)
+    assert deployment.wait_until(
+        lambda: kv.client.range(membership.MEMBERS).unwrap().items, 3)
+    member.stopped.set()
--- a/tools/events_doc.py
+++ b/tools/events_doc.py
@@ -14,7 +14,8 @@
            "SF12": "entry: rules", "SF13": "entry and backend: requests",
            "SF14": "entry and worker: jobs and tasks",
            "SF15": "key-value client and stand-in",
-           "SF16": "checked mode (worker, backend)"}
+           "SF16": "checked mode (worker, backend, load)",
+           "SF17": "load tool"}
 HEAD = """# Event catalogue
 
 Every process logs one JSON line per event to `<log_dir>/<process>.jsonl`.
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -24,24 +24,30 @@
 
 OUTAGE_SECONDS = 2.0
 RESTART_AFTER = 1.0
+FREEZE_WORKER_SECONDS = 9.0
 
 
 class Plan:
     """A seeded list of faults spread over a load's duration."""
 
-    KINDS = ("kill-entry", "freeze-entry", "kill-worker", "kv-down",
-             "kv-slow", "kv-lose-replies", "backend-leaving",
-             "worker-fails-all", "operators-race")
+    # The kinds that the first plans were drawn from; a seed means the same
+    # plan only over the same kinds.
+    FIRST_KINDS = ("kill-entry", "freeze-entry", "kill-worker", "kv-down",
+                   "kv-slow", "kv-lose-replies", "backend-leaving",
+                   "worker-fails-all", "operators-race")
+    KINDS = FIRST_KINDS + ("freeze-worker", "lose-worker", "cut-entry",
+                           "stop-entry")
 
     def __init__(self, deploy: "launch.Deployment", seed: int, count: int,
-                 seconds: float) -> None:
+                 seconds: float, kinds: tuple[str, ...] = KINDS) -> None:
         self.deploy = deploy
         self.random = random.Random(seed)
         self.kv = kvclient.Client(deploy.opts.kv_target)
         self.steps = sorted(
             (self.random.uniform(0.1, 0.8) * seconds,
-             self.random.choice(self.KINDS)) for _ in range(count))
+             self.random.choice(kinds)) for _ in range(count))
         self.done: list[str] = []
+        self.lost: list[str] = []
 
     def run(self) -> None:
         """Inject each fault at its time; each undoes itself."""
@@ -76,10 +82,36 @@
         self.deploy.signal(entry, signal.SIGCONT)
         return entry
 
+    def _stop_entry(self, entry: str, machine: object) -> str:
+        self.deploy.signal(entry, signal.SIGTERM)
+        time.sleep(self.deploy.opts.timings.drain)
+        self.deploy.start("entry", entry)
+        return entry
+
+    def _cut_entry(self, entry: str, machine: object) -> str:
+        self._kv(self.deploy.opts.timings.member_ttl + 1.5, cut=[entry])
+        return f"{entry} from the store"
+
+    def _freeze_worker(self, entry: str, machine: typing.Any) -> str:
+        self.deploy.signal(machine.name, signal.SIGSTOP)
+        time.sleep(FREEZE_WORKER_SECONDS)
+        self.deploy.signal(machine.name, signal.SIGCONT)
+        return machine.name
+
+    def _lose_worker(self, entry: str, machine: typing.Any) -> str:
+        # One worker at most, so that what is left can hold every job.
+        if not self.lost:
+            self.lost.append(machine.name)
+            self.deploy.signal(machine.name, signal.SIGKILL)
+        return self.lost[0]
+
     def _kill_worker(self, entry: str, machine: typing.Any) -> str:
+        if machine.name in self.lost:
+            return f"{machine.name} (lost already)"
         self.deploy.signal(machine.name, signal.SIGKILL)
         time.sleep(RESTART_AFTER)
-        self.deploy.start("worker", machine.name)
+        if machine.name not in self.lost:
+            self.deploy.start("worker", machine.name)
         return machine.name
 
     def _kv(self, seconds: float, **knobs: object) -> None:
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -50,6 +50,7 @@
         self.policy = policy
         self.procs: dict[str, subprocess.Popen] = {}
         self.http = urllib3.PoolManager()
+        self.lock = threading.Lock()
         os.makedirs(self.opts.log_dir, exist_ok=True)
 
     @classmethod
@@ -67,8 +68,14 @@
         return cls(path)
 
     def start(self, role: str, name: str = "") -> None:
-        """Start one process of a role (and name), replacing a dead one."""
+        """Start one process of a role (and name), if none is running."""
         label = name or role
+        with self.lock:
+            running = self.procs.get(label)
+            if running is None or running.poll() is not None:
+                self._spawn(role, name, label)
+
+    def _spawn(self, role: str, name: str, label: str) -> None:
         argv = self.base + [role] + ([name] if name else []) + [
             "--settings", self.path]
         if role == "entry":
