Pass accepted rules on between peers; take no work before rules are read

What: entry processes tell their rules' revision in the status they exchange twice a second; one that is behind gets the newer list with the answer.

Ruled out: falling back to the settings' rules (older than any in force).

Conclusion: left: a change whose acceptor dies while the store is down.

--- a/sycamorefield/api.py
+++ b/sycamorefield/api.py
@@ -245,7 +245,7 @@
     @endpoint
     def healthz(self) -> Answer:
         """Report whether this process takes new work."""
-        return result.Success((200 if not self.entry.stopping else 503,
+        return result.Success((200 if self.entry.ready() else 503,
                                self.entry.health()))
 
     @endpoint
--- a/sycamorefield/entry.py
+++ b/sycamorefield/entry.py
@@ -55,7 +55,8 @@
         self.members = membership.Membership(self.kv, opts, name)
         plan = strategy.named(policy, seed=opts.entries.index(self.spec))
         self.cells = cells.Cells(opts, name, self.kv, plan, self.members)
-        self.peer_server = peers.PeerServer(opts, name, self.cells)
+        self.peer_server = peers.PeerServer(opts, name, self.cells,
+                                            self.book)
         self.peers = peers.Peers(opts, name, self.peer_server, self.members)
         self.cells.usage_elsewhere = self.peers.usage
         self.cells.move_target = self.peers.move_target
@@ -128,7 +129,7 @@
     def health(self) -> dict[str, object]:
         """Return this process's view of itself."""
         return {"entry": self.name, "zone": self.spec.zone,
-                "stopping": self.stopping,
+                "ready": self.ready(), "stopping": self.stopping,
                 "rules_revision": self.book.current.revision,
                 "members": list(self.members.members),
                 "cells": sorted(c.number for c in self.cells.all()),
@@ -144,11 +145,24 @@
         return {"entry": self.name, "latency": self.latencies.summary(),
                 "counters": counters}
 
+    def ready(self) -> bool:
+        """Return whether this process takes new work."""
+        return self.book.known() and not self.stopping
+
+    def _not_ready(self) -> errors.Problem:
+        """Return what a caller is told by a process that is not ready."""
+        if self.stopping:
+            return errors.problem(errors.STOPPING,
+                                  retry_after=STOPPING_RETRY)
+        # Without its rules this process would admit what they reject.
+        return errors.problem(errors.STORE_UNAVAILABLE,
+                              retry_after=NOT_RUN_RETRY,
+                              detail="the rules are not read yet")
+
     def serve_request(self, request: api.RequestModel) -> api.Answer:
         """Route one latency-critical request and return its answer."""
-        if self.stopping:
-            return result.Failure(errors.problem(
-                errors.STOPPING, retry_after=STOPPING_RETRY))
+        if not self.ready():
+            return result.Failure(self._not_ready())
         with self.lock:
             self.in_flight += 1
         try:
@@ -239,9 +253,8 @@
 
     def submit_job(self, request: api.JobModel) -> api.Answer:
         """Accept a batch or standing job; it is run from the store."""
-        if self.stopping:
-            return result.Failure(errors.problem(
-                errors.STOPPING, retry_after=STOPPING_RETRY))
+        if not self.ready():
+            return result.Failure(self._not_ready())
         work = self.opts.work.get(request.work)
         if work is None or work.kind == "latency":
             return result.Failure(errors.problem(errors.UNKNOWN_WORK,
--- a/sycamorefield/load.py
+++ b/sycamorefield/load.py
@@ -26,7 +26,8 @@
 DIRECT_SAMPLES = 200
 SUBMIT_TRIES = 8
 COME_BACK = (0, 503, 504)
-NOT_RUN = ("not-run", "no-backend", "rejected", "stopping")
+NOT_RUN = ("not-run", "no-backend", "rejected", "stopping",
+           "store-unavailable")
 
 
 class Caller:
--- a/sycamorefield/peers.py
+++ b/sycamorefield/peers.py
@@ -19,6 +19,7 @@
 from sycamorefield import jobtable
 from sycamorefield import membership
 from sycamorefield import options
+from sycamorefield import rulebook
 from sycamorefield import sycamorefield_pb2 as pb
 from sycamorefield import sycamorefield_pb2_grpc as pb_grpc
 
@@ -41,10 +42,11 @@
     """Answer the peers about the cells owned here."""
 
     def __init__(self, opts: options.Options, name: str,
-                 cells: cells_mod.Cells) -> None:
+                 cells: cells_mod.Cells, book: rulebook.Rulebook) -> None:
         self.opts = opts
         self.name = name
         self.cells = cells
+        self.book = book
 
     def Submit(self, request: pb.SubmitRequest,
                context: grpc.ServicerContext | None) -> pb.SubmitReply:
@@ -102,8 +104,12 @@
                                          interference=link.interference)
                          for link in cell.links.values()
                          if link.interference]))
+        ruleset = self.book.current
+        newer = ruleset.revision > request.rules_revision
         return pb.StatusReply(
             entry=self.name, cells=statuses,
+            rules_revision=ruleset.revision,
+            rules=(rulebook.encode(list(ruleset.rules)) if newer else b""),
             usage=[pb.CustomerUsage(customer=c, cpus=v)
                    for c, v in sorted(self.cells.usage().items())])
 
@@ -129,6 +135,7 @@
 
     member: membership.Member
     asker: str
+    book: rulebook.Rulebook
 
     def __post_init__(self) -> None:
         self.channel = channels.connect(self.member.address)
@@ -142,11 +149,18 @@
         while not self.stopped.wait(STATUS_PERIOD):
             try:
                 self.status = self.stub.Status(
-                    pb.StatusRequest(asker=self.asker),
+                    pb.StatusRequest(
+                        asker=self.asker,
+                        rules_revision=self.book.current.revision),
                     timeout=STATUS_TIMEOUT)
-                self.heard_at = time.monotonic()
             except grpc.RpcError:
                 continue
+            self.heard_at = time.monotonic()
+            # The store may be down since it accepted a change that this
+            # peer has seen and we have not; the revision decides.
+            if self.status.rules_revision > self.book.current.revision:
+                self.book.offer(rulebook.parse(
+                    self.status.rules, self.status.rules_revision))
         self.channel.close()
 
     def fresh(self) -> bool:
@@ -173,7 +187,8 @@
         """Keep one link per live peer and move jobs that wait here."""
         while not self.stopped.wait(STATUS_PERIOD):
             self.refresh_links()
-            self.own = self.server.Status(pb.StatusRequest(), None)
+            self.own = self.server.Status(pb.StatusRequest(
+                rules_revision=self.server.book.current.revision), None)
             self.move_jobs()
         for link in self.links.values():
             link.stopped.set()
@@ -189,7 +204,7 @@
                     del self.links[name]
             for name, member in live.items():
                 if name not in self.links:
-                    link = PeerLink(member, self.name)
+                    link = PeerLink(member, self.name, self.server.book)
                     self.links[name] = link
                     threading.Thread(target=link.run, daemon=True,
                                      name=f"peer-{name}").start()
--- a/sycamorefield/rulebook.py
+++ b/sycamorefield/rulebook.py
@@ -2,8 +2,9 @@
 
 The rules live at one key, /config/rules, as a JSON list.  A watch carries
 each change; when the watch breaks, the process polls until it can watch
-again.  A rule set is only ever replaced by one of a higher revision, so an
-accepted change never reverts here.
+again; while the service is down, peers pass on what they have (peers.py).
+A rule set is only ever replaced by one of a higher revision, so an accepted
+change never reverts here.
 """
 
 import threading
@@ -52,6 +53,10 @@
                     rules=ruleset.names())
         return True
 
+    def known(self) -> bool:
+        """Return whether any rules were read yet (an empty list counts)."""
+        return self.current.revision > 0
+
     def poll(self) -> bool:
         """Read the rules once; return whether the store answered."""
         got = self.kv.get(KEY)
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -55,13 +55,20 @@
     stand_in.close()
 
 
-def entry_for(kv, backend_port=None, name="entry-1"):
+def entry_for(kv, backend_port=None, name="entry-1", read_rules=True):
     """Return an entry process (not started) whose backends are one port."""
     opts = standins.sample_options(kv.port)
     ports = [backend_port or standins.free_port() for _ in opts.machines]
     machines = tuple(dataclasses.replace(m, http_port=p)
                      for m, p in zip(opts.machines, ports))
-    return entry.Entry(dataclasses.replace(opts, machines=machines), name)
+    entries = tuple(dataclasses.replace(e, grpc_port=standins.free_port())
+                    for e in opts.entries)
+    process = entry.Entry(dataclasses.replace(
+        opts, machines=machines, entries=entries), name)
+    if read_rules:
+        entry.seed_rules(opts, kv.client, threading.Event())
+        assert process.book.poll()
+    return process
 
 
 def certificate(request_id, key="cert-1"):
