Let a job move on, and offer only room that it may use

It had moved to a cell whose freest worker was a quiet one, which takes no noisy work, and whose only other worker was lost for good; a job moved once only, so it waited there for ever. A pointer to a moved job was also forgotten with the finished jobs after an hour, while a standing job runs for a season: its id would then have been taken for a new job's.

What: the room offered to peers leaves quiet workers out; a job counts its hops and may move on and come back, and a cell takes a copy only with more hops than it knows; a pointer stays until the job has ended.

Ruled out: dropping the pointer when a job comes back (a hand-over repeated late would then be taken for a new one).

--- a/sycamorefield/cell.py
+++ b/sycamorefield/cell.py
@@ -211,14 +211,10 @@
 
     def _make_room(self, record: jobtable.JobRecord) -> None:
         """Evict for an urgent job, or move a job this cell has no room for."""
-        waited = time.time() - record.accepted_at
+        waited = time.time() - max(record.accepted_at, record.arrived_at)
         if record.priority == eviction.URGENT and self._evict_for(record):
             return
-        if (waited < self.opts.timings.move_after
-                or record.moved_to != jobtable.NO_CELL):
-            # A job moves once: its first cell keeps a pointer to where it
-            # went, and a second move could lead back to that pointer and
-            # be taken for a job already there.
+        if waited < self.opts.timings.move_after:
             return
         target = self.move_target(self.number, self._demand(record))
         if target != jobtable.NO_CELL:
@@ -409,9 +405,15 @@
             return version
 
     def room(self) -> options.Capacity:
-        """Return what the freest worker could still take; ZERO when none."""
+        """Return what the freest worker could still take; ZERO when none.
+
+        Quiet workers do not count: they take no noisy work, and a job
+        that moved here for their room would wait for nothing.
+        """
         best = options.ZERO
         for candidate in self._candidates():
+            if candidate.quiet:
+                continue
             left = candidate.capacity.minus(candidate.committed)
             if candidate.slots_free > 0 and left.cpus > best.cpus:
                 best = left
--- a/sycamorefield/jobs.py
+++ b/sycamorefield/jobs.py
@@ -51,8 +51,10 @@
     def _follow(self, job_id: str, call: typing.Callable[
             [int, str], pb.ShowReply]) -> Outcome:
         reply = call(self.home(job_id), job_id)
-        if (reply.outcome == peers_mod.FOUND
-                and reply.job.state == jobtable.MOVED):
+        for _ in range(self.opts.cells):
+            if (reply.outcome != peers_mod.FOUND
+                    or reply.job.state != jobtable.MOVED):
+                break
             reply = call(reply.job.moved_to, job_id)
         if reply.outcome == peers_mod.FOUND:
             return result.Success(jobtable.JobRecord.from_message(reply.job))
--- a/sycamorefield/jobtable.py
+++ b/sycamorefield/jobtable.py
@@ -58,6 +58,8 @@
     placed_at: float = 0.0
     finished_at: float = 0.0
     reason: str = ""
+    hops: int = 0
+    arrived_at: float = 0.0
 
     def message(self) -> pb.JobRecord:
         """Return the record as sent and stored."""
@@ -261,9 +263,12 @@
             self.changed.notify_all()
 
     def _prune(self, now: float) -> None:
+        # A pointer to a moved job stays as long as the job may run there:
+        # without it the job could not be found, and its id would be taken
+        # for a new job's.  peers.py ends it when the job has ended.
         old = [r.job_id for r in self.records.values()
-               if r.state in FINISHED and now - r.finished_at
-               > self.retention]
+               if r.state in FINISHED and r.state != MOVED
+               and now - r.finished_at > self.retention]
         for job_id in old:
             self.size -= len(self.parts.pop(job_id))
             del self.records[job_id]
--- a/sycamorefield/peers.py
+++ b/sycamorefield/peers.py
@@ -13,6 +13,7 @@
 
 import grpc
 
+from sycamorefield import cell as cell_mod
 from sycamorefield import cells as cells_mod
 from sycamorefield import channels
 from sycamorefield import events
@@ -56,6 +57,12 @@
         table = cell.table
         with cell.lock:
             known = table.get(request.job.job_id)
+            if known is not None and (known.state == jobtable.MOVED
+                                      and known.hops < request.job.hops):
+                # The job left here earlier and comes back: what we know
+                # is where it went then.  A repeated hand-over of a copy
+                # that we had taken has no more hops than our own record.
+                known = None
             if known is None:
                 if not table.healthy or table.full():
                     # Refuse before anything is recorded, so that "not
@@ -65,7 +72,9 @@
                         outcome=NOT_RUN,
                         detail="store unavailable" if not table.healthy
                         else "cell is full")
-                table.stage(jobtable.JobRecord.from_message(request.job))
+                arrived = jobtable.JobRecord.from_message(request.job)
+                arrived.arrived_at = time.time()
+                table.stage(arrived)
         version = table.version_of(request.job.job_id)
         if not table.wait(version, COMMIT_TIMEOUT):
             return pb.SubmitReply(outcome=UNKNOWN)
@@ -291,13 +300,37 @@
             for record in cell.table.in_state(jobtable.MOVING):
                 if cell.table.durable(record.job_id):
                     self._move(cell, record)
+            self._end_pointer(cell)
+
+    def _end_pointer(self, cell: cell_mod.Cell) -> None:
+        """End the oldest pointer whose job has ended, one a round."""
+        pointers = cell.table.in_state(jobtable.MOVED)
+        if not pointers:
+            return
+        oldest = min(pointers, key=lambda r: r.finished_at)
+        age = time.time() - oldest.finished_at
+        if age < self.opts.timings.job_retention:
+            return
+        reply = self.show(oldest.moved_to, oldest.job_id)
+        ended = reply.outcome == ABSENT or (
+            reply.outcome == FOUND and reply.job.state in jobtable.FINISHED)
+        with cell.lock:
+            now = cell.table.get(oldest.job_id)
+            if now is None or now.state != jobtable.MOVED:
+                return
+            if ended:
+                now.state = reply.job.state or jobtable.DONE
+            # Otherwise look at it again a retention later.
+            now.finished_at = time.time()
+            cell.table.stage(now)
 
-    def _move(self, cell: typing.Any, record: jobtable.JobRecord) -> None:
+    def _move(self, cell: cell_mod.Cell, record: jobtable.JobRecord) -> None:
         # The mark is durable before the job is handed over, and the target
         # takes a job id once, so a crash on either side at any point leads
         # to the same hand-over again and to one copy that can run.
-        arriving = dataclasses.replace(record, state=jobtable.QUEUED,
-                                       worker="")
+        arriving = dataclasses.replace(
+            record, state=jobtable.QUEUED, worker="",
+            moved_to=jobtable.NO_CELL, hops=record.hops + 1)
         reply = self.submit(record.moved_to, arriving)
         with cell.lock:
             now = cell.table.get(record.job_id)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,12 +1,16 @@
 """Show what entry processes learn from each other when the store is gone."""
 
+import dataclasses
 import threading
 
 import pytest
 
 from sycamorefield import api
+from sycamorefield import jobtable
+from sycamorefield import membership
 from sycamorefield import peers
 from sycamorefield import rules
+from sycamorefield import sycamorefield_pb2 as pb
 from tests import deployment
 from tests import standins
 from tests import test_answers
@@ -82,3 +86,59 @@
                                           work="class-renewal"))
     assert job.failure().code.name == "store-unavailable"
     assert not process.ready()
+
+
+HOPS = [
+    # what the cell knows of the job, the arriving copy's hops, the outcome
+    (None, 0, "accepted"),
+    (None, 1, "accepted"),
+    (("queued", 1), 1, "exists"),
+    (("moved", 0), 2, "accepted"),
+    (("moved", 1), 1, "exists"),
+    (("done", 1), 1, "exists"),
+    (("placed", 0), 0, "exists"),
+]
+
+
+@pytest.mark.parametrize("known,hops,outcome", HOPS)
+def test_job_may_come_back_but_is_taken_once(kv, known, hops, outcome):
+    """Take a job that moves back, and no copy of one already taken.
+
+    Symptom: an accepted job waits for ever in a cell that cannot hold it.
+
+    Sequence: a job moves to a cell whose only other worker is lost for
+    good; it would have to move on, also back to where it came from.
+
+    Cause: a job moved once only, because a cell that had it before took
+    its own pointer for the job and the hand-over for a repetition.
+    """
+    process = test_answers.entry_for(kv)
+    process.members.join()
+    process.cells.claimed(membership.Claim(0, 1))
+    assert deployment.wait_until(lambda: process.cells.get(0), 3)
+    table = process.cells.get(0).table
+    record = jobtable.new_record("j1", "owners",
+                                 process.opts.work["class-renewal"], "low")
+    if known:
+        table.stage(dataclasses.replace(record, state=known[0],
+                                        hops=known[1], moved_to=1))
+    arriving = dataclasses.replace(record, hops=hops)
+    reply = process.peers.server.Submit(
+        pb.SubmitRequest(cell=0, job=arriving.message()), None)
+    process.cells.released(0, False)
+    assert reply.outcome == outcome
+
+
+def test_quiet_workers_offer_no_room_to_moving_jobs(kv):
+    """Offer peers only the room that noisy work may use."""
+    process = test_answers.entry_for(kv)
+    quiet = sorted(process.opts.quiet_machines)[0]
+    number = next(n for n in range(process.opts.cells)
+                  if quiet in [m.name for m in process.opts.machines_of(n)])
+    process.members.join()
+    process.cells.claimed(membership.Claim(number, 1))
+    cell = process.cells.owned[number]
+    for name, link in cell.links.items():
+        link.reached = name == quiet
+    assert cell.room().cpus == 0.0
+    process.cells.released(number, False)
