Prove that leaving backends are not picked, against a naive list reader

What: tests/test_routing.py: a list read once at the start picks leaving backends (naive, must fail), the followed one does not, for every way of choosing; a backend that says it leaves is believed without the list; a slow one is left alone and tried again. No fault was found in the router.

Ruled out: driving it through separate processes (done end to end already).

--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,118 @@
+"""Keep new work off leaving and slow backends."""
+
+import dataclasses
+import http.server
+import json
+import threading
+import time
+
+import pytest
+import urllib3
+
+from sycamorefield import routing
+from tests import deployment
+from tests import standins
+
+
+class VmListHandler(http.server.BaseHTTPRequestHandler):
+    """Answer with the class's list of VMs, or fail when it is down."""
+
+    vms: list[dict[str, str]] = []
+    down = False
+
+    def do_GET(self):
+        body = json.dumps(self.vms).encode()
+        self.send_response(503 if self.down else 200)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *args):
+        pass
+
+
+@pytest.fixture
+def vm_list():
+    handler = type("Handler", (VmListHandler,), {})
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), handler)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    handler.port = server.server_address[1]
+    yield handler
+    server.shutdown()
+
+
+def _router(vm_list, choice):
+    opts = dataclasses.replace(standins.sample_options(1),
+                               vm_list_port=vm_list.port)
+    vm_list.vms = [{"name": m.name, "state": "live"} for m in opts.machines]
+    router = routing.Router(opts, opts.zones[0], urllib3.PoolManager(),
+                            choice(1))
+    assert router.refresh()
+    return router
+
+
+def _picked(router, count=300):
+    names = set()
+    for _ in range(count):
+        view = router.pick()
+        names.add(view.name)
+        router.done(view, 1.0)
+    return names
+
+
+CHOICES = [routing.LeastExpected, routing.BetterOfTwo, routing.Blind]
+FOLLOWING = [
+    # how the VM list is followed, whether a leaving backend is picked
+    ("every period", True, False),
+    ("naive: read once, at the start", False, True),
+]
+
+
+@pytest.mark.parametrize("label,follows,picked", FOLLOWING,
+                         ids=[row[0] for row in FOLLOWING])
+@pytest.mark.parametrize("choice", CHOICES)
+def test_leaving_backend_is_not_picked(vm_list, choice, label, follows,
+                                       picked):
+    """Pick no backend that the VM list shows as leaving.
+
+    Symptom: a backend being taken out still gets new requests.
+
+    Sequence: the list marks a backend leaving while requests go on.
+
+    Cause guarded against: a list that was read once, or a front of good
+    backends that outlives the news about one of them.
+    """
+    router = _router(vm_list, choice)
+    if follows:
+        threading.Thread(target=router.run, args=(0.05,),
+                         daemon=True).start()
+    for vm in vm_list.vms[:3]:
+        vm["state"] = "leaving"
+    time.sleep(0.5)
+    leaving = {vm["name"] for vm in vm_list.vms[:3]}
+    assert bool(_picked(router) & leaving) == picked
+    router.stopped.set()
+
+
+@pytest.mark.parametrize("choice", CHOICES)
+def test_backend_that_says_it_leaves_is_not_picked_without_the_list(
+        vm_list, choice):
+    """Believe the backend itself when the VM list is down."""
+    router = _router(vm_list, choice)
+    vm_list.down = True
+    gone = vm_list.vms[0]["name"]
+    router.mark_leaving(gone)
+    assert not router.refresh()
+    assert gone not in _picked(router)
+
+
+def test_slow_backend_is_left_alone_and_tried_again_later(vm_list):
+    router = _router(vm_list, routing.LeastExpected)
+    router.choice.refresh(router._usable(), router.zone)
+    slow = router.backends[vm_list.vms[0]["name"]]
+    for _ in range(10):
+        slow.in_flight += 1
+        router.done(slow, 6.0)
+    assert slow.name not in _picked(router)
+    slow.measured_at -= 10 * routing.FORGET_SECONDS
+    assert deployment.wait_until(lambda: slow.name in _picked(router), 2)
