Add customers' use in one place; drop a dead constant

The sum of processors per customer stood three times (two in cells.py, one in peers.py); cell.COMMIT_TIMEOUT was left over from the version that waited for its own commits; lost workers were counted and shown nowhere.

What: cells.add_usage serves all three; the constant is gone; /metrics shows lost_workers.

--- a/sycamorefield/cell.py
+++ b/sycamorefield/cell.py
@@ -22,7 +22,6 @@
 
 MAX_FAILED_WORKERS = 3
 MAX_FAILURES = 6
-COMMIT_TIMEOUT = 2.0
 LOAD_RETRY = 0.2
 FLUSH_SECONDS = 2.0
 # An urgent job waits this long for room that is on its way before it makes
--- a/sycamorefield/cells.py
+++ b/sycamorefield/cells.py
@@ -13,6 +13,12 @@
 from sycamorefield import strategy
 
 
+def add_usage(total: dict[str, float], more: dict[str, float]) -> None:
+    """Add processors per customer to a total."""
+    for customer, cpus in more.items():
+        total[customer] = total.get(customer, 0.0) + cpus
+
+
 class Cells:
     """The cells owned here, kept in step with the membership's claims."""
 
@@ -77,15 +83,13 @@
         """Return the processors placed per customer in the cells here."""
         out: dict[str, float] = {}
         for cell in self.all():
-            for customer, cpus in cell.usage().items():
-                out[customer] = out.get(customer, 0.0) + cpus
+            add_usage(out, cell.usage())
         return out
 
     def usage_everywhere(self) -> dict[str, float]:
         """Return the processors placed per customer in the whole fleet."""
         out = self.usage()
-        for customer, cpus in self.usage_elsewhere().items():
-            out[customer] = out.get(customer, 0.0) + cpus
+        add_usage(out, self.usage_elsewhere())
         return out
 
     def workers(self) -> list[str]:
--- a/sycamorefield/entry.py
+++ b/sycamorefield/entry.py
@@ -140,6 +140,7 @@
         with self.lock:
             counters = dict(self.counters)
         counters["evictions"] = self.cells.counters.evictions
+        counters["lost_workers"] = self.cells.counters.lost_workers
         counters["batch_started"] = self.cells.counters.started
         counters["batch_finished"] = self.cells.counters.finished
         return {"entry": self.name, "latency": self.latencies.summary(),
--- a/sycamorefield/peers.py
+++ b/sycamorefield/peers.py
@@ -237,8 +237,8 @@
         """
         out: dict[str, float] = {}
         for status in self.statuses()[1:]:
-            for used in status.usage:
-                out[used.customer] = out.get(used.customer, 0.0) + used.cpus
+            cells_mod.add_usage(
+                out, {used.customer: used.cpus for used in status.usage})
         return out
 
     def move_target(self, leaving: int, demand: options.Capacity) -> int:
