Let both owners decide before either's starts arrive

The naive owner's commit came after the test's 0.5 s of watching, or after a report that showed it the other owner's tasks; both are legal orders, and in both the overfill shows later or not at all. What: the worker holds every start until both owners have decided (or one has lost its table), takes no stops, and the test waits for the tasks that must come (5 and 10) before it looks at the peak. The assertion is the same. Ruled out: processor load alone (20 runs beside 12 busy loops passed on the old test); a pause of 0.05-0.4 s between the two owners' jobs (31 runs passed). Conclusion: the naive leg no longer depends on whose report comes first.

--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -79,6 +79,9 @@
             server.stop(0)
 
 
+LET_SECONDS = 10.0
+
+
 def state_of(cell, job_id):
     """Return the state of a job in a cell."""
     return cell.table.get(job_id).state
@@ -206,23 +209,34 @@
 
 
 class Trusting(worker.Machine):
-    """A worker that takes whatever its owners give it."""
+    """A worker that takes whatever its owners give it, once it is let."""
+
+    def __init__(self, spec):
+        super().__init__(spec)
+        self.let = threading.Event()
 
     def lacking(self, demand):
         return ""
 
+    def StartTask(self, request, context):
+        self.let.wait(LET_SECONDS)
+        return super().StartTask(request, context)
+
+    def StopTask(self, request, context):
+        return pb.TaskReply(accepted=False, reason="unknown-task")
+
 
 OWNERSHIP = [
-    # how the second owner comes, its fence and table, whether it overflows
-    ("takes the cell over", 2, 0, False),
-    ("naive: no fence, a table of its own", 1, 1, True),
+    # how the second owner comes, its fence and table, tasks, overflow
+    ("takes the cell over", 2, 0, 5, False),
+    ("naive: no fence, a table of its own", 1, 1, 10, True),
 ]
 
 
-@pytest.mark.parametrize("label,fence,table_number,overflows", OWNERSHIP,
-                         ids=[row[0] for row in OWNERSHIP])
+@pytest.mark.parametrize("label,fence,table_number,tasks,overflows",
+                         OWNERSHIP, ids=[row[0] for row in OWNERSHIP])
 def test_two_owners_never_overfill_a_worker(kv, label, fence, table_number,
-                                            overflows):
+                                            tasks, overflows):
     """Give a worker no more than it holds, also when it would take more.
 
     Symptom: a worker's processors are given away twice.
@@ -247,7 +261,13 @@
                         f"{id(cell)}-{number}", "owners", one.renewal,
                         "low"))
             cell.wake.set()
-        assert deployment.wait_until(lambda: len(one.running()) >= 5, 3)
+        # No start may show in a report before both owners have decided:
+        # an owner that sees the other's tasks counts them.
+        assert deployment.wait_until(lambda: all(
+            cell.table.lost or len(cell.table.in_state(jobtable.PLACED)) == 5
+            for cell in (first, second)), 5)
+        one.machines[0].let.set()
+        assert deployment.wait_until(lambda: len(one.running()) >= tasks, 5)
         time.sleep(0.5)
         peak = one.machines[0].peak.cpus
         capacity = one.machines[0].spec.capacity.cpus
