Report changes only, and hold a report until something ends

What: a report names the last sequence taken in; the worker lists what changed since and holds the reply until a task ends, its interference moves or the report period is over. A restarted worker (other incarnation) lists everything. Progress is asked for once a second, and only while a job waits for room. A stop's answer is taken in at once. Ruled out: a stream per worker (a lost message would need numbering and acknowledgement all the same; a call answers both and renews the lease). Conclusion: ends are known at once, at a cost that follows changes.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -9,6 +9,7 @@
 import argparse
 import concurrent.futures
 import json
+import math
 import os
 import sys
 import tempfile
@@ -20,7 +21,6 @@
 
 from bench import idle  # noqa: E402
 from bench import starts  # noqa: E402
-from sycamorefield import sycamorefield_pb2 as pb  # noqa: E402
 from sycamorefield import sycamorefield_pb2_grpc as pb_grpc  # noqa: E402
 from tests import deployment  # noqa: E402
 from tools import launch  # noqa: E402
@@ -33,6 +33,7 @@
     """Accept every start and run it for ever; count the bytes spoken."""
 
     spoken = 0
+    run_seconds = math.inf
 
     def StartTask(self, request, context):
         reply = super().StartTask(request, context)
@@ -40,14 +41,7 @@
         return reply
 
     def Report(self, request, context):
-        with self.lock:
-            tasks = [pb.TaskStatus(task_id=t, job_id=t.rsplit(".", 1)[0],
-                                   state="running",
-                                   declared=pb.Resources(cpus=1,
-                                                         memory_mb=2000))
-                     for t in self.tasks]
-        reply = pb.ReportReply(tasks=tasks, fence_seen=request.fence,
-                               worker="w", measured_at=time.time())
+        reply = super().Report(request, context)
         type(self).spoken += request.ByteSize() + reply.ByteSize()
         return reply
 
@@ -55,7 +49,9 @@
 def answer_for(deploy: launch.Deployment) -> list[grpc.Server]:
     """Serve every worker of a deployment from this process."""
     servers = []
-    pool = concurrent.futures.ThreadPoolExecutor(64)
+    # A held report keeps a thread, so there is more than one a worker.
+    pool = concurrent.futures.ThreadPoolExecutor(
+        len(deploy.opts.machines) * 2)
     for machine in deploy.opts.machines:
         server = grpc.server(pool)
         pb_grpc.add_WorkerServicer_to_server(StandingWorker({}), server)
--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -46,9 +46,8 @@
     with open(out, encoding="utf-8") as handle:
         report = json.load(handle)
     found = [str(f) for f in deploy.check()]
-    missing = report["batch_submitted"] - report["batch_finished"]
-    if missing:
-        found.append(f"{missing} accepted job(s) did not finish")
+    found += [f"accepted job {job_id} did not finish: {state}"
+              for job_id, state in report["batch_unfinished"].items()]
     return {"seed": seed, "faults": plan.done, "findings": found,
             "outcomes": report["outcomes"],
             "batch_finished": report["batch_finished"],
--- a/bench/starts.py
+++ b/bench/starts.py
@@ -43,28 +43,55 @@
 class AnsweringWorker(pb_grpc.WorkerServicer):
     """Accept every start, note when, and report it done soon after."""
 
+    run_seconds = RUN_SECONDS
+
     def __init__(self, begun: dict[str, float]) -> None:
         self.begun = begun
-        self.lock = threading.Lock()
+        self.news = threading.Condition()
         self.tasks: dict[str, float] = {}
+        self.told: set[str] = set()
 
     def StartTask(self, request, context):
         now = time.monotonic()
-        with self.lock:
+        with self.news:
             self.tasks.setdefault(request.task_id, now)
+            self.news.notify_all()
         self.begun.setdefault(request.job_id, now)
         return pb.TaskReply(accepted=True)
 
+    def _ends(self) -> list[float]:
+        """Return when the tasks not yet reported as done will be."""
+        return [at + self.run_seconds for task_id, at in self.tasks.items()
+                if task_id not in self.told]
+
+    def _hold(self, seconds: float) -> None:
+        """Wait until a task has ended, at most so many seconds."""
+        until = time.monotonic() + seconds
+        while (now := time.monotonic()) < until:
+            due = min(self._ends(), default=until)
+            if due <= now:
+                return
+            self.news.wait(min(due, until) - now)
+
     def Report(self, request, context):
-        now = time.monotonic()
-        with self.lock:
+        with self.news:
             for task_id in request.acknowledged:
                 self.tasks.pop(task_id, None)
+                self.told.discard(task_id)
+            if request.seen:
+                self._hold(request.wait_ms / 1000.0)
+            now = time.monotonic()
+            ended = {t for t, at in self.tasks.items()
+                     if at + self.run_seconds <= now}
+            listed = self.tasks if not request.seen else ended - self.told
             tasks = [pb.TaskStatus(
                 task_id=t, job_id=t.rsplit(".", 1)[0], progress=1.0,
-                state="done" if now - at > RUN_SECONDS else "running")
-                for t, at in self.tasks.items()]
-        return pb.ReportReply(tasks=tasks, fence_seen=request.fence)
+                state="done" if t in ended else "running")
+                for t in listed]
+            self.told |= ended
+        return pb.ReportReply(tasks=tasks, fence_seen=request.fence,
+                              sequence=1, incarnation=1,
+                              full=not request.seen)
 
 
 class SingleWrites(jobtable.JobTable):
--- a/sycamorefield/cell.py
+++ b/sycamorefield/cell.py
@@ -67,6 +67,7 @@
         self.unsent: set[str] = set()
         self.coming = 0
         self.urgent_waiting = False
+        self.no_room = False
         table.on_commit = self._committed
         # Held while a decision is made from records and staged, so that a
         # placement cannot overwrite a cancellation staged in between.
@@ -152,6 +153,7 @@
                                   for r in queued)
         if self.urgent_waiting:
             self.coming = self._coming()
+        no_room = False
         for record in queued:
             if record.cancelled:
                 self._finish(record, jobtable.CANCELLED)
@@ -166,11 +168,13 @@
                 continue
             chosen = self._choose(record, candidates)
             if chosen is None:
+                no_room = True
                 self._make_room(record)
                 continue
             usage[record.customer] = wanted
             self._stage_placed(record, chosen)
             placed += 1
+        self.no_room = no_room
         return placed
 
     def _candidates(self) -> list[placement.Candidate]:
@@ -243,12 +247,7 @@
             return 0
         soon = 0
         for worker in self._occupied():
-            ending = [r for r in worker.running if r.remaining < SOON]
-            if ending:
-                # Ask at once: the end of a task shows in a report, and an
-                # urgent job is waiting for the room.
-                self.links[worker.name].wake.set()
-                soon += len(ending)
+            soon += sum(1 for r in worker.running if r.remaining < SOON)
         return len(self.evicting) + soon
 
     def _evict_for(self, record: jobtable.JobRecord) -> bool:
@@ -373,6 +372,10 @@
                     self._requeue(record, record.progress)
         self.wake.set()
 
+    def crowded(self) -> bool:
+        """Return whether a job found no room when last looked at."""
+        return self.no_room
+
     def worker_lost(self, link: workerlink.WorkerLink) -> None:
         """Queue again the jobs of a worker whose leases have all lapsed."""
         self.counters.lost_workers += 1
--- a/sycamorefield/load.py
+++ b/sycamorefield/load.py
@@ -59,14 +59,14 @@
             return 0, {"error": type(exc).__name__}
         return reply.status, json.loads(reply.data or b"{}")
 
-    def delete(self, path: str) -> bool:
-        """DELETE a path at the next entry process; return if it worked."""
+    def delete(self, path: str) -> int:
+        """DELETE a path at the next entry process; return the status."""
         try:
             reply = self.http.request("DELETE", self.next_url() + path,
                                       timeout=5.0, retries=False)
         except urllib3.exceptions.HTTPError:
-            return False
-        return reply.status == 200
+            return 0
+        return reply.status
 
     def get(self, url: str) -> dict[str, object]:
         """GET JSON from a URL; an empty dict when it fails."""
@@ -127,6 +127,20 @@
     return False
 
 
+def cancel(caller: Caller, job_id: str) -> bool:
+    """Cancel one job, coming back when told to; return if it worked.
+
+    An answer that says "come back" leaves open whether the job is
+    cancelled; taken for a no, the job would be waited for in vain.
+    """
+    for _ in range(SUBMIT_TRIES):
+        status = caller.delete(f"/v1/jobs/{job_id}")
+        if status not in COME_BACK:
+            return status == 200
+        time.sleep(1.0)
+    return False
+
+
 @dataclasses.dataclass
 class Submitted:
     """The batch jobs accepted so far, and those cancelled again."""
@@ -159,7 +173,7 @@
         submitted.batch += accepted
         for job_id in rng.sample(accepted, int(len(accepted)
                                                * opts.load.cancel_share)):
-            if caller.delete(f"/v1/jobs/{job_id}"):
+            if cancel(caller, job_id):
                 submitted.cancelled.add(job_id)
 
 
@@ -181,11 +195,12 @@
     return histogram.summary().get(work.name, {})
 
 
-def _finished(caller: Caller, ids: list[str],
-              wait: float) -> list[dict[str, object]]:
-    """Wait for jobs to finish; return the records of those that did."""
+def _finished(caller: Caller, ids: list[str], wait: float
+              ) -> tuple[list[dict[str, object]], dict[str, object]]:
+    """Wait for jobs to finish; return those that did, and others' states."""
     deadline = time.monotonic() + wait
     done: dict[str, dict[str, object]] = {}
+    others: dict[str, object] = {}
     while time.monotonic() < deadline and len(done) < len(ids):
         for job_id in ids:
             if job_id in done:
@@ -193,8 +208,11 @@
             body = caller.get(caller.next_url() + f"/v1/jobs/{job_id}")
             if body.get("state") == "done":
                 done[job_id] = body
+                others.pop(job_id, None)
+            else:
+                others[job_id] = body.get("state", "not known")
         time.sleep(0.25)
-    return list(done.values())
+    return list(done.values()), others
 
 
 def _makespan(records: list[dict[str, object]]) -> float:
@@ -234,7 +252,7 @@
     submitter.join(JOB_WAIT)
     ids = [j for j in submitted.batch if j not in submitted.cancelled]
     waiting = time.monotonic()
-    records = _finished(caller, ids, JOB_WAIT)
+    records, unfinished = _finished(caller, ids, JOB_WAIT)
     waited = time.monotonic() - waiting
     entries = [caller.get(url + "/metrics") for url in caller.urls]
     evictions = 0
@@ -246,6 +264,7 @@
     return {"deployment": opts.deployment, "seconds": duration,
             "latency": latencies.summary(), "outcomes": outcomes,
             "batch_submitted": len(ids), "batch_finished": len(records),
+            "batch_unfinished": unfinished,
             "batch_cancelled": len(submitted.cancelled),
             "batch_per_minute": round(60 * len(records) / makespan, 1)
             if makespan else 0.0,
--- a/sycamorefield/worker.py
+++ b/sycamorefield/worker.py
@@ -22,6 +22,8 @@
 
 TICK = 0.05
 REPORT_LAG = 1.0
+# A held report is answered early when interference moved by this much.
+INTERFERENCE_STEP = 0.25
 RUNNING = "running"
 DONE = "done"
 STOPPED = "stopped"
@@ -46,6 +48,7 @@
     progress: float = 0.0
     state: str = RUNNING
     doomed: bool = False
+    sequence: int = 0
 
     def status(self) -> pb.TaskStatus:
         """Return the task's status message."""
@@ -72,6 +75,10 @@
     def __init__(self, spec: options.Machine) -> None:
         self.spec = spec
         self.lock = threading.Lock()
+        self.news = threading.Condition(self.lock)
+        self.incarnation = random.getrandbits(62) + 1
+        self.sequence = 0
+        self.told_interference = 0.0
         self.tasks: dict[str, Task] = {}
         self.fence_seen = 0
         self.faults = pb.WorkerFaults(slow_factor=1.0)
@@ -123,7 +130,7 @@
                             fence=request.fence, seen=self.fence_seen,
                             owner=request.owner)
                 return pb.TaskReply(accepted=False, reason="stale-fence")
-            self.fence_seen = request.fence
+            self._see(request.fence)
             self._lapse()
             existing = self.tasks.get(request.task_id)
             if existing is not None:
@@ -145,6 +152,7 @@
                         now + request.lease_ms / 1000.0, request.progress,
                         doomed=self.faults.fail_all)
             self.tasks[request.task_id] = task
+            self._mark(task)
             self.peak = self._peak(self.used())
             self._check_capacity()
         events.emit(events.TASK_BEGAN, worker=self.spec.name,
@@ -169,8 +177,21 @@
                         worker=self.spec.name,
                         used=dataclasses.asdict(used))
 
+    def _see(self, fence: int) -> None:
+        """Note the fence of the current owner; release an earlier one."""
+        if fence > self.fence_seen:
+            self.fence_seen = fence
+            self.news.notify_all()
+
+    def _mark(self, task: Task) -> None:
+        """Number a change of a task, for reports that list changes only."""
+        self.sequence += 1
+        task.sequence = self.sequence
+
     def _end(self, task: Task, state: str, ago: float = 0.0) -> None:
         task.state = state
+        self._mark(task)
+        self.news.notify_all()
         events.emit(events.TASK_ENDED, worker=self.spec.name,
                     task=task.task_id, job=task.job_id, state=state,
                     ended_at=round(time.time() - ago, 6),
@@ -203,26 +224,19 @@
             self._lapse()
             current = request.fence and request.fence >= self.fence_seen
             if current:
-                self.fence_seen = request.fence
-            late = request.not_after and time.time() > request.not_after
-            if current and request.renew and not late:
-                now = time.monotonic()
-                for task in self.tasks.values():
-                    if task.state == RUNNING:
-                        task.fence = request.fence
-                        task.owner = request.owner
-                        task.lease_until = now + task.lease_ms / 1000.0
+                self._take_in(request)
+            full = (not request.seen
+                    or request.incarnation != self.incarnation)
+            if current and not full:
+                self.news.wait_for(lambda: self._news(request),
+                                   request.wait_ms / 1000.0)
             lagged = self._lagged()
-            if current:
-                # An ended task is kept until its owner says it recorded
-                # the outcome: dropping it on the first report lost every
-                # outcome whose write to the store failed, and the job ran
-                # again from the start (a double run, found by checks.py).
-                for task_id in request.acknowledged:
-                    ended = self.tasks.get(task_id)
-                    if ended is not None and ended.state != RUNNING:
-                        del self.tasks[task_id]
-            statuses = [task.status() for task in self.tasks.values()]
+            self.told_interference = lagged.interference
+            statuses = [
+                task.status() for task in self.tasks.values()
+                if full or task.sequence > request.seen
+                or (request.progress and task.state == RUNNING)]
+            sequence = self.sequence
         cap = self.spec.capacity
         return pb.ReportReply(
             worker=self.spec.name,
@@ -232,7 +246,37 @@
                               memory_mb=lagged.used.memory_mb,
                               accelerators=lagged.used.accelerators),
             tasks=statuses, interference=lagged.interference,
-            fence_seen=self.fence_seen, measured_at=lagged.at)
+            fence_seen=self.fence_seen, measured_at=lagged.at,
+            sequence=sequence, incarnation=self.incarnation, full=full)
+
+    def _take_in(self, request: pb.ReportRequest) -> None:
+        """Renew leases and forget recorded ends for the current owner."""
+        self._see(request.fence)
+        late = request.not_after and time.time() > request.not_after
+        if request.renew and not late:
+            now = time.monotonic()
+            for task in self.tasks.values():
+                if task.state == RUNNING:
+                    task.fence = request.fence
+                    task.owner = request.owner
+                    task.lease_until = now + task.lease_ms / 1000.0
+        # An ended task is kept until its owner says it recorded the
+        # outcome: dropping it on the first report lost every outcome
+        # whose write to the store failed, and the job ran again from
+        # the start (a double run, found by checks.py).
+        for task_id in request.acknowledged:
+            ended = self.tasks.get(task_id)
+            if ended is not None and ended.state != RUNNING:
+                del self.tasks[task_id]
+
+    def _news(self, request: pb.ReportRequest) -> bool:
+        """Return whether a held report must be answered now."""
+        return (self.stopped.is_set() or self.fence_seen > request.fence
+                or any(task.state != RUNNING
+                       and task.sequence > request.seen
+                       for task in self.tasks.values())
+                or abs(self._lagged().interference - self.told_interference)
+                > INTERFERENCE_STEP)
 
     def _lagged(self) -> Snapshot:
         cutoff = time.time() - REPORT_LAG
@@ -263,6 +307,9 @@
                     self._advance(task, elapsed / slowdown)
                 self.history.append(Snapshot(time.time(), self.used(),
                                              self.interference()))
+                if (abs(self._lagged().interference - self.told_interference)
+                        > INTERFERENCE_STEP):
+                    self.news.notify_all()
 
     def _lapse(self) -> None:
         """End the tasks whose lease has run out."""
--- a/sycamorefield/workerlink.py
+++ b/sycamorefield/workerlink.py
@@ -2,9 +2,11 @@
 
 The link renews the leases of the worker's tasks through its reports, sends
 the starts and stops that the cell has committed, and hands ended tasks to
-the cell to record.  When the worker stays out of reach the link stops
-renewing; once every task lease must have lapsed, the worker counts as lost
-and the cell may run its jobs elsewhere.
+the cell to record.  A report lists what changed since the last one, and the
+worker holds it until a task ends, so that an end is known at once and a
+quiet worker costs one small call per report period.  When the worker stays
+out of reach the link stops renewing; once every task lease must have
+lapsed, the worker counts as lost and the cell may run its jobs elsewhere.
 """
 
 import dataclasses
@@ -24,6 +26,10 @@
 
 CALL_TIMEOUT = 1.0
 UNREACHABLE_REPORTS = 3
+# The least time between two reports: many ends in a row share one.
+REPORT_GAP = 0.05
+# While jobs wait for room, progress is asked for this often, seconds.
+PROGRESS_PERIOD = 1.0
 SHUN_FIRST = 1.0
 SHUN_LONGEST = 30.0
 RUNNING = "running"
@@ -75,6 +81,22 @@
     def worker_lost(self, link: "WorkerLink") -> None:
         """Queue again every job of a lost worker."""
 
+    def crowded(self) -> bool:
+        """Return whether jobs wait for room, so that progress matters."""
+
+
+@dataclasses.dataclass(frozen=True)
+class Progress:
+    """How far a running task had got when its worker last said so."""
+
+    share: float
+    at: float
+
+
+def _resources(demand: options.Capacity) -> pb.Resources:
+    return pb.Resources(cpus=demand.cpus, memory_mb=demand.memory_mb,
+                        accelerators=demand.accelerators)
+
 
 class WorkerLink:
     """The owner's side of one worker: its tasks, room and health."""
@@ -97,7 +119,15 @@
         self.stopped = threading.Event()
         self.committed: dict[str, options.Capacity] = {}
         self.interference = 0.0
-        self.progress: dict[str, float] = {}
+        self.tasks: dict[str, pb.TaskStatus] = {}
+        self.progress: dict[str, Progress] = {}
+        self.progress_asked_at = 0.0
+        self.to_acknowledge: list[str] = []
+        self.acknowledging: list[str] = []
+        self.superseded = False
+        self.seen = 0
+        self.incarnation = 0
+        self.asked_at = 0.0
         self.reached = False
         self.lost = False
         self.misses = 0
@@ -125,15 +155,15 @@
     def remaining(self, record: jobtable.JobRecord) -> float:
         """Return how many seconds a task placed here still needs.
 
-        From the progress it made since it was placed, as last reported;
-        what jobs declare is far off.
+        From the progress it had made when last reported, and at the same
+        rate since; what jobs declare is far off.
         """
-        made = self.progress.get(record.task_id, 0.0) - record.progress
-        if made <= 0.0:
+        last = self.progress.get(record.task_id)
+        if last is None or last.share <= record.progress:
             return math.inf
-        ran = time.time() - record.placed_at
-        left = 1.0 - record.progress - made
-        return left * ran / made
+        rate = ((last.share - record.progress)
+                / max(0.001, last.at - record.placed_at))
+        return max(0.0, (1.0 - last.share) / rate - (time.time() - last.at))
 
     def reserve(self, task_id: str, demand: options.Capacity) -> None:
         """Count a placed task against this worker's room."""
@@ -169,39 +199,80 @@
 
     def run(self) -> None:
         """Report, settle, stop and start until the cell is given up."""
-        acknowledged: list[str] = []
+        call = None
         while not self.stopped.is_set():
-            reply = self._report(acknowledged)
-            if reply is not None:
-                acknowledged = self._settle(reply)
+            if call is None and self._due() <= 0.0:
+                call = self._ask()
+            elif call is not None and call.done():
+                self._take_in(call)
+                call = None
+            if self.reached and not self.misses:
+                self._settle()
                 self._send_stops()
-                self._send_starts(reply)
-            self.wake.wait(self.opts.timings.report)
+                self._send_starts()
+            self.wake.wait(CALL_TIMEOUT if call else self._due())
             self.wake.clear()
+        if call is not None:
+            call.cancel()
         self.channel.close()
 
-    def _report(self, acknowledged: list[str]) -> pb.ReportReply | None:
+    def _due(self) -> float:
+        """Return in how many seconds the next report may be asked for."""
+        gap = (self.opts.timings.report if self.misses or self.superseded
+               else REPORT_GAP)
+        return self.asked_at + gap - time.monotonic()
+
+    def _ask(self) -> grpc.Future:
         # A process that was paused must not renew leases for a cell that
         # has a new owner by now; not_after bounds a report that waits in a
         # frozen worker's socket until after the lapse.
         renew = self.holds() and self.misses < UNREACHABLE_REPORTS
+        hold = 0.0 if self.misses else self.opts.timings.report
+        now = time.monotonic()
+        self.asked_at = now
         if renew:
-            self.renewed_at = time.monotonic()
+            self.renewed_at = now
+        progress = (now - self.progress_asked_at > PROGRESS_PERIOD
+                    and self.cell.crowded())
+        if progress:
+            self.progress_asked_at = now
+        self.acknowledging = self.to_acknowledge
+        call = self.stub.Report.future(pb.ReportRequest(
+            fence=self.fence, owner=self.owner, renew=renew,
+            acknowledged=self.acknowledging,
+            not_after=time.time() + CALL_TIMEOUT,
+            seen=self.seen, incarnation=self.incarnation,
+            wait_ms=0 if progress else int(hold * 1000),
+            progress=progress), timeout=hold + CALL_TIMEOUT)
+        call.add_done_callback(lambda _: self.wake.set())
+        return call
+
+    def _take_in(self, call: grpc.Future) -> None:
+        """Bring what is known of the worker up to date with a reply."""
         try:
-            reply = self.stub.Report(pb.ReportRequest(
-                fence=self.fence, owner=self.owner, renew=renew,
-                acknowledged=acknowledged,
-                not_after=time.time() + CALL_TIMEOUT), timeout=CALL_TIMEOUT)
+            reply = call.result()
         except grpc.RpcError:
             self._missed()
-            return None
-        if reply.fence_seen > self.fence:
-            return None
+            return
+        self.superseded = reply.fence_seen > self.fence
+        if self.superseded:
+            return
         self.misses = 0
         self.reached = True
         self.lost = False
         self.interference = reply.interference
-        return reply
+        if reply.full:
+            self.tasks = {}
+        for task_id in self.acknowledging:
+            self.tasks.pop(task_id, None)
+        now = time.time()
+        for task in reply.tasks:
+            self.tasks[task.task_id] = task
+            self.progress[task.task_id] = Progress(task.progress, now)
+        self.progress = {t: p for t, p in self.progress.items()
+                         if t in self.tasks}
+        self.seen = reply.sequence
+        self.incarnation = reply.incarnation
 
     def _missed(self) -> None:
         self.misses += 1
@@ -211,21 +282,19 @@
             events.emit(events.WORKER_LOST, worker=self.machine.name)
             self.cell.worker_lost(self)
 
-    def _settle(self, reply: pb.ReportReply) -> list[str]:
+    def _settle(self) -> None:
         running: dict[str, options.Capacity] = {}
-        progress: dict[str, float] = {}
         ended = []
-        for task in reply.tasks:
+        for task in self.tasks.values():
             if task.state == RUNNING:
-                progress[task.task_id] = task.progress
                 running[task.task_id] = options.Capacity(
                     task.declared.cpus, task.declared.memory_mb,
                     task.declared.accelerators)
             else:
                 ended.append(Ended(task.job_id, task.task_id, task.state,
                                    task.progress))
-        self.progress = progress
-        recorded = self.cell.settle(self, ended) if ended else []
+        self.to_acknowledge = (self.cell.settle(self, ended) if ended
+                               else [])
         expected = self.cell.expected(self.machine.name)
         for task_id in running:
             if task_id not in expected:
@@ -243,29 +312,32 @@
                     t.task_id for t in ended}:
                 del self.committed[task_id]
             self.committed.update(running)
-        return recorded
 
     def _send_stops(self) -> None:
         with self.lock:
             stops, self.stops = self.stops, set()
         for task_id in stops:
             try:
-                self.stub.StopTask(pb.StopTaskRequest(
+                answer = self.stub.StopTask(pb.StopTaskRequest(
                     task_id=task_id, fence=self.fence, owner=self.owner,
                     checkpoint=True), timeout=CALL_TIMEOUT)
-                self.wake.set()
             except grpc.RpcError:
                 with self.lock:
                     self.stops.add(task_id)
+                continue
+            task = self.tasks.get(task_id)
+            if answer.accepted and task is not None:
+                task.state = answer.state
+                task.progress = answer.progress
+                self.wake.set()
 
-    def _send_starts(self, reply: pb.ReportReply) -> None:
+    def _send_starts(self) -> None:
         # Every committed placement that the worker does not list is started
         # (again): a start is idempotent by task id, so one whose reply was
         # lost, or one that an earlier owner committed and never sent, is
         # simply sent until the worker answers.
-        listed = {task.task_id for task in reply.tasks}
         for task_id, start in self.cell.expected(self.machine.name).items():
-            if (task_id in listed or not start.durable
+            if (task_id in self.tasks or not start.durable
                     or not self.holds()):
                 continue
             if start.unwanted:
@@ -276,6 +348,10 @@
             if answer is None:
                 continue
             if answer.accepted:
+                self.tasks[task_id] = pb.TaskStatus(
+                    task_id=task_id, job_id=start.job_id,
+                    state=answer.state or RUNNING, progress=answer.progress,
+                    declared=_resources(start.work.demand))
                 self.cell.started(start)
                 events.emit(events.TASK_STARTED, job=start.job_id,
                             worker=self.machine.name, task=task_id,
@@ -288,9 +364,7 @@
         work = start.work
         request = pb.StartTaskRequest(
             task_id=start.task_id, job_id=start.job_id, work=work.name,
-            declared=pb.Resources(cpus=work.demand.cpus,
-                                  memory_mb=work.demand.memory_mb,
-                                  accelerators=work.demand.accelerators),
+            declared=_resources(work.demand),
             run_seconds=work.run_seconds, fence=self.fence,
             owner=self.owner, progress=start.progress, noise=work.noise,
             lease_ms=int(self.opts.timings.task_lease * 1000),
--- /dev/null
+++ b/tests/test_workerlink.py
@@ -0,0 +1,220 @@
+"""Prove that reports of changes keep the owner's list of tasks right.
+
+A worker lists what changed since the report last taken in.  Reports and
+their replies are lost, the worker restarts with nothing, tasks start and
+end meanwhile; after the next reply that arrives the owner's list must be
+the worker's.  A naive link that only ever merges what is listed, also when
+the worker has restarted, must be caught.
+"""
+
+import dataclasses
+import threading
+import time
+
+import grpc
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies as st
+import pytest
+
+from sycamorefield import sycamorefield_pb2 as pb
+from sycamorefield import worker
+from sycamorefield import workerlink
+from tests import standins
+
+WAIT_MS = 2000
+
+
+class Answered:
+    """A report that was answered."""
+
+    def __init__(self, reply):
+        self.reply = reply
+
+    def add_done_callback(self, callback):
+        callback(self)
+
+    def result(self):
+        return self.reply
+
+
+class Lost(Answered):
+    """A report whose reply was lost."""
+
+    def result(self):
+        raise grpc.RpcError()
+
+
+class Wire:
+    """Stand in for the stub of a worker: calls it, or loses the call."""
+
+    def __init__(self, machine):
+        self.machine = machine
+        self.arrives = True
+        self.returns = True
+
+    @property
+    def Report(self):
+        return self
+
+    def future(self, request, timeout):
+        if not self.arrives:
+            return Lost(None)
+        request.wait_ms = 0
+        reply = self.machine.Report(request, None)
+        return Answered(reply) if self.returns else Lost(None)
+
+
+class Recording:
+    """A cell that records every end at once."""
+
+    def settle(self, link, ended):
+        return [task.task_id for task in ended]
+
+    def expected(self, name):
+        return {}
+
+    def crowded(self):
+        return False
+
+    def worker_lost(self, link):
+        pass
+
+
+class OnlyMerges(workerlink.WorkerLink):
+    """The naive version: what a reply does not list stays as it was."""
+
+    def _take_in(self, call):
+        before = self.tasks
+        super()._take_in(call)
+        self.tasks = {**before, **self.tasks}
+
+
+def _start(machine, number):
+    machine.StartTask(pb.StartTaskRequest(
+        task_id=f"j{number}.1", job_id=f"j{number}", fence=1,
+        lease_ms=60_000, run_seconds=60.0), None)
+
+
+class ChangesOnly(stateful.RuleBasedStateMachine):
+    """Reports of changes under lost calls, lost replies and restarts.
+
+    Symptom looked for: an ended task stays on its worker for good, or an
+    owner holds a task to be running that its worker does not have.
+
+    Sequence: tasks start and end between reports that are lost on the way
+    there or back, and the worker restarts.
+
+    Cause guarded against: taking a report for received that was not.
+    """
+
+    link_class = workerlink.WorkerLink
+
+    def __init__(self):
+        super().__init__()
+        opts = standins.sample_options(1)
+        spec = dataclasses.replace(opts.machines[0], slots=100)
+        self.machine = worker.Machine(spec)
+        self.link = self.link_class(opts, spec, "entry-1", 1, Recording(),
+                                    lambda: True)
+        self.wire = Wire(self.machine)
+        self.link.stub = self.wire
+        self.started = 0
+
+    @stateful.rule()
+    def start(self):
+        self.started += 1
+        _start(self.machine, self.started)
+
+    @stateful.rule(index=st.integers(0, 9))
+    def end(self, index):
+        ids = sorted(self.machine.tasks)
+        if ids:
+            self.machine.StopTask(pb.StopTaskRequest(
+                task_id=ids[index % len(ids)], fence=1), None)
+
+    @stateful.rule()
+    def restart(self):
+        self.machine = worker.Machine(self.machine.spec)
+        self.wire.machine = self.machine
+
+    @stateful.rule(arrives=st.booleans(), returns=st.booleans())
+    def report(self, arrives, returns):
+        self.wire.arrives, self.wire.returns = arrives, returns
+        self.link._take_in(self.link._ask())
+        if arrives and returns:
+            assert {t: s.state for t, s in self.link.tasks.items()} == {
+                t: s.state for t, s in self.machine.tasks.items()}
+        if not self.link.misses:
+            self.link._settle()
+            self.link.stops.clear()
+
+    @stateful.rule()
+    def quiet(self):
+        """Two answered reports leave no recorded end on the worker."""
+        self.report(True, True)
+        self.report(True, True)
+        assert all(task.state == "running"
+                   for task in self.machine.tasks.values())
+
+    def teardown(self):
+        self.link.channel.close()
+
+
+class ChangesOnlyMerged(ChangesOnly):
+    """The same faults against the naive link."""
+
+    link_class = OnlyMerges
+
+
+SETTINGS = hypothesis.settings(
+    max_examples=100, stateful_step_count=50, deadline=None,
+    derandomize=True, database=None,
+    suppress_health_check=list(hypothesis.HealthCheck),
+    phases=[hypothesis.Phase.generate])
+
+
+def test_owners_list_is_the_workers():
+    stateful.run_state_machine_as_test(ChangesOnly, settings=SETTINGS)
+
+
+def test_naive_link_holds_tasks_that_are_gone():
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(ChangesOnlyMerged,
+                                           settings=SETTINGS)
+
+
+HELD = [
+    # what happens while the report is held, whether it answers at once
+    ("a task ends", True),
+    ("another owner comes", True),
+    ("a task starts", False),
+]
+
+
+@pytest.mark.parametrize("what,at_once", HELD, ids=[h[0] for h in HELD])
+def test_held_report_is_answered_when_it_matters(what, at_once):
+    machine = worker.Machine(standins.sample_options(1).machines[0])
+    _start(machine, 1)
+    first = machine.Report(pb.ReportRequest(fence=1, owner="e"), None)
+    assert [t.task_id for t in first.tasks] == ["j1.1"] and first.full
+    replies = []
+    asking = threading.Thread(target=lambda: replies.append(machine.Report(
+        pb.ReportRequest(fence=1, owner="e", seen=first.sequence,
+                         incarnation=first.incarnation,
+                         wait_ms=WAIT_MS), None)))
+    began = time.monotonic()
+    asking.start()
+    time.sleep(0.1)
+    if what == "a task ends":
+        machine.StopTask(pb.StopTaskRequest(task_id="j1.1", fence=1), None)
+    elif what == "another owner comes":
+        machine.Report(pb.ReportRequest(fence=2, owner="f"), None)
+    else:
+        _start(machine, 2)
+    asking.join()
+    held = time.monotonic() - began
+    assert (held < WAIT_MS / 1000.0) == at_once
+    ends = [t.state for t in replies[0].tasks]
+    assert ends == {"a task ends": ["stopped"], "another owner comes": [],
+                    "a task starts": ["running"]}[what]
