Keep a report under way in a thread of its own; check its lease

What: one thread reports, one sends starts and stops; numbers start at 1; a link with nothing unfinished looks again every 2 s; a cell with nothing queued decides nothing.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -16,11 +16,13 @@
 import time
 
 import grpc
+import yaml
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
 
 from bench import idle  # noqa: E402
 from bench import starts  # noqa: E402
+from sycamorefield import settings  # noqa: E402
 from sycamorefield import sycamorefield_pb2_grpc as pb_grpc  # noqa: E402
 from tests import deployment  # noqa: E402
 from tools import launch  # noqa: E402
@@ -51,7 +53,7 @@
     servers = []
     # A held report keeps a thread, so there is more than one a worker.
     pool = concurrent.futures.ThreadPoolExecutor(
-        len(deploy.opts.machines) * 2)
+        2 * len(deploy.opts.machines))
     for machine in deploy.opts.machines:
         server = grpc.server(pool)
         pb_grpc.add_WorkerServicer_to_server(StandingWorker({}), server)
@@ -67,19 +69,25 @@
     time.sleep(2.0)
     cpu, spoken = idle.cpu_seconds(pid), StandingWorker.spoken
     time.sleep(STEP_SECONDS)
-    return {"step": label, "rss_mb": round(idle.rss_mb(pid), 1),
-            "cpu_percent": round(100 * (idle.cpu_seconds(pid) - cpu)
-                                 / STEP_SECONDS, 2),
-            "worker_bytes_per_s": round(
-                (StandingWorker.spoken - spoken) / STEP_SECONDS)}
+    row = {"step": label, "rss_mb": round(idle.rss_mb(pid), 1),
+           "cpu_percent": round(100 * (idle.cpu_seconds(pid) - cpu)
+                                / STEP_SECONDS, 2),
+           "worker_bytes_per_s": round(
+               (StandingWorker.spoken - spoken) / STEP_SECONDS)}
+    print(json.dumps(row), flush=True)
+    return row
 
 
-def leg(directory: str, base_port: int, workers: int,
-        tasks: list[int]) -> list[dict]:
+def leg(directory: str, base_port: int, workers: int, tasks: list[int],
+        report: float, lease: float) -> list[dict]:
     """Measure one fleet size, idle and with running tasks."""
     os.makedirs(directory)
+    timings = yaml.safe_load(settings.sample_text(
+        settings.DEFAULT))["timings"]
+    timings.update(report_seconds=report, task_lease_seconds=lease)
     deploy = launch.Deployment.from_sample(
         directory, base_port, entries=1, cells=8, quiet_share=0.0,
+        timings=timings,
         zones=[{"name": zone, "racks": [{
             "name": f"{zone[:3]}-r{rack}", "workers": workers // 12}
             for rack in range(4)]} for zone in ZONES])
@@ -99,9 +107,12 @@
                     "POST", deploy.url(0) + "/v1/jobs",
                     {"customer": "owners", "work": "fleet-watch",
                      "job_id": f"watch-{submitted}"})
-                if status != 202:
+                if status == 202:
+                    submitted += 1
+                elif status == 503:
+                    time.sleep(1.0)
+                else:
                     raise RuntimeError(f"not accepted: {body}")
-                submitted += 1
             deployment.wait_until(lambda: deploy.call(
                 "GET", deploy.url(0) + "/metrics")[1]["counters"][
                     "batch_started"] >= submitted, 20)
@@ -117,6 +128,8 @@
     """Measure every leg and print it."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--base-port", type=int, default=20400)
+    parser.add_argument("--report-seconds", type=float, default=0.5)
+    parser.add_argument("--task-lease", type=float, default=3.0)
     parser.add_argument("--out", default="bench-results/capacity.json")
     args = parser.parse_args()
     results = []
@@ -124,12 +137,11 @@
         for number, (workers, tasks) in enumerate(
                 ((24, []), (96, []), (240, [500, 1500]))):
             results += leg(os.path.join(tmp, str(workers)),
-                           args.base_port + number * 1000, workers, tasks)
+                           args.base_port + number * 1000, workers, tasks,
+                           args.report_seconds, args.task_lease)
     os.makedirs(os.path.dirname(args.out), exist_ok=True)
     with open(args.out, "w", encoding="utf-8") as handle:
         json.dump(results, handle, indent=1)
-    for row in results:
-        print(json.dumps(row))
     return 0
 
 
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -3,16 +3,20 @@
 Four legs on the same seeded load at today's fleet size: latency-critical
 requests alone (the unloaded tail), then a batch flood in three waves, with
 cancellations and run times far off, under our policy, under the policy of
-earlier versions and under the naive version.  Writes JSON and a PNG plot.
+earlier versions and under the naive version.  Repeated with other seeds;
+writes JSON, a plot and an HTML page.
 """
 
 import argparse
+import base64
 import json
 import os
+import statistics
 import subprocess
 import sys
 import tempfile
 
+import jinja2
 import yaml
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
@@ -33,19 +37,24 @@
     return int(fields[8]) / os.sysconf("SC_CLK_TCK")
 
 
-def leg(directory: str, base_port: int, policy: str, batch: int,
+def zones(sample: str, workers: int) -> list[dict]:
+    """Return a sample's zones, with so many workers in all."""
+    raw = yaml.safe_load(settings.sample_text(sample))
+    return [{"name": z["name"], "racks": [
+        {"name": z["racks"][0]["name"], "workers": workers // 3}]}
+        for z in raw["zones"]]
+
+
+def leg(directory: str, base_port: int, policy: str, batch: int, seed: int,
         args: argparse.Namespace) -> dict:
     """Run one leg and return the load tool's report."""
     os.makedirs(directory, exist_ok=True)
-    raw = yaml.safe_load(settings.sample_text(args.sample))
-    zones = [{"name": z["name"], "racks": [
-        {"name": z["racks"][0]["name"], "workers": args.workers // 3}]}
-        for z in raw["zones"]]
     deploy = launch.Deployment.from_sample(
-        directory, base_port, sample=args.sample, zones=zones,
+        directory, base_port, sample=args.sample,
+        zones=zones(args.sample, args.workers),
         load={"seconds": args.seconds, "latency_per_second": args.rate,
               "batch_jobs": batch, "batch_waves": 3, "standing_jobs": 2,
-              "cancel_share": 0.05, "seed": 5})
+              "cancel_share": 0.05, "seed": seed})
     deploy.policy = policy
     out = os.path.join(directory, "report.json")
     stolen = stolen_seconds()
@@ -66,33 +75,83 @@
     return report
 
 
-def plot(results: dict, work: str, path: str) -> None:
-    """Draw p50/p99/p99.9 per leg, and batch runs finished."""
+class Figure:
+    """One figure of a leg: its name, how to read it, and its bound."""
+
+    def __init__(self, name: str, read, bound: float | None = None) -> None:
+        self.name = name
+        self.read = read
+        self.bound = bound
+
+    def over(self, runs: list[dict], name: str) -> list[float]:
+        """Return the figure of one leg in every run."""
+        return [self.read(run[name]) for run in runs]
+
+
+def figures(work: str) -> list[Figure]:
+    """Return the figures that the users weigh, for one service."""
+    return [
+        Figure(f"{work} p50, ms", lambda r: r["latency"][work]["p50_ms"]),
+        Figure(f"{work} p99, ms", lambda r: r["latency"][work]["p99_ms"]),
+        Figure(f"{work} p99.9, ms",
+               lambda r: r["latency"][work]["p99.9_ms"]),
+        Figure("batch runs a minute", lambda r: r["batch_per_minute"]),
+        Figure("evictions", lambda r: r["evictions"]),
+        Figure("urgent start p99, ms",
+               lambda r: r["urgent_start"].get("p99_ms", 0.0), 1100.0),
+        Figure("stolen processor time, s",
+               lambda r: r["stolen_cpu_seconds"])]
+
+
+def plot(runs: list[dict], shown: list[Figure], path: str) -> None:
+    """Draw each figure per leg: the median, and the range over the runs."""
     import matplotlib
     matplotlib.use("Agg")
     from matplotlib import pyplot
-    figure, axes = pyplot.subplots(1, 4, figsize=(16, 4))
-    names = list(results)
-    for offset, pct in enumerate(("p50_ms", "p99_ms", "p99.9_ms")):
-        axes[0].bar([n + offset * 0.27 for n in range(len(names))],
-                    [results[k]["latency"][work][pct] for k in names],
-                    width=0.27, label=pct.replace("_ms", ""))
-    axes[0].set_xticks([n + 0.27 for n in range(len(names))], names)
-    axes[0].set_title(f"{work} latency, ms")
-    axes[0].legend()
-    flooded = [n for n in names if results[n]["batch_finished"]]
-    for axis, title, key in (
-            (axes[1], "batch runs a minute", "batch_per_minute"),
-            (axes[2], "evictions", "evictions")):
-        axis.bar(flooded, [results[n][key] for n in flooded])
-        axis.set_title(title)
-    axes[3].bar(flooded, [results[n]["urgent_start"].get("p99_ms", 0)
-                          for n in flooded])
-    axes[3].axhline(1100, color="red")
-    axes[3].set_title("urgent start p99, ms (bound 1,100)")
-    figure.suptitle("sycamorefield: our policy against the naive version")
-    figure.tight_layout()
-    figure.savefig(path)
+    drawn, axes = pyplot.subplots(2, 4, figsize=(17, 8))
+    names = [name for name, _, _ in LEGS]
+    for axis, figure in zip(axes.flat, shown):
+        over = [figure.over(runs, name) for name in names]
+        middle = [statistics.median(values) for values in over]
+        axis.bar(names, middle, color=["grey", "tab:green", "tab:blue",
+                                       "tab:orange"],
+                 yerr=[[m - min(v) for m, v in zip(middle, over)],
+                       [max(v) - m for m, v in zip(middle, over)]])
+        if figure.bound is not None:
+            axis.axhline(figure.bound, color="red")
+        axis.set_title(figure.name)
+    axes.flat[-1].axis("off")
+    drawn.suptitle(f"our policy, the earlier one and the naive one: median "
+                   f"and range of {len(runs)} run(s)")
+    drawn.tight_layout()
+    drawn.savefig(path, dpi=70)
+
+
+def table(runs: list[dict], shown: list[Figure]) -> list[list[str]]:
+    """Return the figures as rows of text: the median and the range."""
+    rows = [["", *(name for name, _, _ in LEGS)]]
+    for figure in shown:
+        row = [figure.name]
+        for name, _, _ in LEGS:
+            over = figure.over(runs, name)
+            row.append(f"{statistics.median(over):.1f} "
+                       f"({min(over):.1f}-{max(over):.1f})")
+        rows.append(row)
+    return rows
+
+
+def write_page(runs: list[dict], rows: list[list[str]], sample: str,
+               stem: str) -> None:
+    """Write the HTML page: the plot, the table and what was found."""
+    with open(stem + ".png", "rb") as handle:
+        image = base64.b64encode(handle.read()).decode("ascii")
+    loader = jinja2.FileSystemLoader(os.path.dirname(__file__))
+    template = jinja2.Environment(
+        loader=loader, autoescape=True).get_template("policy.html.j2")
+    with open(stem + ".html", "w", encoding="utf-8") as handle:
+        handle.write(template.render(
+            runs=runs, rows=rows, sample=sample, image=image,
+            legs=[name for name, _, _ in LEGS]))
 
 
 def main() -> int:
@@ -102,37 +161,34 @@
     parser.add_argument("--batch", type=int, default=300)
     parser.add_argument("--workers", type=int, default=30)
     parser.add_argument("--rate", type=float, default=60.0)
+    parser.add_argument("--runs", type=int, default=1)
+    parser.add_argument("--first-seed", type=int, default=5)
     parser.add_argument("--sample", default="coral-sea.yaml")
     parser.add_argument("--out", default="bench-results")
     parser.add_argument("--base-port", type=int, default=24400)
     args = parser.parse_args()
     os.makedirs(args.out, exist_ok=True)
-    results = {}
-    with tempfile.TemporaryDirectory() as tmp:
-        for number, (name, policy, batch) in enumerate(LEGS):
-            results[name] = leg(os.path.join(tmp, name),
-                                args.base_port + number * 1000, policy,
-                                args.batch if batch is None else batch, args)
     stem = os.path.join(args.out, "policy-" + args.sample.split(".")[0])
-    with open(stem + ".json", "w", encoding="utf-8") as handle:
-        json.dump(results, handle, indent=1)
-    plot(results, next(iter(results["unloaded"]["latency"])), stem + ".png")
-    for name, report in results.items():
-        for work, lat in report["latency"].items():
-            print(f"{name:9} {work} p50 {lat['p50_ms']:6.1f} "
-                  f"p99 {lat['p99_ms']:6.1f} p99.9 {lat['p99.9_ms']:6.1f} ms")
-        urgent = report["urgent_start"]
-        print(f"{name:9} batch {report['batch_finished']}/"
-              f"{report['batch_submitted']} "
-              f"{report['batch_per_minute']} a minute; evictions "
-              f"{report['evictions']}; urgent start p50 "
-              f"{urgent.get('p50_ms', 0):.0f} p99 "
-              f"{urgent.get('p99_ms', 0):.0f} ms; "
-              f"findings {len(report['findings'])}; {report['outcomes']}; "
-              f"stolen cpu {report['stolen_cpu_seconds']} s")
-        for finding in report["findings"][:5]:
-            print(f"    {finding}")
-    print(f"written: {stem}.json, {stem}.png")
+    runs: list[dict] = []
+    for seed in range(args.first_seed, args.first_seed + args.runs):
+        with tempfile.TemporaryDirectory() as tmp:
+            runs.append({name: leg(
+                os.path.join(tmp, name), args.base_port + number * 1000,
+                policy, args.batch if batch is None else batch, seed, args)
+                for number, (name, policy, batch) in enumerate(LEGS)})
+        shown = figures(next(iter(runs[0]["unloaded"]["latency"])))
+        rows = table(runs, shown)
+        with open(stem + ".json", "w", encoding="utf-8") as handle:
+            json.dump(runs, handle, indent=1)
+        plot(runs, shown, stem + ".png")
+        write_page(runs, rows, args.sample, stem)
+        print(f"after seed {seed}:")
+        for row in rows:
+            print("".join(f"{cell:26}" for cell in row).rstrip(), flush=True)
+        for name, report in runs[-1].items():
+            for finding in report["findings"][:5]:
+                print(f"    {name}: {finding}")
+    print(f"written: {stem}.json, {stem}.png, {stem}.html")
     return 0
 
 
--- a/sycamorefield/cell.py
+++ b/sycamorefield/cell.py
@@ -24,10 +24,12 @@
 MAX_FAILURES = 6
 LOAD_RETRY = 0.2
 FLUSH_SECONDS = 2.0
-# An urgent job waits this long for room that is on its way before it makes
-# another task give way; the rest of the 1.1 s is for the stop and the start.
-SOON = 0.6
-URGENT_PERIOD = 0.1
+# An urgent job starts within the bound.  It waits for room that is on its
+# way for as long as the bound leaves once the commit of its placement and
+# the calls that stop another task and start this one are taken off.
+URGENT_BOUND = 1.1
+EVICTION_SECONDS = 0.3
+URGENT_PERIOD = 0.05
 
 
 @dataclasses.dataclass
@@ -67,6 +69,7 @@
         self.unsent: set[str] = set()
         self.coming = 0
         self.urgent_waiting = False
+        self.patience = URGENT_BOUND - EVICTION_SECONDS - table.pace
         self.no_room = False
         table.on_commit = self._committed
         # Held while a decision is made from records and staged, so that a
@@ -144,6 +147,9 @@
     def _decide(self) -> int:
         self._queue_strays()
         queued = self.table.in_state(jobtable.QUEUED)
+        if not queued:
+            self.urgent_waiting = self.no_room = False
+            return 0
         queued.sort(key=lambda r: (eviction.PRIORITY_ORDER.get(r.priority, 1),
                                    r.accepted_at))
         placed = 0
@@ -247,12 +253,14 @@
             return 0
         soon = 0
         for worker in self._occupied():
-            soon += sum(1 for r in worker.running if r.remaining < SOON)
+            soon += sum(1 for r in worker.running
+                        if r.remaining < self.patience)
         return len(self.evicting) + soon
 
     def _evict_for(self, record: jobtable.JobRecord) -> bool:
         """Make room for an urgent job; return whether it is on its way."""
-        if self.coming > 0 and time.time() - record.accepted_at < SOON:
+        if (self.coming > 0
+                and time.time() - record.accepted_at < self.patience):
             self.coming -= 1
             return True
         victims = self.strategy.eviction.choose(self._demand(record),
--- a/sycamorefield/options.py
+++ b/sycamorefield/options.py
@@ -36,6 +36,8 @@
 ZERO = Capacity(0.0, 0, 0)
 MIN_COMMIT_PACE = 0.02
 START_WINDOW = 2.0
+# A call to a worker is given up on this long after its answer was due.
+REPORT_GRACE = 1.0
 
 
 @dataclasses.dataclass(frozen=True)
--- a/sycamorefield/settings.py
+++ b/sycamorefield/settings.py
@@ -161,6 +161,14 @@
                 where, f"no customer named {customer!r}"))
         if cpus < 0:
             findings.append(errors.Finding(where, "is below zero"))
+    # With a shorter lease one lost report ends every task on the worker:
+    # the report is given up on, and the next one renews too late.
+    least = 2 * model.timings.report_seconds + options.REPORT_GRACE
+    if model.timings.task_lease_seconds < least:
+        findings.append(errors.Finding(
+            _place(path, ("timings", "task_lease_seconds")),
+            f"is below {least:g}: twice report_seconds and "
+            f"{options.REPORT_GRACE:g}"))
     for index, customer in enumerate(model.load.customers):
         if customer not in model.customers:
             findings.append(errors.Finding(
--- a/sycamorefield/worker.py
+++ b/sycamorefield/worker.py
@@ -77,7 +77,8 @@
         self.lock = threading.Lock()
         self.news = threading.Condition(self.lock)
         self.incarnation = random.getrandbits(62) + 1
-        self.sequence = 0
+        # From 1 on: a report that has seen 0 has seen nothing.
+        self.sequence = 1
         self.told_interference = 0.0
         self.tasks: dict[str, Task] = {}
         self.fence_seen = 0
--- a/sycamorefield/workerlink.py
+++ b/sycamorefield/workerlink.py
@@ -1,12 +1,13 @@
-"""Follow one worker of an owned cell: one task, written straight down.
-
-The link renews the leases of the worker's tasks through its reports, sends
-the starts and stops that the cell has committed, and hands ended tasks to
-the cell to record.  A report lists what changed since the last one, and the
-worker holds it until a task ends, so that an end is known at once and a
-quiet worker costs one small call per report period.  When the worker stays
-out of reach the link stops renewing; once every task lease must have
-lapsed, the worker counts as lost and the cell may run its jobs elsewhere.
+"""Follow one worker of an owned cell.
+
+One thread keeps a report under way, which renews the leases of the worker's
+tasks; the other sends the starts and stops that the cell has committed and
+hands ended tasks to the cell to record.  A report lists what changed since
+the last one, and the worker holds it until a task ends, so that an end is
+known at once and a quiet worker costs one small call per report period.
+When the worker stays out of reach the link stops renewing; once every task
+lease must have lapsed, the worker counts as lost and the cell may run its
+jobs elsewhere.
 """
 
 import dataclasses
@@ -24,10 +25,14 @@
 from sycamorefield import sycamorefield_pb2 as pb
 from sycamorefield import sycamorefield_pb2_grpc as pb_grpc
 
-CALL_TIMEOUT = 1.0
+CALL_TIMEOUT = options.REPORT_GRACE
 UNREACHABLE_REPORTS = 3
 # The least time between two reports: many ends in a row share one.
 REPORT_GAP = 0.05
+# Starts and stops that got no answer are sent again this often, seconds;
+# with none of them, nothing is left to do until the link is woken.
+RESEND_PERIOD = 1.0
+IDLE_PERIOD = 2.0
 # While jobs wait for room, progress is asked for this often, seconds.
 PROGRESS_PERIOD = 1.0
 SHUN_FIRST = 1.0
@@ -125,9 +130,9 @@
         self.to_acknowledge: list[str] = []
         self.acknowledging: list[str] = []
         self.superseded = False
+        self.unfinished = True
         self.seen = 0
         self.incarnation = 0
-        self.asked_at = 0.0
         self.reached = False
         self.lost = False
         self.misses = 0
@@ -198,38 +203,44 @@
         self.shun_seconds = SHUN_FIRST
 
     def run(self) -> None:
-        """Report, settle, stop and start until the cell is given up."""
-        call = None
+        """Settle, stop and start until the cell is given up."""
+        follower = threading.Thread(target=self._follow, daemon=True,
+                                    name=f"report-{self.machine.name}")
+        follower.start()
         while not self.stopped.is_set():
-            if call is None and self._due() <= 0.0:
-                call = self._ask()
-            elif call is not None and call.done():
-                self._take_in(call)
-                call = None
-            if self.reached and not self.misses:
-                self._settle()
-                self._send_stops()
-                self._send_starts()
-            self.wake.wait(CALL_TIMEOUT if call else self._due())
+            self.wake.wait(RESEND_PERIOD if self.unfinished else IDLE_PERIOD)
             self.wake.clear()
-        if call is not None:
-            call.cancel()
+            self.unfinished = True
+            if self.reached and not self.misses:
+                settled = self._settle()
+                expected = self.cell.expected(self.machine.name)
+                self._compare(expected)
+                stopped = self._send_stops()
+                started = self._send_starts(expected)
+                self.unfinished = not (settled and stopped and started)
+        follower.join()
         self.channel.close()
 
-    def _due(self) -> float:
-        """Return in how many seconds the next report may be asked for."""
-        gap = (self.opts.timings.report if self.misses or self.superseded
-               else REPORT_GAP)
-        return self.asked_at + gap - time.monotonic()
+    def _follow(self) -> None:
+        """Keep a report under way until the cell is given up."""
+        while not self.stopped.is_set():
+            asked_at = time.monotonic()
+            reply = self._report()
+            if reply is None:
+                self._missed()
+            elif not self._superseded(reply) and self._take_in(reply):
+                self.wake.set()
+            gap = (self.opts.timings.report if self.misses or self.superseded
+                   else REPORT_GAP)
+            self.stopped.wait(max(0.0, asked_at + gap - time.monotonic()))
 
-    def _ask(self) -> grpc.Future:
+    def _report(self) -> pb.ReportReply | None:
         # A process that was paused must not renew leases for a cell that
         # has a new owner by now; not_after bounds a report that waits in a
         # frozen worker's socket until after the lapse.
         renew = self.holds() and self.misses < UNREACHABLE_REPORTS
         hold = 0.0 if self.misses else self.opts.timings.report
         now = time.monotonic()
-        self.asked_at = now
         if renew:
             self.renewed_at = now
         progress = (now - self.progress_asked_at > PROGRESS_PERIOD
@@ -237,42 +248,46 @@
         if progress:
             self.progress_asked_at = now
         self.acknowledging = self.to_acknowledge
-        call = self.stub.Report.future(pb.ReportRequest(
+        request = pb.ReportRequest(
             fence=self.fence, owner=self.owner, renew=renew,
             acknowledged=self.acknowledging,
             not_after=time.time() + CALL_TIMEOUT,
             seen=self.seen, incarnation=self.incarnation,
-            wait_ms=0 if progress else int(hold * 1000),
-            progress=progress), timeout=hold + CALL_TIMEOUT)
-        call.add_done_callback(lambda _: self.wake.set())
-        return call
-
-    def _take_in(self, call: grpc.Future) -> None:
-        """Bring what is known of the worker up to date with a reply."""
+            wait_ms=0 if progress else int(hold * 1000), progress=progress)
         try:
-            reply = call.result()
+            return self.stub.Report(request, timeout=hold + CALL_TIMEOUT)
         except grpc.RpcError:
-            self._missed()
-            return
+            return None
+
+    def _superseded(self, reply: pb.ReportReply) -> bool:
         self.superseded = reply.fence_seen > self.fence
-        if self.superseded:
-            return
-        self.misses = 0
-        self.reached = True
-        self.lost = False
-        self.interference = reply.interference
-        if reply.full:
-            self.tasks = {}
-        for task_id in self.acknowledging:
-            self.tasks.pop(task_id, None)
+        return self.superseded
+
+    def _take_in(self, reply: pb.ReportReply) -> bool:
+        """Bring what is known of the worker up to date; return if it moved.
+
+        The worker's first answer after a silence counts as news too: the
+        starts and stops that waited for it go out then.
+        """
+        news = bool(reply.tasks or reply.full or self.misses)
         now = time.time()
-        for task in reply.tasks:
-            self.tasks[task.task_id] = task
-            self.progress[task.task_id] = Progress(task.progress, now)
-        self.progress = {t: p for t, p in self.progress.items()
-                         if t in self.tasks}
+        with self.lock:
+            if reply.full:
+                self.tasks = {}
+            for task_id in self.acknowledging:
+                self.tasks.pop(task_id, None)
+            for task in reply.tasks:
+                self.tasks[task.task_id] = task
+                self.progress[task.task_id] = Progress(task.progress, now)
+            self.progress = {t: p for t, p in self.progress.items()
+                             if t in self.tasks}
         self.seen = reply.sequence
         self.incarnation = reply.incarnation
+        self.interference = reply.interference
+        self.misses = 0
+        self.reached = True
+        self.lost = False
+        return news
 
     def _missed(self) -> None:
         self.misses += 1
@@ -282,38 +297,40 @@
             events.emit(events.WORKER_LOST, worker=self.machine.name)
             self.cell.worker_lost(self)
 
-    def _settle(self) -> None:
-        running: dict[str, options.Capacity] = {}
-        ended = []
-        for task in self.tasks.values():
-            if task.state == RUNNING:
-                running[task.task_id] = options.Capacity(
-                    task.declared.cpus, task.declared.memory_mb,
-                    task.declared.accelerators)
-            else:
-                ended.append(Ended(task.job_id, task.task_id, task.state,
-                                   task.progress))
+    def _settle(self) -> bool:
+        """Hand ended tasks over; return whether all are recorded."""
+        with self.lock:
+            ended = [Ended(task.job_id, task.task_id, task.state,
+                           task.progress)
+                     for task in self.tasks.values() if task.state != RUNNING]
+            for task in ended:
+                self.committed.pop(task.task_id, None)
         self.to_acknowledge = (self.cell.settle(self, ended) if ended
                                else [])
-        expected = self.cell.expected(self.machine.name)
-        for task_id in running:
-            if task_id not in expected:
-                # The job moved on without this task (its start was still
-                # under way when the worker counted as lost).
-                events.emit(events.TASK_ORPHANED, task=task_id,
-                            worker=self.machine.name)
-                self.stops.add(task_id)
-            elif expected[task_id].unwanted:
-                self.stops.add(task_id)
+        return len(self.to_acknowledge) == len(ended)
+
+    def _compare(self, expected: dict[str, Start]) -> None:
+        """Count what runs here; have stopped what should not."""
         with self.lock:
+            for task in self.tasks.values():
+                if task.state != RUNNING:
+                    continue
+                self.committed[task.task_id] = options.Capacity(
+                    task.declared.cpus, task.declared.memory_mb,
+                    task.declared.accelerators)
+                start = expected.get(task.task_id)
+                if start is None:
+                    # The job moved on without this task (its start was
+                    # still under way when the worker counted as lost).
+                    events.emit(events.TASK_ORPHANED, task=task.task_id,
+                                worker=self.machine.name)
+                if start is None or start.unwanted:
+                    self.stops.add(task.task_id)
             for task_id, start in expected.items():
-                running.setdefault(task_id, start.work.demand)
-            for task_id in self.committed.keys() & {
-                    t.task_id for t in ended}:
-                del self.committed[task_id]
-            self.committed.update(running)
+                self.committed.setdefault(task_id, start.work.demand)
 
-    def _send_stops(self) -> None:
+    def _send_stops(self) -> bool:
+        """Send the stops that are due; return whether all were answered."""
         with self.lock:
             stops, self.stops = self.stops, set()
         for task_id in stops:
@@ -325,20 +342,26 @@
                 with self.lock:
                     self.stops.add(task_id)
                 continue
-            task = self.tasks.get(task_id)
-            if answer.accepted and task is not None:
-                task.state = answer.state
-                task.progress = answer.progress
-                self.wake.set()
-
-    def _send_starts(self) -> None:
+            with self.lock:
+                task = self.tasks.get(task_id)
+                if answer.accepted and task is not None:
+                    task.state = answer.state
+                    task.progress = answer.progress
+                    self.wake.set()
+        return not self.stops
+
+    def _send_starts(self, expected: dict[str, Start]) -> bool:
+        """Send the starts that are due; return whether all were answered."""
+        answered = True
         # Every committed placement that the worker does not list is started
         # (again): a start is idempotent by task id, so one whose reply was
         # lost, or one that an earlier owner committed and never sent, is
         # simply sent until the worker answers.
-        for task_id, start in self.cell.expected(self.machine.name).items():
-            if (task_id in self.tasks or not start.durable
-                    or not self.holds()):
+        for task_id, start in expected.items():
+            if task_id in self.tasks:
+                continue
+            if not start.durable or not self.holds():
+                answered = False
                 continue
             if start.unwanted:
                 self.free(task_id)
@@ -346,12 +369,15 @@
                 continue
             answer = self._start(start)
             if answer is None:
+                answered = False
                 continue
             if answer.accepted:
-                self.tasks[task_id] = pb.TaskStatus(
-                    task_id=task_id, job_id=start.job_id,
-                    state=answer.state or RUNNING, progress=answer.progress,
-                    declared=_resources(start.work.demand))
+                with self.lock:
+                    self.tasks[task_id] = pb.TaskStatus(
+                        task_id=task_id, job_id=start.job_id,
+                        state=answer.state or RUNNING,
+                        progress=answer.progress,
+                        declared=_resources(start.work.demand))
                 self.cell.started(start)
                 events.emit(events.TASK_STARTED, job=start.job_id,
                             worker=self.machine.name, task=task_id,
@@ -359,6 +385,7 @@
             else:
                 self.free(task_id)
                 self.cell.not_started(self, start, answer.reason)
+        return answered
 
     def _start(self, start: Start) -> pb.TaskReply | None:
         work = start.work
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -38,6 +38,9 @@
      ["f.yaml:rules.4.then.zone"]),
     ("duplicate work", lambda r: r["work"].append(dict(r["work"][0])),
      ["f.yaml:work"]),
+    ("lease that one lost report ends",
+     lambda r: r["timings"].update(report_seconds=1.5),
+     ["f.yaml:timings.task_lease_seconds"]),
     ("bad kind", lambda r: r["work"][0].update(kind="sometimes"),
      ["f.yaml:work.0.kind"]),
 ]
--- a/tests/test_workerlink.py
+++ b/tests/test_workerlink.py
@@ -25,26 +25,6 @@
 WAIT_MS = 2000
 
 
-class Answered:
-    """A report that was answered."""
-
-    def __init__(self, reply):
-        self.reply = reply
-
-    def add_done_callback(self, callback):
-        callback(self)
-
-    def result(self):
-        return self.reply
-
-
-class Lost(Answered):
-    """A report whose reply was lost."""
-
-    def result(self):
-        raise grpc.RpcError()
-
-
 class Wire:
     """Stand in for the stub of a worker: calls it, or loses the call."""
 
@@ -53,16 +33,13 @@
         self.arrives = True
         self.returns = True
 
-    @property
-    def Report(self):
-        return self
-
-    def future(self, request, timeout):
-        if not self.arrives:
-            return Lost(None)
+    def Report(self, request, timeout):
         request.wait_ms = 0
-        reply = self.machine.Report(request, None)
-        return Answered(reply) if self.returns else Lost(None)
+        if self.arrives:
+            reply = self.machine.Report(request, None)
+            if self.returns:
+                return reply
+        raise grpc.RpcError()
 
 
 class Recording:
@@ -84,10 +61,11 @@
 class OnlyMerges(workerlink.WorkerLink):
     """The naive version: what a reply does not list stays as it was."""
 
-    def _take_in(self, call):
+    def _take_in(self, reply):
         before = self.tasks
-        super()._take_in(call)
+        news = super()._take_in(reply)
         self.tasks = {**before, **self.tasks}
+        return news
 
 
 def _start(machine, number):
@@ -141,12 +119,17 @@
     @stateful.rule(arrives=st.booleans(), returns=st.booleans())
     def report(self, arrives, returns):
         self.wire.arrives, self.wire.returns = arrives, returns
-        self.link._take_in(self.link._ask())
+        reply = self.link._report()
+        if reply is None:
+            self.link._missed()
+        else:
+            self.link._take_in(reply)
         if arrives and returns:
             assert {t: s.state for t, s in self.link.tasks.items()} == {
                 t: s.state for t, s in self.machine.tasks.items()}
         if not self.link.misses:
             self.link._settle()
+            self.link._compare({})
             self.link.stops.clear()
 
     @stateful.rule()
@@ -189,15 +172,17 @@
     ("a task ends", True),
     ("another owner comes", True),
     ("a task starts", False),
+    ("nothing, and no task was ever here", False),
 ]
 
 
 @pytest.mark.parametrize("what,at_once", HELD, ids=[h[0] for h in HELD])
 def test_held_report_is_answered_when_it_matters(what, at_once):
     machine = worker.Machine(standins.sample_options(1).machines[0])
-    _start(machine, 1)
+    if not what.startswith("nothing"):
+        _start(machine, 1)
     first = machine.Report(pb.ReportRequest(fence=1, owner="e"), None)
-    assert [t.task_id for t in first.tasks] == ["j1.1"] and first.full
+    assert first.full and len(first.tasks) == len(machine.tasks)
     replies = []
     asking = threading.Thread(target=lambda: replies.append(machine.Report(
         pb.ReportRequest(fence=1, owner="e", seen=first.sequence,
@@ -210,11 +195,11 @@
         machine.StopTask(pb.StopTaskRequest(task_id="j1.1", fence=1), None)
     elif what == "another owner comes":
         machine.Report(pb.ReportRequest(fence=2, owner="f"), None)
-    else:
+    elif what == "a task starts":
         _start(machine, 2)
     asking.join()
     held = time.monotonic() - began
     assert (held < WAIT_MS / 1000.0) == at_once
     ends = [t.state for t in replies[0].tasks]
-    assert ends == {"a task ends": ["stopped"], "another owner comes": [],
-                    "a task starts": ["running"]}[what]
+    assert ends == {"a task ends": ["stopped"],
+                    "a task starts": ["running"]}.get(what, [])
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -85,6 +85,9 @@
     def _stop_entry(self, entry: str, machine: object) -> str:
         self.deploy.signal(entry, signal.SIGTERM)
         time.sleep(self.deploy.opts.timings.drain)
+        # A freeze may have stretched the stop.  Started meanwhile, it would
+        # count as running and then be gone for the rest of the round.
+        self.deploy.wait_for_end(entry)
         self.deploy.start("entry", entry)
         return entry
 
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -84,6 +84,14 @@
         self.procs[label] = subprocess.Popen(
             argv, stdout=subprocess.DEVNULL, stderr=err)
 
+    def wait_for_end(self, label: str) -> bool:
+        """Wait until a process has ended; False if it takes too long."""
+        try:
+            self.procs[label].wait(timeout=STOP_SECONDS)
+        except subprocess.TimeoutExpired:
+            return False
+        return True
+
     def signal(self, label: str, number: int) -> None:
         """Send a signal to one process."""
         proc = self.procs[label]
