Count a worker as lost only where starts are sent

Cause: since reports have a thread of their own, that thread counted a worker as lost while the other might be halfway through starts it had looked up before; paused past the lapse, it would send the rest for jobs that were queued again, and a worker that was back would run them too. Found by reading; no run has shown it. What: the thread that sends starts checks for the lapse, before it looks up what to send. Benches share one writer of results. Ruled out: a look at the record before each start (a lock and a copy per start, and still a gap); renewals (a worker lapses its leases before it renews them).

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,8 @@
 	$(PY) bench/placement_speed.py
 	$(PY) bench/starts.py
 	$(PY) bench/capacity.py
-	$(PY) bench/policy.py
+	$(PY) bench/policy.py --runs 2
+	$(PY) bench/teams.py
 	$(PY) bench/policy.py --sample alpska-miza.yaml --workers 24
 	$(PY) bench/chaos.py
 
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -21,6 +21,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
 
 from bench import idle  # noqa: E402
+from bench import output  # noqa: E402
 from bench import starts  # noqa: E402
 from sycamorefield import settings  # noqa: E402
 from sycamorefield import sycamorefield_pb2_grpc as pb_grpc  # noqa: E402
@@ -139,9 +140,7 @@
             results += leg(os.path.join(tmp, str(workers)),
                            args.base_port + number * 1000, workers, tasks,
                            args.report_seconds, args.task_lease)
-    os.makedirs(os.path.dirname(args.out), exist_ok=True)
-    with open(args.out, "w", encoding="utf-8") as handle:
-        json.dump(results, handle, indent=1)
+    output.write(args.out, results)
     return 0
 
 
--- /dev/null
+++ b/bench/output.py
@@ -0,0 +1,11 @@
+"""Write what a bench measured."""
+
+import json
+import os
+
+
+def write(path: str, results: object) -> None:
+    """Write results as JSON, making the folder."""
+    os.makedirs(os.path.dirname(path) or ".", exist_ok=True)
+    with open(path, "w", encoding="utf-8") as handle:
+        json.dump(results, handle, indent=1)
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -22,6 +22,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
 
+from bench import output  # noqa: E402
 from sycamorefield import checks  # noqa: E402
 from sycamorefield import events  # noqa: E402
 from sycamorefield import settings  # noqa: E402
@@ -191,8 +192,7 @@
                 for number, (name, policy, batch) in enumerate(LEGS)})
         shown = figures(next(iter(runs[0]["unloaded"]["latency"])))
         rows = table(runs, shown)
-        with open(stem + ".json", "w", encoding="utf-8") as handle:
-            json.dump(runs, handle, indent=1)
+        output.write(stem + ".json", runs)
         plot(runs, shown, stem + ".png")
         write_page(runs, rows, args.sample, stem)
         print(f"after seed {seed}:")
--- a/bench/starts.py
+++ b/bench/starts.py
@@ -23,6 +23,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
 
+from bench import output  # noqa: E402
 from sycamorefield import cell as cell_mod  # noqa: E402
 from sycamorefield import jobtable  # noqa: E402
 from sycamorefield import kvclient  # noqa: E402
@@ -211,9 +212,7 @@
         finally:
             store.terminate()
             store.wait()
-    os.makedirs(os.path.dirname(args.out), exist_ok=True)
-    with open(args.out, "w", encoding="utf-8") as handle:
-        json.dump(results, handle, indent=1)
+    output.write(args.out, results)
     return 0
 
 
--- a/bench/teams.py
+++ b/bench/teams.py
@@ -17,6 +17,7 @@
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), ".."))
 
+from bench import output  # noqa: E402
 from bench import policy  # noqa: E402
 from sycamorefield import checks  # noqa: E402
 from sycamorefield import events  # noqa: E402
@@ -138,9 +139,7 @@
             results[name] = leg(os.path.join(tmp, name),
                                 args.base_port + number * 1000, quota)
             print(name, json.dumps(results[name]), flush=True)
-    os.makedirs(os.path.dirname(args.out), exist_ok=True)
-    with open(args.out, "w", encoding="utf-8") as handle:
-        json.dump(results, handle, indent=1)
+    output.write(args.out, results)
     return 0
 
 
--- a/sycamorefield/workerlink.py
+++ b/sycamorefield/workerlink.py
@@ -174,6 +174,10 @@
             self.wake.wait(RESEND_PERIOD if self.unfinished else IDLE_PERIOD)
             self.wake.clear()
             self.unfinished = True
+            # Here, not where reports are waited for: a worker counted as
+            # lost while starts are on their way would get the rest of
+            # them, of jobs that are queued again (two runs of one job).
+            self._check_lost()
             if self.reached and not self.misses:
                 settled = self._settle()
                 expected = self.cell.expected(self.machine.name)
@@ -190,7 +194,8 @@
             asked_at = time.monotonic()
             reply = self._report()
             if reply is None:
-                self._missed()
+                self.misses += 1
+                self.wake.set()
             elif not self._superseded(reply) and self._take_in(reply):
                 self.wake.set()
             gap = (self.opts.timings.report if self.misses or self.superseded
@@ -236,10 +241,11 @@
         self.lost = False
         return news
 
-    def _missed(self) -> None:
-        self.misses += 1
+    def _check_lost(self) -> None:
+        """Count the worker as lost once all that it ran has lapsed."""
         silent = time.monotonic() - self.renewed_at
-        if not self.lost and silent > self.opts.timings.lapse:
+        if (self.misses and not self.lost
+                and silent > self.opts.timings.lapse):
             self.lost = True
             events.emit(events.WORKER_LOST, worker=self.machine.name)
             self.cell.worker_lost(self)
--- a/tests/test_workerlink.py
+++ b/tests/test_workerlink.py
@@ -21,6 +21,7 @@
 from sycamorefield import tasklist
 from sycamorefield import worker
 from sycamorefield import workerlink
+from tests import deployment
 from tests import standins
 
 WAIT_MS = 2000
@@ -123,7 +124,7 @@
         self.wire.arrives, self.wire.returns = arrives, returns
         reply = self.link._report()
         if reply is None:
-            self.link._missed()
+            self.link.misses += 1
         else:
             self.link._take_in(reply)
         if arrives and returns:
@@ -205,3 +206,74 @@
     ends = [t.state for t in replies[0].tasks]
     assert ends == {"a task ends": ["stopped"],
                     "a task starts": ["running"]}.get(what, [])
+
+
+class TwoStarts(Recording):
+    """A cell with two placements to start, until the worker is lost."""
+
+    def __init__(self, work):
+        self.lost_at = None
+        self.starts = {f"j{n}.1": workerlink.Start(
+            f"j{n}", f"j{n}.1", work, 0.0, durable=True, unwanted=False)
+            for n in (1, 2)}
+
+    def expected(self, name):
+        return {} if self.lost_at else dict(self.starts)
+
+    def started(self, start):
+        pass
+
+    def worker_lost(self, link):
+        self.lost_at = time.monotonic()
+
+
+class Stalling:
+    """A worker that answers one report; each start takes long to send."""
+
+    def __init__(self, seconds):
+        self.seconds = seconds
+        self.reports = 0
+        self.sent_at = []
+
+    def Report(self, request, timeout):
+        self.reports += 1
+        if self.reports > 1:
+            raise grpc.RpcError()
+        return pb.ReportReply(full=True, sequence=1, incarnation=1)
+
+    def StartTask(self, request, timeout):
+        self.sent_at.append(time.monotonic())
+        time.sleep(self.seconds)
+        raise grpc.RpcError()
+
+
+def test_no_start_is_sent_once_its_worker_counts_as_lost():
+    """Send no start for a job that is queued again.
+
+    Symptom: a job runs in two places.
+
+    Sequence: a link is sending several starts when its worker drops out of
+    reach and the process is paused; it wakes up past the lapse, counts the
+    worker as lost and has its jobs queued again; the rest of the starts go
+    out, and the worker, back by now, runs a job that runs elsewhere too.
+
+    Cause: the worker was counted as lost in one thread, while the other
+    went on with the starts it had looked up before.
+    """
+    opts = standins.sample_options(1, report=0.1, task_lease=0.1,
+                                   clock_skew=0.0)
+    work = opts.work["class-renewal"]
+    cell = TwoStarts(work)
+    link = workerlink.WorkerLink(opts, opts.machines[0], "entry-1", 1, cell,
+                                 lambda: True)
+    link.stub = wire = Stalling(opts.timings.lapse + 0.5)
+    running = threading.Thread(target=link.run, daemon=True)
+    running.start()
+    try:
+        assert deployment.wait_until(lambda: cell.lost_at is not None, 20)
+        assert deployment.wait_until(lambda: len(wire.sent_at) == 2, 5)
+        time.sleep(0.2)
+        assert max(wire.sent_at) < cell.lost_at
+    finally:
+        link.stop()
+        running.join(10)
