Evict only where the urgent job would then be placed

Cause: placement keeps a job off workers that it failed on and noisy work off quiet workers; eviction looked at all. Room made on such a worker was taken again by the job just evicted, which was evicted again, several times within 0.1 s, until room came elsewhere. What: eviction looks at the workers that placement would choose from. Figures: both cases of the new test fail before and pass after. Conclusion: an eviction now makes room for the job that asked for it.

--- a/sycamorefield/cell.py
+++ b/sycamorefield/cell.py
@@ -295,8 +295,15 @@
                 and time.time() - record.accepted_at < self.patience):
             self.coming -= 1
             return True
+        # Only where the job would go then: room made on a worker that it
+        # avoids is taken by the job just evicted, which is evicted again,
+        # many times a second.
+        work = self.opts.work[record.work]
+        occupied = [w for w in self._occupied() if not (
+            work.noise and w.name in self.opts.quiet_machines)]
+        others = [w for w in occupied if w.name not in record.failed_on]
         victims = self.strategy.eviction.choose(self._demand(record),
-                                                self._occupied())
+                                                others or occupied)
         for victim in victims:
             self.evicting.add(victim.job.task_id)
             self.links[victim.job.worker].stop_task(victim.job.task_id)
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -331,6 +331,52 @@
         one.close(cell)
 
 
+AVOIDED = [
+    # why the urgent job keeps off the first worker
+    "it failed there",
+    "it is kept quiet",
+]
+
+
+@pytest.mark.parametrize("why", AVOIDED)
+def test_urgent_job_evicts_only_where_it_would_go(kv, why):
+    """Evict nothing on a worker that the urgent job avoids.
+
+    Symptom: one job is evicted a hundred times in a few seconds.
+
+    Sequence: an urgent job fails on a worker and is queued again; all the
+    workers are full; a job there is evicted, the urgent one keeps off that
+    worker, the evicted one takes its room again.
+
+    Cause: eviction looked at all the workers, placement at those that the
+    job does not avoid.
+    """
+    one = OneCell(kv, workers=2, run_seconds=30.0, task_lease=5.0)
+    avoided = one.machines[0].spec.name
+    cell = one.start()
+    try:
+        for number in range(10):
+            one.submit(cell, f"low-{number}")
+        assert deployment.wait_until(
+            lambda: len(one.running(0)) + len(one.running(1)) == 10, 4)
+        now = jobtable.new_record("now", "owners", one.renewal, "urgent")
+        if why == "it failed there":
+            now.failed_on = [avoided]
+        else:
+            cell.opts = dataclasses.replace(
+                cell.opts, quiet_machines=frozenset({avoided}))
+        # The other worker's tasks look like the worse ones to evict.
+        cell.links[one.machines[1].spec.name].known.remaining = (
+            lambda record: 20.0)
+        cell.table.stage(now)
+        cell.wake.set()
+        assert deployment.wait_until(lambda: any(
+            t.job_id == "now" for t in one.running(1)), 4)
+        assert cell.counters.evictions == 1
+    finally:
+        one.close(cell)
+
+
 WAVES = [
     # strategy, whether urgent jobs come here, evictions, who runs at once
     ("guarded", True, 0, "now"),
