Say once which workers a job avoids, and how start waits are counted

Cause: reading the change again. Start latencies are counted per group in one place. No test changed. Conclusion: one rule, one place; our policy behaves as before.

--- a/bench/policy.py
+++ b/bench/policy.py
@@ -82,7 +82,7 @@
         report = json.load(handle)
     lines = timeline.merge(deploy.opts.log_dir)
     report["urgent_start"] = timeline.start_latencies(
-        lines, "urgent").summary().get("urgent", {})
+        lines, lambda line: line["priority"]).summary().get("urgent", {})
     report["eviction_causes"] = eviction_causes(lines)
     report["stolen_cpu_seconds"] = round(stolen_seconds() - stolen, 2)
     report["findings"] = [str(f) for f in checks.check(lines)]
--- a/bench/teams.py
+++ b/bench/teams.py
@@ -20,8 +20,6 @@
 from bench import output  # noqa: E402
 from bench import policy  # noqa: E402
 from sycamorefield import checks  # noqa: E402
-from sycamorefield import events  # noqa: E402
-from sycamorefield import metrics  # noqa: E402
 from sycamorefield import timeline  # noqa: E402
 from tests import deployment  # noqa: E402
 from tools import launch  # noqa: E402
@@ -81,18 +79,9 @@
     return peak
 
 
-def start_waits(lines: list[dict]) -> metrics.Latencies:
-    """Return how long the flooding team and the others waited to start."""
-    accepted: dict[str, float] = {}
-    out = metrics.Latencies()
-    for line in lines:
-        if line.get("event") == events.JOB_ACCEPTED.code:
-            accepted.setdefault(line["job"], line["t"])
-        elif (line.get("event") == events.TASK_BEGAN.code
-              and line["job"] in accepted):
-            out.record("flood" if team_of(line["job"]) == FLOOD else "others",
-                       line["t"] - accepted.pop(line["job"]))
-    return out
+def group(line: dict) -> str:
+    """Return whether an accepted job is of the flood or of the others."""
+    return "flood" if team_of(line["job"]) == FLOOD else "others"
 
 
 def leg(directory: str, base_port: int, quota: float | None) -> dict:
@@ -120,7 +109,7 @@
     each = deploy.opts.work["class-renewal"].demand.cpus
     return {"quota_cpus": quota, "accepted": accepted,
             "finished": sum(1 for s in spans if s.state == "done"),
-            "waits": start_waits(lines).summary(),
+            "waits": timeline.start_latencies(lines, group).summary(),
             "flood_peak_cpus": peak_cpus(spans, each).get(FLOOD, 0.0),
             "findings": [str(f) for f in checks.check(lines)],
             "stolen_cpu_seconds": round(policy.stolen_seconds() - stolen, 2)}
--- a/sycamorefield/cell.py
+++ b/sycamorefield/cell.py
@@ -54,6 +54,15 @@
     return time.time() - max(record.accepted_at, record.arrived_at)
 
 
+Place = typing.TypeVar("Place", placement.Candidate, eviction.Occupied)
+
+
+def _preferred(record: jobtable.JobRecord, places: list[Place]
+               ) -> list[Place]:
+    """Return the workers that a job has not failed on; all if none is left."""
+    return [p for p in places if p.name not in record.failed_on] or places
+
+
 class Cell:
     """An owned cell: its job table, its workers and its decisions."""
 
@@ -233,8 +242,8 @@
                 candidates: list[placement.Candidate]
                 ) -> placement.Candidate | None:
         work = self.opts.work[record.work]
-        others = [c for c in candidates if c.name not in record.failed_on]
-        chosen = self.strategy.placement.choose(work, others or candidates)
+        chosen = self.strategy.placement.choose(
+            work, _preferred(record, candidates))
         if chosen is not None:
             chosen.take(work.demand)
         return chosen
@@ -299,11 +308,11 @@
         # avoids is taken by the job just evicted, which is evicted again,
         # many times a second.
         work = self.opts.work[record.work]
-        occupied = [w for w in self._occupied() if not (
-            work.noise and w.name in self.opts.quiet_machines)]
-        others = [w for w in occupied if w.name not in record.failed_on]
-        victims = self.strategy.eviction.choose(self._demand(record),
-                                                others or occupied)
+        occupied = [w for w in self._occupied()
+                    if not self.strategy.placement.avoids(
+                        work, w.name in self.opts.quiet_machines)]
+        victims = self.strategy.eviction.choose(
+            work.demand, _preferred(record, occupied))
         for victim in victims:
             self.evicting.add(victim.job.task_id)
             self.links[victim.job.worker].stop_task(victim.job.task_id)
--- a/sycamorefield/placement.py
+++ b/sycamorefield/placement.py
@@ -44,6 +44,10 @@
 
     name = "policy"
 
+    def avoids(self, work: options.Work, quiet: bool) -> bool:
+        """Return whether work never goes to a worker (kept quiet or not)."""
+        return False
+
     @abc.abstractmethod
     def choose(self, work: options.Work,
                candidates: list[Candidate]) -> Candidate | None:
@@ -102,13 +106,16 @@
                 return found
         return self._best(work, candidates)
 
-    @staticmethod
-    def _best(work: options.Work,
+    def avoids(self, work: options.Work, quiet: bool) -> bool:
+        return work.noise > 0.0 and quiet
+
+    def _best(self, work: options.Work,
               candidates: list[Candidate]) -> Candidate | None:
         best = None
         best_load = 0.0
+        avoids_quiet = self.avoids(work, quiet=True)
         for candidate in candidates:
-            if work.noise and candidate.quiet:
+            if avoids_quiet and candidate.quiet:
                 continue
             load = candidate.committed.cpus / candidate.capacity.cpus
             if ((best is None or load < best_load)
--- a/sycamorefield/timeline.py
+++ b/sycamorefield/timeline.py
@@ -3,6 +3,7 @@
 import glob
 import json
 import os
+import typing
 
 from sycamorefield import events
 from sycamorefield import metrics
@@ -34,23 +35,24 @@
             f"{json.dumps(rest, sort_keys=True) if rest else ''}").rstrip()
 
 
-def start_latencies(lines: list[dict], priority: str
+def start_latencies(lines: list[dict],
+                    group: typing.Callable[[dict], str]
                     ) -> metrics.Latencies:
-    """Return how long jobs of a priority waited for their first start.
+    """Return how long the jobs of each group waited for their first start.
 
     From the entry process's "accepted" to the worker's "began", in wall
-    clock time of their two machines; recorded under the priority's name.
+    clock time of their two machines.  group names the group of a job by
+    its "accepted" line.
     """
-    accepted: dict[str, float] = {}
+    accepted: dict[str, dict] = {}
     out = metrics.Latencies()
     for line in lines:
-        if (line.get("event") == events.JOB_ACCEPTED.code
-                and line.get("priority") == priority):
-            accepted.setdefault(line["job"], line["t"])
+        if line.get("event") == events.JOB_ACCEPTED.code:
+            accepted.setdefault(line["job"], line)
         elif line.get("event") == events.TASK_BEGAN.code:
             since = accepted.pop(line["job"], None)
             if since is not None:
-                out.record(priority, line["t"] - since)
+                out.record(group(since), line["t"] - since["t"])
     return out
 
 
