--- a/sycamorefield/cell.py
+++ b/sycamorefield/cell.py
@@ -62,6 +62,8 @@
         self.wake = threading.Event()
         self.stopped = threading.Event()
         self.loaded = False
+        self.loaded_at = 0.0
+        self.strays: list[str] = []
         self.evicting: set[str] = set()
         self.unsent: set[str] = set()
         self.coming = 0
@@ -83,8 +85,13 @@
             records = list(self.table.records.values())
         for record in records:
             link = self.links.get(record.worker)
-            if record.state == jobtable.PLACED and link is not None:
+            if record.state != jobtable.PLACED:
+                continue
+            if link is None:
+                self.strays.append(record.job_id)
+            else:
                 link.reserve(record.task_id, self._demand(record))
+        self.loaded_at = time.monotonic()
         self.loaded = True
         events.emit(events.CELL_TAKEN, cell=self.number, fence=self.fence,
                     jobs=len(records))
@@ -124,7 +131,18 @@
         with self.lock:
             return self._decide()
 
+    def _queue_strays(self) -> None:
+        """Queue again what is placed on workers that are not ours to ask."""
+        if self.strays and (time.monotonic() - self.loaded_at
+                            > self.opts.timings.lapse):
+            for job_id in self.strays:
+                record = self.table.get(job_id)
+                if record is not None and record.state == jobtable.PLACED:
+                    self._requeue(record, record.progress)
+            self.strays = []
+
     def _decide(self) -> int:
+        self._queue_strays()
         queued = self.table.in_state(jobtable.QUEUED)
         queued.sort(key=lambda r: (eviction.PRIORITY_ORDER.get(r.priority, 1),
                                    r.accepted_at))
@@ -139,6 +157,10 @@
             if record.cancelled:
                 self._finish(record, jobtable.CANCELLED)
                 continue
+            if record.work not in self.opts.work:
+                record.reason = f"no work named {record.work!r} any more"
+                self._finish(record, jobtable.FAILED)
+                continue
             wanted = (usage.get(record.customer, 0.0)
                       + self._demand(record).cpus)
             if wanted > self.opts.quotas.get(record.customer, math.inf):
@@ -251,8 +273,9 @@
         return {record.task_id: workerlink.Start(
             record.job_id, record.task_id, self.opts.work[record.work],
             record.progress, durable=self.table.durable(record.job_id),
-            cancelled=record.cancelled)
-            for record in self.table.placed_on(worker)}
+            unwanted=(record.cancelled or record.task_id in self.evicting))
+            for record in self.table.placed_on(worker)
+            if record.work in self.opts.work}
 
     def started(self, start: workerlink.Start) -> None:
         """Count a start that its worker accepted."""
@@ -348,6 +371,7 @@
             record = self.table.get(start.job_id)
             if (record is not None and record.task_id == start.task_id
                     and record.state == jobtable.PLACED):
+                self.evicting.discard(record.task_id)
                 if record.cancelled:
                     self._finish(record, jobtable.CANCELLED)
                 else:
--- /dev/null
+++ b/sycamorefield/dispatch.py
@@ -0,0 +1,129 @@
+"""Send a latency-critical request to backends until it has an answer.
+
+What a caller is told depends on what became of each attempt: only a request
+that no backend can have begun is "not run".
+"""
+
+import dataclasses
+import enum
+import json
+import time
+import typing
+
+import urllib3
+
+from sycamorefield import kvclient
+from sycamorefield import options
+from sycamorefield import routing
+
+TRIES = 3
+LEAVING_STATUS = 503
+
+
+class Fate(enum.Enum):
+    """What became of a request."""
+
+    ANSWERED = "answered"
+    NOT_SENT = "not sent"
+    REFUSED = "refused"
+    MAYBE_RAN = "maybe ran"
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """The fate of a request, its answer, or why there is none."""
+
+    fate: Fate
+    answer: dict[str, object] = dataclasses.field(default_factory=dict)
+    detail: str = ""
+
+
+@dataclasses.dataclass(frozen=True)
+class Order:
+    """A request as it is sent to a backend."""
+
+    request_id: str
+    customer: str
+    payload: typing.Any
+    idempotency_key: str | None
+
+
+class Dispatcher:
+    """Try backends for a request, as often as is safe."""
+
+    def __init__(self, opts: options.Options, router: routing.Router,
+                 http: urllib3.PoolManager) -> None:
+        self.opts = opts
+        self.router = router
+        self.http = http
+
+    def send(self, order: Order, work: options.Work,
+             zone: str | None) -> Outcome:
+        """Return what became of a request after all tries."""
+        last = Outcome(Fate.NOT_SENT, detail="no live backend server")
+        maybe_ran = False
+        for _ in range(TRIES):
+            view = self.router.pick(zone)
+            if view is None:
+                break
+            last = self._attempt(order, work, view)
+            maybe_ran = maybe_ran or last.fate == Fate.MAYBE_RAN
+            if last.fate in (Fate.ANSWERED, Fate.REFUSED):
+                break
+            if maybe_ran and not work.idempotent:
+                break
+        if maybe_ran and last.fate != Fate.ANSWERED:
+            # An earlier attempt may have run, whatever the last one says.
+            return Outcome(Fate.MAYBE_RAN, detail=last.detail)
+        return last
+
+    def _attempt(self, order: Order, work: options.Work,
+                 view: routing.BackendView) -> Outcome:
+        sent_at = time.monotonic()
+        try:
+            reply = self.http.request(
+                "POST", f"{view.url}/work/{work.name}",
+                body=kvclient.encode(dataclasses.asdict(order)),
+                headers={"Content-Type": "application/json"},
+                timeout=self.opts.timings.request_timeout, retries=False)
+        except (urllib3.exceptions.NewConnectionError,
+                urllib3.exceptions.ConnectTimeoutError) as exc:
+            # Nothing was sent, so the request did not run there: it is
+            # safe to try another backend, even for non-idempotent work.
+            self.router.done(view, None)
+            return Outcome(Fate.NOT_SENT, detail=type(exc).__name__)
+        except urllib3.exceptions.HTTPError as exc:
+            self.router.done(view, None)
+            return Outcome(Fate.MAYBE_RAN, detail=type(exc).__name__)
+        self.router.done(view, (time.monotonic() - sent_at) * 1000.0
+                         / work.service_ms)
+        if reply.status == LEAVING_STATUS:
+            # The backend refused before running: it is leaving.
+            self.router.mark_leaving(view.name)
+            return Outcome(Fate.NOT_SENT, detail=f"{view.name} is leaving")
+        if 400 <= reply.status < 500:
+            return Outcome(Fate.REFUSED,
+                           detail=f"backend refused with {reply.status}")
+        answer = _own_answer(reply, order)
+        if answer is not None:
+            return Outcome(Fate.ANSWERED, answer)
+        return Outcome(Fate.MAYBE_RAN,
+                       detail=f"no answer of its own, status {reply.status}")
+
+
+def _own_answer(reply: urllib3.BaseHTTPResponse,
+                order: Order) -> dict[str, object] | None:
+    """Return the whole answer to this very request, or None.
+
+    A backend that mixes up or cuts off answers had a request in hand; what
+    it sent must never reach this caller, and this one may have run.
+    """
+    if reply.status != 200:
+        return None
+    try:
+        answer = json.loads(reply.data)
+    except ValueError:
+        return None
+    if not isinstance(answer, dict):
+        return None
+    return answer if answer.get("request_id") == order.request_id else None
--- a/sycamorefield/load.py
+++ b/sycamorefield/load.py
@@ -212,6 +212,9 @@
     latencies = metrics.Latencies()
     outcomes: dict[str, int] = {}
     lock = threading.Lock()
+    # First, while every backend still takes work: these calls pass the
+    # entry processes by, so nothing would keep them off a leaving one.
+    direct = _direct(caller, opts)
     started = time.monotonic()
     submitted = Submitted()
     submitter = threading.Thread(
@@ -246,7 +249,7 @@
             "batch_per_minute": round(60 * len(records) / makespan, 1)
             if makespan else 0.0,
             "batch_wait_seconds": round(waited, 2), "evictions": evictions,
-            "direct": _direct(caller, opts), "log_dir": opts.log_dir}
+            "direct": direct, "log_dir": opts.log_dir}
 
 
 def render(report: dict) -> str:
--- a/sycamorefield/options.py
+++ b/sycamorefield/options.py
@@ -35,6 +35,7 @@
 
 ZERO = Capacity(0.0, 0, 0)
 MIN_COMMIT_PACE = 0.02
+START_WINDOW = 2.0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -90,6 +91,15 @@
     clock_skew: float
     job_retention: float
 
+    @property
+    def lapse(self) -> float:
+        """Return after how long an unreachable worker runs nothing of ours.
+
+        Its last start may be processed until the start window has passed
+        by its own clock, and then runs for one task lease.
+        """
+        return self.task_lease + START_WINDOW + self.clock_skew
+
 
 @dataclasses.dataclass(frozen=True)
 class Load:
--- a/sycamorefield/worker.py
+++ b/sycamorefield/worker.py
@@ -104,6 +104,15 @@
         load = self.used().cpus / self.spec.capacity.cpus
         return sum(task.noise for task in running) * (0.5 + load)
 
+    def lacking(self, demand: options.Capacity) -> str:
+        """Return why a task of this size does not fit now, or nothing."""
+        running = sum(1 for t in self.tasks.values() if t.state == RUNNING)
+        if running >= self.spec.slots:
+            return "no-slot"
+        if not self.spec.capacity.fits(self.used(), demand):
+            return "no-room"
+        return ""
+
     def _refuse(self, reason: str) -> pb.TaskReply:
         events.emit(events.TASK_REFUSED, worker=self.spec.name, reason=reason)
         return pb.TaskReply(accepted=False, reason=reason)
@@ -131,12 +140,9 @@
                 # The start waited in our socket while we were frozen; its
                 # sender may have counted us as lost and moved the job.
                 return self._refuse("too-late")
-            running = sum(1 for t in self.tasks.values()
-                          if t.state == RUNNING)
-            if running >= self.spec.slots:
-                return self._refuse("no-slot")
-            if not self.spec.capacity.fits(self.used(), demand):
-                return self._refuse("no-room")
+            lacking = self.lacking(demand)
+            if lacking:
+                return self._refuse(lacking)
             now = time.monotonic()
             task = Task(request.task_id, request.job_id, request.work,
                         demand, self._true_seconds(request), request.noise,
@@ -373,10 +379,11 @@
             "server.socket_queue_size": SOCKET_QUEUE}
 
 
-def serve_grpc(host: str, spec: options.Machine
+def serve_grpc(host: str, spec: options.Machine,
+               kind: type[Machine] = Machine
                ) -> tuple[grpc.Server, Machine]:
     """Start the worker's gRPC side and its clock; return them."""
-    machine = Machine(spec)
+    machine = kind(spec)
     server = channels.server(threads=16)
     pb_grpc.add_WorkerServicer_to_server(machine, server)
     server.add_insecure_port(f"{host}:{spec.grpc_port}")
--- a/sycamorefield/workerlink.py
+++ b/sycamorefield/workerlink.py
@@ -23,25 +23,27 @@
 from sycamorefield import sycamorefield_pb2_grpc as pb_grpc
 
 CALL_TIMEOUT = 1.0
-START_WINDOW = 2.0
 UNREACHABLE_REPORTS = 3
 SHUN_FIRST = 1.0
 SHUN_LONGEST = 30.0
 RUNNING = "running"
 FAILED = "failed"
-CANCELLED = "cancelled"
+UNWANTED = "unwanted"
 
 
 @dataclasses.dataclass(frozen=True)
 class Start:
-    """A placement on a worker; it may be started once it is durable."""
+    """A placement on a worker; it may be started once it is durable.
+
+    It is unwanted when its job is cancelled or gives way to another.
+    """
 
     job_id: str
     task_id: str
     work: options.Work
     progress: float
     durable: bool
-    cancelled: bool
+    unwanted: bool
 
 
 @dataclasses.dataclass(frozen=True)
@@ -68,7 +70,7 @@
 
     def not_started(self, link: "WorkerLink", start: Start,
                     reason: str) -> None:
-        """Take back a start that the worker refused or that is cancelled."""
+        """Take back a start that was refused or is not wanted any more."""
 
     def worker_lost(self, link: "WorkerLink") -> None:
         """Queue again every job of a lost worker."""
@@ -203,9 +205,8 @@
 
     def _missed(self) -> None:
         self.misses += 1
-        lapse = (self.opts.timings.task_lease + START_WINDOW
-                 + self.opts.timings.clock_skew)
-        if not self.lost and time.monotonic() - self.renewed_at > lapse:
+        silent = time.monotonic() - self.renewed_at
+        if not self.lost and silent > self.opts.timings.lapse:
             self.lost = True
             events.emit(events.WORKER_LOST, worker=self.machine.name)
             self.cell.worker_lost(self)
@@ -233,7 +234,7 @@
                 events.emit(events.TASK_ORPHANED, task=task_id,
                             worker=self.machine.name)
                 self.stops.add(task_id)
-            elif expected[task_id].cancelled:
+            elif expected[task_id].unwanted:
                 self.stops.add(task_id)
         with self.lock:
             for task_id, start in expected.items():
@@ -267,9 +268,9 @@
             if (task_id in listed or not start.durable
                     or not self.holds()):
                 continue
-            if start.cancelled:
+            if start.unwanted:
                 self.free(task_id)
-                self.cell.not_started(self, start, CANCELLED)
+                self.cell.not_started(self, start, UNWANTED)
                 continue
             answer = self._start(start)
             if answer is None:
@@ -293,7 +294,7 @@
             run_seconds=work.run_seconds, fence=self.fence,
             owner=self.owner, progress=start.progress, noise=work.noise,
             lease_ms=int(self.opts.timings.task_lease * 1000),
-            not_after=time.time() + START_WINDOW)
+            not_after=time.time() + options.START_WINDOW)
         self.renewed_at = time.monotonic()
         try:
             return self.stub.StartTask(request, timeout=CALL_TIMEOUT)
