--- a/sycamorefield/checks.py
+++ b/sycamorefield/checks.py
@@ -68,14 +68,18 @@
             if line.get("event") == events.INVARIANT_BROKEN.code]
 
 
-def _two_places(spans: list[Interval],
-                losses: "Losses") -> list[errors.Finding]:
+def _runs_by_job(spans: list[Interval]
+                 ) -> list[tuple[str, list[Interval]]]:
     by_job = collections.defaultdict(list)
-    for span in spans:
+    for span in sorted(spans, key=lambda s: s.began):
         by_job[span.job].append(span)
+    return sorted(by_job.items())
+
+
+def _two_places(spans: list[Interval],
+                losses: "Losses") -> list[errors.Finding]:
     found = []
-    for job, runs in sorted(by_job.items()):
-        runs.sort(key=lambda s: s.began)
+    for job, runs in _runs_by_job(spans):
         for first, second in zip(runs, runs[1:]):
             end = (first.ended if first.ended is not None
                    else losses.gone(first))
@@ -133,12 +137,8 @@
 
 def _resumes(spans: list[Interval],
              losses: Losses) -> list[errors.Finding]:
-    by_job = collections.defaultdict(list)
-    for span in spans:
-        by_job[span.job].append(span)
     found = []
-    for job, runs in sorted(by_job.items()):
-        runs.sort(key=lambda s: s.began)
+    for job, runs in _runs_by_job(spans):
         for first, second in zip(runs, runs[1:]):
             if losses.excuse(first, second):
                 continue
--- a/sycamorefield/cli.py
+++ b/sycamorefield/cli.py
@@ -9,8 +9,10 @@
 import cyclopts
 import urllib3
 
+from sycamorefield import backend
 from sycamorefield import entry as entry_mod
 from sycamorefield import events
+from sycamorefield import httpserver
 from sycamorefield import kvclient
 from sycamorefield import kvstore
 from sycamorefield import load as load_mod
@@ -19,7 +21,6 @@
 from sycamorefield import sycamorefield_pb2 as pb
 from sycamorefield import timeline as timeline_mod
 from sycamorefield import vmlist
-from sycamorefield import worker as worker_mod
 
 app = cyclopts.App(name="sycamorefield",
                    help="Schedule colocated latency-critical and batch work.")
@@ -96,13 +97,13 @@
     opts = _options(settings_path)
     spec = opts.machine(name)
     events.configure(name, spec.zone, opts.log_dir)
-    server, machine = worker_mod.serve(opts, name)
+    server, machine = backend.serve(opts, name)
     events.emit(events.PROCESS_STARTED, role="worker",
                 grpc_port=spec.grpc_port, http_port=spec.http_port)
     _wait_for_signal()
     machine.stopped.set()
     server.stop(1.0).wait()
-    worker_mod.cherrypy.engine.exit()
+    httpserver.stop()
     events.emit(events.PROCESS_STOPPED)
 
 
@@ -116,7 +117,7 @@
     events.emit(events.PROCESS_STARTED, role="vm-list",
                 port=opts.vm_list_port)
     _wait_for_signal()
-    vmlist.cherrypy.engine.exit()
+    httpserver.stop()
     events.emit(events.PROCESS_STOPPED)
 
 
--- a/sycamorefield/dispatch.py
+++ b/sycamorefield/dispatch.py
@@ -20,7 +20,7 @@
 LEAVING_STATUS = 503
 
 
-class Fate(enum.Enum):
+class OutcomeKind(enum.Enum):
     """What became of a request."""
 
     ANSWERED = "answered"
@@ -31,15 +31,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class Outcome:
-    """The fate of a request, its answer, or why there is none."""
+    """What became of a request, its answer, or why there is none."""
 
-    fate: Fate
+    kind: OutcomeKind
     answer: dict[str, object] = dataclasses.field(default_factory=dict)
     detail: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
-class Order:
+class BackendRequest:
     """A request as it is sent to a backend."""
 
     request_id: str
@@ -57,33 +57,33 @@
         self.router = router
         self.http = http
 
-    def send(self, order: Order, work: options.Work,
+    def send(self, request: BackendRequest, work: options.Work,
              zone: str | None) -> Outcome:
         """Return what became of a request after all tries."""
-        last = Outcome(Fate.NOT_SENT, detail="no live backend server")
+        last = Outcome(OutcomeKind.NOT_SENT, detail="no live backend server")
         maybe_ran = False
         for _ in range(TRIES):
             view = self.router.pick(zone)
             if view is None:
                 break
-            last = self._attempt(order, work, view)
-            maybe_ran = maybe_ran or last.fate == Fate.MAYBE_RAN
-            if last.fate in (Fate.ANSWERED, Fate.REFUSED):
+            last = self._attempt(request, work, view)
+            maybe_ran = maybe_ran or last.kind == OutcomeKind.MAYBE_RAN
+            if last.kind in (OutcomeKind.ANSWERED, OutcomeKind.REFUSED):
                 break
             if maybe_ran and not work.idempotent:
                 break
-        if maybe_ran and last.fate != Fate.ANSWERED:
+        if maybe_ran and last.kind != OutcomeKind.ANSWERED:
             # An earlier attempt may have run, whatever the last one says.
-            return Outcome(Fate.MAYBE_RAN, detail=last.detail)
+            return Outcome(OutcomeKind.MAYBE_RAN, detail=last.detail)
         return last
 
-    def _attempt(self, order: Order, work: options.Work,
+    def _attempt(self, request: BackendRequest, work: options.Work,
                  view: routing.BackendView) -> Outcome:
         sent_at = time.monotonic()
         try:
             reply = self.http.request(
                 "POST", f"{view.url}/work/{work.name}",
-                body=kvclient.encode(dataclasses.asdict(order)),
+                body=kvclient.encode(dataclasses.asdict(request)),
                 headers={"Content-Type": "application/json"},
                 timeout=self.opts.timings.request_timeout, retries=False)
         except (urllib3.exceptions.NewConnectionError,
@@ -91,28 +91,29 @@
             # Nothing was sent, so the request did not run there: it is
             # safe to try another backend, even for non-idempotent work.
             self.router.done(view, None)
-            return Outcome(Fate.NOT_SENT, detail=type(exc).__name__)
+            return Outcome(OutcomeKind.NOT_SENT, detail=type(exc).__name__)
         except urllib3.exceptions.HTTPError as exc:
             self.router.done(view, None)
-            return Outcome(Fate.MAYBE_RAN, detail=type(exc).__name__)
+            return Outcome(OutcomeKind.MAYBE_RAN, detail=type(exc).__name__)
         self.router.done(view, (time.monotonic() - sent_at) * 1000.0
                          / work.service_ms)
         if reply.status == LEAVING_STATUS:
             # The backend refused before running: it is leaving.
             self.router.mark_leaving(view.name)
-            return Outcome(Fate.NOT_SENT, detail=f"{view.name} is leaving")
+            return Outcome(OutcomeKind.NOT_SENT,
+                           detail=f"{view.name} is leaving")
         if 400 <= reply.status < 500:
-            return Outcome(Fate.REFUSED,
+            return Outcome(OutcomeKind.REFUSED,
                            detail=f"backend refused with {reply.status}")
-        answer = _own_answer(reply, order)
+        answer = _own_answer(reply, request)
         if answer is not None:
-            return Outcome(Fate.ANSWERED, answer)
-        return Outcome(Fate.MAYBE_RAN,
+            return Outcome(OutcomeKind.ANSWERED, answer)
+        return Outcome(OutcomeKind.MAYBE_RAN,
                        detail=f"no answer of its own, status {reply.status}")
 
 
 def _own_answer(reply: urllib3.BaseHTTPResponse,
-                order: Order) -> dict[str, object] | None:
+                request: BackendRequest) -> dict[str, object] | None:
     """Return the whole answer to this very request, or None.
 
     A backend that mixes up or cuts off answers had a request in hand; what
@@ -126,4 +127,6 @@
         return None
     if not isinstance(answer, dict):
         return None
-    return answer if answer.get("request_id") == order.request_id else None
+    if answer.get("request_id") != request.request_id:
+        return None
+    return answer
--- a/sycamorefield/entry.py
+++ b/sycamorefield/entry.py
@@ -10,7 +10,6 @@
 import time
 import uuid
 
-import cherrypy
 from returns import result
 import urllib3
 
@@ -19,6 +18,7 @@
 from sycamorefield import dispatch
 from sycamorefield import errors
 from sycamorefield import events
+from sycamorefield import httpserver
 from sycamorefield import idempotency
 from sycamorefield import jobs
 from sycamorefield import jobtable
@@ -32,7 +32,6 @@
 from sycamorefield import rulebook
 from sycamorefield import rules
 from sycamorefield import strategy
-from sycamorefield import worker
 
 NOT_RUN_RETRY = 1.0
 SEED_RETRY = 0.5
@@ -60,7 +59,7 @@
         self.peers = peers.Peers(opts, name, self.peer_server, self.members)
         self.cells.usage_elsewhere = self.peers.usage
         self.cells.move_target = self.peers.move_target
-        self.desk = jobs.Desk(opts, self.cells.home, self.peers)
+        self.jobs = jobs.JobRouter(opts, self.cells.home, self.peers)
         self.router = routing.Router(opts, self.spec.zone, self.http,
                                      plan.routing)
         self.router.interference = self.peers.interference
@@ -93,15 +92,11 @@
                          ).start()
         threading.Thread(target=self.router.run, args=(VM_LIST_PERIOD,),
                          name="vm-list", daemon=True).start()
-        cherrypy.config.update(worker.http_config(
-            self.opts.host, self.spec.http_port, 60))
-        cherrypy.config.update({"server.shutdown_timeout":
-                                self.opts.timings.drain})
-        cherrypy.config.update({"server.max_request_body_size":
-                                self.opts.max_body_bytes * 2})
-        cherrypy.config.update(api.HTTP_CONFIG)
-        cherrypy.tree.mount(api.Root(self), "/")
-        cherrypy.engine.start()
+        httpserver.start(
+            self.opts.host, self.spec.http_port, api.Root(self),
+            server__shutdown_timeout=self.opts.timings.drain,
+            server__max_request_body_size=self.opts.max_body_bytes * 2,
+            **api.HTTP_CONFIG)
 
     def stop(self) -> None:
         """Stop gracefully: refuse new work, finish in-flight, leave.
@@ -116,14 +111,14 @@
         deadline = time.monotonic() + self.opts.timings.drain
         time.sleep(min(STOP_GRACE, self.opts.timings.drain))
         self._drain(deadline)
-        cherrypy.server.stop()
+        httpserver.stop_listening()
         self._drain(deadline)
         self.book.stop()
         self.router.stopped.set()
         self.peers.stop()
         self.members.leave()
         self.peer_listener.stop(STOP_GRACE).wait()
-        cherrypy.engine.exit()
+        httpserver.stop()
         events.emit(events.PROCESS_STOPPED, in_flight=self.in_flight)
 
     def _drain(self, deadline: float) -> None:
@@ -188,12 +183,13 @@
                 self.count("replayed")
                 return result.Success((200, dict(begun.answer or {})))
         outcome = self.dispatcher.send(
-            dispatch.Order(request_id, request.customer, request.payload,
-                           request.idempotency_key),
+            dispatch.BackendRequest(request_id, request.customer,
+                                    request.payload,
+                                    request.idempotency_key),
             work, decision.action.zone)
         if begun is not None:
             self._settle(request.idempotency_key or "", begun, outcome)
-        if outcome.fate == dispatch.Fate.ANSWERED:
+        if outcome.kind == dispatch.OutcomeKind.ANSWERED:
             self._note_answer(request_id, work, time.monotonic() - began,
                               outcome)
             return result.Success((200, outcome.answer))
@@ -219,9 +215,9 @@
     def _settle(self, key: str, begun: idempotency.Begun,
                 outcome: dispatch.Outcome) -> None:
         """Record what became of a request that must not be repeated."""
-        if outcome.fate == dispatch.Fate.ANSWERED:
+        if outcome.kind == dispatch.OutcomeKind.ANSWERED:
             self.ledger.finish(key, begun, outcome.answer)
-        elif outcome.fate == dispatch.Fate.MAYBE_RAN:
+        elif outcome.kind == dispatch.OutcomeKind.MAYBE_RAN:
             self.ledger.give_up(key, begun)
         else:
             self.ledger.abandon(key, begun)
@@ -256,11 +252,11 @@
             return result.Failure(errors.problem(
                 errors.REJECTED, rule=decision.rule,
                 retry_after=decision.action.retry_after_seconds))
-        if not self.desk.can_run(work):
+        if not self.jobs.can_run(work):
             return result.Failure(errors.problem(errors.CANNOT_RUN,
                                                  name=work.name))
         job_id = request.job_id or uuid.uuid4().hex
-        accepted = self.desk.accept(jobtable.new_record(
+        accepted = self.jobs.accept(jobtable.new_record(
             job_id, request.customer, work, decision.action.priority))
         if isinstance(accepted, result.Success):
             events.emit(events.JOB_ACCEPTED, job=job_id, work=work.name,
@@ -270,11 +266,11 @@
 
     def show_job(self, job_id: str) -> api.Answer:
         """Return the record of a job."""
-        return self.desk.show(job_id).map(job_answer)
+        return self.jobs.show(job_id).map(job_answer)
 
     def cancel_job(self, job_id: str) -> api.Answer:
         """Cancel a job: a queued one at once, a running one by stopping it."""
-        cancelled = self.desk.cancel(job_id)
+        cancelled = self.jobs.cancel(job_id)
         if isinstance(cancelled, result.Success):
             events.emit(events.JOB_CANCELLED, job=job_id,
                         state=cancelled.unwrap().state)
@@ -340,10 +336,10 @@
 def _problem(outcome: dispatch.Outcome,
              work: options.Work) -> errors.Problem:
     """Return what a caller is told of a request without an answer."""
-    if outcome.fate == dispatch.Fate.MAYBE_RAN:
+    if outcome.kind == dispatch.OutcomeKind.MAYBE_RAN:
         return errors.problem(errors.OUTCOME_UNKNOWN,
                               retry_after=NOT_RUN_RETRY)
-    if outcome.fate == dispatch.Fate.REFUSED:
+    if outcome.kind == dispatch.OutcomeKind.REFUSED:
         return errors.problem(errors.NOT_RUN, retry_after=NOT_RUN_RETRY,
                               detail=outcome.detail)
     return errors.problem(errors.NO_BACKEND, work=work.name,
--- a/sycamorefield/jobs.py
+++ b/sycamorefield/jobs.py
@@ -20,7 +20,7 @@
 Outcome = result.Result[jobtable.JobRecord, errors.Problem]
 
 
-class Desk:
+class JobRouter:
     """Accept, show and cancel jobs on behalf of callers."""
 
     def __init__(self, opts: options.Options, home: typing.Callable[
--- a/sycamorefield/vmlist.py
+++ b/sycamorefield/vmlist.py
@@ -10,6 +10,7 @@
 
 import cherrypy
 
+from sycamorefield import httpserver
 from sycamorefield import options
 
 LIVE = "live"
@@ -74,11 +75,5 @@
 def serve(opts: options.Options) -> VmList:
     """Start the VM list on its port; return it."""
     app = VmList(opts)
-    cherrypy.config.update({
-        "server.socket_host": opts.host,
-        "server.socket_port": opts.vm_list_port,
-        "engine.autoreload.on": False, "log.screen": False,
-        "checker.on": False, "environment": "embedded"})
-    cherrypy.tree.mount(app, "/")
-    cherrypy.engine.start()
+    httpserver.start(opts.host, opts.vm_list_port, app)
     return app
--- a/sycamorefield/worker.py
+++ b/sycamorefield/worker.py
@@ -1,8 +1,8 @@
-"""Stand in for a platform worker and the backend server that runs on it.
+"""Stand in for a platform worker.
 
 Over gRPC it runs tasks under leases within its processors, memory and
-accelerators, refuses stale fences, and reports usage with a lag.  Over HTTP
-it serves latency-critical requests, slowed by the batch tasks beside it:
+accelerators, refuses stale fences, and reports usage with a lag.  Its tasks
+slow each other and the backend server beside them (backend.py):
 interference depends on the pair (each work's noise) and on load.
 """
 
@@ -12,7 +12,6 @@
 import threading
 import time
 
-import cherrypy
 import grpc
 
 from sycamorefield import channels
@@ -23,10 +22,6 @@
 
 TICK = 0.05
 REPORT_LAG = 1.0
-LEAVING_LIMIT = 3.0
-# Connections the kernel holds for accept(); cherrypy's default of 5 reset
-# callers under 40-60 concurrent new connections (seen in test_endtoend).
-SOCKET_QUEUE = 512
 RUNNING = "running"
 DONE = "done"
 STOPPED = "stopped"
@@ -297,88 +292,6 @@
         return service_ms / 1000.0 * factor
 
 
-class Backend:
-    """The backend server's HTTP side: serve work, count what it served."""
-
-    def __init__(self, machine: Machine, opts: options.Options) -> None:
-        self.machine = machine
-        self.opts = opts
-
-    @cherrypy.expose
-    @cherrypy.tools.json_in()
-    @cherrypy.tools.json_out()
-    def work(self, name: str) -> dict[str, object]:
-        """Serve one latency-critical request of the named work."""
-        body = cherrypy.request.json
-        spec = self.opts.work.get(name)
-        if spec is None or spec.kind != "latency":
-            raise cherrypy.HTTPError(404, f"no latency work {name!r}")
-        time.sleep(self.machine.service_seconds(spec.service_ms))
-        key = str(body.get("idempotency_key") or "")
-        late = self._note(key, spec)
-        events.emit(events.REQUEST_SERVED, request_id=body.get("request_id"),
-                    key=key, work=name, late_after_leaving=late)
-        return {"request_id": body.get("request_id"),
-                "worker": self.machine.spec.name,
-                "result": f"{name} done for {body.get('customer')}",
-                "payload": body.get("payload")}
-
-    def _note(self, key: str, spec: options.Work) -> bool:
-        # Checked mode: the backend is the one place that sees every run of
-        # a request, so a second run of a non-idempotent key, or new work
-        # past the grace after it was marked leaving, is caught here.
-        m = self.machine
-        with m.lock:
-            m.served += 1
-            repeated = False
-            if key:
-                m.served_by_key[key] += 1
-                repeated = m.served_by_key[key] > 1 and not spec.idempotent
-            late = bool(m.leaving_since) and (
-                time.time() - m.leaving_since > LEAVING_LIMIT)
-            if late:
-                m.served_after_leaving += 1
-        if repeated:
-            events.emit(events.INVARIANT_BROKEN, invariant="at-most-once",
-                        worker=m.spec.name, key=key)
-        if late:
-            events.emit(events.INVARIANT_BROKEN, invariant="leaving",
-                        worker=m.spec.name)
-        return late
-
-    @cherrypy.expose
-    @cherrypy.tools.json_out()
-    def stats(self) -> dict[str, object]:
-        """Report what this backend served, for checks and tests."""
-        m = self.machine
-        with m.lock:
-            return {"worker": m.spec.name, "served": m.served,
-                    "served_after_leaving": m.served_after_leaving,
-                    "repeated_keys": sorted(k for k, n in
-                                            m.served_by_key.items() if n > 1),
-                    "peak": dataclasses.asdict(m.peak),
-                    "capacity": dataclasses.asdict(m.spec.capacity),
-                    "tasks": len(m.tasks)}
-
-    @cherrypy.expose
-    @cherrypy.tools.json_out()
-    def leaving(self) -> dict[str, object]:
-        """Mark this backend leaving, as the fault tool does."""
-        with self.machine.lock:
-            if not self.machine.leaving_since:
-                self.machine.leaving_since = time.time()
-        return {"worker": self.machine.spec.name, "leaving": True}
-
-
-def http_config(host: str, port: int, threads: int) -> dict[str, object]:
-    """Return cherrypy's global settings for one HTTP listener."""
-    return {"server.socket_host": host, "server.socket_port": port,
-            "server.thread_pool": threads, "engine.autoreload.on": False,
-            "log.screen": False, "checker.on": False,
-            "environment": "embedded", "server.shutdown_timeout": 1,
-            "server.socket_queue_size": SOCKET_QUEUE}
-
-
 def serve_grpc(host: str, spec: options.Machine,
                kind: type[Machine] = Machine
                ) -> tuple[grpc.Server, Machine]:
@@ -391,14 +304,3 @@
     threading.Thread(target=machine.tick_forever, name="tick",
                      daemon=True).start()
     return server, machine
-
-
-def serve(opts: options.Options, name: str) -> tuple[grpc.Server, Machine]:
-    """Start the worker's gRPC and HTTP sides; return them."""
-    spec = opts.machine(name)
-    server, machine = serve_grpc(opts.host, spec)
-    machine.misdeclared = {w.name: w.misdeclared for w in opts.work.values()}
-    cherrypy.config.update(http_config(opts.host, spec.http_port, 60))
-    cherrypy.tree.mount(Backend(machine, opts), "/")
-    cherrypy.engine.start()
-    return server, machine
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -3,6 +3,8 @@
 import dataclasses
 import socket
 
+from hypothesis import stateful
+
 from sycamorefield import kvclient
 from sycamorefield import kvstore
 from sycamorefield import options
@@ -37,6 +39,24 @@
         self.server.stop(0)
 
 
+class StoreFaults(stateful.RuleBasedStateMachine):
+    """The key-value service's faults, as rules of a state machine."""
+
+    kv: Kv
+
+    @stateful.rule()
+    def store_down(self):
+        self.kv.faults(down=True)
+
+    @stateful.rule()
+    def store_back(self):
+        self.kv.faults()
+
+    @stateful.rule()
+    def store_loses_replies(self):
+        self.kv.faults(lose_reply_ratio=1.0)
+
+
 def sample_options(kv_port: int, **timings: float) -> options.Options:
     """Return the default sample's options, pointed at kv_port."""
     opts = settings.load(None).unwrap()
