--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -8,9 +8,11 @@
 import dataclasses
 import json
 import os
+import queue
 import sys
 import threading
 import time
+import traceback
 
 import logbook
 
@@ -76,6 +78,40 @@
 CALLER_TOLD_NOT_RUN = Event("SF1701", INFO, "caller told its request was "
                                             "not run")
 
+ENTRY_UNREADABLE = Event("SF1801", WARNING, "entry of another writer skipped")
+CONFIG_APPLIED = Event("SF1802", INFO, "configuration applied")
+CONFIG_UNREADABLE = Event("SF1803", ERROR, "configuration cannot be read")
+STORE_LOST = Event("SF1804", WARNING, "store does not answer")
+STORE_REGAINED = Event("SF1805", INFO, "store answers again")
+OWNERSHIP_CLAIMED = Event("SF1806", INFO, "fleet ownership claimed")
+OWNERSHIP_LOST = Event("SF1807", WARNING, "fleet ownership lost")
+OWNERSHIP_RELEASED = Event("SF1808", INFO, "fleet ownership released")
+FLEET_RECOVERED = Event("SF1809", INFO, "fleet state read by its new owner")
+JOB_STORED = Event("SF1810", INFO, "job stored and accepted")
+JOB_REFUSED = Event("SF1811", INFO, "request refused")
+JOB_UNCERTAIN = Event("SF1812", WARNING, "request's fate is not known")
+CANCEL_STORED = Event("SF1813", INFO, "cancellation stored")
+JOB_SEEN = Event("SF1814", INFO, "owner took up a job")
+JOB_ENDED = Event("SF1815", INFO, "job reached a final state")
+RUN_ORDERED = Event("SF1816", INFO, "run ordered")
+RUN_REJECTED = Event("SF1817", WARNING, "worker rejected a run")
+RUN_UNCERTAIN = Event("SF1818", WARNING, "order got no answer")
+RUN_ENDED = Event("SF1819", INFO, "run ended")
+RUN_STOPPED = Event("SF1820", INFO, "run told to stop")
+RUN_UNEXPECTED = Event("SF1821", WARNING, "run that should not be there")
+RUN_VANISHED = Event("SF1822", WARNING, "run neither runs nor ended")
+WORKER_JOINED = Event("SF1823", INFO, "worker joined the fleet")
+WORKER_SILENT = Event("SF1824", WARNING, "worker does not answer")
+WORKER_REGAINED = Event("SF1825", INFO, "worker answers again")
+WORKER_GONE = Event("SF1826", WARNING, "worker's runs are certainly over")
+WORKER_AVOIDED = Event("SF1827", WARNING, "worker avoided for a while")
+PACE_CHANGED = Event("SF1828", INFO, "pace of filling runs changed")
+COMMIT_FAILED = Event("SF1829", WARNING, "commit of task outcomes failed")
+RECORD_UNREADABLE = Event("SF1830", ERROR, "stored record cannot be read")
+THREAD_FAILED = Event("SF1831", ERROR, "unexpected error")
+JOB_REMOVED = Event("SF1832", INFO, "record of an old job removed")
+LINES_DROPPED = Event("SF1833", WARNING, "log lines dropped")
+
 INVARIANT_BROKEN = Event("SF1601", ERROR, "invariant broken")
 
 CATALOGUE = tuple(value for value in list(globals().values())
@@ -128,6 +164,58 @@
     return setup
 
 
+def configure_stdout(process: str, zone: str) -> logbook.NestedSetup:
+    """Send this process's events to standard output without blocking."""
+    CONTEXT.process = process
+    CONTEXT.zone = zone
+    setup = logbook.NestedSetup([logbook.NullHandler(), StdoutHandler()])
+    setup.push_application()
+    return setup
+
+
+# Lines that wait for a slow reader of standard output; about 1 MB.
+LINES_WAITING = 4000
+
+
+class StdoutHandler(logbook.Handler):
+    """Write lines from a thread of its own; count what does not fit.
+
+    A reader that stands still would otherwise hold every thread that logs,
+    while it holds the scheduler's lock.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(level=logbook.INFO, bubble=True)
+        self.formatter = _format
+        self.lines: queue.Queue[str] = queue.Queue(LINES_WAITING)
+        self.dropped = 0
+        threading.Thread(target=self._write, daemon=True).start()
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        """Queue one line, or count it as dropped."""
+        try:
+            self.lines.put_nowait(self.format(record))
+        except queue.Full:
+            self.dropped += 1
+
+    def _write(self) -> None:
+        while True:
+            sys.stdout.write(self.lines.get() + "\n")
+            if self.lines.empty():
+                sys.stdout.flush()
+            if self.dropped and self.lines.empty():
+                count, self.dropped = self.dropped, 0
+                emit(LINES_DROPPED, lines=count)
+
+
+def place(exc: BaseException) -> str:
+    """Return the file and line at which an error arose."""
+    frames = traceback.extract_tb(exc.__traceback__)
+    if not frames:
+        return ""
+    return f"{os.path.basename(frames[-1].filename)}:{frames[-1].lineno}"
+
+
 def emit(event: Event, **fields: object) -> None:
     """Log one numbered event with its fields."""
     extra = {"event": event.code, "t": time.time(), "fields": fields}
--- /dev/null
+++ b/sycamorefield/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""Schedule jobs of many tasks on the workers of a fleet."""
--- /dev/null
+++ b/sycamorefield/fleet/intake.py
@@ -0,0 +1,148 @@
+"""Accept, cancel and show jobs against the store alone.
+
+No owner is needed for this: a job is accepted when its record is stored.
+"""
+
+import collections
+import dataclasses
+import threading
+
+from sycamorefield import events
+from sycamorefield.fleet import clock
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import progress
+from sycamorefield.fleet import records
+from sycamorefield.fleet import surroundings
+
+# Refusals of the store (nothing done) are tried again this often before the
+# caller is told to come back: a single 429 is over in milliseconds.
+REFUSED_TRIES = 3
+RETRY_PAUSE_S = 0.06
+# What is left of the caller's time to bring the answer to it.
+ANSWER_MARGIN_S = 0.15
+DEFAULT_DEADLINE_S = 3.0
+RETRY_AFTER_S = 1
+REMEMBERED_JOBS = 20_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Accepted:
+    """Say that the job or its cancellation is stored."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """Say that nothing was stored and when to come back, in seconds."""
+
+    reason: str
+    retry_after_s: int = RETRY_AFTER_S
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Uncertain:
+    """Say that the outcome is not known; the same request may be repeated."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unknown:
+    """Say that there is no such job."""
+
+
+Outcome = Accepted | Refused | Uncertain | Unknown
+
+
+class Intake:
+    """Serve callers' requests about jobs."""
+
+    def __init__(self, store: surroundings.Store) -> None:
+        self.store = store
+        self.lock = threading.Lock()
+        # Jobs known to exist, so that showing one needs one read only.
+        self.existing: collections.OrderedDict[str, None] = (
+            collections.OrderedDict())
+
+    def submit(self, job: messages.Job, deadline: float) -> Outcome:
+        """Store a job; repeated, it remains one job.
+
+        deadline is on clock.now().
+        """
+        outcome = self._create(records.job_key(job.job_id),
+                               progress.encode_job(job), deadline)
+        event = {Accepted: events.JOB_STORED, Refused: events.JOB_REFUSED}
+        events.emit(event.get(type(outcome), events.JOB_UNCERTAIN),
+                    job=job.job_id, queue=job.queue,
+                    reason=getattr(outcome, "reason", ""))
+        if isinstance(outcome, Accepted):
+            self._remember(job.job_id)
+        return outcome
+
+    def cancel(self, job_id: str, deadline: float) -> Outcome:
+        """Store that a job is cancelled."""
+        try:
+            if not self._exists(job_id):
+                return Unknown()
+        except surroundings.CallFailed as exc:
+            return Refused(str(exc))
+        outcome = self._create(records.cancel_key(job_id), b"1", deadline)
+        if isinstance(outcome, Accepted):
+            events.emit(events.CANCEL_STORED, job=job_id)
+        return outcome
+
+    def _create(self, key: str, value: bytes, deadline: float) -> Outcome:
+        """Create a key; one that is there already counts as created.
+
+        Once a try got no answer it may still take effect, so a refusal of a
+        later try must not be passed on as "not stored".
+        """
+        transaction = messages.Transaction(
+            (messages.Expect(key, 0),), (messages.Put(key, value),))
+        uncertain = False
+        reason = "no time left"
+        tries = 0
+        while clock.now() < deadline - ANSWER_MARGIN_S:
+            tries += 1
+            try:
+                self.store.commit(transaction)
+                return Accepted()
+            except surroundings.Conflict:
+                return Accepted()
+            except surroundings.CallRefused as exc:
+                reason = str(exc)
+                if not uncertain and tries >= REFUSED_TRIES:
+                    return Refused(reason)
+            except surroundings.CallFailed as exc:
+                uncertain = True
+                reason = str(exc)
+            threading.Event().wait(RETRY_PAUSE_S)
+        return Uncertain(reason) if uncertain else Refused(reason)
+
+    def state(self, job_id: str) -> str | None:
+        """Return a job's state, or None; raises CallFailed."""
+        item = self.store.get(records.progress_key(job_id))
+        if item is not None:
+            return progress.state_of(item.value)
+        return messages.PENDING if self._exists(job_id) else None
+
+    def waiting(self, queue: str) -> int:
+        """Return how many jobs of a queue wait; raises CallFailed."""
+        item = self.store.get(records.WAITING_KEY)
+        if item is None:
+            return 0
+        return int(records.decode_mapping(item.value).get(queue, 0))
+
+    def _exists(self, job_id: str) -> bool:
+        with self.lock:
+            if job_id in self.existing:
+                return True
+        if self.store.get(records.job_key(job_id)) is None:
+            return False
+        self._remember(job_id)
+        return True
+
+    def _remember(self, job_id: str) -> None:
+        with self.lock:
+            self.existing[job_id] = None
+            while len(self.existing) > REMEMBERED_JOBS:
+                self.existing.popitem(last=False)
--- /dev/null
+++ b/sycamorefield/fleet/link.py
@@ -0,0 +1,197 @@
+"""Follow one worker: one task renews its lease, one sends its orders."""
+
+import queue
+import threading
+import typing
+
+from sycamorefield import events
+from sycamorefield.fleet import clock
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import state as state_mod
+from sycamorefield.fleet import surroundings
+
+# The lease given to what runs.  A successor takes about 2.5 s to take over
+# from an owner that died; what runs must outlive that.
+LEASE_MS = 5000.0
+# How long a worker holds its report while nothing ends.  It bounds how long
+# a dead worker goes unnoticed.
+REPORT_WAIT_MS = 800
+# Tails are watched more closely where tasks that fill run beside tasks that
+# serve; the figures are half a second old anyway.
+WATCHFUL_WAIT_MS = 400
+RETRY_PAUSE_S = 0.15
+# A report repeats ends until they are recorded; asking again before that
+# would be answered at once.
+RECORD_WAIT_S = 0.4
+START_TRIES = 2
+STOP_TRIES = 40
+
+MayAct = typing.Callable[[], bool]
+
+
+class WorkerLink:
+    """Hold the two tasks that speak to one worker."""
+
+    def __init__(self, entry: messages.WorkerEntry,
+                 worker: surroundings.Worker, fleet: state_mod.FleetState,
+                 may_act: MayAct, deposed: typing.Callable[[str], None],
+                 lease_ms: float = LEASE_MS) -> None:
+        self.worker_id = entry.worker_id
+        self.worker = worker
+        self.fleet = fleet
+        self.may_act = may_act
+        self.deposed = deposed
+        self.lease_ms = lease_ms
+        self.closed = False
+        self.recorded = threading.Event()
+        self.seen_upto = 0
+        self.orders: queue.SimpleQueue[state_mod.Order | None] = (
+            queue.SimpleQueue())
+
+    def start(self) -> None:
+        """Begin both tasks."""
+        for target in (self._reports, self._orders):
+            threading.Thread(target=target, daemon=True).start()
+
+    def close(self) -> None:
+        """End both tasks after the calls under way."""
+        self.closed = True
+        self.orders.put(None)
+        self.recorded.set()
+
+    def mark_seen(self, number: int) -> None:
+        """Let the worker forget ends up to a number: they are stored."""
+        if number > self.seen_upto:
+            self.seen_upto = number
+            self.recorded.set()
+
+    def _until(self) -> float | None:
+        with self.fleet.lock:
+            worker = self.fleet.workers.get(self.worker_id)
+            if worker is None:
+                return None
+            return worker.lease_until(self.lease_ms, clock.now())
+
+    def _wait_ms(self) -> int:
+        with self.fleet.lock:
+            worker = self.fleet.workers.get(self.worker_id)
+            if worker is None or not worker.reported or worker.silent:
+                return 0
+            if worker.serving and worker.filling_cpu:
+                return WATCHFUL_WAIT_MS
+            return REPORT_WAIT_MS
+
+    def _reports(self) -> None:
+        while not self.closed and self.may_act():
+            sent = clock.now()
+            self.recorded.clear()
+            try:
+                report = self.worker.renew(self.fleet.fence, self.seen_upto,
+                                           self._until(), self._wait_ms())
+            except surroundings.OtherIncarnation:
+                self.fleet.worker_dead(self.worker_id, "reborn")
+                return
+            except surroundings.OrderRejected as exc:
+                if exc.reason == surroundings.FENCED:
+                    self.deposed(f"fenced by worker {self.worker_id}")
+                    return
+                self._failed(exc)
+                continue
+            except surroundings.CallFailed as exc:
+                self._failed(exc)
+                continue
+            if self.closed:
+                return
+            new_ends = self.fleet.on_report(self.worker_id, report, sent,
+                                            clock.now())
+            if new_ends or report.ended:
+                self.recorded.wait(RECORD_WAIT_S)
+
+    def _failed(self, exc: Exception) -> None:
+        self.fleet.worker_silent(self.worker_id, str(exc))
+        threading.Event().wait(RETRY_PAUSE_S)
+
+    def _orders(self) -> None:
+        while True:
+            order = self.orders.get()
+            if order is None or self.closed:
+                return
+            try:
+                self._send(order)
+            except surroundings.OtherIncarnation:
+                self.fleet.worker_dead(self.worker_id, "reborn")
+                return
+
+    def _send(self, order: state_mod.Order) -> None:
+        if isinstance(order, messages.StartOrder):
+            self._send_start(order)
+        elif isinstance(order, messages.StopOrder):
+            self._send_stop(order)
+        else:
+            self._send_pace(order)
+
+    def _send_start(self, order: messages.StartOrder) -> None:
+        for attempt in range(START_TRIES):
+            if not self.may_act():
+                return
+            if attempt == 0 and not self.fleet.wanted(self.worker_id, order):
+                return
+            until = self._until()
+            if until is None:
+                return
+            try:
+                clock_ms = self.worker.start(order, self.fleet.fence, until)
+                self.fleet.on_started(self.worker_id, order, clock_ms,
+                                      clock.now())
+                return
+            except surroundings.OrderRejected as exc:
+                self._rejected(order, exc.reason, attempt)
+                return
+            except surroundings.CallFailed as exc:
+                events.emit(events.RUN_UNCERTAIN, task=str(order.task),
+                            run=order.run, worker=self.worker_id,
+                            reason=str(exc))
+        self.fleet.on_uncertain(self.worker_id, order)
+
+    def _rejected(self, order: messages.StartOrder, reason: str,
+                  attempt: int) -> None:
+        if reason == surroundings.FENCED:
+            self.deposed(f"fenced by worker {self.worker_id}")
+            return
+        if attempt:
+            # The first try may have been carried out and have ended since,
+            # or may still be; only a stop settles it.
+            self.fleet.on_uncertain(self.worker_id, order)
+            return
+        self.fleet.on_rejected(self.worker_id, order, reason, clock.now())
+
+    def _send_stop(self, order: messages.StopOrder) -> None:
+        for _ in range(STOP_TRIES):
+            if self.closed or not self.may_act():
+                return
+            try:
+                self.worker.stop(order, self.fleet.fence)
+                self.fleet.on_stopped(self.worker_id, order, clock.now())
+                return
+            except surroundings.OrderRejected as exc:
+                if exc.reason == surroundings.FENCED:
+                    self.deposed(f"fenced by worker {self.worker_id}")
+                    return
+                self._failed(exc)
+            except surroundings.CallFailed as exc:
+                self._failed(exc)
+
+    def _send_pace(self, order: messages.PaceOrder) -> None:
+        if not self.may_act():
+            return
+        try:
+            self.worker.pace(order, self.fleet.fence)
+        except surroundings.OrderRejected as exc:
+            if exc.reason == surroundings.FENCED:
+                self.deposed(f"fenced by worker {self.worker_id}")
+        except surroundings.CallFailed:
+            # The next report shows whether the tail came down; the pace is
+            # sent again with the next change.
+            events.emit(events.RUN_UNCERTAIN, task=str(order.task),
+                        run=order.run, worker=self.worker_id,
+                        reason="pace got no answer")
--- /dev/null
+++ b/sycamorefield/fleet/owner.py
@@ -0,0 +1,290 @@
+"""Run the fleet while this process owns it."""
+
+import threading
+import typing
+
+from sycamorefield import events
+from sycamorefield.fleet import clock
+from sycamorefield.fleet import link as link_mod
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import progress
+from sycamorefield.fleet import recorder as recorder_mod
+from sycamorefield.fleet import records
+from sycamorefield.fleet import state as state_mod
+from sycamorefield.fleet import surroundings
+
+# Without any answer of the store the owner goes on this long: an outage of
+# the store must not throw away what runs.  Its orders carry its fence, so a
+# worker that a successor has reached refuses them.
+WITHOUT_STORE_S = 8.0
+# A leaving worker gets no new work within 2 s of its notice.
+ROSTER_PERIOD_S = 0.8
+INBOX_WATCH_MS = 2000
+TICK_S = 0.1
+# Rounds of placing are this far apart, so that tasks that become ready
+# together share one.
+ROUND_PAUSE_S = 0.005
+RETRY_PAUSE_S = 0.1
+
+WorkerFactory = typing.Callable[[messages.WorkerEntry], surroundings.Worker]
+
+
+class Owner:
+    """Hold the tasks of an owner: inbox, roster, placing, recording."""
+
+    def __init__(self, store: surroundings.Store,
+                 roster: surroundings.WorkerList, connect: WorkerFactory,
+                 configuration: typing.Callable[[], messages.Configuration],
+                 fence: int, hold_max_ms: float) -> None:
+        self.store = store
+        self.roster = roster
+        self.connect = connect
+        self.hold_max_ms = hold_max_ms
+        self.fence = fence
+        self.fleet = state_mod.FleetState(fence, hold_max_ms, self._order,
+                                          configuration)
+        self.links: dict[str, link_mod.WorkerLink] = {}
+        self.over = threading.Event()
+        self.renewed = clock.now()
+        self.recorder = recorder_mod.Recorder(
+            store, self.fleet, records.OWNER_KEY, self.may_act,
+            self.step_down, self._seen)
+
+    def may_act(self) -> bool:
+        """Tell whether orders may still be given."""
+        if self.over.is_set():
+            return False
+        if clock.now() - self.renewed > WITHOUT_STORE_S:
+            self.step_down("no answer of the store")
+            return False
+        return True
+
+    def step_down(self, reason: str) -> None:
+        """Give no orders from now on."""
+        if self.over.is_set():
+            return
+        self.over.set()
+        events.emit(events.OWNERSHIP_LOST, fence=self.fence, reason=reason)
+        self.recorder.stopped.set()
+        for link in list(self.links.values()):
+            link.close()
+        with self.fleet.lock:
+            self.fleet.wake.notify_all()
+
+    def run(self) -> None:
+        """Recover, then decide until stepping down."""
+        revision = self._recover()
+        if revision is None:
+            return
+        for target in (self._inbox_from(revision), self._follow_roster,
+                       self.recorder.run):
+            threading.Thread(target=self._guarded, args=(target,),
+                             daemon=True).start()
+        self._guarded(self._rounds)
+
+    def _guarded(self, target: typing.Callable[[], None]) -> None:
+        """Step down on an unexpected error: a successor starts afresh."""
+        try:
+            target()
+        except Exception as exc:
+            events.emit(events.THREAD_FAILED, reason=repr(exc),
+                        where=events.place(exc))
+            self.step_down("unexpected error")
+
+    def _order(self, worker_id: str, order: state_mod.Order) -> None:
+        link = self.links.get(worker_id)
+        if link is not None:
+            link.orders.put(order)
+
+    def _seen(self, marks: dict[str, int]) -> None:
+        for worker_id, number in marks.items():
+            link = self.links.get(worker_id)
+            if link is not None:
+                link.mark_seen(number)
+
+    # Recovery
+
+    def _recover(self) -> int | None:
+        """Read jobs, progress and workers; return the jobs' revision."""
+        while self.may_act():
+            try:
+                return self._load()
+            except surroundings.CallFailed as exc:
+                events.emit(events.STORE_LOST, reason=str(exc))
+                self.over.wait(RETRY_PAUSE_S)
+        return None
+
+    def _load(self) -> int:
+        fleet_item = self.store.get(records.FLEET_KEY)
+        waiting_item = self.store.get(records.WAITING_KEY)
+        jobs = self.store.list(records.JOB_PREFIX)
+        stored = self.store.list(records.PROGRESS_PREFIX)
+        entries = self.roster.workers()
+        with self.fleet.lock:
+            for item in jobs.items:
+                self._take_job(item)
+            for item in stored.items:
+                self._take_progress(item)
+            for item in jobs.items:
+                self._take_cancel(item.key)
+            if waiting_item is not None:
+                self.recorder.revisions[records.WAITING_KEY] = (
+                    waiting_item.revision)
+            self._expect_workers(fleet_item)
+        self._take_entries(entries)
+        self._contact_unlisted()
+        events.emit(events.FLEET_RECOVERED, fence=self.fence,
+                    jobs=len(self.fleet.active), workers=len(entries),
+                    unheard=len(self.fleet.unheard))
+        return jobs.revision
+
+    def _take_job(self, item: messages.Item) -> None:
+        if item.key.endswith(records.CANCEL_SUFFIX):
+            return
+        try:
+            job = progress.decode_job(item.value)
+        except ValueError as exc:
+            events.emit(events.RECORD_UNREADABLE, key=item.key,
+                        reason=str(exc))
+            return
+        if job.job_id not in self.fleet.jobs:
+            events.emit(events.JOB_SEEN, job=job.job_id, queue=job.queue,
+                        revision=item.created)
+        self.fleet.add_job(job, item.created)
+
+    def _take_progress(self, item: messages.Item) -> None:
+        job_id = item.key[len(records.PROGRESS_PREFIX):]
+        state = self.fleet.jobs.get(job_id)
+        if state is None:
+            return
+        state.state_revision = item.revision
+        try:
+            progress.apply_progress(state, item.value)
+        except ValueError as exc:
+            events.emit(events.RECORD_UNREADABLE, key=item.key,
+                        reason=str(exc))
+        if state.final():
+            self.fleet.drop_final(state)
+
+    def _take_cancel(self, key: str) -> None:
+        if key.endswith(records.CANCEL_SUFFIX):
+            self.fleet.cancel(key[len(records.JOB_PREFIX):
+                                  -len(records.CANCEL_SUFFIX)])
+
+    def _expect_workers(self, item: messages.Item | None) -> None:
+        """Wait for each worker that earlier owners may have used.
+
+        An earlier owner may act without the store for WITHOUT_STORE_S, and
+        what it started last runs at most the longest lease after that, on a
+        clock that may be slow.
+        """
+        if item is None:
+            return
+        self.recorder.revisions[records.FLEET_KEY] = item.revision
+        self.recorder.addresses = records.decode_mapping(item.value)
+        until = (clock.now() + WITHOUT_STORE_S
+                 + (self.hold_max_ms + 500.0) / 1000.0 / 0.98)
+        for worker_id in self.recorder.addresses:
+            self.fleet.unheard[worker_id] = until
+
+    def _contact_unlisted(self) -> None:
+        """Ask workers in use that the list has lost, at their address."""
+        for worker_id in list(self.fleet.unheard):
+            if worker_id in self.links or not self.recorder.addresses:
+                continue
+            entry = messages.WorkerEntry(
+                worker_id, "", self.recorder.addresses[worker_id], "", False,
+                messages.Room(), ())
+            if any(w.entry.address == entry.address
+                   for w in self.fleet.workers.values()):
+                self.fleet.worker_dead(worker_id, "replaced at its address")
+                continue
+            self._take_entry(entry)
+            with self.fleet.lock:
+                self.fleet.workers[worker_id].listed = False
+
+    # Roster and inbox
+
+    def _take_entries(self, entries: tuple[messages.WorkerEntry, ...]
+                      ) -> None:
+        for entry in entries:
+            self._take_entry(entry)
+        self.fleet.unlist({entry.worker_id for entry in entries})
+
+    def _take_entry(self, entry: messages.WorkerEntry) -> None:
+        old = self.links.get(entry.worker_id)
+        if not self.fleet.add_worker(entry):
+            return
+        if old is not None:
+            old.close()
+        link = link_mod.WorkerLink(
+            entry, self.connect(entry), self.fleet, self.may_act,
+            self.step_down,
+            min(link_mod.LEASE_MS, self.hold_max_ms))
+        if old is not None:
+            link.seen_upto = old.seen_upto
+        self.links[entry.worker_id] = link
+        link.start()
+
+    def _follow_roster(self) -> None:
+        while not self.over.wait(ROSTER_PERIOD_S):
+            try:
+                self._take_entries(self.roster.workers())
+            except surroundings.CallFailed as exc:
+                events.emit(events.STORE_LOST, reason=f"workers: {exc}")
+            self._close_gone()
+
+    def _close_gone(self) -> None:
+        for worker_id, link in list(self.links.items()):
+            if worker_id not in self.fleet.workers:
+                link.close()
+                del self.links[worker_id]
+
+    def _inbox_from(self, revision: int) -> typing.Callable[[], None]:
+        def follow() -> None:
+            after = revision
+            while not self.over.is_set():
+                after = self._inbox(after)
+        return follow
+
+    def _inbox(self, after: int) -> int:
+        """Take in new jobs and cancellations; return where to go on."""
+        try:
+            found = self.store.watch(records.JOB_PREFIX, after,
+                                     INBOX_WATCH_MS)
+            for change in found.changes:
+                if change.item is None:
+                    continue
+                self._take_job(change.item)
+                self._take_cancel(change.key)
+            return max(after, found.revision)
+        except surroundings.HistoryGone:
+            return self._reread_inbox(after)
+        except surroundings.CallFailed as exc:
+            events.emit(events.STORE_LOST, reason=f"inbox: {exc}")
+            self.over.wait(RETRY_PAUSE_S)
+            return self._reread_inbox(after)
+
+    def _reread_inbox(self, after: int) -> int:
+        """Read all jobs again: a watch that was cut may have gone deaf."""
+        try:
+            listing = self.store.list(records.JOB_PREFIX)
+        except surroundings.CallFailed as exc:
+            events.emit(events.STORE_LOST, reason=f"inbox: {exc}")
+            self.over.wait(RETRY_PAUSE_S)
+            return after
+        for item in listing.items:
+            self._take_job(item)
+        for item in listing.items:
+            self._take_cancel(item.key)
+        return listing.revision
+
+    def _rounds(self) -> None:
+        while self.may_act():
+            with self.fleet.lock:
+                if not self.fleet.changed:
+                    self.fleet.wake.wait(TICK_S)
+            now = clock.now()
+            self.fleet.expire(now)
+            self.fleet.place(now, clock.wall_ms())
+            self.over.wait(ROUND_PAUSE_S)
--- /dev/null
+++ b/sycamorefield/fleet/ownership.py
@@ -0,0 +1,183 @@
+"""Compete for the ownership of the fleet, and keep it while alive."""
+
+import random
+import threading
+import typing
+import uuid
+
+from sycamorefield import events
+from sycamorefield.fleet import clock
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import operatorview
+from sycamorefield.fleet import owner as owner_mod
+from sycamorefield.fleet import records
+from sycamorefield.fleet import surroundings
+
+# An owner that dies is noticed when its lease ends.  Three renewals fit in,
+# so one lost or slow renewal does not end it.
+LEASE_TTL_MS = 2000
+RENEW_PERIOD_S = 0.5
+# Processes that see the key go at the same moment try at different times,
+# which spares the store most of the claims that cannot win.
+CLAIM_JITTER_S = 0.08
+RETRY_PAUSE_S = 0.2
+
+OwnerFactory = typing.Callable[[int], owner_mod.Owner]
+
+
+class Ownership:
+    """Claim the owner's key when it is free and run an Owner meanwhile."""
+
+    def __init__(self, store: surroundings.Store,
+                 view: operatorview.OperatorView, name: str,
+                 make_owner: OwnerFactory) -> None:
+        self.store = store
+        self.view = view
+        self.value = f"{name} {uuid.uuid4().hex}".encode()
+        self.make_owner = make_owner
+        self.owner: owner_mod.Owner | None = None
+        self.lease = 0
+        self.stopped = threading.Event()
+
+    def run(self) -> None:
+        """Compete until stopped."""
+        while not self.stopped.is_set():
+            self._wait_for_turn()
+            if self.stopped.is_set():
+                return
+            try:
+                fence = self._claim()
+            except surroundings.CallFailed as exc:
+                events.emit(events.STORE_LOST, reason=f"claim: {exc}")
+                self.stopped.wait(RETRY_PAUSE_S)
+                continue
+            if fence:
+                self._serve(fence)
+
+    def _wait_for_turn(self) -> None:
+        """Wait until the key is free, or is ours without our knowing."""
+        with self.view.changed:
+            while not self.stopped.is_set():
+                if self.view.owner_known and self.view.known:
+                    item = self.view.owner
+                    if item is None or item.value == self.value:
+                        break
+                self.view.changed.wait(0.5)
+        if self.view.owner is None:
+            self.stopped.wait(random.uniform(0, CLAIM_JITTER_S))
+
+    def _claim(self) -> int:
+        """Return the fence (the key's revision), or 0 if another won.
+
+        A claim whose answer was lost may have taken effect: the key then
+        holds our value, and its lease is the one we hold.
+        """
+        item = self.view.owner
+        if item is not None:
+            return self._adopt(item)
+        self.lease = self.store.grant(LEASE_TTL_MS)
+        try:
+            return self.store.commit(messages.Transaction(
+                (messages.Expect(records.OWNER_KEY, 0),),
+                (messages.Put(records.OWNER_KEY, self.value, self.lease),)))
+        except surroundings.Conflict as exc:
+            self._saw(exc.at(records.OWNER_KEY))
+        except surroundings.LeaseEnded:
+            pass  # The grant took longer than the lease; the next try asks.
+        return 0
+
+    def _adopt(self, item: messages.Item) -> int:
+        try:
+            self.store.renew(self.lease)
+        except surroundings.LeaseEnded:
+            self._saw(None)
+            return 0
+        return item.revision
+
+    def _saw(self, item: messages.Item | None) -> None:
+        with self.view.changed:
+            self.view.owner = item
+            self.view.changed.notify_all()
+
+    def _serve(self, fence: int) -> None:
+        events.emit(events.OWNERSHIP_CLAIMED, fence=fence)
+        owner = self.make_owner(fence)
+        self.owner = owner
+        threading.Thread(target=self._renew, args=(owner,),
+                         daemon=True).start()
+        threading.Thread(target=self._check, args=(owner,),
+                         daemon=True).start()
+        owner.run()
+        owner.step_down("ended")
+        self.owner = None
+        if self.stopped.is_set():
+            return
+        with self.view.changed:
+            item = self.view.owner
+            if item is not None and item.value == self.value:
+                # The key is still ours, but the fleet must be read anew
+                # under a higher fence: give it back first.
+                threading.Thread(target=self.release, args=(fence,),
+                                 daemon=True).start()
+                self.view.owner_known = False
+        self.stopped.wait(RETRY_PAUSE_S)
+
+    def _renew(self, owner: owner_mod.Owner) -> None:
+        while not owner.over.wait(RENEW_PERIOD_S):
+            sent = clock.now()
+            try:
+                self.store.renew(self.lease)
+                owner.renewed = sent
+            except surroundings.LeaseEnded:
+                owner.step_down("lease ended")
+            except surroundings.CallFailed as exc:
+                events.emit(events.STORE_LOST, reason=f"renewal: {exc}")
+
+    def _check(self, owner: owner_mod.Owner) -> None:
+        """Step down when the key is seen to be gone or another's."""
+        while not owner.over.is_set():
+            with self.view.changed:
+                item = self.view.owner
+                stale = item is not None and item.revision < owner.fence
+                if (self.view.owner_known and not stale
+                        and (item is None
+                             or item.revision != owner.fence)
+                        and self._still_so(owner)):
+                    return
+                self.view.changed.wait(0.5)
+
+    def _still_so(self, owner: owner_mod.Owner) -> bool:
+        """Read the key itself: the watch may be older than the claim."""
+        try:
+            item = self.store.get(records.OWNER_KEY)
+        except surroundings.CallFailed as exc:
+            events.emit(events.STORE_LOST, reason=f"owner's key: {exc}")
+            return False
+        self.view.owner = item
+        if item is not None and item.revision == owner.fence:
+            return False
+        owner.step_down("owner's key is gone or another's")
+        return True
+
+    def release(self, fence: int) -> None:
+        """Remove the key, so that a successor need not wait for the lease."""
+        try:
+            self.store.commit(messages.Transaction(
+                (messages.Expect(records.OWNER_KEY, fence),), (),
+                (records.OWNER_KEY,)))
+            events.emit(events.OWNERSHIP_RELEASED, fence=fence)
+        except (surroundings.CallFailed, surroundings.Conflict,
+                surroundings.LeaseEnded) as exc:
+            events.emit(events.STORE_LOST, reason=f"release: {exc}")
+
+    def stop(self) -> None:
+        """Stop competing; hand the fleet over if this process owns it."""
+        self.stopped.set()
+        with self.view.changed:
+            self.view.changed.notify_all()
+        owner = self.owner
+        if owner is None:
+            return
+        owner.recorder.flush()
+        owner.step_down("planned stop")
+        self.release(owner.fence)
--- /dev/null
+++ b/sycamorefield/fleet/placing.py
@@ -0,0 +1,116 @@
+"""Choose workers for tasks, and what gives way to an urgent one."""
+
+import typing
+
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import progress
+from sycamorefield.fleet import workerstate
+
+# Tasks that serve use less than they reserve; filling tasks live on the
+# difference.  A filling task is placed where this share of what it wants
+# is expected to be left over.
+FILL_SHARE = 0.7
+# Share of reserved processors that is taken to be in use.
+USED_SHARE = 0.6
+
+
+def leftover_cpu(worker: workerstate.WorkerState) -> float:
+    """Return processors that filling tasks may expect, in thousandths."""
+    return (worker.entry.capacity.cpu - USED_SHARE * worker.used.cpu
+            - worker.filling_cpu)
+
+
+def allowed(worker: workerstate.WorkerState, service: str,
+            task: progress.TaskState) -> bool:
+    """Tell whether rules let a task run on a worker, room aside."""
+    step = task.step
+    if worker.entry.service != service:
+        return False
+    if step.requires and step.requires not in worker.entry.labels:
+        return False
+    if step.max_per_worker:
+        name = task.task
+        there = worker.count_of(name.job_id, name.occurrence, name.step)
+        if there >= step.max_per_worker:
+            return False
+    return True
+
+
+def fits(worker: workerstate.WorkerState, step: messages.Step) -> bool:
+    """Tell whether a worker has the room now."""
+    if not worker.free().holds(step.reserved()):
+        return False
+    if not step.fills:
+        return True
+    if worker.pace < 100:
+        return False
+    return leftover_cpu(worker) >= FILL_SHARE * step.room.cpu
+
+
+def choose(task: progress.TaskState, service: str,
+           workers: typing.Iterable[workerstate.WorkerState]
+           ) -> workerstate.WorkerState | None:
+    """Return the best worker for a task, or None if none has room.
+
+    Data nearby counts most, then workers on which the task has not failed,
+    then the most room left, so that neither racks nor workers fill unevenly.
+    """
+    step = task.step
+    best = None
+    best_rank: tuple[float, ...] = ()
+    for worker in workers:
+        if not allowed(worker, service, task) or not fits(worker, step):
+            continue
+        near = not step.affinity or step.affinity in worker.entry.labels
+        fresh = worker.entry.worker_id not in task.avoid
+        rank = (fresh, near, *_room_rank(worker, step))
+        if best is None or rank > best_rank:
+            best, best_rank = worker, rank
+    return best
+
+
+def _room_rank(worker: workerstate.WorkerState,
+               step: messages.Step) -> tuple[float, ...]:
+    if step.fills:
+        return (-float(worker.serving), leftover_cpu(worker))
+    if step.target_ms:
+        return (-float(worker.filling_cpu), float(worker.free().cpu))
+    return (float(worker.free().cpu), float(worker.free().mem_mb))
+
+
+def victims(task: progress.TaskState, service: str, priority: int,
+            workers: typing.Iterable[workerstate.WorkerState],
+            priority_of: typing.Callable[[progress.TaskState], int]
+            ) -> list[progress.TaskState]:
+    """Return the fewest less urgent runs that make room for a task.
+
+    Runs that save their progress go first, then those that began last:
+    both lose least work.
+    """
+    best: list[progress.TaskState] = []
+    for worker in workers:
+        if not allowed(worker, service, task):
+            continue
+        chosen = _victims_on(worker, task.step, priority, priority_of)
+        if chosen and (not best or len(chosen) < len(best)):
+            best = chosen
+    return best
+
+
+def _victims_on(worker: workerstate.WorkerState, step: messages.Step,
+                priority: int,
+                priority_of: typing.Callable[[progress.TaskState], int]
+                ) -> list[progress.TaskState]:
+    candidates = [t for t in worker.tasks.values()
+                  if t.phase == progress.RUNNING and not t.step.perpetual
+                  and priority_of(t) > priority]
+    candidates.sort(key=lambda t: (t.step.checkpoint, t.started),
+                    reverse=True)
+    chosen: list[progress.TaskState] = []
+    free = worker.free()
+    for task in candidates:
+        if free.holds(step.reserved()):
+            break
+        chosen.append(task)
+        free = free.plus(task.step.reserved())
+    return chosen if free.holds(step.reserved()) else []
--- /dev/null
+++ b/sycamorefield/fleet/progress.py
@@ -0,0 +1,214 @@
+"""Hold how far a job's tasks have come, in memory and as stored."""
+
+import dataclasses
+import json
+import typing
+
+from sycamorefield.fleet import messages
+
+IDLE = "idle"
+STARTING = "starting"
+RUNNING = "running"
+STOPPING = "stopping"
+
+# A new owner may not know of a run that its predecessor ordered last.  Its
+# own runs are numbered past any that can have been ordered in between.
+RUN_GAP = 1000
+
+Place = tuple[int, int]
+
+
+class TaskState:
+    """Follow one task: where it runs, what ended, what to resume from."""
+
+    __slots__ = ("task", "step", "done", "failed_runs", "last_run", "saved",
+                 "phase", "run", "worker_id", "not_before", "avoid",
+                 "started", "percent", "moved_at", "pace", "stop_sent")
+
+    def __init__(self, task: messages.TaskId, step: messages.Step) -> None:
+        self.task = task
+        self.step = step
+        self.done = False
+        self.failed_runs: set[int] = set()
+        self.last_run = 0
+        self.saved = ""
+        self.phase = IDLE
+        self.run = 0
+        self.worker_id = ""
+        self.not_before = 0.0
+        self.avoid: set[str] = set()
+        self.started = 0.0
+        self.percent = 0
+        self.moved_at = 0.0
+        self.pace = 100
+        self.stop_sent = 0.0
+
+    def idle(self) -> None:
+        """Forget the current run; the task may be started again."""
+        self.phase = IDLE
+        self.run = 0
+        self.worker_id = ""
+        self.percent = 0
+        self.pace = 100
+
+
+class JobState:
+    """Follow one job: its tasks by occurrence, and what is stored of it."""
+
+    def __init__(self, job: messages.Job, created: int) -> None:
+        self.job = job
+        self.created = created
+        self.state_revision = 0
+        self.cancelled = False
+        self.state = messages.PENDING
+        self.stored_state = messages.PENDING
+        self.stored_at = 0.0
+        self.dirty = False
+        self.tasks: dict[Place, list[TaskState]] = {}
+        self.run_base = 0
+
+    def occurrence(self, number: int) -> None:
+        """Create the tasks of an occurrence unless they are there."""
+        for index, step in enumerate(self.job.steps):
+            if (number, index) in self.tasks:
+                continue
+            self.tasks[number, index] = [
+                TaskState(messages.TaskId(self.job.job_id, number, index, i),
+                          step) for i in range(step.count)]
+
+    def find(self, task: messages.TaskId) -> TaskState | None:
+        """Return a task's state, or None if the job has no such task."""
+        if not (0 <= task.step < len(self.job.steps)
+                and 0 <= task.occurrence < self.job.occurrences()):
+            return None
+        self.occurrence(task.occurrence)
+        states = self.tasks[task.occurrence, task.step]
+        return states[task.index] if 0 <= task.index < len(states) else None
+
+    def all_tasks(self) -> typing.Iterator[TaskState]:
+        """Yield every task created so far."""
+        for states in self.tasks.values():
+            yield from states
+
+    def step_done(self, occurrence: int, step: int) -> bool:
+        """Tell whether all tasks of a step have ended as done."""
+        states = self.tasks.get((occurrence, step))
+        return states is not None and all(t.done for t in states)
+
+    def step_ready(self, occurrence: int, step: int) -> bool:
+        """Tell whether the steps that a step waits for are done."""
+        return all(self.step_done(occurrence, earlier)
+                   for earlier in self.job.steps[step].after)
+
+    def final(self) -> bool:
+        """Tell whether nothing of the job will be started any more."""
+        return self.state in messages.FINAL_STATES
+
+    def next_run(self, state: TaskState) -> int:
+        """Return a run number above every one the task may have had."""
+        return max(state.last_run, self.run_base) + 1
+
+    def settle(self) -> bool:
+        """Move to a final state if the tasks say so; tell if it changed."""
+        if self.final():
+            return False
+        if self.cancelled:
+            self.state = messages.CANCELLED
+        elif self._exhausted():
+            self.state = messages.JOB_FAILED
+        elif self._complete():
+            self.state = messages.COMPLETED
+        else:
+            return False
+        self.dirty = True
+        return True
+
+    def _complete(self) -> bool:
+        return all(self.step_done(k, s)
+                   for k in range(self.job.occurrences())
+                   for s in range(len(self.job.steps)))
+
+    def _exhausted(self) -> bool:
+        return any(len(t.failed_runs) >= self.job.max_attempts
+                   and not t.done and not t.step.perpetual
+                   for t in self.all_tasks())
+
+
+def encode_job(job: messages.Job) -> bytes:
+    """Return a job as it is stored, without fields at their default."""
+    row = dataclasses.asdict(job)
+    row["steps"] = [_lean(step) for step in job.steps]
+    return json.dumps(row, separators=(",", ":")).encode()
+
+
+def _lean(step: messages.Step) -> dict[str, typing.Any]:
+    row = {"room": [step.room.cpu, step.room.mem_mb, step.room.gpu]}
+    for field in dataclasses.fields(step):
+        value = getattr(step, field.name)
+        if field.name != "room" and value != field.default:
+            row[field.name] = value
+    return row
+
+
+def decode_job(value: bytes) -> messages.Job:
+    """Return a stored job; raises ValueError if it cannot be read."""
+    try:
+        row = json.loads(value)
+        steps = []
+        for step in row["steps"]:
+            step["room"] = messages.Room(*step["room"])
+            step["after"] = tuple(step.get("after", ()))
+            steps.append(messages.Step(**step))
+        row["steps"] = tuple(steps)
+        return messages.Job(**row)
+    except (KeyError, TypeError, AttributeError) as exc:
+        raise ValueError(f"not a job record: {exc!r}") from exc
+
+
+def encode_progress(state: JobState) -> bytes:
+    """Return what must outlive the owner of a job's progress.
+
+    A final state stands alone.  Otherwise done tasks are a bit mask a step,
+    and other tasks that ran have [last run, failed runs, saved].
+    """
+    row: dict[str, typing.Any] = {"state": state.state}
+    if not state.final():
+        row["done"] = {f"{k}.{s}": f"{mask:x}" for (k, s), mask
+                       in ((p, _mask(ts)) for p, ts in state.tasks.items())
+                       if mask}
+        row["rest"] = {
+            f"{t.task.occurrence}.{t.task.step}.{t.task.index}":
+            [t.last_run, sorted(t.failed_runs), t.saved]
+            for t in state.all_tasks()
+            if not t.done and (t.failed_runs or t.saved)}
+    return json.dumps(row, separators=(",", ":")).encode()
+
+
+def _mask(states: list[TaskState]) -> int:
+    return sum(1 << i for i, t in enumerate(states) if t.done)
+
+
+def apply_progress(state: JobState, value: bytes) -> None:
+    """Take over stored progress; raises ValueError if it is unreadable."""
+    try:
+        row = json.loads(value)
+        state.state = state.stored_state = row["state"]
+        for place, mask in row.get("done", {}).items():
+            k, s = (int(part) for part in place.split("."))
+            state.occurrence(k)
+            for i, task in enumerate(state.tasks[k, s]):
+                task.done = bool(int(mask, 16) >> i & 1)
+        for name, (run, failed, saved) in row.get("rest", {}).items():
+            k, s, i = (int(part) for part in name.split("."))
+            task = state.find(messages.TaskId(state.job.job_id, k, s, i))
+            if task is not None:
+                task.last_run = run
+                task.failed_runs = set(failed)
+                task.saved = saved
+    except (KeyError, TypeError, AttributeError) as exc:
+        raise ValueError(f"not a progress record: {exc!r}") from exc
+
+
+def state_of(value: bytes) -> str:
+    """Return the state named in a stored progress record."""
+    return str(json.loads(value)["state"])
--- /dev/null
+++ b/sycamorefield/fleet/records.py
@@ -0,0 +1,46 @@
+"""Name the keys under which the scheduler keeps what must last."""
+
+import json
+
+JOB_PREFIX = "in/"
+CANCEL_SUFFIX = ".c"
+PROGRESS_PREFIX = "st/"
+OWNER_KEY = "owner/fleet"
+# One watch under this prefix covers the operators' keys (op/...) and the
+# owner's key, at the price of one waiting call instead of two.
+WATCHED_PREFIX = "o"
+FLEET_KEY = "fleet/workers"
+WAITING_KEY = "fleet/waiting"
+
+
+def job_key(job_id: str) -> str:
+    """Return the key of a job's record."""
+    return JOB_PREFIX + job_id
+
+
+def cancel_key(job_id: str) -> str:
+    """Return the key that says a job was cancelled."""
+    return JOB_PREFIX + job_id + CANCEL_SUFFIX
+
+
+def progress_key(job_id: str) -> str:
+    """Return the key of a job's progress."""
+    return PROGRESS_PREFIX + job_id
+
+
+def encode_counts(counts: dict[str, int]) -> bytes:
+    """Return the numbers of waiting jobs as stored."""
+    return json.dumps(counts, sort_keys=True).encode()
+
+
+def encode_addresses(addresses: dict[str, str]) -> bytes:
+    """Return the workers in use (address by ID) as stored."""
+    return json.dumps(addresses, sort_keys=True).encode()
+
+
+def decode_mapping(value: bytes) -> dict[str, str]:
+    """Return a stored mapping; raises ValueError if it is none."""
+    decoded = json.loads(value)
+    if not isinstance(decoded, dict):
+        raise ValueError("not a mapping")
+    return decoded
--- /dev/null
+++ b/sycamorefield/fleet/state.py
@@ -0,0 +1,681 @@
+"""Decide for one fleet of workers: what runs where, and what has ended.
+
+Nothing here waits or calls out: orders leave through a callback, and
+reports and answers come in as calls.  All methods take the lock themselves.
+"""
+
+import threading
+import typing
+
+from sycamorefield import events
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import pacing
+from sycamorefield.fleet import placing
+from sycamorefield.fleet import progress
+from sycamorefield.fleet import surroundings
+from sycamorefield.fleet import workerstate
+
+Order = messages.StartOrder | messages.StopOrder | messages.PaceOrder
+Send = typing.Callable[[str, Order], None]
+
+# A worker that turned a start away gets none for this long.
+UNHEALTHY_S = 2.0
+NO_ROOM_S = 0.5
+# A task that keeps failing at once is not restarted faster than this.
+RESTART_PAUSE_S = 0.2
+# A worker forgets and lists at most this many ends in one report.
+ENDS_PER_REPORT = 500
+# An unexpected run is told to stop again when it is still there after this.
+STOP_AGAIN_S = 1.0
+# The share at which filling runs of the previous owner go on until the
+# first tails are known.
+ADOPTED_PACE = 40
+
+
+class FleetState:
+    """Hold jobs and workers, and place tasks."""
+
+    def __init__(self, fence: int, hold_max_ms: float, send: Send,
+                 configuration: typing.Callable[[], messages.Configuration]
+                 ) -> None:
+        self.fence = fence
+        self.hold_max_ms = hold_max_ms
+        self.send = send
+        self.configuration = configuration
+        self.lock = threading.RLock()
+        self.wake = threading.Condition(self.lock)
+        self.jobs: dict[str, progress.JobState] = {}
+        self.active: dict[str, progress.JobState] = {}
+        self.workers: dict[str, workerstate.WorkerState] = {}
+        # Workers that an earlier owner used and that have not reported yet,
+        # with the time from which nothing can run there any more.
+        self.unheard: dict[str, float] = {}
+        self.changed = False
+        self.commit_now = False
+
+    # Jobs
+
+    def add_job(self, job: messages.Job, created: int) -> progress.JobState:
+        """Take up a stored job; again for the same job changes nothing."""
+        with self.lock:
+            state = self.jobs.get(job.job_id)
+            if state is not None:
+                return state
+            state = progress.JobState(job, created)
+            if created <= self.fence:
+                state.run_base = progress.RUN_GAP
+            self.jobs[job.job_id] = state
+            self.active[job.job_id] = state
+            self._notify()
+            return state
+
+    def drop_final(self, state: progress.JobState) -> None:
+        """Stop planning for a job whose stored state is final."""
+        self.active.pop(state.job.job_id, None)
+
+    def cancel(self, job_id: str) -> None:
+        """Cancel a job unless it has ended; stop what runs of it."""
+        with self.lock:
+            state = self.jobs.get(job_id)
+            if state is None or state.cancelled or state.final():
+                return
+            state.cancelled = True
+            self._settle(state)
+            self._notify()
+
+    def _settle(self, state: progress.JobState) -> None:
+        if not state.settle():
+            return
+        events.emit(events.JOB_ENDED, job=state.job.job_id,
+                    state=state.state)
+        self.active.pop(state.job.job_id, None)
+        self.commit_now = True
+        for task in state.all_tasks():
+            if task.phase in (progress.STARTING, progress.RUNNING):
+                self._stop(task, "job " + state.state)
+
+    def _stop(self, task: progress.TaskState, reason: str) -> None:
+        events.emit(events.RUN_STOPPED, task=str(task.task), run=task.run,
+                    worker=task.worker_id, reason=reason)
+        task.phase = progress.STOPPING
+        self.send(task.worker_id, messages.StopOrder(task.task, task.run))
+
+    def waiting(self) -> dict[str, int]:
+        """Return how many jobs of each queue no task has started of."""
+        counts: dict[str, int] = {}
+        with self.lock:
+            for state in self.active.values():
+                if state.job.start_at_ms or self._begun(state):
+                    continue
+                counts[state.job.queue] = counts.get(state.job.queue, 0) + 1
+        return counts
+
+    @staticmethod
+    def _begun(state: progress.JobState) -> bool:
+        return any(t.done or t.last_run or t.phase != progress.IDLE
+                   for t in state.all_tasks())
+
+    # Workers
+
+    def add_worker(self, entry: messages.WorkerEntry) -> bool:
+        """Take up a worker or its new entry; tell if it is a new one."""
+        with self.lock:
+            known = self.workers.get(entry.worker_id)
+            if known is not None:
+                known.entry = entry
+                known.listed = True
+                return False
+            for other in list(self.workers.values()):
+                if other.entry.address == entry.address:
+                    self._gone(other, "another incarnation at its address")
+            self.workers[entry.worker_id] = workerstate.WorkerState(entry)
+            events.emit(events.WORKER_JOINED, worker=entry.worker_id,
+                        address=entry.address)
+            self._notify()
+            return True
+
+    def unlist(self, listed: set[str]) -> None:
+        """Note which workers are no longer listed."""
+        with self.lock:
+            for worker_id, worker in self.workers.items():
+                worker.listed = worker_id in listed
+
+    def enrol(self, worker_ids: typing.Iterable[str]) -> None:
+        """Let workers be used that successors will know to ask."""
+        with self.lock:
+            for worker_id in worker_ids:
+                if worker_id in self.workers:
+                    self.workers[worker_id].enrolled = True
+            self._notify()
+
+    def worker_silent(self, worker_id: str, reason: str) -> None:
+        """Note that a worker did not answer."""
+        with self.lock:
+            worker = self.workers.get(worker_id)
+            if worker is None or worker.silent:
+                return
+            worker.silent = True
+            events.emit(events.WORKER_SILENT, worker=worker_id,
+                        runs=len(worker.reserved), reason=reason)
+
+    def worker_dead(self, worker_id: str, reason: str) -> None:
+        """Note that this incarnation of a worker is certainly over."""
+        with self.lock:
+            self.unheard.pop(worker_id, None)
+            worker = self.workers.get(worker_id)
+            if worker is not None:
+                self._gone(worker, reason)
+            self._notify()
+
+    def _gone(self, worker: workerstate.WorkerState, reason: str) -> None:
+        worker_id = worker.entry.worker_id
+        events.emit(events.WORKER_GONE, worker=worker_id, reason=reason,
+                    runs=len(worker.reserved))
+        worker.gone = True
+        self.workers.pop(worker_id, None)
+        self.unheard.pop(worker_id, None)
+        for (_, run), task in worker.tasks.items():
+            if task.worker_id == worker_id and task.run == run:
+                task.idle()
+        worker.reserved.clear()
+        self.changed = True
+
+    def expire(self, now: float) -> None:
+        """Give up on workers whose leases have certainly ended."""
+        with self.lock:
+            for worker in list(self.workers.values()):
+                if worker.silent and worker.lease_over(now):
+                    self._gone(worker, "lease over")
+                elif (worker.silent and not worker.listed
+                        and not worker.reserved
+                        and worker.entry.worker_id not in self.unheard):
+                    self._gone(worker, "neither listed nor answering")
+            for worker_id, until in list(self.unheard.items()):
+                if now >= until:
+                    del self.unheard[worker_id]
+                    events.emit(events.WORKER_GONE, worker=worker_id,
+                                reason="leases of the earlier owner over")
+                    self.changed = True
+            if self.changed:
+                self._notify()
+
+    # Reports
+
+    def on_report(self, worker_id: str, report: messages.WorkerReport,
+                  sent: float, now: float) -> bool:
+        """Take in a report; tell if it holds ends not seen before."""
+        with self.lock:
+            worker = self.workers.get(worker_id)
+            if worker is None:
+                return False
+            worker.heard(report.clock_ms, now)
+            if worker.silent:
+                events.emit(events.WORKER_REGAINED, worker=worker_id)
+                worker.silent = False
+            if not worker.reported:
+                # The earlier owner may have given leases up to the longest.
+                worker.granted_ms = max(
+                    worker.granted_ms, report.clock_ms + self.hold_max_ms)
+            new_ends = False
+            for ended in report.ended:
+                if ended.number > worker.processed:
+                    worker.processed = ended.number
+                    new_ends = True
+                    self._ended(worker, ended, now)
+            for row in report.running:
+                self._running(worker, row, now)
+            if len(report.ended) < ENDS_PER_REPORT:
+                self._missing(worker, report, sent)
+            worker.reported = True
+            self.unheard.pop(worker_id, None)
+            self._pace(worker, report)
+            self._notify()
+            return new_ends
+
+    def _find(self, task: messages.TaskId
+              ) -> tuple[progress.JobState, progress.TaskState] | None:
+        job = self.jobs.get(task.job_id)
+        state = job.find(task) if job is not None else None
+        if job is None or state is None:
+            return None
+        return job, state
+
+    @staticmethod
+    def _is_current(worker: workerstate.WorkerState,
+                    task: progress.TaskState, run: int) -> bool:
+        return (task.phase != progress.IDLE and task.run == run
+                and task.worker_id == worker.entry.worker_id)
+
+    def _ended(self, worker: workerstate.WorkerState,
+               ended: messages.EndedTask, now: float) -> None:
+        found = self._find(ended.task)
+        events.emit(events.RUN_ENDED, task=str(ended.task), run=ended.run,
+                    worker=worker.entry.worker_id, how=ended.how)
+        if found is None:
+            return
+        job, task = found
+        current = self._is_current(worker, task, ended.run)
+        worker.release((ended.task, ended.run), task.step)
+        task.last_run = max(task.last_run, ended.run)
+        if current:
+            task.idle()
+        if task.done or job.final():
+            return
+        if ended.how == messages.DONE:
+            self._done(job, task, worker)
+        elif ended.how == messages.FAILED:
+            self._failed(job, task, worker, ended.run, now)
+        elif ended.saved:
+            task.saved = ended.saved
+            job.dirty = True
+        self._settle(job)
+
+    def _done(self, job: progress.JobState, task: progress.TaskState,
+              worker: workerstate.WorkerState) -> None:
+        worker.succeeded()
+        if task.step.perpetual:
+            return
+        place = (task.task.occurrence, task.task.step)
+        members = job.tasks[place] if task.step.gang else [task]
+        for member in members:
+            member.done = True
+            member.saved = ""
+            if member is task and member.phase in (progress.STARTING,
+                                                   progress.RUNNING):
+                self._stop(member, "done elsewhere")
+        job.dirty = True
+
+    def _failed(self, job: progress.JobState, task: progress.TaskState,
+                worker: workerstate.WorkerState, run: int,
+                now: float) -> None:
+        task.avoid.add(worker.entry.worker_id)
+        if worker.failed(now):
+            events.emit(events.WORKER_AVOIDED, failures=worker.failures,
+                        worker=worker.entry.worker_id)
+        if task.step.perpetual:
+            task.not_before = now + RESTART_PAUSE_S
+            return
+        task.failed_runs.add(run)
+        job.dirty = True
+
+    def _running(self, worker: workerstate.WorkerState,
+                 row: messages.RunningTask, now: float) -> None:
+        found = self._find(row.task)
+        if found is None:
+            self._unexpected(worker, row, "no such job", now, None)
+            return
+        job, task = found
+        task.last_run = max(task.last_run, row.run)
+        worker.reserve((row.task, row.run), task.step, task)
+        if self._is_current(worker, task, row.run):
+            if row.percent != task.percent:
+                task.percent = row.percent
+            if row.saved:
+                task.saved = row.saved
+            if task.phase == progress.STARTING:
+                task.phase = progress.RUNNING
+                task.moved_at = now
+            return
+        if job.final() or task.done:
+            self._unexpected(worker, row, "already over", now, task)
+        elif task.phase == progress.IDLE:
+            self._adopt(worker, task, row, now)
+        else:
+            self._unexpected(worker, row, "runs elsewhere", now, task)
+
+    def _adopt(self, worker: workerstate.WorkerState,
+               task: progress.TaskState, row: messages.RunningTask,
+               now: float) -> None:
+        task.phase = progress.RUNNING
+        task.run = row.run
+        task.worker_id = worker.entry.worker_id
+        task.saved = row.saved or task.saved
+        task.percent = row.percent
+        task.started = task.moved_at = now
+        if task.step.fills:
+            worker.pace = min(worker.pace, ADOPTED_PACE)
+            task.pace = -1
+
+    def _unexpected(self, worker: workerstate.WorkerState,
+                    row: messages.RunningTask, reason: str, now: float,
+                    task: progress.TaskState | None) -> None:
+        if task is not None and now - task.stop_sent < STOP_AGAIN_S:
+            return
+        if task is not None:
+            task.stop_sent = now
+        events.emit(events.RUN_UNEXPECTED, task=str(row.task), run=row.run,
+                    worker=worker.entry.worker_id, reason=reason)
+        self.send(worker.entry.worker_id,
+                  messages.StopOrder(row.task, row.run))
+
+    def _missing(self, worker: workerstate.WorkerState,
+                 report: messages.WorkerReport, sent: float) -> None:
+        """Free runs that neither run nor ended.
+
+        An order without an answer may never have arrived.  It counts as
+        confirmed once its stop was answered; a report asked for after that
+        and without the run shows that it never ran.
+        """
+        present = {(row.task, row.run) for row in report.running}
+        for run, task in list(worker.tasks.items()):
+            if run in present:
+                continue
+            if self._is_current(worker, task, run[1]):
+                if (task.phase == progress.STARTING
+                        or not 0 < task.moved_at < sent):
+                    continue
+                task.idle()
+                events.emit(events.RUN_VANISHED, task=str(run[0]),
+                            run=run[1], worker=worker.entry.worker_id)
+            worker.release(run, task.step)
+
+    def _pace(self, worker: workerstate.WorkerState,
+              report: messages.WorkerReport) -> None:
+        worst = 0.0
+        filling: list[progress.TaskState] = []
+        for row in report.running:
+            task = worker.tasks.get((row.task, row.run))
+            if task is None or task.phase == progress.STOPPING:
+                continue
+            if task.step.target_ms:
+                worst = max(worst, row.figure / task.step.target_ms)
+            elif task.step.fills:
+                filling.append(task)
+        pace = pacing.next_pace(worker.pace, worst)
+        if pace != worker.pace and filling:
+            events.emit(events.PACE_CHANGED, worker=worker.entry.worker_id,
+                        pace=pace, was=worker.pace, worst=round(worst, 2),
+                        runs=len(filling))
+        worker.pace = pace
+        for task in filling:
+            if task.pace != pace:
+                task.pace = pace
+                self.send(worker.entry.worker_id,
+                          messages.PaceOrder(task.task, task.run, pace))
+
+    # Answers to orders
+
+    def wanted(self, worker_id: str, order: messages.StartOrder) -> bool:
+        """Tell whether a start that waited to be sent should still go.
+
+        If not, it is taken back: it was never sent.
+        """
+        with self.lock:
+            found = self._find(order.task)
+            worker = self.workers.get(worker_id)
+            if found is None or worker is None:
+                return False
+            job, task = found
+            if (self._is_current(worker, task, order.run)
+                    and task.phase == progress.STARTING
+                    and not job.final() and not worker.silent
+                    and not worker.entry.draining):
+                return True
+            worker.release((order.task, order.run), task.step)
+            if self._is_current(worker, task, order.run):
+                task.idle()
+            self._notify()
+            return False
+
+    def on_started(self, worker_id: str, order: messages.StartOrder,
+                   clock_ms: float, now: float) -> None:
+        """Note that a worker carried out a start."""
+        with self.lock:
+            worker = self.workers.get(worker_id)
+            found = self._find(order.task)
+            if worker is None or found is None:
+                return
+            worker.heard(clock_ms, now)
+            _, task = found
+            if self._is_current(worker, task, order.run):
+                task.moved_at = now
+                if task.phase == progress.STARTING:
+                    task.phase = progress.RUNNING
+                    task.started = now
+
+    def on_rejected(self, worker_id: str, order: messages.StartOrder,
+                    reason: str, now: float) -> None:
+        """Note that a worker did not carry out a start."""
+        events.emit(events.RUN_REJECTED, task=str(order.task),
+                    run=order.run, worker=worker_id, reason=reason)
+        with self.lock:
+            worker = self.workers.get(worker_id)
+            found = self._find(order.task)
+            if worker is None or found is None:
+                return
+            _, task = found
+            worker.release((order.task, order.run), task.step)
+            if reason == surroundings.NO_ROOM:
+                worker.avoid_until = now + NO_ROOM_S
+            elif reason == surroundings.UNHEALTHY:
+                worker.avoid_until = now + UNHEALTHY_S
+            elif reason == surroundings.OLD_RUN:
+                task.last_run = max(task.last_run,
+                                    order.run) + progress.RUN_GAP
+            else:
+                task.not_before = now + UNHEALTHY_S
+            if self._is_current(worker, task, order.run):
+                task.idle()
+            self._notify()
+
+    def on_uncertain(self, worker_id: str, order: messages.StartOrder
+                     ) -> None:
+        """Stop a run whose start got no answer, before it runs elsewhere."""
+        with self.lock:
+            worker = self.workers.get(worker_id)
+            found = self._find(order.task)
+            if worker is None or found is None:
+                return
+            _, task = found
+            if self._is_current(worker, task, order.run):
+                self._stop(task, "start got no answer")
+
+    def on_stopped(self, worker_id: str, order: messages.StopOrder,
+                   now: float) -> None:
+        """Note that a worker has taken a stop: the run cannot begin now."""
+        with self.lock:
+            worker = self.workers.get(worker_id)
+            found = self._find(order.task)
+            if worker is not None and found is not None:
+                _, task = found
+                if self._is_current(worker, task, order.run):
+                    task.moved_at = now
+
+    # Placing
+
+    def priority(self, state: progress.JobState) -> int:
+        """Return a job's priority as configured now."""
+        queue = self.configuration().named(state.job.queue)
+        return state.job.priority if queue is None else queue.priority
+
+    def place(self, now: float, wall_ms: float) -> None:
+        """Start every task whose turn has come and that has room."""
+        with self.lock:
+            self.changed = False
+            queues = self.configuration().by_name()
+            ranked = sorted(
+                self.active.values(),
+                key=lambda s: (queues[s.job.queue].priority
+                               if s.job.queue in queues else s.job.priority,
+                               s.created))
+            usable = [w for w in self.workers.values() if w.usable(now)]
+            round_ = _Round(self, queues, usable, now)
+            for state in ranked:
+                if state.created <= self.fence and self.unheard:
+                    continue
+                for occurrence in range(state.job.occurrences()):
+                    if state.job.due_ms(occurrence) > wall_ms:
+                        break
+                    state.occurrence(occurrence)
+                    for step in range(len(state.job.steps)):
+                        round_.place_step(state, occurrence, step)
+
+    def start(self, state: progress.JobState, task: progress.TaskState,
+              worker: workerstate.WorkerState, run: int) -> None:
+        """Order a run of a task on a worker."""
+        if task.phase != progress.IDLE or task.done or state.final():
+            events.emit(events.INVARIANT_BROKEN, task=str(task.task),
+                        rule="one run of a task at a time")
+            return
+        task.phase = progress.STARTING
+        task.run = task.last_run = run
+        task.worker_id = worker.entry.worker_id
+        task.moved_at = 0.0
+        task.percent = 0
+        task.pace = 100
+        worker.reserve((task.task, run), task.step, task)
+        if not worker.entry.capacity.holds(worker.used):
+            events.emit(events.INVARIANT_BROKEN, task=str(task.task),
+                        worker=task.worker_id, rule="room of a worker")
+        events.emit(events.RUN_ORDERED, task=str(task.task), run=run,
+                    worker=task.worker_id)
+        self.send(task.worker_id, messages.StartOrder(
+            task.task, run, state.job.spec, task.saved))
+
+    def _notify(self) -> None:
+        self.changed = True
+        self.wake.notify_all()
+
+
+class _Round:
+    """Place tasks in one round, remembering what found no room."""
+
+    def __init__(self, fleet: FleetState,
+                 queues: dict[str, messages.Queue],
+                 usable: list[workerstate.WorkerState],
+                 now: float) -> None:
+        self.fleet = fleet
+        self.queues = queues
+        self.usable = usable
+        self.now = now
+        self.full: set[tuple[object, ...]] = set()
+        # Room on each worker that runs told to stop will leave to others.
+        self.promised: dict[str, messages.Room] = {}
+
+    def place_step(self, state: progress.JobState, occurrence: int,
+                   number: int) -> None:
+        """Start the idle tasks of a step whose turn has come."""
+        tasks = state.tasks[occurrence, number]
+        idle = [t for t in tasks if t.phase == progress.IDLE
+                and not t.done and t.not_before <= self.now]
+        if not idle or not state.step_ready(occurrence, number):
+            return
+        step = state.job.steps[number]
+        if step.gang:
+            self._place_gang(state, tasks, idle)
+            return
+        queue = self.queues.get(state.job.queue)
+        service = queue.service if queue else state.job.service
+        for task in idle:
+            self._place_task(state, task, service)
+
+    def _place_task(self, state: progress.JobState,
+                    task: progress.TaskState, service: str) -> None:
+        step = task.step
+        kind = (service, step.reserved(), step.fills, step.room.cpu,
+                step.requires,
+                (state.job.job_id, task.task.step) if step.max_per_worker
+                else None)
+        if kind in self.full:
+            return
+        worker = placing.choose(task, service, self.usable)
+        if worker is not None:
+            self.fleet.start(state, task, worker, state.next_run(task))
+            return
+        if not self._make_room(state, task, service):
+            self.full.add(kind)
+
+    def _place_gang(self, state: progress.JobState,
+                    tasks: list[progress.TaskState],
+                    idle: list[progress.TaskState]) -> None:
+        """Start all members at once with one run number, or none."""
+        if len(idle) < len(tasks):
+            return
+        queue = self.queues.get(state.job.queue)
+        service = queue.service if queue else state.job.service
+        run = max(state.next_run(t) for t in tasks)
+        chosen = _gang_workers(tasks, service, self.usable)
+        saved = max((t.saved for t in tasks), default="")
+        for task, worker in zip(tasks, chosen):
+            task.saved = saved
+            self.fleet.start(state, task, worker, run)
+
+    def _make_room(self, state: progress.JobState,
+                   task: progress.TaskState, service: str) -> bool:
+        """Stop less urgent runs for a task; tell if it can expect room."""
+        priority = self._priority(state)
+        for worker in self.usable:
+            if not placing.allowed(worker, service, task):
+                continue
+            coming = self.promised.get(worker.entry.worker_id)
+            if coming is None:
+                coming = _stopping_room(worker)
+            left = worker.free().plus(coming)
+            if left.holds(task.step.reserved()) and coming != messages.Room():
+                self.promised[worker.entry.worker_id] = coming.minus(
+                    task.step.reserved())
+                return True
+        if task.step.fills:
+            return False
+        chosen = placing.victims(task, service, priority, self.usable,
+                                 self._task_priority)
+        for victim in chosen:
+            self.fleet._stop(victim, f"room for {task.task}")
+        if chosen:
+            worker_id = chosen[0].worker_id
+            worker = self.fleet.workers[worker_id]
+            self.promised[worker_id] = _stopping_room(worker).minus(
+                task.step.reserved())
+        return bool(chosen)
+
+    def _priority(self, state: progress.JobState) -> int:
+        queue = self.queues.get(state.job.queue)
+        return queue.priority if queue else state.job.priority
+
+    def _task_priority(self, task: progress.TaskState) -> int:
+        return self._priority(self.fleet.jobs[task.task.job_id])
+
+
+def _stopping_room(worker: workerstate.WorkerState) -> messages.Room:
+    room = messages.Room()
+    for task in worker.tasks.values():
+        if task.phase == progress.STOPPING:
+            room = room.plus(task.step.reserved())
+    return room
+
+
+def _gang_workers(tasks: list[progress.TaskState], service: str,
+                  usable: list[workerstate.WorkerState]
+                  ) -> list[workerstate.WorkerState]:
+    """Return a worker for each member, in one rack if that is asked."""
+    if not tasks[0].step.same_rack:
+        return _spread(tasks, service, usable)
+    racks: dict[str, list[workerstate.WorkerState]] = {}
+    for worker in usable:
+        racks.setdefault(worker.entry.rack(), []).append(worker)
+    for members in racks.values():
+        chosen = _spread(tasks, service, members)
+        if chosen:
+            return chosen
+    return _spread(tasks, service, usable)
+
+
+def _spread(tasks: list[progress.TaskState], service: str,
+            workers: list[workerstate.WorkerState]
+            ) -> list[workerstate.WorkerState]:
+    """Return one worker a member, or nothing if not all have room."""
+    step = tasks[0].step
+    reserved = step.reserved()
+    chosen: list[workerstate.WorkerState] = []
+    for worker in sorted(workers, key=lambda w: -w.free().cpu):
+        if not placing.allowed(worker, service, tasks[0]):
+            continue
+        free = worker.free()
+        there = 0
+        while (len(chosen) < len(tasks) and free.holds(reserved)
+               and not (step.max_per_worker
+                        and there >= step.max_per_worker)):
+            chosen.append(worker)
+            free = free.minus(reserved)
+            there += 1
+    return chosen if len(chosen) == len(tasks) else []
--- /dev/null
+++ b/sycamorefield/fleet/workerstate.py
@@ -0,0 +1,121 @@
+"""Hold what the owner knows of one worker and the room left on it."""
+
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import progress
+
+Run = tuple[messages.TaskId, int]
+
+# A worker's clock may be this much slow; waiting for a lease to end on it
+# counts our own time as shorter by the same share.
+SLOW_CLOCK = 0.98
+# Slack for the rounding of clocks and for the kill itself.
+LEASE_END_SLACK_MS = 300.0
+
+# A worker that failed this many runs in a row without a success is avoided
+# for a while: one that fails all it starts would else eat every attempt.
+FAILURES_IN_A_ROW = 3
+AVOID_S = 3.0
+
+
+class WorkerState:
+    """Account for the room of one worker and its lease."""
+
+    def __init__(self, entry: messages.WorkerEntry) -> None:
+        self.entry = entry
+        self.listed = True
+        self.enrolled = False
+        self.reported = False
+        self.silent = False
+        self.gone = False
+        self.reserved: dict[Run, messages.Room] = {}
+        self.used = messages.Room()
+        self.tasks: dict[Run, progress.TaskState] = {}
+        self.serving = 0
+        self.filling_cpu = 0
+        self.pace = 100
+        self.avoid_until = 0.0
+        self.failures = 0
+        self.clock_ms = 0.0
+        self.clock_read = 0.0
+        self.granted_ms = 0.0
+        self.processed = 0
+
+    def heard(self, clock_ms: float, at: float) -> None:
+        """Note the worker's clock, read at a moment of ours."""
+        if clock_ms >= self.clock_ms:
+            self.clock_ms = clock_ms
+            self.clock_read = at
+
+    def lease_until(self, lease_ms: float, now: float) -> float | None:
+        """Return when a lease given now ends, or None before any report.
+
+        The time is on the worker's clock, and is remembered.
+        """
+        if not self.clock_read:
+            return None
+        until = self.clock_ms + (now - self.clock_read) * 1000.0 + lease_ms
+        self.granted_ms = max(self.granted_ms, until)
+        return until
+
+    def lease_over(self, now: float) -> bool:
+        """Tell whether every lease ever given has certainly ended."""
+        if not self.clock_read:
+            return False
+        least = (self.clock_ms
+                 + (now - self.clock_read) * 1000.0 * SLOW_CLOCK)
+        return least > self.granted_ms + LEASE_END_SLACK_MS
+
+    def reserve(self, run: Run, step: messages.Step,
+                task: progress.TaskState | None) -> None:
+        """Count a run's room as taken until it is released."""
+        if run in self.reserved:
+            return
+        room = step.reserved()
+        self.reserved[run] = room
+        self.used = self.used.plus(room)
+        if step.fills:
+            self.filling_cpu += step.room.cpu
+        if step.target_ms:
+            self.serving += 1
+        if task is not None:
+            self.tasks[run] = task
+
+    def release(self, run: Run, step: messages.Step) -> None:
+        """Give a run's room back."""
+        room = self.reserved.pop(run, None)
+        self.tasks.pop(run, None)
+        if room is None:
+            return
+        self.used = self.used.minus(room)
+        if step.fills:
+            self.filling_cpu -= step.room.cpu
+        if step.target_ms:
+            self.serving -= 1
+
+    def free(self) -> messages.Room:
+        """Return the room that no run takes; what stops still counts."""
+        return self.entry.capacity.minus(self.used)
+
+    def usable(self, now: float) -> bool:
+        """Tell whether new runs may be ordered here."""
+        return (self.listed and self.enrolled and self.reported
+                and not self.silent and not self.gone
+                and not self.entry.draining and self.avoid_until <= now)
+
+    def count_of(self, job_id: str, occurrence: int, step: int) -> int:
+        """Return how many runs of one step are here."""
+        return sum(1 for task, _ in self.reserved
+                   if task.job_id == job_id and task.occurrence == occurrence
+                   and task.step == step)
+
+    def succeeded(self) -> None:
+        """Note a run that ended as done."""
+        self.failures = 0
+
+    def failed(self, now: float) -> bool:
+        """Note a failed run; tell whether the worker is avoided from now."""
+        self.failures += 1
+        if self.failures < FAILURES_IN_A_ROW:
+            return False
+        self.avoid_until = now + AVOID_S
+        return True
--- /dev/null
+++ b/sycamorefield/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Speak the users' platform: names, formats and calls, no decisions."""
--- /dev/null
+++ b/sycamorefield/platform/__main__.py
@@ -0,0 +1,109 @@
+"""Run the entry process on the users' platform."""
+
+import signal
+import threading
+
+import cherrypy
+
+from sycamorefield import events
+from sycamorefield.fleet import intake as intake_mod
+from sycamorefield.fleet import operatorview
+from sycamorefield.fleet import owner as owner_mod
+from sycamorefield.fleet import ownership as ownership_mod
+from sycamorefield.platform import bootsettings
+from sycamorefield.platform import configuration
+from sycamorefield.platform import front as front_mod
+from sycamorefield.platform import store as store_mod
+from sycamorefield.platform import workers as workers_mod
+
+SOCKET_QUEUE = 256
+FRONT_THREADS = 16
+SIDE_THREADS = 2
+# The balancer sends no new connections after two missed checks, 1 s apart.
+# What was sent until then is answered before the listener closes.
+SERVE_ON_S = 3.2
+
+
+class Daemon:
+    """Hold everything that one entry process runs."""
+
+    def __init__(self, settings: bootsettings.BootSettings) -> None:
+        self.settings = settings
+        self.store = store_mod.PlatformStore(settings.platform.addr)
+        self.view = operatorview.OperatorView(
+            self.store, configuration.KEY, configuration.decode)
+        self.intake = intake_mod.Intake(self.store)
+        self.ownership = ownership_mod.Ownership(
+            self.store, self.view, settings.node, self._make_owner)
+        self.stop_asked = threading.Event()
+        self.front = front_mod.Front(
+            self.intake, self.view.configuration, self._ready,
+            self.stop_asked.is_set, self._metrics)
+
+    def _make_owner(self, fence: int) -> owner_mod.Owner:
+        return owner_mod.Owner(
+            self.store, workers_mod.PlatformWorkerList(self.store),
+            workers_mod.PlatformWorker, self.view.configuration, fence,
+            self.settings.bounds.hold_max_ms)
+
+    def _ready(self) -> bool:
+        return self.view.known and not self.stop_asked.is_set()
+
+    def _metrics(self) -> str:
+        owner = self.ownership.owner
+        return (f"config_version {self.view.current.version}\n"
+                f"store_reachable {int(self.view.reachable)}\n"
+                f"fleet_owner {int(owner is not None)}\n")
+
+    def run(self) -> None:
+        """Serve until SIGTERM, then stop without cutting a request."""
+        signal.signal(signal.SIGTERM, lambda *_: self.stop_asked.set())
+        signal.signal(signal.SIGHUP, lambda *_: None)
+        servers = self._listen()
+        for target in (self.view.run, self.ownership.run):
+            threading.Thread(target=target, daemon=True).start()
+        events.emit(events.PROCESS_STARTED, address=self.settings.ip)
+        self.stop_asked.wait()
+        events.emit(events.PROCESS_STOPPING)
+        self.ownership.stop()
+        threading.Event().wait(SERVE_ON_S)
+        for server in servers:
+            server.stop()
+        events.emit(events.PROCESS_STOPPED)
+
+    def _listen(self) -> list[cherrypy._cpserver.Server]:
+        cherrypy.config.update({"environment": "embedded",
+                                "log.screen": False})
+        cherrypy.server.unsubscribe()
+        cherrypy.tree.graft(self.front, "/")
+        listen = self.settings.listen
+        metrics = f"{self.settings.ip}:{self.settings.port_range[1]}"
+        servers = []
+        for address, threads in ((listen.front, FRONT_THREADS),
+                                 (listen.ready, SIDE_THREADS),
+                                 (metrics, SIDE_THREADS)):
+            servers.append(_serve(address, threads))
+        return servers
+
+
+def _serve(address: str, threads: int) -> cherrypy._cpserver.Server:
+    host, _, port = address.rpartition(":")
+    server = cherrypy._cpserver.Server()
+    server.socket_host = host
+    server.socket_port = int(port)
+    server.thread_pool = threads
+    server.socket_queue_size = SOCKET_QUEUE
+    server.shutdown_timeout = 1
+    server.start()
+    return server
+
+
+def main() -> None:
+    """Run the process named in the settings file."""
+    settings = bootsettings.load()
+    events.configure_stdout(settings.node, settings.zone)
+    Daemon(settings).run()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/sycamorefield/platform/configuration.py
@@ -0,0 +1,52 @@
+"""Decode the operators' configuration into ordered queues."""
+
+import json
+import typing
+
+import pydantic
+
+from sycamorefield.fleet import messages
+
+KEY = "op/config"
+
+
+class RouteModel(pydantic.BaseModel):
+    """Check one route."""
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    timeout_ms: float = 0.0
+    advice: typing.Any = None
+
+
+class LimitsModel(pydantic.BaseModel):
+    """Check the limits on requests."""
+
+    max_body_bytes: int = 262_144
+
+
+class ConfigModel(pydantic.BaseModel):
+    """Check a whole configuration."""
+
+    version: int
+    routes: list[RouteModel] = []
+    limits: LimitsModel = LimitsModel()
+
+
+def decode(value: bytes) -> messages.Configuration:
+    """Return the configuration; raises ValueError if it cannot be read.
+
+    Queues are ordered so that the first match is the longest prefix.
+    """
+    model = ConfigModel.model_validate(json.loads(value))
+    queues = [messages.Queue(r.name, r.host, r.prefix, r.service, r.priority,
+                             r.max_attempts, r.timeout_ms,
+                             r.advice is not None)
+              for r in model.routes]
+    queues.sort(key=lambda queue: -len(queue.prefix))
+    return messages.Configuration(model.version, tuple(queues),
+                                  model.limits.max_body_bytes)
--- /dev/null
+++ b/sycamorefield/platform/front.py
@@ -0,0 +1,156 @@
+"""Translate callers' HTTP requests on the platform's front address."""
+
+import json
+import re
+import typing
+
+import pydantic
+
+from sycamorefield import events
+from sycamorefield.fleet import clock
+from sycamorefield.fleet import intake as intake_mod
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import surroundings
+from sycamorefield.platform import jobbody
+
+JOB_ID = re.compile("[0-9a-fA-F]{16}")
+DEADLINE_HEADER = "HTTP_SYCAMOREFIELD_DEADLINE"
+REASONS = {200: "OK", 400: "Bad Request", 404: "Not Found",
+           405: "Method Not Allowed", 410: "Gone", 413: "Too Large",
+           500: "Internal Server Error", 503: "Service Unavailable",
+           504: "Gateway Timeout"}
+
+Environ = dict[str, typing.Any]
+StartResponse = typing.Callable[[str, list[tuple[str, str]]], typing.Any]
+
+
+class Reply(typing.NamedTuple):
+    """Hold the status, body and Retry-After (seconds) of an answer."""
+
+    status: int
+    body: dict[str, typing.Any] = {}
+    retry_after_s: int = 0
+
+
+class Front:
+    """Serve the WSGI application behind front, ready and metrics."""
+
+    def __init__(self, intake: intake_mod.Intake,
+                 configuration: typing.Callable[[], messages.Configuration],
+                 ready: typing.Callable[[], bool],
+                 stopping: typing.Callable[[], bool],
+                 metrics: typing.Callable[[], str]) -> None:
+        self.intake = intake
+        self.configuration = configuration
+        self.ready = ready
+        self.stopping = stopping
+        self.metrics = metrics
+
+    def __call__(self, environ: Environ,
+                 start_response: StartResponse) -> list[bytes]:
+        path = environ.get("PATH_INFO", "/")
+        if path == "/metrics":
+            start_response("200 OK", [("Content-Type", "text/plain")])
+            return [self.metrics().encode()]
+        try:
+            reply = self._answer(path, environ)
+        except Exception as exc:
+            events.emit(events.THREAD_FAILED, path=path, reason=repr(exc),
+                        where=events.place(exc))
+            reply = Reply(500, {"error": "internal error"})
+        return self._respond(reply, start_response)
+
+    def _respond(self, reply: Reply,
+                 start_response: StartResponse) -> list[bytes]:
+        data = json.dumps(reply.body).encode()
+        headers = [("Content-Type", "application/json"),
+                   ("Content-Length", str(len(data)))]
+        if reply.retry_after_s:
+            headers.append(("Retry-After", str(reply.retry_after_s)))
+        if self.stopping():
+            # A caller that sent on a connection closed just then would lose
+            # its request; closing after an answer leaves none to lose.
+            headers.append(("Connection", "close"))
+        start_response(f"{reply.status} {REASONS[reply.status]}", headers)
+        return [data]
+
+    def _answer(self, path: str, environ: Environ) -> Reply:
+        body = _read_body(environ)
+        if path == "/-/ready":
+            return Reply(200 if self.ready() else 503)
+        config = self.configuration()
+        if not config.queues:
+            return Reply(503, {"error": "no configuration yet"}, 1)
+        if len(body) > config.max_body_bytes:
+            return Reply(413, {"error": "body too large"})
+        host = environ.get("HTTP_HOST", "").split(":")[0]
+        queue = config.match(host, path)
+        if queue is None:
+            return Reply(404, {"error": "no such queue"})
+        name = path[len(queue.prefix):]
+        try:
+            return self._route(queue, name, body, environ)
+        except surroundings.CallFailed as exc:
+            return Reply(503, {"error": str(exc)}, 1)
+
+    def _route(self, queue: messages.Queue, name: str, body: bytes,
+               environ: Environ) -> Reply:
+        method = environ["REQUEST_METHOD"]
+        if not name:
+            if method != "GET":
+                return Reply(405, {"error": "method not allowed"})
+            return Reply(200, {"waiting": self.intake.waiting(queue.name)})
+        if not JOB_ID.fullmatch(name):
+            status = 400 if method == "POST" else 410
+            return Reply(status, {"error": "not a job ID"})
+        if method == "POST":
+            return self._submit(queue, name, body, _deadline(environ))
+        if method == "DELETE":
+            return _reply(self.intake.cancel(name, _deadline(environ)))
+        if method == "GET":
+            state = self.intake.state(name)
+            if state is None:
+                return Reply(410, {"error": "no such job"})
+            return Reply(200, {"state": state})
+        return Reply(405, {"error": "method not allowed"})
+
+    def _submit(self, queue: messages.Queue, job_id: str, body: bytes,
+                deadline: float) -> Reply:
+        try:
+            job = jobbody.decode(job_id, queue, clock.wall_ms(), body)
+        except pydantic.ValidationError as exc:
+            findings = [{"place": ".".join(str(p) for p in e["loc"]),
+                         "message": e["msg"]} for e in exc.errors()]
+            return Reply(400, {"error": "bad job", "findings": findings})
+        return _reply(self.intake.submit(job, deadline))
+
+
+def _reply(outcome: intake_mod.Outcome) -> Reply:
+    if isinstance(outcome, intake_mod.Accepted):
+        return Reply(200)
+    if isinstance(outcome, intake_mod.Unknown):
+        return Reply(410, {"error": "no such job"})
+    if isinstance(outcome, intake_mod.Refused):
+        return Reply(503, {"error": outcome.reason}, outcome.retry_after_s)
+    return Reply(504, {"error": outcome.reason})
+
+
+def _read_body(environ: Environ) -> bytes:
+    length = environ.get("CONTENT_LENGTH")
+    if length:
+        return environ["wsgi.input"].read(int(length))
+    if environ.get("HTTP_TRANSFER_ENCODING"):
+        return environ["wsgi.input"].read()
+    return b""
+
+
+def _deadline(environ: Environ) -> float:
+    """Return until when the caller waits, on clock.now()."""
+    given = environ.get(DEADLINE_HEADER, "")
+    try:
+        seconds = float(given) / 1000.0
+    except ValueError:
+        seconds = intake_mod.DEFAULT_DEADLINE_S
+    if not 0 < seconds < 3600:
+        seconds = intake_mod.DEFAULT_DEADLINE_S
+    return clock.now() + seconds
--- /dev/null
+++ b/sycamorefield/platform/workers.py
@@ -0,0 +1,155 @@
+"""Speak to the platform's workers and read their entries in the store."""
+
+import json
+import typing
+
+from sycamorefield import events
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import surroundings
+from sycamorefield.platform import calls
+
+ENTRY_PREFIX = "servers/"
+STATES = ("ready", "draining")
+# An order takes about 4 ms; a worker that has not answered by then has
+# lost it, or will carry it out seconds later.
+ORDER_TIMEOUT_S = 0.6
+REPORT_SLACK_S = 0.8
+CONNECTIONS = 2
+
+
+class PlatformWorker(surroundings.Worker):
+    """Give orders to one incarnation of a worker over HTTP."""
+
+    def __init__(self, entry: messages.WorkerEntry) -> None:
+        self.headers = {"Sycamorefield-Expect-Instance": entry.worker_id}
+        self.caller = calls.Caller(entry.address, CONNECTIONS)
+
+    def _post(self, path: str, body: dict[str, typing.Any],
+              timeout_s: float = ORDER_TIMEOUT_S) -> calls.Answer:
+        answer = self.caller.call("POST", path, timeout_s, body,
+                                  self.headers)
+        if answer.status == 200:
+            return answer
+        if answer.status == 421:
+            raise surroundings.OtherIncarnation(self.caller.address)
+        if answer.status in (429, 503):
+            raise surroundings.OrderRejected(surroundings.UNHEALTHY)
+        if answer.status == 409:
+            raise surroundings.OrderRejected(
+                str(answer.body.get("reason", "")))
+        if answer.status == 400:
+            raise surroundings.OrderRejected(surroundings.MALFORMED)
+        raise surroundings.CallFailed(f"worker answers {answer.status}")
+
+    def renew(self, fence: int, seen_upto: int, until_ms: float | None,
+              wait_ms: int) -> messages.WorkerReport:
+        """Extend the lease of all that runs and return the report."""
+        body: dict[str, typing.Any] = {"fence": fence,
+                                       "seen_upto": seen_upto}
+        if until_ms is not None:
+            body["until_ms"] = int(until_ms)
+        if wait_ms:
+            body["wait_ms"] = wait_ms
+        answer = self._post("/-/hold", body,
+                            wait_ms / 1000.0 + REPORT_SLACK_S)
+        return messages.WorkerReport(
+            float(answer.body["clock_ms"]),
+            tuple(_running(row) for row in answer.body.get("running") or []),
+            tuple(_ended(row) for row in answer.body.get("ended") or []))
+
+    def start(self, order: messages.StartOrder, fence: int,
+              until_ms: float) -> float:
+        """Start a run."""
+        body: dict[str, typing.Any] = {
+            "task": str(order.task), "run": order.run, "spec": order.spec,
+            "until_ms": int(until_ms), "fence": fence}
+        if order.saved:
+            body["saved"] = order.saved
+        if order.ticket:
+            body["ticket"] = order.ticket
+        return float(self._post("/-/run-start", body).body["clock_ms"])
+
+    def stop(self, order: messages.StopOrder, fence: int) -> float:
+        """Stop a run."""
+        body = {"task": str(order.task), "run": order.run, "fence": fence}
+        return float(self._post("/-/run-stop", body).body["clock_ms"])
+
+    def pace(self, order: messages.PaceOrder, fence: int) -> float:
+        """Set the share at which a run works."""
+        body = {"task": str(order.task), "run": order.run,
+                "percent": order.percent, "fence": fence}
+        return float(self._post("/-/pace", body).body["clock_ms"])
+
+
+def _task(name: str) -> messages.TaskId:
+    job_id, occurrence, step, index = name.rsplit(".", 3)
+    return messages.TaskId(job_id, int(occurrence), int(step), int(index))
+
+
+def _running(row: list[typing.Any]) -> messages.RunningTask:
+    figure = float(row[4]) if len(row) > 4 and row[4] is not None else 0.0
+    return messages.RunningTask(_task(row[0]), int(row[1]), row[2] or "",
+                                int(row[3] or 0), figure)
+
+
+def _ended(row: list[typing.Any]) -> messages.EndedTask:
+    return messages.EndedTask(int(row[0]), _task(row[1]), int(row[2]),
+                              row[3], row[4] or "")
+
+
+class PlatformWorkerList(surroundings.WorkerList):
+    """Read the entries that workers write into the store."""
+
+    def __init__(self, store: surroundings.Store) -> None:
+        self.store = store
+
+    def workers(self) -> tuple[messages.WorkerEntry, ...]:
+        """Return the entries that can be read; others are logged."""
+        listing = self.store.list(ENTRY_PREFIX)
+        entries = (read_entry(item) for item in listing.items)
+        return tuple(entry for entry in entries if entry is not None)
+
+
+def read_entry(item: messages.Item) -> messages.WorkerEntry | None:
+    """Return the worker an entry describes, or None with a log line.
+
+    Other writers leave entries that lack fields or cannot be read; such an
+    entry names no worker, and must not hide the others.
+    """
+    try:
+        row = json.loads(item.value)
+        if row["state"] not in STATES:
+            raise ValueError(f"unknown state {row['state']!r}")
+        room = row["capacity"]
+        remaining = row.get("remaining_ms")
+        return messages.WorkerEntry(
+            item.key[len(ENTRY_PREFIX):], _text(row["service"]),
+            _address(row["addr"]), _text(row.get("zone", "")),
+            row["state"] == "draining",
+            messages.Room(_number(room.get("cpu", 0)),
+                          _number(room.get("mem_mb", 0)),
+                          _number(room.get("gpu", 0))),
+            tuple(_text(label) for label in row.get("labels") or ()),
+            None if remaining is None else float(remaining))
+    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+        events.emit(events.ENTRY_UNREADABLE, key=item.key, reason=repr(exc))
+        return None
+
+
+def _text(value: object) -> str:
+    if not isinstance(value, str):
+        raise TypeError(f"not a string: {value!r}")
+    return value
+
+
+def _number(value: object) -> int:
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise TypeError(f"not a number: {value!r}")
+    return int(value)
+
+
+def _address(value: object) -> str:
+    host, _, port = _text(value).rpartition(":")
+    if not host or not port.isdigit():
+        raise ValueError(f"not an address: {value!r}")
+    return _text(value)
