--- a/sycamorefield/fleet/pacing.py
+++ b/sycamorefield/fleet/pacing.py
@@ -1,23 +1,91 @@
 """Decide at which share filling tasks work beside tasks that serve."""
 
-# Tails are rough and half a second late.  Slowing well before the target
-# keeps a task from being over it for the seconds that it takes to notice.
-SLOW_AT = 0.8
-EASE_AT = 0.5
-SLOW_FACTOR = 0.4
-EASE_STEP = 20
-# Below this share a filling task makes no progress worth its disturbance.
+import dataclasses
+import math
+
+from sycamorefield.fleet import interference
+
+# Tails are rough and half a second late.  Slowing before the target is
+# reached keeps a task from being over it for the time it takes to notice.
+SLOW_AT = 0.85
+# What a cut aims at; what is eased must be expected to stay below it.
+AIM = 0.7
+# Reports between two eases: a tail shows a change after about a second.
+EASE_PAUSE_S = 0.9
+EASE_STEP = 50
+# Below this share a run makes no progress worth its disturbance.
 LEAST = 10
+# Reports in a row over the target after which all filling runs stand still,
+# whatever was learnt: a wrong weight must not keep a tail up for seconds.
+OVER_REPORTS = 4
+# A pair with a weight below this (a tail 3% higher a core) is harmless: what
+# was learnt is no more exact than that.
+HARMLESS = 0.03
+
+
+@dataclasses.dataclass(slots=True)
+class Paced:
+    """A filling run: its image, full demand, use now, and its share."""
+
+    image: str
+    demand_cores: float
+    used_cores: float
+    pace: int
 
 
-def next_pace(pace: int, worst: float) -> int:
-    """Return the next share (0 to 100 percent).
+def over_reports(before: int, tails: list[interference.Tail]) -> int:
+    """Return for how many reports in a row a tail was over its target."""
+    return before + 1 if any(t.ratio >= 1.0 for t in tails) else 0
 
-    worst is the highest tail on the worker divided by its target.
-    """
+
+def paces(tails: list[interference.Tail], runs: list[Paced], over: int,
+          may_ease: bool, learnt: interference.Interference) -> list[int]:
+    """Return the next share (0 to 100 percent) of each run."""
+    worst = max((t.ratio for t in tails), default=0.0)
+    if over >= OVER_REPORTS:
+        return [0] * len(runs)
     if worst >= SLOW_AT:
-        slower = int(pace * SLOW_FACTOR)
-        return slower if slower >= LEAST else 0
-    if worst <= EASE_AT:
-        return min(100, pace + EASE_STEP)
-    return pace
+        return _cut(tails, runs, learnt)
+    if may_ease:
+        return _ease(tails, runs, learnt)
+    return [run.pace for run in runs]
+
+
+def _cut(tails: list[interference.Tail], runs: list[Paced],
+         learnt: interference.Interference) -> list[int]:
+    """Slow the runs that weigh most on each tail that is too high."""
+    shares = [float(max(run.pace, 0)) for run in runs]
+    for tail in tails:
+        if tail.ratio < SLOW_AT:
+            continue
+        need = math.log(tail.ratio / AIM)
+        weights = [learnt.weight(tail.image, run.image) for run in runs]
+        parts = [weight * run.used_cores if weight >= HARMLESS else 0.0
+                 for weight, run in zip(weights, runs)]
+        for i in sorted(range(len(runs)), key=lambda i: -parts[i]):
+            if need <= 0 or parts[i] <= 0:
+                break
+            part = min(need, parts[i])
+            shares[i] = min(shares[i],
+                            max(runs[i].pace, 0) * (1 - part / parts[i]))
+            need -= part
+    return [int(s) if s >= LEAST else 0 for s in shares]
+
+
+def _ease(tails: list[interference.Tail], runs: list[Paced],
+          learnt: interference.Interference) -> list[int]:
+    """Speed runs up as far as every tail is expected to allow."""
+    shares = []
+    expected = [interference.Tail(t.image, t.ratio) for t in tails]
+    for run in runs:
+        pace = run.pace
+        if 0 <= pace < 100:
+            step = min(EASE_STEP, 100 - pace)
+            cores = run.demand_cores * step / 100.0
+            if learnt.added(expected, run.image, cores) < AIM:
+                pace += step
+                for tail in expected:
+                    tail.ratio *= math.exp(
+                        learnt.weight(tail.image, run.image) * cores)
+        shares.append(pace if pace >= 0 else LEAST)
+    return shares
--- a/sycamorefield/fleet/placing.py
+++ b/sycamorefield/fleet/placing.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from sycamorefield.fleet import interference
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import workerstate
@@ -10,6 +11,9 @@
 # difference.  A filling task is placed where this share of what it wants
 # is expected to be left over.
 FILL_SHARE = 0.7
+# A filling task goes where no tail is expected above this share of its
+# target; above 0.85 runs are slowed, and the load may swing up meanwhile.
+TAIL_LIMIT = 0.7
 # Share of reserved processors that is taken to be in use.
 USED_SHARE = 0.6
 
@@ -36,19 +40,22 @@
     return True
 
 
-def fits(worker: workerstate.WorkerState, step: messages.Step) -> bool:
+def fits(worker: workerstate.WorkerState, step: messages.Step,
+         learnt: interference.Interference) -> bool:
     """Tell whether a worker has the room now."""
     if not worker.free().holds(step.reserved()):
         return False
     if not step.fills:
         return True
-    if worker.pace < 100:
+    if leftover_cpu(worker) < FILL_SHARE * step.room.cpu:
         return False
-    return leftover_cpu(worker) >= FILL_SHARE * step.room.cpu
+    cores = step.room.cpu / 1000.0
+    return learnt.added(worker.tails, step.image, cores) < TAIL_LIMIT
 
 
 def choose(task: progress.TaskState, service: str,
-           workers: typing.Iterable[workerstate.WorkerState]
+           workers: typing.Iterable[workerstate.WorkerState],
+           learnt: interference.Interference
            ) -> workerstate.WorkerState | None:
     """Return the best worker for a task, or None if none has room.
 
@@ -59,22 +66,34 @@
     best = None
     best_rank: tuple[float, ...] = ()
     for worker in workers:
-        if not allowed(worker, service, task) or not fits(worker, step):
+        if not allowed(worker, service, task) or not fits(
+                worker, step, learnt):
             continue
         near = not step.affinity or step.affinity in worker.entry.labels
         fresh = worker.entry.worker_id not in task.avoid
-        rank = (fresh, near, *_room_rank(worker, step))
+        rank = (fresh, near, *_room_rank(worker, step, learnt))
         if best is None or rank > best_rank:
             best, best_rank = worker, rank
     return best
 
 
-def _room_rank(worker: workerstate.WorkerState,
-               step: messages.Step) -> tuple[float, ...]:
+# Added harm below this (a tail 2% higher a core) counts as none.
+HARMLESS = 0.02
+
+
+def _room_rank(worker: workerstate.WorkerState, step: messages.Step,
+               learnt: interference.Interference) -> tuple[float, ...]:
     if step.fills:
-        return (-float(worker.serving), leftover_cpu(worker))
+        harm = learnt.harm(worker.tails, step.image)
+        return (-round(harm / HARMLESS), leftover_cpu(worker))
     if step.target_ms:
-        return (-float(worker.filling_cpu), float(worker.free().cpu))
+        # Serving tasks of one image together: a filling image that harms
+        # them then finds other workers where it harms nobody.
+        images = [task.step.image for task in worker.tasks.values()
+                  if task.step.target_ms]
+        same = images.count(step.image)
+        others = len(images) - same
+        return (-float(others), float(same > 0), -float(worker.free().cpu))
     return (float(worker.free().cpu), float(worker.free().mem_mb))
 
 
--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -23,7 +23,7 @@
 
     __slots__ = ("task", "step", "done", "failed_runs", "last_run", "saved",
                  "phase", "run", "worker_id", "not_before", "avoid",
-                 "started", "percent", "moved_at", "pace", "stop_sent")
+                 "started", "percent", "moved_at", "pace", "slowed_at", "stop_sent")
 
     def __init__(self, task: messages.TaskId, step: messages.Step) -> None:
         self.task = task
@@ -41,6 +41,7 @@
         self.percent = 0
         self.moved_at = 0.0
         self.pace = 100
+        self.slowed_at = 0.0
         self.stop_sent = 0.0
 
     def idle(self) -> None:
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -4,10 +4,12 @@
 reports and answers come in as calls.  All methods take the lock themselves.
 """
 
+import math
 import threading
 import typing
 
 from sycamorefield import events
+from sycamorefield.fleet import interference
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import pacing
 from sycamorefield.fleet import placing
@@ -27,9 +29,14 @@
 ENDS_PER_REPORT = 500
 # An unexpected run is told to stop again when it is still there after this.
 STOP_AGAIN_S = 1.0
-# The share at which filling runs of the previous owner go on until the
-# first tails are known.
-ADOPTED_PACE = 40
+# Marks a filling run of the previous owner, whose share is not known.
+UNKNOWN_PACE = -1
+
+
+# A filling run slowed to this share or less for this long moves to a worker
+# where it is expected to harm nobody, if there is one.
+STALLED_PACE = 25
+STALLED_S = 0.8
 
 
 class FleetState:
@@ -50,6 +57,7 @@
         # Workers that an earlier owner used and that have not reported yet,
         # with the time from which nothing can run there any more.
         self.unheard: dict[str, float] = {}
+        self.learnt = interference.Interference()
         self.changed = False
         self.commit_now = False
 
@@ -228,7 +236,7 @@
                 self._missing(worker, report, sent)
             worker.reported = True
             self.unheard.pop(worker_id, None)
-            self._pace(worker, report)
+            self._pace(worker, report, now)
             self._notify()
             return new_ends
 
@@ -333,8 +341,7 @@
         task.percent = row.percent
         task.started = task.moved_at = now
         if task.step.fills:
-            worker.pace = min(worker.pace, ADOPTED_PACE)
-            task.pace = -1
+            task.pace = UNKNOWN_PACE
 
     def _unexpected(self, worker: workerstate.WorkerState,
                     row: messages.RunningTask, reason: str, now: float,
@@ -370,28 +377,52 @@
             worker.release(run, task.step)
 
     def _pace(self, worker: workerstate.WorkerState,
-              report: messages.WorkerReport) -> None:
-        worst = 0.0
-        filling: list[progress.TaskState] = []
-        for row in report.running:
-            task = worker.tasks.get((row.task, row.run))
-            if task is None or task.phase == progress.STOPPING:
+              report: messages.WorkerReport, now: float) -> None:
+        """Learn from the tails of a report and pace what fills."""
+        rows = [(row, worker.tasks[row.task, row.run])
+                for row in report.running
+                if (row.task, row.run) in worker.tasks]
+        filling = [(row, task) for row, task in rows if task.step.fills
+                   and task.phase != progress.STOPPING]
+        beside = [interference.Filler(task.step.image, row.figure / 1000.0)
+                  for row, task in filling]
+        worker.tails = []
+        for row, task in rows:
+            if task.step.target_ms and row.percent >= 100:
+                self.learnt.observe(task.step.image, row.figure, beside)
+                worker.tails.append(interference.Tail(
+                    task.step.image, row.figure / task.step.target_ms))
+        worker.over_reports = pacing.over_reports(worker.over_reports,
+                                                  worker.tails)
+        if not filling:
+            return
+        may_ease = now - worker.eased_at >= pacing.EASE_PAUSE_S
+        shares = pacing.paces(
+            worker.tails,
+            [pacing.Paced(task.step.image, task.step.room.cpu / 1000.0,
+                          row.figure / 1000.0, task.pace)
+             for row, task in filling],
+            worker.over_reports, may_ease, self.learnt)
+        self._send_paces(worker, [task for _, task in filling], shares, now)
+
+    def _send_paces(self, worker: workerstate.WorkerState,
+                    tasks: list[progress.TaskState], shares: list[int],
+                    now: float) -> None:
+        for task, share in zip(tasks, shares):
+            if task.pace == share or share < 0:
                 continue
-            if task.step.target_ms:
-                worst = max(worst, row.figure / task.step.target_ms)
-            elif task.step.fills:
-                filling.append(task)
-        pace = pacing.next_pace(worker.pace, worst)
-        if pace != worker.pace and filling:
-            events.emit(events.PACE_CHANGED, worker=worker.entry.worker_id,
-                        pace=pace, was=worker.pace, worst=round(worst, 2),
-                        runs=len(filling))
-        worker.pace = pace
-        for task in filling:
-            if task.pace != pace:
-                task.pace = pace
-                self.send(worker.entry.worker_id,
-                          messages.PaceOrder(task.task, task.run, pace))
+            if share > task.pace:
+                worker.eased_at = now
+            events.emit(events.PACE_CHANGED, task=str(task.task),
+                        run=task.run, worker=worker.entry.worker_id,
+                        image=task.step.image, pace=share, was=task.pace,
+                        worst=round(max((t.ratio for t in worker.tails),
+                                        default=0.0), 2))
+            if share <= STALLED_PACE < task.pace:
+                task.slowed_at = now
+            task.pace = share
+            self.send(worker.entry.worker_id,
+                      messages.PaceOrder(task.task, task.run, share))
 
     # Answers to orders
 
@@ -509,6 +540,7 @@
                     state.occurrence(occurrence)
                     for step in range(len(state.job.steps)):
                         round_.place_step(state, occurrence, step)
+            round_.move_stalled()
 
     def start(self, state: progress.JobState, task: progress.TaskState,
               worker: workerstate.WorkerState, run: int) -> None:
@@ -531,6 +563,11 @@
                     worker=task.worker_id)
         self.send(task.worker_id, messages.StartOrder(
             task.task, run, state.job.spec, task.saved))
+        if task.step.fills:
+            cores = task.step.room.cpu / 1000.0
+            for tail in worker.tails:
+                tail.ratio *= math.exp(
+                    self.learnt.weight(tail.image, task.step.image) * cores)
 
     def _notify(self) -> None:
         self.changed = True
@@ -573,12 +610,13 @@
                     task: progress.TaskState, service: str) -> None:
         step = task.step
         kind = (service, step.reserved(), step.fills, step.room.cpu,
-                step.requires,
+                step.requires, step.image if step.fills else "",
                 (state.job.job_id, task.task.step) if step.max_per_worker
                 else None)
         if kind in self.full:
             return
-        worker = placing.choose(task, service, self.usable)
+        worker = placing.choose(task, service, self.usable,
+                                self.fleet.learnt)
         if worker is not None:
             self.fleet.start(state, task, worker, state.next_run(task))
             return
@@ -600,6 +638,32 @@
             task.saved = saved
             self.fleet.start(state, task, worker, run)
 
+    def move_stalled(self) -> None:
+        """Stop runs that are slowed down where others have room for them."""
+        for worker in self.usable:
+            if not worker.over_reports and not worker.filling_cpu:
+                continue
+            for task in list(worker.tasks.values()):
+                if not self._stalled(task):
+                    continue
+                state = self.fleet.jobs[task.task.job_id]
+                queue = self.queues.get(state.job.queue)
+                service = queue.service if queue else state.job.service
+                others = [w for w in self.usable if w is not worker]
+                target = placing.choose(task, service, others,
+                                        self.fleet.learnt)
+                if target is not None:
+                    self.fleet._stop(task, "slowed down here")
+                    # Until it is placed there, others must not count on
+                    # the same processors.
+                    self.usable.remove(target)
+                    return
+
+    def _stalled(self, task: progress.TaskState) -> bool:
+        return (task.step.fills and task.phase == progress.RUNNING
+                and 0 <= task.pace <= STALLED_PACE
+                and self.now - task.slowed_at >= STALLED_S)
+
     def _make_room(self, state: progress.JobState,
                    task: progress.TaskState, service: str) -> bool:
         """Stop less urgent runs for a task; tell if it can expect room."""
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -1,5 +1,6 @@
 """Hold what the owner knows of one worker and the room left on it."""
 
+from sycamorefield.fleet import interference
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import progress
 
@@ -32,7 +33,9 @@
         self.tasks: dict[Run, progress.TaskState] = {}
         self.serving = 0
         self.filling_cpu = 0
-        self.pace = 100
+        self.tails: list[interference.Tail] = []
+        self.over_reports = 0
+        self.eased_at = 0.0
         self.avoid_until = 0.0
         self.failures = 0
         self.clock_ms = 0.0
