Use workers on the stored list after a takeover

Cause: a worker is used only once it is on the stored list of workers in use. Ruled out: workers that did not report (all 33 had within 0.1 s).

--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -215,6 +215,9 @@
         old = self.links.get(entry.worker_id)
         if not self.fleet.add_worker(entry):
             return
+        if entry.worker_id in (self.recorder.addresses or {}):
+            # Already on the stored list of workers in use.
+            self.fleet.enrol([entry.worker_id])
         if old is not None:
             old.close()
         link = link_mod.WorkerLink(
