Test placing and takeover without a network; keep deaf watches from skipping

Cause: a watch that went deaf answers without changes but with the store's newest revision; going on from there skips what it did not hear. What: only changes move a watch on. Fakes of store and workers in memory; tests of takeover, lost and late commits, fences, room, preemption.

--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -44,7 +44,7 @@
         self.lease_ms = lease_ms
         self.closed = False
         self.recorded = threading.Event()
-        self.seen_upto = 0
+        self.recorded_upto = 0
         self.orders: queue.SimpleQueue[state_mod.Order | None] = (
             queue.SimpleQueue())
 
@@ -61,8 +61,8 @@
 
     def mark_seen(self, number: int) -> None:
         """Let the worker forget ends up to a number: they are stored."""
-        if number > self.seen_upto:
-            self.seen_upto = number
+        if number > self.recorded_upto:
+            self.recorded_upto = number
             self.recorded.set()
 
     def _until(self) -> float | None:
@@ -86,8 +86,9 @@
             sent = clock.now()
             self.recorded.clear()
             try:
-                report = self.worker.renew(self.fleet.fence, self.seen_upto,
-                                           self._until(), self._wait_ms())
+                report = self.worker.renew(
+                    self.fleet.fence, self.recorded_upto, self._until(),
+                    self._wait_ms())
             except surroundings.OtherIncarnation:
                 self.fleet.worker_dead(self.worker_id, "reborn")
                 return
--- a/sycamorefield/fleet/operatorview.py
+++ b/sycamorefield/fleet/operatorview.py
@@ -51,7 +51,7 @@
                 self.stopped.wait(RETRY_PAUSE_S)
 
     def _read(self) -> int:
-        listing = self.store.list(records.WATCHED_PREFIX)
+        listing = self.store.listing(records.WATCHED_PREFIX)
         self._answered()
         present = {item.key: item for item in listing.items}
         for item in listing.items:
@@ -64,8 +64,9 @@
             found = self.store.watch(records.WATCHED_PREFIX, revision,
                                      WATCH_MS)
             self._answered()
-            revision = max(revision, found.revision)
             for change in found.changes:
+                # Only changes move on: a deaf watch answers without any.
+                revision = max(revision, change.revision)
                 if change.key == records.OWNER_KEY:
                     self._set_owner(change.item)
                 elif change.item is not None:
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -117,8 +117,8 @@
     def _load(self) -> int:
         fleet_item = self.store.get(records.FLEET_KEY)
         waiting_item = self.store.get(records.WAITING_KEY)
-        jobs = self.store.list(records.JOB_PREFIX)
-        stored = self.store.list(records.PROGRESS_PREFIX)
+        jobs = self.store.listing(records.JOB_PREFIX)
+        stored = self.store.listing(records.PROGRESS_PREFIX)
         entries = self.roster.workers()
         with self.fleet.lock:
             for item in jobs.items:
@@ -225,7 +225,7 @@
             self.step_down,
             min(link_mod.LEASE_MS, self.hold_max_ms))
         if old is not None:
-            link.seen_upto = old.seen_upto
+            link.recorded_upto = old.recorded_upto
         self.links[entry.worker_id] = link
         link.start()
 
@@ -251,7 +251,12 @@
         return follow
 
     def _inbox(self, after: int) -> int:
-        """Take in new jobs and cancellations; return where to go on."""
+        """Take in new jobs and cancellations; return where to go on.
+
+        An answer without changes moves nothing on: a watch may have been
+        deaf while changes were made, and only asking again from the last
+        change seen brings them, or shows that the history is gone.
+        """
         try:
             found = self.store.watch(records.JOB_PREFIX, after,
                                      INBOX_WATCH_MS)
@@ -260,7 +265,7 @@
                     continue
                 self._take_job(change.item)
                 self._take_cancel(change.key)
-            return max(after, found.revision)
+            return max([after] + [c.revision for c in found.changes])
         except surroundings.HistoryGone:
             return self._reread_inbox(after)
         except surroundings.CallFailed as exc:
@@ -271,7 +276,7 @@
     def _reread_inbox(self, after: int) -> int:
         """Read all jobs again: a watch that was cut may have gone deaf."""
         try:
-            listing = self.store.list(records.JOB_PREFIX)
+            listing = self.store.listing(records.JOB_PREFIX)
         except surroundings.CallFailed as exc:
             events.emit(events.STORE_LOST, reason=f"inbox: {exc}")
             self.over.wait(RETRY_PAUSE_S)
--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -23,7 +23,8 @@
 
     __slots__ = ("task", "step", "done", "failed_runs", "last_run", "saved",
                  "phase", "run", "worker_id", "not_before", "avoid",
-                 "started", "percent", "moved_at", "pace", "slowed_at", "stop_sent")
+                 "started", "percent", "moved_at", "pace", "slowed_at",
+                 "stop_sent")
 
     def __init__(self, task: messages.TaskId, step: messages.Step) -> None:
         self.task = task
@@ -197,8 +198,8 @@
         for place, mask in row.get("done", {}).items():
             k, s = (int(part) for part in place.split("."))
             state.occurrence(k)
-            for i, task in enumerate(state.tasks[k, s]):
-                task.done = bool(int(mask, 16) >> i & 1)
+            for i, member in enumerate(state.tasks[k, s]):
+                member.done = bool(int(mask, 16) >> i & 1)
         for name, (run, failed, saved) in row.get("rest", {}).items():
             k, s, i = (int(part) for part in name.split("."))
             task = state.find(messages.TaskId(state.job.job_id, k, s, i))
--- a/sycamorefield/fleet/surroundings.py
+++ b/sycamorefield/fleet/surroundings.py
@@ -64,7 +64,7 @@
         """Return the item under a key; raises CallFailed."""
 
     @abc.abstractmethod
-    def list(self, prefix: str) -> messages.Listing:
+    def listing(self, prefix: str) -> messages.Listing:
         """Return all items under a prefix; raises CallFailed."""
 
     @abc.abstractmethod
@@ -101,13 +101,13 @@
     """
 
     @abc.abstractmethod
-    def renew(self, fence: int, seen_upto: int, until_ms: float | None,
+    def renew(self, fence: int, recorded_upto: int, lease_end_ms: float | None,
               wait_ms: int) -> messages.WorkerReport:
         """Extend the lease of all that runs; wait for an end; report."""
 
     @abc.abstractmethod
     def start(self, order: messages.StartOrder, fence: int,
-              until_ms: float) -> float:
+              lease_end_ms: float) -> float:
         """Start a run; return the worker's clock."""
 
     @abc.abstractmethod
--- a/sycamorefield/platform/store.py
+++ b/sycamorefield/platform/store.py
@@ -39,7 +39,7 @@
         _require(answer)
         return _item(answer.body)
 
-    def list(self, prefix: str) -> messages.Listing:
+    def listing(self, prefix: str) -> messages.Listing:
         """Return all items under a prefix, page after page."""
         items: list[messages.Item] = []
         revision = 0
--- a/sycamorefield/platform/workers.py
+++ b/sycamorefield/platform/workers.py
@@ -41,13 +41,13 @@
             raise surroundings.OrderRejected(surroundings.MALFORMED)
         raise surroundings.CallFailed(f"worker answers {answer.status}")
 
-    def renew(self, fence: int, seen_upto: int, until_ms: float | None,
+    def renew(self, fence: int, recorded_upto: int, lease_end_ms: float | None,
               wait_ms: int) -> messages.WorkerReport:
         """Extend the lease of all that runs and return the report."""
         body: dict[str, typing.Any] = {"fence": fence,
-                                       "seen_upto": seen_upto}
-        if until_ms is not None:
-            body["until_ms"] = int(until_ms)
+                                       "seen_upto": recorded_upto}
+        if lease_end_ms is not None:
+            body["until_ms"] = int(lease_end_ms)
         if wait_ms:
             body["wait_ms"] = wait_ms
         answer = self._post("/-/hold", body,
@@ -58,11 +58,11 @@
             tuple(_ended(row) for row in answer.body.get("ended") or []))
 
     def start(self, order: messages.StartOrder, fence: int,
-              until_ms: float) -> float:
+              lease_end_ms: float) -> float:
         """Start a run."""
         body: dict[str, typing.Any] = {
             "task": str(order.task), "run": order.run, "spec": order.spec,
-            "until_ms": int(until_ms), "fence": fence}
+            "until_ms": int(lease_end_ms), "fence": fence}
         if order.saved:
             body["saved"] = order.saved
         if order.ticket:
@@ -105,7 +105,7 @@
 
     def workers(self) -> tuple[messages.WorkerEntry, ...]:
         """Return the entries that can be read; others are logged."""
-        listing = self.store.list(ENTRY_PREFIX)
+        listing = self.store.listing(ENTRY_PREFIX)
         entries = (read_entry(item) for item in listing.items)
         return tuple(entry for entry in entries if entry is not None)
 
--- /dev/null
+++ b/tests/fleetfakes.py
@@ -0,0 +1,294 @@
+"""Stand in for the store and the workers, in memory and with faults."""
+
+import dataclasses
+import threading
+import typing
+
+from sycamorefield.fleet import clock
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import surroundings
+
+
+class MemoryStore(surroundings.Store):
+    """Keep items in memory; lose, refuse or delay calls on demand."""
+
+    def __init__(self) -> None:
+        self.lock = threading.Condition()
+        self.items: dict[str, messages.Item] = {}
+        self.log: list[messages.Change] = []
+        self.revision = 1
+        self.leases: dict[int, set[str]] = {}
+        self.refuse = False
+        # Transactions that are carried out although no answer comes back,
+        # and those that are lost altogether.
+        self.lose_answers = 0
+        self.lose_calls = 0
+        self.late: list[messages.Transaction] = []
+        self.keep_late = 0
+        self.oldest = 0
+        self.commits = 0
+
+    def _check(self) -> None:
+        if self.refuse:
+            raise surroundings.CallRefused("store answers 503")
+
+    def get(self, key: str) -> messages.Item | None:
+        with self.lock:
+            self._check()
+            return self.items.get(key)
+
+    def listing(self, prefix: str) -> messages.Listing:
+        with self.lock:
+            self._check()
+            return messages.Listing(
+                tuple(item for key, item in sorted(self.items.items())
+                      if key.startswith(prefix)), self.revision)
+
+    def watch(self, prefix: str, after: int,
+              wait_ms: int) -> messages.Changes:
+        with self.lock:
+            self._check()
+            if after < self.oldest:
+                raise surroundings.HistoryGone(str(after))
+            found = self._since(prefix, after)
+            if not found:
+                self.lock.wait(min(wait_ms, 50) / 1000.0)
+                found = self._since(prefix, after)
+            return messages.Changes(tuple(found), self.revision)
+
+    def _since(self, prefix: str, after: int) -> list[messages.Change]:
+        return [c for c in self.log
+                if c.revision > after and c.key.startswith(prefix)]
+
+    def commit(self, transaction: messages.Transaction) -> int:
+        with self.lock:
+            self._check()
+            self.commits += 1
+            if self.keep_late:
+                self.keep_late -= 1
+                self.late.append(transaction)
+                raise surroundings.CallFailed("no answer")
+            if self.lose_calls:
+                self.lose_calls -= 1
+                raise surroundings.CallFailed("no answer")
+            revision = self._apply(transaction)
+            if self.lose_answers:
+                self.lose_answers -= 1
+                raise surroundings.CallFailed("no answer")
+            return revision
+
+    def deliver_late(self) -> None:
+        """Carry out what was held back, if its conditions still hold."""
+        with self.lock:
+            held, self.late = self.late, []
+            for transaction in held:
+                try:
+                    self._apply(transaction)
+                except surroundings.Conflict:
+                    continue
+
+    def _apply(self, transaction: messages.Transaction) -> int:
+        for expect in transaction.expects:
+            item = self.items.get(expect.key)
+            if (item.revision if item else 0) != expect.revision:
+                raise surroundings.Conflict(tuple(
+                    self.items[e.key] for e in transaction.expects
+                    if e.key in self.items))
+        self.revision += 1
+        for put in transaction.puts:
+            old = self.items.get(put.key)
+            item = messages.Item(put.key, put.value, self.revision,
+                                 old.created if old else self.revision)
+            self.items[put.key] = item
+            self.log.append(messages.Change(put.key, self.revision, item))
+            if put.lease:
+                self.leases.setdefault(put.lease, set()).add(put.key)
+        for key in transaction.removes:
+            self._remove(key)
+        self.lock.notify_all()
+        return self.revision
+
+    def _remove(self, key: str) -> None:
+        if self.items.pop(key, None) is not None:
+            self.log.append(messages.Change(key, self.revision, None))
+
+    def grant(self, ttl_ms: int) -> int:
+        with self.lock:
+            self._check()
+            lease = len(self.leases) + 1
+            self.leases[lease] = set()
+            return lease
+
+    def renew(self, lease: int) -> None:
+        with self.lock:
+            self._check()
+            if lease not in self.leases:
+                raise surroundings.LeaseEnded(str(lease))
+
+    def end_lease(self, lease: int) -> None:
+        """Let a lease lapse: its keys go."""
+        with self.lock:
+            keys = self.leases.pop(lease, set())
+            if keys:
+                self.revision += 1
+            for key in keys:
+                self._remove(key)
+            self.lock.notify_all()
+
+    def compact(self) -> None:
+        """Drop the history."""
+        with self.lock:
+            self.oldest = self.revision + 1
+            self.revision += 1
+            self.log.clear()
+
+
+@dataclasses.dataclass
+class Run:
+    """A run on a memory worker."""
+
+    task: messages.TaskId
+    run: int
+    saved: str = ""
+    percent: int = 0
+    figure: float = 0.0
+
+
+class MemoryWorker(surroundings.Worker):
+    """Obey orders as a worker does: fences, runs, leases, ends."""
+
+    def __init__(self, worker_id: str) -> None:
+        self.worker_id = worker_id
+        self.lock = threading.Condition()
+        self.fence = 0
+        self.clock_offset = 1000.0
+        self.lease_end_ms = 0.0
+        self.runs: dict[tuple[messages.TaskId, int], Run] = {}
+        self.over: dict[messages.TaskId, int] = {}
+        self.ended: list[messages.EndedTask] = []
+        self.number = 0
+        self.forgotten = 0
+        self.dead = False
+        self.mute = False
+        self.starts: list[tuple[messages.TaskId, int]] = []
+        self.saves: list[str] = []
+        self.paces: list[messages.PaceOrder] = []
+
+    def clock(self) -> float:
+        return clock.now() * 1000.0 + self.clock_offset
+
+    def _check(self, fence: int) -> None:
+        if self.dead:
+            raise surroundings.OtherIncarnation(self.worker_id)
+        if self.mute:
+            raise surroundings.CallFailed("no answer")
+        if fence < self.fence:
+            raise surroundings.OrderRejected(surroundings.FENCED)
+        self.fence = fence
+
+    def renew(self, fence: int, recorded_upto: int,
+              lease_end_ms: float | None,
+              wait_ms: int) -> messages.WorkerReport:
+        with self.lock:
+            self._check(fence)
+            self.forgotten = max(self.forgotten, recorded_upto)
+            self.ended = [e for e in self.ended
+                          if e.number > recorded_upto]
+            self.lease_end_ms = max(self.lease_end_ms, lease_end_ms or 0.0)
+            if wait_ms and not self.ended:
+                self.lock.wait(min(wait_ms, 30) / 1000.0)
+            return messages.WorkerReport(
+                self.clock(),
+                tuple(messages.RunningTask(r.task, r.run, r.saved,
+                                           r.percent, r.figure)
+                      for r in self.runs.values()),
+                tuple(self.ended))
+
+    def start(self, order: messages.StartOrder, fence: int,
+              lease_end_ms: float) -> float:
+        with self.lock:
+            self._check(fence)
+            key = (order.task, order.run)
+            if key in self.runs:
+                return self.clock()
+            if (order.run <= self.over.get(order.task, 0)
+                    or any(t == order.task for t, _ in self.runs)):
+                raise surroundings.OrderRejected(surroundings.OLD_RUN)
+            self.runs[key] = Run(order.task, order.run, order.saved)
+            self.starts.append(key)
+            self.saves.append(order.saved)
+            return self.clock()
+
+    def stop(self, order: messages.StopOrder, fence: int) -> float:
+        with self.lock:
+            self._check(fence)
+            self.over[order.task] = max(self.over.get(order.task, 0),
+                                        order.run)
+            self._end((order.task, order.run), "stopped")
+            return self.clock()
+
+    def pace(self, order: messages.PaceOrder, fence: int) -> float:
+        with self.lock:
+            self._check(fence)
+            self.paces.append(order)
+            return self.clock()
+
+    def finish(self, task: messages.TaskId, how: str = messages.DONE,
+               saved: str = "") -> None:
+        """End whatever run of a task is here."""
+        with self.lock:
+            for key in list(self.runs):
+                if key[0] == task:
+                    self.runs[key].saved = saved or self.runs[key].saved
+                    self._end(key, how)
+
+    def _end(self, key: tuple[messages.TaskId, int], how: str) -> None:
+        run = self.runs.pop(key, None)
+        if run is None:
+            return
+        self.over[run.task] = max(self.over.get(run.task, 0), run.run)
+        self.number += 1
+        self.ended.append(messages.EndedTask(self.number, run.task, run.run,
+                                             how, run.saved))
+        self.lock.notify_all()
+
+
+class MemoryRoster(surroundings.WorkerList):
+    """List workers in memory."""
+
+    def __init__(self, entries: typing.Iterable[messages.WorkerEntry]
+                 ) -> None:
+        self.entries = tuple(entries)
+
+    def workers(self) -> tuple[messages.WorkerEntry, ...]:
+        return self.entries
+
+
+def entry(number: int, cpu: int = 4000, **more: typing.Any
+          ) -> messages.WorkerEntry:
+    """Return the entry of a worker of four cores."""
+    fields: dict[str, typing.Any] = {
+        "service": "desk", "address": f"10.0.0.{number}:80",
+        "data_centre": "dc", "draining": False,
+        "capacity": messages.Room(cpu, 16_000, 0),
+        "labels": ("a", f"r{number % 3}")}
+    fields.update(more)
+    return messages.WorkerEntry(f"i-{number}", **fields)
+
+
+def job(job_id: str, *steps: messages.Step, **more: typing.Any
+        ) -> messages.Job:
+    """Return a job of the queue "checks"."""
+    fields: dict[str, typing.Any] = {
+        "queue": "checks", "service": "desk", "priority": 0,
+        "max_attempts": 2, "accepted_ms": 0.0, "spec": "spec of " + job_id}
+    fields.update(more)
+    return messages.Job(job_id, steps=steps or (
+        messages.Step(1, messages.Room(1000, 1000)),), **fields)
+
+
+def configuration() -> messages.Configuration:
+    """Return a configuration of an urgent and a patient queue."""
+    return messages.Configuration(1, (
+        messages.Queue("checks", "h", "/c/", "desk", 0, 2),
+        messages.Queue("renewals", "h", "/r/", "desk", 2, 2)))
--- /dev/null
+++ b/tests/test_fleet_state.py
@@ -0,0 +1,259 @@
+"""Show what is placed where, without any network or thread."""
+
+import pytest
+
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import progress
+from sycamorefield.fleet import state as state_mod
+from tests import fleetfakes
+
+ROOM = messages.Room(1000, 1000)
+
+
+class Bench:
+    """A fleet state whose orders are collected."""
+
+    def __init__(self, *entries: messages.WorkerEntry) -> None:
+        self.orders: list[tuple[str, state_mod.Order]] = []
+        self.state = state_mod.FleetState(
+            10, 6000.0, lambda worker, order: self.orders.append(
+                (worker, order)), fleetfakes.configuration)
+        self.now = 100.0
+        for entry in entries:
+            self.state.add_worker(entry)
+            self.report(entry.worker_id)
+        self.state.enrol([e.worker_id for e in entries])
+
+    def add(self, job: messages.Job, created: int = 20) -> None:
+        self.state.add_job(job, created)
+
+    def report(self, worker_id: str, running=(), ended=()) -> None:
+        self.state.on_report(worker_id, messages.WorkerReport(
+            self.now * 1000.0, tuple(running), tuple(ended)),
+            self.now, self.now)
+
+    def place(self, wall_ms: float = 1e12) -> list[str]:
+        """Place, accept all starts, and return "task@worker" of each."""
+        before = len(self.orders)
+        self.now += 0.1
+        self.state.place(self.now, wall_ms)
+        placed = []
+        for worker_id, order in self.orders[before:]:
+            if isinstance(order, messages.StartOrder):
+                placed.append(f"{order.task}@{worker_id}")
+                self.state.on_started(worker_id, order, self.now * 1000.0,
+                                      self.now)
+        return placed
+
+    def stops(self) -> list[str]:
+        return [str(o.task) for _, o in self.orders
+                if isinstance(o, messages.StopOrder)]
+
+    def end(self, worker_id: str, task: str, number: int, how: str,
+            run: int = 1, saved: str = "") -> None:
+        job_id, k, s, i = task.rsplit(".", 3)
+        self.now += 0.1
+        ended = messages.EndedTask(number, messages.TaskId(
+            job_id, int(k), int(s), int(i)), run, how, saved)
+        running = [messages.RunningTask(name, number, "", 0)
+                   for name, number in self.state.workers[worker_id].tasks
+                   if (name, number) != (ended.task, run)]
+        self.report(worker_id, running, [ended])
+
+
+@pytest.mark.parametrize(("step", "workers", "placed"), [
+    (messages.Step(3, messages.Room(2000, 10)), 1, 2),
+    (messages.Step(3, messages.Room(2000, 10)), 2, 3),
+    (messages.Step(3, messages.Room(10, 9000)), 2, 2),
+    (messages.Step(1, messages.Room(10, 10, 1)), 2, 0),
+    (messages.Step(4, ROOM, max_per_worker=1), 2, 2),
+    (messages.Step(1, ROOM, requires="b"), 2, 0),
+    (messages.Step(1, ROOM, requires="a"), 2, 1),
+    (messages.Step(3, messages.Room(2000, 10), gang=True), 1, 0),
+    (messages.Step(3, messages.Room(2000, 10), gang=True), 2, 3),
+], ids=["cpu", "cpu-two", "memory", "gpu", "per-worker", "label-missing",
+        "label", "gang-none", "gang-all"])
+def test_no_worker_is_filled_beyond_its_room_or_rules(step, workers, placed):
+    bench = Bench(*(fleetfakes.entry(n) for n in range(workers)))
+    bench.add(fleetfakes.job("j", step))
+    assert len(bench.place()) == placed
+    assert not bench.place()
+
+
+def test_room_of_a_run_being_stopped_counts_until_its_end_is_listed():
+    """Keep a worker within its room while it stops runs.
+
+    Symptom would be a worker over its capacity for the time a stop takes.
+    Cause would be to give room back when the stop is ordered.
+    """
+    bench = Bench(fleetfakes.entry(0))
+    bench.add(fleetfakes.job("j", messages.Step(
+        1, messages.Room(4000, 10))))
+    assert bench.place() == ["j.0.0.0@i-0"]
+    bench.state.cancel("j")
+    bench.add(fleetfakes.job("k", messages.Step(
+        1, messages.Room(4000, 10))), 21)
+    assert not bench.place()
+    bench.end("i-0", "j.0.0.0", 1, "stopped")
+    assert bench.place() == ["k.0.0.0@i-0"]
+
+
+def test_urgent_task_gets_room_from_a_patient_one_that_resumes():
+    bench = Bench(fleetfakes.entry(0))
+    bench.add(fleetfakes.job("patient", messages.Step(
+        2, messages.Room(2000, 10), checkpoint=True), queue="renewals",
+        priority=2))
+    assert len(bench.place()) == 2
+    bench.add(fleetfakes.job("urgent", messages.Step(
+        1, messages.Room(2000, 10))), 21)
+    bench.place()
+    assert len(bench.stops()) == 1
+    bench.place()
+    assert len(bench.stops()) == 1
+    victim = bench.stops()[0]
+    bench.end("i-0", victim, 1, "stopped", saved="s1")
+    assert bench.place() == ["urgent.0.0.0@i-0"]
+    bench.end("i-0", "urgent.0.0.0", 2, messages.DONE)
+    assert bench.place() == [f"{victim}@i-0"]
+    assert bench.orders[-1][1].saved == "s1"
+
+
+@pytest.mark.parametrize(("ends", "state"), [
+    ((messages.FAILED, messages.FAILED), messages.JOB_FAILED),
+    ((messages.FAILED, messages.DONE), messages.COMPLETED),
+    (("stopped", "lapsed", messages.DONE), messages.COMPLETED),
+    (("stopped", "stopped", "stopped"), messages.PENDING),
+], ids=["failed-twice", "second-try", "not-its-fault", "only-stopped"])
+def test_only_failed_ends_count_as_attempts(ends, state):
+    bench = Bench(fleetfakes.entry(0), fleetfakes.entry(1))
+    bench.add(fleetfakes.job("j"))
+    numbers = {"i-0": 0, "i-1": 0}
+    for how in ends:
+        bench.now += 5.0
+        (placed,) = bench.place()
+        worker = placed.split("@")[1]
+        numbers[worker] += 1
+        run = bench.orders[-1][1].run
+        bench.end(worker, "j.0.0.0", numbers[worker], how, run)
+    job = bench.state.jobs["j"]
+    assert job.state == state
+    if state == messages.JOB_FAILED:
+        bench.now += 5.0
+        assert not bench.place()
+
+
+def test_an_end_reported_twice_counts_once():
+    bench = Bench(fleetfakes.entry(0), fleetfakes.entry(1))
+    bench.add(fleetfakes.job("j"))
+    (placed,) = bench.place()
+    worker = placed.split("@")[1]
+    bench.end(worker, "j.0.0.0", 1, messages.FAILED)
+    bench.end(worker, "j.0.0.0", 1, messages.FAILED)
+    assert bench.state.jobs["j"].state == messages.PENDING
+
+
+def test_start_without_answer_is_stopped_before_the_task_runs_elsewhere():
+    """Run a task once although an order's answer is lost.
+
+    Symptom would be a task on two workers.  Events: a start gets no answer
+    and may be carried out seconds later.  Cause would be to try elsewhere
+    before the worker has taken a stop of that run.
+    """
+    bench = Bench(fleetfakes.entry(0), fleetfakes.entry(1))
+    bench.add(fleetfakes.job("j"))
+    bench.state.place(bench.now, 0)
+    worker_id, order = bench.orders[-1]
+    bench.state.on_uncertain(worker_id, order)
+    bench.report(worker_id)
+    assert not bench.place()
+    bench.state.on_stopped(worker_id, bench.orders[-1][1], bench.now)
+    bench.now += 0.1
+    bench.report(worker_id)
+    assert len(bench.place()) == 1
+    assert bench.orders[-1][1].run > order.run
+
+
+def test_silent_worker_keeps_its_tasks_until_its_leases_are_over():
+    """Restart a silent worker's tasks only when nothing can run there.
+
+    Symptom would be a task on two workers after a cut.  Cause would be to
+    take silence for death before the lease has ended on a slow clock.
+    """
+    bench = Bench(fleetfakes.entry(0), fleetfakes.entry(1))
+    bench.add(fleetfakes.job("j"))
+    (placed,) = bench.place()
+    holder = placed.split("@")[1]
+    bench.state.workers[holder].lease_until(5000.0, bench.now)
+    bench.state.worker_silent(holder, "cut")
+    bench.now += 4.9
+    bench.state.expire(bench.now)
+    assert not bench.place()
+    bench.now += 2.0
+    bench.state.expire(bench.now)
+    (again,) = bench.place()
+    assert again.split("@")[1] != holder
+
+
+def test_draining_worker_gets_nothing_new():
+    bench = Bench(fleetfakes.entry(0))
+    bench.state.add_worker(fleetfakes.entry(0, draining=True))
+    bench.add(fleetfakes.job("j"))
+    assert not bench.place()
+
+
+def test_lasting_task_is_restarted_however_it_ends():
+    bench = Bench(fleetfakes.entry(0))
+    bench.add(fleetfakes.job("j", messages.Step(1, ROOM, perpetual=True)))
+    for number, how in enumerate((messages.DONE, messages.FAILED, "lapsed"),
+                                 start=1):
+        assert len(bench.place()) == 1
+        bench.end("i-0", "j.0.0.0", number, how, bench.orders[-1][1].run)
+        bench.now += 5.0
+    assert len(bench.place()) == 1
+    assert bench.state.jobs["j"].state == messages.PENDING
+
+
+def test_scheduled_occurrences_start_when_due_and_may_overlap():
+    bench = Bench(fleetfakes.entry(0))
+    bench.add(fleetfakes.job("j", start_at_ms=5000.0, repeat_count=2,
+                             interval_ms=1000.0))
+    assert not bench.place(4999.0)
+    assert bench.place(5000.0) == ["j.0.0.0@i-0"]
+    assert bench.place(6000.0) == ["j.1.0.0@i-0"]
+
+
+def test_old_jobs_wait_for_unheard_workers_and_new_ones_do_not():
+    bench = Bench(fleetfakes.entry(0))
+    bench.state.unheard["i-9"] = bench.now + 10.0
+    bench.add(fleetfakes.job("old"), created=5)
+    bench.add(fleetfakes.job("new"), created=11)
+    assert bench.place() == ["new.0.0.0@i-0"]
+    bench.now += 11.0
+    bench.state.expire(bench.now)
+    assert bench.place() == ["old.0.0.0@i-0"]
+
+
+@pytest.mark.parametrize("state", [
+    messages.PENDING, messages.COMPLETED, messages.CANCELLED])
+def test_progress_survives_its_record(state):
+    job = fleetfakes.job("j", messages.Step(3, ROOM), messages.Step(
+        2, ROOM, after=(0,), checkpoint=True))
+    first = progress.JobState(job, 5)
+    first.occurrence(0)
+    first.state = state
+    tasks = first.tasks[0, 0]
+    tasks[1].done = True
+    tasks[2].failed_runs = {1, 4}
+    tasks[2].last_run = 4
+    tasks[0].saved = "abc"
+    second = progress.JobState(progress.decode_job(
+        progress.encode_job(job)), 5)
+    progress.apply_progress(second, progress.encode_progress(first))
+    assert second.job == job
+    assert second.state == state
+    if state == messages.PENDING:
+        again = second.tasks[0, 0]
+        assert [t.done for t in again] == [False, True, False]
+        assert again[2].failed_runs == {1, 4}
+        assert again[2].last_run == 4
+        assert again[0].saved == "abc"
--- /dev/null
+++ b/tests/test_fleet_takeover.py
@@ -0,0 +1,242 @@
+"""Show that an owner's successor takes over without doing work twice."""
+
+import threading
+import time
+import typing
+
+import pytest
+
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import owner as owner_mod
+from sycamorefield.fleet import progress
+from sycamorefield.fleet import records
+from tests import fleetfakes
+
+HOLD_MAX_MS = 6000.0
+WAIT_S = 5.0
+STEP = messages.Step(1, messages.Room(1000, 1000))
+
+
+class Fleet:
+    """Workers, a store and one owner after the other."""
+
+    def __init__(self, workers: int = 2) -> None:
+        self.store = fleetfakes.MemoryStore()
+        entries = [fleetfakes.entry(n) for n in range(workers)]
+        self.roster = fleetfakes.MemoryRoster(entries)
+        self.workers = {e.worker_id: fleetfakes.MemoryWorker(e.worker_id)
+                        for e in entries}
+        self.owner: owner_mod.Owner | None = None
+
+    def take_over(self) -> owner_mod.Owner:
+        """Let a new owner claim the fleet and run."""
+        if records.OWNER_KEY in self.store.items:
+            self.store.commit(messages.Transaction(
+                removes=(records.OWNER_KEY,)))
+        fence = self.store.commit(messages.Transaction(
+            puts=(messages.Put(records.OWNER_KEY, b"me"),)))
+        self.owner = owner_mod.Owner(
+            self.store, self.roster,
+            lambda entry: self.workers[entry.worker_id],
+            fleetfakes.configuration, fence, HOLD_MAX_MS)
+        threading.Thread(target=self.owner.run, daemon=True).start()
+        return self.owner
+
+    def submit(self, job: messages.Job) -> None:
+        """Store a job as an entry process does."""
+        self.store.commit(messages.Transaction(
+            (messages.Expect(records.job_key(job.job_id), 0),),
+            (messages.Put(records.job_key(job.job_id),
+                          progress.encode_job(job)),)))
+
+    def running(self) -> list[str]:
+        """Return the names of all tasks that run."""
+        return sorted(str(task) for w in self.workers.values()
+                      for task, _ in w.runs)
+
+    def starts(self) -> list[str]:
+        """Return the names of all tasks ever started, with repeats."""
+        return sorted(str(task) for w in self.workers.values()
+                      for task, _ in w.starts)
+
+    def state(self, job_id: str) -> str:
+        """Return the stored state of a job."""
+        item = self.store.items.get(records.progress_key(job_id))
+        return progress.state_of(item.value) if item else ""
+
+
+def wait_for(what: typing.Callable[[], bool]) -> None:
+    """Wait until something holds."""
+    end = time.monotonic() + WAIT_S
+    while not what():
+        assert time.monotonic() < end, "did not come to hold"
+        time.sleep(0.01)
+
+
+@pytest.fixture(name="fleet")
+def fixture_fleet() -> typing.Iterator[Fleet]:
+    fleet = Fleet()
+    yield fleet
+    if fleet.owner is not None:
+        fleet.owner.step_down("test over")
+
+
+def finish(fleet: Fleet, name: str) -> None:
+    """Let a task's run end as done."""
+    for worker in fleet.workers.values():
+        for task, _ in list(worker.runs):
+            if str(task) == name:
+                worker.finish(task)
+
+
+def test_job_runs_step_after_step_and_completes(fleet):
+    fleet.take_over()
+    fleet.submit(fleetfakes.job(
+        "j", STEP, messages.Step(1, messages.Room(1000, 1000), after=(0,))))
+    wait_for(lambda: fleet.running() == ["j.0.0.0"])
+    finish(fleet, "j.0.0.0")
+    wait_for(lambda: fleet.running() == ["j.0.1.0"])
+    finish(fleet, "j.0.1.0")
+    wait_for(lambda: fleet.state("j") == messages.COMPLETED)
+
+
+def test_successor_uses_workers_that_its_predecessor_enrolled(fleet):
+    """Start tasks after a takeover without any change of the worker list.
+
+    Symptom: after a planned stop of the owner no task started any more,
+    though all workers answered.  Events: the successor found every worker
+    on the stored list of workers in use, so it had nothing to write.
+    Cause: workers were marked usable only after a write of that list.
+    """
+    fleet.take_over()
+    fleet.submit(fleetfakes.job("a"))
+    wait_for(lambda: fleet.running() == ["a.0.0.0"])
+    fleet.owner.step_down("planned stop")
+    fleet.take_over()
+    fleet.submit(fleetfakes.job("b"))
+    wait_for(lambda: fleet.running() == ["a.0.0.0", "b.0.0.0"])
+
+
+def test_successor_adopts_what_runs_and_keeps_ends(fleet):
+    """Neither restart a run nor lose an end over a takeover.
+
+    Symptom would be a task started twice.  Events: one task runs on, one
+    ends while nobody owns the fleet.  Cause would be planning before the
+    workers have told what runs and what ended.
+    """
+    fleet.take_over()
+    fleet.submit(fleetfakes.job("a", messages.Step(
+        2, messages.Room(1000, 1000))))
+    wait_for(lambda: len(fleet.running()) == 2)
+    fleet.owner.step_down("killed")
+    finish(fleet, "a.0.0.1")
+    fleet.take_over()
+    finish(fleet, "a.0.0.0")
+    wait_for(lambda: fleet.state("a") == messages.COMPLETED)
+    assert fleet.starts() == ["a.0.0.0", "a.0.0.1"]
+
+
+def test_successor_waits_for_a_worker_that_may_run_the_task(fleet):
+    """Leave old tasks alone while a worker in use has not reported.
+
+    Symptom would be a task running on two workers.  Events: the owner dies,
+    and the successor does not reach the worker that runs the task.  Cause
+    would be to take silence for absence before the leases have ended.
+    """
+    fleet.take_over()
+    fleet.submit(fleetfakes.job("a"))
+    wait_for(lambda: fleet.running() == ["a.0.0.0"])
+    holder = next(w for w in fleet.workers.values() if w.runs)
+    fleet.owner.step_down("killed")
+    holder.mute = True
+    fleet.take_over()
+    fleet.submit(fleetfakes.job("b"))
+    wait_for(lambda: "b.0.0.0" in fleet.running())
+    assert fleet.starts().count("a.0.0.0") == 1
+    holder.mute = False
+    wait_for(lambda: not fleet.owner.fleet.unheard)
+    assert fleet.starts().count("a.0.0.0") == 1
+
+
+def test_worker_reborn_at_its_address_frees_its_tasks_at_once(fleet):
+    """Restart tasks of a worker as soon as its death is certain.
+
+    Symptom would be tasks that wait for a lease to end although the worker
+    has come back with another ID.  Cause would be to look at silence only.
+    """
+    fleet.take_over()
+    fleet.submit(fleetfakes.job("a"))
+    wait_for(lambda: fleet.running() == ["a.0.0.0"])
+    holder = next(w for w in fleet.workers.values() if w.runs)
+    holder.dead = True
+    wait_for(lambda: fleet.starts().count("a.0.0.0") == 2)
+
+
+def test_fenced_owner_steps_down(fleet):
+    """Give up at the first order that a worker refuses by its fence."""
+    old = fleet.take_over()
+    for worker in fleet.workers.values():
+        worker.fence = old.fence + 100
+    wait_for(old.over.is_set)
+
+
+def test_cancelled_job_is_stopped_and_stays_cancelled(fleet):
+    fleet.take_over()
+    fleet.submit(fleetfakes.job("a"))
+    wait_for(lambda: fleet.running() == ["a.0.0.0"])
+    fleet.store.commit(messages.Transaction(
+        puts=(messages.Put(records.cancel_key("a"), b"1"),)))
+    wait_for(lambda: not fleet.running())
+    wait_for(lambda: fleet.state("a") == messages.CANCELLED)
+    fleet.owner.step_down("planned stop")
+    fleet.take_over()
+    fleet.submit(fleetfakes.job("b"))
+    wait_for(lambda: fleet.running() == ["b.0.0.0"])
+
+
+@pytest.mark.parametrize("fault", ["lose_answers", "lose_calls",
+                                   "keep_late"])
+def test_ends_are_recorded_although_commits_get_no_answer(fleet, fault):
+    """Record an end exactly once when the store's answers are lost.
+
+    Symptom would be a job that never completes, or a worker told to forget
+    an end that is not stored.  Events: a commit takes effect unseen, is
+    lost, or takes effect after it was repeated.  Cause would be to take "no
+    answer" for either outcome.
+    """
+    fleet.take_over()
+    fleet.submit(fleetfakes.job("a"))
+    wait_for(lambda: fleet.running() == ["a.0.0.0"])
+    setattr(fleet.store, fault, 3)
+    finish(fleet, "a.0.0.0")
+    wait_for(lambda: fleet.state("a") == messages.COMPLETED)
+    fleet.store.deliver_late()
+    assert fleet.state("a") == messages.COMPLETED
+    wait_for(lambda: all(not w.ended for w in fleet.workers.values()))
+
+
+def test_workers_keep_ends_while_the_store_is_away(fleet):
+    """Let no worker forget an end before it is stored."""
+    fleet.take_over()
+    fleet.submit(fleetfakes.job("a"))
+    wait_for(lambda: fleet.running() == ["a.0.0.0"])
+    fleet.store.refuse = True
+    finish(fleet, "a.0.0.0")
+    time.sleep(0.5)
+    assert sum(len(w.ended) for w in fleet.workers.values()) == 1
+    fleet.store.refuse = False
+    wait_for(lambda: fleet.state("a") == messages.COMPLETED)
+
+
+def test_inbox_survives_lost_history(fleet):
+    """See a job whose change fell out of the store's history.
+
+    Symptom would be an accepted job that never starts.  Events: the watch
+    is cut and its history is gone.  Cause would be to go on from "now".
+    """
+    fleet.take_over()
+    wait_for(lambda: len(fleet.owner.links) == 2)
+    with fleet.store.lock:
+        fleet.submit(fleetfakes.job("a"))
+        fleet.store.compact()
+    wait_for(lambda: fleet.running() == ["a.0.0.0"])
--- a/tools/events_doc.py
+++ b/tools/events_doc.py
@@ -15,7 +15,8 @@
            "SF14": "entry and worker: jobs and tasks",
            "SF15": "key-value client and stand-in",
            "SF16": "checked mode (worker, backend, load)",
-           "SF17": "load tool"}
+           "SF17": "load tool",
+           "SF18": "fleet: intake, owner, workers"}
 HEAD = """# Event catalogue
 
 Every process logs one JSON line per event to `<log_dir>/<process>.jsonl`.
