--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -15,10 +15,13 @@
 LEASE_MS = 5000.0
 # How long a worker holds its report while nothing ends.  It bounds how long
 # a dead worker goes unnoticed.
-REPORT_WAIT_MS = 800
+REPORT_WAIT_MS = 1200
 # Tails are watched more closely where tasks that fill run beside tasks that
-# serve; the figures are half a second old anyway.
-WATCHFUL_WAIT_MS = 400
+# serve, and most where one is near its target; the figures are half a second
+# old anyway.
+WATCHFUL_WAIT_MS = 800
+WORRIED_WAIT_MS = 400
+WORRIED_AT = 0.6
 RETRY_PAUSE_S = 0.15
 # A report repeats ends until they are recorded; asking again before that
 # would be answered at once.
@@ -78,7 +81,9 @@
             if worker is None or not worker.reported or worker.silent:
                 return 0
             if worker.serving and worker.filling_cpu:
-                return WATCHFUL_WAIT_MS
+                worst = max((t.ratio for t in worker.tails), default=1.0)
+                return (WORRIED_WAIT_MS if worst > WORRIED_AT
+                        else WATCHFUL_WAIT_MS)
             return REPORT_WAIT_MS
 
     def _reports(self) -> None:
