--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -21,7 +21,7 @@
 # old anyway.
 WATCHFUL_WAIT_MS = 800
 WORRIED_WAIT_MS = 400
-WORRIED_AT = 0.6
+WORRIED_AT = 0.4
 RETRY_PAUSE_S = 0.15
 # A report repeats ends until they are recorded; asking again before that
 # would be answered at once.
--- a/sycamorefield/fleet/pacing.py
+++ b/sycamorefield/fleet/pacing.py
@@ -11,7 +11,7 @@
 # What a cut aims at; what is eased must be expected to stay below it.
 AIM = 0.7
 # Reports between two eases: a tail shows a change after about a second.
-EASE_PAUSE_S = 0.9
+EASE_PAUSE_S = 0.5
 EASE_STEP = 50
 # Below this share a run makes no progress worth its disturbance.
 LEAST = 10
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -36,7 +36,7 @@
 # A filling run slowed to this share or less for this long moves to a worker
 # where it is expected to harm nobody, if there is one.
 STALLED_PACE = 25
-STALLED_S = 0.8
+STALLED_S = 0.4
 
 
 class FleetState:
