Take only our own key for a lost claim; flush one at a time

Cause: two faults at a takeover. Ruled out: lost pages of the job list, reports of other incarnations. Also: short jobs before lasting ones of the same priority; smallest gap first; a line on the use of the fleet each 2 s. Conclusion: mended; tests fail before and pass after.

--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -111,6 +111,7 @@
 THREAD_FAILED = Event("SF1831", ERROR, "unexpected error")
 JOB_REMOVED = Event("SF1832", INFO, "record of an old job removed")
 LINES_DROPPED = Event("SF1833", WARNING, "log lines dropped")
+FLEET_USAGE = Event("SF1834", INFO, "room taken and tasks waiting")
 
 INVARIANT_BROKEN = Event("SF1601", ERROR, "invariant broken")
 
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -1,5 +1,6 @@
 """Run the fleet while this process owns it."""
 
+import dataclasses
 import threading
 import typing
 
@@ -17,6 +18,8 @@
 # the store must not throw away what runs.  Its orders carry its fence, so a
 # worker that a successor has reached refuses them.
 WITHOUT_STORE_S = 8.0
+# How often the use of the fleet is logged.
+USAGE_PERIOD_S = 2.0
 # A leaving worker gets no new work within 2 s of its notice.
 ROSTER_PERIOD_S = 0.8
 INBOX_WATCH_MS = 2000
@@ -45,6 +48,7 @@
                                           configuration)
         self.links: dict[str, link_mod.WorkerLink] = {}
         self.over = threading.Event()
+        self.recovered = False
         self.renewed = clock.now()
         self.recorder = recorder_mod.Recorder(
             store, self.fleet, records.OWNER_KEY, self.may_act,
@@ -76,6 +80,7 @@
         revision = self._recover()
         if revision is None:
             return
+        self.recovered = True
         for target in (self._inbox_from(revision), self._follow_roster,
                        self.recorder.run):
             threading.Thread(target=self._guarded, args=(target,),
@@ -230,12 +235,18 @@
         link.start()
 
     def _follow_roster(self) -> None:
+        logged = 0.0
         while not self.over.wait(ROSTER_PERIOD_S):
             try:
                 self._take_entries(self.roster.workers())
             except surroundings.CallFailed as exc:
                 events.emit(events.STORE_LOST, reason=f"workers: {exc}")
             self._close_gone()
+            if clock.now() - logged >= USAGE_PERIOD_S:
+                logged = clock.now()
+                usage = self.fleet.usage()
+                events.emit(events.FLEET_USAGE,
+                            **dataclasses.asdict(usage))
 
     def _close_gone(self) -> None:
         for worker_id, link in list(self.links.items()):
--- a/sycamorefield/fleet/ownership.py
+++ b/sycamorefield/fleet/ownership.py
@@ -74,7 +74,8 @@
         """
         item = self.view.owner
         if item is not None:
-            return self._adopt(item)
+            # While this process waited, another may have claimed the key.
+            return self._adopt(item) if item.value == self.value else 0
         self.lease = self.store.grant(LEASE_TTL_MS)
         try:
             return self.store.commit(messages.Transaction(
@@ -178,6 +179,7 @@
         owner = self.owner
         if owner is None:
             return
-        owner.recorder.flush()
+        if owner.recovered:
+            owner.recorder.flush()
         owner.step_down("planned stop")
         self.release(owner.fence)
--- a/sycamorefield/fleet/placing.py
+++ b/sycamorefield/fleet/placing.py
@@ -94,7 +94,8 @@
         same = images.count(step.image)
         others = len(images) - same
         return (-float(others), float(same > 0), -float(worker.free().cpu))
-    return (float(worker.free().cpu), float(worker.free().mem_mb))
+    # The smallest gap that fits: wide gaps stay for wide tasks.
+    return (-float(worker.free().cpu), -float(worker.free().mem_mb))
 
 
 def victims(task: progress.TaskState, service: str, priority: int,
--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -68,6 +68,10 @@
         self.dirty = False
         self.tasks: dict[Place, list[TaskState]] = {}
         self.run_base = 0
+        # Short jobs go before lasting ones of the same priority: on a full
+        # fleet a short task gives its room back within a second, and its
+        # caller waits.
+        self.lasting = any(step.perpetual for step in job.steps)
 
     def occurrence(self, number: int) -> None:
         """Create the tasks of an occurrence unless they are there."""
--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -58,6 +58,7 @@
         self.counts: dict[str, int] = {}
         self.counted_at = 0.0
         self.stopped = threading.Event()
+        self.flushing = threading.Lock()
 
     def run(self) -> None:
         """Write until stopped or deposed."""
@@ -70,7 +71,15 @@
                 return
 
     def flush(self) -> bool:
-        """Write all that changed; tell whether this is still the owner."""
+        """Write all that changed; tell whether this is still the owner.
+
+        One flush at a time: a second one would find nothing left to write
+        and acknowledge ends that the first has not stored yet.
+        """
+        with self.flushing:
+            return self._flush()
+
+    def _flush(self) -> bool:
         with self.fleet.lock:
             self.fleet.commit_now = False
             marks = {w.entry.worker_id: w.processed
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -4,6 +4,7 @@
 reports and answers come in as calls.  All methods take the lock themselves.
 """
 
+import dataclasses
 import math
 import threading
 import typing
@@ -39,6 +40,18 @@
 STALLED_S = 0.4
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usage:
+    """Sum up the fleet: cores as reserved, and tasks that wait for room."""
+
+    capacity_cores: float
+    reserved_cores: float
+    reserved_memory: float
+    filling_cores: float
+    widest_gap_cores: float
+    waiting: dict[int, int]
+
+
 class FleetState:
     """Hold jobs and workers, and place tasks."""
 
@@ -514,10 +527,25 @@
 
     # Placing
 
-    def priority(self, state: progress.JobState) -> int:
-        """Return a job's priority as configured now."""
-        queue = self.configuration().named(state.job.queue)
-        return state.job.priority if queue is None else queue.priority
+    def usage(self) -> Usage:
+        """Return how full the fleet is and how many tasks wait."""
+        with self.lock:
+            workers = [w for w in self.workers.values() if w.listed]
+            capacity = sum(w.entry.capacity.cpu for w in workers)
+            memory = sum(w.entry.capacity.mem_mb for w in workers)
+            waiting: dict[int, int] = {}
+            for state in self.active.values():
+                count = sum(1 for (k, s), tasks in state.tasks.items()
+                            if state.step_ready(k, s) for t in tasks
+                            if t.phase == progress.IDLE and not t.done)
+                level = state.job.priority
+                waiting[level] = waiting.get(level, 0) + count
+            return Usage(
+                capacity / 1000.0, sum(w.used.cpu for w in workers) / 1000.0,
+                sum(w.used.mem_mb for w in workers) / max(1, memory),
+                sum(w.filling_cpu for w in workers) / 1000.0,
+                max((w.free().cpu for w in workers), default=0) / 1000.0,
+                waiting)
 
     def place(self, now: float, wall_ms: float) -> None:
         """Start every task whose turn has come and that has room."""
@@ -528,7 +556,7 @@
                 self.active.values(),
                 key=lambda s: (queues[s.job.queue].priority
                                if s.job.queue in queues else s.job.priority,
-                               s.created))
+                               s.lasting, s.created))
             usable = [w for w in self.workers.values() if w.usable(now)]
             round_ = _Round(self, queues, usable, now)
             for state in ranked:
--- /dev/null
+++ b/tests/test_fleet_ownership.py
@@ -0,0 +1,112 @@
+"""Show that the fleet has one owner at a time."""
+
+import threading
+import time
+
+import pytest
+
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import operatorview
+from sycamorefield.fleet import ownership as ownership_mod
+from sycamorefield.fleet import records
+from sycamorefield.fleet import recorder as recorder_mod
+from sycamorefield.fleet import state as state_mod
+from tests import fleetfakes
+
+
+class NoOwner:
+    """Stand in for an owner that is never made."""
+
+    def __init__(self, fence: int) -> None:
+        raise AssertionError("not to be made here")
+
+
+def contender(store, name):
+    view = operatorview.OperatorView(store, "op/c",
+                                     lambda value: messages.Configuration())
+    return ownership_mod.Ownership(store, view, name, NoOwner)
+
+
+def look(ownership):
+    """Let a contender see the owner's key as it stands."""
+    ownership.view.owner = ownership.store.get(records.OWNER_KEY)
+    ownership.view.owner_known = True
+
+
+def test_another_owner_seen_while_waiting_is_not_taken_for_ourselves():
+    """Claim nothing when another has won meanwhile.
+
+    Symptom: four processes acted as owner under one fence, tasks ran twice
+    and workers were overfilled.  Events: a contender saw the key free and
+    waited for its turn; another claimed the key, and the watch brought that
+    key; the contender still held a lease from an earlier attempt.  Cause:
+    any key that was there by then was taken for a claim of our own whose
+    answer had been lost.
+    """
+    store = fleetfakes.MemoryStore()
+    first, second = contender(store, "a"), contender(store, "b")
+    second.lease = store.grant(2000)
+    fence = first._claim()
+    look(second)
+    assert fence
+    assert second._claim() == 0
+
+
+def test_claim_without_answer_that_took_effect_is_ours():
+    """Own the fleet after a claim whose answer was lost.
+
+    Symptom would be a fleet without an owner for as long as the claimant
+    renews its lease.  Cause would be to look at answers only.
+    """
+    store = fleetfakes.MemoryStore()
+    ours = contender(store, "a")
+    store.lose_answers = 1
+    with pytest.raises(Exception, match="no answer"):
+        ours._claim()
+    look(ours)
+    assert ours._claim() == store.items[records.OWNER_KEY].revision
+
+
+def test_released_key_is_free_at_once():
+    store = fleetfakes.MemoryStore()
+    first, second = contender(store, "a"), contender(store, "b")
+    first.release(first._claim())
+    look(second)
+    assert second._claim()
+
+
+def test_two_flushes_at_once_do_not_acknowledge_unstored_ends():
+    """Let a second flush wait for the first.
+
+    Symptom: a task that had ended as done was started again by a successor.
+    Events: at a planned stop the owner flushed what had changed while its
+    recorder was waiting for the answer to a commit of the same ends; the
+    second flush found nothing left to write and told the workers to forget
+    the ends; the commit was then given up.  Cause: two flushes at once.
+    """
+    store = fleetfakes.MemoryStore()
+    store.commit(messages.Transaction(
+        puts=(messages.Put(records.OWNER_KEY, b"me"),)))
+    fleet = state_mod.FleetState(2, 6000.0, lambda *_: None,
+                                 fleetfakes.configuration)
+    seen: list[dict[str, int]] = []
+    recorder = recorder_mod.Recorder(
+        store, fleet, records.OWNER_KEY, lambda: True, lambda _: None,
+        seen.append)
+    fleet.add_worker(fleetfakes.entry(0))
+    recorder.addresses = {"i-0": fleetfakes.entry(0).address}
+    recorder.counted_at = time.monotonic()
+    fleet.workers["i-0"].processed = 7
+    fleet.add_job(fleetfakes.job("j"), 5).dirty = True
+    store.refuse = True
+    threads = [threading.Thread(target=recorder.flush, daemon=True)
+               for _ in range(2)]
+    for thread in threads:
+        thread.start()
+    threads[1].join(0.3)
+    assert not seen
+    store.refuse = False
+    for thread in threads:
+        thread.join(5)
+    assert {"i-0": 7} in seen
+    assert records.progress_key("j") in store.items
