--- /dev/null
+++ b/tests/platformfakes.py
@@ -0,0 +1,144 @@
+"""Serve the platform's store and a worker over HTTP, with faults.
+
+Wire formats are written out here a second time on purpose: the adapter is
+tested against what the platform speaks, not against itself.
+"""
+
+import base64
+import http.server
+import json
+import threading
+import time
+import typing
+import urllib.parse
+
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import surroundings
+from tests import fleetfakes
+
+Body = dict[str, typing.Any]
+
+
+class Server:
+    """Answer JSON calls through a handler; misbehave on demand.
+
+    fault: "" serves; "busy" answers 503, "many" 429; "lost" carries the call
+    out and closes; "silent" neither answers nor closes; "slow" waits.
+    """
+
+    def __init__(self, handle: typing.Callable[
+            [str, str, Body, Body], tuple[int, Body]]) -> None:
+        self.handle = handle
+        self.fault = ""
+        self.calls: list[str] = []
+        self.headers: list[dict[str, str]] = []
+        outer = self
+
+        class Handler(http.server.BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def serve(self) -> None:
+                outer.answer(self)
+
+            do_GET = do_POST = do_DELETE = serve
+
+            def log_message(self, *args: object) -> None:
+                """Keep quiet."""
+
+        self.server = http.server.ThreadingHTTPServer(("127.0.0.1", 0),
+                                                      Handler)
+        self.server.daemon_threads = True
+        self.address = f"127.0.0.1:{self.server.server_address[1]}"
+        threading.Thread(target=self.server.serve_forever, args=(0.02,),
+                         daemon=True).start()
+
+    def answer(self, call: http.server.BaseHTTPRequestHandler) -> None:
+        length = int(call.headers.get("Content-Length") or 0)
+        body = json.loads(call.rfile.read(length) or b"{}")
+        path, _, query = call.path.partition("?")
+        fields = {k: v[0] for k, v in urllib.parse.parse_qs(query).items()}
+        self.calls.append(path)
+        self.headers.append(dict(call.headers))
+        if self.fault == "silent":
+            time.sleep(3)
+            call.close_connection = True
+            return
+        if self.fault == "slow":
+            time.sleep(0.3)
+        if self.fault in ("busy", "many"):
+            status, reply = (503 if self.fault == "busy" else 429), {}
+        else:
+            status, reply = self.handle(call.command, path, fields, body)
+        if self.fault == "lost":
+            call.close_connection = True
+            return
+        data = json.dumps(reply).encode()
+        call.send_response(status)
+        call.send_header("Content-Length", str(len(data)))
+        call.end_headers()
+        call.wfile.write(data)
+
+    def close(self) -> None:
+        """Stop serving."""
+        self.server.shutdown()
+        self.server.server_close()
+
+
+def _row(item: messages.Item) -> Body:
+    return {"key": item.key, "rev": item.revision, "created": item.created,
+            "value": base64.b64encode(item.value).decode()}
+
+
+class StoreServer(Server):
+    """The platform's store before a store in memory."""
+
+    PAGE = 2
+
+    def __init__(self) -> None:
+        super().__init__(self._handle)
+        self.memory = fleetfakes.MemoryStore()
+
+    def _handle(self, method: str, path: str, query: Body,
+                body: Body) -> tuple[int, Body]:
+        try:
+            return self._serve(path, query, body)
+        except surroundings.HistoryGone:
+            return 410, {}
+        except surroundings.LeaseEnded:
+            return 404, {}
+        except surroundings.Conflict as exc:
+            return 412, {"items": [_row(item) for item in exc.items]}
+
+    def _serve(self, path: str, query: Body, body: Body) -> tuple[int, Body]:
+        memory = self.memory
+        if path == "/-/kv-key":
+            item = memory.get(query["key"])
+            if item is None:
+                return 404, {"current_rev": memory.revision}
+            return 200, {**_row(item), "current_rev": memory.revision}
+        if path == "/-/kv-range":
+            listing = memory.listing(query["prefix"])
+            rest = [i for i in listing.items if i.key > query.get("after",
+                                                                  "")]
+            return 200, {"items": [_row(i) for i in rest[:self.PAGE]],
+                         "has_more": len(rest) > self.PAGE,
+                         "current_rev": listing.revision}
+        if path == "/-/kv-watch":
+            found = memory.watch(query["prefix"], int(query["after"]),
+                                 int(query["wait_ms"]))
+            return 200, {"current_rev": found.revision, "events": [
+                _row(c.item) if c.item else
+                {"key": c.key, "rev": c.revision, "deleted": True}
+                for c in found.changes]}
+        if path == "/-/kv-txn":
+            return 200, {"rev": memory.commit(messages.Transaction(
+                tuple(messages.Expect(e["key"], e["rev"])
+                      for e in body["precondition"]),
+                tuple(messages.Put(p["key"], base64.b64decode(p["value"]),
+                                   p.get("lease", 0))
+                      for p in body["puts"]), tuple(body["remove"])))}
+        if path == "/-/kv-lease":
+            return 200, {"lease": memory.grant(body["ttl_ms"]),
+                         "ttl_ms": body["ttl_ms"]}
+        memory.renew(int(path.rsplit("/", 1)[1]))
+        return 200, {"ttl_ms": 2000}
--- a/tests/test_fleet_ownership.py
+++ b/tests/test_fleet_ownership.py
@@ -8,8 +8,8 @@
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import operatorview
 from sycamorefield.fleet import ownership as ownership_mod
-from sycamorefield.fleet import records
 from sycamorefield.fleet import recorder as recorder_mod
+from sycamorefield.fleet import records
 from sycamorefield.fleet import state as state_mod
 from tests import fleetfakes
 
--- /dev/null
+++ b/tests/test_platform_adapter.py
@@ -0,0 +1,311 @@
+"""Show that the adapter speaks the platform's formats and reports faults."""
+
+import io
+import json
+
+import pydantic
+import pytest
+
+from sycamorefield.fleet import intake as intake_mod
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import records
+from sycamorefield.fleet import surroundings
+from sycamorefield.platform import calls
+from sycamorefield.platform import configuration
+from sycamorefield.platform import front as front_mod
+from sycamorefield.platform import jobbody
+from sycamorefield.platform import store as store_mod
+from sycamorefield.platform import workers as workers_mod
+from tests import fleetfakes
+from tests import platformfakes
+
+CONFIG = {"version": 7, "routes": [
+    {"name": "a", "host": "h", "prefix": "/x/", "service": "s",
+     "slo_ms": 250, "max_attempts": 4, "kind": "non_idempotent"},
+    {"name": "b", "host": "h", "prefix": "/x/y/", "service": "t",
+     "priority": 2, "max_attempts": 3}], "services": [],
+    "limits": {"max_body_bytes": 2000}}
+JOB_ID = "5c0e7a21d94b36f8"
+
+
+@pytest.fixture(name="server")
+def fixture_server():
+    server = platformfakes.StoreServer()
+    yield server
+    server.close()
+
+
+@pytest.fixture(name="store")
+def fixture_store(server):
+    return store_mod.PlatformStore(server.address)
+
+
+def put(store, key, value=b"v", revision=0):
+    return store.commit(messages.Transaction(
+        (messages.Expect(key, revision),), (messages.Put(key, value),)))
+
+
+def test_store_reads_what_it_wrote_over_pages(store):
+    for n in range(5):
+        put(store, f"in/{n}", bytes([n, 255]))
+    listing = store.listing("in/")
+    assert [i.value for i in listing.items] == [bytes([n, 255])
+                                                for n in range(5)]
+    assert store.get("in/3").key == "in/3"
+    assert store.get("in/9") is None
+
+
+def test_store_tells_conflicts_with_what_stands(store):
+    revision = put(store, "k", b"mine")
+    with pytest.raises(surroundings.Conflict) as caught:
+        put(store, "k", b"other")
+    assert caught.value.at("k").value == b"mine"
+    assert caught.value.at("k").revision == revision
+
+
+def test_watch_brings_changes_and_removals(store):
+    revision = put(store, "k/1")
+    put(store, "k/2")
+    store.commit(messages.Transaction(removes=("k/1",)))
+    changes = store.watch("k/", revision, 100).changes
+    assert [(c.key, c.item is None) for c in changes] == [
+        ("k/2", False), ("k/1", True)]
+
+
+def test_lost_history_is_told(server, store):
+    revision = put(store, "k/1")
+    server.memory.compact()
+    with pytest.raises(surroundings.HistoryGone):
+        store.watch("k/", revision, 100)
+
+
+def test_leases_are_granted_renewed_and_end(server, store):
+    lease = store.grant(2000)
+    store.renew(lease)
+    server.memory.end_lease(lease)
+    with pytest.raises(surroundings.LeaseEnded):
+        store.renew(lease)
+
+
+@pytest.mark.parametrize(("fault", "error", "stored"), [
+    ("busy", surroundings.CallRefused, False),
+    ("many", surroundings.CallRefused, False),
+    ("lost", surroundings.CallFailed, True),
+    ("silent", surroundings.CallFailed, False),
+])
+def test_refused_and_unanswered_commits_differ(server, store, fault, error,
+                                               stored):
+    server.fault = fault
+    with pytest.raises(surroundings.CallFailed) as caught:
+        put(store, "k")
+    assert caught.type is error
+    assert ("k" in server.memory.items) == stored
+
+
+def test_no_listener_means_nothing_was_done():
+    caller = calls.Caller("127.0.0.1:9", 1)
+    with pytest.raises(surroundings.CallRefused):
+        caller.call("GET", "/", 0.3)
+
+
+ENTRY = {"service": "s", "addr": "10.0.0.1:80", "zone": "z", "version": "v1",
+         "slots": 8, "state": "ready", "capacity": {"cpu": 1, "mem_mb": 2},
+         "labels": ["a", "r1-3"], "clock_ms": 5, "seq": 4}
+
+
+@pytest.mark.parametrize("value", [
+    b"\xff\xfe", b"[]", b"7", b"null", b"{}",
+    json.dumps({**ENTRY, "state": "resting"}).encode(),
+    json.dumps({**ENTRY, "addr": 7}).encode(),
+    json.dumps({**ENTRY, "addr": "nowhere"}).encode(),
+    json.dumps({**ENTRY, "service": None}).encode(),
+    json.dumps({**ENTRY, "capacity": []}).encode(),
+    json.dumps({**ENTRY, "capacity": {"cpu": "many"}}).encode(),
+    json.dumps({**ENTRY, "labels": [1]}).encode(),
+    json.dumps({**ENTRY, "remaining_ms": "soon"}).encode(),
+])
+def test_foreign_entries_are_skipped_and_the_others_hold(store, value):
+    put(store, "servers/i-1", value)
+    put(store, "servers/i-2", json.dumps(ENTRY).encode())
+    roster = workers_mod.PlatformWorkerList(store)
+    assert [w.worker_id for w in roster.workers()] == ["i-2"]
+
+
+def test_entry_is_decoded_into_typed_fields(store):
+    put(store, "servers/i-2", json.dumps(
+        {**ENTRY, "state": "draining", "remaining_ms": 900}).encode())
+    (worker,) = workers_mod.PlatformWorkerList(store).workers()
+    assert worker.draining
+    assert worker.remaining_ms == 900
+    assert worker.capacity == messages.Room(1, 2, 0)
+    assert worker.rack() == "r1-3"
+
+
+def worker_server(status, body):
+    return platformfakes.Server(lambda *_: (status, body))
+
+
+def platform_worker(server):
+    return workers_mod.PlatformWorker(fleetfakes.entry(
+        1, address=server.address))
+
+
+TASK = messages.TaskId(JOB_ID, 0, 1, 17)
+
+
+def test_report_is_decoded():
+    server = worker_server(200, {
+        "clock_ms": 482113, "running": [[f"{JOB_ID}.0.1.17", 2, "s", 41,
+                                         17.0]],
+        "ended": [[58, f"{JOB_ID}.0.1.9", 1, "done", ""]]})
+    report = platform_worker(server).renew(7, 57, 486000.7, 1000)
+    assert report.running == (messages.RunningTask(TASK, 2, "s", 41, 17.0),)
+    assert report.ended[0].number == 58
+    assert report.ended[0].how == messages.DONE
+    assert server.headers[0]["Sycamorefield-Expect-Instance"] == "i-1"
+    server.close()
+
+
+@pytest.mark.parametrize(("status", "body", "error", "reason"), [
+    (409, {"reason": "fence"}, surroundings.OrderRejected, "fence"),
+    (409, {"reason": "room"}, surroundings.OrderRejected, "room"),
+    (429, {}, surroundings.OrderRejected, surroundings.UNHEALTHY),
+    (503, {}, surroundings.OrderRejected, surroundings.UNHEALTHY),
+    (400, {}, surroundings.OrderRejected, surroundings.MALFORMED),
+    (421, {}, surroundings.OtherIncarnation, ""),
+    (500, {}, surroundings.CallFailed, ""),
+])
+def test_rejections_are_told_apart(status, body, error, reason):
+    server = worker_server(status, body)
+    with pytest.raises(error) as caught:
+        platform_worker(server).start(
+            messages.StartOrder(TASK, 1, "spec"), 7, 100.0)
+    assert getattr(caught.value, "reason", "") == reason
+    server.close()
+
+
+def test_configuration_becomes_queues_longest_prefix_first():
+    config = configuration.decode(json.dumps(CONFIG).encode())
+    assert config.match("h", "/x/y/1").name == "b"
+    assert config.match("h", "/x/1").name == "a"
+    assert config.match("other", "/x/1") is None
+    assert config.max_body_bytes == 2000
+
+
+@pytest.mark.parametrize("value", [b"", b"[]", b"{}", b"\xff",
+                                   b'{"version": "x"}'])
+def test_unreadable_configuration_is_an_error(value):
+    with pytest.raises(ValueError):
+        configuration.decode(value)
+
+
+@pytest.mark.parametrize("body", [
+    "", "[]", "{}", '{"steps": []}', '{"steps": [{}]}',
+    '{"steps": [{"count": 0}]}', '{"steps": [{"count": 1, "cpu": -1}]}',
+    '{"steps": [{"count": 1, "after": [0]}]}',
+    '{"steps": [{"count": 1}, {"count": 1, "after": [2]}]}',
+    json.dumps({"spec": "x" * 4001, "steps": [{"count": 1}]}),
+])
+def test_bad_jobs_are_rejected(body):
+    queue = messages.Queue("a", "h", "/x/", "s")
+    with pytest.raises(pydantic.ValidationError):
+        jobbody.decode(JOB_ID, queue, 0.0, body.encode())
+
+
+class Client:
+    """Call the front as a caller does, without a socket."""
+
+    def __init__(self, store) -> None:
+        self.config = configuration.decode(json.dumps(CONFIG).encode())
+        self.stopping = False
+        self.front = front_mod.Front(
+            intake_mod.Intake(store), lambda: self.config, lambda: True,
+            lambda: self.stopping, lambda: "metric 1\n")
+
+    def call(self, method, path, body=b"", host="h", deadline="800"):
+        answer = {}
+
+        def start(status, headers):
+            answer["status"] = int(status.split()[0])
+            answer["headers"] = dict(headers)
+
+        data = self.front({
+            "REQUEST_METHOD": method, "PATH_INFO": path, "HTTP_HOST": host,
+            "HTTP_SYCAMOREFIELD_DEADLINE": deadline,
+            "CONTENT_LENGTH": str(len(body)),
+            "wsgi.input": io.BytesIO(body)}, start)
+        answer["body"] = json.loads(b"".join(data))
+        return answer
+
+
+JOB = json.dumps({"spec": "s", "steps": [{"count": 2, "cpu": 5}]}).encode()
+
+
+@pytest.mark.parametrize(("method", "path", "body", "host", "status"), [
+    ("POST", f"/x/{JOB_ID}", JOB, "h", 200),
+    ("POST", f"/x/{JOB_ID}", JOB, "h:8161", 200),
+    ("POST", f"/x/{JOB_ID}", JOB, "other", 404),
+    ("POST", f"/z/{JOB_ID}", JOB, "h", 404),
+    ("POST", "/x/short", JOB, "h", 400),
+    ("POST", f"/x/{JOB_ID}", b"{", "h", 400),
+    ("POST", f"/x/{JOB_ID}", b" " * 2001, "h", 413),
+    ("POST", "/x/", JOB, "h", 405),
+    ("PATCH", f"/x/{JOB_ID}", JOB, "h", 405),
+    ("GET", f"/x/{JOB_ID}", b"", "h", 410),
+    ("DELETE", f"/x/{JOB_ID}", b"", "h", 410),
+    ("GET", "/x/", b"", "h", 200),
+    ("GET", "/-/ready", b"", "h", 200),
+])
+def test_front_answers_each_request_clearly(store, method, path, body, host,
+                                            status):
+    assert Client(store).call(method, path, body, host)["status"] == status
+
+
+def test_job_is_stored_once_and_shown_and_cancelled(server, store):
+    client = Client(store)
+    for _ in range(2):
+        assert client.call("POST", f"/x/{JOB_ID}", JOB)["status"] == 200
+    assert client.call("GET", f"/x/{JOB_ID}")["body"] == {"state": "pending"}
+    assert client.call("DELETE", f"/x/{JOB_ID}")["status"] == 200
+    assert client.call("DELETE", f"/x/{JOB_ID}")["status"] == 200
+    assert sorted(server.memory.items) == [
+        records.job_key(JOB_ID), records.cancel_key(JOB_ID)]
+
+
+@pytest.mark.parametrize(("fault", "status"), [
+    ("busy", 503), ("many", 503), ("silent", 504)])
+def test_a_job_not_stored_is_refused_truthfully(server, store, fault,
+                                                status):
+    """Say "not accepted" only when nothing can be stored any more.
+
+    Symptom would be a task that starts although every answer to its caller
+    was a refusal.  Events: the store turns calls away, or does not answer.
+    Cause would be one answer for both.
+    """
+    server.fault = fault
+    answer = Client(store).call("POST", f"/x/{JOB_ID}", JOB)
+    assert answer["status"] == status
+    assert ("Retry-After" in answer["headers"]) == (status == 503)
+
+
+def test_a_job_whose_stores_answer_was_lost_is_accepted(server, store):
+    server.fault = "lost"
+    client = Client(store)
+    assert client.call("POST", f"/x/{JOB_ID}", JOB)["status"] == 504
+    server.fault = ""
+    assert client.call("POST", f"/x/{JOB_ID}", JOB)["status"] == 200
+
+
+def test_no_configuration_yet_is_a_refusal(store):
+    client = Client(store)
+    client.config = messages.Configuration()
+    answer = client.call("POST", f"/x/{JOB_ID}", JOB)
+    assert answer["status"] == 503
+    assert answer["headers"]["Retry-After"] == "1"
+
+
+def test_answers_close_connections_while_stopping(store):
+    client = Client(store)
+    client.stopping = True
+    answer = client.call("GET", "/x/")
+    assert answer["headers"]["Connection"] == "close"
