On a full fleet, let jobs that can be in time go first; answer 504 sooner

Cause: with first come, first served all jobs wait until all are late; a submission that the store left unanswered held its caller to the deadline.

--- a/sycamorefield/fleet/intake.py
+++ b/sycamorefield/fleet/intake.py
@@ -17,6 +17,9 @@
 # Refusals of the store (nothing done) are tried again this often before the
 # caller is told to come back: a single 429 is over in milliseconds.
 REFUSED_TRIES = 3
+# After this many tries without an answer the caller is told so: it may come
+# back through another VM that reaches the store.
+UNANSWERED_TRIES = 2
 RETRY_PAUSE_S = 0.06
 # What is left of the caller's time to bring the answer to it.
 ANSWER_MARGIN_S = 0.15
@@ -101,6 +104,7 @@
         uncertain = False
         reason = "no time left"
         tries = 0
+        unanswered = 0
         while clock.now() < deadline - ANSWER_MARGIN_S:
             tries += 1
             try:
@@ -110,11 +114,14 @@
                 return Accepted()
             except surroundings.CallRefused as exc:
                 reason = str(exc)
-                if not uncertain and tries >= REFUSED_TRIES:
-                    return Refused(reason)
+                if tries >= REFUSED_TRIES:
+                    break
             except surroundings.CallFailed as exc:
                 uncertain = True
+                unanswered += 1
                 reason = str(exc)
+                if unanswered >= UNANSWERED_TRIES:
+                    break
             threading.Event().wait(RETRY_PAUSE_S)
         return Uncertain(reason) if uncertain else Refused(reason)
 
--- a/sycamorefield/fleet/messages.py
+++ b/sycamorefield/fleet/messages.py
@@ -196,6 +196,10 @@
     max_attempts: int = 1
     timeout_ms: float = 0.0
     advised: bool = False
+    # A job is in time if it takes stretch times its longest chain of steps
+    # and slo_ms more.
+    stretch: float = 1.0
+    slo_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True)
--- /dev/null
+++ b/sycamorefield/fleet/ordering.py
@@ -0,0 +1,49 @@
+"""Order the jobs that compete for room.
+
+Answers the load of a full fleet: with first come, first served all jobs wait
+until all are late.  A job that can still be in time goes before one that is
+late already, and a late one before one too late to count.
+"""
+
+import typing
+
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import progress
+
+# Up to this many times its objective a job still earns a part as late.
+LATE_FACTOR = 3.0
+# Estimates are up to half off; a job is given up as late only when it would
+# be late with this share of what is estimated to be left.
+HOPE = 0.25
+IN_TIME, LATE, TOO_LATE = range(3)
+
+
+def lateness(state: progress.JobState, queue: messages.Queue | None,
+             wall_ms: float) -> int:
+    """Tell whether a job can still be in time, by its estimates."""
+    job = state.job
+    if state.lasting or queue is None:
+        return IN_TIME
+    allowed = queue.stretch * state.chain_ms() + queue.slo_ms
+    begun = max(job.accepted_ms, job.due_ms(0))
+    needed = wall_ms - begun + HOPE * state.chain_left_ms()
+    if needed <= allowed:
+        return IN_TIME
+    return LATE if needed <= LATE_FACTOR * allowed else TOO_LATE
+
+
+def ranked(states: typing.Iterable[progress.JobState],
+           queues: dict[str, messages.Queue],
+           wall_ms: float) -> list[progress.JobState]:
+    """Return jobs in the order in which they may take room.
+
+    Priority first; then short jobs before lasting ones, because a short
+    task gives its room back within a second while its caller waits; then
+    by lateness, then by age.
+    """
+    def key(state: progress.JobState) -> tuple[int, bool, int, int]:
+        queue = queues.get(state.job.queue)
+        priority = queue.priority if queue else state.job.priority
+        return (priority, state.lasting, lateness(state, queue, wall_ms),
+                state.created)
+    return sorted(states, key=key)
--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -73,6 +73,26 @@
         # caller waits.
         self.lasting = any(step.perpetual for step in job.steps)
 
+    def chain_left_ms(self) -> float:
+        """Return the estimated longest chain of steps not done yet."""
+        ends: list[float] = []
+        for number, step in enumerate(self.job.steps):
+            begin = max((ends[earlier] for earlier in step.after),
+                        default=0.0)
+            done = all(self.step_done(k, number)
+                       for k in range(self.job.occurrences()))
+            ends.append(begin + (0.0 if done else step.estimate_ms))
+        return max(ends)
+
+    def chain_ms(self) -> float:
+        """Return the estimated longest chain of all steps."""
+        ends: list[float] = []
+        for step in self.job.steps:
+            begin = max((ends[earlier] for earlier in step.after),
+                        default=0.0)
+            ends.append(begin + step.estimate_ms)
+        return max(ends)
+
     def occurrence(self, number: int) -> None:
         """Create the tasks of an occurrence unless they are there."""
         for index, step in enumerate(self.job.steps):
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -12,6 +12,7 @@
 from sycamorefield import events
 from sycamorefield.fleet import interference
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import ordering
 from sycamorefield.fleet import pacing
 from sycamorefield.fleet import placing
 from sycamorefield.fleet import progress
@@ -552,11 +553,7 @@
         with self.lock:
             self.changed = False
             queues = self.configuration().by_name()
-            ranked = sorted(
-                self.active.values(),
-                key=lambda s: (queues[s.job.queue].priority
-                               if s.job.queue in queues else s.job.priority,
-                               s.lasting, s.created))
+            ranked = ordering.ranked(self.active.values(), queues, wall_ms)
             usable = [w for w in self.workers.values() if w.usable(now)]
             round_ = _Round(self, queues, usable, now)
             for state in ranked:
--- a/sycamorefield/platform/__main__.py
+++ b/sycamorefield/platform/__main__.py
@@ -6,6 +6,7 @@
 import cherrypy
 
 from sycamorefield import events
+from sycamorefield.fleet import clock
 from sycamorefield.fleet import intake as intake_mod
 from sycamorefield.fleet import operatorview
 from sycamorefield.fleet import owner as owner_mod
@@ -22,6 +23,8 @@
 # The balancer sends no new connections after two missed checks, 1 s apart.
 # What was sent until then is answered before the listener closes.
 SERVE_ON_S = 3.2
+# The watch is answered each second; a store not heard for this long is away.
+STORE_SILENCE_S = 1.6
 
 
 class Daemon:
@@ -47,7 +50,14 @@
             self.settings.bounds.hold_max_ms)
 
     def _ready(self) -> bool:
-        return self.view.known and not self.stop_asked.is_set()
+        """Tell whether new connections are welcome.
+
+        A VM that the store turns away can accept no job; the balancer then
+        sends callers to others.  When the store is down for all, no VM is
+        ready, and the balancer uses them all.
+        """
+        return (self.view.known and not self.stop_asked.is_set()
+                and clock.now() - self.view.answered_at < STORE_SILENCE_S)
 
     def _metrics(self) -> str:
         owner = self.ownership.owner
--- a/sycamorefield/platform/configuration.py
+++ b/sycamorefield/platform/configuration.py
@@ -20,6 +20,8 @@
     priority: int = 0
     max_attempts: int = 1
     timeout_ms: float = 0.0
+    stretch: float = 1.0
+    slo_ms: float = 0.0
     advice: typing.Any = None
 
 
@@ -45,7 +47,7 @@
     model = ConfigModel.model_validate(json.loads(value))
     queues = [messages.Queue(r.name, r.host, r.prefix, r.service, r.priority,
                              r.max_attempts, r.timeout_ms,
-                             r.advice is not None)
+                             r.advice is not None, r.stretch, r.slo_ms)
               for r in model.routes]
     queues.sort(key=lambda queue: -len(queue.prefix))
     return messages.Configuration(model.version, tuple(queues),
--- a/sycamorefield/platform/store.py
+++ b/sycamorefield/platform/store.py
@@ -10,6 +10,7 @@
 
 # Slow answers of the store take up to about 0.3 s (72 times 4 ms).
 CALL_TIMEOUT_S = 1.0
+COMMIT_TIMEOUT_S = 0.6
 # A watch that hears nothing answers when its wait ends; what comes later
 # than this behind it means that the connection went silent.
 WATCH_SLACK_S = 0.5
@@ -76,7 +77,7 @@
                                  for e in transaction.expects],
                 "puts": [_put(p) for p in transaction.puts],
                 "remove": list(transaction.removes)}
-        answer = self._call("POST", "/-/kv-txn", body)
+        answer = self._call("POST", "/-/kv-txn", body, COMMIT_TIMEOUT_S)
         if answer.status == 412:
             raise surroundings.Conflict(tuple(
                 _item(row) for row in answer.body.get("items") or []
--- /dev/null
+++ b/tests/test_fleet_ordering.py
@@ -0,0 +1,55 @@
+"""Show in which order jobs take room on a full fleet."""
+
+import pytest
+
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import ordering
+from sycamorefield.fleet import progress
+from tests import fleetfakes
+
+QUEUES = {"checks": messages.Queue("checks", "h", "/c/", "desk", 0, 2,
+                                   stretch=2.0, slo_ms=500.0)}
+# Two steps of a second each: 4,500 ms are in time.
+STEPS = (messages.Step(1, estimate_ms=1000),
+         messages.Step(1, estimate_ms=1000, after=(0,)))
+
+
+def state(name, accepted_ms, *steps, created=1, queue="checks"):
+    return progress.JobState(fleetfakes.job(
+        name, *(steps or STEPS), accepted_ms=accepted_ms, queue=queue),
+        created)
+
+
+@pytest.mark.parametrize(("waited_ms", "first_done", "expected"), [
+    (0, False, ordering.IN_TIME),
+    (4000, False, ordering.IN_TIME),
+    (4001, False, ordering.LATE),
+    (4250, True, ordering.IN_TIME),
+    (13_000, False, ordering.LATE),
+    (13_001, False, ordering.TOO_LATE),
+])
+def test_lateness_follows_from_what_is_left(waited_ms, first_done, expected):
+    job = state("j", 0.0)
+    job.occurrence(0)
+    job.tasks[0, 0][0].done = first_done
+    assert ordering.lateness(job, QUEUES["checks"], waited_ms) == expected
+
+
+def test_jobs_that_can_be_in_time_go_first_and_lasting_ones_last():
+    lasting = state("lasting", 0.0, messages.Step(1, perpetual=True),
+                    created=0)
+    late = state("late", 0.0, created=1)
+    fresh = state("fresh", 9000.0, created=3)
+    older = state("older", 8000.0, created=2)
+    order = ordering.ranked([lasting, late, fresh, older], QUEUES, 10_000.0)
+    assert [s.job.job_id for s in order] == ["older", "fresh", "late",
+                                             "lasting"]
+
+
+def test_priority_goes_before_lateness():
+    queues = {**QUEUES, "renewals": messages.Queue(
+        "renewals", "h", "/r/", "desk", 2, 2, stretch=2.0, slo_ms=500.0)}
+    late = state("late", 0.0)
+    patient = state("patient", 10_000.0, queue="renewals")
+    order = ordering.ranked([patient, late], queues, 10_000.0)
+    assert [s.job.job_id for s in order] == ["late", "patient"]
