Tell a worker that left from one that went dark; wait less after a takeover

What: a draining worker that closes its connections and leaves the list is gone at once. An owner without the store gives leases only while most workers obey it, so a successor that most reported to waits 7 s instead of 18.7 s. Ruled out: taking each unlisted worker for gone (a cut-off one runs on). Conclusion: mended; tests in test_fleet_state.

--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -9,10 +9,8 @@
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import surroundings
+from sycamorefield.fleet import workerstate
 
-# The lease given to what runs.  A successor takes about 2.5 s to take over
-# from an owner that died; what runs must outlive that.
-LEASE_MS = 5000.0
 # How long a worker holds its report while nothing ends.  It bounds how long
 # a dead worker goes unnoticed.
 REPORT_WAIT_MS = 1200
@@ -27,6 +25,7 @@
 # would be answered at once.
 RECORD_WAIT_S = 0.4
 START_TRIES = 2
+NO_LEASE = "no lease may be given"
 STOP_TRIES = 40
 
 MayAct = typing.Callable[[], bool]
@@ -37,14 +36,14 @@
 
     def __init__(self, entry: messages.WorkerEntry,
                  worker: surroundings.Worker, fleet: state_mod.FleetState,
-                 may_act: MayAct, deposed: typing.Callable[[str], None],
-                 lease_ms: float = LEASE_MS) -> None:
+                 may_act: MayAct, may_lease: MayAct,
+                 deposed: typing.Callable[[str], None]) -> None:
         self.worker_id = entry.worker_id
         self.worker = worker
         self.fleet = fleet
         self.may_act = may_act
+        self.may_lease = may_lease
         self.deposed = deposed
-        self.lease_ms = lease_ms
         self.closed = False
         self.recorded = threading.Event()
         self.recorded_upto = 0
@@ -69,17 +68,23 @@
             self.recorded.set()
 
     def _until(self) -> float | None:
+        if not self.may_lease():
+            return None
         with self.fleet.lock:
             worker = self.fleet.workers.get(self.worker_id)
             if worker is None:
                 return None
-            return worker.lease_until(self.lease_ms, clock.now())
+            return worker.lease_until(
+                min(workerstate.LEASE_MS, self.fleet.hold_max_ms),
+                clock.now())
 
     def _wait_ms(self) -> int:
         with self.fleet.lock:
             worker = self.fleet.workers.get(self.worker_id)
             if worker is None or not worker.reported or worker.silent:
                 return 0
+            if self.fleet.without_store:
+                return WORRIED_WAIT_MS
             if worker.serving and worker.filling_cpu:
                 worst = max((t.ratio for t in worker.tails), default=1.0)
                 return (WORRIED_WAIT_MS if worst > WORRIED_AT
@@ -114,7 +119,9 @@
                 self.recorded.wait(RECORD_WAIT_S)
 
     def _failed(self, exc: Exception) -> None:
-        self.fleet.worker_silent(self.worker_id, str(exc))
+        self.fleet.worker_silent(
+            self.worker_id, str(exc),
+            isinstance(exc, surroundings.ConnectionClosed))
         threading.Event().wait(RETRY_PAUSE_S)
 
     def _orders(self) -> None:
@@ -144,6 +151,8 @@
                 return
             until = self._until()
             if until is None:
+                self.fleet.on_rejected(self.worker_id, order, NO_LEASE,
+                                       clock.now())
                 return
             try:
                 clock_ms = self.worker.start(order, self.fleet.fence, until)
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -13,6 +13,7 @@
 from sycamorefield.fleet import records
 from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import surroundings
+from sycamorefield.fleet import workerstate
 
 # Without any answer of the store the owner goes on this long: an outage of
 # the store must not throw away what runs.  Its orders carry its fence, so a
@@ -20,6 +21,9 @@
 WITHOUT_STORE_S = 8.0
 # How often the use of the fleet is logged.
 USAGE_PERIOD_S = 2.0
+# The owner's lease in the store.  An owner that dies is noticed when it
+# ends; three renewals fit in, so one lost or slow renewal does not end it.
+OWN_LEASE_S = 2.0
 # A leaving worker gets no new work within 2 s of its notice.
 ROSTER_PERIOD_S = 0.8
 INBOX_WATCH_MS = 2000
@@ -63,6 +67,18 @@
             return False
         return True
 
+    def may_lease(self) -> bool:
+        """Tell whether what runs may be given more time.
+
+        Beyond its own lease an owner cannot know whether it has a successor.
+        The successor fences every worker that it reaches; as long as most
+        workers obey this owner, there is none that reached most.
+        """
+        now = clock.now()
+        self.fleet.without_store = now - self.renewed > OWN_LEASE_S
+        return (not self.fleet.without_store
+                or self.fleet.obeyed_by_most(now))
+
     def step_down(self, reason: str) -> None:
         """Give no orders from now on."""
         if self.over.is_set():
@@ -188,9 +204,9 @@
         self.recorder.revisions[records.FLEET_KEY] = item.revision
         self.recorder.addresses = records.decode_mapping(item.value)
         until = (clock.now() + WITHOUT_STORE_S
-                 + (self.hold_max_ms + 500.0) / 1000.0 / 0.98)
-        for worker_id in self.recorder.addresses:
-            self.fleet.unheard[worker_id] = until
+                 + (workerstate.LEASE_MS + workerstate.LEASE_END_SLACK_MS)
+                 / 1000.0 / workerstate.SLOW_CLOCK)
+        self.fleet.expect(self.recorder.addresses, until)
 
     def _contact_unlisted(self) -> None:
         """Ask workers in use that the list has lost, at their address."""
@@ -227,8 +243,7 @@
             old.close()
         link = link_mod.WorkerLink(
             entry, self.connect(entry), self.fleet, self.may_act,
-            self.step_down,
-            min(link_mod.LEASE_MS, self.hold_max_ms))
+            self.may_lease, self.step_down)
         if old is not None:
             link.recorded_upto = old.recorded_upto
         self.links[entry.worker_id] = link
--- a/sycamorefield/fleet/ownership.py
+++ b/sycamorefield/fleet/ownership.py
@@ -13,9 +13,7 @@
 from sycamorefield.fleet import records
 from sycamorefield.fleet import surroundings
 
-# An owner that dies is noticed when its lease ends.  Three renewals fit in,
-# so one lost or slow renewal does not end it.
-LEASE_TTL_MS = 2000
+LEASE_TTL_MS = int(owner_mod.OWN_LEASE_S * 1000)
 RENEW_PERIOD_S = 0.5
 # Processes that see the key go at the same moment try at different times,
 # which spares the store most of the claims that cannot win.
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -27,6 +27,9 @@
 NO_ROOM_S = 0.5
 # A task that keeps failing at once is not restarted faster than this.
 RESTART_PAUSE_S = 0.2
+# An owner without the store gives leases only while most workers took a
+# call of its within this time: a successor would have fenced them by then.
+OBEYED_S = 1.5
 # A worker forgets and lists at most this many ends in one report.
 ENDS_PER_REPORT = 500
 # An unexpected run is told to stop again when it is still there after this.
@@ -71,6 +74,10 @@
         # Workers that an earlier owner used and that have not reported yet,
         # with the time from which nothing can run there any more.
         self.unheard: dict[str, float] = {}
+        self.expected = 0
+        # Whether the store has not answered for longer than the owner's
+        # lease: a successor may exist.
+        self.without_store = False
         self.learnt = interference.Interference()
         self.changed = False
         self.commit_now = False
@@ -170,11 +177,28 @@
                     self.workers[worker_id].enrolled = True
             self._notify()
 
-    def worker_silent(self, worker_id: str, reason: str) -> None:
-        """Note that a worker did not answer."""
+    def expect(self, worker_ids: typing.Iterable[str],
+               until: float) -> None:
+        """Wait for workers that an earlier owner may have used."""
+        self.unheard = {worker_id: until for worker_id in worker_ids}
+        self.expected = len(self.unheard)
+
+    def obeyed_by_most(self, now: float) -> bool:
+        """Tell whether most workers lately took calls under our fence."""
+        with self.lock:
+            fresh = sum(1 for w in self.workers.values()
+                        if now - w.obeyed_at <= OBEYED_S)
+            return 2 * fresh > len(self.workers)
+
+    def worker_silent(self, worker_id: str, reason: str,
+                      closed: bool = False) -> None:
+        """Note that a worker did not answer, or closed the connection."""
         with self.lock:
             worker = self.workers.get(worker_id)
-            if worker is None or worker.silent:
+            if worker is None:
+                return
+            worker.closed |= closed and worker.entry.draining
+            if worker.silent:
                 return
             worker.silent = True
             events.emit(events.WORKER_SILENT, worker=worker_id,
@@ -208,10 +232,15 @@
             for worker in list(self.workers.values()):
                 if worker.silent and worker.lease_over(now):
                     self._gone(worker, "lease over")
+                elif worker.silent and worker.closed and not worker.listed:
+                    # It announced its leave, closed its connections and
+                    # took itself off the list: it has exited.
+                    self._gone(worker, "left as announced")
                 elif (worker.silent and not worker.listed
                         and not worker.reserved
                         and worker.entry.worker_id not in self.unheard):
                     self._gone(worker, "neither listed nor answering")
+            self._shorten_waits(now)
             for worker_id, until in list(self.unheard.items()):
                 if now >= until:
                     del self.unheard[worker_id]
@@ -221,6 +250,20 @@
             if self.changed:
                 self._notify()
 
+    def _shorten_waits(self, now: float) -> None:
+        """Wait less for the last workers once most have reported.
+
+        An earlier owner without the store gives leases only while most
+        workers obey it, and most obey us now.
+        """
+        if not self.unheard or 2 * len(self.unheard) >= self.expected:
+            return
+        until = now + OBEYED_S + (
+            workerstate.LEASE_MS + workerstate.LEASE_END_SLACK_MS
+        ) / 1000.0 / workerstate.SLOW_CLOCK
+        for worker_id, before in self.unheard.items():
+            self.unheard[worker_id] = min(before, until)
+
     # Reports
 
     def on_report(self, worker_id: str, report: messages.WorkerReport,
@@ -231,13 +274,15 @@
             if worker is None:
                 return False
             worker.heard(report.clock_ms, now)
+            worker.obeyed_at = max(worker.obeyed_at, sent)
             if worker.silent:
                 events.emit(events.WORKER_REGAINED, worker=worker_id)
-                worker.silent = False
+                worker.silent = worker.closed = False
             if not worker.reported:
                 # The earlier owner may have given leases up to the longest.
                 worker.granted_ms = max(
-                    worker.granted_ms, report.clock_ms + self.hold_max_ms)
+                    worker.granted_ms, report.clock_ms + min(
+                        workerstate.LEASE_MS, self.hold_max_ms))
             new_ends = False
             for ended in report.ended:
                 if ended.number > worker.processed:
--- a/sycamorefield/fleet/surroundings.py
+++ b/sycamorefield/fleet/surroundings.py
@@ -13,6 +13,10 @@
     """Say that a call was turned away and nothing was done."""
 
 
+class ConnectionClosed(CallFailed):
+    """Say that the other end closed the connection before it answered."""
+
+
 class Conflict(Exception):
     """Say that a transaction's expectations do not hold.
 
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -9,6 +9,11 @@
 # A worker's clock may be this much slow; waiting for a lease to end on it
 # counts our own time as shorter by the same share.
 SLOW_CLOCK = 0.98
+# The longest lease that any owner gives to what runs.  A successor takes
+# about 1 s to take over from an owner that stopped and 2.5 s from one that
+# died; what runs must outlive that.  Longer, and the tasks of a worker that
+# went dark would wait longer for their next run.
+LEASE_MS = 5000.0
 # Slack for the rounding of clocks and for the kill itself.
 LEASE_END_SLACK_MS = 300.0
 
@@ -28,6 +33,10 @@
         self.reported = False
         self.silent = False
         self.gone = False
+        # Whether it closed a connection while it was about to leave.
+        self.closed = False
+        # When the last call that it answered was sent.
+        self.obeyed_at = 0.0
         self.reserved: dict[Run, messages.Room] = {}
         self.used = messages.Room()
         self.tasks: dict[Run, progress.TaskState] = {}
--- a/sycamorefield/platform/calls.py
+++ b/sycamorefield/platform/calls.py
@@ -48,6 +48,8 @@
         except (urllib3.exceptions.NewConnectionError,
                 urllib3.exceptions.ConnectTimeoutError) as exc:
             raise surroundings.CallRefused(f"no connection: {exc}") from exc
+        except urllib3.exceptions.ProtocolError as exc:
+            raise surroundings.ConnectionClosed(f"closed: {exc}") from exc
         except (urllib3.exceptions.HTTPError, OSError) as exc:
             raise surroundings.CallFailed(f"no answer: {exc}") from exc
         return Answer(response.status, _decode(response.data))
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -233,6 +233,52 @@
     assert bench.place() == ["old.0.0.0@i-0"]
 
 
+def test_worker_that_left_as_announced_frees_its_tasks_at_once():
+    """Restart tasks of a worker that has left without waiting for leases.
+
+    Symptom: lasting tasks of a worker that had been taken away did not run
+    for 20 s.  Events: the worker was draining, closed its connections and
+    went off the list; then the owner changed, and the successor waited for
+    the worker to report.  Cause: leaving was not told from going dark.
+    """
+    bench = Bench(fleetfakes.entry(0), fleetfakes.entry(1))
+    bench.add(fleetfakes.job("j"))
+    (placed,) = bench.place()
+    holder = placed.split("@")[1]
+    bench.state.add_worker(fleetfakes.entry(int(holder[2:]), draining=True))
+    bench.state.workers[holder].lease_until(5000.0, bench.now)
+    bench.state.worker_silent(holder, "closed", closed=True)
+    bench.state.expire(bench.now)
+    assert not bench.place()
+    bench.state.unlist({"i-0", "i-1"} - {holder})
+    bench.state.expire(bench.now)
+    (again,) = bench.place()
+    assert again.split("@")[1] != holder
+
+
+@pytest.mark.parametrize(("heard", "waits_s"), [(0, 14.0), (3, 7.5)])
+def test_the_last_workers_are_waited_for_less_once_most_reported(heard,
+                                                                 waits_s):
+    bench = Bench(*(fleetfakes.entry(n) for n in range(heard)))
+    bench.state.expect([f"i-{n}" for n in range(5)], bench.now + 14.0)
+    for n in range(heard):
+        bench.report(f"i-{n}")
+    bench.state.expire(bench.now)
+    bench.state.expire(bench.now + waits_s - 1.0)
+    assert bench.state.unheard
+    bench.state.expire(bench.now + waits_s + 1.0)
+    assert not bench.state.unheard
+
+
+@pytest.mark.parametrize(("answering", "lease"), [(3, True), (1, False)])
+def test_most_workers_must_obey_an_owner_without_the_store(answering, lease):
+    bench = Bench(*(fleetfakes.entry(n) for n in range(4)))
+    bench.now += 5.0
+    for n in range(answering):
+        bench.report(f"i-{n}")
+    assert bench.state.obeyed_by_most(bench.now) is lease
+
+
 @pytest.mark.parametrize("state", [
     messages.PENDING, messages.COMPLETED, messages.CANCELLED])
 def test_progress_survives_its_record(state):
