--- a/sycamorefield/cli.py
+++ b/sycamorefield/cli.py
@@ -17,6 +17,7 @@
 from sycamorefield import kvstore
 from sycamorefield import load as load_mod
 from sycamorefield import options
+from sycamorefield.platform import daemon
 from sycamorefield import settings
 from sycamorefield import sycamorefield_pb2 as pb
 from sycamorefield import timeline as timeline_mod
@@ -75,6 +76,15 @@
     process.stop()
 
 
+@app.command
+def platform() -> None:
+    """Run an entry process on the users' platform.
+
+    Its settings are the file that SYCAMOREFIELD_BOOT names.
+    """
+    daemon.main()
+
+
 @app.command
 def kv(*, settings_path: typing.Annotated[
         str | None, cyclopts.Parameter(name="--settings")] = None) -> None:
--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -5,6 +5,7 @@
 catalogue is mirrored in docs/EVENTS.md, and a test keeps the two in step.
 """
 
+import collections
 import dataclasses
 import json
 import os
@@ -35,6 +36,8 @@
 PROCESS_STOPPED = Event("SF1003", INFO, "process stopped")
 SETTINGS_REJECTED = Event("SF1004", ERROR, "settings rejected")
 
+SETTINGS_RELOADED = Event("SF1005", INFO, "settings read again")
+
 MEMBER_JOINED = Event("SF1101", INFO, "entry process joined membership")
 MEMBER_LEFT = Event("SF1102", INFO, "entry process left membership")
 LEASE_LOST = Event("SF1103", WARNING, "own membership lease lapsed")
@@ -128,8 +131,11 @@
 
 
 CONTEXT = Context()
+# How often each event was logged in this process, by number.
+COUNTS: collections.Counter[str] = collections.Counter()
 _LOGGER = logbook.Logger("sycamorefield")
-_LOCK = threading.Lock()
+# Re-entrant: a signal handler may log while the main thread is logging.
+_LOCK = threading.RLock()
 
 
 def _format(record: logbook.LogRecord, handler: logbook.Handler) -> str:
@@ -221,4 +227,5 @@
     """Log one numbered event with its fields."""
     extra = {"event": event.code, "t": time.time(), "fields": fields}
     with _LOCK:
+        COUNTS[event.code] += 1
         _LOGGER.log(event.level, event.text, extra=extra)
--- /dev/null
+++ b/sycamorefield/fleet/rounds.py
@@ -0,0 +1,187 @@
+"""Place waiting tasks in one round over the fleet."""
+
+import typing
+
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import placing
+from sycamorefield.fleet import progress
+from sycamorefield.fleet import workerstate
+
+if typing.TYPE_CHECKING:
+    from sycamorefield.fleet import state as state_mod
+
+# A filling run slowed to this share or less for this long moves to a worker
+# where it is expected to harm nobody, if there is one.
+STALLED_PACE = 25
+STALLED_S = 0.4
+
+
+class Round:
+    """Place tasks in one round, remembering what found no room."""
+
+    def __init__(self, fleet: "state_mod.FleetState",
+                 queues: dict[str, messages.Queue],
+                 usable: list[workerstate.WorkerState],
+                 now: float) -> None:
+        self.fleet = fleet
+        self.queues = queues
+        self.usable = usable
+        self.now = now
+        self.full: set[tuple[object, ...]] = set()
+        # Room on each worker that runs told to stop will leave to others.
+        self.promised: dict[str, messages.Room] = {}
+
+    def place_step(self, state: progress.JobState, occurrence: int,
+                   number: int) -> None:
+        """Start the idle tasks of a step whose turn has come."""
+        tasks = state.tasks[occurrence, number]
+        idle = [t for t in tasks if t.phase == progress.IDLE
+                and not t.done and t.not_before <= self.now]
+        if not idle or not state.step_ready(occurrence, number):
+            return
+        step = state.job.steps[number]
+        if step.gang:
+            self._place_gang(state, tasks, idle)
+            return
+        queue = self.queues.get(state.job.queue)
+        service = queue.service if queue else state.job.service
+        for task in idle:
+            self._place_task(state, task, service)
+
+    def _place_task(self, state: progress.JobState,
+                    task: progress.TaskState, service: str) -> None:
+        step = task.step
+        kind = (service, step.reserved(), step.fills, step.room.cpu,
+                step.requires, step.image if step.fills else "",
+                (state.job.job_id, task.task.step) if step.max_per_worker
+                else None)
+        if kind in self.full:
+            return
+        worker = placing.choose(task, service, self.usable,
+                                self.fleet.learnt)
+        if worker is not None:
+            self.fleet.start(state, task, worker, state.next_run(task))
+            return
+        if not self._make_room(state, task, service):
+            self.full.add(kind)
+
+    def _place_gang(self, state: progress.JobState,
+                    tasks: list[progress.TaskState],
+                    idle: list[progress.TaskState]) -> None:
+        """Start all members at once with one run number, or none."""
+        if len(idle) < len(tasks):
+            return
+        queue = self.queues.get(state.job.queue)
+        service = queue.service if queue else state.job.service
+        run = max(state.next_run(t) for t in tasks)
+        chosen = _gang_workers(tasks, service, self.usable)
+        saved = max((t.saved for t in tasks), default="")
+        for task, worker in zip(tasks, chosen):
+            task.saved = saved
+            self.fleet.start(state, task, worker, run)
+
+    def move_stalled(self) -> None:
+        """Stop runs that are slowed down where others have room for them."""
+        for worker in self.usable:
+            if not worker.over_reports and not worker.filling_cpu:
+                continue
+            for task in list(worker.tasks.values()):
+                if not self._stalled(task):
+                    continue
+                state = self.fleet.jobs[task.task.job_id]
+                queue = self.queues.get(state.job.queue)
+                service = queue.service if queue else state.job.service
+                others = [w for w in self.usable if w is not worker]
+                target = placing.choose(task, service, others,
+                                        self.fleet.learnt)
+                if target is not None:
+                    self.fleet.stop_run(task, "slowed down here")
+                    # Until it is placed there, others must not count on
+                    # the same processors.
+                    self.usable.remove(target)
+                    return
+
+    def _stalled(self, task: progress.TaskState) -> bool:
+        return (task.step.fills and task.phase == progress.RUNNING
+                and 0 <= task.pace <= STALLED_PACE
+                and self.now - task.slowed_at >= STALLED_S)
+
+    def _make_room(self, state: progress.JobState,
+                   task: progress.TaskState, service: str) -> bool:
+        """Stop less urgent runs for a task; tell if it can expect room."""
+        priority = self._priority(state)
+        for worker in self.usable:
+            if not placing.allowed(worker, service, task):
+                continue
+            coming = self.promised.get(worker.entry.worker_id)
+            if coming is None:
+                coming = _stopping_room(worker)
+            left = worker.free().plus(coming)
+            if left.holds(task.step.reserved()) and coming != messages.Room():
+                self.promised[worker.entry.worker_id] = coming.minus(
+                    task.step.reserved())
+                return True
+        if task.step.fills:
+            return False
+        chosen = placing.victims(task, service, priority, self.usable,
+                                 self._task_priority)
+        for victim in chosen:
+            self.fleet.stop_run(victim, f"room for {task.task}")
+        if chosen:
+            worker_id = chosen[0].worker_id
+            worker = self.fleet.workers[worker_id]
+            self.promised[worker_id] = _stopping_room(worker).minus(
+                task.step.reserved())
+        return bool(chosen)
+
+    def _priority(self, state: progress.JobState) -> int:
+        queue = self.queues.get(state.job.queue)
+        return queue.priority if queue else state.job.priority
+
+    def _task_priority(self, task: progress.TaskState) -> int:
+        return self._priority(self.fleet.jobs[task.task.job_id])
+
+
+def _stopping_room(worker: workerstate.WorkerState) -> messages.Room:
+    room = messages.Room()
+    for task in worker.tasks.values():
+        if task.phase == progress.STOPPING:
+            room = room.plus(task.step.reserved())
+    return room
+
+
+def _gang_workers(tasks: list[progress.TaskState], service: str,
+                  usable: list[workerstate.WorkerState]
+                  ) -> list[workerstate.WorkerState]:
+    """Return a worker for each member, in one rack if that is asked."""
+    if not tasks[0].step.same_rack:
+        return _spread(tasks, service, usable)
+    racks: dict[str, list[workerstate.WorkerState]] = {}
+    for worker in usable:
+        racks.setdefault(worker.entry.rack(), []).append(worker)
+    for members in racks.values():
+        chosen = _spread(tasks, service, members)
+        if chosen:
+            return chosen
+    return _spread(tasks, service, usable)
+
+
+def _spread(tasks: list[progress.TaskState], service: str,
+            workers: list[workerstate.WorkerState]
+            ) -> list[workerstate.WorkerState]:
+    """Return one worker a member, or nothing if not all have room."""
+    step = tasks[0].step
+    reserved = step.reserved()
+    chosen: list[workerstate.WorkerState] = []
+    for worker in sorted(workers, key=lambda w: -w.free().cpu):
+        if not placing.allowed(worker, service, tasks[0]):
+            continue
+        free = worker.free()
+        there = 0
+        while (len(chosen) < len(tasks) and free.holds(reserved)
+               and not (step.max_per_worker
+                        and there >= step.max_per_worker)):
+            chosen.append(worker)
+            free = free.minus(reserved)
+            there += 1
+    return chosen if len(chosen) == len(tasks) else []
--- a/sycamorefield/metrics.py
+++ b/sycamorefield/metrics.py
@@ -42,3 +42,18 @@
         out[f"p{pct:g}_ms"] = histogram.get_value_at_percentile(pct) / 1000.0
     out["max_ms"] = histogram.get_max_value() / 1000.0
     return out
+
+
+# Latencies of this process's calls, by kind.
+CALLS = Latencies()
+
+
+def as_text(gauges: dict[str, float], counts: dict[str, int]) -> str:
+    """Return gauges, event counts and call latencies as lines of text."""
+    lines = [f"{name} {value:g}" for name, value in sorted(gauges.items())]
+    lines += [f'events_total{{event="{code}"}} {count}'
+              for code, count in sorted(counts.items())]
+    for kind, summary in CALLS.summary().items():
+        lines += [f'call_{name}{{call="{kind}"}} {value:g}'
+                  for name, value in summary.items()]
+    return "\n".join(lines) + "\n"
--- a/sycamorefield/platform/calls.py
+++ b/sycamorefield/platform/calls.py
@@ -5,7 +5,9 @@
 
 import urllib3
 
+from sycamorefield.fleet import clock
 from sycamorefield.fleet import surroundings
+from sycamorefield import metrics
 
 # A connection to a VM without power never opens; a data centre away a
 # handshake takes 3 ms, so half a second means that nobody is there.
@@ -39,6 +41,7 @@
         sent = {"Content-Type": "application/json"}
         sent.update(headers or {})
         data = None if body is None else json.dumps(body).encode()
+        began = clock.now()
         try:
             response = self.pool.urlopen(
                 method, path, body=data, headers=sent, retries=False,
@@ -52,6 +55,10 @@
             raise surroundings.ConnectionClosed(f"closed: {exc}") from exc
         except (urllib3.exceptions.HTTPError, OSError) as exc:
             raise surroundings.CallFailed(f"no answer: {exc}") from exc
+        if "watch" not in path and path.startswith("/-/"):
+            # A waiting watch measures the wait, not the call.
+            metrics.CALLS.record(path.partition("?")[0].split("/")[2],
+                                 clock.now() - began)
         return Answer(response.status, _decode(response.data))
 
     def close(self) -> None:
--- /dev/null
+++ b/sycamorefield/platform/daemon.py
@@ -0,0 +1,139 @@
+"""Wire up the entry process on the users' platform."""
+
+import signal
+import threading
+
+import cherrypy
+
+from sycamorefield import events
+from sycamorefield.fleet import clock
+from sycamorefield.fleet import intake as intake_mod
+from sycamorefield.fleet import operatorview
+from sycamorefield.fleet import owner as owner_mod
+from sycamorefield.fleet import ownership as ownership_mod
+from sycamorefield import metrics
+from sycamorefield.platform import bootsettings
+from sycamorefield.platform import configuration
+from sycamorefield.platform import front as front_mod
+from sycamorefield.platform import store as store_mod
+from sycamorefield.platform import workers as workers_mod
+
+SOCKET_QUEUE = 256
+FRONT_THREADS = 16
+SIDE_THREADS = 2
+# The balancer sends no new connections after two missed checks, 1 s apart.
+# What was sent until then is answered before the listener closes.
+SERVE_ON_S = 3.2
+# The watch is answered each second; a store not heard for this long is away.
+STORE_SILENCE_S = 1.6
+
+
+class Daemon:
+    """Hold everything that one entry process runs."""
+
+    def __init__(self, settings: bootsettings.BootSettings) -> None:
+        self.settings = settings
+        self.store = store_mod.PlatformStore(settings.platform.addr)
+        self.view = operatorview.OperatorView(
+            self.store, configuration.KEY, configuration.decode)
+        self.intake = intake_mod.Intake(self.store)
+        self.ownership = ownership_mod.Ownership(
+            self.store, self.view, settings.node, self._make_owner)
+        self.stop_asked = threading.Event()
+        self.front = front_mod.Front(
+            self.intake, self.view.configuration, self._ready,
+            self.stop_asked.is_set, self._metrics)
+
+    def _make_owner(self, fence: int) -> owner_mod.Owner:
+        return owner_mod.Owner(
+            self.store, workers_mod.PlatformWorkerList(self.store),
+            workers_mod.PlatformWorker, self.view.configuration, fence,
+            self.settings.bounds.hold_max_ms)
+
+    def _ready(self) -> bool:
+        """Tell whether new connections are welcome.
+
+        A VM that the store turns away can accept no job; the balancer then
+        sends callers to others.  When the store is down for all, no VM is
+        ready, and the balancer uses them all.
+        """
+        return (self.view.known and not self.stop_asked.is_set()
+                and clock.now() - self.view.answered_at < STORE_SILENCE_S)
+
+    def _metrics(self) -> str:
+        owner = self.ownership.owner
+        gauges = {
+            "config_version": float(self.view.current.version),
+            "store_reachable": float(self.view.reachable),
+            "store_silence_s": clock.now() - self.view.answered_at,
+            "fleet_owner": float(owner is not None)}
+        if owner is not None:
+            usage = owner.fleet.usage()
+            gauges["reserved_cores"] = usage.reserved_cores
+            gauges["capacity_cores"] = usage.capacity_cores
+            for priority, count in usage.waiting.items():
+                gauges[f'tasks_waiting{{priority="{priority}"}}'] = count
+        return metrics.as_text(gauges, dict(events.COUNTS))
+
+    def run(self) -> None:
+        """Serve until SIGTERM, then stop without cutting a request."""
+        signal.signal(signal.SIGTERM, lambda *_: self.stop_asked.set())
+        signal.signal(signal.SIGHUP, lambda *_: self.reload())
+        servers = self._listen()
+        for target in (self.view.run, self.ownership.run):
+            threading.Thread(target=target, daemon=True).start()
+        events.emit(events.PROCESS_STARTED, address=self.settings.ip)
+        self.stop_asked.wait()
+        events.emit(events.PROCESS_STOPPING)
+        self.ownership.stop()
+        threading.Event().wait(SERVE_ON_S)
+        for server in servers:
+            server.stop()
+        events.emit(events.PROCESS_STOPPED)
+
+    def reload(self) -> None:
+        """Note changed settings; addresses in use stay until a restart."""
+        try:
+            settings = bootsettings.load()
+        except (OSError, ValueError) as exc:
+            events.emit(events.SETTINGS_REJECTED, reason=str(exc))
+            return
+        changed = [name for name in type(settings).model_fields
+                   if getattr(settings, name) != getattr(self.settings,
+                                                         name)]
+        events.emit(events.SETTINGS_RELOADED, changed=changed)
+        if self.ownership.owner is None:
+            self.settings = settings
+
+    def _listen(self) -> list[cherrypy._cpserver.Server]:
+        cherrypy.config.update({"environment": "embedded",
+                                "log.screen": False})
+        cherrypy.server.unsubscribe()
+        cherrypy.tree.graft(self.front, "/")
+        listen = self.settings.listen
+        metrics = f"{self.settings.ip}:{self.settings.port_range[1]}"
+        servers = []
+        for address, threads in ((listen.front, FRONT_THREADS),
+                                 (listen.ready, SIDE_THREADS),
+                                 (metrics, SIDE_THREADS)):
+            servers.append(_serve(address, threads))
+        return servers
+
+
+def _serve(address: str, threads: int) -> cherrypy._cpserver.Server:
+    host, _, port = address.rpartition(":")
+    server = cherrypy._cpserver.Server()
+    server.socket_host = host
+    server.socket_port = int(port)
+    server.thread_pool = threads
+    server.socket_queue_size = SOCKET_QUEUE
+    server.shutdown_timeout = 1
+    server.start()
+    return server
+
+
+def main() -> None:
+    """Run the process named in the settings file."""
+    settings = bootsettings.load()
+    events.configure_stdout(settings.node, settings.zone)
+    Daemon(settings).run()
