--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -24,7 +24,7 @@
     __slots__ = ("task", "step", "done", "failed_runs", "last_run", "saved",
                  "phase", "run", "worker_id", "not_before", "avoid",
                  "started", "percent", "moved_at", "pace", "slowed_at",
-                 "stop_sent")
+                 "stop_sent", "stuck")
 
     def __init__(self, task: messages.TaskId, step: messages.Step) -> None:
         self.task = task
@@ -44,6 +44,7 @@
         self.pace = 100
         self.slowed_at = 0.0
         self.stop_sent = 0.0
+        self.stuck = False
 
     def idle(self) -> None:
         """Forget the current run; the task may be started again."""
@@ -52,6 +53,7 @@
         self.worker_id = ""
         self.percent = 0
         self.pace = 100
+        self.stuck = False
 
 
 class JobState:
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -81,10 +81,8 @@
             self.fleet.start(state, task, worker, run)
 
     def move_stalled(self) -> None:
-        """Stop runs that are slowed down where others have room for them."""
-        for worker in self.usable:
-            if not worker.over_reports and not worker.filling_cpu:
-                continue
+        """Stop runs that make little progress if others have room."""
+        for worker in self.fleet.workers.values():
             for task in list(worker.tasks.values()):
                 if not self._stalled(task):
                     continue
@@ -95,15 +93,17 @@
                 target = placing.choose(task, service, others,
                                         self.fleet.learnt)
                 if target is not None:
-                    self.fleet.stop_run(task, "slowed down here")
+                    self.fleet.stop_run(task, "little progress here")
                     # Until it is placed there, others must not count on
                     # the same processors.
                     self.usable.remove(target)
                     return
 
     def _stalled(self, task: progress.TaskState) -> bool:
-        return (task.step.fills and task.phase == progress.RUNNING
-                and 0 <= task.pace <= STALLED_PACE
+        if task.phase != progress.RUNNING or task.step.gang:
+            return False
+        return task.stuck or (
+                task.step.fills and 0 <= task.pace <= STALLED_PACE
                 and self.now - task.slowed_at >= STALLED_S)
 
     def _make_room(self, state: progress.JobState,
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -16,6 +16,7 @@
 from sycamorefield.fleet import pacing
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import rounds
+from sycamorefield.fleet import slowness
 from sycamorefield.fleet import surroundings
 from sycamorefield.fleet import workerstate
 
@@ -374,6 +375,9 @@
                 task.percent = row.percent
             if row.saved:
                 task.saved = row.saved
+            if not task.stuck and slowness.stuck(task, now):
+                task.stuck = True
+                self._slow(worker, task, now)
             if task.phase == progress.STARTING:
                 task.phase = progress.RUNNING
                 task.moved_at = now
@@ -385,6 +389,16 @@
         else:
             self._unexpected(worker, row, "runs elsewhere", now, task)
 
+    def _slow(self, worker: workerstate.WorkerState,
+              task: progress.TaskState, now: float) -> None:
+        """Avoid a worker on which several tasks make no progress."""
+        task.avoid.add(worker.entry.worker_id)
+        stuck = sum(1 for other in worker.tasks.values() if other.stuck)
+        if stuck >= slowness.STUCK_TASKS and worker.avoid_until <= now:
+            worker.avoid_until = now + workerstate.AVOID_S
+            events.emit(events.WORKER_AVOIDED, stuck=stuck,
+                        worker=worker.entry.worker_id)
+
     def _adopt(self, worker: workerstate.WorkerState,
                task: progress.TaskState, row: messages.RunningTask,
                now: float) -> None:
