--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -103,8 +103,8 @@
         if task.phase != progress.RUNNING or task.step.gang:
             return False
         return task.stuck or (
-                task.step.fills and 0 <= task.pace <= STALLED_PACE
-                and self.now - task.slowed_at >= STALLED_S)
+            task.step.fills and 0 <= task.pace <= STALLED_PACE
+            and self.now - task.slowed_at >= STALLED_S)
 
     def _make_room(self, state: progress.JobState,
                    task: progress.TaskState, service: str) -> bool:
