Give no lease to a silent worker; stop a start that may still be carried out

While there: a start whose first try got no answer was taken for not sent when no lease could be given. Ruled out: no room (7.5 cores in one gap and 94 in all were free).

--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -68,11 +68,17 @@
             self.recorded.set()
 
     def _until(self) -> float | None:
+        """Return the end of a lease given now, or None to give none.
+
+        A silent worker is only asked: a call without an answer may still be
+        carried out, and with a lease in each try its tasks could never be
+        counted as over.
+        """
         if not self.may_lease():
             return None
         with self.fleet.lock:
             worker = self.fleet.workers.get(self.worker_id)
-            if worker is None:
+            if worker is None or worker.silent:
                 return None
             return worker.lease_until(
                 min(workerstate.LEASE_MS, self.fleet.hold_max_ms),
@@ -150,10 +156,13 @@
             if attempt == 0 and not self.fleet.wanted(self.worker_id, order):
                 return
             until = self._until()
-            if until is None:
+            if until is None and attempt == 0:
                 self.fleet.on_rejected(self.worker_id, order, NO_LEASE,
                                        clock.now())
                 return
+            if until is None:
+                # The first try may still be carried out.
+                break
             try:
                 clock_ms = self.worker.start(order, self.fleet.fence, until)
                 self.fleet.on_started(self.worker_id, order, clock_ms,
