Tell load from disturbance; restart lasting tasks that stay down

Interference. Cause: the logarithm of a tail was taken to be a base plus a weight a core, so a task's own load (it swings threefold in 14 s) was noise to the estimate, and a tail that its own load had driven up kept harmless filling runs away and stopped those beside it. Recorded reports (4,315 of 33 workers) show a queue: tail = base / (1 - utilisation), with the load shared by the tasks of a step. Processors in use were a fixed share of what is reserved; now they follow from the load, so filling runs take what is left over and no more. The tests of the old model (weights on logarithms) are replaced by ones of the new model as strict: weights within 0.01 a core, load within 0.06.

Lasting tasks. Ruled out: the wait of a successor for workers that are gone (seen over at 13.2 s).

--- a/sycamorefield/fleet/interference.py
+++ b/sycamorefield/fleet/interference.py
@@ -1,29 +1,62 @@
-"""Learn which filling images slow which serving images down.
-
-The logarithm of a serving task's tail is modelled as a base for its image
-plus, for each filling image beside it, a weight for the pair times the
-processors that its runs use.  Measured on recorded figures of 33 workers:
-pairs fall into harmless ones (weight about 0) and harmful ones (0.1 to 0.25
-a core); the load of the serving task itself moves its tail by a factor of
-three and is noise to the estimate.
+"""Learn which filling images disturb which serving images, and how much.
+
+A serving task behaves like a queue: its tail is a base of its image divided
+by (1 - utilisation).  Utilisation is the task's own load plus what the
+filling runs beside it add; equal additions hardly show at low load and
+multiply the tail at high load.  All tasks of a step share one load, so the
+least disturbed of them shows the load, and what another one has more is the
+disturbance on its worker.  Measured on recorded figures of 33 workers: the
+load found this way swings smoothly between 0.2 and 0.7 in 14 s; a filling
+core adds 0.02 to 0.1 for a harmful pair of images and under 0.005 for a
+harmless one.
 """
 
+import collections
 import dataclasses
-import math
+import typing
+
+# A step of a job (job, occurrence, step), and one task of it.
+Group = tuple[str, int, int]
+Member = tuple[str, int]
 
-# Before anything is known, a pair counts as mildly harmful: a core adds 10%.
-FIRST_WEIGHT = 0.1
+# Before anything is known, a filling core adds this much utilisation.
+FIRST_WEIGHT = 0.012
 # How much a first weight counts, in squared cores seen: a few runs of three
 # cores over a few seconds outweigh it.
 PRIOR = 60.0
+# Even the least disturbed task of several shows a little less than the
+# middle of them; this part belongs to no filling image.
 BASE_PRIOR = 1.0
-FIRST_BASE = 3.0
+FIRST_BASE = 0.04
 # Share of what was seen that is kept at each sample of an image.  About 50
 # samples a second come from 33 workers, so half is forgotten in 14 s.
 KEEP = 0.999
 # Weights are worked out again after this many samples of an image.
 SAMPLES_PER_FIT = 25
-MOST_WEIGHT = 0.6
+MOST_WEIGHT = 0.15
+# Serving tasks are taken to have this load when their tail is lowest.
+LEAST_LOAD = 0.2
+# The lowest tail of an image is followed as about its first percentile: it
+# falls by 2% at a sample below it and rises by a hundredth of that at one
+# above, so that a single odd figure does not set it.
+FALL = 0.02
+RISE = 0.0002
+# A task's figure counts toward its step's load for this long.
+FRESH_S = 1.0
+# The load of a step is known from this many fresh tasks.
+TASKS_FOR_LOAD = 3
+# What is remembered of a step's highest load fades by this a second.
+PEAK_FADES = 0.01
+# How far a load rises while a filling run of 2 to 3 s works: the steepest
+# part of a swing of 0.45 in 14 s rises by 0.1 a second.
+LOAD_RISE = 0.12
+# What a run adds below this is no more than the error of what was learnt.
+HARMLESS = 0.02
+# More than the load by this much is taken for a disturbance.
+DISTURBED = 0.05
+MOST_UTILISATION = 0.98
+# Steps whose load is remembered; a lasting job has one or two.
+MOST_GROUPS = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,12 +71,59 @@
 class Tail:
     """A serving task's tail against its target, as last reported.
 
-    ratio is tail divided by target; placing raises it by what a new run is
-    expected to add until the next report tells.
+    ratio is tail divided by target; utilisation is raised by what a new run
+    is expected to add until the next report tells.  load and peak are those
+    of its step now and at most.
     """
 
     image: str
     ratio: float
+    base_ratio: float
+    utilisation: float
+    load: float
+    peak: float
+    load_known: bool = True
+
+    def disturbance(self) -> float:
+        """Return the utilisation that is not the task's own load."""
+        return max(0.0, self.utilisation - self.load)
+
+    def expected_load(self) -> float:
+        """Return the highest load to expect while a filling run works."""
+        return min(max(self.peak, self.load), self.load + LOAD_RISE)
+
+    def at_ratio(self, ratio: float) -> float:
+        """Return the utilisation at which the tail has a ratio."""
+        return 1.0 - self.base_ratio / ratio
+
+    def ratio_with(self, added: float) -> float:
+        """Return the ratio to expect once utilisation is added."""
+        rise = self.expected_load() - self.load
+        utilisation = min(MOST_UTILISATION, self.utilisation + rise + added)
+        return self.base_ratio / (1.0 - utilisation)
+
+
+class StepLoad:
+    """Follow the load that the tasks of one step share."""
+
+    def __init__(self) -> None:
+        self.recent: dict[Member, tuple[float, float]] = {}
+        self.peak = 0.0
+        self.peak_at = 0.0
+
+    def note(self, member: Member, utilisation: float,
+             now: float) -> float | None:
+        """Take in one task's utilisation; return the load once known."""
+        self.recent[member] = (now, utilisation)
+        for other, (at, _) in list(self.recent.items()):
+            if now - at > FRESH_S:
+                del self.recent[other]
+        if len(self.recent) < TASKS_FOR_LOAD:
+            return None
+        load = max(0.0, min(value for _, value in self.recent.values()))
+        faded = self.peak - PEAK_FADES * (now - self.peak_at)
+        self.peak, self.peak_at = max(load, faded), now
+        return load
 
 
 class Fit:
@@ -56,7 +136,7 @@
         self.weights: dict[str, float] = {}
         self.samples = 0
 
-    def add(self, log_tail: float, fillers: list[Filler]) -> None:
+    def add(self, disturbance: float, fillers: list[Filler]) -> None:
         """Add one sample."""
         cores: dict[str, float] = {}
         for filler in fillers:
@@ -65,7 +145,7 @@
             cores[filler.image] = cores.get(filler.image, 0) + filler.cores
         row = [1.0] + [cores.get(image, 0.0) for image in self.images]
         for i, left in enumerate(row):
-            self.targets[i] = KEEP * self.targets[i] + left * log_tail
+            self.targets[i] = KEEP * self.targets[i] + left * disturbance
             products = self.products[i]
             for j, right in enumerate(row):
                 products[j] = KEEP * products[j] + left * right
@@ -106,32 +186,80 @@
 
 
 class Interference:
-    """Hold the weights of pairs of images."""
+    """Hold base tails of images, loads of steps and weights of pairs."""
 
     def __init__(self) -> None:
         self.fits: dict[str, Fit] = {}
+        self.lowest: dict[str, float] = {}
+        self.loads: collections.OrderedDict[Group, StepLoad] = (
+            collections.OrderedDict())
 
     def weight(self, serving: str, filling: str) -> float:
-        """Return the added logarithm of the tail per core."""
+        """Return the utilisation that a filling core adds."""
         fit = self.fits.get(serving)
         if fit is None:
             return FIRST_WEIGHT
         return fit.weights.get(filling, FIRST_WEIGHT)
 
-    def observe(self, serving: str, tail_ms: float,
-                fillers: list[Filler]) -> None:
+    def tail(self, image: str, tail_ms: float, target_ms: float,
+             group: Group, member: Member, beside: list[Filler],
+             now: float) -> Tail:
+        """Return a reported tail with the load that its step has.
+
+        While the load is not known, what the fillers beside the task are
+        expected to add is taken off its utilisation.
+        """
+        base = self._base(image, tail_ms)
+        utilisation = 1.0 - base / tail_ms
+        step = self.loads.setdefault(group, StepLoad())
+        self.loads.move_to_end(group)
+        while len(self.loads) > MOST_GROUPS:
+            self.loads.popitem(last=False)
+        load = step.note(member, utilisation, now)
+        known = load is not None
+        if load is None:
+            load = max(0.0, utilisation - sum(
+                self.weight(image, f.image) * f.cores for f in beside))
+        return Tail(image, tail_ms / target_ms, base / target_ms,
+                    utilisation, load, step.peak, known)
+
+    def _base(self, image: str, tail_ms: float) -> float:
+        lowest = self.lowest.get(image)
+        if lowest is None:
+            lowest = tail_ms
+        elif tail_ms < lowest:
+            lowest *= 1.0 - FALL
+        else:
+            lowest *= 1.0 + RISE
+        self.lowest[image] = lowest
+        return (1.0 - LEAST_LOAD) * min(lowest, tail_ms)
+
+    def observe(self, tail: Tail, fillers: list[Filler]) -> None:
         """Learn from one tail and what ran beside it."""
-        if tail_ms <= 0:
-            return
-        fit = self.fits.setdefault(serving, Fit())
-        fit.add(math.log(tail_ms), fillers)
-
-    def added(self, tails: list[Tail], image: str, cores: float) -> float:
-        """Return the highest expected ratio after a run is added."""
-        return max((tail.ratio * math.exp(self.weight(tail.image, image)
-                                          * cores)
-                    for tail in tails), default=0.0)
-
-    def harm(self, tails: list[Tail], image: str) -> float:
+        if tail.load_known:
+            fit = self.fits.setdefault(tail.image, Fit())
+            fit.add(tail.utilisation - tail.load, fillers)
+
+    def added(self, tails: typing.Iterable[Tail], image: str,
+              cores: float) -> float:
+        """Return the highest ratio to expect of tails that a run harms.
+
+        A tail that the run does not harm is no reason against it, however
+        high the task's own load has driven it.
+        """
+        worst = 0.0
+        for tail in tails:
+            extra = self.weight(tail.image, image) * cores
+            if extra >= HARMLESS:
+                worst = max(worst, tail.ratio_with(extra))
+        return worst
+
+    def expect(self, tails: typing.Iterable[Tail], image: str,
+               cores: float) -> None:
+        """Raise the utilisation of tails by what a new run will add."""
+        for tail in tails:
+            tail.utilisation += self.weight(tail.image, image) * cores
+
+    def harm(self, tails: typing.Iterable[Tail], image: str) -> float:
         """Return the summed weights of an image over serving tasks."""
         return sum(self.weight(tail.image, image) for tail in tails)
--- a/sycamorefield/fleet/ordering.py
+++ b/sycamorefield/fleet/ordering.py
@@ -2,7 +2,10 @@
 
 Answers the load of a full fleet: with first come, first served all jobs wait
 until all are late.  A job that can still be in time goes before one that is
-late already, and a late one before one too late to count.
+late already, and a late one before one too late to count.  Short jobs go
+before lasting ones, because a short task gives its room back within a second
+while its caller waits; but a lasting job of which a task has been down for
+some seconds goes first, because its users are without it.
 """
 
 import typing
@@ -15,14 +18,28 @@
 # Estimates are up to half off; a job is given up as late only when it would
 # be late with this share of what is estimated to be left.
 HOPE = 0.25
-IN_TIME, LATE, TOO_LATE = range(3)
+# The order of jobs of one priority.
+INTERRUPTED, IN_TIME, LATE, TOO_LATE, LASTING = range(5)
+# A task that is down for less waits for a gap that no short task wants.
+# Measured on a full fleet of 33 workers: restarting at once costs urgent
+# short jobs 0.18 of what they are worth.
+DOWN_S = 2.5
+
+
+def rank(state: progress.JobState, queue: messages.Queue | None,
+         wall_ms: float, now: float) -> int:
+    """Return where a job stands among those of its priority."""
+    if not state.lasting:
+        return lateness(state, queue, wall_ms)
+    down = state.down_for(now)
+    return INTERRUPTED if down >= DOWN_S else LASTING
 
 
 def lateness(state: progress.JobState, queue: messages.Queue | None,
              wall_ms: float) -> int:
     """Tell whether a job can still be in time, by its estimates."""
     job = state.job
-    if state.lasting or queue is None:
+    if queue is None:
         return IN_TIME
     allowed = queue.stretch * state.chain_ms() + queue.slo_ms
     begun = max(job.accepted_ms, job.due_ms(0))
@@ -34,16 +51,13 @@
 
 def ranked(states: typing.Iterable[progress.JobState],
            queues: dict[str, messages.Queue],
-           wall_ms: float) -> list[progress.JobState]:
+           wall_ms: float, now: float) -> list[progress.JobState]:
     """Return jobs in the order in which they may take room.
 
-    Priority first; then short jobs before lasting ones, because a short
-    task gives its room back within a second while its caller waits; then
-    by lateness, then by age.
+    Priority first, then rank, then age.
     """
-    def key(state: progress.JobState) -> tuple[int, bool, int, int]:
+    def key(state: progress.JobState) -> tuple[int, int, int]:
         queue = queues.get(state.job.queue)
         priority = queue.priority if queue else state.job.priority
-        return (priority, state.lasting, lateness(state, queue, wall_ms),
-                state.created)
+        return (priority, rank(state, queue, wall_ms, now), state.created)
     return sorted(states, key=key)
--- a/sycamorefield/fleet/pacing.py
+++ b/sycamorefield/fleet/pacing.py
@@ -1,7 +1,6 @@
 """Decide at which share filling tasks work beside tasks that serve."""
 
 import dataclasses
-import math
 
 from sycamorefield.fleet import interference
 
@@ -15,12 +14,12 @@
 EASE_STEP = 50
 # Below this share a run makes no progress worth its disturbance.
 LEAST = 10
-# Reports in a row over the target after which all filling runs stand still,
-# whatever was learnt: a wrong weight must not keep a tail up for seconds.
+# Reports in a row over the target after which all filling runs stand still
+# if the tail is disturbed, whatever was learnt: a wrong weight must not keep
+# a tail up for seconds.  After the second number they stand still in any
+# case: the load may be taken for higher than it is.
 OVER_REPORTS = 4
-# A pair with a weight below this (a tail 3% higher a core) is harmless: what
-# was learnt is no more exact than that.
-HARMLESS = 0.03
+OVER_REPORTS_AT_MOST = 6
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,11 +40,12 @@
 def paces(tails: list[interference.Tail], runs: list[Paced], over: int,
           may_ease: bool, learnt: interference.Interference) -> list[int]:
     """Return the next share (0 to 100 percent) of each run."""
-    worst = max((t.ratio for t in tails), default=0.0)
-    if over >= OVER_REPORTS:
+    high = [t for t in tails if t.ratio >= SLOW_AT
+            and t.disturbance() >= interference.DISTURBED]
+    if over >= OVER_REPORTS_AT_MOST or (over >= OVER_REPORTS and high):
         return [0] * len(runs)
-    if worst >= SLOW_AT:
-        return _cut(tails, runs, learnt)
+    if high:
+        return _cut(high, runs, learnt)
     if may_ease:
         return _ease(tails, runs, learnt)
     return [run.pace for run in runs]
@@ -53,22 +53,28 @@
 
 def _cut(tails: list[interference.Tail], runs: list[Paced],
          learnt: interference.Interference) -> list[int]:
-    """Slow the runs that weigh most on each tail that is too high."""
+    """Slow the runs that weigh most on each tail that is too high.
+
+    What no run is known for is put on all of them once a tail is over its
+    target: processors that are all in use disturb every task alike.
+    """
     shares = [float(max(run.pace, 0)) for run in runs]
     for tail in tails:
-        if tail.ratio < SLOW_AT:
-            continue
-        need = math.log(tail.ratio / AIM)
-        weights = [learnt.weight(tail.image, run.image) for run in runs]
-        parts = [weight * run.used_cores if weight >= HARMLESS else 0.0
-                 for weight, run in zip(weights, runs)]
+        need = min(tail.disturbance(),
+                   tail.utilisation - tail.at_ratio(AIM))
+        parts = [learnt.weight(tail.image, run.image) * run.used_cores
+                 for run in runs]
         for i in sorted(range(len(runs)), key=lambda i: -parts[i]):
-            if need <= 0 or parts[i] <= 0:
+            if need <= 0 or parts[i] < interference.HARMLESS:
                 break
             part = min(need, parts[i])
             shares[i] = min(shares[i],
                             max(runs[i].pace, 0) * (1 - part / parts[i]))
             need -= part
+        if need > interference.DISTURBED and tail.ratio >= 1.0:
+            left = max(0.0, 1 - need / tail.disturbance())
+            shares = [min(share, max(run.pace, 0) * left)
+                      for share, run in zip(shares, runs)]
     return [int(s) if s >= LEAST else 0 for s in shares]
 
 
@@ -76,7 +82,7 @@
           learnt: interference.Interference) -> list[int]:
     """Speed runs up as far as every tail is expected to allow."""
     shares = []
-    expected = [interference.Tail(t.image, t.ratio) for t in tails]
+    expected = [dataclasses.replace(tail) for tail in tails]
     for run in runs:
         pace = run.pace
         if 0 <= pace < 100:
@@ -84,8 +90,6 @@
             cores = run.demand_cores * step / 100.0
             if learnt.added(expected, run.image, cores) < AIM:
                 pace += step
-                for tail in expected:
-                    tail.ratio *= math.exp(
-                        learnt.weight(tail.image, run.image) * cores)
+                learnt.expect(expected, run.image, cores)
         shares.append(pace if pace >= 0 else LEAST)
     return shares
--- a/sycamorefield/fleet/placing.py
+++ b/sycamorefield/fleet/placing.py
@@ -7,23 +7,30 @@
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import workerstate
 
-# Tasks that serve use less than they reserve; filling tasks live on the
-# difference.  A filling task is placed where this share of what it wants
-# is expected to be left over.
-FILL_SHARE = 0.7
-# A filling task goes where no tail is expected above this share of its
-# target; above 0.85 runs are slowed, and the load may swing up meanwhile.
-TAIL_LIMIT = 0.7
-# Share of reserved processors that is taken to be in use.
-USED_SHARE = 0.6
+# A filling task is placed where this share of what it wants is expected to be
+# left over: the rest is the error of the load of serving tasks.
+FILL_SHARE = 0.9
+# A filling task goes where no tail that it harms is expected above this share
+# of its target; above 0.85 runs are slowed.
+TAIL_LIMIT = 0.8
 
 
 def leftover_cpu(worker: workerstate.WorkerState) -> float:
-    """Return processors that filling tasks may expect, in thousandths."""
-    return (worker.entry.capacity.cpu - USED_SHARE * worker.used.cpu
+    """Return processors that filling tasks may expect, in thousandths.
+
+    Serving tasks use what their load tells; a fixed share of what they
+    reserve left a sixth of the fleet unused at low load, and had processors
+    all in use, which disturbs every serving task, at high load.
+    """
+    return (worker.entry.capacity.cpu - worker.used.cpu + worker.unused_cpu
             - worker.filling_cpu)
 
 
+def saturated(worker: workerstate.WorkerState) -> bool:
+    """Tell whether filling tasks want more processors than are left over."""
+    return leftover_cpu(worker) < 0
+
+
 def allowed(worker: workerstate.WorkerState, service: str,
             task: progress.TaskState) -> bool:
     """Tell whether rules let a task run on a worker, room aside."""
--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -70,9 +70,8 @@
         self.dirty = False
         self.tasks: dict[Place, list[TaskState]] = {}
         self.run_base = 0
-        # Short jobs go before lasting ones of the same priority: on a full
-        # fleet a short task gives its room back within a second, and its
-        # caller waits.
+        # Since when a lasting task that ran is down, or 0.
+        self.down_since = 0.0
         self.lasting = any(step.perpetual for step in job.steps)
 
     def chain_left_ms(self) -> float:
@@ -113,6 +112,20 @@
         states = self.tasks[task.occurrence, task.step]
         return states[task.index] if 0 <= task.index < len(states) else None
 
+    def down_for(self, now: float) -> float:
+        """Return for how many seconds a lasting task that ran has been down.
+
+        A new owner does not know which ones ran; it takes all for such.
+        """
+        down = any(task.phase == IDLE and task.step.perpetual
+                   and (task.last_run or self.run_base)
+                   for task in self.all_tasks())
+        if not down:
+            self.down_since = 0.0
+        elif not self.down_since:
+            self.down_since = now
+        return now - self.down_since if down else 0.0
+
     def all_tasks(self) -> typing.Iterator[TaskState]:
         """Yield every task created so far."""
         for states in self.tasks.values():
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -5,7 +5,6 @@
 """
 
 import dataclasses
-import math
 import threading
 import typing
 
@@ -15,6 +14,7 @@
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import ordering
 from sycamorefield.fleet import pacing
+from sycamorefield.fleet import placing
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import rounds
 from sycamorefield.fleet import slowness
@@ -474,11 +474,14 @@
         beside = [interference.Filler(task.step.image, row.figure / 1000.0)
                   for row, task in filling]
         worker.tails = []
+        worker.unused_cpu = 0.0
         for row, task in rows:
-            if task.step.target_ms and row.percent >= 100:
-                self.learnt.observe(task.step.image, row.figure, beside)
-                worker.tails.append(interference.Tail(
-                    task.step.image, row.figure / task.step.target_ms))
+            if (task.step.target_ms and row.percent >= 100
+                    and row.figure > 0):
+                self._take_tail(worker, row, task, beside, now)
+        if not placing.saturated(worker):
+            for tail in worker.tails:
+                self.learnt.observe(tail, beside)
         worker.over_reports = pacing.over_reports(worker.over_reports,
                                                   worker.tails)
         if not filling:
@@ -492,6 +495,18 @@
             worker.over_reports, may_ease, self.learnt)
         self._send_paces(worker, [task for _, task in filling], shares, now)
 
+    def _take_tail(self, worker: workerstate.WorkerState,
+                   row: messages.RunningTask, task: progress.TaskState,
+                   beside: list[interference.Filler], now: float) -> None:
+        name = task.task
+        tail = self.learnt.tail(
+            task.step.image, row.figure, task.step.target_ms,
+            (name.job_id, name.occurrence, name.step),
+            (worker.entry.worker_id, name.index), beside, now)
+        worker.tails.append(tail)
+        worker.unused_cpu += task.step.room.cpu * (
+            1.0 - tail.expected_load())
+
     def _send_paces(self, worker: workerstate.WorkerState,
                     tasks: list[progress.TaskState], shares: list[int],
                     now: float) -> None:
@@ -626,7 +641,8 @@
         with self.lock:
             self.changed = False
             queues = self.configuration().by_name()
-            ranked = ordering.ranked(self.active.values(), queues, wall_ms)
+            ranked = ordering.ranked(
+                self.active.values(), queues, wall_ms, now)
             usable = [w for w in self.workers.values() if w.usable(now)]
             round_ = rounds.Round(self, queues, usable, now)
             for state in ranked:
@@ -663,9 +679,7 @@
             task.task, run, state.job.spec, task.saved))
         if task.step.fills:
             cores = task.step.room.cpu / 1000.0
-            for tail in worker.tails:
-                tail.ratio *= math.exp(
-                    self.learnt.weight(tail.image, task.step.image) * cores)
+            self.learnt.expect(worker.tails, task.step.image, cores)
 
     def _notify(self) -> None:
         self.changed = True
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -43,6 +43,8 @@
         self.serving = 0
         self.filling_cpu = 0
         self.tails: list[interference.Tail] = []
+        # Reserved processors that serving tasks leave unused, thousandths.
+        self.unused_cpu = 0.0
         self.over_reports = 0
         self.eased_at = 0.0
         self.avoid_until = 0.0
--- a/tests/test_fleet_interference.py
+++ b/tests/test_fleet_interference.py
@@ -8,54 +8,130 @@
 from sycamorefield.fleet import interference
 from sycamorefield.fleet import pacing
 
-# True weights a core, as they were found in recorded figures.
-TRUE = {("s", "heavy"): 0.23, ("s", "light"): 0.0, ("t", "heavy"): 0.0,
-        ("t", "light"): 0.2}
+# True utilisation a core, as it was found in recorded figures.
+TRUE = {("s", "heavy"): 0.04, ("s", "light"): 0.0, ("t", "heavy"): 0.0,
+        ("t", "light"): 0.03}
+BASE_MS = 10.0
+TARGET_MS = 50.0
+TASKS = 6
 
 
-def learn(seed: int, samples: int) -> interference.Interference:
-    """Feed figures whose load swings by a factor of three."""
+def load_at(second: float) -> float:
+    """Return a load that swings as recorded ones do."""
+    return 0.45 + 0.225 * math.sin(second * 2 * math.pi / 14.0)
+
+
+def fillers(rng: random.Random) -> list[interference.Filler]:
+    return [interference.Filler(image, rng.uniform(1.5, 3.5))
+            for image in ("heavy", "light") for _ in range(rng.randrange(3))]
+
+
+def tail_ms(rng, serving, load, beside):
+    utilisation = load + sum(TRUE[serving, f.image] * f.cores
+                             for f in beside)
+    return (BASE_MS / (1.0 - min(0.95, utilisation))
+            * math.exp(rng.gauss(0, 0.04)))
+
+
+def learn(seed: int, reports: int) -> interference.Interference:
+    """Feed reports of two lasting steps of six tasks on as many workers."""
     rng = random.Random(seed)
     learnt = interference.Interference()
-    for n in range(samples):
-        swing = 0.55 * math.sin(n / 40.0) + rng.gauss(0, 0.15)
-        fillers = [interference.Filler(image, rng.uniform(1.5, 3.5))
-                   for image in ("heavy", "light")
-                   for _ in range(rng.randrange(3))]
+    for n in range(reports):
+        now = n * 0.1
+        beside = fillers(rng)
         for serving in ("s", "t"):
-            tail = math.exp(3.0 + swing + sum(
-                TRUE[serving, f.image] * f.cores for f in fillers))
-            learnt.observe(serving, tail, fillers)
+            tail = learnt.tail(
+                serving, tail_ms(rng, serving, load_at(now), beside),
+                TARGET_MS, (serving, 0, 0), (f"w{n % TASKS}", n % TASKS),
+                beside, now)
+            learnt.observe(tail, beside)
     return learnt
 
 
+def tail(image="s", utilisation=0.8, load=0.4, peak=0.4, known=True):
+    base_ratio = BASE_MS / TARGET_MS
+    return interference.Tail(image, base_ratio / (1.0 - utilisation),
+                             base_ratio, utilisation, load, peak, known)
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_weights_come_close_to_the_true_ones(seed):
-    learnt = learn(seed, 400)
+    learnt = learn(seed, 800)
     for pair, weight in TRUE.items():
-        assert learnt.weight(*pair) == pytest.approx(weight, abs=0.05)
+        assert learnt.weight(*pair) == pytest.approx(weight, abs=0.01)
+
 
+@pytest.mark.parametrize("seed", range(4))
+def test_load_of_a_step_is_told_from_what_disturbs_its_tasks(seed):
+    """Follow the load although some of the tasks are disturbed."""
+    rng = random.Random(seed)
+    learnt = interference.Interference()
+    errors = []
+    for n in range(300):
+        now = n * 0.1
+        beside = fillers(rng) if n % TASKS < 3 else []
+        seen = learnt.tail(
+            "s", tail_ms(rng, "s", load_at(now), beside), TARGET_MS,
+            ("j", 0, 0), ("w", n % TASKS), beside, now)
+        if n > 100:
+            assert seen.load_known
+            errors.append(abs(seen.load - load_at(now)))
+    assert sum(errors) / len(errors) < 0.06
+
+
+@pytest.mark.parametrize(("utilisation", "load", "over", "slowed"), [
+    (0.78, 0.5, 0, (True, False)),
+    (0.78, 0.77, 0, (False, False)),
+    (0.5, 0.3, 0, (False, False)),
+    (0.9, 0.5, 4, (True, True)),
+    (0.9, 0.88, 4, (False, False)),
+    (0.9, 0.88, 6, (True, True)),
+], ids=["near-the-target", "own-load", "far-below", "over-for-long",
+        "own-load-for-long", "own-load-for-too-long"])
+def test_what_harms_is_slowed_and_the_rest_goes_on(utilisation, load, over,
+                                                   slowed):
+    learnt = learn(1, 800)
+    runs = [pacing.Paced(image, 3.0, 3.0, 100) for image in ("heavy",
+                                                             "light")]
+    shares = pacing.paces([tail("s", utilisation, load, load)], runs, over,
+                          True, learnt)
+    assert tuple(s < 100 for s in shares) == slowed
 
-@pytest.mark.parametrize(("ratio", "over", "before", "after"), [
-    (0.9, 0, (100, 100), (True, False)),
-    (0.5, 0, (100, 100), (False, False)),
-    (1.5, 4, (100, 100), (True, True)),
-], ids=["near-the-target", "far-below", "over-for-long"])
-def test_what_harms_is_slowed_and_the_rest_goes_on(ratio, over, before,
-                                                   after):
-    learnt = learn(1, 400)
-    tails = [interference.Tail("s", ratio)]
-    runs = [pacing.Paced(image, 3.0, 3.0, pace)
-            for image, pace in zip(("heavy", "light"), before)]
-    shares = pacing.paces(tails, runs, over, True, learnt)
-    assert [s < b for s, b in zip(shares, before)] == list(after)
+
+def test_a_disturbance_that_no_run_explains_slows_all_runs():
+    """Slow what runs when all processors are in use.
+
+    Symptom: tasks that no filling image harms were at twice their target
+    for two seconds.  Events: at low load filling runs took what was left
+    over; the load rose, and the runs wanted more than was left.  Cause:
+    processors that are all in use disturb every task, by no pair of images.
+    """
+    learnt = learn(1, 800)
+    runs = [pacing.Paced("heavy", 3.0, 3.0, 100) for _ in range(3)]
+    shares = pacing.paces([tail("t", 0.9, 0.5, 0.7)], runs, 1, True, learnt)
+    assert all(s < 100 for s in shares)
 
 
 def test_a_slowed_run_is_eased_only_while_the_tail_allows():
-    learnt = learn(1, 400)
+    learnt = learn(1, 800)
     run = [pacing.Paced("heavy", 3.0, 0.0, 0)]
-    low = [interference.Tail("s", 0.3)]
-    high = [interference.Tail("s", 0.6)]
+    low = [tail("s", 0.4, 0.4, 0.4)]
+    high = [tail("s", 0.7, 0.7, 0.7)]
     assert pacing.paces(low, run, 0, True, learnt)[0] > 0
     assert pacing.paces(high, run, 0, True, learnt) == [0]
     assert pacing.paces(low, run, 0, False, learnt) == [0]
+
+
+@pytest.mark.parametrize(("image", "utilisation", "load", "peak", "allowed"), [
+    ("heavy", 0.4, 0.4, 0.4, True),
+    ("heavy", 0.65, 0.65, 0.65, False),
+    ("heavy", 0.6, 0.6, 0.9, False),
+    ("light", 0.9, 0.9, 0.9, True),
+], ids=["low-load", "high-load", "load-about-to-rise", "harmless"])
+def test_only_tails_that_a_run_harms_speak_against_it(image, utilisation,
+                                                      load, peak, allowed):
+    """Leave no worker unused for a tail that its own load has driven up."""
+    learnt = learn(1, 800)
+    seen = [tail("s", utilisation, load, peak)]
+    assert (learnt.added(seen, image, 3.0) < 0.8) == allowed
--- a/tests/test_fleet_ordering.py
+++ b/tests/test_fleet_ordering.py
@@ -41,7 +41,8 @@
     late = state("late", 0.0, created=1)
     fresh = state("fresh", 9000.0, created=3)
     older = state("older", 8000.0, created=2)
-    order = ordering.ranked([lasting, late, fresh, older], QUEUES, 10_000.0)
+    order = ordering.ranked(
+        [lasting, late, fresh, older], QUEUES, 10_000.0, 100.0)
     assert [s.job.job_id for s in order] == ["older", "fresh", "late",
                                              "lasting"]
 
@@ -51,5 +52,33 @@
         "renewals", "h", "/r/", "desk", 2, 2, stretch=2.0, slo_ms=500.0)}
     late = state("late", 0.0)
     patient = state("patient", 10_000.0, queue="renewals")
-    order = ordering.ranked([patient, late], queues, 10_000.0)
+    order = ordering.ranked([patient, late], queues, 10_000.0, 100.0)
     assert [s.job.job_id for s in order] == ["late", "patient"]
+
+
+def lasting_job(name, created, ran):
+    job = state(name, 0.0, messages.Step(2, perpetual=True), created=created)
+    job.occurrence(0)
+    job.tasks[0, 0][0].last_run = int(ran)
+    job.tasks[0, 0][1].phase = progress.RUNNING
+    return job
+
+
+@pytest.mark.parametrize(("down_s", "expected"), [
+    (0.0, ["fresh", "hopeless", "new", "down"]),
+    (ordering.DOWN_S, ["down", "fresh", "hopeless", "new"]),
+], ids=["just-now", "for-seconds"])
+def test_an_interrupted_lasting_job_goes_before_short_ones(down_s, expected):
+    """Restart a lasting task before short tasks take its room for ever.
+
+    Symptom: lasting tasks stayed down for 16 s after their worker had left,
+    though room for them came free again and again.  Events: three of 33
+    workers left; what lasts then reserved 97% of the rest; short jobs, most
+    of them too late to count, took each gap.  Cause: every short job went
+    before every lasting one.
+    """
+    jobs = [state("fresh", 19_000.0, created=1), state("hopeless", 0.0),
+            lasting_job("new", 2, False), lasting_job("down", 3, True)]
+    ordering.ranked(jobs, QUEUES, 20_000.0, 100.0)
+    order = ordering.ranked(jobs, QUEUES, 20_000.0, 100.0 + down_s)
+    assert [s.job.job_id for s in order] == expected
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -303,3 +303,25 @@
         assert again[2].failed_runs == {1, 4}
         assert again[2].last_run == 4
         assert again[0].saved == "abc"
+
+
+@pytest.mark.parametrize(("tail_ms", "placed"), [(10.0, 1), (40.0, 0)],
+                         ids=["low-load", "high-load"])
+def test_filling_tasks_take_what_serving_ones_leave_unused(tail_ms, placed):
+    """Place filling tasks by the load of serving ones, told by their tail.
+
+    Symptom: at low load a sixth of the fleet was unused while filling tasks
+    waited, and at high load serving tasks were at twice their target.
+    Cause: a fixed share of what is reserved was taken to be in use.
+    """
+    bench = Bench(fleetfakes.entry(0))
+    bench.add(fleetfakes.job("lasting", messages.Step(
+        1, messages.Room(3000, 10), perpetual=True, image="s",
+        target_ms=1000.0)))
+    bench.place()
+    name = messages.TaskId("lasting", 0, 0, 0)
+    for figure in (10.0, tail_ms):
+        bench.report("i-0", [messages.RunningTask(name, 1, "", 100, figure)])
+    bench.add(fleetfakes.job("filling", messages.Step(
+        1, messages.Room(2000, 10), fills=True, image="f")))
+    assert len(bench.place()) == placed
