Refuse truthfully and at once while the store is away; hand on what was learnt

A store that did not answer the last call is read before it is written to: a read leaves nothing behind, and the refusal is true. A key that was written without an answer before stays uncertain. Learnt weights of images were lost at each change of owner; 1 KB is stored every 2 s and a successor begins with it.

--- a/sycamorefield/fleet/intake.py
+++ b/sycamorefield/fleet/intake.py
@@ -6,6 +6,7 @@
 import collections
 import dataclasses
 import threading
+import typing
 
 from sycamorefield import events
 from sycamorefield.fleet import clock
@@ -25,6 +26,9 @@
 ANSWER_MARGIN_S = 0.15
 DEFAULT_DEADLINE_S = 3.0
 RETRY_AFTER_S = 1
+# While the store does not answer this VM; outages last some seconds, and a
+# caller has few retries.
+RETRY_AFTER_OUTAGE_S = 2
 REMEMBERED_JOBS = 20_000
 
 
@@ -59,9 +63,17 @@
 class Intake:
     """Serve callers' requests about jobs."""
 
-    def __init__(self, store: surroundings.Store) -> None:
+    def __init__(self, store: surroundings.Store,
+                 store_silent: typing.Callable[[], bool]) -> None:
         self.store = store
+        # Whether the store has not answered this VM for some time.
+        self.store_silent = store_silent
+        # Whether the last call got no answer.
+        self.store_suspect = False
         self.lock = threading.Lock()
+        # Keys of which a write got no answer and may take effect later.
+        self.uncertain: collections.OrderedDict[str, None] = (
+            collections.OrderedDict())
         # Jobs known to exist, so that showing one needs one read only.
         self.existing: collections.OrderedDict[str, None] = (
             collections.OrderedDict())
@@ -99,6 +111,10 @@
         Once a try got no answer it may still take effect, so a refusal of a
         later try must not be passed on as "not stored".
         """
+        if self.store_suspect or self.store_silent():
+            known = self._look_first(key)
+            if known is not None:
+                return known
         transaction = messages.Transaction(
             (messages.Expect(key, 0),), (messages.Put(key, value),))
         uncertain = False
@@ -109,6 +125,7 @@
             tries += 1
             try:
                 self.store.commit(transaction)
+                self.store_suspect = False
                 return Accepted()
             except surroundings.Conflict:
                 return Accepted()
@@ -117,7 +134,8 @@
                 if tries >= REFUSED_TRIES:
                     break
             except surroundings.CallFailed as exc:
-                uncertain = True
+                uncertain = self.store_suspect = True
+                _keep(self.uncertain, key)
                 unanswered += 1
                 reason = str(exc)
                 if unanswered >= UNANSWERED_TRIES:
@@ -125,31 +143,63 @@
             threading.Event().wait(RETRY_PAUSE_S)
         return Uncertain(reason) if uncertain else Refused(reason)
 
+    def _look_first(self, key: str) -> Outcome | None:
+        """Read a key before it is written; return the outcome if it is clear.
+
+        A write without an answer may take effect later, so its caller cannot
+        be told that nothing was stored, and does not come back.  During an
+        outage of 5 s that went to 169 tries in a minute; a read that gets no
+        answer leaves nothing behind, and the refusal is true.
+        """
+        try:
+            item = self._read(key)
+        except surroundings.CallFailed as exc:
+            if key in self.uncertain:
+                return Uncertain(f"store: {exc}")
+            return Refused(f"store: {exc}", RETRY_AFTER_OUTAGE_S)
+        self.store_suspect = False
+        return None if item is None else Accepted()
+
     def state(self, job_id: str) -> str | None:
         """Return a job's state, or None; raises CallFailed."""
-        item = self.store.get(records.progress_key(job_id))
+        item = self._read(records.progress_key(job_id))
         if item is not None:
             return progress.state_of(item.value)
         return messages.PENDING if self._exists(job_id) else None
 
     def waiting(self, queue: str) -> int:
         """Return how many jobs of a queue wait; raises CallFailed."""
-        item = self.store.get(records.WAITING_KEY)
+        item = self._read(records.WAITING_KEY)
         if item is None:
             return 0
         return int(records.decode_mapping(item.value).get(queue, 0))
 
+    def _read(self, key: str) -> messages.Item | None:
+        """Read a key, or refuse at once while the store is known to be away.
+
+        Waiting for a timeout would hold a caller up by a second who can come
+        back later or through another VM.
+        """
+        if self.store_silent():
+            raise surroundings.CallRefused("store does not answer")
+        return self.store.get(key)
+
     def _exists(self, job_id: str) -> bool:
         with self.lock:
             if job_id in self.existing:
                 return True
-        if self.store.get(records.job_key(job_id)) is None:
+        if self._read(records.job_key(job_id)) is None:
             return False
         self._remember(job_id)
         return True
 
     def _remember(self, job_id: str) -> None:
         with self.lock:
-            self.existing[job_id] = None
-            while len(self.existing) > REMEMBERED_JOBS:
-                self.existing.popitem(last=False)
+            _keep(self.existing, job_id)
+
+
+def _keep(names: collections.OrderedDict[str, None], name: str) -> None:
+    """Remember a name; forget the oldest beyond a number."""
+    names[name] = None
+    while len(names) > REMEMBERED_JOBS:
+        names.popitem(last=False)
--- a/sycamorefield/fleet/interference.py
+++ b/sycamorefield/fleet/interference.py
@@ -13,6 +13,7 @@
 
 import collections
 import dataclasses
+import json
 import typing
 
 # A step of a job (job, occurrence, step), and one task of it.
@@ -129,11 +130,13 @@
 class Fit:
     """Hold sums for a least-squares fit of one serving image."""
 
-    def __init__(self) -> None:
+    def __init__(self, first: dict[str, float] | None = None) -> None:
+        # What a predecessor had learnt stands in for the first weights.
+        self.first = first or {}
         self.images: list[str] = []
         self.products: list[list[float]] = [[BASE_PRIOR]]
         self.targets: list[float] = [BASE_PRIOR * FIRST_BASE]
-        self.weights: dict[str, float] = {}
+        self.weights: dict[str, float] = dict(self.first)
         self.samples = 0
 
     def add(self, disturbance: float, fillers: list[Filler]) -> None:
@@ -153,7 +156,8 @@
         # seen for long would have nothing to go by.
         for i in range(1, len(row)):
             self.products[i][i] += (1 - KEEP) * PRIOR
-            self.targets[i] += (1 - KEEP) * PRIOR * FIRST_WEIGHT
+            self.targets[i] += ((1 - KEEP) * PRIOR
+                                * self._first_weight(self.images[i - 1]))
         self.samples += 1
         if self.samples % SAMPLES_PER_FIT == 0:
             self._solve()
@@ -163,7 +167,10 @@
         for products in self.products:
             products.append(0.0)
         self.products.append([0.0] * len(self.targets) + [PRIOR])
-        self.targets.append(PRIOR * FIRST_WEIGHT)
+        self.targets.append(PRIOR * self._first_weight(image))
+
+    def _first_weight(self, image: str) -> float:
+        return self.first.get(image, FIRST_WEIGHT)
 
     def _solve(self) -> None:
         """Solve the normal equations (positive definite by the prior)."""
@@ -180,9 +187,9 @@
         for i in reversed(range(size)):
             rest = sum(rows[i][k] * solved[k] for k in range(i + 1, size))
             solved[i] = (rows[i][size] - rest) / rows[i][i]
-        self.weights = {
+        self.weights.update({
             image: min(MOST_WEIGHT, max(0.0, weight))
-            for image, weight in zip(self.images, solved[1:])}
+            for image, weight in zip(self.images, solved[1:])})
 
 
 class Interference:
@@ -194,6 +201,29 @@
         self.loads: collections.OrderedDict[Group, StepLoad] = (
             collections.OrderedDict())
 
+    def encode(self) -> bytes:
+        """Return what was learnt of images, for a successor."""
+        return json.dumps({
+            image: [round(lowest, 2), {
+                filling: round(weight, 4) for filling, weight
+                in self._weights(image).items()}]
+            for image, lowest in self.lowest.items()},
+            sort_keys=True).encode()
+
+    def _weights(self, serving: str) -> dict[str, float]:
+        fit = self.fits.get(serving)
+        return fit.weights if fit is not None else {}
+
+    def decode(self, value: bytes) -> None:
+        """Begin with what a predecessor learnt; raises ValueError."""
+        try:
+            for image, (lowest, weights) in json.loads(value).items():
+                self.lowest[image] = float(lowest)
+                self.fits[image] = Fit({name: float(weight) for name, weight
+                                        in weights.items()})
+        except (TypeError, AttributeError) as exc:
+            raise ValueError(f"not a record of images: {exc!r}") from exc
+
     def weight(self, serving: str, filling: str) -> float:
         """Return the utilisation that a filling core adds."""
         fit = self.fits.get(serving)
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -143,6 +143,7 @@
     def _load(self) -> int:
         fleet_item = self.store.get(records.FLEET_KEY)
         waiting_item = self.store.get(records.WAITING_KEY)
+        learnt_item = self.store.get(records.LEARNT_KEY)
         jobs = self.store.listing(records.JOB_PREFIX)
         stored = self.store.listing(records.PROGRESS_PREFIX)
         entries = self.roster.workers()
@@ -156,6 +157,8 @@
             if waiting_item is not None:
                 self.recorder.revisions[records.WAITING_KEY] = (
                     waiting_item.revision)
+            if learnt_item is not None:
+                self._take_learnt(learnt_item)
             self._expect_workers(fleet_item)
         self._take_entries(entries)
         self._contact_unlisted()
@@ -197,6 +200,14 @@
             self.fleet.cancel(key[len(records.JOB_PREFIX):
                                   -len(records.CANCEL_SUFFIX)])
 
+    def _take_learnt(self, item: messages.Item) -> None:
+        self.recorder.revisions[records.LEARNT_KEY] = item.revision
+        try:
+            self.fleet.learnt.decode(item.value)
+        except ValueError as exc:
+            events.emit(events.RECORD_UNREADABLE, key=item.key,
+                        reason=str(exc))
+
     def _expect_workers(self, item: messages.Item | None) -> None:
         """Wait for each worker that earlier owners may have used.
 
--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -20,6 +20,9 @@
 RETRY_PAUSE_S = 0.1
 # How often the numbers of waiting jobs are written at most.
 WAITING_PERIOD_S = 1.0
+# How often what was learnt of images is written: 1 KB or so, and a successor
+# that began anew would harm serving tasks for some ten seconds.
+LEARNT_PERIOD_S = 2.0
 
 
 class Outcome(enum.Enum):
@@ -57,6 +60,8 @@
         self.addresses: dict[str, str] | None = None
         self.counts: dict[str, int] = {}
         self.counted_at = 0.0
+        self.learnt = b"{}"
+        self.learnt_at = 0.0
         self.stopped = threading.Event()
         self.flushing = threading.Lock()
 
@@ -87,6 +92,7 @@
             values = self._job_values()
             self._fleet_value(values)
             self._count_value(values)
+            self._learnt_value(values)
         outcomes = set()
         for begin in range(0, len(values), VALUES_PER_COMMIT):
             group = values[begin:begin + VALUES_PER_COMMIT]
@@ -137,6 +143,17 @@
                             self.revisions.get(records.WAITING_KEY, 0),
                             None))
 
+    def _learnt_value(self, values: list[Value]) -> None:
+        if time.monotonic() - self.learnt_at < LEARNT_PERIOD_S:
+            return
+        self.learnt_at = time.monotonic()
+        data = self.fleet.learnt.encode()
+        if data != self.learnt:
+            self.learnt = data
+            values.append(Value(
+                records.LEARNT_KEY, data,
+                self.revisions.get(records.LEARNT_KEY, 0), None))
+
     def _commit(self, values: list[Value]) -> Outcome:
         """Commit until the outcome is known.
 
@@ -185,6 +202,8 @@
                 value.job.dirty = True
             elif value.key == records.FLEET_KEY:
                 self.addresses = None
+            elif value.key == records.LEARNT_KEY:
+                self.learnt = b"{}"
             else:
                 self.counts = {}
         return outcome
--- a/sycamorefield/fleet/records.py
+++ b/sycamorefield/fleet/records.py
@@ -11,6 +11,7 @@
 WATCHED_PREFIX = "o"
 FLEET_KEY = "fleet/workers"
 WAITING_KEY = "fleet/waiting"
+LEARNT_KEY = "fleet/learnt"
 
 
 def job_key(job_id: str) -> str:
--- a/sycamorefield/platform/daemon.py
+++ b/sycamorefield/platform/daemon.py
@@ -37,7 +37,7 @@
         self.store = store_mod.PlatformStore(settings.platform.addr)
         self.view = operatorview.OperatorView(
             self.store, configuration.KEY, configuration.decode)
-        self.intake = intake_mod.Intake(self.store)
+        self.intake = intake_mod.Intake(self.store, self._store_silent)
         self.advice = (advice_mod.PlatformAdvice(settings.advice)
                        if settings.advice else None)
         self.ownership = ownership_mod.Ownership(
@@ -61,7 +61,10 @@
         ready, and the balancer uses them all.
         """
         return (self.view.known and not self.stop_asked.is_set()
-                and clock.now() - self.view.answered_at < STORE_SILENCE_S)
+                and not self._store_silent())
+
+    def _store_silent(self) -> bool:
+        return clock.now() - self.view.answered_at >= STORE_SILENCE_S
 
     def _metrics(self) -> str:
         owner = self.ownership.owner
--- a/tests/test_fleet_interference.py
+++ b/tests/test_fleet_interference.py
@@ -135,3 +135,26 @@
     learnt = learn(1, 800)
     seen = [tail("s", utilisation, load, peak)]
     assert (learnt.added(seen, image, 3.0) < 0.8) == allowed
+
+
+def test_a_successor_begins_with_what_was_learnt():
+    """Keep weights and lowest tails over a change of owner.
+
+    Symptom: serving tasks were harmed anew after each planned stop of an
+    owner.  Cause: what was learnt was in its memory only.
+    """
+    learnt = learn(1, 800)
+    successor = interference.Interference()
+    successor.decode(learnt.encode())
+    for pair in TRUE:
+        assert successor.weight(*pair) == pytest.approx(
+            learnt.weight(*pair), abs=0.001)
+    assert successor.lowest == pytest.approx(learnt.lowest, abs=0.01)
+    assert successor.encode() == learnt.encode()
+
+
+@pytest.mark.parametrize("value", [b"", b"[]", b"7", b'{"s": 1}',
+                                   b'{"s": [1, 2]}', b'{"s": ["x", {}]}'])
+def test_an_unreadable_record_is_an_error(value):
+    with pytest.raises(ValueError):
+        interference.Interference().decode(value)
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -218,8 +218,10 @@
     def __init__(self, store) -> None:
         self.config = configuration.decode(json.dumps(CONFIG).encode())
         self.stopping = False
+        self.store_silent = False
         self.front = front_mod.Front(
-            intake_mod.Intake(store), lambda: self.config, lambda: True,
+            intake_mod.Intake(store, lambda: self.store_silent),
+            lambda: self.config, lambda: True,
             lambda: self.stopping, lambda: "metric 1\n")
 
     def call(self, method, path, body=b"", host="h", deadline="800"):
@@ -288,6 +290,42 @@
     assert ("Retry-After" in answer["headers"]) == (status == 503)
 
 
+def test_nothing_is_written_to_a_store_that_does_not_answer(server, store):
+    """Refuse new jobs truthfully during an outage of the store.
+
+    Symptom: callers were told that the fate of 169 requests was unknown,
+    and could not hand them in again.  Events: the store reset connections
+    for 5 s; each write might still have been carried out.  Cause: writing
+    to a store that had not answered the last call.
+    """
+    client = Client(store)
+    server.fault = "silent"
+    assert client.call("POST", f"/x/{JOB_ID}", JOB)["status"] == 504
+    other = client.call("POST", f"/x/{JOB_ID[::-1]}", JOB)
+    assert other["status"] == 503
+    assert other["headers"]["Retry-After"] == "2"
+    assert client.call("POST", f"/x/{JOB_ID}", JOB)["status"] == 504
+    server.fault = ""
+    for job_id in (JOB_ID, JOB_ID[::-1]):
+        assert client.call("POST", f"/x/{job_id}", JOB)["status"] == 200
+
+
+@pytest.mark.parametrize(("method", "path", "body"), [
+    ("POST", f"/x/{JOB_ID}", JOB), ("GET", f"/x/{JOB_ID}", b""),
+    ("DELETE", f"/x/{JOB_ID}", b""), ("GET", "/x/", b"")],
+    ids=["submit", "state", "cancel", "waiting"])
+def test_callers_are_refused_at_once_while_the_store_is_silent(
+        server, store, method, path, body):
+    """Hold nobody until a timeout when the outage is known already."""
+    client = Client(store)
+    client.store_silent = True
+    calls_before = len(server.calls)
+    answer = client.call(method, path, body)
+    assert answer["status"] == 503
+    assert "Retry-After" in answer["headers"]
+    assert len(server.calls) == calls_before
+
+
 def test_a_job_whose_stores_answer_was_lost_is_accepted(server, store):
     server.fault = "lost"
     client = Client(store)
