One name for a step, one lease end, one lookup; drop what nothing reads

Now messages.StepId with TaskId.step_id, workerstate.LEASE_OVER_S, FleetState._find_on, JobState.chain_ms worked out once. Behaviour stays as it is: the same assertions pass (fleet and adapter tests, lint). No speed was measured.

--- a/sycamorefield/fleet/advice.py
+++ b/sycamorefield/fleet/advice.py
@@ -24,18 +24,6 @@
 IDLE_WAIT_S = 0.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StepId:
-    """Name one step of one occurrence of a job."""
-
-    job_id: str
-    occurrence: int
-    step: int
-
-    def __str__(self) -> str:
-        return f"{self.job_id}.{self.occurrence}.{self.step}"
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ticket:
     """Allow starts of a step on one worker until a moment of clock.now()."""
@@ -48,7 +36,7 @@
 class Question:
     """Ask about one step and some workers."""
 
-    step: StepId
+    step: messages.StepId
     workers: tuple[str, ...]
     policy: messages.AdvicePolicy
 
@@ -59,19 +47,19 @@
     def __init__(self, service: surroundings.AdviceService | None) -> None:
         self.service = service
         self.lock = threading.Condition()
-        self.tickets: dict[StepId, dict[str, Ticket]] = {}
-        self.unfit: dict[StepId, set[str]] = {}
-        self.wanted: dict[StepId, Question] = {}
+        self.tickets: dict[messages.StepId, dict[str, Ticket]] = {}
+        self.unfit: dict[messages.StepId, set[str]] = {}
+        self.wanted: dict[messages.StepId, Question] = {}
         self.answered: typing.Callable[[], None] = lambda: None
 
-    def valid(self, step: StepId, now: float) -> dict[str, str]:
+    def valid(self, step: messages.StepId, now: float) -> dict[str, str]:
         """Return the tickets that can still be used, by worker."""
         with self.lock:
             return {worker_id: ticket.text for worker_id, ticket
                     in self.tickets.get(step, {}).items()
                     if ticket.until - USE_BEFORE_END_S > now}
 
-    def want(self, step: StepId, workers: typing.Iterable[str],
+    def want(self, step: messages.StepId, workers: typing.Iterable[str],
              policy: messages.AdvicePolicy, now: float) -> None:
         """Ask about those of some workers that nothing is known of."""
         valid = self.valid(step, now)
@@ -83,7 +71,7 @@
                 self.wanted[step] = Question(step, tuple(names), policy)
                 self.lock.notify_all()
 
-    def drop(self, step: StepId, worker_id: str) -> None:
+    def drop(self, step: messages.StepId, worker_id: str) -> None:
         """Forget a ticket that the worker did not take."""
         with self.lock:
             self.tickets.get(step, {}).pop(worker_id, None)
--- a/sycamorefield/fleet/interference.py
+++ b/sycamorefield/fleet/interference.py
@@ -16,8 +16,9 @@
 import json
 import typing
 
-# A step of a job (job, occurrence, step), and one task of it.
-Group = tuple[str, int, int]
+from sycamorefield.fleet import messages
+
+# One task of a step: its worker and its index.
 Member = tuple[str, int]
 
 # Before anything is known, a filling core adds this much utilisation.
@@ -57,7 +58,7 @@
 DISTURBED = 0.05
 MOST_UTILISATION = 0.98
 # Steps whose load is remembered; a lasting job has one or two.
-MOST_GROUPS = 4096
+MOST_STEPS = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -198,7 +199,7 @@
     def __init__(self) -> None:
         self.fits: dict[str, Fit] = {}
         self.lowest: dict[str, float] = {}
-        self.loads: collections.OrderedDict[Group, StepLoad] = (
+        self.loads: collections.OrderedDict[messages.StepId, StepLoad] = (
             collections.OrderedDict())
 
     def encode(self) -> bytes:
@@ -232,7 +233,7 @@
         return fit.weights.get(filling, FIRST_WEIGHT)
 
     def tail(self, image: str, tail_ms: float, target_ms: float,
-             group: Group, member: Member, beside: list[Filler],
+             step: messages.StepId, member: Member, beside: list[Filler],
              now: float) -> Tail:
         """Return a reported tail with the load that its step has.
 
@@ -241,17 +242,17 @@
         """
         base = self._base(image, tail_ms)
         utilisation = 1.0 - base / tail_ms
-        step = self.loads.setdefault(group, StepLoad())
-        self.loads.move_to_end(group)
-        while len(self.loads) > MOST_GROUPS:
+        shared = self.loads.setdefault(step, StepLoad())
+        self.loads.move_to_end(step)
+        while len(self.loads) > MOST_STEPS:
             self.loads.popitem(last=False)
-        load = step.note(member, utilisation, now)
+        load = shared.note(member, utilisation, now)
         known = load is not None
         if load is None:
             load = max(0.0, utilisation - sum(
                 self.weight(image, f.image) * f.cores for f in beside))
         return Tail(image, tail_ms / target_ms, base / target_ms,
-                    utilisation, load, step.peak, known)
+                    utilisation, load, shared.peak, known)
 
     def _base(self, image: str, tail_ms: float) -> float:
         lowest = self.lowest.get(image)
--- a/sycamorefield/fleet/messages.py
+++ b/sycamorefield/fleet/messages.py
@@ -86,6 +86,18 @@
         return self.start_at_ms + occurrence * self.interval_ms
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StepId:
+    """Name one step of one occurrence of a job."""
+
+    job_id: str
+    occurrence: int
+    step: int
+
+    def __str__(self) -> str:
+        return f"{self.job_id}.{self.occurrence}.{self.step}"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class TaskId:
     """Name one task: its job, occurrence, step and index in the step."""
@@ -98,6 +110,10 @@
     def __str__(self) -> str:
         return f"{self.job_id}.{self.occurrence}.{self.step}.{self.index}"
 
+    def step_id(self) -> StepId:
+        """Return the name of the step that the task belongs to."""
+        return StepId(self.job_id, self.occurrence, self.step)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkerEntry:
--- a/sycamorefield/fleet/ordering.py
+++ b/sycamorefield/fleet/ordering.py
@@ -42,7 +42,7 @@
     job = state.job
     if queue is None:
         return IN_TIME
-    allowed = queue.stretch * state.chain_ms() + queue.slo_ms
+    allowed = queue.stretch * state.chain_ms + queue.slo_ms
     begun = max(job.accepted_ms, job.due_ms(0))
     needed = wall_ms - begun + HOPE * state.chain_left_ms()
     if needed <= allowed:
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -47,7 +47,6 @@
         self.store = store
         self.roster = roster
         self.connect = connect
-        self.hold_max_ms = hold_max_ms
         self.fence = fence
         self.fleet = state_mod.FleetState(fence, hold_max_ms, self._order,
                                           configuration)
@@ -219,9 +218,7 @@
             return
         self.recorder.revisions[records.FLEET_KEY] = item.revision
         self.recorder.addresses = records.decode_mapping(item.value)
-        until = (clock.now() + WITHOUT_STORE_S
-                 + (workerstate.LEASE_MS + workerstate.LEASE_END_SLACK_MS)
-                 / 1000.0 / workerstate.SLOW_CLOCK)
+        until = clock.now() + WITHOUT_STORE_S + workerstate.LEASE_OVER_S
         self.fleet.expect(self.recorder.addresses, until)
 
     def _contact_unlisted(self) -> None:
--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -67,14 +67,15 @@
         self.state_revision = 0
         self.cancelled = False
         self.state = messages.PENDING
-        self.stored_state = messages.PENDING
-        self.stored_at = 0.0
         self.dirty = False
         self.tasks: dict[Place, list[TaskState]] = {}
         self.run_base = 0
         # Since when a lasting task that ran is down, or 0.
         self.down_since = 0.0
         self.lasting = any(step.perpetual for step in job.steps)
+        # The estimated longest chain of all steps; asked for in each round.
+        self.chain_ms = self._longest_chain([step.estimate_ms
+                                             for step in job.steps])
 
     def chain_left_ms(self) -> float:
         """Return the estimated longest chain of steps not done yet."""
@@ -84,11 +85,6 @@
             else step.estimate_ms
             for number, step in enumerate(self.job.steps)])
 
-    def chain_ms(self) -> float:
-        """Return the estimated longest chain of all steps."""
-        return self._longest_chain([step.estimate_ms
-                                    for step in self.job.steps])
-
     def _longest_chain(self, durations_ms: typing.Sequence[float]) -> float:
         ends: list[float] = []
         for step, duration_ms in zip(self.job.steps, durations_ms):
@@ -250,7 +246,7 @@
     """Take over stored progress; raises ValueError if it is unreadable."""
     try:
         row = json.loads(value)
-        state.state = state.stored_state = row["state"]
+        state.state = row["state"]
         for task in _masked(state, row.get("done", {})):
             task.done = True
         for task in _masked(state, row.get("ran", {})):
--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -213,10 +213,5 @@
         if value.key == records.FLEET_KEY:
             self.addresses = records.decode_mapping(value.data)
             self.fleet.enrol(self.addresses)
-        job = value.job
-        if job is None:
-            return
-        job.state_revision = revision
-        if job.final():
-            job.stored_state = job.state
-            job.stored_at = time.time()
+        if value.job is not None:
+            value.job.state_revision = revision
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -3,7 +3,6 @@
 import dataclasses
 import typing
 
-from sycamorefield.fleet import advice
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import ordering
 from sycamorefield.fleet import placing
@@ -61,7 +60,7 @@
         if not idle or not state.step_ready(occurrence, number):
             return
         step = state.job.steps[number]
-        site = self._site(state, occurrence, number)
+        site = self._site(state, idle[0])
         if step.gang:
             self._place_gang(state, tasks, idle, site)
         else:
@@ -77,23 +76,21 @@
         left = [t for t in tasks if t.phase == progress.IDLE]
         if not left or queue.advice is None:
             return
-        name = left[0].task
         roomiest = sorted((w for w in self.usable
                            if w.entry.service == site.service),
                           key=lambda w: -w.free().cpu)
         self.fleet.advice.want(
-            advice.StepId(name.job_id, name.occurrence, name.step),
+            left[0].task.step_id(),
             (w.entry.worker_id for w in roomiest), queue.advice, self.now)
 
-    def _site(self, state: progress.JobState, occurrence: int,
-              number: int) -> Site:
-        """Return where a step may run, by configuration and advice."""
+    def _site(self, state: progress.JobState,
+              task: progress.TaskState) -> Site:
+        """Return where a task's step may run, by configuration and advice."""
         queue = self.queues.get(state.job.queue)
         service = queue.service if queue else state.job.service
         if queue is None or queue.advice is None:
             return Site(service, self.usable)
-        step = advice.StepId(state.job.job_id, occurrence, number)
-        tickets = self.fleet.advice.valid(step, self.now)
+        tickets = self.fleet.advice.valid(task.task.step_id(), self.now)
         return Site(service, [w for w in self.usable
                               if w.entry.worker_id in tickets], tickets)
 
@@ -136,8 +133,7 @@
                 if not self._stalled(task):
                     continue
                 state = self.fleet.jobs[task.task.job_id]
-                name = task.task
-                site = self._site(state, name.occurrence, name.step)
+                site = self._site(state, task)
                 others = [w for w in site.workers if w is not worker]
                 target = placing.choose(task, site.service, others,
                                         self.fleet.learnt)
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -233,7 +233,6 @@
         worker_id = worker.entry.worker_id
         events.emit(events.WORKER_GONE, worker=worker_id, reason=reason,
                     runs=len(worker.reserved))
-        worker.gone = True
         self.workers.pop(worker_id, None)
         self.unheard.pop(worker_id, None)
         for (_, run), task in worker.tasks.items():
@@ -277,9 +276,7 @@
         """
         if not self.unheard or 2 * len(self.unheard) >= self.expected:
             return
-        until = now + OBEYED_S + (
-            workerstate.LEASE_MS + workerstate.LEASE_END_SLACK_MS
-        ) / 1000.0 / workerstate.SLOW_CLOCK
+        until = now + OBEYED_S + workerstate.LEASE_OVER_S
         for worker_id, before in self.unheard.items():
             self.unheard[worker_id] = min(before, until)
 
@@ -326,6 +323,16 @@
             return None
         return job, state
 
+    def _find_on(self, worker_id: str, task: messages.TaskId
+                 ) -> tuple[workerstate.WorkerState,
+                            progress.TaskState] | None:
+        """Return the worker and the task that an order was about."""
+        worker = self.workers.get(worker_id)
+        found = self._find(task)
+        if worker is None or found is None:
+            return None
+        return worker, found[1]
+
     @staticmethod
     def _is_current(worker: workerstate.WorkerState,
                     task: progress.TaskState, run: int) -> bool:
@@ -506,8 +513,7 @@
         name = task.task
         tail = self.learnt.tail(
             task.step.image, row.figure, task.step.target_ms,
-            (name.job_id, name.occurrence, name.step),
-            (worker.entry.worker_id, name.index), beside, now)
+            name.step_id(), (worker.entry.worker_id, name.index), beside, now)
         worker.tails.append(tail)
         worker.unused_cpu += task.step.room.cpu * (
             1.0 - tail.expected_load())
@@ -559,12 +565,11 @@
                    clock_ms: float, now: float) -> None:
         """Note that a worker carried out a start."""
         with self.lock:
-            worker = self.workers.get(worker_id)
-            found = self._find(order.task)
-            if worker is None or found is None:
+            found = self._find_on(worker_id, order.task)
+            if found is None:
                 return
+            worker, task = found
             worker.heard(clock_ms, now)
-            _, task = found
             if self._is_current(worker, task, order.run):
                 task.moved_at = now
                 if task.phase == progress.STARTING:
@@ -577,18 +582,15 @@
         events.emit(events.RUN_REJECTED, task=str(order.task),
                     run=order.run, worker=worker_id, reason=reason)
         with self.lock:
-            worker = self.workers.get(worker_id)
-            found = self._find(order.task)
-            if worker is None or found is None:
+            found = self._find_on(worker_id, order.task)
+            if found is None:
                 return
-            _, task = found
+            worker, task = found
             worker.release((order.task, order.run), task.step)
             if reason == surroundings.NO_ROOM:
                 worker.avoid_until = now + NO_ROOM_S
             elif reason == surroundings.NO_TICKET:
-                name = task.task
-                self.advice.drop(advice.StepId(
-                    name.job_id, name.occurrence, name.step), worker_id)
+                self.advice.drop(task.task.step_id(), worker_id)
             elif reason == surroundings.UNHEALTHY:
                 worker.avoid_until = now + UNHEALTHY_S
             elif reason == surroundings.OLD_RUN:
@@ -604,11 +606,10 @@
                      ) -> None:
         """Stop a run whose start got no answer, before it runs elsewhere."""
         with self.lock:
-            worker = self.workers.get(worker_id)
-            found = self._find(order.task)
-            if worker is None or found is None:
+            found = self._find_on(worker_id, order.task)
+            if found is None:
                 return
-            _, task = found
+            worker, task = found
             if self._is_current(worker, task, order.run):
                 self.stop_run(task, "start got no answer")
 
@@ -616,12 +617,9 @@
                    now: float) -> None:
         """Note that a worker has taken a stop: the run cannot begin now."""
         with self.lock:
-            worker = self.workers.get(worker_id)
-            found = self._find(order.task)
-            if worker is not None and found is not None:
-                _, task = found
-                if self._is_current(worker, task, order.run):
-                    task.moved_at = now
+            found = self._find_on(worker_id, order.task)
+            if found is not None and self._is_current(*found, order.run):
+                found[1].moved_at = now
 
     # Placing
 
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -16,6 +16,8 @@
 LEASE_MS = 5000.0
 # Slack for the rounding of clocks and for the kill itself.
 LEASE_END_SLACK_MS = 300.0
+# Seconds of our clock after which a lease given now has certainly ended.
+LEASE_OVER_S = (LEASE_MS + LEASE_END_SLACK_MS) / 1000.0 / SLOW_CLOCK
 
 # A worker that failed this many runs in a row without a success is avoided
 # for a while: one that fails all it starts would else eat every attempt.
@@ -32,7 +34,6 @@
         self.enrolled = False
         self.reported = False
         self.silent = False
-        self.gone = False
         # Whether it closed a connection while it was about to leave.
         self.closed = False
         # When the last call that it answered was sent.
@@ -113,7 +114,7 @@
     def usable(self, now: float) -> bool:
         """Tell whether new runs may be ordered here."""
         return (self.listed and self.enrolled and self.reported
-                and not self.silent and not self.gone
+                and not self.silent
                 and not self.entry.draining and self.avoid_until <= now)
 
     def count_of(self, job_id: str, occurrence: int, step: int) -> int:
--- a/tests/test_fleet_interference.py
+++ b/tests/test_fleet_interference.py
@@ -6,6 +6,7 @@
 import pytest
 
 from sycamorefield.fleet import interference
+from sycamorefield.fleet import messages
 from sycamorefield.fleet import pacing
 
 # True utilisation a core, as it was found in recorded figures.
@@ -43,7 +44,8 @@
         for serving in ("s", "t"):
             tail = learnt.tail(
                 serving, tail_ms(rng, serving, load_at(now), beside),
-                TARGET_MS, (serving, 0, 0), (f"w{n % TASKS}", n % TASKS),
+                TARGET_MS, messages.StepId(
+                    serving, 0, 0), (f"w{n % TASKS}", n % TASKS),
                 beside, now)
             learnt.observe(tail, beside)
     return learnt
@@ -73,7 +75,7 @@
         beside = fillers(rng) if n % TASKS < 3 else []
         seen = learnt.tail(
             "s", tail_ms(rng, "s", load_at(now), beside), TARGET_MS,
-            ("j", 0, 0), ("w", n % TASKS), beside, now)
+            messages.StepId("j", 0, 0), ("w", n % TASKS), beside, now)
         if n > 100:
             assert seen.load_known
             errors.append(abs(seen.load - load_at(now)))
--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -120,9 +120,8 @@
                 self.fleet.drop_final(state)
         for job_id in self.cancelled:
             self.fleet.cancel(job_id)
-        self.fleet.expect(sorted(self.in_use), self.now + ACTS_ON_S + (
-            workerstate.LEASE_MS + workerstate.LEASE_END_SLACK_MS)
-            / 1000.0 / workerstate.SLOW_CLOCK)
+        self.fleet.expect(sorted(self.in_use), self.now + ACTS_ON_S
+                          + workerstate.LEASE_OVER_S)
         for worker in self._alive():
             self.fleet.add_worker(worker.entry)
         self.fleet.enrol(sorted(self.in_use))
