Leave the fleet to VMs that have the processors for it

Cause: when the owner goes, all VMs claim at the same moment, and on a fleet with 37 VMs of 0.516 core and 8 of 2.15 a weak one mostly wins.

Ruled out: memory (at most 77 MB of 200) and the link (under 0.4 MB/s).

Change: a VM with less than one core waits 0.4 s longer before it claims.

--- a/sycamorefield/fleet/ownership.py
+++ b/sycamorefield/fleet/ownership.py
@@ -18,21 +18,35 @@
 # Processes that see the key go at the same moment try at different times,
 # which spares the store most of the claims that cannot win.
 CLAIM_JITTER_S = 0.08
+# An owner of 176 workers needs more than half a core: on VMs of 0.516 core it
+# used all of that, and from 28 to 50 s of a day it made 6 to 177 starts a
+# second while 1,300 urgent tasks waited beside 100 to 440 free cores.  A VM
+# with less than this leaves the claim to others that may be about to make it.
+OWNER_CORES = 1.0
+# A claim takes two calls to the store, 0.5 s where it answers 60 times more
+# slowly than usual; without a stronger VM a takeover is this much later.
+WEAK_PATIENCE_S = 0.4
 RETRY_PAUSE_S = 0.2
 
 OwnerFactory = typing.Callable[[int], owner_mod.Owner]
 
 
+def patience_s(cores: float) -> float:
+    """Return how long a VM leaves a free fleet to stronger ones."""
+    return 0.0 if cores >= OWNER_CORES else WEAK_PATIENCE_S
+
+
 class Ownership:
     """Claim the owner's key when it is free and run an Owner meanwhile."""
 
     def __init__(self, store: surroundings.Store,
                  view: operatorview.OperatorView, name: str,
-                 make_owner: OwnerFactory) -> None:
+                 make_owner: OwnerFactory, patience: float = 0.0) -> None:
         self.store = store
         self.view = view
         self.value = f"{name} {uuid.uuid4().hex}".encode()
         self.make_owner = make_owner
+        self.patience = patience
         self.owner: owner_mod.Owner | None = None
         self.lease = 0
         self.stopped = threading.Event()
@@ -62,7 +76,8 @@
                         break
                 self.view.changed.wait(0.5)
         if self.view.owner is None:
-            self.stopped.wait(random.uniform(0, CLAIM_JITTER_S))
+            self.stopped.wait(
+                self.patience + random.uniform(0, CLAIM_JITTER_S))
 
     def _claim(self) -> int:
         """Return the fence (the key's revision), or 0 if another won.
--- a/sycamorefield/platform/bootsettings.py
+++ b/sycamorefield/platform/bootsettings.py
@@ -21,6 +21,13 @@
     addr: str
 
 
+class LimitsModel(pydantic.BaseModel):
+    """Check the processors: a share of a core, so many times as fast."""
+
+    cpu_share: float = 1.0
+    cores: float = 1.0
+
+
 class BoundsModel(pydantic.BaseModel):
     """Check the bounds that the product follows.
 
@@ -39,6 +46,7 @@
     listen: ListenModel = ListenModel()
     port_range: tuple[int, int] = (7720, 7735)
     platform: StoreModel
+    limits: LimitsModel = LimitsModel()
     bounds: BoundsModel = BoundsModel()
     orders: str = ORDERS_BY_CALL
     advice: str | None = None
--- a/sycamorefield/platform/daemon.py
+++ b/sycamorefield/platform/daemon.py
@@ -41,7 +41,9 @@
         self.advice = (advice_mod.PlatformAdvice(settings.advice)
                        if settings.advice else None)
         self.ownership = ownership_mod.Ownership(
-            self.store, self.view, settings.node, self._make_owner)
+            self.store, self.view, settings.node, self._make_owner,
+            ownership_mod.patience_s(
+                settings.limits.cpu_share * settings.limits.cores))
         self.stop_asked = threading.Event()
         self.front = front_mod.Front(
             self.intake, self.view.configuration, self._ready,
--- a/tests/test_fleet_ownership.py
+++ b/tests/test_fleet_ownership.py
@@ -22,10 +22,10 @@
         raise AssertionError("not to be made here")
 
 
-def contender(store, name):
+def contender(store, name, patience=0.0):
     view = operatorview.OperatorView(store, "op/c",
                                      lambda value: messages.Configuration())
-    return ownership_mod.Ownership(store, view, name, NoOwner)
+    return ownership_mod.Ownership(store, view, name, NoOwner, patience)
 
 
 def look(ownership):
@@ -68,6 +68,37 @@
     assert ours._claim() == store.items[records.OWNER_KEY].revision
 
 
+@pytest.mark.parametrize(("cores", "patient"), [
+    (0.516, True), (0.99, True), (1.0, False), (2.15, False)])
+def test_weak_vms_leave_the_fleet_to_stronger_ones(cores, patient):
+    """Let a VM own the fleet that has the processors for it.
+
+    Symptom: callers waited for seconds and leases lapsed while the owner used
+    all the processor time of its VM.  Events: the owner went; all VMs saw it
+    at once, weak and strong ones, and one of the 37 weak ones won over the 8
+    strong ones.  Cause: all tried at the same moment, whatever they have.
+    Evidence: from 8 to 34 s an owner on 0.516 core used 0.49 to 0.52 of it.
+    """
+    patience = ownership_mod.patience_s(cores)
+    assert (patience > ownership_mod.CLAIM_JITTER_S) is patient
+
+
+def test_a_patient_vm_claims_nothing_that_another_claimed_meanwhile():
+    """Look again after waiting for stronger VMs."""
+    store = fleetfakes.MemoryStore()
+    strong, weak = contender(store, "s"), contender(store, "w", 0.3)
+    for one in (strong, weak):
+        look(one)
+        one.view.known = True
+    waiting = threading.Thread(target=weak._wait_for_turn)
+    waiting.start()
+    strong._wait_for_turn()
+    assert strong._claim()
+    look(weak)
+    waiting.join()
+    assert weak._claim() == 0
+
+
 class StuckStore(fleetfakes.MemoryStore):
     """Hold back answers to reads until told to go on."""
 
