--- a/sycamorefield/platform/bootsettings.py
+++ b/sycamorefield/platform/bootsettings.py
@@ -6,6 +6,9 @@
 
 ORDERS_BY_CALL = "rpc"
 PATH_VARIABLE = "SYCAMOREFIELD_BOOT"
+# The port of `metrics` in deploy/system.toml, which gives both: metrics are
+# fetched at that port, while port_range is drawn anew for each day.
+METRICS_VARIABLE = "SYCAMOREFIELD_METRICS_PORT"
 
 
 class ListenModel(pydantic.BaseModel):
@@ -43,6 +46,19 @@
     orders: str = ORDERS_BY_CALL
     advice: str | None = None
 
+    def metrics_address(self) -> str:
+        """Return where to serve metrics: the deploy file's port if free.
+
+        A day's ports may happen to include it; callers go first then, and
+        metrics move to the last port that is free for the process.
+        """
+        port = os.environ.get(METRICS_VARIABLE, "")
+        taken = {address.rpartition(":")[2]
+                 for address in (self.listen.front, self.listen.ready)}
+        if not port.isdecimal() or port in taken:
+            port = str(self.port_range[1])
+        return f"{self.ip}:{port}"
+
 
 def load() -> BootSettings:
     """Return the settings; raises OSError or pydantic.ValidationError."""
--- a/sycamorefield/platform/daemon.py
+++ b/sycamorefield/platform/daemon.py
@@ -88,7 +88,9 @@
         servers = self._listen()
         for target in (self.view.run, self.ownership.run):
             threading.Thread(target=target, daemon=True).start()
-        events.emit(events.PROCESS_STARTED, address=self.settings.ip)
+        events.emit(events.PROCESS_STARTED, address=self.settings.ip,
+                    metrics=self.settings.metrics_address(),
+                    port_range=self.settings.port_range)
         if self.settings.orders != bootsettings.ORDERS_BY_CALL:
             # Orders would have to travel with workers' heartbeats.
             events.emit(events.SETTING_IGNORED, setting="orders",
@@ -121,11 +123,11 @@
         cherrypy.server.unsubscribe()
         cherrypy.tree.graft(self.front, "/")
         listen = self.settings.listen
-        metrics = f"{self.settings.ip}:{self.settings.port_range[1]}"
         servers = []
         for address, threads in ((listen.front, FRONT_THREADS),
                                  (listen.ready, SIDE_THREADS),
-                                 (metrics, SIDE_THREADS)):
+                                 (self.settings.metrics_address(),
+                                  SIDE_THREADS)):
             servers.append(_serve(address, threads))
         return servers
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -2,6 +2,8 @@
 
 import io
 import json
+import os
+import tomllib
 
 import pydantic
 import pytest
@@ -10,6 +12,7 @@
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import records
 from sycamorefield.fleet import surroundings
+from sycamorefield.platform import bootsettings
 from sycamorefield.platform import calls
 from sycamorefield.platform import configuration
 from sycamorefield.platform import front as front_mod
@@ -362,3 +365,39 @@
     client.stopping = True
     answer = client.call("GET", "/x/")
     assert answer["headers"]["Connection"] == "close"
+
+
+@pytest.mark.parametrize(("variable", "front", "address"), [
+    ("7735", "10.1.0.13:8161", "10.1.0.13:7735"),
+    ("7735", "10.1.0.13:7735", "10.1.0.13:6015"),
+    (None, "10.1.0.13:8161", "10.1.0.13:6015"),
+    ("", "10.1.0.13:8161", "10.1.0.13:6015"),
+    ("x", "10.1.0.13:8161", "10.1.0.13:6015"),
+], ids=["deploy-file", "taken", "unset", "empty", "unreadable"])
+def test_metrics_are_served_where_the_deploy_file_says(
+        monkeypatch, variable, front, address):
+    """Serve metrics where they are fetched, on every day.
+
+    Symptom: none of the process's metrics were among what was collected of
+    a day.  Cause: they are fetched at the deploy file's port, and the process
+    listened on the last port of port_range, which differs from day to day.
+    """
+    if variable is None:
+        monkeypatch.delenv(bootsettings.METRICS_VARIABLE, raising=False)
+    else:
+        monkeypatch.setenv(bootsettings.METRICS_VARIABLE, variable)
+    settings = bootsettings.BootSettings(
+        node="n", ip="10.1.0.13", port_range=(6000, 6015),
+        listen={"front": front, "ready": "10.1.0.13:8167"},
+        platform={"addr": "10.200.1.7:8169"})
+    assert settings.metrics_address() == address
+
+
+def test_deploy_file_tells_the_process_where_metrics_are_fetched():
+    path = os.path.join(os.path.dirname(__file__), "..", "deploy",
+                        "system.toml")
+    with open(path, "rb") as file:
+        role = tomllib.load(file)["roles"]["entry"]
+    port, _, place = role["metrics"].partition("/")
+    assert role["env"][bootsettings.METRICS_VARIABLE] == port
+    assert place == "metrics"
