Let logs and metrics tell a saturated owner from a fleet without a gap

Cause: of an owner's output only the last 44 KB are kept. In the recorded log of the strongest owner (2.15 cores) that is 0.27 s: 689 lines/s, 146 KB/s, of which 93 SF1819, 44 SF1828 and 42 SF1816 of 186 lines. Lines on use and ownership are lost, and metrics told nothing of the owner's work.

Logs: SF1816 and SF1819 hold up to 100 runs a line and are written at most each 0.1 s by the thread that places, outside the fleet's lock; SF1828 holds the changes of one worker's report. One line a report for SF1819 was ruled out: the 93 ends came in 92 reports.

Metrics and SF1834: rounds of placing and the time in and between them, lasting tasks down, for how long and how wide, workers silent and unheard, age of the lease's renewal, durations of reports and commits. Gauges of the fleet are those of the last SF1834, so fetching them takes no lock; SF1834 takes the lock anew for each job.

--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -9,7 +9,9 @@
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import surroundings
+from sycamorefield.fleet import usage
 from sycamorefield.fleet import workerstate
+from sycamorefield import metrics
 
 # How long a worker holds its report while nothing ends.  It bounds how long
 # a dead worker goes unnoticed.
@@ -126,8 +128,10 @@
             if self.closed:
                 return
             self.refusals = 0
+            came = clock.now()
             new_ends = self.fleet.on_report(self.worker_id, report, sent,
-                                            clock.now())
+                                            came)
+            metrics.CALLS.record(usage.REPORT, clock.now() - came)
             if new_ends or report.ended:
                 self.recorded.wait(RECORD_WAIT_S)
 
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -13,6 +13,7 @@
 from sycamorefield.fleet import records
 from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import surroundings
+from sycamorefield.fleet import usage as usage_mod
 from sycamorefield.fleet import workerstate
 
 # Without any answer of the store the owner goes on this long: an outage of
@@ -54,7 +55,11 @@
         self.links: dict[str, link_mod.WorkerLink] = {}
         self.over = threading.Event()
         self.recovered = False
-        self.renewed = clock.now()
+        self.began = self.renewed = clock.now()
+        # As of the last line on it; counting anew for each caller of the
+        # metrics would take the lock from placing.
+        self.usage: usage_mod.Usage | None = None
+        self.round_times = usage_mod.RoundTimes()
         self.recorder = recorder_mod.Recorder(
             store, self.fleet, records.OWNER_KEY, self.may_act,
             self.step_down, self._seen)
@@ -103,6 +108,28 @@
             threading.Thread(target=self._guarded, args=(target,),
                              daemon=True).start()
         self._guarded(self._rounds)
+        self.fleet.run_log.flush()
+
+    def gauges(self) -> dict[str, float]:
+        """Return figures on the fleet and on the owner's own work."""
+        now = clock.now()
+        gauges = {
+            "fence": float(self.fence),
+            "owner_age_s": now - self.began,
+            "owner_recovered": float(self.recovered),
+            "lease_age_s": now - self.renewed,
+            "rounds_total": float(self.round_times.rounds),
+            "rounds_busy_s_total": self.round_times.busy_s,
+            "rounds_waited_s_total": self.round_times.waited_s,
+            "round_longest_s": self.round_times.longest_s,
+            "runs_ordered_total": float(self.fleet.run_log.ordered_total),
+            "runs_ended_total": float(self.fleet.run_log.ended_total)}
+        if self.usage is not None:
+            figures = dataclasses.asdict(self.usage)
+            for priority, count in figures.pop("waiting").items():
+                gauges[f'tasks_waiting{{priority="{priority}"}}'] = count
+            gauges.update(figures)
+        return gauges
 
     def _guarded(self, target: typing.Callable[[], None]) -> None:
         """Step down on an unexpected error: a successor starts afresh."""
@@ -264,6 +291,7 @@
 
     def _follow_roster(self) -> None:
         logged = 0.0
+        times = usage_mod.RoundTimes()
         while not self.over.wait(ROSTER_PERIOD_S):
             try:
                 self._take_entries(self.roster.workers())
@@ -272,9 +300,17 @@
             self._close_gone()
             if clock.now() - logged >= USAGE_PERIOD_S:
                 logged = clock.now()
-                usage = self.fleet.usage()
-                events.emit(events.FLEET_USAGE,
-                            **dataclasses.asdict(usage))
+                times = self._log_usage(times)
+
+    def _log_usage(self, earlier: usage_mod.RoundTimes
+                   ) -> usage_mod.RoundTimes:
+        """Log how full the fleet is; return the rounds counted so far."""
+        self.usage = usage_mod.measure(self.fleet, clock.now())
+        times = dataclasses.replace(self.round_times)
+        events.emit(events.FLEET_USAGE, **dataclasses.asdict(self.usage),
+                    **times.since(earlier), fence=self.fence,
+                    lease_age_s=round(clock.now() - self.renewed, 3))
+        return times
 
     def _close_gone(self) -> None:
         for worker_id, link in list(self.links.items()):
@@ -327,11 +363,16 @@
         return listing.revision
 
     def _rounds(self) -> None:
+        ended = clock.now()
         while self.may_act():
             with self.fleet.lock:
                 if not self.fleet.changed:
                     self.fleet.wake.wait(TICK_S)
             now = clock.now()
+            waited_s = now - ended
             self.fleet.expire(now)
             self.fleet.place(now, clock.wall_ms())
+            ended = clock.now()
+            self.round_times.add(waited_s, ended - now)
+            self.fleet.run_log.flush_when_due(ended)
             self.over.wait(ROUND_PAUSE_S)
--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -6,11 +6,14 @@
 import typing
 
 from sycamorefield import events
+from sycamorefield.fleet import clock
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import records
 from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import surroundings
+from sycamorefield.fleet import usage
+from sycamorefield import metrics
 
 # A transaction takes 32 entries: one for the fence, and for each value an
 # expectation and a put.
@@ -166,8 +169,10 @@
         puts = tuple(messages.Put(v.key, v.data) for v in values)
         transaction = messages.Transaction(tuple(expects), puts)
         while self.may_act():
+            began = clock.now()
             try:
                 revision = self.store.commit(transaction)
+                metrics.CALLS.record(usage.COMMIT, clock.now() - began)
                 for value in values:
                     self._stored(value, revision)
                 return Outcome.STORED
--- /dev/null
+++ b/sycamorefield/fleet/runlog.py
@@ -0,0 +1,71 @@
+"""Group the log lines of single runs, so that their volume stays bounded.
+
+A full fleet orders and ends hundreds of runs a second.  One line each took
+more room than is kept of a process's output, which then reached back for
+less than a second, and took processor time from placing.
+"""
+
+import threading
+import typing
+
+from sycamorefield import events
+from sycamorefield.fleet import messages
+
+# At most so often a line of each kind is written, unless one is full.
+LINE_PERIOD_S = 0.1
+# A line stays under 8 KB, which standard output takes in one write.
+RUNS_PER_LINE = 100
+
+# The task, its run and the worker.
+Row = tuple[messages.TaskId, int, str]
+
+
+class RunLog:
+    """Collect ordered and ended runs, and write a few to a line."""
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.ordered: list[Row] = []
+        # Ended runs by how they ended.
+        self.ended: dict[str, list[Row]] = {}
+        self.ordered_total = 0
+        self.ended_total = 0
+        self.flushed_at = 0.0
+
+    def add_ordered(self, task: messages.TaskId, run: int,
+                    worker_id: str) -> None:
+        """Note a run that a worker is told to start."""
+        with self.lock:
+            self.ordered.append((task, run, worker_id))
+            self.ordered_total += 1
+
+    def add_ended(self, task: messages.TaskId, run: int, worker_id: str,
+                  how: str) -> None:
+        """Note a run that a worker reports as ended."""
+        with self.lock:
+            self.ended.setdefault(how, []).append((task, run, worker_id))
+            self.ended_total += 1
+
+    def flush_when_due(self, now: float) -> None:
+        """Write what was collected unless lines were written just now."""
+        if now - self.flushed_at >= LINE_PERIOD_S:
+            self.flushed_at = now
+            self.flush()
+
+    def flush(self) -> None:
+        """Write all that was collected."""
+        with self.lock:
+            ordered, self.ordered = self.ordered, []
+            ended, self.ended = self.ended, {}
+        for rows in _lines(ordered):
+            events.emit(events.RUN_ORDERED, runs=rows)
+        for how, runs in ended.items():
+            for rows in _lines(runs):
+                events.emit(events.RUN_ENDED, how=how, runs=rows)
+
+
+def _lines(runs: list[Row]) -> typing.Iterator[list[tuple[str, int, str]]]:
+    """Yield what each line holds: names of tasks, runs and workers."""
+    for begin in range(0, len(runs), RUNS_PER_LINE):
+        yield [(str(task), run, worker_id) for task, run, worker_id
+               in runs[begin:begin + RUNS_PER_LINE]]
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -4,7 +4,6 @@
 reports and answers come in as calls.  All methods take the lock themselves.
 """
 
-import dataclasses
 import threading
 import typing
 
@@ -18,6 +17,7 @@
 from sycamorefield.fleet import placing
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import rounds
+from sycamorefield.fleet import runlog
 from sycamorefield.fleet import slowness
 from sycamorefield.fleet import surroundings
 from sycamorefield.fleet import workerstate
@@ -44,18 +44,6 @@
 UNKNOWN_PACE = -1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Usage:
-    """Sum up the fleet: cores as reserved, and tasks that wait for room."""
-
-    capacity_cores: float
-    reserved_cores: float
-    reserved_memory: float
-    filling_cores: float
-    widest_gap_cores: float
-    waiting: dict[int, int]
-
-
 class FleetState:
     """Hold jobs and workers, and place tasks."""
 
@@ -81,6 +69,7 @@
         # lease: a successor may exist.
         self.without_store = False
         self.learnt = interference.Interference()
+        self.run_log = runlog.RunLog()
         self.advice = advice.AdviceBook(None)
         self.advice.answered = self._answered
         self.changed = False
@@ -342,8 +331,8 @@
     def _ended(self, worker: workerstate.WorkerState,
                ended: messages.EndedTask, now: float) -> None:
         found = self._find(ended.task)
-        events.emit(events.RUN_ENDED, task=str(ended.task), run=ended.run,
-                    worker=worker.entry.worker_id, how=ended.how)
+        self.run_log.add_ended(ended.task, ended.run,
+                               worker.entry.worker_id, ended.how)
         if found is None:
             return
         job, task = found
@@ -521,21 +510,24 @@
     def _send_paces(self, worker: workerstate.WorkerState,
                     tasks: list[progress.TaskState], shares: list[int],
                     now: float) -> None:
+        changes = []
         for task, share in zip(tasks, shares):
             if task.pace == share or share < 0:
                 continue
             if share > task.pace:
                 worker.eased_at = now
-            events.emit(events.PACE_CHANGED, task=str(task.task),
-                        run=task.run, worker=worker.entry.worker_id,
-                        image=task.step.image, pace=share, was=task.pace,
-                        worst=round(max((t.ratio for t in worker.tails),
-                                        default=0.0), 2))
+            changes.append((str(task.task), task.run, task.step.image,
+                            share, task.pace))
             if share <= rounds.STALLED_PACE < task.pace:
                 task.slowed_at = now
             task.pace = share
             self.send(worker.entry.worker_id,
                       messages.PaceOrder(task.task, task.run, share))
+        if changes:
+            # Each change: task, run, image, new pace, pace before.
+            worst = max((t.ratio for t in worker.tails), default=0.0)
+            events.emit(events.PACE_CHANGED, worst=round(worst, 2),
+                        worker=worker.entry.worker_id, changes=changes)
 
     # Answers to orders
 
@@ -623,26 +615,6 @@
 
     # Placing
 
-    def usage(self) -> Usage:
-        """Return how full the fleet is and how many tasks wait."""
-        with self.lock:
-            workers = [w for w in self.workers.values() if w.listed]
-            capacity = sum(w.entry.capacity.cpu for w in workers)
-            memory = sum(w.entry.capacity.mem_mb for w in workers)
-            waiting: dict[int, int] = {}
-            for state in self.active.values():
-                count = sum(1 for (k, s), tasks in state.tasks.items()
-                            if state.step_ready(k, s) for t in tasks
-                            if t.phase == progress.IDLE and not t.done)
-                level = state.job.priority
-                waiting[level] = waiting.get(level, 0) + count
-            return Usage(
-                capacity / 1000.0, sum(w.used.cpu for w in workers) / 1000.0,
-                sum(w.used.mem_mb for w in workers) / max(1, memory),
-                sum(w.filling_cpu for w in workers) / 1000.0,
-                max((w.free().cpu for w in workers), default=0) / 1000.0,
-                waiting)
-
     def place(self, now: float, wall_ms: float) -> None:
         """Start every task whose turn has come and that has room."""
         with self.lock:
@@ -684,8 +656,7 @@
         if not worker.entry.capacity.holds(worker.used):
             events.emit(events.INVARIANT_BROKEN, task=str(task.task),
                         worker=task.worker_id, rule="room of a worker")
-        events.emit(events.RUN_ORDERED, task=str(task.task), run=run,
-                    worker=task.worker_id)
+        self.run_log.add_ordered(task.task, run, task.worker_id)
         self.send(task.worker_id, messages.StartOrder(
             task.task, run, state.job.spec, task.saved, ticket))
         if task.step.fills:
--- a/sycamorefield/metrics.py
+++ b/sycamorefield/metrics.py
@@ -16,6 +16,8 @@
     def __init__(self) -> None:
         self.lock = threading.Lock()
         self.histograms: dict[str, hdrh.histogram.HdrHistogram] = {}
+        # The sum of all latencies by name, in seconds.
+        self.totals: dict[str, float] = {}
 
     def record(self, name: str, seconds: float) -> None:
         """Record one latency in seconds under name."""
@@ -27,19 +29,26 @@
                                                         HIGHEST_US, DIGITS)
                 self.histograms[name] = histogram
             histogram.record_value(micros)
+            self.totals[name] = self.totals.get(name, 0.0) + seconds
 
     def summary(self) -> dict[str, dict[str, float]]:
         """Return count and p50/p99/p99.9 in milliseconds per name."""
         with self.lock:
-            return {name: summarise(h)
-                    for name, h in sorted(self.histograms.items())}
+            histograms = sorted(self.histograms.items())
+        found = {}
+        for name, histogram in histograms:
+            # Whoever records must not wait for all of them.
+            with self.lock:
+                found[name] = summarise(histogram)
+        return found
 
 
 def summarise(histogram: hdrh.histogram.HdrHistogram) -> dict[str, float]:
     """Return count and percentiles in milliseconds of one histogram."""
     out: dict[str, float] = {"count": histogram.get_total_count()}
+    values = histogram.get_percentile_to_value_dict(PERCENTILES)
     for pct in PERCENTILES:
-        out[f"p{pct:g}_ms"] = histogram.get_value_at_percentile(pct) / 1000.0
+        out[f"p{pct:g}_ms"] = values.get(pct, 0) / 1000.0
     out["max_ms"] = histogram.get_max_value() / 1000.0
     return out
 
@@ -50,10 +59,13 @@
 
 def as_text(gauges: dict[str, float], counts: dict[str, int]) -> str:
     """Return gauges, event counts and call latencies as lines of text."""
-    lines = [f"{name} {value:g}" for name, value in sorted(gauges.items())]
+    lines = [f"{name} {value:.10g}"
+             for name, value in sorted(gauges.items())]
     lines += [f'events_total{{event="{code}"}} {count}'
               for code, count in sorted(counts.items())]
     for kind, summary in CALLS.summary().items():
         lines += [f'call_{name}{{call="{kind}"}} {value:g}'
                   for name, value in summary.items()]
+        lines.append(f'call_total_s{{call="{kind}"}} '
+                     f'{CALLS.totals[kind]:.10g}')
     return "\n".join(lines) + "\n"
--- a/sycamorefield/platform/daemon.py
+++ b/sycamorefield/platform/daemon.py
@@ -74,11 +74,7 @@
             "store_silence_s": clock.now() - self.view.answered_at,
             "fleet_owner": float(owner is not None)}
         if owner is not None:
-            usage = owner.fleet.usage()
-            gauges["reserved_cores"] = usage.reserved_cores
-            gauges["capacity_cores"] = usage.capacity_cores
-            for priority, count in usage.waiting.items():
-                gauges[f'tasks_waiting{{priority="{priority}"}}'] = count
+            gauges.update(owner.gauges())
         return metrics.as_text(gauges, dict(events.COUNTS))
 
     def run(self) -> None:
--- /dev/null
+++ b/tests/test_fleet_usage.py
@@ -0,0 +1,283 @@
+"""Show what is told of a fleet's use and of its owner's own work."""
+
+import collections
+import threading
+
+import pytest
+
+from sycamorefield import events
+from sycamorefield.fleet import clock
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import progress
+from sycamorefield.fleet import records
+from sycamorefield.fleet import runlog
+from sycamorefield.fleet import state as state_mod
+from sycamorefield.fleet import usage
+from sycamorefield import metrics
+from tests import fleetfakes
+from tests import test_fleet_takeover
+
+NARROW = messages.Step(1, messages.Room(1000, 10))
+WIDE = messages.Step(1, messages.Room(3000, 10), perpetual=True)
+SECOND_WIDE = messages.Step(2, messages.Room(3500, 10), perpetual=True)
+
+
+@pytest.fixture(name="lines")
+def fixture_lines(monkeypatch):
+    """Collect what is logged as (event, fields)."""
+    lines = []
+    monkeypatch.setattr(events, "emit",
+                        lambda event, **fields: lines.append((event, fields)))
+    return lines
+
+
+def make_fleet(workers: int = 2) -> state_mod.FleetState:
+    """Return a fleet of usable workers of four cores each."""
+    fleet = state_mod.FleetState(10, 6000.0, lambda worker, order: None,
+                                 fleetfakes.configuration)
+    for number in range(workers):
+        fleet.add_worker(fleetfakes.entry(number))
+        report(fleet, f"i-{number}")
+    fleet.enrol([f"i-{number}" for number in range(workers)])
+    return fleet
+
+
+def report(fleet, worker_id, ended=()):
+    """Report all runs of a worker as going on but for those that ended."""
+    over = {(end.task, end.run) for end in ended}
+    running = [messages.RunningTask(task, run, "", 0)
+               for task, run in fleet.workers[worker_id].tasks
+               if (task, run) not in over]
+    return fleet.on_report(worker_id, messages.WorkerReport(
+        1000.0, tuple(running), tuple(ended)), 100.0, 100.0)
+
+
+def lose(fleet, state):
+    """Let the tasks of a job lose their runs at 100 s."""
+    for task in state.all_tasks():
+        worker = fleet.workers[task.worker_id]
+        worker.release((task.task, task.run), task.step)
+        task.idle()
+    state.down_for(100.0)
+
+
+@pytest.mark.parametrize(("steps", "down", "longest_s", "widest", "waiting"), [
+    ((NARROW,), 0, 0.0, 0.0, 1),
+    ((WIDE,), 1, 7.0, 3.0, 1),
+    ((SECOND_WIDE,), 2, 7.0, 3.5, 2),
+    ((NARROW, SECOND_WIDE), 2, 7.0, 3.5, 3),
+], ids=["short", "lasting", "two-tasks", "beside-short"])
+def test_usage_tells_lasting_tasks_that_ran_and_are_down(
+        steps, down, longest_s, widest, waiting):
+    """Tell from one line whether a lasting task waits for a wide gap.
+
+    Symptom: a lasting task without a run for 55 s, and nothing in the logs
+    that showed for how long or what room it needed.
+    """
+    fleet = make_fleet(3)
+    state = fleet.add_job(fleetfakes.job("j", *steps), 20)
+    fleet.place(100.0, 1e12)
+    assert not usage.measure(fleet, 100.0).lasting_down
+    lose(fleet, state)
+    found = usage.measure(fleet, 107.0)
+    assert (found.lasting_down, found.lasting_down_s,
+            found.lasting_down_cores) == (down, longest_s, widest)
+    assert found.waiting == {0: waiting}
+    assert found.widest_gap_cores == 4.0
+
+
+def test_a_lasting_task_that_never_ran_is_not_down():
+    fleet = make_fleet(0)
+    fleet.add_job(fleetfakes.job("j", WIDE), 20)
+    fleet.place(100.0, 1e12)
+    found = usage.measure(fleet, 107.0)
+    assert found.lasting_down == 0
+    assert found.lasting_down_s == 0.0
+
+
+@pytest.mark.parametrize(("silent", "unheard", "told"), [
+    ((), (), (3, 0, 0)), (("i-0",), (), (3, 1, 0)),
+    (("i-0", "i-2"), ("i-1", "i-8"), (3, 2, 2))],
+    ids=["all-answer", "one-silent", "unheard"])
+def test_usage_counts_workers_that_do_not_answer(silent, unheard, told):
+    fleet = make_fleet(3)
+    fleet.expect(unheard, 1e9)
+    for worker_id in silent:
+        fleet.worker_silent(worker_id, "no answer")
+    found = usage.measure(fleet, 100.0)
+    assert (found.workers, found.workers_silent,
+            found.workers_unheard) == told
+
+
+class WatchedLock:
+    """A lock that counts how often it was taken."""
+
+    def __init__(self) -> None:
+        self.lock = threading.RLock()
+        self.taken = 0
+
+    def __enter__(self) -> None:
+        self.lock.acquire()
+        self.taken += 1
+
+    def __exit__(self, *_: object) -> None:
+        self.lock.release()
+
+
+def test_usage_gives_the_lock_back_between_jobs():
+    """Let reports and leases in while hundreds of jobs are counted."""
+    fleet = make_fleet(1)
+    for number in range(50):
+        fleet.add_job(fleetfakes.job(f"j{number}"), 20 + number)
+    fleet.lock = WatchedLock()
+    usage.measure(fleet, 100.0)
+    assert fleet.lock.taken >= 50
+
+
+@pytest.mark.parametrize(("rounds", "told"), [
+    ((), {"rounds": 0, "rounds_busy_s": 0.0, "rounds_waited_s": 0.0}),
+    (((0.01, 0.04),),
+     {"rounds": 1, "rounds_busy_s": 0.04, "rounds_waited_s": 0.01}),
+    (((0.01, 0.04), (0.03, 0.02)),
+     {"rounds": 2, "rounds_busy_s": 0.06, "rounds_waited_s": 0.04})],
+    ids=["none", "one", "two"])
+def test_rounds_are_counted_since_the_line_before(rounds, told):
+    times = usage.RoundTimes()
+    times.add(5.0, 9.0)
+    earlier = usage.RoundTimes(times.rounds, times.busy_s, times.waited_s)
+    for waited_s, took_s in rounds:
+        times.add(waited_s, took_s)
+    assert times.since(earlier) == told
+    assert times.longest_s == 9.0
+
+
+@pytest.mark.parametrize(("count", "sizes"), [
+    (0, []), (1, [1]), (runlog.RUNS_PER_LINE, [100]),
+    (runlog.RUNS_PER_LINE + 1, [100, 1])],
+    ids=["none", "one", "full", "two-lines"])
+def test_ordered_runs_share_lines(lines, count, sizes):
+    fleet = make_fleet(1)
+    step = messages.Step(count, messages.Room(1, 1))
+    if count:
+        fleet.add_job(fleetfakes.job("j", step), 20)
+    lines.clear()
+    fleet.place(100.0, 1e12)
+    assert not lines
+    fleet.run_log.flush()
+    assert [event for event, _ in lines] == [events.RUN_ORDERED] * len(sizes)
+    assert [len(fields["runs"]) for _, fields in lines] == sizes
+    rows = [row for _, fields in lines for row in fields["runs"]]
+    assert rows == [(f"j.0.0.{n}", 1, "i-0") for n in range(count)]
+    assert fleet.run_log.ordered_total == count
+
+
+@pytest.mark.parametrize("hows", [
+    (messages.DONE,), (messages.FAILED,),
+    (messages.DONE, messages.FAILED, messages.DONE)],
+    ids=["done", "failed", "mixed"])
+def test_ended_runs_share_a_line_for_each_way_to_end(lines, hows):
+    fleet = make_fleet(1)
+    fleet.add_job(fleetfakes.job("j", messages.Step(
+        len(hows), messages.Room(1, 1))), 20)
+    fleet.place(100.0, 1e12)
+    fleet.run_log.flush()
+    lines.clear()
+    ends = [messages.EndedTask(n + 1, messages.TaskId("j", 0, 0, n), 1, how,
+                               "") for n, how in enumerate(hows)]
+    assert report(fleet, "i-0", ends)
+    # Reports repeat ends until they are stored; they are logged once.
+    assert not report(fleet, "i-0", ends)
+    fleet.run_log.flush()
+    found = {}
+    for event, fields in lines:
+        if event is events.RUN_ENDED:
+            assert fields["how"] not in found
+            found[fields["how"]] = fields["runs"]
+    wanted = collections.defaultdict(list)
+    for number, how in enumerate(hows):
+        wanted[how].append((f"j.0.0.{number}", 1, "i-0"))
+    assert found == wanted
+    assert fleet.run_log.ended_total == len(hows)
+
+
+@pytest.mark.parametrize(("after_s", "written"), [
+    (0.0, 0), (0.09, 0), (0.11, 1), (5.0, 1)])
+def test_lines_on_runs_keep_their_distance(lines, after_s, written):
+    """Bound the volume of the log, whatever the number of rounds."""
+    log = runlog.RunLog()
+    task = messages.TaskId("j", 0, 0, 0)
+    log.add_ordered(task, 1, "i-0")
+    log.flush_when_due(100.0)
+    lines.clear()
+    log.add_ordered(task, 2, "i-0")
+    log.flush_when_due(100.0 + after_s)
+    assert len(lines) == written
+
+
+def test_what_was_collected_is_written_when_an_owner_ends(lines):
+    fleet = test_fleet_takeover.Fleet()
+    owner = fleet.take_over()
+    fleet.submit(fleetfakes.job("j"))
+    test_fleet_takeover.wait_for(lambda: fleet.running() == ["j.0.0.0"])
+    owner.step_down("test over")
+    test_fleet_takeover.wait_for(
+        lambda: any(event is events.RUN_ORDERED for event, _ in lines))
+
+
+def test_gauges_of_an_owner_tell_its_work():
+    """Tell a saturated owner from one that has no room to place in."""
+    fleet = test_fleet_takeover.Fleet()
+    owner = fleet.take_over()
+    fleet.submit(fleetfakes.job("j"))
+    try:
+        test_fleet_takeover.wait_for(lambda: owner.usage is not None)
+        test_fleet_takeover.wait_for(
+            lambda: owner.gauges()["runs_ordered_total"] == 1)
+        gauges = owner.gauges()
+        took = clock.now() - owner.began
+    finally:
+        owner.step_down("test over")
+    assert gauges["fence"] == fleet.store.items[
+        records.OWNER_KEY].revision
+    assert gauges["rounds_total"] > 0
+    assert (gauges["rounds_busy_s_total"]
+            + gauges["rounds_waited_s_total"]) <= took
+    assert gauges["workers"] == 2
+    assert gauges["lasting_down"] == 0
+    assert 0 <= gauges["lease_age_s"] <= gauges["owner_age_s"]
+    assert not any(isinstance(value, dict) for value in gauges.values())
+    counts = metrics.CALLS.summary()
+    for name in (usage.ROUND, usage.ROUND_WAIT, usage.REPORT, usage.COMMIT):
+        assert counts[name]["count"] > 0
+
+
+def test_gauges_tell_tasks_that_wait_by_priority():
+    fleet = test_fleet_takeover.Fleet(0)
+    owner = fleet.take_over()
+    owner.usage = usage.measure(owner.fleet, clock.now())
+    state = progress.JobState(fleetfakes.job("j", priority=2), 1)
+    state.occurrence(0)
+    with owner.fleet.lock:
+        owner.fleet.active["j"] = state
+    try:
+        owner.usage = usage.measure(owner.fleet, clock.now())
+        assert owner.gauges()['tasks_waiting{priority="2"}'] == 1
+    finally:
+        owner.step_down("test over")
+
+
+@pytest.mark.parametrize(("seconds", "total"), [
+    ((), None), ((0.5,), "0.5"), ((0.25, 0.5, 0.001), "0.751")])
+def test_text_of_metrics_holds_the_sum_of_latencies(
+        monkeypatch, seconds, total):
+    """Tell the share of time that was spent in a kind of call."""
+    monkeypatch.setattr(metrics, "CALLS", metrics.Latencies())
+    for value in seconds:
+        metrics.CALLS.record("round", value)
+    text = metrics.as_text({"fence": 123456789.0}, {"SF1001": 2})
+    lines = text.splitlines()
+    assert "fence 123456789" in lines
+    assert 'events_total{event="SF1001"} 2' in lines
+    told = [line.split()[1] for line in lines
+            if line.startswith("call_total_s")]
+    assert told == ([] if total is None else [total])
