Keep the claim in an owner's log; give metrics a length

Cause: at a takeover each stored job, ended ones included, got an SF1814 line of about 170 bytes; some 260 of them fill the 44 KB that are kept. Now the jobs that go on share lines of up to 100, logged outside the fleet's lock.

--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -33,6 +33,8 @@
 # together share one.
 ROUND_PAUSE_S = 0.005
 RETRY_PAUSE_S = 0.1
+# A line on jobs taken over stays under 4 KB.
+JOBS_PER_LINE = 100
 
 WorkerFactory = typing.Callable[[messages.WorkerEntry], surroundings.Worker]
 
@@ -175,7 +177,7 @@
         entries = self.roster.workers()
         with self.fleet.lock:
             for item in jobs.items:
-                self._take_job(item)
+                self._add_job(item)
             for item in stored.items:
                 self._take_progress(item)
             for item in jobs.items:
@@ -186,6 +188,7 @@
             if learnt_item is not None:
                 self._take_learnt(learnt_item)
             self._expect_workers(fleet_item)
+        self._log_taken_over()
         self._take_entries(entries)
         self._contact_unlisted()
         events.emit(events.FLEET_RECOVERED, fence=self.fence,
@@ -193,19 +196,38 @@
                     unheard=len(self.fleet.unheard))
         return jobs.revision
 
+    def _log_taken_over(self) -> None:
+        """Log the jobs that go on, many to a line.
+
+        One line for each stored job, ended ones included, would push what
+        was logged of the claim out of the part of the log that is kept.
+        """
+        with self.fleet.lock:
+            job_ids = list(self.fleet.active)
+        for begin in range(0, len(job_ids), JOBS_PER_LINE):
+            events.emit(events.JOB_SEEN, fence=self.fence,
+                        jobs=job_ids[begin:begin + JOBS_PER_LINE])
+
     def _take_job(self, item: messages.Item) -> None:
+        """Take up a job, and log it if it is new."""
+        job = self._add_job(item)
+        if job is not None:
+            events.emit(events.JOB_SEEN, job=job.job_id, queue=job.queue,
+                        revision=item.created)
+
+    def _add_job(self, item: messages.Item) -> messages.Job | None:
+        """Take up a stored job; return it if it is new."""
         if item.key.endswith(records.CANCEL_SUFFIX):
-            return
+            return None
         try:
             job = progress.decode_job(item.value)
         except ValueError as exc:
             events.emit(events.RECORD_UNREADABLE, key=item.key,
                         reason=str(exc))
-            return
-        if job.job_id not in self.fleet.jobs:
-            events.emit(events.JOB_SEEN, job=job.job_id, queue=job.queue,
-                        revision=item.created)
+            return None
+        known = job.job_id in self.fleet.jobs
         self.fleet.add_job(job, item.created)
+        return None if known else job
 
     def _take_progress(self, item: messages.Item) -> None:
         job_id = item.key[len(records.PROGRESS_PREFIX):]
--- a/sycamorefield/platform/front.py
+++ b/sycamorefield/platform/front.py
@@ -50,8 +50,10 @@
                  start_response: StartResponse) -> list[bytes]:
         path = environ.get("PATH_INFO", "/")
         if path == "/metrics":
-            start_response("200 OK", [("Content-Type", "text/plain")])
-            return [self.metrics().encode()]
+            text = self.metrics().encode()
+            start_response("200 OK", [("Content-Type", "text/plain"),
+                                      ("Content-Length", str(len(text)))])
+            return [text]
         try:
             reply = self._answer(path, environ)
         except Exception as exc:
--- a/tests/test_fleet_usage.py
+++ b/tests/test_fleet_usage.py
@@ -224,6 +224,35 @@
         lambda: any(event is events.RUN_ORDERED for event, _ in lines))
 
 
+@pytest.mark.parametrize(("going_on", "ended", "sizes"), [
+    (0, 2, []), (1, 0, [1]), (3, 2, [3]), (101, 1, [100, 1])],
+    ids=["all-ended", "one", "some-ended", "two-lines"])
+def test_jobs_taken_over_share_lines(lines, going_on, ended, sizes):
+    """Keep the claim of an owner in the part of its log that is kept."""
+    fleet = test_fleet_takeover.Fleet(0)
+    names = [f"j{number}" for number in range(going_on)]
+    over = [f"e{number}" for number in range(ended)]
+    for name in names + over:
+        fleet.submit(fleetfakes.job(name))
+    for name in over:
+        fleet.store.commit(messages.Transaction(puts=(messages.Put(
+            records.progress_key(name), b'{"state": "completed"}'),)))
+    owner = fleet.take_over()
+    try:
+        test_fleet_takeover.wait_for(lambda: owner.recovered)
+        seen = [fields["jobs"] for event, fields in lines
+                if event is events.JOB_SEEN]
+        fleet.submit(fleetfakes.job("new"))
+        test_fleet_takeover.wait_for(
+            lambda: [fields["job"] for event, fields in lines
+                     if event is events.JOB_SEEN and "job" in fields]
+            == ["new"])
+    finally:
+        owner.step_down("test over")
+    assert [len(part) for part in seen] == sizes
+    assert sorted(sum(seen, [])) == sorted(names)
+
+
 def test_gauges_of_an_owner_tell_its_work():
     """Tell a saturated owner from one that has no room to place in."""
     fleet = test_fleet_takeover.Fleet()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -3,7 +3,9 @@
 import io
 import json
 import os
+import socket
 import tomllib
+import urllib.request
 
 import pydantic
 import pytest
@@ -15,6 +17,7 @@
 from sycamorefield.platform import bootsettings
 from sycamorefield.platform import calls
 from sycamorefield.platform import configuration
+from sycamorefield.platform import daemon as daemon_mod
 from sycamorefield.platform import front as front_mod
 from sycamorefield.platform import jobbody
 from sycamorefield.platform import store as store_mod
@@ -401,3 +404,34 @@
     port, _, place = role["metrics"].partition("/")
     assert role["env"][bootsettings.METRICS_VARIABLE] == port
     assert place == "metrics"
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports of this machine that nobody listens on."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [s.getsockname()[1] for s in sockets]
+    for s in sockets:
+        s.close()
+    return ports
+
+
+def test_metrics_can_be_fetched_at_the_port_of_the_deploy_file(
+        monkeypatch, server):
+    front, ready, metrics, last = free_ports(4)
+    monkeypatch.setenv(bootsettings.METRICS_VARIABLE, str(metrics))
+    daemon = daemon_mod.Daemon(bootsettings.BootSettings(
+        node="n", ip="127.0.0.1", port_range=(last, last),
+        listen={"front": f"127.0.0.1:{front}", "ready": f"127.0.0.1:{ready}"},
+        platform={"addr": server.address}))
+    servers = daemon._listen()
+    try:
+        with urllib.request.urlopen(f"http://127.0.0.1:{metrics}/metrics",
+                                    timeout=5) as answer:
+            text = answer.read().decode()
+            headers = answer.headers
+    finally:
+        for listener in servers:
+            listener.stop()
+    assert headers["Content-Type"] == "text/plain"
+    assert headers["Content-Length"] == str(len(text))
+    assert "fleet_owner 0" in text.splitlines()
