--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -13,6 +13,7 @@
 from sycamorefield.fleet import records
 from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import surroundings
+from sycamorefield.fleet import usage as usage_mod
 from sycamorefield.fleet import workerstate
 
 # Without any answer of the store the owner goes on this long: an outage of
@@ -37,6 +38,8 @@
 # owner's processor is seen to be all in use.
 PAUSE_FOR_ROUND = 1.0
 RETRY_PAUSE_S = 0.1
+# A line on jobs taken over stays under 4 KB.
+JOBS_PER_LINE = 100
 
 WorkerFactory = typing.Callable[[messages.WorkerEntry], surroundings.Worker]
 
@@ -59,7 +62,11 @@
         self.links: dict[str, link_mod.WorkerLink] = {}
         self.over = threading.Event()
         self.recovered = False
-        self.renewed = clock.now()
+        self.began = self.renewed = clock.now()
+        # As of the last line on it; counting anew for each caller of the
+        # metrics would take the lock from placing.
+        self.usage: usage_mod.Usage | None = None
+        self.round_times = usage_mod.RoundTimes()
         self.recorder = recorder_mod.Recorder(
             store, self.fleet, records.OWNER_KEY, self.may_act,
             self.step_down, self._seen)
@@ -108,6 +115,28 @@
             threading.Thread(target=self._guarded, args=(target,),
                              daemon=True).start()
         self._guarded(self._rounds)
+        self.fleet.run_log.flush()
+
+    def gauges(self) -> dict[str, float]:
+        """Return figures on the fleet and on the owner's own work."""
+        now = clock.now()
+        gauges = {
+            "fence": float(self.fence),
+            "owner_age_s": now - self.began,
+            "owner_recovered": float(self.recovered),
+            "lease_age_s": now - self.renewed,
+            "rounds_total": float(self.round_times.rounds),
+            "rounds_busy_s_total": self.round_times.busy_s,
+            "rounds_waited_s_total": self.round_times.waited_s,
+            "round_longest_s": self.round_times.longest_s,
+            "runs_ordered_total": float(self.fleet.run_log.ordered_total),
+            "runs_ended_total": float(self.fleet.run_log.ended_total)}
+        if self.usage is not None:
+            figures = dataclasses.asdict(self.usage)
+            for priority, count in figures.pop("waiting").items():
+                gauges[f'tasks_waiting{{priority="{priority}"}}'] = count
+            gauges.update(figures)
+        return gauges
 
     def _guarded(self, target: typing.Callable[[], None]) -> None:
         """Step down on an unexpected error: a successor starts afresh."""
@@ -153,7 +182,7 @@
         entries = self.roster.workers()
         with self.fleet.lock:
             for item in jobs.items:
-                self._take_job(item)
+                self._add_job(item)
             for item in stored.items:
                 self._take_progress(item)
             for item in jobs.items:
@@ -164,6 +193,7 @@
             if learnt_item is not None:
                 self._take_learnt(learnt_item)
             self._expect_workers(fleet_item)
+        self._log_taken_over()
         self._take_entries(entries)
         self._contact_unlisted()
         events.emit(events.FLEET_RECOVERED, fence=self.fence,
@@ -171,19 +201,38 @@
                     unheard=len(self.fleet.unheard))
         return jobs.revision
 
+    def _log_taken_over(self) -> None:
+        """Log the jobs that go on, many to a line.
+
+        One line for each stored job, ended ones included, would push what
+        was logged of the claim out of the part of the log that is kept.
+        """
+        with self.fleet.lock:
+            job_ids = list(self.fleet.active)
+        for begin in range(0, len(job_ids), JOBS_PER_LINE):
+            events.emit(events.JOB_SEEN, fence=self.fence,
+                        jobs=job_ids[begin:begin + JOBS_PER_LINE])
+
     def _take_job(self, item: messages.Item) -> None:
+        """Take up a job, and log it if it is new."""
+        job = self._add_job(item)
+        if job is not None:
+            events.emit(events.JOB_SEEN, job=job.job_id, queue=job.queue,
+                        revision=item.created)
+
+    def _add_job(self, item: messages.Item) -> messages.Job | None:
+        """Take up a stored job; return it if it is new."""
         if item.key.endswith(records.CANCEL_SUFFIX):
-            return
+            return None
         try:
             job = progress.decode_job(item.value)
         except ValueError as exc:
             events.emit(events.RECORD_UNREADABLE, key=item.key,
                         reason=str(exc))
-            return
-        if job.job_id not in self.fleet.jobs:
-            events.emit(events.JOB_SEEN, job=job.job_id, queue=job.queue,
-                        revision=item.created)
+            return None
+        known = job.job_id in self.fleet.jobs
         self.fleet.add_job(job, item.created)
+        return None if known else job
 
     def _take_progress(self, item: messages.Item) -> None:
         job_id = item.key[len(records.PROGRESS_PREFIX):]
@@ -269,6 +318,7 @@
 
     def _follow_roster(self) -> None:
         logged = 0.0
+        times = usage_mod.RoundTimes()
         while not self.over.wait(ROSTER_PERIOD_S):
             try:
                 self._take_entries(self.roster.workers())
@@ -277,9 +327,17 @@
             self._close_gone()
             if clock.now() - logged >= USAGE_PERIOD_S:
                 logged = clock.now()
-                usage = self.fleet.usage()
-                events.emit(events.FLEET_USAGE,
-                            **dataclasses.asdict(usage))
+                times = self._log_usage(times)
+
+    def _log_usage(self, earlier: usage_mod.RoundTimes
+                   ) -> usage_mod.RoundTimes:
+        """Log how full the fleet is; return the rounds counted so far."""
+        self.usage = usage_mod.measure(self.fleet, clock.now())
+        times = dataclasses.replace(self.round_times)
+        events.emit(events.FLEET_USAGE, **dataclasses.asdict(self.usage),
+                    **times.since(earlier), fence=self.fence,
+                    lease_age_s=round(clock.now() - self.renewed, 3))
+        return times
 
     def _close_gone(self) -> None:
         for worker_id, link in list(self.links.items()):
@@ -332,12 +390,17 @@
         return listing.revision
 
     def _rounds(self) -> None:
+        ended = clock.now()
         while self.may_act():
             with self.fleet.lock:
                 if not self.fleet.changed:
                     self.fleet.wake.wait(TICK_S)
             now = clock.now()
+            waited_s = now - ended
             self.fleet.expire(now)
             self.fleet.place(now, clock.wall_ms())
-            took = clock.now() - now
+            ended = clock.now()
+            took = ended - now
+            self.round_times.add(waited_s, took)
+            self.fleet.run_log.flush_when_due(ended)
             self.over.wait(max(ROUND_PAUSE_S, PAUSE_FOR_ROUND * took))
--- a/sycamorefield/platform/daemon.py
+++ b/sycamorefield/platform/daemon.py
@@ -76,11 +76,7 @@
             "store_silence_s": clock.now() - self.view.answered_at,
             "fleet_owner": float(owner is not None)}
         if owner is not None:
-            usage = owner.fleet.usage()
-            gauges["reserved_cores"] = usage.reserved_cores
-            gauges["capacity_cores"] = usage.capacity_cores
-            for priority, count in usage.waiting.items():
-                gauges[f'tasks_waiting{{priority="{priority}"}}'] = count
+            gauges.update(owner.gauges())
         return metrics.as_text(gauges, dict(events.COUNTS))
 
     def run(self) -> None:
@@ -90,7 +86,9 @@
         servers = self._listen()
         for target in (self.view.run, self.ownership.run):
             threading.Thread(target=target, daemon=True).start()
-        events.emit(events.PROCESS_STARTED, address=self.settings.ip)
+        events.emit(events.PROCESS_STARTED, address=self.settings.ip,
+                    metrics=self.settings.metrics_address(),
+                    port_range=self.settings.port_range)
         if self.settings.orders != bootsettings.ORDERS_BY_CALL:
             # Orders would have to travel with workers' heartbeats.
             events.emit(events.SETTING_IGNORED, setting="orders",
@@ -123,11 +121,11 @@
         cherrypy.server.unsubscribe()
         cherrypy.tree.graft(self.front, "/")
         listen = self.settings.listen
-        metrics = f"{self.settings.ip}:{self.settings.port_range[1]}"
         servers = []
         for address, threads in ((listen.front, FRONT_THREADS),
                                  (listen.ready, SIDE_THREADS),
-                                 (metrics, SIDE_THREADS)):
+                                 (self.settings.metrics_address(),
+                                  SIDE_THREADS)):
             servers.append(_serve(address, threads))
         return servers
 
