Ask once whether a step is done

A finished step stays finished, but each round counted its tasks again, for each step that waits for it and for the estimate of what is left.

--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -69,6 +69,8 @@
         self.state = messages.PENDING
         self.dirty = False
         self.tasks: dict[Place, list[TaskState]] = {}
+        # Steps seen to be done; that stays, and every round asks for it.
+        self.done_places: set[Place] = set()
         self.run_base = 0
         # Since when a lasting task that ran is down, or 0.
         self.down_since = 0.0
@@ -128,8 +130,14 @@
 
     def step_done(self, occurrence: int, step: int) -> bool:
         """Tell whether all tasks of a step have ended as done."""
-        states = self.tasks.get((occurrence, step))
-        return states is not None and all(t.done for t in states)
+        place = (occurrence, step)
+        if place in self.done_places:
+            return True
+        states = self.tasks.get(place)
+        done = states is not None and all(t.done for t in states)
+        if done:
+            self.done_places.add(place)
+        return done
 
     def step_ready(self, occurrence: int, step: int) -> bool:
         """Tell whether the steps that a step waits for are done."""
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -65,10 +65,13 @@
     def place_step(self, state: progress.JobState, occurrence: int,
                    number: int) -> None:
         """Start the idle tasks of a step whose turn has come."""
+        if (state.step_done(occurrence, number)
+                or not state.step_ready(occurrence, number)):
+            return
         tasks = state.tasks[occurrence, number]
         idle = [t for t in tasks if t.phase == progress.IDLE
                 and not t.done and t.not_before <= self.now]
-        if not idle or not state.step_ready(occurrence, number):
+        if not idle:
             return
         step = state.job.steps[number]
         site = self._site(state, idle[0])
