Search once for stalled runs too; weigh no filling run against lack of processors

Cause: for each run that makes little progress a round searched all workers, and for each urgent need the filling runs of each worker were weighed though they hold no processors.

Ruled out: another choice of workers; the 174 tests of the fleet pass.

--- a/sycamorefield/fleet/placing.py
+++ b/sycamorefield/fleet/placing.py
@@ -141,13 +141,17 @@
     candidates = [t for t in worker.tasks.values()
                   if t.phase == progress.RUNNING and not t.step.perpetual
                   and priority_of(t) > priority]
+    need = step.reserved()
+    free = worker.free()
+    if need.cpu > free.cpu and all(t.step.fills for t in candidates):
+        # Filling runs hold no processors; on a full fleet most runs fill.
+        return []
     candidates.sort(key=lambda t: (t.step.checkpoint, t.started),
                     reverse=True)
     chosen: list[progress.TaskState] = []
-    free = worker.free()
     for task in candidates:
-        if free.holds(step.reserved()):
+        if free.holds(need):
             break
         chosen.append(task)
         free = free.plus(task.step.reserved())
-    return chosen if free.holds(step.reserved()) else []
+    return chosen if free.holds(need) else []
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -162,11 +162,7 @@
             for task in list(worker.tasks.values()):
                 if not self._stalled(task):
                     continue
-                state = self.fleet.jobs[task.task.job_id]
-                site = self._site(state, task)
-                others = [w for w in site.workers if w is not worker]
-                target = placing.choose(task, site.service, others,
-                                        self.fleet.learnt)
+                target = self._better_place(worker, task)
                 if target is not None:
                     self.fleet.stop_run(task, "little progress here")
                     # Until it is placed there, others must not count on
@@ -174,6 +170,21 @@
                     self.usable.remove(target)
                     return
 
+    def _better_place(self, worker: workerstate.WorkerState,
+                      task: progress.TaskState
+                      ) -> workerstate.WorkerState | None:
+        """Return another worker that has room for a run, or None."""
+        site = self._site(self.fleet.jobs[task.task.job_id], task)
+        scope = site.scope(task)
+        if self.shortage.covers(scope, task.step.room):
+            return None
+        others = [w for w in site.workers if w is not worker]
+        target = placing.choose(task, site.service, others,
+                                self.fleet.learnt)
+        if target is None:
+            self.shortage.add(scope, task.step.room)
+        return target
+
     def _stalled(self, task: progress.TaskState) -> bool:
         if task.phase != progress.RUNNING or task.step.gang:
             return False
