--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,7 @@
 # Each bench prints its figures and writes them to bench-results/.
 bench: $(VENV)/.installed
 	$(PY) bench/placement_speed.py
+	$(PY) bench/round_cost.py
 	$(PY) bench/starts.py
 	$(PY) bench/capacity.py
 	$(PY) bench/policy.py --runs 2
--- a/bench/round_cost.py
+++ b/bench/round_cost.py
@@ -17,6 +17,8 @@
 from sycamorefield.fleet import state as state_mod  # noqa: E402
 from tests import fleetfakes  # noqa: E402
 
+# Fleets of one to four times the size at which rounds were found too long.
+SCALES = (1, 2, 4)
 WORKERS = 176
 LASTING_JOBS = 117
 WAITING_JOBS = 40
@@ -26,11 +28,11 @@
 WALL_MS = 1e12
 
 
-def fleet(rng: random.Random) -> state_mod.FleetState:
+def fleet(rng: random.Random, workers: int) -> state_mod.FleetState:
     """Return a fleet of workers that all have reported."""
     state = state_mod.FleetState(10, HOLD_MAX_MS, lambda *_: None,
                                  fleetfakes.configuration)
-    for number in range(WORKERS):
+    for number in range(workers):
         capacity = messages.Room(rng.choice((32_000, 32_000, 48_000)),
                                  128_000, 0)
         entry = fleetfakes.entry(number, capacity=capacity)
@@ -75,23 +77,29 @@
             worker.unsent.clear()
 
 
-def main() -> int:
+def measure(scale: int) -> None:
     """Print the mean processor time of a round that places nothing."""
     rng = random.Random(3)
-    state = fleet(rng)
-    for number in range(LASTING_JOBS):
+    state = fleet(rng, scale * WORKERS)
+    for number in range(scale * LASTING_JOBS):
         state.add_job(lasting(rng, number), 11 + number)
     place_all(state)
-    for number in range(WAITING_JOBS):
-        state.add_job(short(rng, number), 200 + number)
-        state.add_job(filling(number), 300 + number)
+    for number in range(scale * WAITING_JOBS):
+        state.add_job(short(rng, number), 2000 + number)
+        state.add_job(filling(number), 3000 + number)
     place_all(state)
     began = time.process_time()
     for _ in range(ROUNDS):
         state.place(NOW_S, WALL_MS)
     mean_ms = (time.process_time() - began) / ROUNDS * 1000.0
-    print(f"{WORKERS} workers, {len(state.active)} jobs: "
+    print(f"{scale * WORKERS} workers, {len(state.active)} jobs: "
           f"{mean_ms:.1f} ms a round that places nothing")
+
+
+def main() -> int:
+    """Measure fleets of growing size."""
+    for scale in SCALES:
+        measure(scale)
     return 0
 
 
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -3,9 +3,11 @@
 import dataclasses
 import typing
 
+from sycamorefield.fleet import gangs
 from sycamorefield.fleet import gaps
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import ordering
+from sycamorefield.fleet import pacer
 from sycamorefield.fleet import placing
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import shortage
@@ -14,11 +16,10 @@
 if typing.TYPE_CHECKING:
     from sycamorefield.fleet import state as state_mod
 
-# A filling run slowed to this share or less for this long moves to a worker
+# A filling run slowed to pacer.STALLED_PACE for this long moves to a worker
 # where it is expected to harm nobody, if there is one.  Moving after 0.4 s
 # from 25 percent threw 456 core-seconds of work away in a minute on a full
 # fleet of 33 workers; this threw away 275.
-STALLED_PACE = 10
 STALLED_S = 1.0
 
 
@@ -176,7 +177,7 @@
         if len(idle) < len(tasks):
             return
         run = max(state.next_run(t) for t in tasks)
-        chosen = _gang_workers(tasks, site.service, site.workers)
+        chosen = gangs.choose(tasks, site.service, site.workers)
         saved = max((t.saved for t in tasks), default="")
         for task, worker in zip(tasks, chosen):
             task.saved = saved
@@ -215,7 +216,7 @@
         if task.phase != progress.RUNNING or task.step.gang:
             return False
         return task.stuck or (
-            task.step.fills and 0 <= task.pace <= STALLED_PACE
+            task.step.fills and 0 <= task.pace <= pacer.STALLED_PACE
             and self.now - task.slowed_at >= STALLED_S)
 
     def _make_room(self, state: progress.JobState,
@@ -260,40 +261,3 @@
         if task.phase == progress.STOPPING:
             room = room.plus(task.step.reserved())
     return room
-
-
-def _gang_workers(tasks: list[progress.TaskState], service: str,
-                  usable: list[workerstate.WorkerState]
-                  ) -> list[workerstate.WorkerState]:
-    """Return a worker for each member, in one rack if that is asked."""
-    if not tasks[0].step.same_rack:
-        return _spread(tasks, service, usable)
-    racks: dict[str, list[workerstate.WorkerState]] = {}
-    for worker in usable:
-        racks.setdefault(worker.entry.rack(), []).append(worker)
-    for members in racks.values():
-        chosen = _spread(tasks, service, members)
-        if chosen:
-            return chosen
-    return _spread(tasks, service, usable)
-
-
-def _spread(tasks: list[progress.TaskState], service: str,
-            workers: list[workerstate.WorkerState]
-            ) -> list[workerstate.WorkerState]:
-    """Return one worker a member, or nothing if not all have room."""
-    step = tasks[0].step
-    reserved = step.reserved()
-    chosen: list[workerstate.WorkerState] = []
-    for worker in sorted(workers, key=lambda w: -w.free().cpu):
-        if not placing.allowed(worker, service, tasks[0]):
-            continue
-        free = worker.free()
-        there = 0
-        while (len(chosen) < len(tasks) and free.holds(reserved)
-               and not (step.max_per_worker
-                        and there >= step.max_per_worker)):
-            chosen.append(worker)
-            free = free.minus(reserved)
-            there += 1
-    return chosen if len(chosen) == len(tasks) else []
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -13,8 +13,7 @@
 from sycamorefield.fleet import interference
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import ordering
-from sycamorefield.fleet import pacing
-from sycamorefield.fleet import placing
+from sycamorefield.fleet import pacer
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import rounds
 from sycamorefield.fleet import runlog
@@ -69,6 +68,7 @@
         # lease: a successor may exist.
         self.without_store = False
         self.learnt = interference.Interference()
+        self.pacer = pacer.Pacer(self.learnt, send)
         self.run_log = runlog.RunLog()
         self.advice = advice.AdviceBook(None)
         self.advice.answered = self._answered
@@ -308,7 +308,7 @@
                 news |= self._missing(worker, report, sent)
             worker.reported = True
             self.unheard.pop(worker_id, None)
-            self._pace(worker, report, now)
+            self.pacer.take(worker, report, now)
             if news or new_ends:
                 self._notify()
             return new_ends
@@ -478,71 +478,6 @@
             freed = True
         return freed
 
-    def _pace(self, worker: workerstate.WorkerState,
-              report: messages.WorkerReport, now: float) -> None:
-        """Learn from the tails of a report and pace what fills."""
-        rows = [(row, worker.tasks[row.task, row.run])
-                for row in report.running
-                if (row.task, row.run) in worker.tasks]
-        filling = [(row, task) for row, task in rows if task.step.fills
-                   and task.phase != progress.STOPPING]
-        beside = [interference.Filler(task.step.image, row.figure / 1000.0)
-                  for row, task in filling]
-        worker.tails = []
-        worker.unused_cpu = 0.0
-        for row, task in rows:
-            if (task.step.target_ms and row.percent >= 100
-                    and row.figure > 0):
-                self._take_tail(worker, row, task, beside, now)
-        if not placing.saturated(worker):
-            for tail in worker.tails:
-                self.learnt.observe(tail, beside)
-        worker.over_reports = pacing.over_reports(worker.over_reports,
-                                                  worker.tails)
-        if not filling:
-            return
-        may_ease = now - worker.eased_at >= pacing.EASE_PAUSE_S
-        shares = pacing.paces(
-            worker.tails,
-            [pacing.Paced(task.step.image, task.step.room.cpu / 1000.0,
-                          row.figure / 1000.0, task.pace)
-             for row, task in filling],
-            worker.over_reports, may_ease, self.learnt)
-        self._send_paces(worker, [task for _, task in filling], shares, now)
-
-    def _take_tail(self, worker: workerstate.WorkerState,
-                   row: messages.RunningTask, task: progress.TaskState,
-                   beside: list[interference.Filler], now: float) -> None:
-        name = task.task
-        tail = self.learnt.tail(
-            task.step.image, row.figure, task.step.target_ms,
-            name.step_id(), (worker.entry.worker_id, name.index), beside, now)
-        worker.tails.append(tail)
-        worker.unused_cpu += task.step.room.cpu * (
-            1.0 - tail.expected_load())
-
-    def _send_paces(self, worker: workerstate.WorkerState,
-                    tasks: list[progress.TaskState], shares: list[int],
-                    now: float) -> None:
-        changes = []
-        for task, share in zip(tasks, shares):
-            if task.pace == share or share < 0:
-                continue
-            if share > task.pace:
-                worker.eased_at = now
-            changes.append((str(task.task), task.run, task.step.image,
-                            share, task.pace))
-            if share <= rounds.STALLED_PACE < task.pace:
-                task.slowed_at = now
-            task.pace = share
-            self.send(worker.entry.worker_id,
-                      messages.PaceOrder(task.task, task.run, share))
-        if changes:
-            # Each change: task, run, image, new pace, pace before.
-            worst = max((t.ratio for t in worker.tails), default=0.0)
-            events.emit(events.PACE_CHANGED, worst=round(worst, 2),
-                        worker=worker.entry.worker_id, changes=changes)
-
     # Answers to orders
 
     def wanted(self, worker_id: str, order: messages.StartOrder) -> bool:
