Show a living worker displaced by its old incarnation's entry (failing)

Cause: both incarnations are on the list for some seconds; each that the owner does not know displaces the other.

--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -1,5 +1,7 @@
 """Show what is placed where, without any network or thread."""
 
+import dataclasses
+
 import pytest
 
 from sycamorefield.fleet import messages
@@ -327,3 +329,53 @@
     bench.add(fleetfakes.job("filling", messages.Step(
         1, messages.Room(2000, 10), fills=True, image="f")))
     assert len(bench.place()) == placed
+
+
+@pytest.mark.parametrize("order", [("i-0", "i-9"), ("i-9", "i-0")],
+                         ids=["old-first", "new-first"])
+def test_lingering_entry_of_an_old_incarnation_displaces_nobody(order):
+    """Leave it to the address itself which incarnation of a worker lives.
+
+    Symptom: tasks ran on two workers, and workers were overfilled.  Events:
+    a worker crashed behind a cut and came back under another ID; its old
+    entry stayed on the list for some seconds beside the new one; with each
+    reading of the list the one that was not known displaced the other, and
+    the runs of the living one were taken for ended and started elsewhere.
+    Cause: an entry that is new to the owner was taken for the newer one.
+    Evidence: a run began at 26.165 s on a worker that had come back, its
+    successor elsewhere at 26.337 s; the first was stopped at 26.821 s.
+    """
+    old = fleetfakes.entry(0)
+    new = dataclasses.replace(old, worker_id="i-9")
+    entries = {"i-0": old, "i-9": new}
+    bench = Bench(old, fleetfakes.entry(1))
+    bench.state.add_worker(new)
+    bench.report("i-9")
+    bench.state.enrol(["i-9"])
+    bench.state.worker_silent("i-0", "cut")
+    bench.add(fleetfakes.job("j", messages.Step(3, ROOM, requires="r0")))
+    assert bench.place() == [f"j.0.0.{n}@i-9" for n in range(3)]
+    for _ in range(3):
+        for worker_id in order:
+            bench.state.add_worker(entries[worker_id])
+        bench.now += 0.8
+        bench.state.expire(bench.now)
+        assert not bench.place()
+        assert len(bench.state.workers["i-9"].reserved) == 3
+
+
+@pytest.mark.parametrize("first", ["i-0", "i-9"])
+def test_two_entries_at_one_address_free_nothing_by_themselves(first):
+    """Free a worker's tasks when its address says so, not when a list does."""
+    entries = [fleetfakes.entry(0),
+               dataclasses.replace(fleetfakes.entry(0), worker_id="i-9")]
+    entries.sort(key=lambda entry: entry.worker_id != first)
+    bench = Bench(entries[0])
+    bench.add(fleetfakes.job("j"))
+    assert bench.place() == [f"j.0.0.0@{first}"]
+    bench.state.add_worker(entries[1])
+    bench.report(entries[1].worker_id)
+    bench.state.enrol([entries[1].worker_id])
+    assert not bench.place()
+    bench.state.worker_dead(first, "reborn")
+    assert bench.place() == [f"j.0.0.0@{entries[1].worker_id}"]
