Let only the address tell which incarnation of a worker lives

Cause: an entry new to the owner was taken for the newer incarnation. The same in the recovery: a worker in use that is not listed was taken for dead if another had its address.

Ruled out: starts carried out late, stops that overtake starts (read through, and by the review); silent workers.

--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -286,10 +286,6 @@
             entry = messages.WorkerEntry(
                 worker_id, "", self.recorder.addresses[worker_id], "", False,
                 messages.Room(), ())
-            if any(w.entry.address == entry.address
-                   for w in self.fleet.workers.values()):
-                self.fleet.worker_dead(worker_id, "replaced at its address")
-                continue
             link = self._take_entry(entry)
             with self.fleet.lock:
                 self.fleet.workers[worker_id].listed = False
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -146,7 +146,13 @@
     # Workers
 
     def add_worker(self, entry: messages.WorkerEntry) -> bool:
-        """Take up a worker or its new entry; tell if it is a new one."""
+        """Take up a worker or its new entry; tell if it is a new one.
+
+        Of two entries at one address either may be the old one, which stays
+        listed for some seconds after its worker was born again.  Only the
+        address can tell: it answers calls for the other incarnation as such.
+        Taken for gone by mistake, a worker's runs would be started twice.
+        """
         with self.lock:
             if entry.worker_id in self.ended_at:
                 return False
@@ -155,9 +161,6 @@
                 known.entry = entry
                 known.listed = True
                 return False
-            for other in list(self.workers.values()):
-                if other.entry.address == entry.address:
-                    self._gone(other, "another incarnation at its address")
             self.workers[entry.worker_id] = workerstate.WorkerState(entry)
             events.emit(events.WORKER_JOINED, worker=entry.worker_id,
                         address=entry.address)
--- a/tests/test_fleet_takeover.py
+++ b/tests/test_fleet_takeover.py
@@ -255,3 +255,26 @@
         fleet.submit(fleetfakes.job("a"))
         fleet.store.compact()
     wait_for(lambda: fleet.running() == ["a.0.0.0"])
+
+
+def test_unlisted_worker_is_asked_though_its_address_is_listed(fleet):
+    """Ask a worker in use that is not listed, whoever else has its address.
+
+    Symptom would be a task on two workers after a change of owner.  Events:
+    a worker was born again and used; its new entry lapsed in an outage while
+    its old one was still listed; the owner changed.  Cause would be to take
+    the one that is listed for the one that lives.
+    """
+    again = fleetfakes.entry(0).worker_id + "-again"
+    fleet.workers[again] = fleetfakes.MemoryWorker(again)
+    fleet.store.commit(messages.Transaction(puts=(messages.Put(
+        records.FLEET_KEY, records.encode_addresses(
+            {again: fleetfakes.entry(0).address})),)))
+    task = messages.TaskId("a", 0, 0, 0)
+    fleet.submit(fleetfakes.job("a"))
+    fleet.workers[again].runs[task, 1] = fleetfakes.Run(task, 1)
+    owner = fleet.take_over()
+    fleet.submit(fleetfakes.job("b"))
+    wait_for(lambda: "b.0.0.0" in fleet.running())
+    assert fleet.starts() == ["b.0.0.0"]
+    assert again in owner.fleet.workers
