Explain a job from logs alone; time line of printed logs

Cause: from a job's ID to why it was late took a search by hand over the lines of all processes, most of which group the runs of many jobs.

`timeline PATH...` reads files and folders, plain or as printed, and counts what is no log line; `--id` keeps the lines, and of grouped ones the rows, that name a job. Without paths it now reads all files of the log folder, not *.jsonl alone. `explain ID PATH...` tells the job's story and the largest of its losses: store, owner, taking up, room, pace, lost runs.

Ruled out: one cause by a fixed order of rules. Also ruled out: to call a takeover's delay the new owner's. An owner cut off from the store acted on reports until its successor claimed the fleet, while it took up no job.

Conclusion: what logs lack (width of a task, time due, which steps wait for which) stays open and is said so.

--- a/sycamorefield/cli.py
+++ b/sycamorefield/cli.py
@@ -12,13 +12,16 @@
 from sycamorefield import backend
 from sycamorefield import entry as entry_mod
 from sycamorefield import events
+from sycamorefield import explain as explain_mod
 from sycamorefield import httpserver
 from sycamorefield import kvclient
 from sycamorefield import kvstore
 from sycamorefield import load as load_mod
+from sycamorefield import logfiles
 from sycamorefield import options
 from sycamorefield.platform import daemon
 from sycamorefield import settings
+from sycamorefield import storyreader
 from sycamorefield import sycamorefield_pb2 as pb
 from sycamorefield import timeline as timeline_mod
 from sycamorefield import vmlist
@@ -31,6 +34,7 @@
 app.command(faults_app)
 
 EXIT_SETTINGS = 2
+EXIT_NOT_FOUND = 3
 
 
 def _options(path: str | None) -> options.Options:
@@ -146,14 +150,33 @@
     print(load_mod.render(report))
 
 
+def _read_logs(paths: typing.Iterable[str]) -> logfiles.Reading:
+    """Read logs, and say how many lines were skipped."""
+    try:
+        reading = logfiles.read(paths)
+    except OSError as exc:
+        print(f"cannot read logs: {exc}", file=sys.stderr)
+        sys.exit(EXIT_NOT_FOUND)
+    if reading.skipped:
+        print(f"{reading.skipped} line(s) skipped that are no log lines",
+              file=sys.stderr)
+    return reading
+
+
 @app.command
-def timeline(*, settings_path: typing.Annotated[
+def timeline(*paths: str, settings_path: typing.Annotated[
         str | None, cyclopts.Parameter(name="--settings")] = None,
         log_dir: str | None = None, out: str | None = None,
-        request_id: str | None = None) -> None:
-    """Merge every process's log into one time line."""
-    directory = log_dir or _options(settings_path).log_dir
-    lines = timeline_mod.merge(directory, request_id)
+        request_id: str | None = None, job_id: typing.Annotated[
+            str | None, cyclopts.Parameter(name="--id")] = None) -> None:
+    """Merge every process's log into one time line.
+
+    The logs are files or folders, of plain lines or as printed with time and
+    process; without any, those of the settings' folder.
+    """
+    sources = [*paths, *([log_dir] if log_dir else [])]
+    reading = _read_logs(sources or [_options(settings_path).log_dir])
+    lines = timeline_mod.of_job(reading.lines, job_id, request_id)
     if out:
         count = timeline_mod.write(lines, out)
         print(f"{count} events written to {out}")
@@ -162,6 +185,26 @@
         print(timeline_mod.render(line))
 
 
+@app.command
+def explain(job_id: str, *paths: str) -> None:
+    """Tell from logs what became of a job, and the likely cause.
+
+    The logs are files or folders, of plain lines or as printed with time and
+    process.
+    """
+    if not paths:
+        print("name the logs to read: files or folders", file=sys.stderr)
+        sys.exit(EXIT_SETTINGS)
+    reading = _read_logs(paths)
+    found = storyreader.collect(reading.lines, job_id)
+    if found is None:
+        print(f"no line of these {len(reading.lines)} events names job "
+              f"{job_id}", file=sys.stderr)
+        sys.exit(EXIT_NOT_FOUND)
+    for line in explain_mod.render(found):
+        print(line)
+
+
 def _admin(url: str, method: str, path: str,
            body: dict[str, object] | None = None) -> None:
     http = urllib3.PoolManager()
--- a/sycamorefield/timeline.py
+++ b/sycamorefield/timeline.py
@@ -6,24 +6,29 @@
 import typing
 
 from sycamorefield import events
+from sycamorefield import logfiles
 from sycamorefield import metrics
 
 
 def merge(log_dir: str, request_id: str | None = None) -> list[dict]:
     """Return every event under log_dir in time order, or one request's."""
-    lines = []
-    for path in sorted(glob.glob(os.path.join(log_dir, "*.jsonl"))):
-        with open(path, encoding="utf-8") as handle:
-            for raw in handle:
-                try:
-                    line = json.loads(raw)
-                except ValueError:
-                    continue
-                if request_id and line.get("request_id") != request_id:
-                    continue
-                lines.append(line)
-    lines.sort(key=lambda line: (line.get("t", 0), line.get("process", "")))
-    return lines
+    paths = sorted(glob.glob(os.path.join(log_dir, "*.jsonl")))
+    return of_job(logfiles.read(paths).lines, None, request_id)
+
+
+def of_job(lines: list[logfiles.Line], job_id: str | None,
+           request_id: str | None = None) -> list[dict]:
+    """Return events as logged: all, or what names a job or a request.
+
+    Their time is the one by which they are in order.
+    """
+    kept: list[logfiles.Line | None] = [
+        line for line in lines
+        if not request_id or line.fields.get("request_id") == request_id]
+    if job_id:
+        kept = [logfiles.narrowed(line, job_id) for line in kept if line]
+    return [{**line.fields, "t": line.at, "process": line.process}
+            for line in kept if line is not None]
 
 
 def render(line: dict) -> str:
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,643 @@
+"""Show what is told of a job from logs alone."""
+
+import json
+
+import pytest
+
+from sycamorefield import causes
+from sycamorefield import cli
+from sycamorefield import events
+from sycamorefield import explain
+from sycamorefield import logfiles
+from sycamorefield import losses
+from sycamorefield import story as story_mod
+from sycamorefield import storyreader
+from sycamorefield import timeline
+
+JOB = "00000000000000aa"
+OTHER = "00000000000000bb"
+TASK = JOB + ".0.0.0"
+SECOND = JOB + ".0.0.1"
+NEXT_STEP = JOB + ".0.1.0"
+OTHERS_TASK = OTHER + ".0.0.0"
+OWNER = "edge-1"
+FRONT = "edge-2"
+SUCCESSOR = "edge-3"
+
+
+def line(at, event, process=OWNER, **fields):
+    """Return a line as a process logs it."""
+    return json.dumps({"t": at, "event": event.code, "process": process,
+                       "zone": "z", "msg": event.text, **fields})
+
+
+def stored(at=10.0):
+    """Return the line of a front that stored the job."""
+    return line(at, events.JOB_STORED, FRONT, job=JOB, queue="q", reason="")
+
+
+def seen(at=10.0, process=OWNER):
+    """Return the line of an owner that took up the job."""
+    return line(at, events.JOB_SEEN, process, job=JOB, queue="q", revision=5)
+
+
+def ordered(at, *rows, process=OWNER):
+    """Return the line of runs ordered."""
+    return line(at, events.RUN_ORDERED, process, runs=list(rows))
+
+
+def ended(at, how, *rows, process=OWNER):
+    """Return the line of runs that ended."""
+    return line(at, events.RUN_ENDED, process, how=how, runs=list(rows))
+
+
+def final(at, state="completed", process=OWNER):
+    """Return the line of the job's end."""
+    return line(at, events.JOB_ENDED, process, job=JOB, state=state)
+
+
+def usage(at, reserved=500.0, gap=2.5, busy=0.1, unheard=0):
+    """Return the line of the fleet's use."""
+    return line(at, events.FLEET_USAGE, capacity_cores=1000.0,
+                reserved_cores=reserved, widest_gap_cores=gap,
+                waiting={"0": 3, "2": 4}, workers_unheard=unheard,
+                rounds_busy_s=busy, rounds_waited_s=2.5 - busy)
+
+
+def claimed(at, process=OWNER):
+    """Return the line of a process that claimed the fleet."""
+    return line(at, events.OWNERSHIP_CLAIMED, process, fence=7)
+
+
+def recovered(at, process=OWNER):
+    """Return the line of an owner that has read the fleet's state."""
+    return line(at, events.FLEET_RECOVERED, process, fence=7, jobs=1,
+                workers=2, unheard=0)
+
+
+def collect(*texts):
+    """Return the job's story in these lines."""
+    return storyreader.collect(logfiles.gather(texts).lines, JOB)
+
+
+# Reading
+
+PLAIN = stored(10.0)
+
+
+@pytest.mark.parametrize("text, at, process", [
+    (PLAIN, 10.0, FRONT),
+    ("  -15.0186 edge-9 " + PLAIN, -15.0186, "edge-9"),
+    ("   4.5 edge-9 " + PLAIN + "\n", 4.5, "edge-9"),
+    (json.dumps({"t": 3, "event": "SF1001"}), 3.0, ""),
+])
+def test_lines_are_read_plain_or_as_printed(text, at, process):
+    read = logfiles.parse(text)
+    assert (read.at, read.process) == (at, process)
+
+
+@pytest.mark.parametrize("text", [
+    "built in 0.3 s; 12684 lines in 94 files",
+    "   6.317 s to   10.601 s  platform_lost (late)",
+    PLAIN[:-5],
+    "  1.5 edge-9 " + PLAIN[:-5],
+    "[1, 2]",
+    "17",
+    json.dumps({"t": "3", "event": "SF1001"}),
+    json.dumps({"event": "SF1001"}),
+    json.dumps({"t": 3.0}),
+    json.dumps({"t": 3.0, "event": 1810}),
+])
+def test_what_is_no_log_line_is_skipped_and_counted(text):
+    reading = logfiles.gather(["", PLAIN, text, "\n"])
+    assert len(reading.lines) == 1
+    assert reading.skipped == 1
+
+
+@pytest.mark.parametrize("texts, times", [
+    (["2.0 a " + stored(70.0), "1.0 b " + stored(80.0)], [1.0, 2.0]),
+    (["2.0 a " + stored(70.0), "1.0 b " + stored(60.0), stored(65.0)],
+     [60.0, 65.0, 70.0]),
+])
+def test_lines_come_in_order_of_one_clock(texts, times):
+    assert [line.at for line in logfiles.gather(texts).lines] == times
+
+
+def test_files_and_all_files_of_folders_are_read(tmp_path):
+    folder = tmp_path / "logs"
+    (folder / "deeper").mkdir(parents=True)
+    (folder / "a.log").write_text(stored(2.0) + "\n")
+    (folder / "b.jsonl").write_bytes(b"\xff\xfe\n" + seen(3.0).encode())
+    single = tmp_path / "c.log"
+    single.write_text(final(1.0) + "\n")
+    reading = logfiles.read([str(single), str(folder)])
+    assert [line.at for line in reading.lines] == [1.0, 2.0, 3.0]
+    assert reading.skipped == 1
+
+
+# What names a job
+
+ROW = [TASK, 1, "i-1"]
+OTHERS_ROW = [OTHERS_TASK, 1, "i-1"]
+
+
+@pytest.mark.parametrize("fields, kept", [
+    ({"job": JOB}, {"job": JOB}),
+    ({"job": OTHER}, None),
+    ({"request_id": JOB}, {"request_id": JOB}),
+    ({"jobs": [OTHER, JOB]}, {"jobs": [JOB]}),
+    ({"jobs": [OTHER]}, None),
+    ({"jobs": 12}, None),
+    ({"task": TASK, "run": 1}, {"task": TASK, "run": 1}),
+    ({"task": OTHERS_TASK}, None),
+    ({"task": "1" + TASK}, None),
+    ({"step": JOB + ".0.0"}, {"step": JOB + ".0.0"}),
+    ({"step": OTHER + ".0.0"}, None),
+    ({"runs": [OTHERS_ROW, ROW]}, {"runs": [ROW]}),
+    ({"runs": [OTHERS_ROW]}, None),
+    ({"runs": 7}, None),
+    ({"runs": [[], 5, None]}, None),
+    ({"changes": [[*ROW, 50, 100], [*OTHERS_ROW, 0, 50]]},
+     {"changes": [[*ROW, 50, 100]]}),
+    ({"key": "in/" + JOB}, {"key": "in/" + JOB}),
+    ({"key": "in/" + JOB + ".c"}, {"key": "in/" + JOB + ".c"}),
+    ({"key": "in/" + OTHER}, None),
+    ({"task": OTHERS_TASK, "reason": "room for " + TASK},
+     {"task": OTHERS_TASK, "reason": "room for " + TASK}),
+    ({"worker": "i-1"}, None),
+])
+def test_line_is_narrowed_to_what_names_the_job(fields, kept):
+    narrowed = logfiles.narrowed(
+        logfiles.Line(1.0, OWNER, "SF1816", fields), JOB)
+    assert (narrowed.fields if narrowed else None) == kept
+
+
+def test_time_line_of_one_job_holds_its_rows_alone():
+    texts = [stored(1.0), line(2.0, events.WORKER_JOINED, worker="i-1"),
+             "junk", ordered(3.0, OTHERS_ROW, ROW)]
+    lines = timeline.of_job(logfiles.gather(texts).lines, JOB)
+    assert [one["event"] for one in lines] == ["SF1810", "SF1816"]
+    assert lines[1]["runs"] == [ROW]
+    assert OTHER not in timeline.render(lines[1])
+
+
+@pytest.mark.parametrize("request_id, times", [
+    (None, [1.0, 2.0, 3.0]), ("r1", [2.0]), ("r2", [])])
+def test_logs_of_a_folder_are_merged_in_time_order(tmp_path, request_id,
+                                                   times):
+    (tmp_path / "a.jsonl").write_text(
+        line(3.0, events.WORKER_JOINED) + "\n{cut\n"
+        + line(1.0, events.WORKER_JOINED) + "\n")
+    (tmp_path / "b.jsonl").write_text(
+        line(2.0, events.REQUEST_DONE, FRONT, request_id="r1") + "\n")
+    (tmp_path / "c.txt").write_text(stored(0.5) + "\n")
+    merged = timeline.merge(str(tmp_path), request_id)
+    assert [one["t"] for one in merged] == times
+
+
+# What each kind of line tells
+
+def first_run(story):
+    """Return the first run of the first task."""
+    return story.tasks[TASK].runs[1]
+
+
+@pytest.mark.parametrize("text, tell, told", [
+    (stored(), lambda s: s.answers,
+     [story_mod.Answer(10.0, FRONT, "stored", "")]),
+    (line(1.0, events.JOB_REFUSED, FRONT, job=JOB, reason="store: gone"),
+     lambda s: s.answers,
+     [story_mod.Answer(1.0, FRONT, "refused", "store: gone")]),
+    (line(1.0, events.JOB_UNCERTAIN, FRONT, job=JOB, reason="no answer"),
+     lambda s: s.answers,
+     [story_mod.Answer(1.0, FRONT, "uncertain", "no answer")]),
+    (line(1.0, events.CANCEL_STORED, FRONT, job=JOB),
+     lambda s: s.cancelled, 1.0),
+    (seen(2.0), lambda s: s.sightings, [story_mod.Sighting(2.0, OWNER)]),
+    (line(2.0, events.JOB_SEEN, jobs=[OTHER, JOB], fence=7),
+     lambda s: s.sightings, [story_mod.Sighting(2.0, OWNER)]),
+    (final(3.0, "failed"), lambda s: s.finals,
+     [story_mod.Final(3.0, OWNER, "failed")]),
+    (ordered(3.0, OTHERS_ROW, ROW), lambda s: list(s.tasks), [TASK]),
+    (ordered(3.0, ROW), lambda s: first_run(s).ordered, 3.0),
+    (line(3.0, events.RUN_ORDERED, task=TASK, run=1, worker="i-1"),
+     lambda s: first_run(s).ordered, 3.0),
+    (ended(4.0, "lapsed", ROW),
+     lambda s: (first_run(s).over, first_run(s).how), (4.0, "lapsed")),
+    (line(4.0, events.RUN_ENDED, task=TASK, run=1, worker="i-1", how="done"),
+     lambda s: (first_run(s).over, first_run(s).how), (4.0, "done")),
+    (line(4.0, events.RUN_REJECTED, task=TASK, run=1, worker="i-1",
+          reason="no room"),
+     lambda s: (first_run(s).over, first_run(s).how), (4.0, "rejected")),
+    (line(4.0, events.RUN_VANISHED, task=TASK, run=1, worker="i-1"),
+     lambda s: (first_run(s).over, first_run(s).how), (4.0, "vanished")),
+    (line(4.0, events.RUN_UNCERTAIN, task=TASK, run=1, worker="i-1",
+          reason="no answer: timed out"),
+     lambda s: first_run(s).unanswered, 4.0),
+    (line(4.0, events.RUN_UNCERTAIN, task=TASK, run=1, worker="i-1",
+          reason="pace got no answer"),
+     lambda s: first_run(s).unanswered, None),
+    (line(4.0, events.RUN_STOPPED, task=TASK, run=1, worker="i-1",
+          reason="little progress here"),
+     lambda s: first_run(s).told_to_stop, "little progress here"),
+    (line(4.0, events.RUN_STOPPED, task=OTHERS_TASK, run=1, worker="i-1",
+          reason="room for " + TASK), lambda s: s.tasks, {}),
+    (line(4.0, events.PACE_CHANGED, worker="i-1", worst=1.2,
+          changes=[[TASK, 1, "img", 40, 100], [OTHERS_TASK, 1, "x", 0, 9]]),
+     lambda s: first_run(s).paces, [(4.0, 40.0)]),
+    (line(4.0, events.PACE_CHANGED, task=TASK, run=1, worker="i-1", pace=40),
+     lambda s: first_run(s).paces, [(4.0, 40.0)]),
+    (line(4.0, events.ADVICE_GIVEN, step=JOB + ".0.0", asked=3, good=1),
+     lambda s: s.tasks, {}),
+])
+def test_each_line_on_the_job_is_taken_in(text, tell, told):
+    story = collect(text)
+    assert tell(story) == told
+    assert story.unreadable == 0
+
+
+@pytest.mark.parametrize("texts, tell, told", [
+    ([usage(5.0, 900.0, 1.5, 2.0, 3)], lambda s: s.usages,
+     [story_mod.Usage(5.0, 1000.0, 900.0, 1.5, 7, 3, 2.0, 0.5)]),
+    ([claimed(5.0), recovered(5.5)],
+     lambda s: [(o.claimed, o.ready, o.over) for o in s.ownerships],
+     [(5.0, 5.5, None)]),
+    ([claimed(5.0), line(6.0, events.OWNERSHIP_LOST, reason="fenced")],
+     lambda s: [(o.over, o.reason) for o in s.ownerships],
+     [(6.0, "fenced")]),
+    ([claimed(5.0), line(6.0, events.OWNERSHIP_RELEASED, fence=7)],
+     lambda s: [o.over for o in s.ownerships], [6.0]),
+    ([line(6.0, events.STORE_LOST, reason="timed out")],
+     lambda s: s.store_losses, [story_mod.StoreLoss(6.0, OWNER)]),
+    ([ordered(5.0, OTHERS_ROW), usage(7.0)],
+     lambda s: [(o.claim_logged, o.claimed, o.last_act)
+                for o in s.ownerships], [(False, 5.0, 7.0)]),
+    ([claimed(5.0), line(6.0, events.OWNERSHIP_LOST, reason="fenced"),
+      ordered(7.0, OTHERS_ROW)],
+     lambda s: [o.last_act for o in s.ownerships], [5.0]),
+])
+def test_each_line_on_the_fleet_is_taken_in(texts, tell, told):
+    assert tell(collect(stored(1.0), *texts)) == told
+
+
+@pytest.mark.parametrize("text", [
+    line(3.0, events.RUN_ORDERED, runs=[[TASK, "first", "i-1"]]),
+    line(3.0, events.RUN_ORDERED, runs=[[TASK, 1]]),
+    line(3.0, events.RUN_ENDED, how=5, runs=[ROW]),
+    line(3.0, events.RUN_REJECTED, task=TASK, worker="i-1"),
+    line(3.0, events.RUN_STOPPED, task=JOB + ".0.x.0", run=1, worker="i-1"),
+    line(3.0, events.PACE_CHANGED, worker="i-1", changes=[[TASK, 1]]),
+    line(3.0, events.PACE_CHANGED, worker="i-1",
+         changes=[[JOB + ".0.x.0", 1, "img", 0, 100]]),
+    line(3.0, events.JOB_ENDED, job=JOB, state=None),
+    line(3.0, events.FLEET_USAGE, capacity_cores="many"),
+])
+def test_line_that_lacks_what_belongs_in_it_is_counted(text):
+    story = collect(stored(1.0), text)
+    assert story.unreadable == 1
+    assert "1 lines lack" in "\n".join(explain.render(story))
+
+
+def test_first_end_of_a_run_counts_as_its_next_owner_logs_it_again():
+    story = collect(stored(1.0), ended(4.0, "done", ROW),
+                    ended(5.0, "done", ROW, process=SUCCESSOR))
+    assert first_run(story).over == 4.0
+
+
+def test_job_without_a_line_has_no_story():
+    assert collect(ordered(3.0, OTHERS_ROW), claimed(1.0)) is None
+    assert collect() is None
+
+
+# Causes
+
+START = [claimed(0.0), recovered(0.1), usage(9.9), stored(10.0), seen(10.01)]
+
+
+def run_of(number, worker="i-1", task=TASK):
+    """Return a row of a run."""
+    return [task, number, worker]
+
+
+@pytest.mark.parametrize("texts, told", [
+    pytest.param(
+        [line(1.0, events.JOB_REFUSED, FRONT, job=JOB,
+              reason="store: store does not answer")],
+        ["refused by edge-2: store: store does not answer"], id="refused"),
+    pytest.param(
+        [line(1.0, events.JOB_UNCERTAIN, FRONT, job=JOB, reason="timed out"),
+         line(2.0, events.JOB_REFUSED, FRONT, job=JOB, reason="silent")],
+        ["no sure answer", "probably wasn't stored: timed out"],
+        id="uncertain"),
+    pytest.param(
+        [line(8.0, events.JOB_UNCERTAIN, FRONT, job=JOB, reason="timed out"),
+         claimed(0.0), recovered(0.1), stored(10.0), seen(10.0),
+         ordered(10.1, ROW), ended(10.5, "done", ROW), final(10.5)],
+        ["not known to be stored for 2.00 s", "timed out"], id="store late"),
+    pytest.param(
+        [stored(1.0)],
+        ["not taken up", "no process logged that it owns"],
+        id="no owner ever"),
+    pytest.param(
+        [claimed(0.0), recovered(0.1), usage(2.0), stored(5.0)],
+        ["not taken up", "no owner's line is in them after 2.000"],
+        id="no owner any more"),
+    pytest.param(
+        [stored(5.0), ordered(6.0, OTHERS_ROW)],
+        ["not taken up", "begin only at 6.000"], id="log not whole"),
+    pytest.param(
+        [claimed(0.0), recovered(0.1), stored(5.0), usage(8.0)],
+        ["in the 3.00 s until", "own the fleet for 0.00 s"],
+        id="owner passed it over"),
+    pytest.param(
+        [claimed(0.0), recovered(0.1), stored(10.0), usage(9.0),
+         claimed(12.0, SUCCESSOR), seen(12.1, SUCCESSOR),
+         recovered(12.2, SUCCESSOR), ordered(12.3, ROW, process=SUCCESSOR),
+         ended(12.5, "done", ROW, process=SUCCESSOR),
+         final(12.5, process=SUCCESSOR)],
+        ["without an owner, until edge-3 took the fleet over "
+         "(claimed at 12.000)",
+         "edge-1 wrote nothing as owner after 9.000"],
+        id="owner change before it was taken up"),
+    # An owner cut off from the store acted on while it saw no new jobs.
+    pytest.param(
+        [claimed(0.0), recovered(0.1), stored(10.0),
+         line(10.5, events.STORE_LOST, reason="timed out"), usage(11.9),
+         claimed(12.0, SUCCESSOR), seen(12.1, SUCCESSOR),
+         line(12.2, events.OWNERSHIP_LOST, reason="fenced"),
+         recovered(12.2, SUCCESSOR), ordered(12.3, ROW, process=SUCCESSOR),
+         ended(12.5, "done", ROW, process=SUCCESSOR),
+         final(12.5, process=SUCCESSOR)],
+        ["waited 2.20 s without an owner, until edge-3 took the fleet over",
+         "the store didn't answer edge-1, the owner before, at 10.500"],
+        id="owner cut off from the store"),
+    pytest.param(
+        [*START, ordered(10.1, ROW), ended(10.2, "failed", ROW),
+         line(10.3, events.OWNERSHIP_LOST, reason="lease ended"),
+         claimed(13.0, SUCCESSOR), recovered(13.1, SUCCESSOR),
+         ordered(13.2, run_of(1001), process=SUCCESSOR),
+         ended(13.5, "done", run_of(1001), process=SUCCESSOR),
+         final(13.5, process=SUCCESSOR)],
+        ["waited 2.90 s without an owner", "edge-3",
+         "edge-1 lost it at 10.300: lease ended"],
+        id="owner change while open"),
+    pytest.param(
+        [*START[:-1], seen(12.0), ordered(12.1, ROW),
+         ended(12.5, "done", ROW), final(12.5)],
+        ["edge-1 owned the fleet but took the job up only after 2.00 s"],
+        id="taken up late"),
+    pytest.param(
+        [*START, usage(11.0, 990.0, 1.5), ordered(12.5, ROW),
+         ended(13.0, "done", ROW), final(13.0)],
+        ["waited 2.49 s to be placed", "10.010 to 12.500",
+         "SF1834 at 11.000 shows 10 of 1000 cores free, widest gap 1.5, "
+         "7 tasks waiting; the fleet was full"], id="no room"),
+    pytest.param(
+        [*START, usage(11.0), ordered(12.5, ROW), ended(13.0, "done", ROW),
+         final(13.0)],
+        ["waited 2.49 s to be placed", "the fleet wasn't full"],
+        id="room was there"),
+    pytest.param(
+        [*START, usage(11.0, unheard=4), ordered(12.5, ROW),
+         ended(13.0, "done", ROW), final(13.0)],
+        ["4 workers of the earlier owner hadn't reported"],
+        id="workers unheard"),
+    pytest.param(
+        [*START, usage(11.0, busy=2.4), ordered(12.5, ROW),
+         ended(13.0, "done", ROW), final(13.0)],
+        ["the owner was saturated"], id="owner saturated"),
+    pytest.param(
+        [*START[:2], *START[3:], ordered(12.5, ROW), ended(13.0, "done", ROW),
+         final(13.0)],
+        ["waited 2.49 s to be placed", "no SF1834 near"], id="no usage"),
+    pytest.param(
+        [*START, ordered(10.1, ROW, run_of(1, "i-2", SECOND)),
+         ended(10.6, "done", ROW, run_of(1, "i-2", SECOND)),
+         ordered(13.0, run_of(1, "i-3", NEXT_STEP)),
+         ended(13.1, "done", run_of(1, "i-3", NEXT_STEP)), final(13.1)],
+        ["waited 2.49 s to be placed", "10.600 to 13.000"],
+        id="second step waits"),
+    pytest.param(
+        [*START, ordered(10.1, ROW), ended(10.6, "done", ROW), usage(14.0)],
+        ["open when", "with 0 runs not over; until then waited 3.49 s to be "
+         "placed", "10.600 to 14.000"],
+        id="second step never begins"),
+    pytest.param(
+        [*START, usage(14.0, 999.0)],
+        ["waited 3.99 s to be placed", "the fleet was full"],
+        id="no run ever"),
+    pytest.param(
+        [*START, ordered(10.1, ROW),
+         line(11.6, events.RUN_UNCERTAIN, task=TASK, run=1, worker="i-1",
+              reason="no answer: timed out"),
+         line(11.6, events.RUN_STOPPED, task=TASK, run=1, worker="i-1",
+              reason="start got no answer"),
+         ended(12.0, "stopped", ROW), ordered(12.1, run_of(2, "i-2")),
+         ended(12.5, "done", run_of(2, "i-2")), final(12.5)],
+        ["1 order got no answer, which took 1.90 s in all, on i-1"],
+        id="order uncertain"),
+    pytest.param(
+        [*START, ordered(10.1, ROW),
+         line(11.6, events.RUN_UNCERTAIN, task=TASK, run=1, worker="i-1",
+              reason="no answer: timed out"), usage(12.0)],
+        ["1 order got no answer", "on i-1"], id="order uncertain, open"),
+    pytest.param(
+        [*START, ordered(10.1, ROW), ended(11.0, "failed", ROW),
+         ordered(11.1, run_of(2, "i-2")),
+         ended(12.0, "failed", run_of(2, "i-2")),
+         ordered(12.1, run_of(3, "i-3")),
+         ended(12.5, "done", run_of(3, "i-3")), final(12.5)],
+        ["2 runs failed, after 1.80 s in all, on i-1, i-2"],
+        id="runs failed"),
+    pytest.param(
+        [*START, ordered(10.1, ROW), ended(14.0, "lapsed", ROW),
+         ordered(14.1, run_of(2, "i-2")),
+         ended(14.5, "done", run_of(2, "i-2")), final(14.5)],
+        ["1 run lapsed, after 3.90 s in all, on i-1"], id="run lapsed"),
+    pytest.param(
+        [*START, ordered(10.1, ROW),
+         line(12.1, events.RUN_REJECTED, task=TASK, run=1, worker="i-1",
+              reason="no lease may be given"),
+         ordered(12.2, run_of(2, "i-2")),
+         ended(12.5, "done", run_of(2, "i-2")), final(12.5)],
+        ["1 run rejected, after 2.00 s"], id="order rejected"),
+    pytest.param(
+        [*START, ordered(10.1, ROW), ordered(13.0, run_of(2, "i-2")),
+         ended(13.5, "done", run_of(2, "i-2")), final(13.5)],
+        ["1 run without a report of an end, after 2.90 s"],
+        id="run without end"),
+    pytest.param(
+        [*START, ordered(10.1, ROW),
+         line(12.1, events.RUN_STOPPED, task=TASK, run=1, worker="i-1",
+              reason="room for " + OTHERS_TASK),
+         ended(12.2, "stopped", ROW), ordered(12.3, run_of(2, "i-2")),
+         ended(12.5, "done", run_of(2, "i-2")), final(12.5)],
+        ["1 run stopped to make room for more urgent tasks, after 2.10 s"],
+        id="preempted"),
+    pytest.param(
+        [*START, ordered(10.1, ROW),
+         line(10.2, events.PACE_CHANGED, worker="i-1", worst=1.2,
+              changes=[[*ROW[:2], "img", 0, 100]]),
+         line(12.2, events.PACE_CHANGED, worker="i-1", worst=0.8,
+              changes=[[*ROW[:2], "img", 50, 0]]),
+         ended(14.2, "done", ROW), final(14.2)],
+        ["paces down to 0% cost 3.00 s on i-1"], id="slowed"),
+    pytest.param(
+        [*START, ordered(10.1, ROW),
+         line(10.2, events.PACE_CHANGED, worker="i-1", worst=1.2,
+              changes=[[*ROW[:2], "img", 0, 100]]),
+         line(12.2, events.RUN_STOPPED, task=TASK, run=1, worker="i-1",
+              reason="little progress here"),
+         ended(12.2, "stopped", ROW), ordered(12.3, run_of(2, "i-2")),
+         ended(12.5, "done", run_of(2, "i-2")), final(12.5)],
+        ["paces down to 0% cost 2.00 s on i-1"], id="slowed and moved"),
+    pytest.param(
+        [*START, *(text for number in range(1, 5) for text in (
+            ordered(10.0 + number, run_of(number, f"i-{number}")),
+            ended(10.5 + number, "failed", run_of(number, f"i-{number}")))),
+         final(14.5, "failed")],
+        ["failed for good 4.50 s after", "task 0.0.0 failed 4 times, on "
+         "i-1, i-2, i-3, i-4"], id="failed"),
+    pytest.param(
+        [*START, ordered(10.1, ROW), line(10.5, events.CANCEL_STORED, FRONT,
+                                          job=JOB),
+         final(10.6, "cancelled"),
+         line(10.6, events.RUN_STOPPED, task=TASK, run=1, worker="i-1",
+              reason="job cancelled"), ended(14.0, "stopped", ROW)],
+        ["cancelled by its caller 0.60 s after the handing in"],
+        id="cancelled"),
+    pytest.param(
+        [*START, usage(12.0, 990.0), final(13.0, "cancelled")],
+        ["cancelled by its caller 3.00 s after the handing in; until then "
+         "waited 2.99 s to be placed"], id="cancelled while it waited"),
+    pytest.param(
+        [*START, ordered(10.1, ROW), ended(14.0, "done", ROW), final(14.0)],
+        ["completed 4.00 s after the handing in, and no wait"],
+        id="in time"),
+    pytest.param(
+        [*START, ordered(10.1, ROW), usage(40.0)],
+        ["open when its owner's lines end at 40.000, with 1 run not over; "
+         "no wait"], id="goes on"),
+])
+def test_cause_is_told(texts, told):
+    cause = causes.cause(collect(*texts))
+    for part in told:
+        assert part in cause
+
+
+@pytest.mark.parametrize("texts, gaps", [
+    ([claimed(5.0), recovered(5.5)], [(1.0, 5.5)]),
+    ([ordered(5.0, OTHERS_ROW)], []),
+    ([claimed(5.0), recovered(5.5), usage(9.0), claimed(12.0, SUCCESSOR),
+      recovered(12.5, SUCCESSOR)], [(1.0, 5.5), (9.0, 12.5)]),
+    # The earlier owner acts until it learns of its successor.
+    ([claimed(5.0), recovered(5.5), claimed(8.0, SUCCESSOR), usage(8.2),
+      line(8.3, events.OWNERSHIP_LOST, reason="fenced"),
+      recovered(8.1, SUCCESSOR)], [(1.0, 5.5)]),
+])
+def test_time_without_an_owner(texts, gaps):
+    assert losses.ownerless(collect(stored(1.0), *texts)) == gaps
+
+
+def test_of_tasks_that_go_on_the_one_that_lost_most_counts():
+    story = collect(
+        *START, ordered(10.1, run_of(1, "i-1"), run_of(1, "i-2", SECOND)),
+        ended(20.0, "lapsed", run_of(1, "i-2", SECOND)),
+        ordered(20.1, run_of(2, "i-3", SECOND)), usage(30.0))
+    assert "1 run lapsed" in causes.cause(story)
+
+
+def test_explanation_tells_each_part():
+    story = collect(
+        *START, ordered(10.5, ROW, run_of(1, "i-2", SECOND)),
+        ended(11.0, "failed", ROW),
+        line(12.0, events.OWNERSHIP_LOST, reason="fenced"),
+        claimed(12.5, SUCCESSOR), seen(12.6, SUCCESSOR),
+        recovered(12.7, SUCCESSOR),
+        ordered(13.0, run_of(1001, "i-3"), process=SUCCESSOR),
+        ended(13.5, "done", run_of(1, "i-2", SECOND), process=SUCCESSOR),
+        ended(14.0, "done", run_of(1001, "i-3"), process=SUCCESSOR),
+        final(14.0, process=SUCCESSOR))
+    assert explain.render(story) == [
+        f"job {JOB} (queue q)",
+        "  handed in  10.000 at edge-2, stored",
+        "  taken up   10.010 (+0.010 s) by edge-1",
+        "  taken on   12.600 (+2.600 s) by edge-3",
+        "  owner      12.000 (+2.000 s) edge-1 lost the fleet: fenced",
+        "  owner      12.500 (+2.500 s) edge-3 claimed the fleet, "
+        "ready 12.700 (+2.700 s)",
+        "  step 0.0   2 tasks, first orders 10.500 (+0.500 s); "
+        "3 runs ordered; 2 done, 1 failed; "
+        "order to done 1.00 to 3.00 s, median 2.00",
+        "  lost to    no owner 1.70 s, room 0.79 s, failed 0.50 s",
+        "  final      completed 14.000 (+4.000 s) by edge-3",
+        "  cause      waited 1.70 s without an owner, until edge-3 took the "
+        "fleet over (claimed at 12.500); edge-1 lost it at 12.000: fenced"]
+
+
+def test_cancellation_is_told():
+    told = explain.render(collect(*START, line(
+        10.5, events.CANCEL_STORED, FRONT, job=JOB), final(10.6, "cancelled")))
+    assert "  cancelled  10.500 (+0.500 s) by its caller" in told
+
+
+def test_long_lists_are_cut_short():
+    answers = [stored(10.0 + number) for number in range(9)]
+    told = explain.render(collect(*answers))
+    assert sum("handed in" in text for text in told) == explain.MOST_LINES
+    assert any(text.strip() == "and 3 more" for text in told)
+
+
+# The command line
+
+@pytest.fixture(name="log")
+def fixture_log(tmp_path):
+    """Write a log as printed, with a line that is none."""
+    path = tmp_path / "day.log"
+    texts = [stored(10.0), seen(10.0), ordered(10.1, ROW, OTHERS_ROW),
+             ended(10.5, "done", ROW), final(10.5)]
+    path.write_text("a report\n" + "".join(
+        f"  {number}.5 {OWNER} {text}\n"
+        for number, text in enumerate(texts)))
+    return str(path)
+
+
+def call(*tokens):
+    """Run the command line and return its exit code."""
+    try:
+        cli.app(list(tokens))
+    except SystemExit as end:
+        return end.code or 0
+    return 0
+
+
+def test_explain_reads_a_log(log, capsys):
+    assert call("explain", JOB, log) == 0
+    out, err = capsys.readouterr()
+    assert "  handed in  0.500 at edge-1, stored" in out
+    assert "  cause      " in out
+    assert err == "1 line(s) skipped that are no log lines\n"
+
+
+@pytest.mark.parametrize("tokens, code, told", [
+    (["explain", "00000000000000cc", "LOG"], cli.EXIT_NOT_FOUND,
+     "names job 00000000000000cc"),
+    (["explain", JOB, "LOG.gone"], cli.EXIT_NOT_FOUND, "cannot read logs"),
+    (["explain", JOB], cli.EXIT_SETTINGS, "name the logs"),
+    (["timeline", "LOG.gone"], cli.EXIT_NOT_FOUND, "cannot read logs"),
+])
+def test_what_is_not_there_is_an_error(log, capsys, tokens, code, told):
+    assert call(*[token.replace("LOG", log) for token in tokens]) == code
+    out, err = capsys.readouterr()
+    assert told in err
+    assert not out
+
+
+@pytest.mark.parametrize("options, count", [
+    ([], 5), (["--id", JOB], 5), (["--id", OTHER], 1), (["--id", "x"], 0)])
+def test_timeline_reads_files_and_folders(log, capsys, options, count):
+    for path in (log, log.rpartition("/")[0]):
+        assert call("timeline", path, *options) == 0
+        out, err = capsys.readouterr()
+        assert len(out.splitlines()) == count
+        assert "1 line(s) skipped" in err
