A job seen after the owner's lease may have ended is left to a successor

Cause: an owner whose renewals got no answer still sees new jobs in the store while its lease has ended; its successor starts jobs newer than its own claim without asking all workers first. Change: an owner starts a job only if it was known while the lease certainly held, counted from when the renewing or granting call was sent; FleetState refuses other starts and logs SF1601. A second way: a connection that a cut network reset counted as the orderly end of a worker that leaves; with its entry lapsed, its tasks were started again while it went on. Only an orderly end counts now. Also: a planned stop waited for a commit without answer (8 s) and then served on for 3.2 s, over the grace time; its steps go on side by side and end in time, and the last log lines are written.

--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -173,15 +173,17 @@
     return setup
 
 
-def configure_stdout(process: str, zone: str) -> logbook.NestedSetup:
+def configure_stdout(process: str, zone: str) -> "StdoutHandler":
     """Send this process's events to standard output without blocking."""
     CONTEXT.process = process
     CONTEXT.zone = zone
-    setup = logbook.NestedSetup([logbook.NullHandler(), StdoutHandler()])
-    setup.push_application()
-    return setup
+    handler = StdoutHandler()
+    logbook.NestedSetup([logbook.NullHandler(), handler]).push_application()
+    return handler
 
 
+# How long the end of a process waits for its last lines to be written.
+LAST_LINES_S = 0.3
 # Lines that wait for a slow reader of standard output; about 1 MB.
 LINES_WAITING = 4000
 
@@ -207,11 +209,22 @@
         except queue.Full:
             self.dropped += 1
 
+    def finish(self) -> None:
+        """Wait a moment until all lines so far are written.
+
+        The thread that writes ends with the process, and the last lines tell
+        whether a stop went as planned.
+        """
+        until = time.monotonic() + LAST_LINES_S
+        while self.lines.unfinished_tasks and time.monotonic() < until:
+            time.sleep(LAST_LINES_S / 30)
+
     def _write(self) -> None:
         while True:
             sys.stdout.write(self.lines.get() + "\n")
             if self.lines.empty():
                 sys.stdout.flush()
+            self.lines.task_done()
             if self.dropped and self.lines.empty():
                 count, self.dropped = self.dropped, 0
                 emit(LINES_DROPPED, lines=count)
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -68,7 +68,8 @@
         self.links: dict[str, link_mod.WorkerLink] = {}
         self.over = threading.Event()
         self.recovered = False
-        self.began = self.renewed = clock.now()
+        self.began = clock.now()
+        self.lease_renewed(self.began)
         # As of the last line on it; counting anew for each caller of the
         # metrics would take the lock from placing.
         self.usage: usage_mod.Usage | None = None
@@ -98,6 +99,20 @@
         return (not self.fleet.without_store
                 or self.fleet.obeyed_by_most(now))
 
+    def lease_renewed(self, sent: float) -> None:
+        """Note that a call sent at a moment has renewed the owner's lease.
+
+        The store counts the lease from when the call came, so it holds at
+        least from the moment at which it was sent.
+        """
+        self.renewed = sent
+        lapsed = self.fleet.leased_until < clock.now()
+        self.fleet.leased_until = sent + OWN_LEASE_S
+        if lapsed:
+            # Jobs seen meanwhile were held back.
+            with self.fleet.lock:
+                self.fleet.notify()
+
     def step_down(self, reason: str) -> None:
         """Give no orders from now on."""
         if self.over.is_set():
--- a/sycamorefield/fleet/ownership.py
+++ b/sycamorefield/fleet/ownership.py
@@ -51,6 +51,8 @@
         self.patience = patience
         self.owner: owner_mod.Owner | None = None
         self.lease = 0
+        # When the call was sent that granted or renewed the lease last.
+        self.leased_at = 0.0
         self.stopped = threading.Event()
 
     def run(self) -> None:
@@ -91,6 +93,7 @@
         if item is not None:
             # While this process waited, another may have claimed the key.
             return self._adopt(item) if item.value == self.value else 0
+        self.leased_at = clock.now()
         self.lease = self.store.grant(LEASE_TTL_MS)
         try:
             return self.store.commit(messages.Transaction(
@@ -103,6 +106,7 @@
         return 0
 
     def _adopt(self, item: messages.Item) -> int:
+        self.leased_at = clock.now()
         try:
             self.store.renew(self.lease)
         except surroundings.LeaseEnded:
@@ -118,6 +122,8 @@
     def _serve(self, fence: int) -> None:
         events.emit(events.OWNERSHIP_CLAIMED, fence=fence)
         owner = self.make_owner(fence)
+        # A claim may come seconds after its lease was granted.
+        owner.lease_renewed(self.leased_at)
         self.owner = owner
         threading.Thread(target=self._renew, args=(owner,),
                          daemon=True).start()
@@ -143,7 +149,7 @@
             sent = clock.now()
             try:
                 self.store.renew(self.lease)
-                owner.renewed = sent
+                owner.lease_renewed(sent)
             except surroundings.LeaseEnded:
                 owner.step_down("lease ended")
             except surroundings.CallFailed as exc:
--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -74,6 +74,8 @@
         # Steps seen to be done; that stays, and every round asks for it.
         self.done_places: set[Place] = set()
         self.run_base = 0
+        # When this process learnt that the job is stored.
+        self.known_at = 0.0
         # When a round first found a step whose turn had come, or 0.
         self.seen_at = 0.0
         # Since when a lasting task that ran is down, or 0.
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -339,6 +339,8 @@
         for state in ranked:
             if state.created <= fleet.fence and fleet.unheard:
                 continue
+            if not fleet.ours_alone(state):
+                continue
             _place_job(round_, state, wall_ms)
         if fleet.policy.move_stalled_runs:
             round_.move_stalled()
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -5,6 +5,7 @@
 all of these, and the methods without a note on it, take the lock themselves.
 """
 
+import math
 import threading
 import typing
 
@@ -56,6 +57,8 @@
         # Whether the store has not answered for longer than the owner's
         # lease: a successor may exist.
         self.without_store = False
+        # Until when the owner's lease certainly holds, on clock.now().
+        self.leased_until = math.inf
         self.learnt = interference.Interference(
             policy.learn_weights, policy.limit_tails, policy.follow_slopes)
         self.demand = demand.Demand()
@@ -75,6 +78,7 @@
             if state is not None:
                 return state
             state = progress.JobState(job, created)
+            state.known_at = clock.now()
             if created <= self.fence:
                 state.run_base = progress.RUN_GAP
             self.jobs[job.job_id] = state
@@ -82,6 +86,19 @@
             self.notify()
             return state
 
+    def ours_alone(self, state: progress.JobState) -> bool:
+        """Tell whether no successor can have started tasks of a job.
+
+        What goes wrong without: an owner whose lease ended unnoticed still
+        sees new jobs in the store.  Its successor starts those that are
+        newer than its own claim without asking all workers first, so both
+        start them, and a task runs twice.  A job known while the lease held
+        is older than any successor's claim, and a successor holds such jobs
+        back until each worker in use has reported or its leases are over.
+        """
+        return (state.created <= self.fence
+                or state.known_at <= self.leased_until)
+
     def drop_final(self, state: progress.JobState) -> None:
         """Stop planning for a job whose stored state is final."""
         self.active.pop(state.job.job_id, None)
@@ -307,6 +324,10 @@
             events.emit(events.INVARIANT_BROKEN, task=str(task.task),
                         rule="one run of a task at a time")
             return
+        if not self.ours_alone(state):
+            events.emit(events.INVARIANT_BROKEN, task=str(task.task),
+                        rule="no start of what a successor may have started")
+            return
         task.phase = progress.STARTING
         task.run = task.last_run = run
         if task.step.perpetual and not task.ran:
--- a/sycamorefield/platform/bootsettings.py
+++ b/sycamorefield/platform/bootsettings.py
@@ -34,10 +34,12 @@
 class BoundsModel(pydantic.BaseModel):
     """Check the bounds that the product follows.
 
-    Workers shorten leases to hold_max_ms.
+    Workers shorten leases to hold_max_ms; a process that stops is killed
+    after grace_s.
     """
 
     hold_max_ms: int = 6000
+    grace_s: float = 6.0
 
 
 class BootSettings(pydantic.BaseModel):
--- a/sycamorefield/platform/calls.py
+++ b/sycamorefield/platform/calls.py
@@ -1,5 +1,6 @@
 """Make one HTTP call with a JSON body and its own timeout."""
 
+import http.client
 import json
 import typing
 
@@ -55,7 +56,7 @@
         except urllib3.exceptions.ConnectTimeoutError as exc:
             raise surroundings.CallRefused(f"no connection: {exc}") from exc
         except urllib3.exceptions.ProtocolError as exc:
-            raise surroundings.ConnectionClosed(f"closed: {exc}") from exc
+            raise _closed(exc) from exc
         except (urllib3.exceptions.HTTPError, OSError) as exc:
             raise surroundings.CallFailed(f"no answer: {exc}") from exc
         if "watch" not in path and path.startswith("/-/"):
@@ -69,6 +70,18 @@
         self.pool.close()
 
 
+def _closed(exc: urllib3.exceptions.ProtocolError
+            ) -> surroundings.CallFailed:
+    """Tell an orderly end of a connection from a reset.
+
+    A worker that leaves ends its connections in order; a cut network resets
+    them while the worker goes on.
+    """
+    if isinstance(exc.args[-1], http.client.RemoteDisconnected):
+        return surroundings.ConnectionClosed(f"closed: {exc}")
+    return surroundings.CallFailed(f"connection broke: {exc}")
+
+
 def _decode(data: bytes) -> dict[str, typing.Any]:
     if not data:
         return {}
--- a/sycamorefield/platform/daemon.py
+++ b/sycamorefield/platform/daemon.py
@@ -4,6 +4,8 @@
 import signal
 import sys
 import threading
+import time
+import typing
 
 import cherrypy
 from returns import result
@@ -34,6 +36,9 @@
 # The balancer sends no new connections after two missed checks, 1 s apart.
 # What was sent until then is answered before the listener closes.
 SERVE_ON_S = 3.2
+# What a planned stop leaves of the time until the process would be killed, for
+# the last log lines and a VM that is slow.
+STOP_MARGIN_S = 0.8
 # The watch is answered each second; a store not heard for this long is away.
 STORE_SILENCE_S = 1.6
 
@@ -106,12 +111,23 @@
             events.emit(events.SETTING_IGNORED, setting="orders",
                         value=self.settings.orders)
         self.stop_asked.wait()
+        self._stop(servers)
+
+    def _stop(self, servers: list[cherrypy._cpserver.Server]) -> None:
+        """Hand the fleet over, answer what comes late, close the listeners.
+
+        Each waits for calls under way: with a silent store the last commit
+        alone took 8 s, the process was killed at the end of its grace time,
+        and callers lost requests that it had read.
+        """
+        until = clock.now() + self.settings.bounds.grace_s - STOP_MARGIN_S
         events.emit(events.PROCESS_STOPPING)
-        self.ownership.stop()
-        threading.Event().wait(SERVE_ON_S)
-        for server in servers:
-            server.stop()
-        events.emit(events.PROCESS_STOPPED)
+        handover = _background(self.ownership.stop)
+        time.sleep(SERVE_ON_S)
+        closing = [_background(server.stop) for server in servers]
+        late = [thread for thread in [handover, *closing]
+                if not _ended(thread, until)]
+        events.emit(events.PROCESS_STOPPED, unfinished=len(late))
 
     def reload(self) -> None:
         """Note changed settings; addresses in use stay until a restart."""
@@ -142,6 +158,18 @@
         return servers
 
 
+def _background(target: typing.Callable[[], object]) -> threading.Thread:
+    thread = threading.Thread(target=target, daemon=True)
+    thread.start()
+    return thread
+
+
+def _ended(thread: threading.Thread, until: float) -> bool:
+    """Wait until a moment of clock.now(); tell whether a thread ended."""
+    thread.join(max(0.0, until - clock.now()))
+    return not thread.is_alive()
+
+
 def _serve(address: str, threads: int) -> cherrypy._cpserver.Server:
     host, _, port = address.rpartition(":")
     server = cherrypy._cpserver.Server()
@@ -157,7 +185,7 @@
 def main() -> None:
     """Run the process named in the settings file."""
     settings = bootsettings.load()
-    events.configure_stdout(settings.node, settings.zone)
+    log = events.configure_stdout(settings.node, settings.zone)
     loaded = policysettings.load(os.environ.get(POLICY_VARIABLE))
     if not isinstance(loaded, result.Success):
         # Events are written by a thread that ends with the process.
@@ -165,3 +193,6 @@
             print(f"policy options rejected: {finding}", file=sys.stderr)
         sys.exit(EXIT_SETTINGS)
     Daemon(settings, loaded.unwrap()).run()
+    log.finish()
+    # Threads that wait for an answer would keep the process until it comes.
+    os._exit(0)
--- a/tests/platformfakes.py
+++ b/tests/platformfakes.py
@@ -7,6 +7,8 @@
 import base64
 import http.server
 import json
+import socket
+import struct
 import threading
 import time
 import typing
@@ -23,7 +25,8 @@
     """Answer JSON calls through a handler; misbehave on demand.
 
     fault: "" serves; "busy" answers 503, "many" 429; "lost" carries the call
-    out and closes; "silent" neither answers nor closes; "slow" waits.
+    out and closes; "reset" does so and resets the connection; "silent"
+    neither answers nor closes; "slow" waits.
     """
 
     def __init__(self, handle: typing.Callable[
@@ -69,7 +72,12 @@
             status, reply = (503 if self.fault == "busy" else 429), {}
         else:
             status, reply = self.handle(call.command, path, fields, body)
-        if self.fault == "lost":
+        if self.fault == "reset":
+            # Without waiting for what is to be sent, an end is a reset.
+            call.connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER,
+                                       struct.pack("ii", 1, 0))
+            call.connection.close()
+        if self.fault in ("lost", "reset"):
             call.close_connection = True
             return
         data = json.dumps(reply).encode()
--- a/tests/test_fleet_takeover.py
+++ b/tests/test_fleet_takeover.py
@@ -6,10 +6,12 @@
 
 import pytest
 
+from sycamorefield.fleet import clock
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import owner as owner_mod
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import records
+from sycamorefield.fleet import state as state_mod
 from tests import fleetfakes
 
 HOLD_MAX_MS = 6000.0
@@ -278,3 +280,63 @@
     wait_for(lambda: "b.0.0.0" in fleet.running())
     assert fleet.starts() == ["b.0.0.0"]
     assert again in owner.fleet.workers
+
+
+class Doubt(typing.NamedTuple):
+    """How long ago each lease was renewed when a new job is seen."""
+
+    renewed_s_ago: float
+    starts: int
+
+
+@pytest.mark.parametrize("doubt", [
+    Doubt(0.0, 1), Doubt(owner_mod.OWN_LEASE_S + 0.1, 0)])
+def test_an_owner_in_doubt_starts_no_job_that_a_successor_may_start(doubt):
+    """Leave what was stored after a successor's claim to the successor.
+
+    Symptom: each task of a job ran twice at the same time.  Events: the
+    owner's renewals got no answer, its lease ended, a successor claimed the
+    fleet and was still reading the store; a job was stored, and the first
+    owner, which most workers still obeyed, saw it and started it, and so did
+    the successor.  Cause: only the successor's waiting for old jobs stood
+    between the two, and the job was new to both.
+    """
+    fleet = Fleet()
+    old = fleet.take_over()
+    wait_for(lambda: old.recovered and all(
+        w.enrolled and w.reported for w in old.fleet.workers.values())
+        and len(old.fleet.workers) == 2)
+    old.lease_renewed(clock.now() - doubt.renewed_s_ago)
+    fleet.submit(fleetfakes.job("a"))
+    wait_for(lambda: "a" in old.fleet.jobs)
+    time.sleep(0.3)
+    assert len(fleet.starts()) == doubt.starts
+    old.lease_renewed(clock.now())
+    fleet.submit(fleetfakes.job("b"))
+    wait_for(lambda: "b.0.0.0" in fleet.starts())
+    old.step_down("test over")
+
+
+def test_jobs_held_back_in_doubt_start_once_the_lease_is_renewed(fleet):
+    owner = fleet.take_over()
+    wait_for(lambda: owner.recovered)
+    owner.lease_renewed(clock.now() - owner_mod.OWN_LEASE_S - 0.1)
+    fleet.submit(fleetfakes.job("a"))
+    wait_for(lambda: "a" in owner.fleet.jobs)
+    owner.lease_renewed(clock.now())
+    wait_for(lambda: fleet.running() == ["a.0.0.0"])
+
+
+def test_a_start_that_a_successor_may_have_ordered_is_refused():
+    orders = []
+    state = state_mod.FleetState(
+        5, HOLD_MAX_MS, lambda *order: orders.append(order),
+        fleetfakes.configuration)
+    entry = fleetfakes.entry(0)
+    state.add_worker(entry)
+    state.leased_until = clock.now() - 1.0
+    job = state.add_job(fleetfakes.job("a"), 6)
+    job.occurrence(0)
+    task = job.tasks[0, 0][0]
+    state.start(job, task, state.workers[entry.worker_id], 1)
+    assert not orders and task.phase == progress.IDLE
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -97,6 +97,9 @@
     ("busy", surroundings.CallRefused, False),
     ("many", surroundings.CallRefused, False),
     ("lost", surroundings.ConnectionClosed, True),
+    # A cut network resets connections to a worker that goes on: taken for
+    # the orderly end of one that leaves, its tasks would run twice.
+    ("reset", surroundings.CallFailed, True),
     ("silent", surroundings.CallFailed, False),
 ])
 def test_refused_and_unanswered_commits_differ(server, store, fault, error,
