The owner's calls, fits and rounds cost a fraction

Cause: with processor time charged the owner of 445 workers is saturated. Its time went to (1) calls: 0.58 ms of processor time each with urllib3's request and header handling, (2) rounds that searched every worker for every need in each round, (3) fits of weights whose samples cost the square of the images. Change: (1) one write a request and httptools to read the answer, urllib3 only opens connections; reports are checked and decoded by msgspec. (2) A need that found no room is tried only on workers changed since; what stops and what stalls is known per worker; lasting tasks of a step that must wait wait together. Ruled out: numpy (20 MB and 0.1 s of start on every VM for one process's gain); a cache of choices rather than of misses (choices change with each start).

--- a/bench/round_cost.py
+++ b/bench/round_cost.py
@@ -78,7 +78,8 @@
         before = state.run_log.ordered_total
         rounds.place(state, NOW_S, WALL_MS)
         for worker in state.workers.values():
-            worker.unsent.clear()
+            for run in list(worker.unsent):
+                worker.start_sent(run)
 
 
 def measure(scale: int, policy: policy_mod.Policy) -> None:
--- a/sycamorefield/fleet/answers.py
+++ b/sycamorefield/fleet/answers.py
@@ -51,6 +51,7 @@
         if fleet.is_current(worker, task, order.run):
             task.moved_at = now
             if task.phase == progress.STARTING:
+                worker.touch()
                 task.phase = progress.RUNNING
                 task.started = now
 
--- a/sycamorefield/fleet/interference.py
+++ b/sycamorefield/fleet/interference.py
@@ -17,25 +17,11 @@
 import typing
 
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import weights
 
 # One task of a step: its worker and its index.
 Member = tuple[str, int]
 
-# Before anything is known, a filling core adds this much utilisation.
-FIRST_WEIGHT = 0.012
-# How much a first weight counts, in squared cores seen: a few runs of three
-# cores over a few seconds outweigh it.
-PRIOR = 60.0
-# Even the least disturbed task of several shows a little less than the
-# middle of them; this part belongs to no filling image.
-BASE_PRIOR = 1.0
-FIRST_BASE = 0.04
-# Share of what was seen that is kept at each sample of an image.  About 50
-# samples a second come from 33 workers, so half is forgotten in 14 s.
-KEEP = 0.999
-# Weights are worked out again after this many samples of an image.
-SAMPLES_PER_FIT = 25
-MOST_WEIGHT = 0.15
 # Serving tasks are taken to have this load when their tail is lowest.
 LEAST_LOAD = 0.2
 # The lowest tail of an image is followed as about its first percentile: it
@@ -69,14 +55,6 @@
 MOST_STEPS = 4096
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Filler:
-    """A filling run as a report shows it."""
-
-    image: str
-    cores: float
-
-
 @dataclasses.dataclass(slots=True)
 class Tail:
     """A serving task's tail against its target, as last reported.
@@ -161,71 +139,6 @@
         return min(LOAD_RISE, max(FALLING_RISE, rise))
 
 
-class Fit:
-    """Hold sums for a least-squares fit of one serving image."""
-
-    def __init__(self, first: dict[str, float] | None = None) -> None:
-        # What a predecessor had learnt stands in for the first weights.
-        self.first = first or {}
-        self.images: list[str] = []
-        self.products: list[list[float]] = [[BASE_PRIOR]]
-        self.targets: list[float] = [BASE_PRIOR * FIRST_BASE]
-        self.weights: dict[str, float] = dict(self.first)
-        self.samples = 0
-
-    def add(self, disturbance: float, fillers: list[Filler]) -> None:
-        """Add one sample."""
-        cores: dict[str, float] = {}
-        for filler in fillers:
-            if filler.image not in self.images:
-                self._grow(filler.image)
-            cores[filler.image] = cores.get(filler.image, 0) + filler.cores
-        row = [1.0] + [cores.get(image, 0.0) for image in self.images]
-        for i, left in enumerate(row):
-            self.targets[i] = KEEP * self.targets[i] + left * disturbance
-            products = self.products[i]
-            for j, right in enumerate(row):
-                products[j] = KEEP * products[j] + left * right
-        # What is forgotten of the prior is put back: without it a pair not
-        # seen for long would have nothing to go by.
-        for i in range(1, len(row)):
-            self.products[i][i] += (1 - KEEP) * PRIOR
-            self.targets[i] += ((1 - KEEP) * PRIOR
-                                * self._first_weight(self.images[i - 1]))
-        self.samples += 1
-        if self.samples % SAMPLES_PER_FIT == 0:
-            self._solve()
-
-    def _grow(self, image: str) -> None:
-        self.images.append(image)
-        for products in self.products:
-            products.append(0.0)
-        self.products.append([0.0] * len(self.targets) + [PRIOR])
-        self.targets.append(PRIOR * self._first_weight(image))
-
-    def _first_weight(self, image: str) -> float:
-        return self.first.get(image, FIRST_WEIGHT)
-
-    def _solve(self) -> None:
-        """Solve the normal equations (positive definite by the prior)."""
-        size = len(self.targets)
-        rows = [self.products[i] + [self.targets[i]] for i in range(size)]
-        for i in range(size):
-            pivot = rows[i][i]
-            for below in rows[i + 1:]:
-                factor = below[i] / pivot
-                if factor:
-                    for k in range(i, size + 1):
-                        below[k] -= factor * rows[i][k]
-        solved = [0.0] * size
-        for i in reversed(range(size)):
-            rest = sum(rows[i][k] * solved[k] for k in range(i + 1, size))
-            solved[i] = (rows[i][size] - rest) / rows[i][i]
-        self.weights.update({
-            image: min(MOST_WEIGHT, max(0.0, weight))
-            for image, weight in zip(self.images, solved[1:])})
-
-
 class Interference:
     """Hold base tails of images, loads of steps and weights of pairs."""
 
@@ -236,7 +149,7 @@
         self.learns = learns
         self.limits = limits
         self.slopes = slopes
-        self.fits: dict[str, Fit] = {}
+        self.fits: dict[str, weights.Fit] = {}
         self.lowest: dict[str, float] = {}
         self.loads: collections.OrderedDict[messages.StepId, StepLoad] = (
             collections.OrderedDict())
@@ -257,10 +170,10 @@
     def decode(self, value: bytes) -> None:
         """Begin with what a predecessor learnt; raises ValueError."""
         try:
-            for image, (lowest, weights) in json.loads(value).items():
+            for image, (lowest, known) in json.loads(value).items():
                 self.lowest[image] = float(lowest)
-                self.fits[image] = Fit({name: float(weight) for name, weight
-                                        in weights.items()})
+                self.fits[image] = weights.Fit(
+                    {name: float(weight) for name, weight in known.items()})
         except (TypeError, AttributeError) as exc:
             raise ValueError(f"not a record of images: {exc!r}") from exc
 
@@ -268,12 +181,12 @@
         """Return the utilisation that a filling core adds."""
         fit = self.fits.get(serving)
         if fit is None:
-            return FIRST_WEIGHT
-        return fit.weights.get(filling, FIRST_WEIGHT)
+            return weights.FIRST_WEIGHT
+        return fit.weights.get(filling, weights.FIRST_WEIGHT)
 
     def tail(self, image: str, tail_ms: float, target_ms: float,
-             step: messages.StepId, member: Member, beside: list[Filler],
-             now: float) -> Tail:
+             step: messages.StepId, member: Member,
+             beside: list[weights.Filler], now: float) -> Tail:
         """Return a reported tail with the load that its step has.
 
         While the load is not known, what the fillers beside the task are
@@ -305,10 +218,10 @@
         self.lowest[image] = lowest
         return (1.0 - LEAST_LOAD) * min(lowest, tail_ms)
 
-    def observe(self, tail: Tail, fillers: list[Filler]) -> None:
+    def observe(self, tail: Tail, fillers: list[weights.Filler]) -> None:
         """Learn from one tail and what ran beside it."""
         if self.learns and tail.load_known:
-            fit = self.fits.setdefault(tail.image, Fit())
+            fit = self.fits.setdefault(tail.image, weights.Fit())
             fit.add(tail.utilisation - tail.load, fillers)
 
     def added(self, tails: typing.Iterable[Tail], image: str,
--- a/sycamorefield/fleet/messages.py
+++ b/sycamorefield/fleet/messages.py
@@ -1,6 +1,7 @@
 """Hold the typed messages that the scheduler and its surroundings exchange."""
 
 import dataclasses
+import typing
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,8 +87,7 @@
         return self.start_at_ms + occurrence * self.interval_ms
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StepId:
+class StepId(typing.NamedTuple):
     """Name one step of one occurrence of a job."""
 
     job_id: str
@@ -98,17 +98,16 @@
         return f"{self.job_id}.{self.occurrence}.{self.step}"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TaskId:
-    """Name one task: its job, occurrence, step and index in the step."""
+class TaskId(typing.NamedTuple):
+    """Name one task: its job, occurrence, step and number in the step."""
 
     job_id: str
     occurrence: int
     step: int
-    index: int
+    number: int
 
     def __str__(self) -> str:
-        return f"{self.job_id}.{self.occurrence}.{self.step}.{self.index}"
+        return f"{self.job_id}.{self.occurrence}.{self.step}.{self.number}"
 
     def step_id(self) -> StepId:
         """Return the name of the step that the task belongs to."""
@@ -136,8 +135,7 @@
         return self.labels[-1] if len(self.labels) > 1 else ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class RunningTask:
+class RunningTask(typing.NamedTuple):
     """One run that a worker says is under way."""
 
     task: TaskId
@@ -148,8 +146,7 @@
     figure: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EndedTask:
+class EndedTask(typing.NamedTuple):
     """One run that a worker says has ended; number rises with each end."""
 
     number: int
--- a/sycamorefield/fleet/pacer.py
+++ b/sycamorefield/fleet/pacer.py
@@ -8,6 +8,7 @@
 from sycamorefield.fleet import pacing
 from sycamorefield.fleet import placing
 from sycamorefield.fleet import progress
+from sycamorefield.fleet import weights
 from sycamorefield.fleet import workerstate
 
 # A filling run slowed to this share or less for a second moves to a worker
@@ -17,6 +18,12 @@
 Send = typing.Callable[[str, messages.PaceOrder], None]
 
 
+def stalls(task: progress.TaskState) -> bool:
+    """Tell whether a run makes so little progress that it should move."""
+    return task.stuck or (task.step.fills
+                          and 0 <= task.pace <= STALLED_PACE)
+
+
 class Pacer:
     """Learn which images disturb which, and tell workers the paces."""
 
@@ -35,7 +42,7 @@
                 if (row.task, row.run) in worker.tasks]
         filling = [(row, task) for row, task in rows if task.step.fills
                    and task.phase != progress.STOPPING]
-        beside = [interference.Filler(task.step.image, row.figure / 1000.0)
+        beside = [weights.Filler(task.step.image, row.figure / 1000.0)
                   for row, task in filling]
         worker.tails = []
         worker.unused_cpu = 0.0
@@ -61,11 +68,11 @@
 
     def _take_tail(self, worker: workerstate.WorkerState,
                    row: messages.RunningTask, task: progress.TaskState,
-                   beside: list[interference.Filler], now: float) -> None:
+                   beside: list[weights.Filler], now: float) -> None:
         name = task.task
         tail = self.learnt.tail(
             task.step.image, row.figure, task.step.target_ms,
-            name.step_id(), (worker.entry.worker_id, name.index), beside, now)
+            name.step_id(), (worker.entry.worker_id, name.number), beside, now)
         worker.tails.append(tail)
         worker.unused_cpu += task.step.room.cpu * (
             1.0 - tail.expected_load())
--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -117,7 +117,7 @@
             return None
         self.occurrence(task.occurrence)
         states = self.tasks[task.occurrence, task.step]
-        return states[task.index] if 0 <= task.index < len(states) else None
+        return states[task.number] if 0 <= task.number < len(states) else None
 
     def down_for(self, now: float) -> float:
         """Return for how many seconds a lasting task that ran is down.
@@ -231,7 +231,7 @@
         row["done"] = _masks(state, lambda task: task.done)
         row["ran"] = _masks(state, lambda task: task.ran)
         row["rest"] = {
-            f"{t.task.occurrence}.{t.task.step}.{t.task.index}":
+            f"{t.task.occurrence}.{t.task.step}.{t.task.number}":
             [t.last_run, sorted(t.failed_runs), t.saved]
             for t in state.all_tasks()
             if not t.done and (t.failed_runs or t.saved)}
--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -3,6 +3,7 @@
 from sycamorefield import events
 from sycamorefield.fleet import demand
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import pacer
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import slowness
 from sycamorefield.fleet import state as state_mod
@@ -52,6 +53,9 @@
         worker.reported = True
         fleet.unheard.pop(worker_id, None)
         fleet.pacer.take(worker, report, now)
+        worker.stalls = any(pacer.stalls(task)
+                            for task in worker.tasks.values())
+        worker.touch()
         if news or new_ends:
             fleet.notify()
         return new_ends
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -71,6 +71,8 @@
         # Where starts wait to be sent no room comes, but what is free is
         # there as soon as they are out.
         self.coming = _coming_rooms(usable)
+        # Workers on which something else was not to start in this round.
+        self.excluded: list[workerstate.WorkerState] = []
 
     def place_step(self, state: progress.JobState, occurrence: int,
                    number: int) -> None:
@@ -124,12 +126,18 @@
         holds_back = (self.policy.keep_room_for_short_work
                       and state.job.steps[idle[0].task.step].perpetual)
         placed = headroom.placed(tasks) if holds_back else 0
+        given_up: set[headroom.Part] = set()
         for task in idle:
             part = headroom.part(task, placed,
                                  self.policy.spread_lasting_jobs)
             if holds_back and part is not headroom.Part.ANY_ROOM:
                 # Others of the step may have run, and need not leave room.
-                placed += self._place_lasting(state, task, site, part)
+                if part in given_up:
+                    continue
+                if self._place_lasting(state, task, site, part):
+                    placed += 1
+                elif self._waits(state, task, site, part):
+                    given_up.add(part)
             elif not self._place_task(state, task, site):
                 # Its other tasks are as large and look as far.
                 break
@@ -140,12 +148,14 @@
         scope = site.scope(task)
         need = task.step.room
         if not self.shortage.covers(scope, need):
-            worker = placing.choose(task, site.service, site.workers,
-                                    self.fleet.learnt)
+            worker = placing.choose(
+                task, site.service, self._untried(task, site, scope),
+                self.fleet.learnt)
             if worker is not None:
                 self._start(state, task, worker, site)
                 return True
             self.shortage.add(scope, need)
+            self.fleet.no_room.add(scope, need)
         expected = self._expects_room(state, task, site, scope)
         if (self.policy.keep_gaps and task.ran
                 and ordering.interrupted(state, self.now)):
@@ -153,6 +163,31 @@
         # Of one step some lasting tasks may have run and others not.
         return expected or task.step.perpetual
 
+    def _untried(self, task: progress.TaskState, site: Site,
+                 scope: shortage.Scope) -> list[workerstate.WorkerState]:
+        """Return the workers that may have room for a task by now."""
+        if site.tickets is not None or not self.policy.remember_shortage:
+            return site.workers
+        return self.fleet.no_room.untried(scope, task.step.room,
+                                          site.workers)
+
+    def _exclude(self, worker: workerstate.WorkerState,
+                 *lists: list[workerstate.WorkerState]) -> None:
+        """Start nothing more on a worker in this round.
+
+        In the next one it counts as changed: what finds no room now has not
+        been tried there.
+        """
+        self.excluded.append(worker)
+        for workers in lists:
+            if worker in workers:
+                workers.remove(worker)
+
+    def finish(self) -> None:
+        """Let the next round try what this one left out."""
+        for worker in self.excluded:
+            worker.touch()
+
     def _place_lasting(self, state: progress.JobState,
                        task: progress.TaskState, site: Site,
                        part: headroom.Part) -> bool:
@@ -160,15 +195,11 @@
 
         Less urgent runs give way to it as to any, but only where it may go.
         """
+        if self._waits(state, task, site, part):
+            return False
         need = task.step.room
         scope = site.scope(task)
-        held = self.held[part]
-        if held.covers(scope, need):
-            return False
         room = self._headroom(state, site)
-        if (part is headroom.Part.REST
-                and room.settling(self.now - state.seen_at)):
-            return False
         workers = room.allowed(part, task.step, site.workers)
         if not self.shortage.covers(scope, need):
             worker = placing.choose(task, site.service, workers,
@@ -178,9 +209,20 @@
                 return True
         if not self._make_room(state, task,
                                dataclasses.replace(site, workers=workers)):
-            held.add(scope, need)
+            self.held[part].add(scope, need)
         return False
 
+    def _waits(self, state: progress.JobState, task: progress.TaskState,
+               site: Site, part: headroom.Part) -> bool:
+        """Tell whether a lasting task is known not to start in this round.
+
+        All of its step that leave as much room wait with it.
+        """
+        if self.held[part].covers(site.scope(task), task.step.room):
+            return True
+        return (part is headroom.Part.REST and self._headroom(
+            state, site).settling(self.now - state.seen_at))
+
     def _headroom(self, state: progress.JobState,
                   site: Site) -> headroom.Headroom:
         priority = ordering.priority(state, self.queues)
@@ -227,9 +269,7 @@
         if worker is None:
             return False
         self.coming.pop(worker.entry.worker_id, None)
-        for workers in (self.usable, site.workers):
-            if worker in workers:
-                workers.remove(worker)
+        self._exclude(worker, self.usable, site.workers)
         return True
 
     def _place_gang(self, state: progress.JobState,
@@ -248,7 +288,7 @@
     def move_stalled(self) -> None:
         """Stop runs that make little progress if others have room."""
         for worker in self.fleet.workers.values():
-            for task in list(worker.tasks.values()):
+            for task in list(worker.tasks.values()) if worker.stalls else ():
                 if not self._stalled(task):
                     continue
                 target = self._better_place(worker, task)
@@ -256,7 +296,7 @@
                     self.fleet.stop_run(task, "little progress here")
                     # Until it is placed there, others must not count on
                     # the same processors.
-                    self.usable.remove(target)
+                    self._exclude(target, self.usable)
                     return
 
     def _better_place(self, worker: workerstate.WorkerState,
@@ -267,7 +307,8 @@
         scope = site.scope(task)
         if self.shortage.covers(scope, task.step.room):
             return None
-        others = [w for w in site.workers if w is not worker]
+        others = [w for w in self._untried(task, site, scope)
+                  if w is not worker]
         target = placing.choose(task, site.service, others,
                                 self.fleet.learnt)
         if target is None:
@@ -277,9 +318,8 @@
     def _stalled(self, task: progress.TaskState) -> bool:
         if task.phase != progress.RUNNING or task.step.gang:
             return False
-        return task.stuck or (
-            task.step.fills and 0 <= task.pace <= pacer.STALLED_PACE
-            and self.now - task.slowed_at >= STALLED_S)
+        return pacer.stalls(task) and (
+            task.stuck or self.now - task.slowed_at >= STALLED_S)
 
     def _make_room(self, state: progress.JobState,
                    task: progress.TaskState, site: Site) -> bool:
@@ -292,9 +332,7 @@
                     and placing.allowed(worker, site.service, task)):
                 self.coming[worker_id] = coming.minus(need)
                 return True
-        chosen = placing.victims(
-            task, site.service, ordering.priority(state, self.queues),
-            site.workers, self._task_priority)
+        chosen = self._victims(state, task, site)
         for victim in chosen:
             self.fleet.stop_run(victim, f"room for {task.task}")
         if chosen:
@@ -303,6 +341,23 @@
                 worker).minus(need)
         return bool(chosen)
 
+    def _victims(self, state: progress.JobState, task: progress.TaskState,
+                 site: Site) -> list[progress.TaskState]:
+        """Return less urgent runs whose stop makes room for a task."""
+        priority = ordering.priority(state, self.queues)
+        scope = dataclasses.replace(site.scope(task), priority=priority)
+        workers = site.workers
+        remembers = (site.tickets is None and not task.step.perpetual
+                     and self.policy.remember_shortage)
+        if remembers:
+            workers = self.fleet.no_victims.untried(scope, task.step.room,
+                                                    workers)
+        chosen = placing.victims(task, site.service, priority, workers,
+                                 self._task_priority)
+        if remembers and not chosen:
+            self.fleet.no_victims.add(scope, task.step.room)
+        return chosen
+
     def _task_priority(self, task: progress.TaskState) -> int:
         return ordering.priority(self.fleet.jobs[task.task.job_id],
                                  self.queues)
@@ -311,16 +366,19 @@
 def _coming_rooms(workers: list[workerstate.WorkerState]
                   ) -> dict[str, messages.Room]:
     """Return the room coming on each worker where some is, or is held back."""
-    rooms = {w.entry.worker_id: _stopping_room(w) for w in workers}
-    return {w.entry.worker_id: rooms[w.entry.worker_id] for w in workers
-            if rooms[w.entry.worker_id] != messages.Room()
-            or not w.takes_starts()}
+    rooms = {}
+    for worker in workers:
+        room = _stopping_room(worker) if worker.stopping else messages.Room()
+        if room != messages.Room() or not worker.takes_starts():
+            rooms[worker.entry.worker_id] = room
+    return rooms
 
 
 def _stopping_room(worker: workerstate.WorkerState) -> messages.Room:
     room = messages.Room()
-    for task in worker.tasks.values():
-        if task.phase == progress.STOPPING:
+    for run in worker.stopping:
+        task = worker.tasks.get(run)
+        if task is not None and task.phase == progress.STOPPING:
             room = room.plus(task.step.reserved())
     return room
 
@@ -330,12 +388,17 @@
     with fleet.lock:
         fleet.changed = False
         fleet.demand.begin(now)
-        queues = fleet.configuration().by_name()
+        configuration = fleet.configuration()
+        queues = configuration.by_name()
+        if configuration.version != fleet.placed_with:
+            # Priorities and services may have changed.
+            fleet.placed_with = configuration.version
+            fleet.no_room.clear()
+            fleet.no_victims.clear()
         ranked = ordering.ranked(
             fleet.active.values(), queues, wall_ms, now,
             fleet.policy.rank_by_lateness)
-        usable = [w for w in fleet.workers.values() if w.usable(now)]
-        round_ = Round(fleet, queues, usable, now)
+        round_ = Round(fleet, queues, _usable(fleet, now), now)
         for state in ranked:
             if state.created <= fleet.fence and fleet.unheard:
                 continue
@@ -344,6 +407,21 @@
             _place_job(round_, state, wall_ms)
         if fleet.policy.move_stalled_runs:
             round_.move_stalled()
+        round_.finish()
+
+
+def _usable(fleet: state_mod.FleetState, now: float
+            ) -> list[workerstate.WorkerState]:
+    """Return the workers that may get new runs, and note the new ones."""
+    usable = []
+    for worker in fleet.workers.values():
+        is_usable = worker.usable(now)
+        if is_usable:
+            usable.append(worker)
+            if not worker.was_usable:
+                worker.touch()
+        worker.was_usable = is_usable
+    return usable
 
 
 def _note_arrival(round_: Round, state: progress.JobState) -> None:
--- a/sycamorefield/fleet/shortage.py
+++ b/sycamorefield/fleet/shortage.py
@@ -1,9 +1,10 @@
-"""Remember within one round of placing which needs found no room."""
+"""Remember which needs found no room, within a round and over rounds."""
 
 import dataclasses
 import typing
 
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import workerstate
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -19,6 +20,8 @@
     requires: str = ""
     image: str = ""
     step: messages.StepId | None = None
+    # Only where runs of less urgent jobs may give way.
+    priority: int | None = None
 
     def wider(self) -> "Scope":
         """Return the scope without what is special to a step or label."""
@@ -57,3 +60,41 @@
         others = [room for room in self.failed.get(scope, ())
                   if not room.holds(need)]
         self.failed[scope] = others + [need]
+
+
+# Needs remembered over rounds; a full fleet has some hundred that wait.
+MOST_MISSES = 4096
+
+
+class Misses:
+    """Spare the search of workers that have not changed since the last one.
+
+    On a full fleet the same needs wait in round after round, while a few
+    reports come in between.  Searching all workers again for each need made
+    the work of a round grow with workers times needs: with 445 workers the
+    owner took 40 ms a round and its VM had no time left for reports.  A need
+    that found no room is tried on the workers that changed since: the others
+    still have none, so the choice stays the same.
+    """
+
+    def __init__(self) -> None:
+        self.searched: dict[tuple[Scope, messages.Room], int] = {}
+
+    def untried(self, scope: Scope, need: messages.Room,
+                workers: list[workerstate.WorkerState]
+                ) -> list[workerstate.WorkerState]:
+        """Return the workers that may have room, in their order."""
+        since = self.searched.get((scope, need))
+        if since is None:
+            return workers
+        return [w for w in workers if w.changed > since]
+
+    def add(self, scope: Scope, need: messages.Room) -> None:
+        """Note that a need has just found no room on any worker."""
+        if len(self.searched) >= MOST_MISSES:
+            self.searched.clear()
+        self.searched[scope, need] = next(workerstate.CHANGES)
+
+    def clear(self) -> None:
+        """Forget all, because rules for all workers have changed."""
+        self.searched.clear()
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -19,6 +19,7 @@
 from sycamorefield.fleet import policy as policy_mod
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import runlog
+from sycamorefield.fleet import shortage
 from sycamorefield.fleet import workerstate
 
 Order = messages.StartOrder | messages.StopOrder | messages.PaceOrder
@@ -66,6 +67,11 @@
         self.run_log = runlog.RunLog()
         self.advice = advice.AdviceBook(None)
         self.advice.answered = self._answered
+        # What found no room, and what found no runs to stop for room.
+        self.no_room = shortage.Misses()
+        self.no_victims = shortage.Misses()
+        # The version of the configuration that the last round went by.
+        self.placed_with = 0
         self.changed = False
         self.commit_now = False
 
@@ -131,6 +137,9 @@
         events.emit(events.RUN_STOPPED, task=str(task.task), run=task.run,
                     worker=task.worker_id, reason=reason)
         task.phase = progress.STOPPING
+        worker = self.workers.get(task.worker_id)
+        if worker is not None:
+            worker.stopping.add((task.task, task.run))
         self.send(task.worker_id, messages.StopOrder(task.task, task.run))
 
     def waiting(self) -> dict[str, int]:
@@ -167,7 +176,9 @@
                 return False
             known = self.workers.get(entry.worker_id)
             if known is not None:
-                known.entry = entry
+                if entry != known.entry:
+                    known.entry = entry
+                    known.touch()
                 known.listed = True
                 return False
             self.workers[entry.worker_id] = workerstate.WorkerState(
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -1,5 +1,7 @@
 """Hold what the owner knows of one worker and the room left on it."""
 
+import itertools
+
 from sycamorefield.fleet import interference
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import progress
@@ -31,6 +33,9 @@
 FAILURES_IN_A_ROW = 3
 AVOID_S = 3.0
 
+# Numbers changes of workers in the order in which they happen.
+CHANGES = itertools.count(1)
+
 
 class WorkerState:
     """Account for the room of one worker and its lease."""
@@ -69,6 +74,19 @@
         self.clock_read = 0.0
         self.granted_ms = 0.0
         self.processed = 0
+        # The number of the last change that may let a run fit here that did
+        # not fit before.
+        self.changed = next(CHANGES)
+        # Whether new runs could be ordered here in the last round.
+        self.was_usable = False
+        # Runs that were told to stop.
+        self.stopping: set[Run] = set()
+        # Whether the last report showed a run that makes little progress.
+        self.stalls = False
+
+    def touch(self) -> None:
+        """Note a change after which runs may fit that did not before."""
+        self.changed = next(CHANGES)
 
     def heard(self, clock_ms: float, at: float) -> None:
         """Note the worker's clock, read at a moment of ours."""
@@ -100,6 +118,7 @@
         """Count a run's room as taken until it is released."""
         if run in self.reserved:
             return
+        self.touch()
         room = step.reserved()
         self.reserved[run] = room
         self.used = self.used.plus(room)
@@ -114,7 +133,9 @@
 
     def release(self, run: Run, step: messages.Step) -> None:
         """Give a run's room back."""
+        self.touch()
         self.unsent.discard(run)
+        self.stopping.discard(run)
         room = self.reserved.pop(run, None)
         self.tasks.pop(run, None)
         if room is None:
@@ -136,6 +157,8 @@
         """Note that a start waits no more; tell if others may follow now."""
         held_back = not self.takes_starts()
         self.unsent.discard(run)
+        if held_back:
+            self.touch()
         return held_back and self.takes_starts()
 
     def free(self) -> messages.Room:
--- /dev/null
+++ b/sycamorefield/platform/exchange.py
@@ -0,0 +1,163 @@
+"""Exchange HTTP/1.1 messages with one server over connections kept open.
+
+An owner makes hundreds of calls a second, and a call is most of what a report
+or an order costs it.  urllib3 opens the connections; a request is then one
+write, and httptools, a parser in C, reads the answer.
+"""
+
+import collections
+import select
+import socket
+
+import httptools
+import urllib3
+
+from sycamorefield.fleet import surroundings
+
+# A connection to a VM without power never opens; a data centre away a
+# handshake takes 3 ms, so half a second means that nobody is there.
+CONNECT_TIMEOUT_S = 0.5
+READ_BYTES = 65536
+
+
+class Response:
+    """Collect an answer while it is parsed."""
+
+    def __init__(self) -> None:
+        self.parser = httptools.HttpResponseParser(self)
+        self.parts: list[bytes] = []
+        self.complete = False
+        # Whether the connection may be used again.
+        self.keeps_alive = False
+
+    def on_body(self, part: bytes) -> None:
+        """Take in a part of the body."""
+        self.parts.append(part)
+
+    def on_message_complete(self) -> None:
+        """Note that the whole answer is there."""
+        self.complete = True
+        self.keeps_alive = bool(self.parser.should_keep_alive())
+
+    def feed(self, data: bytes) -> None:
+        """Parse some bytes; raises CallFailed if they are no HTTP."""
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserError as exc:
+            raise surroundings.CallFailed(f"not HTTP: {exc!r}") from exc
+
+    def status(self) -> int:
+        """Return the status code."""
+        return int(self.parser.get_status_code())
+
+    def body(self) -> bytes:
+        """Return the whole body."""
+        return b"".join(self.parts)
+
+
+class Connection:
+    """Send one request at a time to a server."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        self.timeout_s: float | None = None
+        self.poll = select.poll()
+        self.poll.register(sock, select.POLLIN)
+
+    def dropped(self) -> bool:
+        """Tell whether the other end has closed it while it was idle."""
+        return bool(self.poll.poll(0))
+
+    def exchange(self, request: bytes, timeout_s: float) -> Response:
+        """Send a request and return the answer; raises CallFailed.
+
+        A connection may go silent for good without a reset: each wait for
+        further bytes ends after the timeout.
+        """
+        if timeout_s != self.timeout_s:
+            self.sock.settimeout(timeout_s)
+            self.timeout_s = timeout_s
+        response = Response()
+        try:
+            self.sock.sendall(request)
+            while not response.complete:
+                data = self.sock.recv(READ_BYTES)
+                if not data:
+                    raise _ended(response)
+                response.feed(data)
+        except OSError as exc:
+            raise surroundings.CallFailed(f"no answer: {exc!r}") from exc
+        return response
+
+    def close(self) -> None:
+        """Close the connection."""
+        self.sock.close()
+
+
+def _ended(response: Response) -> surroundings.CallFailed:
+    """Return what the end of a connection before a whole answer means.
+
+    A worker that leaves ends its connections in order, between answers; a cut
+    network resets them while the worker goes on.
+    """
+    if response.parts:
+        return surroundings.CallFailed("answer broke off")
+    return surroundings.ConnectionClosed("closed before an answer")
+
+
+class Pool:
+    """Keep connections to one server open for the next calls."""
+
+    def __init__(self, host: str, port: int, most: int) -> None:
+        self.host = host
+        self.port = port
+        # Idle connections, the one used last at the end.
+        self.idle: collections.deque[Connection] = collections.deque(
+            maxlen=most)
+
+    def exchange(self, request: bytes, timeout_s: float) -> Response:
+        """Send a request over an idle connection or a new one.
+
+        Raises NobodyListens, CallRefused, ConnectionClosed or CallFailed.
+        """
+        connection = self._idle() or self._connect(timeout_s)
+        try:
+            response = connection.exchange(request, timeout_s)
+        except surroundings.CallFailed:
+            connection.close()
+            raise
+        if response.keeps_alive and len(self.idle) < (self.idle.maxlen
+                                                      or 0):
+            self.idle.append(connection)
+        else:
+            connection.close()
+        return response
+
+    def _idle(self) -> Connection | None:
+        while self.idle:
+            try:
+                connection = self.idle.pop()
+            except IndexError:
+                return None  # Another thread took the last one.
+            if not connection.dropped():
+                return connection
+            connection.close()
+        return None
+
+    def _connect(self, timeout_s: float) -> Connection:
+        opened = urllib3.connection.HTTPConnection(
+            self.host, self.port, timeout=min(CONNECT_TIMEOUT_S, timeout_s))
+        try:
+            opened.connect()
+        except urllib3.exceptions.NewConnectionError as exc:
+            if isinstance(exc.__cause__, ConnectionRefusedError):
+                raise surroundings.NobodyListens(str(exc)) from exc
+            raise surroundings.CallRefused(f"no connection: {exc}") from exc
+        except (urllib3.exceptions.HTTPError, OSError) as exc:
+            raise surroundings.CallRefused(f"no connection: {exc}") from exc
+        return Connection(opened.sock)
+
+    def close(self) -> None:
+        """Close the connections that are idle."""
+        while self.idle:
+            self.idle.pop().close()
--- a/sycamorefield/platform/workers.py
+++ b/sycamorefield/platform/workers.py
@@ -1,8 +1,11 @@
 """Speak to the platform's workers and read their entries in the store."""
 
+import functools
 import json
 import typing
 
+import msgspec
+
 from sycamorefield import events
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import surroundings
@@ -24,13 +27,13 @@
     """Give orders to one incarnation of a worker over HTTP."""
 
     def __init__(self, entry: messages.WorkerEntry) -> None:
-        self.headers = {"Sycamorefield-Expect-Instance": entry.worker_id}
-        self.caller = calls.Caller(entry.address, CONNECTIONS)
+        self.caller = calls.Caller(
+            entry.address, CONNECTIONS,
+            {"Sycamorefield-Expect-Instance": entry.worker_id})
 
     def _post(self, path: str, body: dict[str, typing.Any],
               timeout_s: float = ORDER_TIMEOUT_S) -> calls.Answer:
-        answer = self.caller.call("POST", path, timeout_s, body,
-                                  self.headers)
+        answer = self.caller.call("POST", path, timeout_s, body)
         if answer.status == 200:
             return answer
         if answer.status == 421:
@@ -55,7 +58,7 @@
             body["wait_ms"] = wait_ms
         answer = self._post("/-/hold", body,
                             wait_ms / 1000.0 + REPORT_SLACK_S)
-        return _readable(_report, answer.body)
+        return read_report(answer.data)
 
     def start(self, order: messages.StartOrder, fence: int,
               lease_end_ms: float) -> float:
@@ -99,27 +102,71 @@
     return float(body["clock_ms"])
 
 
-def _report(body: Body) -> messages.WorkerReport:
-    return messages.WorkerReport(
-        _clock_ms(body),
-        tuple(_running(row) for row in body.get("running") or []),
-        tuple(_ended(row) for row in body.get("ended") or []))
+class RunningRow(msgspec.Struct, array_like=True):
+    """Check one run under way, as a worker lists it."""
+
+    task: str
+    run: int
+    saved: str | None = None
+    percent: float | None = None
+    figure: float | None = None
+
+
+class EndedRow(msgspec.Struct, array_like=True):
+    """Check one run that has ended, as a worker lists it."""
+
+    number: int
+    task: str
+    run: int
+    how: str
+    saved: str | None = None
+
+
+class ReportBody(msgspec.Struct):
+    """Check a worker's report.
+
+    Reports are most of what an owner reads; msgspec checks and decodes one
+    in a tenth of the time that a general decoder and a model take.
+    """
+
+    clock_ms: float
+    running: list[RunningRow] | None = None
+    ended: list[EndedRow] | None = None
+
+
+REPORT_DECODER = msgspec.json.Decoder(ReportBody)
+# Names of tasks come again in each report while their runs last.
+NAMES_REMEMBERED = 65536
+
+
+def read_report(data: bytes) -> messages.WorkerReport:
+    """Return the report that an answer holds; raises CallFailed."""
+    try:
+        body = REPORT_DECODER.decode(data)
+        return messages.WorkerReport(
+            body.clock_ms,
+            tuple(_running(row) for row in body.running or ()),
+            tuple(_ended(row) for row in body.ended or ()))
+    except (msgspec.MsgspecError, ValueError) as exc:
+        raise surroundings.CallFailed(
+            f"unreadable answer: {exc!r}") from exc
 
 
+@functools.lru_cache(maxsize=NAMES_REMEMBERED)
 def _task(name: str) -> messages.TaskId:
     job_id, occurrence, step, index = name.rsplit(".", 3)
     return messages.TaskId(job_id, int(occurrence), int(step), int(index))
 
 
-def _running(row: list[typing.Any]) -> messages.RunningTask:
-    figure = float(row[4]) if len(row) > 4 and row[4] is not None else 0.0
-    return messages.RunningTask(_task(row[0]), int(row[1]), row[2] or "",
-                                int(row[3] or 0), figure)
+def _running(row: RunningRow) -> messages.RunningTask:
+    return messages.RunningTask(
+        _task(row.task), row.run, row.saved or "", int(row.percent or 0),
+        row.figure or 0.0)
 
 
-def _ended(row: list[typing.Any]) -> messages.EndedTask:
-    return messages.EndedTask(int(row[0]), _task(row[1]), int(row[2]),
-                              row[3], row[4] or "")
+def _ended(row: EndedRow) -> messages.EndedTask:
+    return messages.EndedTask(row.number, _task(row.task), row.run, row.how,
+                              row.saved or "")
 
 
 class PlatformWorkerList(surroundings.WorkerList):
--- a/tests/test_fleet_interference.py
+++ b/tests/test_fleet_interference.py
@@ -8,6 +8,7 @@
 from sycamorefield.fleet import interference
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import pacing
+from sycamorefield.fleet import weights
 
 # True utilisation a core, as it was found in recorded figures.
 TRUE = {("s", "heavy"): 0.04, ("s", "light"): 0.0, ("t", "heavy"): 0.0,
@@ -22,8 +23,8 @@
     return 0.45 + 0.225 * math.sin(second * 2 * math.pi / 14.0)
 
 
-def fillers(rng: random.Random) -> list[interference.Filler]:
-    return [interference.Filler(image, rng.uniform(1.5, 3.5))
+def fillers(rng: random.Random) -> list[weights.Filler]:
+    return [weights.Filler(image, rng.uniform(1.5, 3.5))
             for image in ("heavy", "light") for _ in range(rng.randrange(3))]
 
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -4,6 +4,7 @@
 import json
 import os
 import socket
+import time
 import tomllib
 import urllib.request
 
@@ -467,3 +468,48 @@
     assert headers["Content-Type"] == "text/plain"
     assert headers["Content-Length"] == str(len(text))
     assert "fleet_owner 0" in text.splitlines()
+
+
+def test_calls_share_a_connection_until_the_server_ends_it(server, store):
+    """Open one connection for calls one after the other.
+
+    Symptom: an owner spent most of its processor time on connections.  A
+    connection that the server has closed meanwhile is not used again: a call
+    on it would have no answer though the server is well.
+    """
+    sockets = set()
+    answer = server.answer
+
+    def note(call):
+        sockets.add(call.client_address)
+        answer(call)
+        call.close_connection = len(server.calls) == 3
+    server.answer = note
+    for number in range(3):
+        put(store, f"k/{number}")
+    time.sleep(0.05)
+    put(store, "k/3")
+    assert len(sockets) == 2
+
+
+@pytest.mark.parametrize("data", [
+    b'{"clock_ms": 5, "running": [["a.0.0", 1]]}',
+    b'{"clock_ms": 5, "running": [["a.0.0.0", "x"]]}',
+    b'{"clock_ms": 5, "ended": [[1, "a.0.0.0"]]}',
+    b'{"running": []}', b"[]", b"", b"<html>"])
+def test_a_report_that_cannot_be_read_tells_no_outcome(data):
+    with pytest.raises(surroundings.CallFailed):
+        workers_mod.read_report(data)
+
+
+def test_a_report_may_leave_out_what_is_empty():
+    report = workers_mod.read_report(
+        b'{"clock_ms": 5, "running": [["a.0.1.2", 3], '
+        b'["a.0.1.3", 1, null, 40, 3250]], "ended": '
+        b'[[7, "a.0.0.0", 1, "done", null]], "more": 1}')
+    assert report == messages.WorkerReport(
+        5.0, (messages.RunningTask(messages.TaskId("a", 0, 1, 2), 3, "", 0),
+              messages.RunningTask(messages.TaskId("a", 0, 1, 3), 1, "", 40,
+                                   3250.0)),
+        (messages.EndedTask(7, messages.TaskId("a", 0, 0, 0), 1, "done",
+                            ""),))
