A step's tasks share one ranking of workers; headroom counts one start

Cause: each of dozens of tasks of a step searched and ranked all workers, and each lasting start counted the whole fleet's reserve again. Change: workers are ranked once a step and a round; only the one that got the last task is ranked again. Headroom keeps running sums. Ruled out: one ranking for all steps of an image (their widths differ).

--- a/sycamorefield/fleet/headroom.py
+++ b/sycamorefield/fleet/headroom.py
@@ -80,13 +80,24 @@
         self.kept = kept if kept >= self.width else 0.0
         ahead = learnt.ahead(self.capacity, now)
         self.ahead = ahead if ahead >= self.width else 0.0
-        self.count()
-
-    def count(self) -> None:
-        """Count what is reserved and usable, anew after a lasting start."""
-        used = sum(w.used.cpu for w in self.workers)
-        self.use = used / max(1, self.capacity)
-        self.usable = sum(self._usable(w, 0) for w in self.workers)
+        self.used = sum(w.used.cpu for w in workers)
+        self.gaps = {w.entry.worker_id: self._usable(w, 0) for w in workers}
+        self.usable = sum(self.gaps.values())
+
+    @property
+    def use(self) -> float:
+        """Return the share of the processors that is reserved."""
+        return self.used / max(1, self.capacity)
+
+    def started(self, worker: workerstate.WorkerState, cpu: int) -> None:
+        """Count a start; only what its worker leaves has changed."""
+        worker_id = worker.entry.worker_id
+        if worker_id not in self.gaps:
+            return
+        self.used += cpu
+        self.usable -= self.gaps[worker_id]
+        self.gaps[worker_id] = self._usable(worker, 0)
+        self.usable += self.gaps[worker_id]
 
     def _usable(self, worker: workerstate.WorkerState, taken: int) -> float:
         """Return the gaps of a worker that short tasks could use."""
--- a/sycamorefield/fleet/placing.py
+++ b/sycamorefield/fleet/placing.py
@@ -1,5 +1,6 @@
 """Choose workers for tasks, and what gives way to an urgent one."""
 
+import heapq
 import typing
 
 from sycamorefield.fleet import interference
@@ -75,21 +76,72 @@
     Data nearby counts most, then workers on which the task has not failed,
     then the most room left, so that neither racks nor workers fill unevenly.
     """
-    step = task.step
     best = None
-    best_rank: tuple[float, ...] = ()
+    best_rank: Rank = ()
     for worker in workers:
-        if not allowed(worker, service, task) or not fits(
-                worker, step, learnt):
-            continue
-        near = not step.affinity or step.affinity in worker.entry.labels
-        fresh = worker.entry.worker_id not in task.avoid
-        rank = (fresh, near, *_room_rank(worker, step, learnt))
-        if best is None or rank > best_rank:
+        rank = _rank(worker, task, service, learnt)
+        if rank is not None and (best is None or rank > best_rank):
             best, best_rank = worker, rank
     return best
 
 
+Rank = tuple[float, ...]
+
+
+def _rank(worker: workerstate.WorkerState, task: progress.TaskState,
+          service: str, learnt: interference.Interference) -> Rank | None:
+    """Return how well a task goes on a worker, or None if it can't."""
+    step = task.step
+    if not allowed(worker, service, task) or not fits(worker, step, learnt):
+        return None
+    near = not step.affinity or step.affinity in worker.entry.labels
+    fresh = worker.entry.worker_id not in task.avoid
+    return (fresh, near, *_room_rank(worker, step, learnt))
+
+
+class Ranking:
+    """Choose workers for the tasks of a step, one after the other.
+
+    Chooses what choose() does for each.  Searching all workers anew for each
+    of dozens of tasks took most of a round that starts them; here only the
+    worker that got the last one is ranked again.  It holds as long as only
+    the workers that it chose change, and for tasks that avoid no worker.
+    """
+
+    def __init__(self, task: progress.TaskState, service: str,
+                 workers: typing.Iterable[workerstate.WorkerState],
+                 learnt: interference.Interference) -> None:
+        self.task = task
+        self.service = service
+        self.learnt = learnt
+        # The best first; of equal ones the first in the order of workers.
+        self.ranked: list[tuple[Rank, int, int,
+                                workerstate.WorkerState]] = []
+        for place, worker in enumerate(workers):
+            rank = _rank(worker, task, service, learnt)
+            if rank is not None:
+                self.ranked.append(_entry(rank, place, worker))
+        heapq.heapify(self.ranked)
+
+    def best(self) -> workerstate.WorkerState | None:
+        """Return the best worker as of now, or None if none has room."""
+        while self.ranked:
+            _, place, changed, worker = self.ranked[0]
+            if worker.changed == changed:
+                return worker
+            rank = _rank(worker, self.task, self.service, self.learnt)
+            if rank is None:
+                heapq.heappop(self.ranked)
+            else:
+                heapq.heapreplace(self.ranked, _entry(rank, place, worker))
+        return None
+
+
+def _entry(rank: Rank, place: int, worker: workerstate.WorkerState
+           ) -> tuple[Rank, int, int, workerstate.WorkerState]:
+    return tuple(-part for part in rank), place, worker.changed, worker
+
+
 # Added harm below this (a tail 2% higher a core) counts as none.
 HARMLESS = 0.02
 
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -73,6 +73,8 @@
         self.coming = _coming_rooms(usable)
         # Workers on which something else was not to start in this round.
         self.excluded: list[workerstate.WorkerState] = []
+        # Workers for the tasks of the step being placed.
+        self.ranking: placing.Ranking | None = None
 
     def place_step(self, state: progress.JobState, occurrence: int,
                    number: int) -> None:
@@ -127,6 +129,7 @@
                       and state.job.steps[idle[0].task.step].perpetual)
         placed = headroom.placed(tasks) if holds_back else 0
         given_up: set[headroom.Part] = set()
+        self.ranking = None
         for task in idle:
             part = headroom.part(task, placed,
                                  self.policy.spread_lasting_jobs)
@@ -148,9 +151,7 @@
         scope = site.scope(task)
         need = task.step.room
         if not self.shortage.covers(scope, need):
-            worker = placing.choose(
-                task, site.service, self._untried(task, site, scope),
-                self.fleet.learnt)
+            worker = self._choose(task, site)
             if worker is not None:
                 self._start(state, task, worker, site)
                 return True
@@ -163,6 +164,22 @@
         # Of one step some lasting tasks may have run and others not.
         return expected or task.step.perpetual
 
+    def _choose(self, task: progress.TaskState, site: Site
+                ) -> workerstate.WorkerState | None:
+        """Return the best worker for a task of the step being placed."""
+        if task.avoid or not self.policy.remember_shortage:
+            self.ranking = None
+            return placing.choose(
+                task, site.service,
+                self._untried(task, site, site.scope(task)),
+                self.fleet.learnt)
+        if self.ranking is None:
+            self.ranking = placing.Ranking(
+                task, site.service,
+                self._untried(task, site, site.scope(task)),
+                self.fleet.learnt)
+        return self.ranking.best()
+
     def _untried(self, task: progress.TaskState, site: Site,
                  scope: shortage.Scope) -> list[workerstate.WorkerState]:
         """Return the workers that may have room for a task by now."""
@@ -179,6 +196,7 @@
         been tried there.
         """
         self.excluded.append(worker)
+        self.ranking = None
         for workers in lists:
             if worker in workers:
                 workers.remove(worker)
@@ -202,8 +220,9 @@
         room = self._headroom(state, site)
         workers = room.allowed(part, task.step, site.workers)
         if not self.shortage.covers(scope, need):
-            worker = placing.choose(task, site.service, workers,
-                                    self.fleet.learnt)
+            worker = (self._choose(task, site) if workers is site.workers
+                      else placing.choose(task, site.service, workers,
+                                          self.fleet.learnt))
             if worker is not None:
                 self._start(state, task, worker, site)
                 return True
@@ -239,9 +258,8 @@
                worker: workerstate.WorkerState, site: Site) -> None:
         self.fleet.start(state, task, worker, state.next_run(task),
                          site.ticket(worker))
-        if task.step.perpetual:
-            for room in self.headrooms.values():
-                room.count()
+        for room in self.headrooms.values():
+            room.started(worker, task.step.reserved().cpu)
         if not worker.takes_starts():
             self.coming.setdefault(worker.entry.worker_id, messages.Room())
 
