--- a/sycamorefield/fleet/gaps.py
+++ b/sycamorefield/fleet/gaps.py
@@ -61,9 +61,7 @@
     and it stays down for as long as they keep coming.  Its users notice; the
     owner sees a task down for seconds beside starts on every worker.  With a
     claim nothing else is started on that worker until runs have ended there,
-    so the wait is that of the runs that are there: with short runs of 0.8 to
-    1.6 s, a task as wide as a worker is back 1.3 s after it may go first,
-    instead of not in 60 s (modelled, two workers).
+    so the wait is that of the runs that are there.
     """
 
     def __init__(self, workers: list[workerstate.WorkerState]) -> None:
--- a/sycamorefield/fleet/headroom.py
+++ b/sycamorefield/fleet/headroom.py
@@ -59,14 +59,10 @@
     What goes wrong without: lasting tasks reserve nearly all processors and
     stay for minutes, what is left are gaps narrower than any urgent task,
     and urgent callers wait for seconds on a calm day, however high they
-    rank.  One sees 97% of the processors reserved, a widest gap of 2 cores,
-    and urgent tasks waiting all the time.
+    rank.  One sees nearly all processors reserved, a widest gap smaller than
+    an urgent task, and urgent tasks waiting all the time.
     Room counts in gaps as wide as a short task: the rest of a worker is of
     no use to them, and lasting tasks may have it.
-    Measured on 33 workers that lasting jobs fill: urgent jobs earn 0.76
-    instead of 0.31 on a calm day, requests lost fall from 0.099 to 0.071
-    (16 paired days); where lasting jobs leave room by themselves nothing
-    changes.
     """
 
     def __init__(self, workers: list[workerstate.WorkerState],
--- a/sycamorefield/fleet/interference.py
+++ b/sycamorefield/fleet/interference.py
@@ -5,10 +5,7 @@
 filling runs beside it add; equal additions hardly show at low load and
 multiply the tail at high load.  All tasks of a step share one load, so the
 least disturbed of them shows the load, and what another one has more is the
-disturbance on its worker.  Measured on recorded figures of 33 workers: the
-load found this way swings smoothly between 0.2 and 0.7 in 14 s; a filling
-core adds 0.02 to 0.1 for a harmful pair of images and under 0.005 for a
-harmless one.
+disturbance on its worker.
 """
 
 import collections
@@ -19,7 +16,7 @@
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import weights
 
-# One task of a step: its worker and its index.
+# One task of a step: its worker and its number in the step.
 Member = tuple[str, int]
 
 # Serving tasks are taken to have this load when their tail is lowest.
@@ -125,12 +122,9 @@
         """Return how far the load may rise while a filling run works.
 
         A load that swings falls for half of the time.  Taken to rise always,
-        it kept filling runs off workers that had processors for them: 162
-        tasks waited beside 450 idle cores of 1,232.  Going by the slope
-        gained 0.038 worth (standard error 0.010, 12 paired days of 33
-        workers on which filling work waits; nothing shows on others), and
-        0.032 instead of 0.038 of the requests were lost.  Modelled, it errs
-        to the low side: by 0.056 on average, 0.006 when always taken to rise.
+        it keeps filling runs off workers that have processors for them: one
+        sees tasks wait beside hundreds of idle cores.  Going by the slope
+        errs to the low side, as the slope is known late.
         """
         (begin, first), (end, last) = self.past[0], self.past[-1]
         if end - begin < SLOPE_S / 2:
--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -181,8 +181,7 @@
         """Note a refused connection; tell if the worker has ended.
 
         Its tasks then run elsewhere within half a second instead of when its
-        leases are over, 5.4 s after a crash and up to 13.5 s after a change
-        of owner.
+        leases are over, some seconds later.
         """
         self.refusals += 1
         if (self.refusals >= REFUSALS_TO_END
--- a/sycamorefield/fleet/ordering.py
+++ b/sycamorefield/fleet/ordering.py
@@ -20,10 +20,9 @@
 HOPE = 0.25
 # The order of jobs of one priority.
 INTERRUPTED, IN_TIME, LATE, TOO_LATE, LASTING = range(5)
-# A task that is down for less waits for a gap that no short task wants; one
-# that is down for 9 s with room for it counts as lost to its users.
-# Measured on a full fleet of 33 workers: restarting at once costs urgent
-# short jobs 0.18 of what they are worth.
+# A task that is down for less waits for a gap that no short task wants:
+# restarted at once, it takes the room of urgent short jobs.  One that is down
+# for 9 s with room for it counts as lost to its users.
 DOWN_S = 4.0
 
 
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -430,7 +430,7 @@
             self.fleet.run_log.flush_when_due(now)
             if not self.may_lease():
                 # A start without a lease would be taken back unsent and be
-                # placed again at once: 1,386 times in 4 s in one outage.
+                # placed again at once, hundreds of times a second.
                 self.over.wait(TICK_S)
                 continue
             rounds.place(self.fleet, now, clock.wall_ms())
--- a/sycamorefield/fleet/ownership.py
+++ b/sycamorefield/fleet/ownership.py
@@ -18,10 +18,9 @@
 # Processes that see the key go at the same moment try at different times,
 # which spares the store most of the claims that cannot win.
 CLAIM_JITTER_S = 0.08
-# An owner of 176 workers needs more than half a core: on VMs of 0.516 core it
-# used all of that, and from 28 to 50 s of a day it made 6 to 177 starts a
-# second while 1,300 urgent tasks waited beside 100 to 440 free cores.  A VM
-# with less than this leaves the claim to others that may be about to make it.
+# The owner of a large fleet on a weak VM uses all its processor time: urgent
+# tasks wait beside free cores because it can't order more starts.  A VM with
+# less than this leaves the claim to others that may be about to make it.
 OWNER_CORES = 1.0
 # A claim takes two calls to the store, 0.5 s where it answers 60 times more
 # slowly than usual; without a stronger VM a takeover is this much later.
--- a/sycamorefield/fleet/placing.py
+++ b/sycamorefield/fleet/placing.py
@@ -13,10 +13,8 @@
 # the load of those is known to a few percent only.
 FILL_SHARE = 1.05
 # A filling task goes where no tail that it harms is expected above this share
-# of its target; above 0.85 runs are slowed.  On a full fleet of 33 workers
-# serving tasks were over their target for 348, 298 and 204 task-seconds with
-# limits of 0.8, 0.65 and 0.55; 120, 108 and 114 of 183 filling jobs were in
-# time.
+# of its target: loads swing within a run, and what is placed close to the
+# share at which runs are slowed soon is.
 TAIL_LIMIT = 0.55
 
 
@@ -24,8 +22,8 @@
     """Return processors that filling tasks may expect, in thousandths.
 
     Serving tasks use what their load tells; a fixed share of what they
-    reserve left a sixth of the fleet unused at low load, and had processors
-    all in use, which disturbs every serving task, at high load.
+    reserve leaves processors unused at low load, and has all of them in use,
+    which disturbs every serving task, at high load.
     """
     return (worker.entry.capacity.cpu - worker.used.cpu + worker.unused_cpu
             - worker.filling_cpu)
@@ -102,10 +100,10 @@
 class Ranking:
     """Choose workers for the tasks of a step, one after the other.
 
-    Chooses what choose() does for each.  Searching all workers anew for each
-    of dozens of tasks took most of a round that starts them; here only the
-    worker that got the last one is ranked again.  It holds as long as only
-    the workers that it chose change, and for tasks that avoid no worker.
+    Chooses what choose() does for each, but ranks all workers only once:
+    searching them anew for each of dozens of tasks takes most of a round that
+    starts them.  It holds as long as only the workers that it chose change,
+    and for tasks that avoid no worker.
     """
 
     def __init__(self, task: progress.TaskState, service: str,
--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -140,7 +140,7 @@
         if (now - self.counted_at < WAITING_PERIOD_S
                 and self.counts is not None):
             return
-        # Counting takes 2 ms under the fleet's lock with 600 jobs waiting.
+        # Counting holds the fleet's lock for each job that waits.
         self.counted_at = now
         counts = self.fleet.waiting()
         if counts == self.counts:
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -15,9 +15,8 @@
 from sycamorefield.fleet import workerstate
 
 # A filling run slowed to pacer.STALLED_PACE for this long moves to a worker
-# where it is expected to harm nobody, if there is one.  Moving after 0.4 s
-# from 25 percent threw 456 core-seconds of work away in a minute on a full
-# fleet of 33 workers; this threw away 275.
+# where it is expected to harm nobody, if there is one.  Moving sooner throws
+# more work away than it saves.
 STALLED_S = 1.0
 
 
--- a/sycamorefield/fleet/shortage.py
+++ b/sycamorefield/fleet/shortage.py
@@ -32,10 +32,9 @@
     """Spare the search for a need no smaller than one that found no room.
 
     On a full fleet most tasks that wait find none.  Searching all workers
-    for each of them made a round that places nothing take 119 ms of a core
-    instead of 8 (176 workers, 80 waiting jobs, bench/round_cost.py), so that
-    the owner's reports and leases came late.  Within a round room only gets
-    less and urgency too: one search answers for all that is as large.
+    for each of them leaves the owner no time for reports and leases, which
+    then come late.  Within a round room only gets less and urgency too: one
+    search answers for all that is as large.
     """
 
     def __init__(self, remembers: bool = True) -> None:
@@ -70,11 +69,11 @@
     """Spare the search of workers that have not changed since the last one.
 
     On a full fleet the same needs wait in round after round, while a few
-    reports come in between.  Searching all workers again for each need made
-    the work of a round grow with workers times needs: with 445 workers the
-    owner took 40 ms a round and its VM had no time left for reports.  A need
-    that found no room is tried on the workers that changed since: the others
-    still have none, so the choice stays the same.
+    reports come in between.  Searching all workers again for each need makes
+    the work of a round grow with workers times needs, and an owner of
+    hundreds of workers has no time left for reports.  A need that found no
+    room is tried on the workers that changed since: the others still have
+    none, so the choice stays the same.
     """
 
     def __init__(self) -> None:
--- a/sycamorefield/platform/workers.py
+++ b/sycamorefield/platform/workers.py
@@ -125,8 +125,8 @@
 class ReportBody(msgspec.Struct):
     """Check a worker's report.
 
-    Reports are most of what an owner reads; msgspec checks and decodes one
-    in a tenth of the time that a general decoder and a model take.
+    Reports are most of what an owner reads, hundreds a second: msgspec checks
+    and decodes one in a single pass.
     """
 
     clock_ms: float
