Tails that forbid a filling run are found at the first one

Change: the look at tails ends with the first that is too high; what a load may climb is worked out once a report; a search for a stalled run is remembered like any other. Ruled out: remembering headroom by tail (a start changes it).

--- a/sycamorefield/fleet/interference.py
+++ b/sycamorefield/fleet/interference.py
@@ -70,6 +70,12 @@
     load_known: bool = True
     # How far the load may rise while a filling run works.
     rise: float = LOAD_RISE
+    # The part of that rise which is to be expected; rounds ask for it for
+    # each worker and image.
+    climb: float = dataclasses.field(init=False)
+
+    def __post_init__(self) -> None:
+        self.climb = self.expected_load() - self.load
 
     def disturbance(self) -> float:
         """Return the utilisation that is not the task's own load."""
@@ -85,8 +91,8 @@
 
     def ratio_with(self, added: float) -> float:
         """Return the ratio to expect once utilisation is added."""
-        rise = self.expected_load() - self.load
-        utilisation = min(MOST_UTILISATION, self.utilisation + rise + added)
+        utilisation = self.utilisation + self.climb + added
+        utilisation = min(MOST_UTILISATION, utilisation)
         return self.base_ratio / (1.0 - utilisation)
 
 
@@ -218,19 +224,18 @@
             fit = self.fits.setdefault(tail.image, weights.Fit())
             fit.add(tail.utilisation - tail.load, fillers)
 
-    def added(self, tails: typing.Iterable[Tail], image: str,
-              cores: float) -> float:
-        """Return the highest ratio to expect of tails that a run harms.
+    def stays_below(self, tails: typing.Iterable[Tail], image: str,
+                    cores: float, limit: float) -> bool:
+        """Tell whether a run keeps each tail that it harms below a ratio.
 
         A tail that the run does not harm is no reason against it, however
         high the task's own load has driven it.
         """
-        worst = 0.0
         for tail in tails:
             extra = self.weight(tail.image, image) * cores
-            if extra >= HARMLESS:
-                worst = max(worst, tail.ratio_with(extra))
-        return worst
+            if extra >= HARMLESS and tail.ratio_with(extra) >= limit:
+                return False
+        return True
 
     def expect(self, tails: typing.Iterable[Tail], image: str,
                cores: float) -> None:
--- a/sycamorefield/fleet/pacing.py
+++ b/sycamorefield/fleet/pacing.py
@@ -88,7 +88,7 @@
         if 0 <= pace < 100:
             step = min(EASE_STEP, 100 - pace)
             cores = run.demand_cores * step / 100.0
-            if learnt.added(expected, run.image, cores) < AIM:
+            if learnt.stays_below(expected, run.image, cores, AIM):
                 pace += step
                 learnt.expect(expected, run.image, cores)
         shares.append(pace if pace >= 0 else LEAST)
--- a/sycamorefield/fleet/placing.py
+++ b/sycamorefield/fleet/placing.py
@@ -62,7 +62,7 @@
     if not step.fills or not learnt.limits:
         return True
     cores = step.room.cpu / 1000.0
-    return learnt.added(worker.tails, step.image, cores) < TAIL_LIMIT
+    return learnt.stays_below(worker.tails, step.image, cores, TAIL_LIMIT)
 
 
 def choose(task: progress.TaskState, service: str,
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -339,6 +339,10 @@
                                 self.fleet.learnt)
         if target is None:
             self.shortage.add(scope, task.step.room)
+            if site.tickets is None and not placing.fits(
+                    worker, task.step, self.fleet.learnt):
+                # Nor could another such run start where this one is.
+                self.fleet.no_room.add(scope, task.step.room)
         return target
 
     def _stalled(self, task: progress.TaskState) -> bool:
--- a/tests/test_fleet_interference.py
+++ b/tests/test_fleet_interference.py
@@ -204,7 +204,7 @@
     """Leave no worker unused for a tail that its own load has driven up."""
     learnt = learn(1, 800)
     seen = [tail("s", utilisation, load, peak)]
-    assert (learnt.added(seen, image, 3.0) < 0.8) == allowed
+    assert learnt.stays_below(seen, image, 3.0, 0.8) == allowed
 
 
 def test_a_successor_begins_with_what_was_learnt():
