--- /dev/null
+++ b/sycamorefield/fleet/roster.py
@@ -0,0 +1,104 @@
+"""Follow the list of workers, with a link to each."""
+
+import typing
+
+from sycamorefield.fleet import link as link_mod
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import state as state_mod
+from sycamorefield.fleet import surroundings
+
+WorkerFactory = typing.Callable[[messages.WorkerEntry], surroundings.Worker]
+MayAct = typing.Callable[[], bool]
+
+
+class Roster:
+    """Hold the links to all workers that are listed, or may run something.
+
+    addresses tells where workers in use are by the stored list of an earlier
+    owner, or None if there is none.
+    """
+
+    def __init__(self, fleet: state_mod.FleetState, connect: WorkerFactory,
+                 addresses: typing.Callable[[], dict[str, str] | None],
+                 may_act: MayAct, may_lease: MayAct,
+                 step_down: typing.Callable[[str], None]) -> None:
+        self.fleet = fleet
+        self.connect = connect
+        self.addresses = addresses
+        self.may_act = may_act
+        self.may_lease = may_lease
+        self.step_down = step_down
+        self.links: dict[str, link_mod.WorkerLink] = {}
+
+    def order(self, worker_id: str, order: state_mod.Order) -> None:
+        """Hand an order to the link of its worker."""
+        link = self.links.get(worker_id)
+        if link is not None:
+            link.orders.put(order)
+
+    def seen(self, marks: dict[str, int]) -> None:
+        """Let workers forget ends up to the numbers that are stored."""
+        for worker_id, number in marks.items():
+            link = self.links.get(worker_id)
+            if link is not None:
+                link.mark_seen(number)
+
+    def close(self) -> None:
+        """End all links after the calls under way."""
+        for link in list(self.links.values()):
+            link.close()
+
+    def take_entries(self, entries: tuple[messages.WorkerEntry, ...]
+                     ) -> None:
+        """Take up all workers listed, then begin to speak to the new ones.
+
+        The lock is taken once: taken for each, others get it in between, and
+        workers that come back together are used again one by one.
+        """
+        with self.fleet.lock:
+            links = [self._take_entry(entry) for entry in entries]
+            self.fleet.unlist({entry.worker_id for entry in entries})
+        for link in links:
+            if link is not None:
+                link.start()
+
+    def _take_entry(self, entry: messages.WorkerEntry
+                    ) -> link_mod.WorkerLink | None:
+        """Take up a worker; return its link if it is a new one."""
+        old = self.links.get(entry.worker_id)
+        if not self.fleet.add_worker(entry):
+            return None
+        if entry.worker_id in (self.addresses() or {}):
+            # Already on the stored list of workers in use.
+            self.fleet.enrol([entry.worker_id])
+        if old is not None:
+            old.close()
+        link = link_mod.WorkerLink(
+            entry, self.connect(entry), self.fleet, self.may_act,
+            self.may_lease, self.step_down)
+        if old is not None:
+            link.recorded_upto = old.recorded_upto
+        self.links[entry.worker_id] = link
+        return link
+
+    def contact_unlisted(self) -> None:
+        """Ask workers in use that the list has lost, at their address."""
+        addresses = self.addresses()
+        for worker_id in list(self.fleet.unheard):
+            if worker_id in self.links or not addresses:
+                continue
+            entry = messages.WorkerEntry(
+                worker_id, "", addresses[worker_id], "", False,
+                messages.Room(), ())
+            link = self._take_entry(entry)
+            with self.fleet.lock:
+                self.fleet.workers[worker_id].listed = False
+            if link is not None:
+                link.start()
+
+    def close_gone(self) -> None:
+        """End the links to workers that are given up."""
+        for worker_id, link in list(self.links.items()):
+            if worker_id not in self.fleet.workers:
+                link.close()
+                del self.links[worker_id]
--- a/tests/test_fleet_orders.py
+++ b/tests/test_fleet_orders.py
@@ -162,8 +162,8 @@
         lambda entry: fleetfakes.MemoryWorker(entry.worker_id),
         fleetfakes.configuration, 5, 6000.0)
     lock = owner.fleet.lock = CountingLock(owner.fleet.lock)
-    owner._take_entries(entries)
-    assert len(owner.links) == 28
+    owner.roster.take_entries(entries)
+    assert len(owner.roster.links) == 28
     assert lock.taken <= 2
 
 
--- a/tests/test_fleet_takeover.py
+++ b/tests/test_fleet_takeover.py
@@ -252,7 +252,7 @@
     is cut and its history is gone.  Cause would be to go on from "now".
     """
     fleet.take_over()
-    wait_for(lambda: len(fleet.owner.links) == 2)
+    wait_for(lambda: len(fleet.owner.roster.links) == 2)
     with fleet.store.lock:
         fleet.submit(fleetfakes.job("a"))
         fleet.store.compact()
