--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from sycamorefield.fleet import coming
 from sycamorefield.fleet import gangs
 from sycamorefield.fleet import gaps
 from sycamorefield.fleet import headroom
@@ -66,22 +67,12 @@
         # room, by service and by the priority of the lasting job.
         self.held = {part: shortage.Shortage() for part in headroom.Part}
         self.headrooms: dict[tuple[str, int], headroom.Headroom] = {}
-        # Room that is coming beside what is free: runs that stop leave it.
-        # Where starts wait to be sent no room comes, but what is free is
-        # there as soon as they are out.  Worked out when first asked for.
-        self.coming_rooms: dict[str, messages.Room] | None = None
+        self.coming = coming.ComingRoom(usable)
         # Workers on which something else was not to start in this round.
         self.excluded: list[workerstate.WorkerState] = []
         # Workers for the tasks of the step being placed.
         self.ranking: placing.Ranking | None = None
 
-    @property
-    def coming(self) -> dict[str, messages.Room]:
-        """Return the room that is coming, by worker."""
-        if self.coming_rooms is None:
-            self.coming_rooms = _coming_rooms(self.usable)
-        return self.coming_rooms
-
     def place_step(self, state: progress.JobState, occurrence: int,
                    number: int) -> bool:
         """Start the idle tasks of a step; tell if any waited."""
@@ -268,8 +259,7 @@
                          site.ticket(worker))
         for room in self.headrooms.values():
             room.started(worker, task.step.reserved().cpu)
-        if self.coming_rooms is not None and not worker.takes_starts():
-            self.coming.setdefault(worker.entry.worker_id, messages.Room())
+        self.coming.started(worker)
 
     def _expects_room(self, state: progress.JobState,
                       task: progress.TaskState, site: Site,
@@ -294,7 +284,7 @@
         worker = self.gaps.claim(task, scope, site.tickets)
         if worker is None:
             return False
-        self.coming.pop(worker.entry.worker_id, None)
+        self.coming.drop(worker)
         self._exclude(worker, self.usable, site.workers)
         return True
 
@@ -354,22 +344,14 @@
     def _make_room(self, state: progress.JobState,
                    task: progress.TaskState, site: Site) -> bool:
         """Stop less urgent runs for a task; tell if it can expect room."""
-        need = task.step.reserved()
-        rooms = self.coming
-        for worker in site.workers if rooms else ():
-            worker_id = worker.entry.worker_id
-            coming = rooms.get(worker_id)
-            if (coming is not None and worker.free().plus(coming).holds(need)
-                    and placing.allowed(worker, site.service, task)):
-                rooms[worker_id] = coming.minus(need)
-                return True
+        if self.coming.take(task, site.service, site.workers):
+            return True
         chosen = self._victims(state, task, site)
         for victim in chosen:
             self.fleet.stop_run(victim, f"room for {task.task}")
         if chosen:
-            worker = self.fleet.workers[chosen[0].worker_id]
-            rooms[worker.entry.worker_id] = _stopping_room(
-                worker).minus(need)
+            self.coming.stopped_for(
+                task, self.fleet.workers[chosen[0].worker_id])
         return bool(chosen)
 
     def _victims(self, state: progress.JobState, task: progress.TaskState,
@@ -394,26 +376,6 @@
                                  self.queues)
 
 
-def _coming_rooms(workers: list[workerstate.WorkerState]
-                  ) -> dict[str, messages.Room]:
-    """Return the room coming on each worker where some is, or is held back."""
-    rooms = {}
-    for worker in workers:
-        room = _stopping_room(worker) if worker.stopping else messages.Room()
-        if room != messages.Room() or not worker.takes_starts():
-            rooms[worker.entry.worker_id] = room
-    return rooms
-
-
-def _stopping_room(worker: workerstate.WorkerState) -> messages.Room:
-    room = messages.Room()
-    for run in worker.stopping:
-        task = worker.tasks.get(run)
-        if task is not None and task.phase == progress.STOPPING:
-            room = room.plus(task.step.reserved())
-    return room
-
-
 def place(fleet: state_mod.FleetState, now: float, wall_ms: float) -> None:
     """Start every task whose turn has come and that has room."""
     with fleet.lock:
