--- a/sycamorefield/fleet/weights.py
+++ b/sycamorefield/fleet/weights.py
@@ -19,8 +19,8 @@
 # middle of them; this part belongs to no filling image.
 BASE_PRIOR = 1.0
 FIRST_BASE = 0.04
-# Share of what was seen that is kept at each sample of an image.  About 50
-# samples a second come from 33 workers, so half is forgotten in 14 s.
+# Share of what was seen that is kept at each sample of an image: half is
+# forgotten after some 700 samples.
 KEEP = 0.999
 # Weights are worked out again after this many samples of an image.
 SAMPLES_PER_FIT = 25
--- a/sycamorefield/platform/daemon.py
+++ b/sycamorefield/platform/daemon.py
@@ -116,9 +116,10 @@
     def _stop(self, servers: list[cherrypy._cpserver.Server]) -> None:
         """Hand the fleet over, answer what comes late, close the listeners.
 
-        Each waits for calls under way: with a silent store the last commit
-        alone took 8 s, the process was killed at the end of its grace time,
-        and callers lost requests that it had read.
+        Each waits for calls under way, so they go on side by side and are
+        left behind in the end.  With a silent store the last commit alone
+        outlasts the grace time: the process would be killed, and callers
+        would lose requests that it had read.
         """
         until = clock.now() + self.settings.bounds.grace_s - STOP_MARGIN_S
         events.emit(events.PROCESS_STOPPING)
