--- a/tests/test_fleet_takeover.py
+++ b/tests/test_fleet_takeover.py
@@ -8,13 +8,17 @@
 
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import operatorview
 from sycamorefield.fleet import owner as owner_mod
+from sycamorefield.fleet import ownership as ownership_mod
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import records
+from sycamorefield.fleet import recovery
 from sycamorefield.fleet import state as state_mod
 from tests import fleetfakes
 
 HOLD_MAX_MS = 6000.0
+CONFIG_KEY = "op/c"
 WAIT_S = 5.0
 STEP = messages.Step(1, messages.Room(1000, 1000))
 
@@ -340,3 +344,78 @@
     task = job.tasks[0, 0][0]
     state.start(job, task, state.workers[entry.worker_id], 1)
     assert not orders and task.phase == progress.IDLE
+
+
+class Contender:
+    """Let a process compete for a fleet whose store can be silent."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self.fleet = fleet
+        fleet.store.commit(messages.Transaction(
+            puts=(messages.Put(CONFIG_KEY, b"any"),)))
+        view = operatorview.OperatorView(
+            fleet.store, CONFIG_KEY, lambda _: fleetfakes.configuration())
+        self.ownership = ownership_mod.Ownership(
+            fleet.store, view, "me", self.make_owner)
+        for target in (view.run, self.ownership.run):
+            threading.Thread(target=target, daemon=True).start()
+
+    def make_owner(self, fence: int) -> owner_mod.Owner:
+        self.fleet.owner = owner_mod.Owner(
+            self.fleet.store, self.fleet.roster,
+            lambda entry: self.fleet.workers[entry.worker_id],
+            fleetfakes.configuration, fence, HOLD_MAX_MS)
+        return self.fleet.owner
+
+    def lose_the_store(self) -> None:
+        """Cut the store off for longer than an owner goes on without it."""
+        self.fleet.store.refuse = True
+        owner = self.fleet.owner
+        owner.lease_renewed(clock.now() - recovery.WITHOUT_STORE_S - 1.0)
+        wait_for(lambda: self.ownership.owner is None
+                 and not self.ownership.view.reachable)
+
+    def stop(self) -> None:
+        self.ownership.view.stopped.set()
+        self.ownership.stop()
+
+
+@pytest.fixture(name="contender")
+def fixture_contender(fleet) -> typing.Iterator[Contender]:
+    contender = Contender(fleet)
+    yield contender
+    fleet.store.refuse = False
+    contender.stop()
+
+
+class AfterSilence(typing.NamedTuple):
+    """What a run has come to when its owner is back from a silence."""
+
+    ended: bool
+    holder_answers: bool
+
+
+@pytest.mark.parametrize("case", [
+    AfterSilence(False, False), AfterSilence(False, True),
+    AfterSilence(True, False), AfterSilence(True, True)])
+def test_no_task_starts_twice_after_its_owner_was_without_the_store(
+        fleet, contender, case):
+    """An owner whose key outlived a silent store must not reuse its fence."""
+    wait_for(lambda: fleet.owner is not None and fleet.owner.recovered)
+    fleet.submit(fleetfakes.job("a"))
+    wait_for(lambda: fleet.running() == ["a.0.0.0"])
+    first = fleet.owner
+    holder = next(w for w in fleet.workers.values() if w.runs)
+    contender.lose_the_store()
+    if case.ended:
+        finish(fleet, "a.0.0.0")
+    holder.mute = not case.holder_answers
+    fleet.store.refuse = False
+    wait_for(lambda: fleet.owner is not first and fleet.owner.recovered)
+    fleet.submit(fleetfakes.job("b"))
+    wait_for(lambda: "b.0.0.0" in fleet.running())
+    assert fleet.starts().count("a.0.0.0") == 1
+    assert fleet.owner.fence > first.fence
+    holder.mute = False
+    wait_for(lambda: not fleet.owner.fleet.unheard)
+    assert fleet.starts().count("a.0.0.0") == 1
