Each term of an owner has a fence of its own

What callers saw: tasks of accepted jobs ran twice at once, or started again after they had ended.

Cause: a process that stepped down because the store was silent for too long found its own key in place when the store was back, and took the key's old revision as the fence of its new term. Jobs are held back while workers are unheard if they are no newer than the fence; under the old fence nearly every job counted as newer, so the new term started them before it had asked where they run. Calls and commits of the first term that were still under way would have been obeyed as well. The class of fault: a fencing token that names the process instead of the term.

Change: a claim always writes the key, expecting the revision that it saw (none, or that of its own earlier value), so its fence is above every earlier one. Nothing is adopted as it stands. The lease is a new one each time, which also ends the case in which a key was held by one lease and another was renewed. SF1806 tells which revision was replaced.

Ruled out by the logs: another process as owner (no SF1806 elsewhere), and calls of the first term carried out late (the second term logged the wrong starts as its own orders).

The store of the tests now ties a key to the lease that it was written with last, as the platform's does.

--- a/sycamorefield/fleet/ownership.py
+++ b/sycamorefield/fleet/ownership.py
@@ -83,35 +83,32 @@
                 self.patience + random.uniform(0, CLAIM_JITTER_S))
 
     def _claim(self) -> int:
-        """Return the fence (the key's revision), or 0 if another won.
+        """Return the fence (the key's new revision), or 0 if another won.
 
-        A claim whose answer was lost may have taken effect: the key then
-        holds our value, and its lease is the one we hold.
+        A key that holds our value is written again: it may be of an earlier
+        term, or of a claim whose answer was lost.  Each term needs a fence
+        above that of every other, or what the earlier one started, and its
+        calls that are still under way, would pass for the new one's.
         """
         item = self.view.owner
-        if item is not None:
-            # While this process waited, another may have claimed the key.
-            return self._adopt(item) if item.value == self.value else 0
+        if item is not None and item.value != self.value:
+            # While this process waited, another claimed the key.
+            return 0
+        revision = item.revision if item is not None else 0
         self.leased_at = clock.now()
         self.lease = self.store.grant(LEASE_TTL_MS)
         try:
-            return self.store.commit(messages.Transaction(
-                (messages.Expect(records.OWNER_KEY, 0),),
+            fence = self.store.commit(messages.Transaction(
+                (messages.Expect(records.OWNER_KEY, revision),),
                 (messages.Put(records.OWNER_KEY, self.value, self.lease),)))
         except surroundings.Conflict as exc:
             self._saw(exc.at(records.OWNER_KEY))
+            return 0
         except surroundings.LeaseEnded:
-            pass  # The grant took longer than the lease; the next try asks.
-        return 0
-
-    def _adopt(self, item: messages.Item) -> int:
-        self.leased_at = clock.now()
-        try:
-            self.store.renew(self.lease)
-        except surroundings.LeaseEnded:
-            self._saw(None)
+            # The grant took longer than the lease; the next try asks anew.
             return 0
-        return item.revision
+        events.emit(events.OWNERSHIP_CLAIMED, fence=fence, replaced=revision)
+        return fence
 
     def _saw(self, item: messages.Item | None) -> None:
         with self.view.changed:
@@ -119,7 +116,6 @@
             self.view.changed.notify_all()
 
     def _serve(self, fence: int) -> None:
-        events.emit(events.OWNERSHIP_CLAIMED, fence=fence)
         owner = self.make_owner(fence)
         # A claim may come seconds after its lease was granted.
         owner.lease_renewed(self.leased_at)
@@ -133,14 +129,11 @@
         self.owner = None
         if self.stopped.is_set():
             return
-        with self.view.changed:
-            item = self.view.owner
-            if item is not None and item.value == self.value:
-                # The key is still ours, but the fleet must be read anew
-                # under a higher fence: give it back first.
-                threading.Thread(target=self.release, args=(fence,),
-                                 daemon=True).start()
-                self.view.owner_known = False
+        item = self.view.owner
+        if item is not None and item.value == self.value:
+            # The term may have ended by a fault of this VM.
+            threading.Thread(target=self.release, args=(fence,),
+                             daemon=True).start()
         self.stopped.wait(RETRY_PAUSE_S)
 
     def _renew(self, owner: owner_mod.Owner) -> None:
--- a/tests/fleetfakes.py
+++ b/tests/fleetfakes.py
@@ -100,6 +100,8 @@
             old = self.items.get(put.key)
             item = messages.Item(put.key, put.value, self.revision,
                                  old.created if old else self.revision)
+            for keys in self.leases.values():
+                keys.discard(put.key)
             self.items[put.key] = item
             self.log.append(messages.Change(put.key, self.revision, item))
             if put.lease:
