--- a/tools/known_red.py
+++ b/tools/known_red.py
@@ -1,6 +1,7 @@
 """Run pytest passing over the tests listed in KNOWN-RED.txt, and print them.
 
-KNOWN-RED.txt holds at most three lines, each "test id; cause; issue".
+KNOWN-RED.txt holds at most three lines, each "test id; command and seed; what
+was seen; issue".
 """
 
 import os
