--- /dev/null
+++ b/tests/test_fleet_terms.py
@@ -0,0 +1,184 @@
+"""Show faults that a reading of the mend for terms of one fence found."""
+
+import threading
+
+import pytest
+
+from sycamorefield.fleet import clock
+from sycamorefield.fleet import link as link_mod
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import operatorview
+from sycamorefield.fleet import owner as owner_mod
+from sycamorefield.fleet import ownership as ownership_mod
+from sycamorefield.fleet import records
+from sycamorefield.fleet import reports
+from sycamorefield.fleet import workerstate
+from tests import fleetfakes
+from tests import test_fleet_state
+from tests import test_fleet_takeover
+
+HOLD_MAX_MS = 6000.0
+
+
+def wait_for(what):
+    """Wait until something holds."""
+    test_fleet_takeover.wait_for(what)
+
+
+def test_a_worker_with_more_ends_to_list_does_not_count_as_heard():
+    """Ends beyond the first page may be those of tasks that wait."""
+    bench = test_fleet_state.Bench()
+    bench.state.add_worker(fleetfakes.entry(0))
+    bench.state.enrol(["i-0"])
+    bench.state.expect(["i-0"], bench.now + 10.0)
+    bench.add(fleetfakes.job("old", messages.Step(
+        reports.ENDS_PER_REPORT + 1, messages.Room(1, 1))), created=5)
+    ends = [messages.EndedTask(n + 1, messages.TaskId("old", 0, 0, n), 1,
+                               messages.DONE, "")
+            for n in range(reports.ENDS_PER_REPORT + 1)]
+    bench.report("i-0", ended=ends[:reports.ENDS_PER_REPORT])
+    assert not bench.place()
+    bench.report("i-0", ended=ends[reports.ENDS_PER_REPORT:])
+    assert not bench.place()
+    assert not bench.state.unheard
+
+
+@pytest.fixture(name="fleet")
+def fixture_fleet():
+    fleet = test_fleet_takeover.Fleet()
+    yield fleet
+    if fleet.owner is not None:
+        fleet.owner.step_down("test over")
+
+
+def test_a_term_that_ends_while_it_reads_leaves_no_threads(fleet):
+    """Links that begin after the term has ended must end as well."""
+    owner = owner_mod.Owner(
+        fleet.store, fleet.roster,
+        lambda entry: fleet.workers[entry.worker_id],
+        fleetfakes.configuration, 99, HOLD_MAX_MS)
+    workers = fleet.roster.workers
+
+    def lost_meanwhile():
+        owner.step_down("lease ended")
+        return workers()
+
+    fleet.roster.workers = lost_meanwhile
+    before = set(threading.enumerate())
+    owner.run()
+    wait_for(lambda: not set(threading.enumerate()) - before)
+
+
+def make_ownership(store, make_owner):
+    """Return a contender that sees the fleet as free."""
+    view = operatorview.OperatorView(store, "op/c",
+                                     lambda value: messages.Configuration())
+    view.known = view.owner_known = True
+    return ownership_mod.Ownership(store, view, "me", make_owner)
+
+
+class SlowGrant(fleetfakes.MemoryStore):
+    """Hold back the answer to a grant until told to go on."""
+
+    def __init__(self):
+        super().__init__()
+        self.asked = threading.Event()
+        self.go_on = threading.Event()
+
+    def grant(self, ttl_ms):
+        self.asked.set()
+        self.go_on.wait(5)
+        return super().grant(ttl_ms)
+
+
+def test_a_claim_under_way_at_a_planned_stop_begins_no_term():
+    """A process that exits must not leave a key that nobody gives back."""
+    store = SlowGrant()
+    made = []
+
+    def make_owner(fence):
+        fleet = test_fleet_takeover.Fleet()
+        made.append(owner_mod.Owner(
+            store, fleet.roster, lambda entry: fleet.workers[entry.worker_id],
+            fleetfakes.configuration, fence, HOLD_MAX_MS))
+        return made[-1]
+
+    ours = make_ownership(store, make_owner)
+    thread = threading.Thread(target=ours.run, daemon=True)
+    thread.start()
+    assert store.asked.wait(5)
+    ours.stop()
+    store.go_on.set()
+    thread.join(1)
+    for owner in made:
+        owner.step_down("test over")
+    assert not thread.is_alive()
+    assert records.OWNER_KEY not in store.items
+
+
+def test_a_term_that_fails_while_it_reads_does_not_keep_the_fleet():
+    """Its lease must not be renewed for ever with nobody at work."""
+    store = fleetfakes.MemoryStore()
+    made = []
+
+    class Unreadable(fleetfakes.MemoryRoster):
+        def workers(self):
+            raise RuntimeError("unforeseen")
+
+    def make_owner(fence):
+        made.append(owner_mod.Owner(
+            store, Unreadable(()), lambda entry: None,
+            fleetfakes.configuration, fence, HOLD_MAX_MS))
+        return made[-1]
+
+    ours = make_ownership(store, make_owner)
+
+    def run():
+        try:
+            ours.run()
+        except RuntimeError:
+            pass
+
+    threading.Thread(target=run, daemon=True).start()
+    try:
+        wait_for(lambda: len(made) > 0)
+        wait_for(made[0].over.is_set)
+        wait_for(lambda: len(made) > 1)
+    finally:
+        ours.stopped.set()
+        for owner in made:
+            owner.step_down("test over")
+
+
+def test_a_lease_allowed_before_a_freeze_ends_as_if_given_then(monkeypatch):
+    """Waking up, an owner must not lengthen what it could give before."""
+    bench = test_fleet_state.Bench()
+    bench.now = clock.now()
+    bench.state.add_worker(fleetfakes.entry(0))
+    bench.report("i-0")
+    times = {"frozen": 0.0}
+    real = clock.now
+    monkeypatch.setattr(clock, "now", lambda: real() + times["frozen"])
+
+    def may_lease():
+        allowed_at.append(clock.now())
+        times["frozen"] = 6.0
+        return True
+
+    allowed_at = []
+    link = link_mod.WorkerLink(
+        fleetfakes.entry(0), fleetfakes.MemoryWorker("i-0"), bench.state,
+        lambda: True, may_lease, lambda reason: None)
+    until = link._until()
+    assert until is not None
+    assert until <= allowed_at[0] * 1000.0 + workerstate.LEASE_MS + 100.0
+
+
+def test_leases_of_the_test_store_are_never_numbered_twice():
+    """A claim's new lease must not take the place of one that lives."""
+    store = fleetfakes.MemoryStore()
+    first, second = store.grant(2000), store.grant(2000)
+    store.commit(messages.Transaction(
+        puts=(messages.Put("k", b"v", second),)))
+    store.end_lease(first)
+    assert store.grant(2000) != second
