--- a/tests/test_fleet_terms.py
+++ b/tests/test_fleet_terms.py
@@ -182,3 +182,105 @@
         puts=(messages.Put("k", b"v", second),)))
     store.end_lease(first)
     assert store.grant(2000) != second
+
+
+class SlowCommit(fleetfakes.MemoryStore):
+    """Do something between the making of a transaction and its effect."""
+
+    meanwhile = None
+
+    def commit(self, transaction):
+        if self.meanwhile is not None:
+            self.meanwhile, meanwhile = None, self.meanwhile
+            meanwhile()
+        return super().commit(transaction)
+
+
+def test_a_worker_whose_removal_is_being_stored_is_not_used_meanwhile():
+    """A successor asks only the workers on the stored list."""
+    store = SlowCommit()
+    store.commit(messages.Transaction(
+        puts=(messages.Put(records.OWNER_KEY, b"me"),)))
+    fleet = fleetfakes.MemoryRoster([fleetfakes.entry(0),
+                                     fleetfakes.entry(1)])
+    workers = {e.worker_id: fleetfakes.MemoryWorker(e.worker_id)
+               for e in fleet.entries}
+    owner = owner_mod.Owner(
+        store, fleet, lambda entry: workers[entry.worker_id],
+        fleetfakes.configuration, store.items[records.OWNER_KEY].revision,
+        HOLD_MAX_MS)
+    try:
+        owner.roster.take_entries(fleet.entries)
+        assert owner.recorder.flush()
+        wait_for(lambda: all(w.usable(clock.now())
+                             for w in owner.fleet.workers.values()))
+        with owner.fleet.lock:
+            owner.fleet._gone(owner.fleet.workers["i-0"], "lease over")
+
+        def listed_still():
+            owner.roster.take_entries(fleet.entries)
+            wait_for(lambda: owner.fleet.workers["i-0"].reported)
+
+        store.meanwhile = listed_still
+        assert owner.recorder.flush()
+        stored = records.decode_mapping(store.items[records.FLEET_KEY].value)
+        used = {worker_id for worker_id, w in owner.fleet.workers.items()
+                if w.usable(clock.now())}
+        assert used <= set(stored)
+    finally:
+        owner.step_down("test over")
+
+
+class SilentAfterRemoval(fleetfakes.MemoryStore):
+    """Go silent once a list of workers without one of them is stored."""
+
+    removed = ""
+    meanwhile = None
+
+    def commit(self, transaction):
+        ours = any(put.key == records.FLEET_KEY and self.removed
+                   and self.removed not in records.decode_mapping(put.value)
+                   for put in transaction.puts)
+        if ours:
+            self.removed = ""
+            self.meanwhile()
+        revision = super().commit(transaction)
+        self.refuse |= ours
+        return revision
+
+
+def test_no_task_starts_twice_if_its_worker_was_being_taken_off_the_list():
+    """A worker back while its removal is stored is unknown to successors."""
+    fleet = test_fleet_takeover.Fleet()
+    fleet.store = SilentAfterRemoval()
+    fleet.take_over()
+    try:
+        wait_for(lambda: all(w.usable(clock.now())
+                             for w in fleet.owner.fleet.workers.values()))
+        fleet.submit(fleetfakes.job("fill", messages.Step(
+            1, messages.Room(4000, 10), requires="r1")))
+        wait_for(lambda: fleet.running() == ["fill.0.0.0"])
+
+        def comes_back():
+            fleet.submit(fleetfakes.job("a"))
+            fleet.owner.roster.take_entries(fleet.roster.entries)
+            end = clock.now() + 1.0
+            while clock.now() < end and "a.0.0.0" not in fleet.running():
+                threading.Event().wait(0.01)
+
+        fleet.store.meanwhile = comes_back
+        with fleet.owner.fleet.lock:
+            fleet.owner.fleet._gone(fleet.owner.fleet.workers["i-0"],
+                                    "lease over")
+            fleet.store.removed = "i-0"
+        wait_for(lambda: fleet.store.refuse)
+        fleet.owner.step_down("killed")
+        fleet.workers["i-0"].mute = True
+        test_fleet_takeover.finish(fleet, "fill.0.0.0")
+        fleet.store.refuse = False
+        fleet.take_over()
+        wait_for(lambda: fleet.running().count("a.0.0.0") > 0)
+        threading.Event().wait(0.5)
+        assert fleet.starts().count("a.0.0.0") == 1
+    finally:
+        fleet.owner.step_down("test over")
