A worker being taken off the stored list is not used before it is on it again

What callers would see: a task on two workers. Cause: the list in memory named a worker until its removal was known to be stored, so one that came back in between was used, and a successor did not know to wait for it.

--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -131,6 +131,11 @@
             if self.addresses and worker_id in self.addresses:
                 now.setdefault(worker_id, self.addresses[worker_id])
         if now != self.addresses:
+            if self.addresses is not None:
+                # From here on a successor may not know those taken off.
+                self.addresses = {worker_id: address for worker_id, address
+                                  in self.addresses.items()
+                                  if worker_id in now}
             values.append(Value(
                 records.FLEET_KEY, records.encode_addresses(now),
                 self.revisions.get(records.FLEET_KEY, 0), None))
