--- a/sycamorefield/fleet/roster.py
+++ b/sycamorefield/fleet/roster.py
@@ -29,6 +29,7 @@
         self.may_lease = may_lease
         self.step_down = step_down
         self.links: dict[str, link_mod.WorkerLink] = {}
+        self.closed = False
 
     def order(self, worker_id: str, order: state_mod.Order) -> None:
         """Hand an order to the link of its worker."""
@@ -44,7 +45,8 @@
                 link.mark_seen(number)
 
     def close(self) -> None:
-        """End all links after the calls under way."""
+        """End all links after the calls under way, and any begun later."""
+        self.closed = True
         for link in list(self.links.values()):
             link.close()
 
@@ -59,8 +61,7 @@
             links = [self._take_entry(entry) for entry in entries]
             self.fleet.unlist({entry.worker_id for entry in entries})
         for link in links:
-            if link is not None:
-                link.start()
+            self._begin(link)
 
     def _take_entry(self, entry: messages.WorkerEntry
                     ) -> link_mod.WorkerLink | None:
@@ -93,8 +94,14 @@
             link = self._take_entry(entry)
             with self.fleet.lock:
                 self.fleet.workers[worker_id].listed = False
-            if link is not None:
-                link.start()
+            self._begin(link)
+
+    def _begin(self, link: link_mod.WorkerLink | None) -> None:
+        if link is None:
+            return
+        link.start()
+        if self.closed:
+            link.close()
 
     def close_gone(self) -> None:
         """End the links to workers that are given up."""
