--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -129,6 +129,9 @@
 
     def run(self) -> None:
         """Recover, then decide until stepping down."""
+        self._guarded(self._run)
+
+    def _run(self) -> None:
         revision = self._recover()
         if revision is None:
             return
