--- a/sycamorefield/fleet/ownership.py
+++ b/sycamorefield/fleet/ownership.py
@@ -120,6 +120,11 @@
         # A claim may come seconds after its lease was granted.
         owner.lease_renewed(self.leased_at)
         self.owner = owner
+        if self.stopped.is_set():
+            # A stop during the claim found no owner to hand over.
+            owner.step_down("planned stop")
+            self.release(fence)
+            return
         threading.Thread(target=self._renew, args=(owner,),
                          daemon=True).start()
         threading.Thread(target=self._check, args=(owner,),
