--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -121,6 +121,8 @@
         carried out, and with a lease in each try its tasks could never be
         counted as over.
         """
+        # Read first: the VM may freeze, or wait for the lock, in between.
+        now = clock.now()
         if not self.may_lease():
             return None
         with self.fleet.lock:
@@ -128,8 +130,7 @@
             if worker is None or worker.silent:
                 return None
             return worker.lease_until(
-                min(workerstate.LEASE_MS, self.fleet.hold_max_ms),
-                clock.now())
+                min(workerstate.LEASE_MS, self.fleet.hold_max_ms), now)
 
     def _wait_ms(self) -> int:
         with self.fleet.lock:
