--- a/tests/fleetfakes.py
+++ b/tests/fleetfakes.py
@@ -19,6 +19,7 @@
         self.log: list[messages.Change] = []
         self.revision = 1
         self.leases: dict[int, set[str]] = {}
+        self.leases_granted = 0
         self.refuse = False
         # Transactions that are carried out although no answer comes back,
         # and those that are lost altogether.
@@ -118,7 +119,8 @@
     def grant(self, ttl_ms: int) -> int:
         with self.lock:
             self._check()
-            lease = len(self.leases) + 1
+            self.leases_granted += 1
+            lease = self.leases_granted
             self.leases[lease] = set()
             return lease
 
