State machine: silences that outlast an owner, and terms of any process

The machine changed owners by making a new fleet under a new fence, so a term that takes over its own key could not go wrong in it. Now two processes claim the fleet through Ownership against the store of the tests; that store can be silent until the owner steps down, with leases that pause or run out, and the same process or the other takes the next term. Claims and commits (through Recorder) are answered, lost, or carried out although no answer comes, at once or late; calls of a term that has ended are carried out late, too.

--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -1,8 +1,10 @@
 """Play random faults against the owner's decisions and check its promises.
 
 Time, workers and the store are simulated: orders and their answers are lost
-or carried out late, workers crash, fall silent or lose their leases, and
-owners change.  Checked is what workers see.
+or carried out late, workers crash, fall silent or lose their leases, the
+store is silent for longer than an owner goes on without it, and owners change:
+any process takes the next term, also the one that had the last.  Checked is
+what workers see.
 """
 
 import dataclasses
@@ -13,7 +15,13 @@
 
 from sycamorefield.fleet import answers
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import operatorview
+from sycamorefield.fleet import owner as owner_mod
+from sycamorefield.fleet import ownership as ownership_mod
 from sycamorefield.fleet import progress
+from sycamorefield.fleet import recorder as recorder_mod
+from sycamorefield.fleet import records
+from sycamorefield.fleet import recovery
 from sycamorefield.fleet import reports
 from sycamorefield.fleet import rounds
 from sycamorefield.fleet import state as state_mod
@@ -22,12 +30,14 @@
 from tests import fleetfakes
 
 WORKERS = 3
+PROCESSES = 2
 CAPACITY = 4000
 HOLD_MAX_MS = 6000.0
-# An owner that lost the store acts this long; its successor waits for it.
-ACTS_ON_S = 8.0
 # Events that would end most work if they came as often as others.
 SELDOM = strategies.sampled_from([False, False, False, False, True])
+# What becomes of a call to the store.
+FATES = strategies.sampled_from(
+    ["answered", "answered", "answer lost", "lost", "late"])
 STEPS = (
     (messages.Step(2, messages.Room(2500, 10)),),
     (messages.Step(3, messages.Room(1500, 10)),
@@ -48,6 +58,14 @@
     until_ms: float
 
 
+@dataclasses.dataclass
+class Commit:
+    """Hold a commit whose outcome isn't known, and the ends it stores."""
+
+    values: list[recorder_mod.Value]
+    marks: dict[str, int]
+
+
 class SimulatedWorker:
     """Obey fenced orders, and kill what runs when the lease ends."""
 
@@ -80,17 +98,26 @@
         self.incarnation = 0
         self.workers: dict[str, SimulatedWorker] = {}
         self.jobs: list[messages.Job] = []
-        self.created: dict[str, int] = {}
-        self.cancelled: set[str] = set()
-        self.stored: dict[str, bytes] = {}
-        self.in_use: set[str] = set()
         self.sent: list[Sent] = []
         self.late: list[Sent] = []
+        # Tasks that ended as done; those of them whose end the worker may
+        # forget; and those whose worker lists the end and kept its lease.
+        self.done: set[messages.TaskId] = set()
         self.known_done: set[messages.TaskId] = set()
-        self.revision = 1
+        self.listed_done: dict[messages.TaskId, str] = {}
+        self.started_again: set[messages.TaskId] = set()
+        self.store = fleetfakes.MemoryStore()
+        self.processes = [self._process(f"p{n}") for n in range(PROCESSES)]
+        # Whether there is an owner that gives orders, and which process it
+        # is of.
+        self.acting = False
+        self.process = self.processes[0]
+        self.renewed = self.now
+        self.silent = False
+        self.commit: Commit | None = None
         for place in range(WORKERS):
             self._new_worker(place)
-        self._take_over()
+        self._take_over(0, "answered")
         self.routine()
         self.submit(STEPS[1])
 
@@ -108,33 +135,109 @@
     def _alive(self) -> list[SimulatedWorker]:
         return [w for w in self.workers.values() if w.alive]
 
-    def _take_over(self) -> None:
-        self.revision += 1
+    def _process(self, name: str) -> ownership_mod.Ownership:
+        view = operatorview.OperatorView(
+            self.store, "op/c", lambda _: fleetfakes.configuration())
+        view.owner_known = True
+        return ownership_mod.Ownership(self.store, view, name,
+                                       self._no_owner)
+
+    @staticmethod
+    def _no_owner(fence: int) -> owner_mod.Owner:
+        raise AssertionError("owners are made by the machine")
+
+    def _step_down(self, *_: str) -> None:
+        """Give no more orders; calls under way may be carried out late."""
+        if not self.acting:
+            return
+        self.acting = False
+        self.commit = None
+        for sent in self.sent:
+            if isinstance(sent.order, messages.StartOrder):
+                sent.until_ms = self._lease(sent.worker_id) or 0.0
         self.late += self.sent
         self.sent = []
-        fence = self.revision
+
+    def _claim(self, process: ownership_mod.Ownership, fate: str) -> int:
+        """Let a process that may claim the fleet do so; return the fence."""
+        owner = self.store.items.get(records.OWNER_KEY)
+        if owner is not None and owner.value != process.value:
+            # Others wait until the lease that holds the key is over.
+            for lease, keys in list(self.store.leases.items()):
+                if records.OWNER_KEY in keys:
+                    self.store.end_lease(lease)
+        self._set_fate(fate)
+        fence = 0
+        while not fence:
+            process.view.owner = self.store.items.get(records.OWNER_KEY)
+            try:
+                fence = process._claim()
+            except surroundings.CallFailed:
+                continue
+        return fence
+
+    def _set_fate(self, fate: str) -> None:
+        """Choose what becomes of the next commit."""
+        self.store.lose_answers = int(fate == "answer lost")
+        self.store.lose_calls = int(fate == "lost")
+        self.store.keep_late = int(fate == "late")
+
+    def _take_over(self, number: int, fate: str) -> None:
+        self._step_down()
+        fence = self._claim(self.processes[number], fate)
+        self.process = self.processes[number]
+        self.renewed = self.now
+        self.acting = True
         self.fleet = state_mod.FleetState(
             fence, HOLD_MAX_MS, self._send, fleetfakes.configuration)
+        self.recorder = recorder_mod.Recorder(
+            self.store, self.fleet, records.OWNER_KEY, lambda: True,
+            self._step_down, lambda _: None)
+        # Each call of the recorder is then one try.
+        self.recorder.stopped.set()
         for job in self.jobs:
-            state = self.fleet.add_job(job, self.created[job.job_id])
-            if job.job_id in self.stored:
-                progress.apply_progress(state, self.stored[job.job_id])
-            if state.final():
-                self.fleet.drop_final(state)
-        for job_id in self.cancelled:
-            self.fleet.cancel(job_id)
-        self.fleet.expect(sorted(self.in_use), self.now + ACTS_ON_S
+            state = self.fleet.add_job(
+                job, self.store.items[records.job_key(job.job_id)].created)
+            self._read_progress(state)
+        for item in self.store.listing(records.JOB_PREFIX).items:
+            if item.key.endswith(records.CANCEL_SUFFIX):
+                self.fleet.cancel(item.key[len(records.JOB_PREFIX):
+                                           -len(records.CANCEL_SUFFIX)])
+        self._expect_workers()
+
+    def _read_progress(self, state: progress.JobState) -> None:
+        item = self.store.items.get(
+            records.progress_key(state.job.job_id))
+        if item is None:
+            return
+        state.state_revision = item.revision
+        progress.apply_progress(state, item.value)
+        if state.final():
+            self.fleet.drop_final(state)
+
+    def _expect_workers(self) -> None:
+        in_use: dict[str, str] = {}
+        item = self.store.items.get(records.FLEET_KEY)
+        if item is not None:
+            in_use = records.decode_mapping(item.value)
+            self.recorder.revisions[records.FLEET_KEY] = item.revision
+            self.recorder.addresses = in_use
+        self.fleet.expect(in_use, self.now + recovery.WITHOUT_STORE_S
                           + workerstate.LEASE_OVER_S)
         for worker in self._alive():
             self.fleet.add_worker(worker.entry)
-        self.fleet.enrol(sorted(self.in_use))
+        self.fleet.enrol(in_use)
 
     def _send(self, worker_id: str, order: state_mod.Order) -> None:
         self.sent.append(Sent(worker_id, order, self.fleet.fence, 0.0))
 
+    def _may_lease(self) -> bool:
+        return (self.now - self.renewed <= owner_mod.OWN_LEASE_S
+                or self.fleet.obeyed_by_most(self.now))
+
     def _lease(self, worker_id: str) -> float | None:
         state = self.fleet.workers.get(worker_id)
-        if state is None or state.silent:
+        if state is None or state.silent or not self._may_lease():
             return None
         return state.lease_until(workerstate.LEASE_MS, self.now)
 
@@ -171,8 +274,7 @@
         if sent.until_ms <= self.now * 1000.0:
             return surroundings.LATE
         worker.lease_end_ms = max(worker.lease_end_ms, sent.until_ms)
-        step = next(j for j in self.jobs
-                    if j.job_id == task.job_id).steps[task.step]
+        step = self._job(task).steps[task.step]
         worker.runs[key] = step.reserved()
         self._check_start(worker, task, step)
         return ""
@@ -185,28 +287,44 @@
                   for t, _ in w.runs if t == task]
         assert len(places) == 1, f"{task} runs on {places}"
         assert task not in self.known_done, f"{task} starts after its end"
-        state = self.fleet.jobs[task.job_id]
+        if task in self.listed_done:
+            self.started_again.add(task)
+        job = self._job(task)
         for earlier in step.after:
-            assert state.step_done(task.occurrence, earlier)
+            for number in range(job.steps[earlier].count):
+                assert task._replace(step=earlier,
+                                     number=number) in self.done
+
+    def _job(self, task: messages.TaskId) -> messages.Job:
+        return next(j for j in self.jobs if j.job_id == task.job_id)
 
     # Events
 
+    def _store_key(self, key: str, value: bytes) -> int:
+        """Write a key as an entry process does."""
+        self._set_fate("answered")
+        return self.store.commit(messages.Transaction(
+            puts=(messages.Put(key, value),)))
+
+    @stateful.precondition(lambda self: not self.silent)
     @stateful.rule(steps=strategies.sampled_from(STEPS))
     def submit(self, steps: tuple[messages.Step, ...]) -> None:
-        self.revision += 1
         job = fleetfakes.job(f"j{len(self.jobs)}", *steps)
         self.jobs.append(job)
-        self.created[job.job_id] = self.revision
-        self.fleet.add_job(job, self.revision)
+        created = self._store_key(records.job_key(job.job_id),
+                                  progress.encode_job(job))
+        if self.acting:
+            self.fleet.add_job(job, created)
 
-    @stateful.precondition(lambda self: self.jobs)
+    @stateful.precondition(lambda self: self.jobs and not self.silent)
     @stateful.rule(data=strategies.data(), happens=SELDOM)
     def cancel(self, data: strategies.DataObject, happens: bool) -> None:
         if not happens:
             return
         job = data.draw(strategies.sampled_from(self.jobs))
-        self.cancelled.add(job.job_id)
-        self.fleet.cancel(job.job_id)
+        self._store_key(records.cancel_key(job.job_id), b"1")
+        if self.acting:
+            self.fleet.cancel(job.job_id)
 
     @stateful.rule(seconds=strategies.sampled_from(
         [0.1, 0.1, 0.5, 0.5, 2.0, 6.0]))
@@ -214,24 +332,90 @@
         self.now += seconds
         for worker in self._alive():
             if worker.lease_end_ms <= self.now * 1000.0:
-                for key in list(worker.runs):
-                    worker.end(key, "lapsed")
+                self._lapse(worker)
+        if not self.acting:
+            return
+        if not self.silent:
+            self.renewed = self.now
+        if self.now - self.renewed > recovery.WITHOUT_STORE_S:
+            self._step_down()
+            return
         self.fleet.expire(self.now)
 
+    def _lapse(self, worker: SimulatedWorker) -> None:
+        for key in list(worker.runs):
+            worker.end(key, "lapsed")
+        for task, worker_id in list(self.listed_done.items()):
+            if worker_id == worker.entry.worker_id:
+                del self.listed_done[task]
+                self.started_again.discard(task)
+
+    @stateful.precondition(lambda self: not self.silent)
+    @stateful.rule(happens=SELDOM)
+    def store_falls_silent(self, happens: bool) -> None:
+        self.silent = self.store.refuse = happens
+
+    @stateful.precondition(lambda self: self.silent and self.acting)
+    @stateful.rule(data=strategies.data())
+    def silence_outlasts_the_owner(self, data: strategies.DataObject
+                                   ) -> None:
+        """Let the owner go on with most workers until it steps down."""
+        heard = data.draw(strategies.permutations(self._alive()))[1:]
+        while self.acting:
+            self.pass_time(1.0)
+            for worker in heard if self.acting else ():
+                self._report(worker, True)
+
+    @stateful.precondition(lambda self: self.silent)
+    @stateful.rule(lease_ended=strategies.booleans())
+    def store_answers(self, lease_ended: bool) -> None:
+        """Let the store return; its leases paused, or ran out."""
+        self.silent = self.store.refuse = False
+        if lease_ended:
+            self.store.end_lease(self.process.lease)
+            self._step_down()
+
+    @stateful.precondition(lambda self: self.acting and not self.silent)
+    @stateful.rule(data=strategies.data(), lease_ended=strategies.booleans(),
+                   number=strategies.integers(0, PROCESSES - 1), fate=FATES)
+    def long_silence(self, data: strategies.DataObject, lease_ended: bool,
+                     number: int, fate: str) -> None:
+        """Change owners by a silence, and let the new one hear a worker."""
+        self.store_falls_silent(True)
+        self.silence_outlasts_the_owner(data)
+        self.run_ends(data, "done")
+        self.store_answers(lease_ended)
+        self._take_over(number, fate)
+        self.report(data, True)
+        self._place()
+        self.all_orders_arrive()
+
+    @stateful.precondition(lambda self: self.store.late)
+    @stateful.rule()
+    def late_commits_arrive(self) -> None:
+        self.store.deliver_late()
+
+    def _place(self) -> None:
+        if self._may_lease():
+            rounds.place(self.fleet, self.now, 1e12)
+
+    @stateful.precondition(lambda self: self.acting)
     @stateful.rule()
     def place(self) -> None:
-        rounds.place(self.fleet, self.now, 1e12)
+        self._place()
 
+    @stateful.precondition(lambda self: self.acting)
     @stateful.rule()
     def routine(self) -> None:
         """Let all workers report, store what came, and place."""
         for worker in self._alive():
             self._report(worker, True)
-        self.record()
+        self.record("answered")
         self.now += 0.1
-        rounds.place(self.fleet, self.now, 1e12)
+        if self.acting:
+            self._place()
 
-    @stateful.precondition(lambda self: self.jobs)
+    @stateful.precondition(lambda self: self.jobs and self.acting)
     @stateful.rule()
     def calm(self) -> None:
         """Let all go well for a moment."""
@@ -299,6 +483,7 @@
             0, len(self.late) - 1)))
         self._carry_out(sent)
 
+    @stateful.precondition(lambda self: self.acting)
     @stateful.rule(data=strategies.data(),
                    answered=strategies.sampled_from([True, True, False]))
     def report(self, data: strategies.DataObject, answered: bool) -> None:
@@ -312,6 +497,9 @@
         if not answered:
             self.fleet.worker_silent(worker_id, "no answer")
             return
+        if self.fleet.fence < worker.fence:
+            self._step_down()
+            return
         worker.fence = self.fleet.fence
         if until is not None:
             worker.lease_end_ms = max(worker.lease_end_ms, until)
@@ -321,29 +509,46 @@
                   for task, run in worker.runs), tuple(worker.ended)),
             self.now, self.now)
 
-    @stateful.rule()
-    def record(self) -> None:
-        """Store progress; then let workers be used and forget ends."""
-        for state in self.fleet.jobs.values():
-            if state.dirty:
-                state.dirty = False
-                self.stored[state.job.job_id] = progress.encode_progress(
-                    state)
-        self.in_use = set(self.fleet.workers) | set(self.fleet.unheard)
-        self.fleet.enrol(sorted(self.in_use))
-        for worker_id, known in self.fleet.workers.items():
+    @stateful.precondition(lambda self: self.acting)
+    @stateful.rule(fate=FATES)
+    def record(self, fate: str) -> None:
+        """Store progress; then let workers be used and forget ends.
+
+        A commit without an answer is sent again until its outcome is known.
+        """
+        commit = self.commit or self._next_commit()
+        outcome = recorder_mod.Outcome.STORED
+        if commit.values:
+            self._set_fate(fate)
+            outcome = self.recorder._commit(commit.values)
+        if not self.acting:
+            return
+        self.commit = (commit if outcome is recorder_mod.Outcome.DEPOSED
+                       else None)
+        if outcome is recorder_mod.Outcome.STORED:
+            self._forget_ends(commit.marks)
+
+    def _next_commit(self) -> Commit:
+        marks = {worker_id: known.processed
+                 for worker_id, known in self.fleet.workers.items()}
+        values = self.recorder._job_values()
+        self.recorder._fleet_value(values)
+        return Commit(values, marks)
+
+    def _forget_ends(self, marks: dict[str, int]) -> None:
+        for worker_id, mark in marks.items():
             worker = self.workers[worker_id]
             for ended in worker.ended:
-                if (ended.number <= known.processed
-                        and ended.how == messages.DONE
+                if (ended.number <= mark and ended.how == messages.DONE
                         and not self._lasts(ended.task)):
+                    assert (self.listed_done.get(ended.task) != worker_id
+                            or ended.task not in self.started_again), (
+                        f"{ended.task} started after its end")
                     self.known_done.add(ended.task)
-            worker.ended = [e for e in worker.ended
-                            if e.number > known.processed]
+            worker.ended = [e for e in worker.ended if e.number > mark]
 
     def _lasts(self, task: messages.TaskId) -> bool:
-        job = next(j for j in self.jobs if j.job_id == task.job_id)
-        return job.steps[task.step].perpetual
+        return self._job(task).steps[task.step].perpetual
 
     @stateful.rule(data=strategies.data(),
                    how=strategies.sampled_from(["done", "done", "failed"]))
@@ -352,10 +557,12 @@
         if not running:
             return
         worker, key = data.draw(strategies.sampled_from(running))
-        job = next(j for j in self.jobs if j.job_id == key[0].job_id)
-        if job.steps[key[0].step].gang and how == "done":
+        if self._job(key[0]).steps[key[0].step].gang and how == "done":
             return
         worker.end(key, how)
+        if how == "done" and not self._lasts(key[0]):
+            self.done.add(key[0])
+            self.listed_done[key[0]] = worker.entry.worker_id
 
     @stateful.rule(data=strategies.data(), told=strategies.booleans(),
                    happens=SELDOM)
@@ -366,15 +573,26 @@
         worker = data.draw(strategies.sampled_from(self._alive()))
         worker.alive = False
         worker.runs.clear()
+        worker.ended.clear()
+        self.listed_done = {
+            task: worker_id for task, worker_id in self.listed_done.items()
+            if worker_id != worker.entry.worker_id}
         place = int(worker.entry.address.split(".")[3].split(":")[0])
         self._new_worker(place)
-        if told:
+        if told and self.acting:
             self.fleet.worker_dead(worker.entry.worker_id, "crashed")
 
-    @stateful.rule(happens=SELDOM)
-    def take_over(self, happens: bool) -> None:
-        if happens:
-            self._take_over()
+    @stateful.precondition(lambda self: not self.silent)
+    @stateful.rule(number=strategies.integers(0, PROCESSES - 1),
+                   fate=FATES, happens=SELDOM)
+    def take_over(self, number: int, fate: str, happens: bool) -> None:
+        """Let a process take the next term, at once if there is no owner."""
+        if self.acting and not happens:
+            return
+        if self.acting:
+            self._step_down()
+            self.process.release(self.fleet.fence)
+        self._take_over(number, fate)
 
     @stateful.invariant()
     def room_is_accounted_for(self) -> None:
