A lease counts from before the check that it may be given

What callers would see: a task runs twice at once after an owner's VM was frozen, or after its link waited long for the fleet's lock.

Cause: a link asked whether a lease may be given, waited for the fleet's lock (a round may hold it for a second) and took the time for the lease's end only then. A VM that is frozen in between has a successor when it wakes, and the lease it then gives, or the start it sends, lasts as long after the waking as if the check had just been made: past what a successor waits for a worker that it does not reach, and accepted there, as that worker has not seen the higher fence. A check that was true of an earlier moment of the term stood for now.

Change: the time is read before the check. Whatever happens between check and call makes the lease shorter; a start past its lease is refused as late.

The test failed before where the pause is 1 s or 6 s (the lease ended by as much too late) and passes now.

--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -120,7 +120,12 @@
         A silent worker is only asked: a call without an answer may still be
         carried out, and with a lease in each try its tasks could never be
         counted as over.
+
+        The lease counts from before the check that it may be given: a VM
+        frozen in between, or a wait for the lock, makes it shorter, and a
+        successor's waiting for it still holds.
         """
+        now = clock.now()
         if not self.may_lease():
             return None
         with self.fleet.lock:
@@ -128,8 +133,7 @@
             if worker is None or worker.silent:
                 return None
             return worker.lease_until(
-                min(workerstate.LEASE_MS, self.fleet.hold_max_ms),
-                clock.now())
+                min(workerstate.LEASE_MS, self.fleet.hold_max_ms), now)
 
     def _wait_ms(self) -> int:
         with self.fleet.lock:
--- a/tests/test_fleet_link.py
+++ b/tests/test_fleet_link.py
@@ -12,6 +12,7 @@
 from sycamorefield.fleet import rounds
 from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import surroundings
+from sycamorefield.fleet import workerstate
 from tests import fleetfakes
 from tests import test_fleet_state
 
@@ -70,6 +71,24 @@
     assert bench.state.workers["i-0"].granted_ms == granted
 
 
+@pytest.mark.parametrize("pause_s", [0.0, 1.0, 6.0])
+def test_a_pause_after_the_check_makes_no_lease_end_later(
+        bench, monkeypatch, pause_s):
+    """A VM that is frozen there may have a successor when it wakes."""
+    moment = [clock.now()]
+    monkeypatch.setattr(clock, "now", lambda: moment[0])
+    link = make_link(bench, fleetfakes.MemoryWorker("i-0"))
+    latest_ms = moment[0] * 1000.0 + workerstate.LEASE_MS
+
+    def may_lease():
+        moment[0] += pause_s
+        return True
+
+    link.may_lease = may_lease
+    assert link._until() <= latest_ms
+    assert bench.state.workers["i-0"].granted_ms <= latest_ms
+
+
 def test_start_lost_before_the_worker_went_silent_is_stopped(bench):
     """Keep a task whose start may still be carried out from running twice.
 
