An owner that has stepped down gives no lease and sends no start

What callers would see: a run begins on an order of a term that has ended and whose key was given back.

Cause: a link asks whether the term goes on before it waits for the fleet's lock, which a round may hold for a second. After the wait it asked only whether the owner's lease in the store may still hold, and that says yes for 2 s after the last renewal, also when the owner stepped down meanwhile and removed its key. A worker that the successor has not reached takes the start. Its lease then ends later than the successor's shortest wait supposes, which counts from an owner that gives none once most workers obey another.

Change: may_lease is false from step_down on, as may_act is.

The test failed before (the start was sent) and passes now.

--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -95,8 +95,11 @@
 
         Beyond its own lease an owner cannot know whether it has a successor.
         The successor fences every worker that it reaches; as long as most
-        workers obey this owner, there is none that reached most.
+        workers obey this owner, there is none that reached most.  One that
+        has stepped down may have given its lease back already.
         """
+        if self.over.is_set():
+            return False
         now = clock.now()
         self.fleet.without_store = now - self.renewed > OWN_LEASE_S
         return (not self.fleet.without_store
--- a/tests/test_fleet_link.py
+++ b/tests/test_fleet_link.py
@@ -8,6 +8,7 @@
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import link as link_mod
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import owner as owner_mod
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import rounds
 from sycamorefield.fleet import state as state_mod
@@ -89,6 +90,32 @@
     assert bench.state.workers["i-0"].granted_ms <= latest_ms
 
 
+def test_a_start_that_waits_for_the_lock_is_not_sent_after_its_term(bench):
+    """A round may hold the lock for a second, and the owner step down."""
+    worker = fleetfakes.MemoryWorker("i-0")
+    owner = owner_mod.Owner(
+        fleetfakes.MemoryStore(), fleetfakes.MemoryRoster(()),
+        lambda entry: worker, fleetfakes.configuration, 5, 6000.0)
+    checked = threading.Event()
+
+    def may_act():
+        checked.set()
+        return not owner.over.is_set()
+
+    link = make_link(bench, worker)
+    link.may_act, link.may_lease = may_act, owner.may_lease
+    bench.add(fleetfakes.job("j"))
+    rounds.place(bench.state, bench.now, 0)
+    order = bench.orders[-1][1]
+    sending = threading.Thread(target=link._send_start, args=(order,))
+    with bench.state.lock:
+        sending.start()
+        assert checked.wait(5)
+        owner.step_down("planned stop")
+    sending.join(5)
+    assert not worker.starts
+
+
 def test_start_lost_before_the_worker_went_silent_is_stopped(bench):
     """Keep a task whose start may still be carried out from running twice.
 
