A worker is in use only by every list of workers that may be stored

What callers would see: a task runs on two workers after a change of owner.

Cause: a worker may get starts once it is on the stored list, by which a successor knows whom to ask before it starts anything that may run. A worker that had been given up and came back was taken for listed by the last list of which the owner had an answer, although one without it was under way, or in effect without an answer. It got starts at once; a successor that reads the newer list does not wait for that worker, and starts its tasks elsewhere.

Change: FleetState keeps each list that a successor may find, and a new worker is enrolled if it is on all of them. An answered commit leaves one.

The test failed before (enrolled while the store held a list without it) and passes now.

--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -131,6 +131,7 @@
             if self.addresses and worker_id in self.addresses:
                 now.setdefault(worker_id, self.addresses[worker_id])
         if now != self.addresses:
+            self.fleet.will_store(now)
             values.append(Value(
                 records.FLEET_KEY, records.encode_addresses(now),
                 self.revisions.get(records.FLEET_KEY, 0), None))
--- a/sycamorefield/fleet/roster.py
+++ b/sycamorefield/fleet/roster.py
@@ -68,9 +68,6 @@
         old = self.links.get(entry.worker_id)
         if not self.fleet.add_worker(entry):
             return None
-        if entry.worker_id in (self.addresses() or {}):
-            # Already on the stored list of workers in use.
-            self.fleet.enrol([entry.worker_id])
         if old is not None:
             old.close()
         link = link_mod.WorkerLink(
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -53,6 +53,9 @@
         # with the time from which nothing can run there any more.
         self.unheard: dict[str, float] = {}
         self.expected = 0
+        # Each list of workers in use that a successor may find stored: more
+        # than one while it isn't known which of them is.
+        self.in_use: list[frozenset[str]] = [frozenset()]
         # When workers that may still be listed were known to have ended.
         self.ended_at: dict[str, float] = {}
         # Whether the store has not answered for longer than the owner's
@@ -181,8 +184,11 @@
                     known.touch()
                 known.listed = True
                 return False
-            self.workers[entry.worker_id] = workerstate.WorkerState(
+            worker = workerstate.WorkerState(
                 entry, self.policy.limit_unsent_starts)
+            worker.enrolled = all(entry.worker_id in listed
+                                  for listed in self.in_use)
+            self.workers[entry.worker_id] = worker
             events.emit(events.WORKER_JOINED, worker=entry.worker_id,
                         address=entry.address)
             self.notify()
@@ -194,19 +200,29 @@
             for worker_id, worker in self.workers.items():
                 worker.listed = worker_id in listed
 
+    def will_store(self, worker_ids: typing.Iterable[str]) -> None:
+        """Note a list of workers in use that may be stored from now on."""
+        with self.lock:
+            self.in_use.append(frozenset(worker_ids))
+
     def enrol(self, worker_ids: typing.Iterable[str]) -> None:
-        """Let workers be used that successors will know to ask."""
+        """Let workers be used that are on the list that is now stored.
+
+        Successors will know to ask them.
+        """
         with self.lock:
-            for worker_id in worker_ids:
+            self.in_use = [frozenset(worker_ids)]
+            for worker_id in self.in_use[0]:
                 if worker_id in self.workers:
                     self.workers[worker_id].enrolled = True
             self.notify()
 
     def expect(self, worker_ids: typing.Iterable[str],
                until: float) -> None:
-        """Wait for workers that an earlier owner may have used."""
+        """Wait for workers on the list that an earlier owner stored."""
         self.unheard = {worker_id: until for worker_id in worker_ids}
         self.expected = len(self.unheard)
+        self.in_use = [frozenset(self.unheard)]
 
     def obeyed_by_most(self, now: float) -> bool:
         """Tell whether most workers lately took calls under our fence."""
--- a/tests/test_fleet_takeover.py
+++ b/tests/test_fleet_takeover.py
@@ -7,6 +7,7 @@
 import pytest
 
 from sycamorefield.fleet import clock
+from sycamorefield.fleet import link as link_mod
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import operatorview
 from sycamorefield.fleet import owner as owner_mod
@@ -15,6 +16,7 @@
 from sycamorefield.fleet import records
 from sycamorefield.fleet import recovery
 from sycamorefield.fleet import state as state_mod
+from sycamorefield.fleet import surroundings
 from tests import fleetfakes
 
 HOLD_MAX_MS = 6000.0
@@ -346,6 +348,43 @@
     assert not orders and task.phase == progress.IDLE
 
 
+def test_a_worker_back_while_a_list_without_it_is_written_must_wait(
+        monkeypatch):
+    """A successor that reads that list would not ask the worker."""
+    monkeypatch.setattr(link_mod.WorkerLink, "start", lambda self: None)
+    fleet = Fleet()
+    fence = fleet.store.commit(messages.Transaction(
+        puts=(messages.Put(records.OWNER_KEY, b"me"),)))
+    owner = owner_mod.Owner(
+        fleet.store, fleet.roster, lambda entry: None,
+        fleetfakes.configuration, fence, HOLD_MAX_MS)
+    owner.roster.take_entries(fleet.roster.entries)
+    assert owner.recorder.flush()
+    away = owner.fleet.workers["i-0"]
+    assert away.enrolled
+    away.heard(0.0, clock.now())
+    owner.fleet.worker_silent("i-0", "no answer")
+    owner.fleet.expire(clock.now() + 1.0)
+    commit = fleet.store.commit
+    enrolled = []
+
+    def unanswered(transaction):
+        commit(transaction)
+        monkeypatch.setattr(fleet.store, "commit", commit)
+        owner.roster.take_entries(fleet.roster.entries)
+        enrolled.append(owner.fleet.workers["i-0"].enrolled)
+        raise surroundings.CallFailed("no answer")
+
+    monkeypatch.setattr(fleet.store, "commit", unanswered)
+    assert owner.recorder.flush()
+    assert "i-0" not in records.decode_mapping(
+        fleet.store.items[records.FLEET_KEY].value)
+    assert enrolled == [False]
+    assert not owner.fleet.workers["i-0"].enrolled
+    assert owner.recorder.flush()
+    assert owner.fleet.workers["i-0"].enrolled
+
+
 class Contender:
     """Let a process compete for a fleet whose store can be silent."""
 
