An owner without the store counts most workers of the stored list

What callers would see: a task runs on two workers after a cut.

Cause: beyond its own lease an owner gives leases only while most workers obey it, and its successor, once most of the stored list have reported, waits only as long as leases of that time last. The two counted different sets. The owner took those that it still knew, and gave up silent workers when their leases were over: 5.4 s into a cut a minority that was cut off with it became all there were, and it gave leases again until it stepped down at 8 s. Its successor had stopped waiting for these workers at 9.5 s, and they ran on until 13 s.

Change: the owner counts against the list that is stored, which a successor reads; where the outcome of a commit isn't known, against each list that may be. Two majorities of one list have a worker in common, which refuses the earlier owner from the moment it has reported to the later one. A worker that has ended counts against the owner as one that is silent does.

The test plays both owners on one clock.

--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -225,11 +225,17 @@
         self.in_use = [frozenset(self.unheard)]
 
     def obeyed_by_most(self, now: float) -> bool:
-        """Tell whether most workers lately took calls under our fence."""
+        """Tell whether most workers lately took calls under our fence.
+
+        Most of the stored list, as a successor counts them: of those that
+        this owner still knows a minority that is cut off with it would be
+        all, once it has given up the others.
+        """
         with self.lock:
-            fresh = sum(1 for w in self.workers.values()
-                        if now - w.obeyed_at <= OBEYED_S)
-            return 2 * fresh > len(self.workers)
+            fresh = {worker_id for worker_id, worker in self.workers.items()
+                     if now - worker.obeyed_at <= OBEYED_S}
+            return all(2 * len(fresh & listed) > len(listed)
+                       for listed in self.in_use)
 
     def worker_silent(self, worker_id: str, reason: str,
                       closed: bool = False) -> None:
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -6,11 +6,14 @@
 
 from sycamorefield.fleet import answers
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import owner as owner_mod
 from sycamorefield.fleet import policy as policy_mod
 from sycamorefield.fleet import progress
+from sycamorefield.fleet import recovery
 from sycamorefield.fleet import reports
 from sycamorefield.fleet import rounds
 from sycamorefield.fleet import state as state_mod
+from sycamorefield.fleet import workerstate
 from tests import fleetfakes
 
 ROOM = messages.Room(1000, 1000)
@@ -286,6 +289,38 @@
     assert bench.state.obeyed_by_most(bench.now) is lease
 
 
+@pytest.mark.parametrize("reached", [1, 2, 3])
+def test_no_lease_outlasts_the_wait_of_a_successor_elsewhere(reached):
+    """An owner in a minority must not count itself the majority later."""
+    entries = [fleetfakes.entry(n) for n in range(4)]
+    earlier, later = Bench(*entries), Bench()
+    start = earlier.now
+    later.state.expect([e.worker_id for e in entries],
+                       start + owner_mod.OWN_LEASE_S
+                       + recovery.WITHOUT_STORE_S + workerstate.LEASE_OVER_S)
+    granted_ms = 0.0
+    while later.state.unheard:
+        earlier.now += 0.25
+        later.now = earlier.now
+        silence_s = earlier.now - start
+        for n, entry in enumerate(entries):
+            if n >= reached:
+                earlier.state.worker_silent(entry.worker_id, "cut")
+            elif silence_s <= recovery.WITHOUT_STORE_S:
+                if (silence_s <= owner_mod.OWN_LEASE_S
+                        or earlier.state.obeyed_by_most(earlier.now)):
+                    granted_ms = earlier.state.workers[
+                        entry.worker_id].lease_until(
+                            workerstate.LEASE_MS, earlier.now)
+                earlier.report(entry.worker_id)
+            if n >= reached and silence_s > owner_mod.OWN_LEASE_S:
+                later.state.add_worker(entry)
+                later.report(entry.worker_id)
+        earlier.state.expire(earlier.now)
+        later.state.expire(later.now)
+    assert later.now * 1000.0 > granted_ms
+
+
 @pytest.mark.parametrize("state", [
     messages.PENDING, messages.COMPLETED, messages.CANCELLED])
 def test_progress_survives_its_record(state):
