Each term numbers its runs above those of every earlier term

What callers would see: after two changes of owner a gang waits for a member in vain and ends `alone`; a single task's start is refused as old once more.

Cause: runs of jobs taken over were numbered from 1001 in every term. Of a run that neither failed nor saved anything nothing is stored, and a worker forgets an end once it is taken note of, so a third term could not know that the second had numbered from 1001, too. A worker refuses a run that is no higher than one that ended there; of a gang the other members then wait. The number named a run after some change of owner, not of this term.

Change: the base is the fence times RUN_GAP. Fences rise from term to term by one at least, and a term does not order one task RUN_GAP times for each revision of the store.

The test's six cases failed before (refused as old) and pass now.

--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -11,8 +11,9 @@
 RUNNING = "running"
 STOPPING = "stopping"
 
-# A new owner may not know of a run that its predecessor ordered last.  Its
-# own runs are numbered past any that can have been ordered in between.
+# A new owner may not know of runs that its predecessors ordered.  Runs of jobs
+# that it took over are numbered from its fence times this: above those of
+# every earlier term, whose fences are lower.
 RUN_GAP = 1000
 
 Place = tuple[int, int]
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -89,7 +89,7 @@
             state = progress.JobState(job, created)
             state.known_at = clock.now()
             if created <= self.fence:
-                state.run_base = progress.RUN_GAP
+                state.run_base = self.fence * progress.RUN_GAP
             self.jobs[job.job_id] = state
             self.active[job.job_id] = state
             self.notify()
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -321,6 +321,29 @@
     assert later.now * 1000.0 > granted_ms
 
 
+@pytest.mark.parametrize("step", [
+    messages.Step(1, messages.Room(3000, 10)),
+    messages.Step(2, messages.Room(3000, 10), gang=True)],
+    ids=["single", "gang"])
+@pytest.mark.parametrize("fences", [(10, 20), (10, 11, 12), (10, 20, 90)])
+def test_no_worker_refuses_a_run_as_one_of_an_earlier_term(step, fences):
+    """A gang of which one member is refused waits for it in vain."""
+    entries = [fleetfakes.entry(n) for n in range(step.count)]
+    workers = {e.worker_id: fleetfakes.MemoryWorker(e.worker_id)
+               for e in entries}
+    for fence in fences:
+        bench = Bench(*entries)
+        bench.state.fence = fence
+        bench.add(fleetfakes.job("j", step), created=5)
+        bench.place()
+        assert len(bench.orders) == step.count
+        for worker_id, order in bench.orders:
+            workers[worker_id].start(order, fence, 0.0)
+        for worker_id, order in bench.orders:
+            workers[worker_id].stop(messages.StopOrder(
+                order.task, order.run), fence)
+
+
 @pytest.mark.parametrize("state", [
     messages.PENDING, messages.COMPLETED, messages.CANCELLED])
 def test_progress_survives_its_record(state):
