A worker counts as heard when its report lists all of its ends

What callers would see: a task that had ended as done is started again after a change of owner, and its first end is taken note of after that.

Cause: a report lists at most 500 ends. A successor that got a full list took the worker for heard, though it knew neither of the ends that were left out nor, as those runs are over, of their tasks; these were free to start elsewhere.

Change: a worker counts as reported and heard only with a list that isn't full. What the full one holds is stored and acknowledged meanwhile, which brings the rest.

The test failed before (the task was placed again) and passes now.

--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -49,9 +49,10 @@
         for row in report.running:
             _running(fleet, worker, row, now)
         if len(report.ended) < ENDS_PER_REPORT:
+            # A full list may leave out ends of what does not run any more.
             news |= _missing(fleet, worker, report, sent)
-        worker.reported = True
-        fleet.unheard.pop(worker_id, None)
+            worker.reported = True
+            fleet.unheard.pop(worker_id, None)
         fleet.pacer.take(worker, report, now)
         worker.stalls = any(pacer.stalls(task)
                             for task in worker.tasks.values())
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -266,6 +266,25 @@
     assert again.split("@")[1] != holder
 
 
+def test_a_worker_is_heard_when_a_report_lists_all_of_its_ends():
+    """The end of a task may be among those that a full list leaves out."""
+    bench = Bench(fleetfakes.entry(0))
+    bench.state.expect(["i-9"], bench.now + 14.0)
+    bench.state.add_worker(fleetfakes.entry(9))
+    bench.add(fleetfakes.job("j"), created=5)
+    bench.report("i-9", ended=[
+        messages.EndedTask(number, messages.TaskId("k", 0, 0, number), 1,
+                           messages.DONE, "")
+        for number in range(1, reports.ENDS_PER_REPORT + 1)])
+    assert not bench.place()
+    bench.report("i-9", ended=[messages.EndedTask(
+        reports.ENDS_PER_REPORT + 1, messages.TaskId("j", 0, 0, 0), 1,
+        messages.DONE, "")])
+    assert not bench.place()
+    assert not bench.state.unheard
+    assert bench.state.jobs["j"].state == messages.COMPLETED
+
+
 @pytest.mark.parametrize(("heard", "waits_s"), [(0, 14.0), (3, 7.5)])
 def test_the_last_workers_are_waited_for_less_once_most_reported(heard,
                                                                  waits_s):
