An answer that came late doesn't bring an owner back

What callers would see: accepted jobs never start, as no process claims the fleet.

Cause: a process that lost a claim, or reads the key to see whether its own term is over, takes the answer for the newest state. If the owner that it names has given its key back meanwhile, and the watch has told so already, the answer sets the view back to that owner. The watch goes on from after the removal, so nothing tells the process that the key is free; if no other process claims it, nobody does. An earlier owner's key stood for the one of now.

Change: the view keeps the revision as of which it knows the owner's key and leaves out answers with an older one. "No key" is taken as it is: a claim that is wrong about it fails and says who owns the fleet.

The test failed before (the second process claimed nothing) and passes now.

--- a/sycamorefield/fleet/operatorview.py
+++ b/sycamorefield/fleet/operatorview.py
@@ -30,6 +30,8 @@
         self.known = False
         self.owner: messages.Item | None = None
         self.owner_known = False
+        # The owner's key is known as of this revision.
+        self.owner_revision = 0
         self.answered_at = 0.0
         self.reachable = True
         self.changed = threading.Condition()
@@ -56,7 +58,7 @@
         present = {item.key: item for item in listing.items}
         for item in listing.items:
             self._apply(item.key, item)
-        self._set_owner(present.get(records.OWNER_KEY))
+        self._set_owner(present.get(records.OWNER_KEY), listing.revision)
         return listing.revision
 
     def _follow(self, revision: int) -> None:
@@ -68,7 +70,7 @@
                 # Only changes move on: a deaf watch answers without any.
                 revision = max(revision, change.revision)
                 if change.key == records.OWNER_KEY:
-                    self._set_owner(change.item)
+                    self._set_owner(change.item, change.revision)
                 elif change.item is not None:
                     self._apply(change.key, change.item)
 
@@ -99,8 +101,17 @@
         events.emit(events.CONFIG_APPLIED, version=decoded.version,
                     queues=len(decoded.queues), revision=item.revision)
 
-    def _set_owner(self, item: messages.Item | None) -> None:
+    def _set_owner(self, item: messages.Item | None, revision: int) -> None:
         with self.changed:
             self.owner = item
             self.owner_known = True
+            self.owner_revision = max(self.owner_revision, revision)
+            self.changed.notify_all()
+
+    def owner_read(self, item: messages.Item | None) -> None:
+        """Take in the owner's key from an answer that may be late."""
+        with self.changed:
+            if item is not None and item.revision < self.owner_revision:
+                return
+            self.owner = item
             self.changed.notify_all()
--- a/sycamorefield/fleet/ownership.py
+++ b/sycamorefield/fleet/ownership.py
@@ -102,7 +102,7 @@
                 (messages.Expect(records.OWNER_KEY, revision),),
                 (messages.Put(records.OWNER_KEY, self.value, self.lease),)))
         except surroundings.Conflict as exc:
-            self._saw(exc.at(records.OWNER_KEY))
+            self.view.owner_read(exc.at(records.OWNER_KEY))
             return 0
         except surroundings.LeaseEnded:
             # The grant took longer than the lease; the next try asks anew.
@@ -110,11 +110,6 @@
         events.emit(events.OWNERSHIP_CLAIMED, fence=fence, replaced=revision)
         return fence
 
-    def _saw(self, item: messages.Item | None) -> None:
-        with self.view.changed:
-            self.view.owner = item
-            self.view.changed.notify_all()
-
     def _serve(self, fence: int) -> None:
         owner = self.make_owner(fence)
         # A claim may come seconds after its lease was granted.
@@ -171,7 +166,7 @@
         except surroundings.CallFailed as exc:
             events.emit(events.STORE_LOST, reason=f"owner's key: {exc}")
             return False
-        self._saw(item)
+        self.view.owner_read(item)
         if item is not None and item.revision == owner.fence:
             return False
         owner.step_down("owner's key is gone or another's")
--- a/tests/test_fleet_ownership.py
+++ b/tests/test_fleet_ownership.py
@@ -99,6 +99,18 @@
     assert weak._claim() == 0
 
 
+def test_an_answer_that_came_late_does_not_bring_an_owner_back():
+    """Without an owner no change would ever tell that the key is free."""
+    store = fleetfakes.MemoryStore()
+    first, second = contender(store, "a"), contender(store, "b")
+    fence = first._claim()
+    read = store.get(records.OWNER_KEY)
+    first.release(fence)
+    second.view._read()
+    second.view.owner_read(read)
+    assert second._claim()
+
+
 class StuckStore(fleetfakes.MemoryStore):
     """Hold back answers to reads until told to go on."""
 
