--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -120,8 +120,11 @@
         A silent worker is only asked: a call without an answer may still be
         carried out, and with a lease in each try its tasks could never be
         counted as over.
+
+        The lease counts from before the check that it may be given: a VM
+        frozen in between, or a wait for the lock, makes it shorter, and a
+        successor's waiting for it still holds.
         """
-        # Read first: the VM may freeze, or wait for the lock, in between.
         now = clock.now()
         if not self.may_lease():
             return None
--- a/tests/test_fleet_link.py
+++ b/tests/test_fleet_link.py
@@ -8,10 +8,12 @@
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import link as link_mod
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import owner as owner_mod
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import rounds
 from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import surroundings
+from sycamorefield.fleet import workerstate
 from tests import fleetfakes
 from tests import test_fleet_state
 
@@ -70,6 +72,51 @@
     assert bench.state.workers["i-0"].granted_ms == granted
 
 
+@pytest.mark.parametrize("pause_s", [0.0, 1.0, 6.0])
+def test_a_pause_after_the_check_makes_no_lease_end_later(
+        bench, monkeypatch, pause_s):
+    """A VM that is frozen there may have a successor when it wakes."""
+    moment = [clock.now()]
+    monkeypatch.setattr(clock, "now", lambda: moment[0])
+    link = make_link(bench, fleetfakes.MemoryWorker("i-0"))
+    # A millisecond more, for what sums of floats lose.
+    latest_ms = moment[0] * 1000.0 + workerstate.LEASE_MS + 1.0
+
+    def may_lease():
+        moment[0] += pause_s
+        return True
+
+    link.may_lease = may_lease
+    assert link._until() <= latest_ms
+    assert bench.state.workers["i-0"].granted_ms <= latest_ms
+
+
+def test_a_start_that_waits_for_the_lock_is_not_sent_after_its_term(bench):
+    """A round may hold the lock for a second, and the owner step down."""
+    worker = fleetfakes.MemoryWorker("i-0")
+    owner = owner_mod.Owner(
+        fleetfakes.MemoryStore(), fleetfakes.MemoryRoster(()),
+        lambda entry: worker, fleetfakes.configuration, 5, 6000.0)
+    checked = threading.Event()
+
+    def may_act():
+        checked.set()
+        return not owner.over.is_set()
+
+    link = make_link(bench, worker)
+    link.may_act, link.may_lease = may_act, owner.may_lease
+    bench.add(fleetfakes.job("j"))
+    rounds.place(bench.state, bench.now, 0)
+    order = bench.orders[-1][1]
+    sending = threading.Thread(target=link._send_start, args=(order,))
+    with bench.state.lock:
+        sending.start()
+        assert checked.wait(5)
+        owner.step_down("planned stop")
+    sending.join(5)
+    assert not worker.starts
+
+
 def test_start_lost_before_the_worker_went_silent_is_stopped(bench):
     """Keep a task whose start may still be carried out from running twice.
 
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -6,11 +6,14 @@
 
 from sycamorefield.fleet import answers
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import owner as owner_mod
 from sycamorefield.fleet import policy as policy_mod
 from sycamorefield.fleet import progress
+from sycamorefield.fleet import recovery
 from sycamorefield.fleet import reports
 from sycamorefield.fleet import rounds
 from sycamorefield.fleet import state as state_mod
+from sycamorefield.fleet import workerstate
 from tests import fleetfakes
 
 ROOM = messages.Room(1000, 1000)
@@ -263,6 +266,25 @@
     assert again.split("@")[1] != holder
 
 
+def test_a_worker_is_heard_when_a_report_lists_all_of_its_ends():
+    """The end of a task may be among those that a full list leaves out."""
+    bench = Bench(fleetfakes.entry(0))
+    bench.state.expect(["i-9"], bench.now + 14.0)
+    bench.state.add_worker(fleetfakes.entry(9))
+    bench.add(fleetfakes.job("j"), created=5)
+    bench.report("i-9", ended=[
+        messages.EndedTask(number, messages.TaskId("k", 0, 0, number), 1,
+                           messages.DONE, "")
+        for number in range(1, reports.ENDS_PER_REPORT + 1)])
+    assert not bench.place()
+    bench.report("i-9", ended=[messages.EndedTask(
+        reports.ENDS_PER_REPORT + 1, messages.TaskId("j", 0, 0, 0), 1,
+        messages.DONE, "")])
+    assert not bench.place()
+    assert not bench.state.unheard
+    assert bench.state.jobs["j"].state == messages.COMPLETED
+
+
 @pytest.mark.parametrize(("heard", "waits_s"), [(0, 14.0), (3, 7.5)])
 def test_the_last_workers_are_waited_for_less_once_most_reported(heard,
                                                                  waits_s):
@@ -286,6 +308,61 @@
     assert bench.state.obeyed_by_most(bench.now) is lease
 
 
+@pytest.mark.parametrize("reached", [1, 2, 3])
+def test_no_lease_outlasts_the_wait_of_a_successor_elsewhere(reached):
+    """An owner in a minority must not count itself the majority later."""
+    entries = [fleetfakes.entry(n) for n in range(4)]
+    earlier, later = Bench(*entries), Bench()
+    start = earlier.now
+    later.state.expect([e.worker_id for e in entries],
+                       start + owner_mod.OWN_LEASE_S
+                       + recovery.WITHOUT_STORE_S + workerstate.LEASE_OVER_S)
+    granted_ms = 0.0
+    while later.state.unheard:
+        earlier.now += 0.25
+        later.now = earlier.now
+        silence_s = earlier.now - start
+        for n, entry in enumerate(entries):
+            if n >= reached:
+                earlier.state.worker_silent(entry.worker_id, "cut")
+            elif silence_s <= recovery.WITHOUT_STORE_S:
+                if (silence_s <= owner_mod.OWN_LEASE_S
+                        or earlier.state.obeyed_by_most(earlier.now)):
+                    granted_ms = earlier.state.workers[
+                        entry.worker_id].lease_until(
+                            workerstate.LEASE_MS, earlier.now)
+                earlier.report(entry.worker_id)
+            if n >= reached and silence_s > owner_mod.OWN_LEASE_S:
+                later.state.add_worker(entry)
+                later.report(entry.worker_id)
+        earlier.state.expire(earlier.now)
+        later.state.expire(later.now)
+    assert later.now * 1000.0 > granted_ms
+
+
+@pytest.mark.parametrize("step", [
+    messages.Step(1, messages.Room(3000, 10)),
+    messages.Step(2, messages.Room(3000, 10), gang=True)],
+    ids=["single", "gang"])
+@pytest.mark.parametrize("fences", [(10, 20), (10, 11, 12), (10, 20, 90)])
+def test_no_worker_refuses_a_run_as_one_of_an_earlier_term(step, fences):
+    """A gang of which one member is refused waits for it in vain."""
+    entries = [fleetfakes.entry(n) for n in range(step.count)]
+    workers = {e.worker_id: fleetfakes.MemoryWorker(e.worker_id)
+               for e in entries}
+    for fence in fences:
+        bench = Bench(*entries)
+        bench.state.fence = fence
+        bench.add(fleetfakes.job("j", step), created=5)
+        bench.place()
+        assert len(bench.orders) == step.count
+        for worker_id, order in bench.orders:
+            workers[worker_id].start(order, fence, 0.0)
+        for worker_id, order in bench.orders:
+            workers[worker_id].stop(messages.StopOrder(
+                order.task, order.run), fence)
+
+
 @pytest.mark.parametrize("state", [
     messages.PENDING, messages.COMPLETED, messages.CANCELLED])
 def test_progress_survives_its_record(state):
