Only an owner whose lease holds counts a worker's leases as over

What callers would see: a task runs on two workers after a cut.

Cause: an owner gives up a silent worker, and starts its tasks elsewhere, when the last lease that it gave there is over. That is all there is only as long as nobody else gives leases. An owner that is cut off from the store goes on with most workers for 8 s; its own lease ends after 2 s, and a successor that reaches the silent worker has renewed what runs there by the time (5.4 s) at which the first one starts the same tasks on workers that the successor has not reached. The leases that counted were those of an earlier term.

Change: a worker's leases, and the waiting for one that is unheard, are over only at a moment at which the owner's own lease certainly holds, as then no successor can have been there. Once its lease is renewed it goes on: that the renewal succeeds shows that there was none.

The test's two cases failed before (started at once) and pass now.

--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -281,10 +281,15 @@
         self.changed = True
 
     def expire(self, now: float) -> None:
-        """Give up on workers whose leases have certainly ended."""
+        """Give up on workers whose leases have certainly ended.
+
+        Only while the owner's own lease holds: a successor would renew the
+        leases of what runs on the workers that it reaches.
+        """
         with self.lock:
+            alone = now <= self.leased_until
             for worker in list(self.workers.values()):
-                if worker.silent and worker.lease_over(now):
+                if worker.silent and alone and worker.lease_over(now):
                     self._gone(worker, "lease over")
                 elif worker.silent and worker.closed and not worker.listed:
                     # It announced its leave, closed its connections and
@@ -299,7 +304,7 @@
                     del self.ended_at[worker_id]
             self._shorten_waits(now)
             for worker_id, until in list(self.unheard.items()):
-                if now >= until:
+                if now >= until and alone:
                     del self.unheard[worker_id]
                     events.emit(events.WORKER_GONE, worker=worker_id,
                                 reason="leases of the earlier owner over")
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -204,6 +204,29 @@
     assert again.split("@")[1] != holder
 
 
+@pytest.mark.parametrize("unheard", [False, True])
+def test_only_an_owner_whose_lease_holds_counts_leases_as_over(unheard):
+    """A successor may have renewed those of a worker that is silent here."""
+    bench = Bench(fleetfakes.entry(0), fleetfakes.entry(1))
+    if unheard:
+        bench.state.expect(["i-9"], bench.now + 6.0)
+    bench.add(fleetfakes.job("j"), created=5 if unheard else 20)
+    placed = bench.place()
+    assert len(placed) == (not unheard)
+    for name in placed:
+        holder = name.split("@")[1]
+        bench.state.workers[holder].lease_until(5000.0, bench.now)
+        bench.state.worker_silent(holder, "cut")
+    bench.state.jobs["j"].known_at = bench.now
+    bench.state.leased_until = bench.now + 2.0
+    bench.now += 7.0
+    bench.state.expire(bench.now)
+    assert not bench.place()
+    bench.state.leased_until = bench.now + 2.0
+    bench.state.expire(bench.now)
+    assert len(bench.place()) == 1
+
+
 def test_draining_worker_gets_nothing_new():
     bench = Bench(fleetfakes.entry(0))
     bench.state.add_worker(fleetfakes.entry(0, draining=True))
