A claim that is under way at a planned stop is given back

What callers would see: nothing starts for some two seconds after a process was stopped, though stops hand the fleet over.

Cause: stop() hands over the owner that it finds. A claim that was under way then succeeds afterwards, and its term begins in a process that stops: it orders runs until the process is ended, and its key goes only with its lease.

Change: a term that begins after the stop was asked for ends at once and removes its key. Either stop() sees the new owner, or the new term sees the stop.

The test failed before (the term ran) and passes now.

--- a/sycamorefield/fleet/ownership.py
+++ b/sycamorefield/fleet/ownership.py
@@ -115,6 +115,12 @@
         # A claim may come seconds after its lease was granted.
         owner.lease_renewed(self.leased_at)
         self.owner = owner
+        if self.stopped.is_set():
+            # stop() may have come too soon to see this owner.
+            self.owner = None
+            owner.step_down("planned stop")
+            self.release(fence)
+            return
         threading.Thread(target=self._renew, args=(owner,),
                          daemon=True).start()
         threading.Thread(target=self._check, args=(owner,),
--- a/tests/test_fleet_ownership.py
+++ b/tests/test_fleet_ownership.py
@@ -150,6 +150,36 @@
     assert owner.over.is_set()
 
 
+def test_a_claim_under_way_at_a_planned_stop_is_given_back(monkeypatch):
+    """A process that stops must not own the fleet until it is killed."""
+    store = fleetfakes.MemoryStore()
+    ours = contender(store, "a")
+    look(ours)
+    ours.view.known = True
+    terms = []
+
+    def make_owner(fence):
+        over = threading.Event()
+        return types.SimpleNamespace(
+            fence=fence, over=over, lease_renewed=lambda sent: None,
+            run=lambda: terms.append(fence),
+            step_down=lambda reason: over.set())
+
+    commit = store.commit
+
+    def stopped_meanwhile(transaction):
+        fence = commit(transaction)
+        monkeypatch.undo()
+        ours.stop()
+        return fence
+
+    ours.make_owner = make_owner
+    monkeypatch.setattr(store, "commit", stopped_meanwhile)
+    ours.run()
+    assert not terms
+    assert records.OWNER_KEY not in store.items
+
+
 def test_released_key_is_free_at_once():
     store = fleetfakes.MemoryStore()
     first, second = contender(store, "a"), contender(store, "b")
