State machine: an owner that is cut off acts on beside the next one

The machine had one owner at a time, so what an earlier one may still do while its successor waits was checked by late calls only. Now a split cuts an owner off from the store with some of the workers; another process takes the next term and reaches the others, and both go on for longer than the earlier one's leases last. Between splits the earlier owner may reach any worker again.

--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -3,11 +3,13 @@
 Time, workers and the store are simulated: orders and their answers are lost
 or carried out late, workers crash, fall silent or lose their leases, the
 store is silent for longer than an owner goes on without it, and owners change:
-any process takes the next term, also the one that had the last.  Checked is
-what workers see.
+any process takes the next term, also the one that had the last, and an owner
+that is cut off acts on beside the next one.  Checked is what workers see.
 """
 
+import contextlib
 import dataclasses
+import typing
 
 import hypothesis
 from hypothesis import stateful
@@ -35,6 +37,11 @@
 HOLD_MAX_MS = 6000.0
 # Events that would end most work if they came as often as others.
 SELDOM = strategies.sampled_from([False, False, False, False, True])
+# How long a split lasts: longer than the earlier owner's leases.
+SPLIT_S = 14
+# What belongs to one term of an owner.
+TERM = ("fleet", "recorder", "process", "acting", "renewed", "silent",
+        "commit", "sent")
 # What becomes of a call to the store.
 FATES = strategies.sampled_from(
     ["answered", "answered", "answer lost", "lost", "late"])
@@ -115,6 +122,8 @@
         self.renewed = self.now
         self.silent = False
         self.commit: Commit | None = None
+        # The term of an owner that was cut off and may still act.
+        self.earlier: dict[str, typing.Any] = {}
         for place in range(WORKERS):
             self._new_worker(place)
         self._take_over(0, "answered")
@@ -158,6 +167,24 @@
         self.late += self.sent
         self.sent = []
 
+    def _swap(self) -> None:
+        now = {name: getattr(self, name) for name in TERM}
+        for name, value in self.earlier.items():
+            setattr(self, name, value)
+        self.earlier = now
+
+    @contextlib.contextmanager
+    def _as_earlier(self) -> typing.Iterator[bool]:
+        """Act as the owner that was cut off; tell whether it still acts."""
+        if not self.earlier:
+            yield False
+            return
+        self._swap()
+        try:
+            yield self.acting
+        finally:
+            self._swap()
+
     def _claim(self, process: ownership_mod.Ownership, fate: str) -> int:
         """Let a process that may claim the fleet do so; return the fence."""
         owner = self.store.items.get(records.OWNER_KEY)
@@ -186,17 +213,17 @@
         self._step_down()
         fence = self._claim(self.processes[number], fate)
         self.process = self.processes[number]
-        self.renewed = self.now
         self.acting = True
         self.fleet = state_mod.FleetState(
             fence, HOLD_MAX_MS, self._send, fleetfakes.configuration)
+        self._renewed()
         self.recorder = recorder_mod.Recorder(
             self.store, self.fleet, records.OWNER_KEY, lambda: True,
             self._step_down, lambda _: None)
         # Each call of the recorder is then one try.
         self.recorder.stopped.set()
         for job in self.jobs:
-            state = self.fleet.add_job(
+            state = self._add_job(
                 job, self.store.items[records.job_key(job.job_id)].created)
             self._read_progress(state)
         for item in self.store.listing(records.JOB_PREFIX).items:
@@ -205,6 +232,15 @@
                                            -len(records.CANCEL_SUFFIX)])
         self._expect_workers()
 
+    def _add_job(self, job: messages.Job, created: int) -> progress.JobState:
+        state = self.fleet.add_job(job, created)
+        state.known_at = self.now
+        return state
+
+    def _renewed(self) -> None:
+        self.renewed = self.now
+        self.fleet.leased_until = self.now + owner_mod.OWN_LEASE_S
+
     def _read_progress(self, state: progress.JobState) -> None:
         item = self.store.items.get(
             records.progress_key(state.job.job_id))
@@ -314,7 +350,7 @@
         created = self._store_key(records.job_key(job.job_id),
                                   progress.encode_job(job))
         if self.acting:
-            self.fleet.add_job(job, created)
+            self._add_job(job, created)
 
     @stateful.precondition(lambda self: self.jobs and not self.silent)
     @stateful.rule(data=strategies.data(), happens=SELDOM)
@@ -333,10 +369,15 @@
         for worker in self._alive():
             if worker.lease_end_ms <= self.now * 1000.0:
                 self._lapse(worker)
+        self._owner_waits()
+        with self._as_earlier():
+            self._owner_waits()
+
+    def _owner_waits(self) -> None:
         if not self.acting:
             return
         if not self.silent:
-            self.renewed = self.now
+            self._renewed()
         if self.now - self.renewed > recovery.WITHOUT_STORE_S:
             self._step_down()
             return
@@ -390,6 +431,44 @@
         self._place()
         self.all_orders_arrive()
 
+    @stateful.precondition(lambda self: self.acting and not self.silent)
+    @stateful.rule(data=strategies.data(), fate=FATES)
+    def split(self, data: strategies.DataObject, fate: str) -> None:
+        """Cut an owner off with some workers, and let another take over."""
+        workers = data.draw(strategies.permutations(self._alive()))
+        reached = data.draw(strategies.integers(0, WORKERS))
+        self.silent = True
+        for _ in range(3):
+            self.pass_time(0.8)
+            self._hear(workers[:reached], workers[reached:])
+        self.earlier = {name: getattr(self, name) for name in TERM}
+        self.acting = self.silent = False
+        self.sent, self.commit = [], None
+        self._take_over(1 - self.processes.index(self.process), fate)
+        for _ in range(SPLIT_S):
+            self.pass_time(1.0)
+            with self._as_earlier():
+                self._hear(workers[:reached], workers[reached:])
+            self._hear(workers[reached:], workers[:reached])
+
+    def _hear(self, heard: list[SimulatedWorker],
+              silent: list[SimulatedWorker]) -> None:
+        """Let an owner reach some workers, and act."""
+        for worker in heard if self.acting else ():
+            self._report(worker, True)
+        for worker in silent if self.acting else ():
+            self.fleet.worker_silent(worker.entry.worker_id, "cut")
+        if self.acting:
+            self._place()
+            self.all_orders_arrive()
+
+    @stateful.precondition(lambda self: self.earlier.get("acting"))
+    @stateful.rule(data=strategies.data())
+    def earlier_owner_goes_on(self, data: strategies.DataObject) -> None:
+        worker = data.draw(strategies.sampled_from(self._alive()))
+        with self._as_earlier():
+            self._hear([worker], [])
+
     @stateful.precondition(lambda self: self.store.late)
     @stateful.rule()
     def late_commits_arrive(self) -> None:
@@ -433,6 +512,8 @@
         ["answered", "answered", "answer lost", "lost", "late", "late"]))
     def order_arrives(self, fate: str) -> None:
         """Let the oldest order arrive, or not, as a link sends it."""
+        if not self.sent:
+            return
         sent = self.sent.pop(0)
         if isinstance(sent.order, messages.StartOrder):
             self._start_arrives(sent, fate)
@@ -467,7 +548,9 @@
             answers.uncertain(self.fleet, sent.worker_id, order)
             return
         reason = self._carry_out(sent)
-        if fate == "answer lost" or reason == "gone":
+        if reason == surroundings.FENCED:
+            self._step_down()
+        elif fate == "answer lost" or reason == "gone":
             answers.uncertain(self.fleet, sent.worker_id, order)
         elif reason:
             answers.rejected(self.fleet, sent.worker_id,
