--- a/sycamorefield/fleet/ownership.py
+++ b/sycamorefield/fleet/ownership.py
@@ -117,6 +117,7 @@
         self.owner = owner
         if self.stopped.is_set():
             # A stop during the claim found no owner to hand over.
+            self.owner = None
             owner.step_down("planned stop")
             self.release(fence)
             return
