Tasks with low estimates are not stopped again and again

An estimate that is far too low made each run stuck after 1.0 s, whatever worker it was on, so that a task of 1.3 to 1.8 s never ended but by luck. Two such tasks on one worker also kept all starts from it for 3 s.

Change: a run is judged by what its step's other tasks take by their progress, and by its own earlier run, where that is longer than the estimate. A low median is taken, so that one slow worker, or one figure that is too short, does not count.

Ruled out: room (waits for the first order of the same jobs are under 0.2 s), slow workers (stops are spread over all of them; other tasks of the step took as long).

--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -94,6 +94,8 @@
     worker.succeeded()
     if task.step.perpetual:
         return
+    if began:
+        task.earlier_s = now - began
     if demand.is_short(task.step) and began:
         fleet.demand.add_run(job.job.queue, now - began)
     place = (task.task.occurrence, task.task.step)
@@ -132,7 +134,7 @@
     worker.reserve((row.task, row.run), task.step, task)
     if fleet.is_current(worker, task, row.run):
         if row.percent != task.percent:
-            task.percent = row.percent
+            task.advance(row.percent, now)
         if row.saved:
             task.saved = row.saved
         if not task.stuck and slowness.stuck(task, now):
--- a/sycamorefield/fleet/slowness.py
+++ b/sycamorefield/fleet/slowness.py
@@ -1,10 +1,12 @@
 """Tell tasks that stand still or crawl from those that just take long."""
 
+import statistics
+
 from sycamorefield.fleet import progress
 
-# Estimates are up to half off.  A task is stuck when it has run for 1.5
-# times its estimate and, at its pace so far, needs as long again: it would
-# take three times its estimate, and less if it began anew elsewhere.
+# A task is stuck when it has run for 1.5 times what it should take and, at its
+# pace so far, needs as long again: it would take three times as long, and less
+# if it began anew elsewhere.
 OVERDUE = 1.5
 LEAST_S = 1.0
 # Tasks that fill share what is left over and are often slower.
@@ -24,11 +26,30 @@
     if step.fills and (task.pace != 100 or task.slowed_at > task.started):
         return False
     elapsed = now - task.started
-    estimate = step.estimate_ms / 1000.0
     overdue, least = ((FILL_OVERDUE, FILL_LEAST_S) if step.fills
                       else (OVERDUE, LEAST_S))
-    if elapsed < max(least, overdue * estimate):
+    if elapsed < max(least, overdue * step.estimate_ms / 1000.0):
+        return False
+    expected = expected_s(task)
+    if elapsed < overdue * expected:
         return False
     done = task.percent / 100.0
     left = elapsed * (1.0 - done) / done if done else float("inf")
-    return left > overdue * estimate
+    return left > overdue * expected
+
+
+def expected_s(task: progress.TaskState) -> float:
+    """Return how long a run of a task should take, in seconds.
+
+    What goes wrong by the estimate alone: where it is far too low, each run
+    is stopped before it can end, on any worker, and the job never ends.  The
+    other tasks of the step, and its own earlier runs, show what to expect.
+    """
+    estimate = task.step.estimate_ms / 1000.0
+    seen = [task.earlier_s] if task.earlier_s else []
+    if task.job is not None:
+        place = (task.task.occurrence, task.task.step)
+        seen += [other.total_s or other.earlier_s
+                 for other in task.job.tasks[place]
+                 if other is not task and (other.total_s or other.earlier_s)]
+    return max(estimate, statistics.median_low(seen)) if seen else estimate
--- a/tests/test_fleet_slowness.py
+++ b/tests/test_fleet_slowness.py
@@ -52,3 +52,75 @@
     bench.place()
     assert len(bench.stops()) == 2
     assert not bench.state.workers["i-0"].usable(bench.now)
+
+
+class Load:
+    """Run one step on workers of which the first is slow."""
+
+    def __init__(self, width: int, estimate_ms: int, run_s: float,
+                 slowness_of_first: float) -> None:
+        self.bench = test_fleet_state.Bench(
+            *(fleetfakes.entry(n) for n in range(2 * width + 2)))
+        self.run_s = run_s
+        self.slowness_of_first = slowness_of_first
+        # When each run under way began.
+        self.begun: dict[str, dict[tuple[messages.TaskId, int], float]] = {}
+        self.numbers = dict.fromkeys(self.bench.state.workers, 0)
+        self.starts = 0
+        # As wide as a worker, so that each task has one for itself.
+        self.bench.add(fleetfakes.job("j", messages.Step(
+            width, messages.Room(4000, 10), estimate_ms)))
+
+    def place(self) -> None:
+        before = len(self.bench.orders)
+        self.bench.place()
+        for worker_id, order in self.bench.orders[before:]:
+            runs = self.begun.setdefault(worker_id, {})
+            if isinstance(order, messages.StartOrder):
+                self.starts += 1
+                runs[order.task, order.run] = self.bench.now
+            else:
+                self.end(worker_id, (order.task, order.run), "stopped")
+
+    def end(self, worker_id: str, run: tuple[messages.TaskId, int],
+            how: str) -> None:
+        if self.begun[worker_id].pop(run, None) is None:
+            return
+        self.numbers[worker_id] += 1
+        self.bench.report(worker_id, [], [messages.EndedTask(
+            self.numbers[worker_id], *run, how, "")])
+
+    def advance(self) -> None:
+        for worker_id, runs in self.begun.items():
+            needed = self.run_s * (self.slowness_of_first
+                                   if worker_id == "i-0" else 1.0)
+            for run, at in list(runs.items()):
+                done = (self.bench.now - at) / needed
+                if done >= 1.0:
+                    self.end(worker_id, run, messages.DONE)
+                else:
+                    self.bench.report(worker_id, [messages.RunningTask(
+                        *run, "", int(100 * done))])
+
+
+@pytest.mark.parametrize(
+    ("width", "estimate_ms", "run_s", "slow", "starts", "within_s"), [
+        (8, 200, 1.7, 1.0, 8, 2.0),
+        (8, 200, 1.7, 7.5, 9, 6.0),
+        (8, 640, 0.64, 7.5, 9, 3.0),
+        (8, 640, 0.64, 1e6, 9, 3.0),
+        (1, 200, 1.7, 1.0, 2, 3.5),
+        (1, 200, 6.0, 1.0, 2, 8.0),
+        (1, 640, 0.64, 1e6, 2, 3.0),
+    ], ids=["low-estimate", "low-estimate-slow-worker", "slow-worker",
+            "worker-stands-still", "alone", "alone-long",
+            "alone-worker-stands-still"])
+def test_tasks_with_low_estimates_are_not_stopped_again_and_again(
+        width, estimate_ms, run_s, slow, starts, within_s):
+    load = Load(width, estimate_ms, run_s, slow)
+    begun = load.bench.now
+    while load.bench.state.active and load.bench.now < begun + 30.0:
+        load.place()
+        load.advance()
+    assert load.bench.now - begun <= within_s
+    assert load.starts <= starts
