--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -121,9 +121,9 @@
         carried out, and with a lease in each try its tasks could never be
         counted as over.
 
-        The lease counts from before the check that it may be given: a VM
-        frozen in between, or a wait for the lock, makes it shorter, and a
-        successor's waiting for it still holds.
+        The lease counts from before the check that it may be given.  If the
+        VM is frozen or waits for the lock in between, the lease gets shorter
+        instead of outlasting what a successor waits for it.
         """
         now = clock.now()
         if not self.may_lease():
--- a/sycamorefield/fleet/ownership.py
+++ b/sycamorefield/fleet/ownership.py
@@ -132,7 +132,7 @@
             return
         item = self.view.owner
         if item is not None and item.value == self.value:
-            # The term may have ended by a fault of this VM.
+            # Lets others claim it: the term may have ended by a fault here.
             threading.Thread(target=self.release, args=(fence,),
                              daemon=True).start()
         self.stopped.wait(RETRY_PAUSE_S)
--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -25,8 +25,8 @@
     __slots__ = ("task", "step", "done", "failed_runs", "last_run", "saved",
                  "phase", "run", "worker_id", "not_before", "avoid",
                  "started", "percent", "moved_at", "pace", "slowed_at",
-                 "stop_sent", "stuck", "ran", "begun", "job", "total_s",
-                 "earlier_s")
+                 "stop_sent", "stuck", "ran", "begun", "job",
+                 "projected_s", "earlier_s")
 
     def __init__(self, task: messages.TaskId, step: messages.Step,
                  job: "JobState | None" = None) -> None:
@@ -53,16 +53,16 @@
         self.ran = False
         # Whether a worker is known to have begun a run of it.
         self.begun = False
-        # Seconds that the current run takes in all, by its progress, and that
-        # the one before would have taken; 0 if that is not known.
-        self.total_s = 0.0
+        # Seconds that the current run takes from start to end by its progress
+        # so far, and that the run before took or would have; 0 if not known.
+        self.projected_s = 0.0
         self.earlier_s = 0.0
 
     def advance(self, percent: int, now: float) -> None:
         """Note how far the current run has come."""
         self.percent = percent
         if percent and self.started:
-            self.total_s = (now - self.started) * 100.0 / percent
+            self.projected_s = (now - self.started) * 100.0 / percent
 
     def idle(self) -> None:
         """Forget the current run; the task may be started again."""
@@ -72,8 +72,8 @@
         self.percent = 0
         self.pace = 100
         self.stuck = False
-        self.earlier_s = self.total_s or self.earlier_s
-        self.total_s = 0.0
+        self.earlier_s = self.projected_s or self.earlier_s
+        self.projected_s = 0.0
         if self.job is not None:
             self.job.quiet = False
 
--- a/sycamorefield/fleet/slowness.py
+++ b/sycamorefield/fleet/slowness.py
@@ -41,15 +41,15 @@
 def expected_s(task: progress.TaskState) -> float:
     """Return how long a run of a task should take, in seconds.
 
-    What goes wrong by the estimate alone: where it is far too low, each run
-    is stopped before it can end, on any worker, and the job never ends.  The
-    other tasks of the step, and its own earlier runs, show what to expect.
+    An estimate that is far too low would have each run stopped before it can
+    end, on any worker.  What the other tasks of the step take, and what its
+    own earlier run took, raises it.
     """
     estimate = task.step.estimate_ms / 1000.0
-    seen = [task.earlier_s] if task.earlier_s else []
+    seen = [task.earlier_s]
     if task.job is not None:
         place = (task.task.occurrence, task.task.step)
-        seen += [other.total_s or other.earlier_s
-                 for other in task.job.tasks[place]
-                 if other is not task and (other.total_s or other.earlier_s)]
-    return max(estimate, statistics.median_low(seen)) if seen else estimate
+        seen += [other.projected_s or other.earlier_s
+                 for other in task.job.tasks[place] if other is not task]
+    known = [seconds for seconds in seen if seconds]
+    return max(estimate, statistics.median_low(known or [estimate]))
--- a/tests/test_fleet_terms.py
+++ b/tests/test_fleet_terms.py
@@ -1,4 +1,4 @@
-"""Show faults that a reading of the mend for terms of one fence found."""
+"""Show that the terms of owners begin and end without leaving anything."""
 
 import threading
 
