SF1826 tells which runs went with a worker, how old they were, and what is known of it

The logs of the report told how many runs were on a worker that crashed, not which, so the task at fault could be told only from the callers' histories.

--- a/sycamorefield/fleet/runlog.py
+++ b/sycamorefield/fleet/runlog.py
@@ -10,6 +10,7 @@
 
 from sycamorefield import events
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import progress
 
 # At most so often a line of each kind is written, unless one is full.
 LINE_PERIOD_S = 0.1
@@ -18,6 +19,8 @@
 
 # The task, its run and the worker.
 Row = tuple[messages.TaskId, int, str]
+# The task, its run and for how many seconds it was at work, if it was.
+LostRow = tuple[str, int, float | None]
 
 
 class RunLog:
@@ -64,6 +67,18 @@
                 events.emit(events.RUN_ENDED, how=how, runs=rows)
 
 
+def lost_rows(runs: typing.Iterable[tuple[progress.TaskState, int]],
+              at: float) -> list[LostRow]:
+    """Return rows on runs that ended with their worker, the newest first."""
+    rows = []
+    for task, run in runs:
+        current = task.run == run and task.started > 0.0
+        age_s = round(at - task.started, 3) if current else None
+        rows.append((str(task.task), run, age_s))
+    rows.sort(key=lambda row: -1.0 if row[2] is None else row[2])
+    return rows[:RUNS_PER_LINE]
+
+
 def _lines(runs: list[Row]) -> typing.Iterator[list[tuple[str, int, str]]]:
     """Yield what each line holds: names of tasks, runs and workers."""
     for begin in range(0, len(runs), RUNS_PER_LINE):
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -248,6 +248,7 @@
             if worker.silent:
                 return
             worker.silent = True
+            worker.silent_at = clock.now()
             events.emit(events.WORKER_SILENT, worker=worker_id,
                         runs=len(worker.reserved), reason=reason)
 
@@ -270,8 +271,15 @@
 
     def _gone(self, worker: workerstate.WorkerState, reason: str) -> None:
         worker_id = worker.entry.worker_id
-        events.emit(events.WORKER_GONE, worker=worker_id, reason=reason,
-                    runs=len(worker.reserved))
+        now = clock.now()
+        events.emit(
+            events.WORKER_GONE, worker=worker_id, reason=reason,
+            rack=worker.entry.rack(), listed=worker.listed,
+            draining=worker.entry.draining, lost=len(worker.reserved),
+            silent_s=(round(now - worker.silent_at, 3) if worker.silent
+                      else 0.0),
+            runs=runlog.lost_rows(((task, run) for (_, run), task
+                                   in worker.tasks.items()), now))
         self.workers.pop(worker_id, None)
         self.unheard.pop(worker_id, None)
         for (_, run), task in worker.tasks.items():
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -47,6 +47,8 @@
         self.enrolled = False
         self.reported = False
         self.silent = False
+        # Since when it does not answer, if it is silent.
+        self.silent_at = 0.0
         # Whether it closed a connection while it was about to leave.
         self.closed = False
         # When the last call that it answered was sent.
--- a/sycamorefield/story.py
+++ b/sycamorefield/story.py
@@ -10,6 +10,7 @@
 # Ends of a run besides those that workers report.
 REJECTED = "rejected"
 VANISHED = "vanished"
+LOST = "lost with its worker"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sycamorefield/storyreader.py
+++ b/sycamorefield/storyreader.py
@@ -34,6 +34,13 @@
     runs: list[tuple[_TaskName, int, str]]
 
 
+class _LostFields(pydantic.BaseModel):
+    """Check the rows of a worker that is gone, with the ages of its runs."""
+
+    worker: str
+    runs: list[tuple[_TaskName, int, float | None]]
+
+
 class _PacesFields(pydantic.BaseModel):
     worker: str
     changes: list[tuple[_TaskName, int, str, float, float]]
@@ -83,6 +90,7 @@
             events.RUN_ENDED.code: self._ended,
             events.RUN_STOPPED.code: self._told_to_stop,
             events.RUN_VANISHED.code: self._vanished,
+            events.WORKER_GONE.code: self._lost,
             events.PACE_CHANGED.code: self._paced}
 
     def take(self, line: logfiles.Line) -> None:
@@ -216,6 +224,12 @@
         if found is not None:
             _end(found[0], line.at, story_mod.VANISHED)
 
+    def _lost(self, line: logfiles.Line) -> None:
+        fields = _LostFields.model_validate(line.fields)
+        for task, number, _ in fields.runs:
+            _end(self._run(task, number, fields.worker), line.at,
+                 story_mod.LOST)
+
     def _paced(self, line: logfiles.Line) -> None:
         if "changes" not in line.fields:
             single = _PaceFields.model_validate(line.fields)
