A failing test: a task that crashes its workers must be given up

Workers of the tests can now be crashed by a task, at once or after a while, and come back under new ids.

--- a/tests/fleetfakes.py
+++ b/tests/fleetfakes.py
@@ -159,11 +159,19 @@
     figure: float = 0.0
 
 
+# How long a worker lives on with a task that crashes it.
+CRASHES_AFTER_S = 0.01
+
+
 class MemoryWorker(surroundings.Worker):
     """Obey orders as a worker does: fences, runs, leases, ends."""
 
     def __init__(self, worker_id: str) -> None:
         self.worker_id = worker_id
+        # Jobs whose tasks crash it, how soon, and whom it tells of that.
+        self.crashing: dict[str, float] = {}
+        self.on_crash: typing.Callable[[], None] = lambda: None
+        self.crashed = False
         self.lock = threading.Condition()
         self.fence = 0
         self.clock_offset = 1000.0
@@ -185,6 +193,8 @@
     def _check(self, fence: int) -> None:
         if self.dead:
             raise surroundings.OtherIncarnation(self.worker_id)
+        if self.crashed:
+            raise surroundings.NobodyListens("connection refused")
         if self.mute:
             raise surroundings.CallFailed("no answer")
         if fence < self.fence:
@@ -202,6 +212,8 @@
             self.lease_end_ms = max(self.lease_end_ms, lease_end_ms or 0.0)
             if wait_ms and not self.ended:
                 self.lock.wait(min(wait_ms, 30) / 1000.0)
+            if self.crashed:
+                raise surroundings.ConnectionClosed("closed")
             return messages.WorkerReport(
                 self.clock(),
                 tuple(messages.RunningTask(r.task, r.run, r.saved,
@@ -222,8 +234,23 @@
             self.runs[key] = Run(order.task, order.run, order.saved)
             self.starts.append(key)
             self.saves.append(order.saved)
+            after_s = self.crashing.get(order.task.job_id)
+            if after_s is not None:
+                threading.Timer(after_s, self.crash, (key,)).start()
             return self.clock()
 
+    def crash(self, because: tuple[messages.TaskId, int] | None = None
+              ) -> None:
+        """End without a word, if the run that is the cause still runs."""
+        with self.lock:
+            if self.crashed or (because and because not in self.runs):
+                return
+            self.crashed = True
+            self.runs.clear()
+            self.ended.clear()
+            self.lock.notify_all()
+        self.on_crash()
+
     def stop(self, order: messages.StopOrder, fence: int) -> float:
         with self.lock:
             self._check(fence)
