Tasks that crash their workers are found by trials and given up

Cause: a crash left no trace in the task. Only ends that a worker lists as failed counted as attempts, and a crashed worker lists nothing. The class of fault: evidence that is only told by the one that fails.

Now a crash is told from other ends (not draining, listed, list new enough to show a drain, silent for a moment only, other workers of the rack fine), and is held against runs under 5 s old. So a task that had just been started when its worker crashed, or that two crashes hit, is tried: on a worker set aside, where no run is young and nothing else starts until it is over. Two crashes in trials prove it; that is the third crash for a task that crashes its worker as it starts. Which task is tried where is stored before its start, so a successor that finds that worker ended knows.

The job is shown as failed with its reason (also for failed attempts), SF1815 names it, SF1838 to SF1840 tell what is suspected and tried, SF1834 how many workers are set aside. A room that shrinks is taken into account when an order is sent; with a list of workers older than 2.5 s nothing is started.

--- a/sycamorefield/causes.py
+++ b/sycamorefield/causes.py
@@ -38,7 +38,8 @@
         told = f"cancelled by its caller {after}"
         return f"{told}; until then {late}" if late else told
     if state == messages.JOB_FAILED:
-        return f"failed for good {after}: {_failures(story)}"
+        told = story.finals[0].reason or _failures(story)
+        return f"failed for good {after}: {told}"
     if not state:
         return _open(story, late)
     return late or f"{state} {after}, and no wait of {LATE_S} s before"
--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -117,6 +117,9 @@
 ADVICE_GIVEN = Event("SF1835", INFO, "advice on workers given")
 ADVICE_MISSING = Event("SF1836", WARNING, "no advice on workers")
 SETTING_IGNORED = Event("SF1837", ERROR, "setting asks for what is not there")
+WORKER_CRASHED = Event("SF1838", WARNING, "tasks suspected of a crash")
+TRIAL_BEGUN = Event("SF1839", INFO, "suspected tasks tried apart from others")
+TRIAL_OVER = Event("SF1840", INFO, "trial of suspected tasks is over")
 
 INVARIANT_BROKEN = Event("SF1601", ERROR, "invariant broken")
 
--- a/sycamorefield/fleet/answers.py
+++ b/sycamorefield/fleet/answers.py
@@ -25,10 +25,12 @@
         job, task = found
         if worker.start_sent((order.task, order.run)):
             fleet.notify()
+        # The worker's room may have shrunk while the start waited.
         if (fleet.is_current(worker, task, order.run)
                 and task.phase == progress.STARTING
                 and not job.final() and not worker.silent
-                and not worker.entry.draining):
+                and not worker.entry.draining
+                and worker.entry.capacity.holds(worker.used)):
             return True
         worker.release((order.task, order.run), task.step)
         if fleet.is_current(worker, task, order.run):
@@ -84,13 +86,15 @@
 
 
 def uncertain(fleet: state_mod.FleetState, worker_id: str,
-              order: messages.StartOrder) -> None:
+              order: messages.StartOrder, never_began: bool = False) -> None:
     """Stop a run whose start got no answer, before it runs elsewhere."""
     with fleet.lock:
         found = fleet.find_on(worker_id, order.task)
         if found is None:
             return
         worker, task = found
+        if never_began:
+            worker.never_began.add((order.task, order.run))
         if fleet.is_current(worker, task, order.run):
             fleet.stop_run(task, "start got no answer")
 
--- /dev/null
+++ b/sycamorefield/fleet/crashes.py
@@ -0,0 +1,156 @@
+"""Tell crashes of workers from other ends, and whom to suspect of them."""
+
+import dataclasses
+import enum
+
+from sycamorefield import events
+from sycamorefield.fleet import clock
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import progress
+from sycamorefield.fleet import state as state_mod
+from sycamorefield.fleet import suspicion
+from sycamorefield.fleet import workerstate
+
+# A worker that leaves is listed as draining for at least this long before.
+DRAIN_NOTICE_S = 2.0
+# The end of a crashed worker shows this soon after its last answer; one that
+# was cut off or had no power for longer may have ended for that reason.
+SILENT_AT_MOST_S = 1.5
+# Workers of a rack that end within this share a cause; the ends of those that
+# do are noticed within the shorter time.
+RACK_WINDOW_S = 2.0
+RACK_SPREAD_S = 0.25
+
+
+class Verdict(enum.Enum):
+    """Say what the end of a worker tells of what ran there."""
+
+    CRASH = "crash"
+    DRAINED = "was draining"
+    UNLISTED = "was not listed"
+    OLD_LIST = "list is too old to show a drain"
+    DARK = "was silent for long"
+    NOBODY = "no young run, or its rack failed"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Exposed:
+    """Hold a task whose run was on a worker that ended, and the run's age."""
+
+    task: progress.TaskState
+    run: int
+    age_s: float
+
+
+def worker_dead(fleet: state_mod.FleetState, worker_id: str,
+                reason: str) -> None:
+    """Note that this incarnation of a worker is over, and why if it tells."""
+    with fleet.lock:
+        worker = fleet.workers.get(worker_id)
+        suspects = [] if worker is None else _suspects(fleet, worker)
+        fleet.worker_dead(worker_id, reason)
+        for suspect in suspects:
+            if suspect.task.job is not None:
+                suspect.task.job.dirty = True
+                fleet.commit_now = True
+                fleet.settle(suspect.task.job)
+
+
+def _suspects(fleet: state_mod.FleetState, worker: workerstate.WorkerState
+              ) -> list[Exposed]:
+    """Return the tasks that a crash is held against, having noted it."""
+    now = clock.now()
+    at = worker.silent_at if worker.silent else now
+    on_trial = fleet.trials.on(worker.entry.worker_id)
+    exposed = _exposed(fleet, worker, at)
+    tried = [e for e in exposed if e.task in on_trial]
+    if not exposed:
+        return []
+    verdict = _verdict(fleet, worker, now)
+    suspects = []
+    if verdict is Verdict.CRASH:
+        suspects = [e for e in tried or _young(exposed)
+                    if not _rack_failed(fleet, worker.entry, at, e.age_s)]
+        if not suspects:
+            verdict = Verdict.NOBODY
+        for suspect in suspects:
+            _suspect(suspect, worker.entry.worker_id, bool(tried))
+    events.emit(events.WORKER_CRASHED, worker=worker.entry.worker_id,
+                verdict=verdict.value, rack=worker.entry.rack(),
+                trial=bool(tried), runs=[
+                    (str(e.task.task), e.run, round(e.age_s, 3))
+                    for e in suspects])
+    return suspects
+
+
+def _suspect(exposed: Exposed, worker_id: str, in_trial: bool) -> None:
+    task = exposed.task
+    if task.suspicion is None:
+        task.suspicion = suspicion.Suspicion()
+    task.suspicion.add(worker_id, exposed.age_s, in_trial)
+
+
+def _young(exposed: list[Exposed]) -> list[Exposed]:
+    """Return the tasks that may be the cause; forget what others did."""
+    young = []
+    for one in exposed:
+        if one.age_s < suspicion.HARMLESS_AFTER_S:
+            young.append(one)
+        else:
+            one.task.suspicion = None
+    return young
+
+
+def _exposed(fleet: state_mod.FleetState, worker: workerstate.WorkerState,
+             at: float) -> list[Exposed]:
+    """Return the tasks that may have been at work when a worker ended."""
+    found = []
+    for (name, run), task in worker.tasks.items():
+        begun = (name, run) not in worker.unsent | worker.never_began
+        if begun and fleet.is_current(worker, task, run):
+            # A start without an answer may have been carried out just then.
+            age_s = max(0.0, at - task.started) if task.started else 0.0
+            found.append(Exposed(task, run, age_s))
+    if worker.reported:
+        return found
+    # An earlier owner set the worker aside for these.
+    here = {one.task for one in found}
+    return found + [Exposed(task, task.last_run, 0.0)
+                    for task in fleet.trials.on(worker.entry.worker_id)
+                    if task not in here and task.phase == progress.IDLE]
+
+
+def _verdict(fleet: state_mod.FleetState, worker: workerstate.WorkerState,
+             now: float) -> Verdict:
+    entry = worker.entry
+    at = worker.silent_at if worker.silent else now
+    if entry.draining:
+        return Verdict.DRAINED
+    if not worker.listed:
+        return Verdict.UNLISTED
+    if at - fleet.listed_at > DRAIN_NOTICE_S:
+        return Verdict.OLD_LIST
+    if now - at > SILENT_AT_MOST_S:
+        return Verdict.DARK
+    return Verdict.CRASH
+
+
+def _rack_failed(fleet: state_mod.FleetState, entry: messages.WorkerEntry,
+                 at: float, age_s: float) -> bool:
+    """Tell whether most other workers of a rack ended while a run was there.
+
+    A task can take one worker after the other, but not most of a rack at
+    once; one that was started after the others were lost is not excused.
+    """
+    rack = entry.rack()
+    if not rack:
+        return False
+    since = at - max(RACK_SPREAD_S, min(RACK_WINDOW_S, age_s))
+    mates = [w for w in fleet.workers.values()
+             if w.entry.rack() == rack and not w.entry.draining
+             and w.entry.worker_id != entry.worker_id]
+    lost = sum(w.silent and w.silent_at >= since for w in mates)
+    lost += sum(ended.rack == rack and ended.at >= since
+                for ended in fleet.ended_lately)
+    fine = sum(w.reported and not w.silent for w in mates)
+    return lost > fine
--- a/sycamorefield/fleet/intake.py
+++ b/sycamorefield/fleet/intake.py
@@ -56,6 +56,14 @@
     """Say that there is no such job."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Shown:
+    """Hold a job's state, and why if it failed."""
+
+    state: str
+    reason: str = ""
+
+
 Outcome = Accepted | Refused | Uncertain | Unknown
 
 
@@ -159,12 +167,13 @@
         self.store_suspect = False
         return None if item is None else Accepted()
 
-    def state(self, job_id: str) -> str | None:
-        """Return a job's state, or None; raises CallFailed."""
+    def show(self, job_id: str) -> Shown | None:
+        """Return what is known of a job, or None; raises CallFailed."""
         item = self._read(records.progress_key(job_id))
         if item is not None:
-            return progress.state_of(item.value)
-        return messages.PENDING if self._exists(job_id) else None
+            return Shown(progress.state_of(item.value),
+                         progress.reason_of(item.value))
+        return Shown(messages.PENDING) if self._exists(job_id) else None
 
     def waiting(self, queue: str) -> int:
         """Return how many jobs of a queue wait; raises CallFailed."""
--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -8,6 +8,7 @@
 from sycamorefield import events
 from sycamorefield.fleet import answers
 from sycamorefield.fleet import clock
+from sycamorefield.fleet import crashes
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import reports
 from sycamorefield.fleet import state as state_mod
@@ -157,7 +158,7 @@
                     self.fleet.fence, self.recorded_upto, self._until(),
                     self._wait_ms())
             except surroundings.OtherIncarnation:
-                self.fleet.worker_dead(self.worker_id, "reborn")
+                crashes.worker_dead(self.fleet, self.worker_id, "reborn")
                 return
             except surroundings.OrderRejected as exc:
                 if self._fenced(exc):
@@ -190,7 +191,8 @@
         self.refusals += 1
         if (self.refusals >= REFUSALS_TO_END
                 and self.fleet.was_used(self.worker_id)):
-            self.fleet.worker_dead(self.worker_id, "nobody listens there")
+            crashes.worker_dead(self.fleet, self.worker_id,
+                                "nobody listens there")
             return True
         self._failed(exc)
         return False
@@ -216,7 +218,7 @@
             try:
                 self._send(order)
             except surroundings.OtherIncarnation:
-                self.fleet.worker_dead(self.worker_id, "reborn")
+                crashes.worker_dead(self.fleet, self.worker_id, "reborn")
                 return
 
     def _send(self, order: state_mod.Order) -> None:
@@ -228,6 +230,7 @@
             self._send_pace(order)
 
     def _send_start(self, order: messages.StartOrder) -> None:
+        never_began = True
         for attempt in range(START_TRIES):
             if not self.may_act():
                 return
@@ -252,10 +255,11 @@
                     self._rejected(order, exc.reason, attempt)
                 return
             except surroundings.CallFailed as exc:
+                never_began &= isinstance(exc, surroundings.NobodyListens)
                 events.emit(events.RUN_UNCERTAIN, task=str(order.task),
                             run=order.run, worker=self.worker_id,
                             reason=str(exc))
-        answers.uncertain(self.fleet, self.worker_id, order)
+        answers.uncertain(self.fleet, self.worker_id, order, never_began)
 
     def _rejected(self, order: messages.StartOrder, reason: str,
                   attempt: int) -> None:
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -26,6 +26,7 @@
 OWN_LEASE_S = 2.0
 # A leaving worker gets no new work within 2 s of its notice.
 ROSTER_PERIOD_S = 0.8
+ROSTER_RETRY_S = 0.2
 TICK_S = 0.1
 # Rounds of placing are at least this far apart, so that tasks that become
 # ready together share one.
@@ -193,11 +194,16 @@
     def _follow_roster(self) -> None:
         logged = 0.0
         times = usage_mod.RoundTimes()
-        while not self.over.wait(ROSTER_PERIOD_S):
+        pause_s = ROSTER_PERIOD_S
+        while not self.over.wait(pause_s):
+            pause_s = ROSTER_PERIOD_S
+            began = clock.now()
             try:
-                self.roster.take_entries(self.worker_list.workers())
+                self.roster.take_entries(self.worker_list.workers(), began)
             except surroundings.CallFailed as exc:
                 events.emit(events.STORE_LOST, reason=f"workers: {exc}")
+                # With an old list nothing may be started.
+                pause_s = ROSTER_RETRY_S
             self.roster.close_gone()
             if clock.now() - logged >= USAGE_PERIOD_S:
                 logged = clock.now()
--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -5,6 +5,7 @@
 import typing
 
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import suspicion
 
 IDLE = "idle"
 STARTING = "starting"
@@ -26,7 +27,7 @@
                  "phase", "run", "worker_id", "not_before", "avoid",
                  "started", "percent", "moved_at", "pace", "slowed_at",
                  "stop_sent", "stuck", "ran", "begun", "job",
-                 "projected_s", "earlier_s")
+                 "projected_s", "earlier_s", "suspicion")
 
     def __init__(self, task: messages.TaskId, step: messages.Step,
                  job: "JobState | None" = None) -> None:
@@ -57,6 +58,12 @@
         # so far, and that the run before took or would have; 0 if not known.
         self.projected_s = 0.0
         self.earlier_s = 0.0
+        # What crashes of workers under it tell, if there were any.
+        self.suspicion: suspicion.Suspicion | None = None
+
+    def needs_trial(self) -> bool:
+        """Tell whether its next run must show if it crashes its worker."""
+        return self.suspicion is not None and self.suspicion.needs_trial()
 
     def advance(self, percent: int, now: float) -> None:
         """Note how far the current run has come."""
@@ -96,6 +103,11 @@
         self.state_revision = 0
         self.cancelled = False
         self.state = messages.PENDING
+        # Why it failed, for its caller.
+        self.reason = ""
+        # The workers set aside for suspected tasks of it, and as stored.
+        self.on_trial: dict[messages.TaskId, str] = {}
+        self.stored_trials: dict[messages.TaskId, str] = {}
         self.dirty = False
         self.tasks: dict[Place, list[TaskState]] = {}
         # Steps seen to be done; that stays, and every round asks for it.
@@ -214,8 +226,9 @@
             return False
         if self.cancelled:
             self.state = messages.CANCELLED
-        elif self._exhausted():
+        elif reason := self._failure():
             self.state = messages.JOB_FAILED
+            self.reason = reason
         elif self._complete():
             self.state = messages.COMPLETED
         else:
@@ -228,10 +241,25 @@
                    for k in range(self.job.occurrences())
                    for s in range(len(self.job.steps)))
 
-    def _exhausted(self) -> bool:
-        return any(len(t.failed_runs) >= self.job.max_attempts
-                   and not t.done and not t.step.perpetual
-                   for t in self.all_tasks())
+    def _failure(self) -> str:
+        """Return why the job can't be done, or nothing."""
+        for task in self.all_tasks():
+            if task.done:
+                continue
+            if task.suspicion is not None and task.suspicion.is_proved():
+                workers = ", ".join(task.suspicion.workers)
+                return (f"task {_short_name(task.task)} crashed the workers "
+                        f"that started it: {workers}")
+            failures = len(task.failed_runs)
+            if failures >= self.job.max_attempts and not task.step.perpetual:
+                return (f"task {_short_name(task.task)} failed "
+                        f"{failures} times")
+        return ""
+
+
+def _short_name(task: messages.TaskId) -> str:
+    """Return the name of a task within its job."""
+    return f"{task.occurrence}.{task.step}.{task.number}"
 
 
 def encode_job(job: messages.Job) -> bytes:
@@ -268,19 +296,29 @@
 def encode_progress(state: JobState) -> bytes:
     """Return what must outlive the owner of a job's progress.
 
-    A final state stands alone.  Otherwise done tasks are a bit mask a step,
-    as are lasting tasks that ever ran, and other tasks that ran have
-    [last run, failed runs, saved].
+    A final state stands alone, or with why the job failed.  Otherwise done
+    tasks are a bit mask a step, as are lasting tasks that ever ran, and other
+    tasks that ran have [last run, failed runs, saved].
     """
     row: dict[str, typing.Any] = {"state": state.state}
+    if state.reason:
+        row["reason"] = state.reason
     if not state.final():
         row["done"] = _masks(state, lambda task: task.done)
         row["ran"] = _masks(state, lambda task: task.ran)
         row["rest"] = {
-            f"{t.task.occurrence}.{t.task.step}.{t.task.number}":
+            _short_name(t.task):
             [t.last_run, sorted(t.failed_runs), t.saved]
             for t in state.all_tasks()
             if not t.done and (t.failed_runs or t.saved)}
+        suspected = {_short_name(t.task): t.suspicion.encode()
+                     for t in state.all_tasks()
+                     if not t.done and t.suspicion is not None}
+        if suspected:
+            row["suspected"] = suspected
+        if state.on_trial:
+            row["trials"] = {_short_name(task): worker_id for task, worker_id
+                             in state.on_trial.items()}
     return json.dumps(row, separators=(",", ":")).encode()
 
 
@@ -311,21 +349,41 @@
     try:
         row = json.loads(value)
         state.state = row["state"]
+        state.reason = row.get("reason", "")
         for task in _masked(state, row.get("done", {})):
             task.finish()
         for task in _masked(state, row.get("ran", {})):
             task.ran = True
         for name, (run, failed, saved) in row.get("rest", {}).items():
-            k, s, i = (int(part) for part in name.split("."))
-            found = state.find(messages.TaskId(state.job.job_id, k, s, i))
+            found = _find(state, name)
             if found is not None:
                 found.last_run = run
                 found.failed_runs = set(failed)
                 found.saved = saved
+        for name, suspected in row.get("suspected", {}).items():
+            found = _find(state, name)
+            if found is not None:
+                found.suspicion = suspicion.decode(suspected)
+        for name, worker_id in row.get("trials", {}).items():
+            found = _find(state, name)
+            if found is not None:
+                state.on_trial[found.task] = worker_id
+        state.stored_trials = dict(state.on_trial)
     except (KeyError, TypeError, AttributeError) as exc:
         raise ValueError(f"not a progress record: {exc!r}") from exc
 
 
+def _find(state: JobState, short_name: str) -> TaskState | None:
+    """Return the task that a name within a job means."""
+    k, s, i = (int(part) for part in short_name.split("."))
+    return state.find(messages.TaskId(state.job.job_id, k, s, i))
+
+
 def state_of(value: bytes) -> str:
     """Return the state named in a stored progress record."""
     return str(json.loads(value)["state"])
+
+
+def reason_of(value: bytes) -> str:
+    """Return why a job failed, from a stored progress record."""
+    return str(json.loads(value).get("reason", ""))
--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -43,6 +43,8 @@
     data: bytes
     revision: int
     job: progress.JobState | None
+    # The workers set aside for suspected tasks, as the data says.
+    trials: dict[messages.TaskId, str] = {}
 
 
 class Recorder:
@@ -116,7 +118,8 @@
             job.dirty = False
             values.append(Value(records.progress_key(job.job.job_id),
                                 progress.encode_progress(job),
-                                job.state_revision, job))
+                                job.state_revision, job,
+                                dict(job.on_trial)))
         return values
 
     def _fleet_value(self, values: list[Value]) -> None:
@@ -226,3 +229,12 @@
             self.fleet.enrol(self.addresses)
         if value.job is not None:
             value.job.state_revision = revision
+            self._trials_stored(value.job, value.trials)
+
+    def _trials_stored(self, job: progress.JobState,
+                       stored: dict[messages.TaskId, str]) -> None:
+        if stored == job.stored_trials:
+            return
+        with self.fleet.lock:
+            job.stored_trials = stored
+            self.fleet.notify()
--- a/sycamorefield/fleet/recovery.py
+++ b/sycamorefield/fleet/recovery.py
@@ -45,6 +45,7 @@
         learnt_item = self.store.get(records.LEARNT_KEY)
         jobs = self.store.listing(records.JOB_PREFIX)
         stored = self.store.listing(records.PROGRESS_PREFIX)
+        listed_at = clock.now()
         entries = self.worker_list.workers()
         with self.fleet.lock:
             for item in jobs.items:
@@ -60,7 +61,7 @@
                 self._take_learnt(learnt_item)
             self._expect_workers(fleet_item)
         self._log_taken_over()
-        self.roster.take_entries(entries)
+        self.roster.take_entries(entries, listed_at)
         self.roster.contact_unlisted()
         events.emit(events.FLEET_RECOVERED, fence=self.fleet.fence,
                     jobs=len(self.fleet.active), workers=len(entries),
@@ -92,6 +93,8 @@
                         reason=str(exc))
         if state.final():
             self.fleet.drop_final(state)
+        else:
+            self.fleet.trials.inherit(state, clock.now())
 
     def _take_learnt(self, item: messages.Item) -> None:
         self.recorder.revisions[records.LEARNT_KEY] = item.revision
--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -143,8 +143,9 @@
             task.stuck = True
             _slow(fleet, worker, task, now)
         if task.phase == progress.STARTING:
+            # Its answer comes later, or not at all.
             task.phase = progress.RUNNING
-            task.moved_at = now
+            task.moved_at = task.started = now
         return
     if job.final() or task.done:
         _unexpected(fleet, worker, row, "already over", now, task)
--- a/sycamorefield/fleet/roster.py
+++ b/sycamorefield/fleet/roster.py
@@ -1,5 +1,6 @@
 """Follow the list of workers, with a link to each."""
 
+import math
 import typing
 
 from sycamorefield.fleet import link as link_mod
@@ -50,8 +51,8 @@
         for link in list(self.links.values()):
             link.close()
 
-    def take_entries(self, entries: tuple[messages.WorkerEntry, ...]
-                     ) -> None:
+    def take_entries(self, entries: tuple[messages.WorkerEntry, ...],
+                     read_at: float = math.inf) -> None:
         """Take up all workers listed, then begin to speak to the new ones.
 
         The lock is taken once: taken for each, others get it in between, and
@@ -59,7 +60,8 @@
         """
         with self.fleet.lock:
             links = [self._take_entry(entry) for entry in entries]
-            self.fleet.unlist({entry.worker_id for entry in entries})
+            self.fleet.unlist({entry.worker_id for entry in entries},
+                              read_at)
         for link in links:
             self._begin(link)
 
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from sycamorefield import events
 from sycamorefield.fleet import coming
 from sycamorefield.fleet import gangs
 from sycamorefield.fleet import gaps
@@ -13,6 +14,7 @@
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import shortage
 from sycamorefield.fleet import state as state_mod
+from sycamorefield.fleet import trials
 from sycamorefield.fleet import workerstate
 
 # A filling run slowed to pacer.STALLED_PACE for this long moves to a worker
@@ -56,6 +58,8 @@
         self.fleet = fleet
         self.queues = queues
         self.usable = usable
+        # How many workers there are for all, those set aside among them.
+        self.workers_in_all = len(usable) + len(fleet.trials.by_worker)
         self.now = now
         self.policy = fleet.policy
         # What finds no room now, and what can't expect any soon either.
@@ -87,10 +91,17 @@
             return bool(waiting)
         step = state.job.steps[number]
         site = self._site(state, idle[0])
-        if step.gang:
+        suspected = [t for t in idle if t.needs_trial()]
+        if step.gang and suspected:
+            if len(idle) == len(tasks):
+                self._try_apart(state, tasks, site)
+        elif step.gang:
             self._place_gang(state, tasks, idle, site)
         else:
-            self._place_tasks(state, tasks, idle, site)
+            for task in suspected:
+                self._try_apart(state, [task], site)
+            self._place_tasks(state, tasks, [
+                t for t in idle if not t.needs_trial()], site)
         if site.tickets is not None:
             self._ask_advice(state, idle, site)
         return True
@@ -124,6 +135,8 @@
                      tasks: list[progress.TaskState],
                      idle: list[progress.TaskState], site: Site) -> None:
         """Start the idle ones of the tasks of a step as far as room goes."""
+        if not idle:
+            return
         holds_back = (self.policy.keep_room_for_short_work
                       and state.job.steps[idle[0].task.step].perpetual)
         placed = headroom.placed(tasks) if holds_back else 0
@@ -156,6 +169,12 @@
                 return True
             self.shortage.add(scope, need)
             self.fleet.no_room.add(scope, need)
+        return self._wait_for_room(state, task, site, scope)
+
+    def _wait_for_room(self, state: progress.JobState,
+                       task: progress.TaskState, site: Site,
+                       scope: shortage.Scope) -> bool:
+        """Let a task without room wait; tell if others may be tried."""
         expected = self._expects_room(state, task, site, scope)
         if (self.policy.keep_gaps and task.ran
                 and ordering.interrupted(state, self.now)):
@@ -301,6 +320,68 @@
             task.saved = saved
             self.fleet.start(state, task, worker, run, site.ticket(worker))
 
+    def _try_apart(self, state: progress.JobState,
+                   tasks: list[progress.TaskState], site: Site) -> None:
+        """Start suspected tasks where a crash could only come from them."""
+        trial = self.fleet.trials.by_task.get(tasks[0].task)
+        if trial is None:
+            self._set_aside(state, tasks, site)
+            return
+        workers = self.fleet.workers
+        if trial.run or not trials.is_ready(trial, workers, self.now):
+            return
+        if not trials.fits(trial, workers, site.service, site.tickets):
+            self.fleet.trials.remove(trial, "no room or not allowed")
+            return
+        self._start_trial(trial, site)
+
+    def _start_trial(self, trial: trials.Trial, site: Site) -> None:
+        state = trial.job
+        trial.run = max(state.next_run(task) for task, _ in trial.members)
+        saved = max(task.saved for task, _ in trial.members)
+        events.emit(events.TRIAL_BEGUN, runs=[
+            (str(task.task), trial.run, worker_id)
+            for task, worker_id in trial.members])
+        for task, worker_id in trial.members:
+            task.saved = saved
+            worker = self.fleet.workers[worker_id]
+            self.fleet.start(state, task, worker, trial.run,
+                             site.ticket(worker))
+
+    def _set_aside(self, state: progress.JobState,
+                   tasks: list[progress.TaskState], site: Site) -> None:
+        """Keep workers free of other starts until the tasks run there."""
+        if not self.fleet.trials.may_add(self.workers_in_all):
+            return
+        chosen = self._choose_apart(tasks, site)
+        if not chosen and not tasks[0].step.gang:
+            self._wait_for_room(state, tasks[0], site, site.scope(tasks[0]))
+        if not chosen:
+            return
+        members = [(task, worker.entry.worker_id)
+                   for task, worker in zip(tasks, chosen)]
+        self.fleet.trials.add(trials.Trial(state, members, self.now))
+        state.dirty = self.fleet.commit_now = True
+        for worker in chosen:
+            self.coming.drop(worker)
+            self._exclude(worker, self.usable, site.workers)
+
+    def _choose_apart(self, tasks: list[progress.TaskState], site: Site
+                      ) -> list[workerstate.WorkerState]:
+        """Return workers to set aside, if possible without young runs."""
+        quiet = [worker for worker in site.workers
+                 if not trials.has_young_run(worker, self.now)]
+        for workers in (quiet, site.workers):
+            if tasks[0].step.gang:
+                chosen = gangs.choose(tasks, site.service, workers)
+            else:
+                best = placing.choose(tasks[0], site.service, workers,
+                                      self.fleet.learnt)
+                chosen = [best] if best is not None else []
+            if chosen:
+                return chosen
+        return []
+
     def move_stalled(self) -> None:
         """Stop runs that make little progress if others have room."""
         for worker in self.fleet.workers.values():
@@ -381,6 +462,7 @@
     with fleet.lock:
         fleet.changed = False
         fleet.demand.begin(now)
+        fleet.trials.review(fleet.workers, now)
         configuration = fleet.configuration()
         queues = configuration.by_name()
         if configuration.version != fleet.placed_with:
@@ -405,10 +487,15 @@
 
 def _usable(fleet: state_mod.FleetState, now: float
             ) -> list[workerstate.WorkerState]:
-    """Return the workers that may get new runs, and note the new ones."""
+    """Return the workers that may get new runs, and note the new ones.
+
+    With an old list none may: the room of any may have shrunk since.
+    """
     usable = []
-    for worker in fleet.workers.values():
-        is_usable = worker.usable(now)
+    list_is_new = now - fleet.listed_at <= state_mod.LIST_OLD_S
+    for worker_id, worker in fleet.workers.items():
+        is_usable = (list_is_new and worker.usable(now)
+                     and worker_id not in fleet.trials.by_worker)
         if is_usable:
             usable.append(worker)
             if not worker.was_usable:
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -20,6 +20,7 @@
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import runlog
 from sycamorefield.fleet import shortage
+from sycamorefield.fleet import trials
 from sycamorefield.fleet import workerstate
 
 Order = messages.StartOrder | messages.StopOrder | messages.PaceOrder
@@ -31,6 +32,18 @@
 # An entry goes after three heartbeats of about 1.1 s without one and a lag of
 # 0.8 s; until then the list names a worker that is known to have ended.
 ENTRY_LAPSES_S = 5.0
+# The room that a worker says it has counts as soon as 3 s after it shrank;
+# with an older list nothing more is started.
+LIST_OLD_S = 2.5
+# How long ends of workers are remembered to tell failures of racks.
+ENDS_REMEMBERED_S = 5.0
+
+
+class EndedWorker(typing.NamedTuple):
+    """Hold the rack of a worker that ended without notice, and when."""
+
+    rack: str
+    at: float
 
 
 class FleetState:
@@ -58,6 +71,11 @@
         self.in_use: list[frozenset[str]] = [frozenset()]
         # When workers that may still be listed were known to have ended.
         self.ended_at: dict[str, float] = {}
+        # Workers that ended without having announced it.
+        self.ended_lately: list[EndedWorker] = []
+        # When the list of workers was read last.
+        self.listed_at = math.inf
+        self.trials = trials.Trials()
         # Whether the store has not answered for longer than the owner's
         # lease: a successor may exist.
         self.without_store = False
@@ -127,7 +145,7 @@
         if not state.settle():
             return
         events.emit(events.JOB_ENDED, job=state.job.job_id,
-                    state=state.state)
+                    state=state.state, reason=state.reason)
         self.active.pop(state.job.job_id, None)
         self.advice.forget(state.job.job_id)
         self.commit_now = True
@@ -194,9 +212,10 @@
             self.notify()
             return True
 
-    def unlist(self, listed: set[str]) -> None:
-        """Note which workers are no longer listed."""
+    def unlist(self, listed: set[str], read_at: float = math.inf) -> None:
+        """Note which workers are no longer listed as of a time."""
         with self.lock:
+            self.listed_at = read_at
             for worker_id, worker in self.workers.items():
                 worker.listed = worker_id in listed
 
@@ -280,6 +299,10 @@
                       else 0.0),
             runs=runlog.lost_rows(((task, run) for (_, run), task
                                    in worker.tasks.items()), now))
+        if not worker.entry.draining:
+            self.ended_lately.append(EndedWorker(
+                worker.entry.rack(),
+                worker.silent_at if worker.silent else now))
         self.workers.pop(worker_id, None)
         self.unheard.pop(worker_id, None)
         for (_, run), task in worker.tasks.items():
@@ -310,6 +333,9 @@
             for worker_id, at in list(self.ended_at.items()):
                 if now - at > ENTRY_LAPSES_S:
                     del self.ended_at[worker_id]
+            self.ended_lately = [
+                ended for ended in self.ended_lately
+                if now - ended.at <= ENDS_REMEMBERED_S]
             self._shorten_waits(now)
             for worker_id, until in list(self.unheard.items()):
                 if now >= until and alone:
--- /dev/null
+++ b/sycamorefield/fleet/suspicion.py
@@ -0,0 +1,67 @@
+"""Hold what crashes of workers tell of one task, and what follows from it.
+
+When a worker crashes, each task that had just been started there may be the
+cause.  Counting crashes alone would also give up tasks that only stood beside
+the cause.  So a suspected task is tried: it runs again on a worker where no
+other run is young, and nothing else is started there meanwhile.  A crash then
+counts against this task alone.
+"""
+
+import dataclasses
+import typing
+
+# A task that crashes its workers as it starts does so within this.
+AT_START_S = 0.5
+# A run that was at work for this long is not the cause of a crash.
+HARMLESS_AFTER_S = 5.0
+# After so many crashes in trials a task is given up.
+CRASHES_IN_TRIALS = 2
+# A task that was there this often is tried even if it was not just started.
+CRASHES_TO_TRY = 2
+# A trial lasts this many times as long as the task ran before a crash.
+TRIAL_FACTOR = 2.0
+
+
+@dataclasses.dataclass(slots=True)
+class Suspicion:
+    """Hold the crashes of workers under one task's young runs."""
+
+    workers: list[str] = dataclasses.field(default_factory=list)
+    in_trials: int = 0
+    # The longest time in seconds that a run took until a crash.
+    longest_s: float = 0.0
+    # Whether the last crash came as a run started.
+    at_start: bool = False
+
+    def add(self, worker_id: str, age_s: float, in_trial: bool) -> None:
+        """Note a crash that came when a run was so old."""
+        self.workers.append(worker_id)
+        self.in_trials += in_trial
+        self.longest_s = max(self.longest_s, age_s)
+        self.at_start = age_s < AT_START_S
+
+    def needs_trial(self) -> bool:
+        """Tell whether the next run must be a trial."""
+        return self.at_start or len(self.workers) >= CRASHES_TO_TRY
+
+    def is_proved(self) -> bool:
+        """Tell whether the task is the cause of crashes."""
+        return self.in_trials >= CRASHES_IN_TRIALS
+
+    def trial_s(self) -> float:
+        """Return for how many seconds a run must go on to pass its trial."""
+        return min(HARMLESS_AFTER_S,
+                   max(AT_START_S, TRIAL_FACTOR * self.longest_s))
+
+    def passed(self) -> None:
+        """Note that a run outlasted its trial."""
+        self.at_start = False
+
+    def encode(self) -> dict[str, typing.Any]:
+        """Return it as it is stored."""
+        return dataclasses.asdict(self)
+
+
+def decode(row: dict[str, typing.Any]) -> Suspicion:
+    """Return a stored suspicion; raises TypeError if it is unreadable."""
+    return Suspicion(**row)
--- a/sycamorefield/fleet/usage.py
+++ b/sycamorefield/fleet/usage.py
@@ -28,6 +28,8 @@
     workers: int
     workers_silent: int
     workers_unheard: int
+    # Set aside for tasks that are suspected of crashing workers.
+    workers_set_aside: int
     # What lasting tasks reserve, and the room kept for short work beside
     # lasting jobs of the priority that keeps most.
     lasting_cores: float
@@ -74,7 +76,7 @@
             max((w.free().cpu for w in workers), default=0) / 1000.0,
             len(workers),
             sum(1 for w in fleet.workers.values() if w.silent),
-            len(fleet.unheard),
+            len(fleet.unheard), len(fleet.trials.by_worker),
             sum(w.lasting_cpu for w in workers) / 1000.0,
             kept / 1000.0, ahead / 1000.0, waiting, len(down),
             round(down_s, 3),
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -83,6 +83,8 @@
         self.changed = next(CHANGES)
         # Whether new runs could be ordered here in the last round.
         self.was_usable = False
+        # Runs whose start was turned away by an address without a listener.
+        self.never_began: set[Run] = set()
         # Runs that were told to stop.
         self.stopping: set[Run] = set()
         # Whether the last report showed a run that makes little progress.
@@ -142,6 +144,7 @@
         self.touch()
         self.unsent.discard(run)
         self.stopping.discard(run)
+        self.never_began.discard(run)
         room = self.reserved.pop(run, None)
         self.tasks.pop(run, None)
         if room is None:
--- a/sycamorefield/platform/front.py
+++ b/sycamorefield/platform/front.py
@@ -110,10 +110,11 @@
         if method == "DELETE":
             return _reply(self.intake.cancel(name, _deadline(environ)))
         if method == "GET":
-            state = self.intake.state(name)
-            if state is None:
+            shown = self.intake.show(name)
+            if shown is None:
                 return Reply(410, {"error": "no such job"})
-            return Reply(200, {"state": state})
+            reason = {"reason": shown.reason} if shown.reason else {}
+            return Reply(200, {"state": shown.state, **reason})
         return Reply(405, {"error": "method not allowed"})
 
     def _submit(self, queue: messages.Queue, job_id: str, body: bytes,
--- a/sycamorefield/story.py
+++ b/sycamorefield/story.py
@@ -38,6 +38,7 @@
     at: float
     process: str
     state: str
+    reason: str = ""
 
 
 @dataclasses.dataclass(slots=True)
--- a/sycamorefield/storyreader.py
+++ b/sycamorefield/storyreader.py
@@ -167,7 +167,8 @@
     def _final(self, line: logfiles.Line) -> None:
         fields = _JobFields.model_validate(line.fields)
         self.story.finals.append(
-            story_mod.Final(line.at, line.process, fields.state))
+            story_mod.Final(line.at, line.process, fields.state,
+                            fields.reason))
 
     def _run(self, task: str, number: int, worker: str) -> story_mod.Run:
         runs = self.story.tasks.setdefault(task, story_mod.Task(task)).runs
