A worker born again counts as crashed, however long it was silent

A crash without a reset shows only when another incarnation answers, some seconds later; it was taken for a cut, so a task that crashes its workers that way would not have been given up. What a drain would have shown is now asked of all lists read since the silence began, not of the last one, as the entry of a crashed worker lapses meanwhile. An address that refuses connections only after a long silence tells nothing, as before.

Rounds look for suspected tasks only where there are some. The list of workers may be 2.8 s old before starts are held back (a room that shrank counts after 3 s and a heartbeat).

--- a/sycamorefield/fleet/crashes.py
+++ b/sycamorefield/fleet/crashes.py
@@ -11,10 +11,8 @@
 from sycamorefield.fleet import suspicion
 from sycamorefield.fleet import workerstate
 
-# A worker that leaves is listed as draining for at least this long before.
-DRAIN_NOTICE_S = 2.0
-# The end of a crashed worker shows this soon after its last answer; one that
-# was cut off or had no power for longer may have ended for that reason.
+# The end of a crashed worker shows this soon after its last answer, or when it
+# is born again; one that was cut off for longer may have ended meanwhile.
 SILENT_AT_MOST_S = 1.5
 # Workers of a rack that end within this share a cause; the ends of those that
 # do are noticed within the shorter time.
@@ -27,7 +25,7 @@
 
     CRASH = "crash"
     DRAINED = "was draining"
-    UNLISTED = "was not listed"
+    UNLISTED = "was never listed"
     OLD_LIST = "list is too old to show a drain"
     DARK = "was silent for long"
     NOBODY = "no young run, or its rack failed"
@@ -42,12 +40,21 @@
     age_s: float
 
 
-def worker_dead(fleet: state_mod.FleetState, worker_id: str,
-                reason: str) -> None:
-    """Note that this incarnation of a worker is over, and why if it tells."""
+def worker_reborn(fleet: state_mod.FleetState, worker_id: str) -> None:
+    """Note that another incarnation answers at a worker's address."""
+    _worker_dead(fleet, worker_id, "reborn", reborn=True)
+
+
+def worker_refuses(fleet: state_mod.FleetState, worker_id: str) -> None:
+    """Note that a worker's address refuses connections."""
+    _worker_dead(fleet, worker_id, "nobody listens there", reborn=False)
+
+
+def _worker_dead(fleet: state_mod.FleetState, worker_id: str, reason: str,
+                 reborn: bool) -> None:
     with fleet.lock:
         worker = fleet.workers.get(worker_id)
-        suspects = [] if worker is None else _suspects(fleet, worker)
+        suspects = [] if worker is None else _suspects(fleet, worker, reborn)
         fleet.worker_dead(worker_id, reason)
         for suspect in suspects:
             if suspect.task.job is not None:
@@ -56,8 +63,8 @@
                 fleet.settle(suspect.task.job)
 
 
-def _suspects(fleet: state_mod.FleetState, worker: workerstate.WorkerState
-              ) -> list[Exposed]:
+def _suspects(fleet: state_mod.FleetState, worker: workerstate.WorkerState,
+              reborn: bool) -> list[Exposed]:
     """Return the tasks that a crash is held against, having noted it."""
     now = clock.now()
     at = worker.silent_at if worker.silent else now
@@ -66,7 +73,7 @@
     tried = [e for e in exposed if e.task in on_trial]
     if not exposed:
         return []
-    verdict = _verdict(fleet, worker, now)
+    verdict = _verdict(fleet, worker, at, now, reborn)
     suspects = []
     if verdict is Verdict.CRASH:
         suspects = [e for e in tried or _young(exposed)
@@ -121,16 +128,14 @@
 
 
 def _verdict(fleet: state_mod.FleetState, worker: workerstate.WorkerState,
-             now: float) -> Verdict:
-    entry = worker.entry
-    at = worker.silent_at if worker.silent else now
-    if entry.draining:
+             at: float, now: float, reborn: bool) -> Verdict:
+    if worker.entry.draining:
         return Verdict.DRAINED
-    if not worker.listed:
+    if not (worker.listed or worker.was_listed):
         return Verdict.UNLISTED
-    if at - fleet.listed_at > DRAIN_NOTICE_S:
+    if not fleet.saw_drains(at, now):
         return Verdict.OLD_LIST
-    if now - at > SILENT_AT_MOST_S:
+    if now - at > SILENT_AT_MOST_S and not reborn:
         return Verdict.DARK
     return Verdict.CRASH
 
--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -158,7 +158,7 @@
                     self.fleet.fence, self.recorded_upto, self._until(),
                     self._wait_ms())
             except surroundings.OtherIncarnation:
-                crashes.worker_dead(self.fleet, self.worker_id, "reborn")
+                crashes.worker_reborn(self.fleet, self.worker_id)
                 return
             except surroundings.OrderRejected as exc:
                 if self._fenced(exc):
@@ -191,8 +191,7 @@
         self.refusals += 1
         if (self.refusals >= REFUSALS_TO_END
                 and self.fleet.was_used(self.worker_id)):
-            crashes.worker_dead(self.fleet, self.worker_id,
-                                "nobody listens there")
+            crashes.worker_refuses(self.fleet, self.worker_id)
             return True
         self._failed(exc)
         return False
@@ -218,7 +217,7 @@
             try:
                 self._send(order)
             except surroundings.OtherIncarnation:
-                crashes.worker_dead(self.fleet, self.worker_id, "reborn")
+                crashes.worker_reborn(self.fleet, self.worker_id)
                 return
 
     def _send(self, order: state_mod.Order) -> None:
--- a/sycamorefield/fleet/roster.py
+++ b/sycamorefield/fleet/roster.py
@@ -1,8 +1,8 @@
 """Follow the list of workers, with a link to each."""
 
-import math
 import typing
 
+from sycamorefield.fleet import clock
 from sycamorefield.fleet import link as link_mod
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import state as state_mod
@@ -52,7 +52,7 @@
             link.close()
 
     def take_entries(self, entries: tuple[messages.WorkerEntry, ...],
-                     read_at: float = math.inf) -> None:
+                     read_at: float | None = None) -> None:
         """Take up all workers listed, then begin to speak to the new ones.
 
         The lock is taken once: taken for each, others get it in between, and
@@ -60,8 +60,9 @@
         """
         with self.fleet.lock:
             links = [self._take_entry(entry) for entry in entries]
-            self.fleet.unlist({entry.worker_id for entry in entries},
-                              read_at)
+            self.fleet.unlist(
+                {entry.worker_id for entry in entries},
+                clock.now() if read_at is None else read_at)
         for link in links:
             self._begin(link)
 
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -91,17 +91,13 @@
             return bool(waiting)
         step = state.job.steps[number]
         site = self._site(state, idle[0])
-        suspected = [t for t in idle if t.needs_trial()]
-        if step.gang and suspected:
-            if len(idle) == len(tasks):
-                self._try_apart(state, tasks, site)
+        suspected = [t for t in idle if t.suspicion and t.needs_trial()]
+        if suspected:
+            self._place_suspected(state, tasks, idle, suspected, site)
         elif step.gang:
             self._place_gang(state, tasks, idle, site)
         else:
-            for task in suspected:
-                self._try_apart(state, [task], site)
-            self._place_tasks(state, tasks, [
-                t for t in idle if not t.needs_trial()], site)
+            self._place_tasks(state, tasks, idle, site)
         if site.tickets is not None:
             self._ask_advice(state, idle, site)
         return True
@@ -135,8 +131,6 @@
                      tasks: list[progress.TaskState],
                      idle: list[progress.TaskState], site: Site) -> None:
         """Start the idle ones of the tasks of a step as far as room goes."""
-        if not idle:
-            return
         holds_back = (self.policy.keep_room_for_short_work
                       and state.job.steps[idle[0].task.step].perpetual)
         placed = headroom.placed(tasks) if holds_back else 0
@@ -320,6 +314,22 @@
             task.saved = saved
             self.fleet.start(state, task, worker, run, site.ticket(worker))
 
+    def _place_suspected(self, state: progress.JobState,
+                         tasks: list[progress.TaskState],
+                         idle: list[progress.TaskState],
+                         suspected: list[progress.TaskState],
+                         site: Site) -> None:
+        """Try the suspected tasks of a step apart, and start the others."""
+        if tasks[0].step.gang:
+            if len(idle) == len(tasks):
+                self._try_apart(state, tasks, site)
+            return
+        for task in suspected:
+            self._try_apart(state, [task], site)
+        others = [task for task in idle if task not in suspected]
+        if others:
+            self._place_tasks(state, tasks, others, site)
+
     def _try_apart(self, state: progress.JobState,
                    tasks: list[progress.TaskState], site: Site) -> None:
         """Start suspected tasks where a crash could only come from them."""
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -34,7 +34,9 @@
 ENTRY_LAPSES_S = 5.0
 # The room that a worker says it has counts as soon as 3 s after it shrank;
 # with an older list nothing more is started.
-LIST_OLD_S = 2.5
+LIST_OLD_S = 2.8
+# A worker that leaves is listed as draining for at least this long before.
+DRAIN_NOTICE_S = 2.0
 # How long ends of workers are remembered to tell failures of racks.
 ENDS_REMEMBERED_S = 5.0
 
@@ -73,8 +75,10 @@
         self.ended_at: dict[str, float] = {}
         # Workers that ended without having announced it.
         self.ended_lately: list[EndedWorker] = []
-        # When the list of workers was read last.
+        # When the list of workers was read last, and since when it has been
+        # read often enough to show each drain.
         self.listed_at = math.inf
+        self.saw_drains_since = -math.inf
         self.trials = trials.Trials()
         # Whether the store has not answered for longer than the owner's
         # lease: a successor may exist.
@@ -212,12 +216,20 @@
             self.notify()
             return True
 
-    def unlist(self, listed: set[str], read_at: float = math.inf) -> None:
+    def unlist(self, listed: set[str], read_at: float) -> None:
         """Note which workers are no longer listed as of a time."""
         with self.lock:
+            if not 0 <= read_at - self.listed_at <= DRAIN_NOTICE_S:
+                self.saw_drains_since = read_at
             self.listed_at = read_at
             for worker_id, worker in self.workers.items():
                 worker.listed = worker_id in listed
+                worker.was_listed |= worker.listed
+
+    def saw_drains(self, since: float, now: float) -> bool:
+        """Tell whether a drain since a time would be known by now."""
+        return (self.saw_drains_since <= since
+                and now - self.listed_at <= DRAIN_NOTICE_S)
 
     def will_store(self, worker_ids: typing.Iterable[str]) -> None:
         """Note a list of workers in use that may be stored from now on."""
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -44,6 +44,8 @@
                  limits_unsent: bool = True) -> None:
         self.entry = entry
         self.listed = True
+        # Whether it was on a list that this owner has read.
+        self.was_listed = False
         self.enrolled = False
         self.reported = False
         self.silent = False
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -208,6 +208,7 @@
     listed: bool = True
     list_age_s: float = 0.0
     silent_s: float = 0.3
+    reborn: bool = False
     others_of_rack: str = "answer"
 
 
@@ -216,7 +217,9 @@
     End(crashes.Verdict.DRAINED, draining=True),
     End(crashes.Verdict.UNLISTED, listed=False),
     End(crashes.Verdict.OLD_LIST, list_age_s=3.0),
+    End(crashes.Verdict.OLD_LIST, list_age_s=3.0, reborn=True),
     End(crashes.Verdict.DARK, silent_s=4.0),
+    End(crashes.Verdict.CRASH, silent_s=4.0, reborn=True),
     End(crashes.Verdict.NOBODY, others_of_rack="silent"),
     End(crashes.Verdict.NOBODY, others_of_rack="ended"),
     End(crashes.Verdict.CRASH, others_of_rack="ended before"),
@@ -233,7 +236,7 @@
     mates = [w for w in state.workers if w != "i-0"]
     if end.others_of_rack == "ended before":
         for worker_id in mates:
-            crashes.worker_dead(state, worker_id, "refused")
+            crashes.worker_refuses(state, worker_id)
         moment[0] += 1.0
         bench.now = moment[0]
     [placed] = bench.place()
@@ -243,14 +246,18 @@
         for other in set(state.workers) - {worker_id}:
             state.worker_silent(other, "closed")
             if end.others_of_rack == "ended":
-                crashes.worker_dead(state, other, "refused")
+                crashes.worker_refuses(state, other)
     state.add_worker(fleetfakes.entry(
         int(worker_id[2:]), labels=("a", "r"), draining=end.draining))
-    state.unlist({worker_id} if end.listed else set(),
-                 moment[0] - end.list_age_s)
     state.worker_silent(worker_id, "closed")
-    moment[0] += end.silent_s
-    crashes.worker_dead(state, worker_id, "refused")
+    ended = moment[0] + end.silent_s
+    for tenths in range(900, int((ended - end.list_age_s) * 10), 5):
+        state.unlist({worker_id} if end.listed else set(), tenths / 10)
+    moment[0] = ended
+    if end.reborn:
+        crashes.worker_reborn(state, worker_id)
+    else:
+        crashes.worker_refuses(state, worker_id)
     suspected = state.jobs["j"].tasks[0, 0][0].suspicion
     assert (suspected is not None) == (end.verdict is crashes.Verdict.CRASH)
 
@@ -280,7 +287,7 @@
     bench.add(fleetfakes.job("j", SHORT))
     worker_id = bench.place()[0].partition("@")[2]
     moment[0] = bench.now
-    crashes.worker_dead(bench.state, worker_id, "refused")
+    crashes.worker_refuses(bench.state, worker_id)
     assert not bench.place()
     job = bench.state.jobs["j"]
     [apart] = job.on_trial.values()
--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -719,7 +719,7 @@
         worker = data.draw(strategies.sampled_from(self._alive()))
         self._end_worker(worker)
         if told and self.acting:
-            crashes.worker_dead(self.fleet, worker.entry.worker_id, "crashed")
+            crashes.worker_refuses(self.fleet, worker.entry.worker_id)
 
     def _end_worker(self, worker: SimulatedWorker) -> None:
         worker.alive = False
@@ -742,7 +742,7 @@
     def crashes_are_noticed(self) -> None:
         for worker_id in list(self.unnoticed):
             self.fleet.worker_silent(worker_id, "closed")
-            crashes.worker_dead(self.fleet, worker_id, "nobody listens")
+            crashes.worker_refuses(self.fleet, worker_id)
             del self.unnoticed[worker_id]
 
     @stateful.precondition(lambda self: self.acting and not self.silent
