Only likely causes of a crash are tried at once

Cause: many tasks started anew at once after a crash, the next crash hit them all, and each was then tried on a worker of its own, lasting ones for up to 5 s.

--- a/sycamorefield/fleet/crashes.py
+++ b/sycamorefield/fleet/crashes.py
@@ -17,6 +17,9 @@
 # Workers of a rack that end within this share a cause; the ends of those that
 # do are noticed within the shorter time.
 RACK_WINDOW_S = 2.0
+# Of so many runs that had just begun each is likely enough the cause to be
+# tried at once; of more only those under which another worker crashes.
+FEW_RUNS = 3
 RACK_SPREAD_S = 0.25
 
 
@@ -80,8 +83,7 @@
                     if not _rack_failed(fleet, worker.entry, at, e.age_s)]
         if not suspects:
             verdict = Verdict.NOBODY
-        for suspect in suspects:
-            _suspect(suspect, worker.entry.worker_id, bool(tried))
+        _note(suspects, worker.entry.worker_id, bool(tried))
     events.emit(events.WORKER_CRASHED, worker=worker.entry.worker_id,
                 verdict=verdict.value, rack=worker.entry.rack(),
                 trial=bool(tried), runs=[
@@ -90,11 +92,15 @@
     return suspects
 
 
-def _suspect(exposed: Exposed, worker_id: str, in_trial: bool) -> None:
-    task = exposed.task
-    if task.suspicion is None:
-        task.suspicion = suspicion.Suspicion()
-    task.suspicion.add(worker_id, exposed.age_s, in_trial)
+def _note(suspects: list[Exposed], worker_id: str, in_trial: bool) -> None:
+    """Note a crash with each task that may be its cause."""
+    began = [s for s in suspects if s.age_s < suspicion.AT_START_S]
+    for suspect in suspects:
+        task = suspect.task
+        if task.suspicion is None:
+            task.suspicion = suspicion.Suspicion()
+        likely = suspect in began and len(began) <= FEW_RUNS
+        task.suspicion.add(worker_id, suspect.age_s, likely, in_trial)
 
 
 def _young(exposed: list[Exposed]) -> list[Exposed]:
--- a/sycamorefield/fleet/suspicion.py
+++ b/sycamorefield/fleet/suspicion.py
@@ -8,18 +8,19 @@
 """
 
 import dataclasses
+import itertools
 import typing
 
 # A task that crashes its workers as it starts does so within this.
-AT_START_S = 0.5
+AT_START_S = 0.25
 # A run that was at work for this long is not the cause of a crash.
-HARMLESS_AFTER_S = 5.0
+HARMLESS_AFTER_S = 3.0
 # After so many crashes in trials a task is given up.
 CRASHES_IN_TRIALS = 2
-# A task that was there this often is tried even if it was not just started.
-CRASHES_TO_TRY = 2
+# A task that crashes its workers does so after similar times.
+SIMILAR_SHARE = 0.3
 # A trial lasts this many times as long as the task ran before a crash.
-TRIAL_FACTOR = 2.0
+TRIAL_FACTOR = 1.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -27,22 +28,25 @@
     """Hold the crashes of workers under one task's young runs."""
 
     workers: list[str] = dataclasses.field(default_factory=list)
+    # How long the runs were at work until the crashes, in seconds.
+    ages_s: list[float] = dataclasses.field(default_factory=list)
     in_trials: int = 0
-    # The longest time in seconds that a run took until a crash.
-    longest_s: float = 0.0
-    # Whether the last crash came as a run started.
-    at_start: bool = False
+    # Whether the last crash came as this run and hardly any other started.
+    likely: bool = False
 
-    def add(self, worker_id: str, age_s: float, in_trial: bool) -> None:
+    def add(self, worker_id: str, age_s: float, likely: bool,
+            in_trial: bool) -> None:
         """Note a crash that came when a run was so old."""
         self.workers.append(worker_id)
+        self.ages_s.append(age_s)
         self.in_trials += in_trial
-        self.longest_s = max(self.longest_s, age_s)
-        self.at_start = age_s < AT_START_S
+        self.likely = likely
 
     def needs_trial(self) -> bool:
         """Tell whether the next run must be a trial."""
-        return self.at_start or len(self.workers) >= CRASHES_TO_TRY
+        return (self.likely or self.in_trials > 0
+                or any(_similar(*pair) for pair
+                       in itertools.combinations(self.ages_s, 2)))
 
     def is_proved(self) -> bool:
         """Tell whether the task is the cause of crashes."""
@@ -50,12 +54,12 @@
 
     def trial_s(self) -> float:
         """Return for how many seconds a run must go on to pass its trial."""
-        return min(HARMLESS_AFTER_S,
-                   max(AT_START_S, TRIAL_FACTOR * self.longest_s))
+        return min(HARMLESS_AFTER_S, max(
+            AT_START_S, TRIAL_FACTOR * max(self.ages_s, default=0.0)))
 
     def passed(self) -> None:
         """Note that a run outlasted its trial."""
-        self.at_start = False
+        self.likely = False
 
     def encode(self) -> dict[str, typing.Any]:
         """Return it as it is stored."""
@@ -65,3 +69,8 @@
 def decode(row: dict[str, typing.Any]) -> Suspicion:
     """Return a stored suspicion; raises TypeError if it is unreadable."""
     return Suspicion(**row)
+
+
+def _similar(one_s: float, other_s: float) -> bool:
+    return (abs(one_s - other_s)
+            <= max(AT_START_S, SIMILAR_SHARE * max(one_s, other_s)))
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -348,7 +348,7 @@
     state.occurrence(0)
     suspected = suspicion.Suspicion()
     for worker_id in ("i-1", "i-2"):
-        suspected.add(worker_id, 0.01, in_trial=True)
+        suspected.add(worker_id, 0.01, likely=True, in_trial=True)
     state.tasks[0, 0][0].suspicion = suspected
     assert state.settle()
     stored = progress.encode_progress(state)
