A trial that is over but still stored keeps no task from running

Callers would have seen jobs stand still after a change of owner: two trials stored on one worker (one of them over, its removal not yet stored) left the earlier one without a review; it waited for ever, or ended the round with an error where its worker was gone. Found by reading; the test fails before with a KeyError. All trials are now reviewed by task, and one that was inherited is started by nobody but through its review.

--- a/sycamorefield/fleet/crashes.py
+++ b/sycamorefield/fleet/crashes.py
@@ -17,10 +17,10 @@
 # Workers of a rack that end within this share a cause; the ends of those that
 # do are noticed within the shorter time.
 RACK_WINDOW_S = 2.0
+RACK_SPREAD_S = 0.25
 # Of so many runs that had just begun each is likely enough the cause to be
 # tried at once; of more only those under which another worker crashes.
 FEW_RUNS = 3
-RACK_SPREAD_S = 0.25
 
 
 class Verdict(enum.Enum):
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -338,7 +338,9 @@
             self._set_aside(state, tasks, site)
             return
         workers = self.fleet.workers
-        if trial.run or not trials.is_ready(trial, workers, self.now):
+        if trial.run or trial.inherited:
+            return
+        if not trials.is_ready(trial, workers, self.now):
             return
         if not trials.fits(trial, workers, site.service, site.tickets):
             self.fleet.trials.remove(trial, "no room or not allowed")
--- a/sycamorefield/fleet/trials.py
+++ b/sycamorefield/fleet/trials.py
@@ -95,7 +95,7 @@
 
     def review(self, workers: Workers, now: float) -> None:
         """Give back the workers of trials that are over."""
-        for trial in set(self.by_worker.values()):
+        for trial in set(self.by_task.values()):
             reason = _over(trial, workers, now)
             if reason:
                 self.remove(trial, reason)
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -355,3 +355,24 @@
     assert progress.state_of(stored) == messages.JOB_FAILED
     assert progress.reason_of(stored) == (
         "task 0.0.0 crashed the workers that started it: i-1, i-2")
+
+
+def test_a_trial_over_but_stored_keeps_no_task_from_running():
+    """Guards against a task that waits for a trial that nobody ends."""
+    bench = test_fleet_state.Bench(fleetfakes.entry(0), fleetfakes.entry(1))
+    for number, job_id in enumerate("ab"):
+        bench.add(fleetfakes.job(job_id, SHORT), 21 + number)
+        job = bench.state.jobs[job_id]
+        job.occurrence(0)
+        [task] = job.tasks[0, 0]
+        task.suspicion = suspicion.Suspicion(["i-9"], [0.01], likely=True)
+        job.on_trial = {task.task: "i-5"}
+        job.stored_trials = dict(job.on_trial)
+        bench.state.trials.inherit(job, bench.now)
+    for _ in range(30):
+        bench.place()
+        for job in bench.state.jobs.values():
+            job.stored_trials = dict(job.on_trial)
+    assert all(task.phase == progress.RUNNING
+               for job in bench.state.jobs.values()
+               for task in job.all_tasks())
