Nothing starts beside a suspected job that a cell tries

In a run of make run with twelve jobs that crash their workers on eight workers one sound job was given up, and a standing one nearly: after a crash what had been placed on the worker before, but not started, started there anew beside the job that was tried, and crashed it. Such starts now wait for the end of the trial, and what starts anew after a crash counts as young.

--- a/sycamorefield/cell.py
+++ b/sycamorefield/cell.py
@@ -275,6 +275,14 @@
             self.apart_until[record.worker] = (record.placed_at
                                                + APART_SECONDS)
 
+    def _waits_for_trial(self, record: jobtable.JobRecord) -> bool:
+        """Return whether a placed job must not start beside a suspected one.
+
+        After a crash what was placed before starts on the same worker anew.
+        """
+        until = self.apart_until.get(record.worker, 0.0)
+        return not record.apart and until > time.time()
+
     @staticmethod
     def _is_tried(record: jobtable.JobRecord, at: float) -> bool:
         return record.apart and at - record.placed_at < APART_SECONDS
@@ -355,7 +363,9 @@
         """Return the placements on a worker, by task id."""
         return {record.task_id: workerlink.Start(
             record.job_id, record.task_id, self.opts.work[record.work],
-            record.progress, durable=self.table.durable(record.job_id),
+            record.progress,
+            durable=(self.table.durable(record.job_id)
+                     and not self._waits_for_trial(record)),
             unwanted=(record.cancelled or record.task_id in self.evicting))
             for record in self.table.placed_on(worker)
             if record.work in self.opts.work}
@@ -488,7 +498,12 @@
                     if r.task_id in task_ids]
             tried = [r for r in lost if self._is_tried(r, at)]
             young = [r for r in lost if at - r.placed_at < SUSPECT_SECONDS]
-            for record in tried or young:
+            suspects = tried or young
+            for record in self.table.placed_on(link.machine.name):
+                if record not in suspects:
+                    record.placed_at = time.time()
+                    self.table.stage(record)
+            for record in suspects:
                 link.free(record.task_id)
                 self.evicting.discard(record.task_id)
                 self._suspect(record, link.machine.name, bool(tried))
