A trial that is passed clears a task; crashes in trials must come alike

Causes: crashes in trials added up over trials that were passed between them; a crash in a trial counted however long the run had been at work; and a trial counted as passed by the clock alone, also while its worker's crash had not been noticed. Now a task that passes is cleared, crashes must come after similar times (0.4 s or 15% apart), and a trial is passed only by a report that came later; workers with a trial are asked each 0.15 s.

--- a/sycamorefield/fleet/crashes.py
+++ b/sycamorefield/fleet/crashes.py
@@ -128,11 +128,17 @@
         return found
     # An earlier owner set the worker aside for these.
     here = {one.task for one in found}
-    return found + [Exposed(task, task.last_run, 0.0)
+    return found + [Exposed(task, task.last_run, _usual_age_s(task))
                     for task in fleet.trials.on(worker.entry.worker_id)
                     if task not in here and task.phase == progress.IDLE]
 
 
+def _usual_age_s(task: progress.TaskState) -> float:
+    """Return how old runs of a task were at its last crash, or 0."""
+    ages_s = task.suspicion.ages_s if task.suspicion is not None else []
+    return ages_s[-1] if ages_s else 0.0
+
+
 def _verdict(fleet: state_mod.FleetState, worker: workerstate.WorkerState,
              at: float, now: float, reborn: bool) -> Verdict:
     if worker.entry.draining:
--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -26,6 +26,8 @@
 WATCHFUL_WAIT_MS = 800
 WORRIED_WAIT_MS = 400
 WORRIED_AT = 0.4
+# The end of a trial shows in a report, and others wait for the worker.
+TRIAL_WAIT_MS = 150
 RETRY_PAUSE_S = 0.15
 # A report repeats ends until they are recorded; asking again before that
 # would be answered at once.
@@ -143,6 +145,8 @@
                 return 0
             if self.fleet.without_store:
                 return WORRIED_WAIT_MS
+            if self.fleet.trials.on(self.worker_id):
+                return TRIAL_WAIT_MS
             if worker.serving and worker.filling_cpu:
                 worst = max((t.ratio for t in worker.tails), default=1.0)
                 return (WORRIED_WAIT_MS if worst > WORRIED_AT
--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -27,6 +27,7 @@
         if worker is None:
             return False
         worker.heard(report.clock_ms, now)
+        worker.reported_at = now
         worker.obeyed_at = max(worker.obeyed_at, sent)
         # Without news nothing waits for a round: figures alone, a few
         # hundred reports a second, change no more than the next tick
--- a/sycamorefield/fleet/suspicion.py
+++ b/sycamorefield/fleet/suspicion.py
@@ -17,8 +17,10 @@
 HARMLESS_AFTER_S = 3.0
 # After so many crashes in trials a task is given up.
 CRASHES_IN_TRIALS = 2
-# A task that crashes its workers does so after similar times.
-SIMILAR_SHARE = 0.3
+# A task that crashes its workers does so after similar times: they differ by
+# no more than either of these.
+SIMILAR_S = 0.4
+SIMILAR_SHARE = 0.15
 # A trial lasts this many times as long as the task ran before a crash.
 TRIAL_FACTOR = 1.5
 
@@ -36,10 +38,14 @@
 
     def add(self, worker_id: str, age_s: float, likely: bool,
             in_trial: bool) -> None:
-        """Note a crash that came when a run was so old."""
+        """Note a crash that came when a run was so old.
+
+        One in a trial after quite another time has another cause.
+        """
+        if in_trial and any(_similar(age_s, other) for other in self.ages_s):
+            self.in_trials += 1
         self.workers.append(worker_id)
         self.ages_s.append(age_s)
-        self.in_trials += in_trial
         self.likely = likely
 
     def needs_trial(self) -> bool:
@@ -57,10 +63,6 @@
         return min(HARMLESS_AFTER_S, max(
             AT_START_S, TRIAL_FACTOR * max(self.ages_s, default=0.0)))
 
-    def passed(self) -> None:
-        """Note that a run outlasted its trial."""
-        self.likely = False
-
     def encode(self) -> dict[str, typing.Any]:
         """Return it as it is stored."""
         return dataclasses.asdict(self)
@@ -73,4 +75,4 @@
 
 def _similar(one_s: float, other_s: float) -> bool:
     return (abs(one_s - other_s)
-            <= max(AT_START_S, SIMILAR_SHARE * max(one_s, other_s)))
+            <= max(SIMILAR_S, SIMILAR_SHARE * max(one_s, other_s)))
--- a/sycamorefield/fleet/trials.py
+++ b/sycamorefield/fleet/trials.py
@@ -154,7 +154,7 @@
     if missing:
         return "worker is gone"
     if trial.run:
-        return _run_over(trial, workers, now)
+        return _run_over(trial, workers)
     if any(task.done or task.phase != progress.IDLE
            for task, _ in trial.members):
         return "task does not wait"
@@ -182,18 +182,18 @@
     return ""
 
 
-def _run_over(trial: Trial, workers: Workers, now: float) -> str:
+def _run_over(trial: Trial, workers: Workers) -> str:
     current = [task for task, worker_id in trial.members
                if task.run == trial.run and task.worker_id == worker_id]
     if len(current) < len(trial.members):
         return "run is over"
-    if any(workers[worker_id].silent for worker_id in trial.workers()):
-        # It may have crashed in the trial.
-        return ""
+    # Without a later report the worker may have crashed unnoticed.
+    alive_at = min(workers[worker_id].reported_at
+                   for worker_id in trial.workers())
     began = [task.started for task in current]
-    if not min(began) or now - max(began) < trial.trial_s():
+    if not min(began) or alive_at - max(began) < trial.trial_s():
         return ""
     for task in current:
-        if task.suspicion is not None:
-            task.suspicion.passed()
+        # One that crashes its workers does so each time.
+        task.suspicion = None
     return "passed"
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -53,6 +53,8 @@
         self.silent_at = 0.0
         # Whether it closed a connection while it was about to leave.
         self.closed = False
+        # When its last report came.
+        self.reported_at = 0.0
         # When the last call that it answered was sent.
         self.obeyed_at = 0.0
         self.reserved: dict[Run, messages.Room] = {}
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -279,6 +279,13 @@
                    for job_id in "abc")
 
 
+def report_all(bench: test_fleet_state.Bench) -> None:
+    """Let each worker tell that all its runs go on."""
+    for worker_id, worker in bench.state.workers.items():
+        bench.report(worker_id, [messages.RunningTask(task, run, "", 0)
+                                 for task, run in worker.tasks])
+
+
 def test_a_suspected_task_is_tried_where_nothing_else_begins(monkeypatch):
     """Guards against evidence that could come from another new task."""
     moment = [100.0]
@@ -300,6 +307,8 @@
     assert sum(p.endswith("@" + apart) for p in placed) == 1
     bench.now += suspicion.AT_START_S
     bench.add(fleetfakes.job("l", messages.Step(40, SMALL)), 22)
+    assert not any(p.endswith("@" + apart) for p in bench.place())
+    report_all(bench)
     assert any(p.endswith("@" + apart) for p in bench.place())
 
 
@@ -347,6 +356,7 @@
     state = progress.JobState(fleetfakes.job("j"), 0)
     state.occurrence(0)
     suspected = suspicion.Suspicion()
+    suspected.add("i-0", 0.01, likely=True, in_trial=False)
     for worker_id in ("i-1", "i-2"):
         suspected.add(worker_id, 0.01, likely=True, in_trial=True)
     state.tasks[0, 0][0].suspicion = suspected
@@ -354,7 +364,7 @@
     stored = progress.encode_progress(state)
     assert progress.state_of(stored) == messages.JOB_FAILED
     assert progress.reason_of(stored) == (
-        "task 0.0.0 crashed the workers that started it: i-1, i-2")
+        "task 0.0.0 crashed the workers that started it: i-0, i-1, i-2")
 
 
 def test_a_trial_over_but_stored_keeps_no_task_from_running():
@@ -371,8 +381,22 @@
         bench.state.trials.inherit(job, bench.now)
     for _ in range(30):
         bench.place()
+        report_all(bench)
         for job in bench.state.jobs.values():
             job.stored_trials = dict(job.on_trial)
     assert all(task.phase == progress.RUNNING
                for job in bench.state.jobs.values()
                for task in job.all_tasks())
+
+
+@pytest.mark.parametrize(("ages_s", "proved"), [
+    ([0.01, 0.02, 0.01], True), ([0.8, 0.9, 0.7], True),
+    ([0.01, 0.2], False), ([0.01, 0.02, 1.5], False),
+    ([1.3, 1.45, 0.2], False), ([0.01, 1.5, 0.02, 0.03], True)])
+def test_crashes_in_trials_tell_only_if_they_come_alike(ages_s, proved):
+    """Guards against a task given up for crashes with other causes."""
+    suspected = suspicion.Suspicion()
+    for number, age_s in enumerate(ages_s):
+        suspected.add(f"i-{number}", age_s, likely=False,
+                      in_trial=number > 0)
+    assert suspected.is_proved() == proved
