--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -283,7 +283,7 @@
     bench.state.worker_silent(holder, "closed", closed=True)
     bench.state.expire(bench.now)
     assert not bench.place()
-    bench.state.unlist({"i-0", "i-1"} - {holder})
+    bench.state.unlist({"i-0", "i-1"} - {holder}, bench.now)
     bench.state.expire(bench.now)
     (again,) = bench.place()
     assert again.split("@")[1] != holder
