Log the lives of workers, and tasks that are ready but do not start

Cause: a worker may now start again under its ID. The log names a worker by its ID only, so the hypotheses of the incident (ends acknowledged that were never read; a recorded end undone; tasks held back by suspicion) look alike. What: `born` is decoded from entries and reports and logged with the last end seen (SF1822 to SF1826), a change of it as SF1841; steps whose tasks are ready and do not start for 10 s as SF1842. No decision depends on either yet.

--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -130,6 +130,8 @@
     "SF1839", INFO, "quarantine runs of suspected tasks started")
 QUARANTINE_ENDED = Event(
     "SF1840", INFO, "quarantine runs of suspected tasks ended")
+WORKER_RESTARTED = Event("SF1841", WARNING, "worker started again")
+TASKS_WAITING = Event("SF1842", WARNING, "tasks are ready but do not start")
 
 INVARIANT_BROKEN = Event("SF1601", ERROR, "invariant broken")
 
--- a/sycamorefield/fleet/messages.py
+++ b/sycamorefield/fleet/messages.py
@@ -132,6 +132,9 @@
     capacity: Resources
     labels: tuple[str, ...]
     remaining_ms: float | None = None
+    # When the worker started, in ms since 1970; 0 if it does not say.  A
+    # worker that starts again under its ID has a later one.
+    born_ms: int = 0
 
     def rack(self) -> str:
         """Return the label of the worker's rack, or "" if it has none.
@@ -177,6 +180,8 @@
     clock_ms: float
     running: tuple[RunningTask, ...]
     ended: tuple[EndedTask, ...]
+    # As in WorkerEntry.
+    born_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -17,6 +17,7 @@
 from sycamorefield.fleet import rounds
 from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import usage as usage_mod
+from sycamorefield.fleet import waitinglog
 from sycamorefield.fleet import workerlinks as workerlinks_mod
 
 # How often the utilisation of the fleet is logged.
@@ -73,6 +74,7 @@
         # computing it for each request would block placement on the lock.
         self.usage: usage_mod.Usage | None = None
         self.round_times = usage_mod.RoundTimes()
+        self.waiting_log = waitinglog.WaitingLog()
         self.recorder = recorder_mod.Recorder(
             store, self.fleet, records.OWNER_KEY, self.may_act,
             self.step_down, self._acknowledge_ends)
@@ -237,6 +239,7 @@
                    ) -> usage_mod.RoundTimes:
         """Log the utilisation; return the rounds counted so far."""
         self.usage = usage_mod.measure(self.fleet, clock.now())
+        self.waiting_log.update(self.fleet, clock.now())
         times = dataclasses.replace(self.round_times)
         events.emit(events.FLEET_USAGE, **dataclasses.asdict(self.usage),
                     **times.since(previous_times), fence=self.fence,
--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -32,6 +32,7 @@
         worker = fleet.workers.get(worker_id)
         if worker is None:
             return False
+        _note_life(worker, report)
         worker.sync_clock(report.clock_ms, now)
         worker.reported_at = now
         worker.acknowledged_at = max(worker.acknowledged_at, sent_at)
@@ -69,6 +70,19 @@
         return new_ends
 
 
+def _note_life(worker: workerstate.WorkerState,
+               report: messages.WorkerReport) -> None:
+    """Note which life of a worker reports; log a change."""
+    if worker.born_ms and report.born_ms != worker.born_ms:
+        events.emit(events.WORKER_RESTARTED, worker=worker.entry.worker_id,
+                    born_ms=report.born_ms, earlier_born_ms=worker.born_ms,
+                    last_end=worker.last_processed_end,
+                    clock_ms=report.clock_ms,
+                    earlier_clock_ms=worker.clock_ms,
+                    runs=len(worker.reserved))
+    worker.born_ms = report.born_ms
+
+
 def _record_end(fleet: state_mod.FleetState, worker: workerstate.WorkerState,
                 ended: messages.EndedTask, now: float) -> None:
     found = fleet.find(ended.task)
@@ -223,7 +237,9 @@
                 continue
             task.reset_run()
             events.emit(events.RUN_VANISHED, task=str(run[0]),
-                        run=run[1], worker=worker.entry.worker_id)
+                        run=run[1], worker=worker.entry.worker_id,
+                        born_ms=worker.born_ms,
+                        last_end=worker.last_processed_end)
         worker.release(run, task.step)
         released = True
     return released
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -228,7 +228,7 @@
                                   for listed in self.possible_worker_lists)
             self.workers[entry.worker_id] = worker
             events.emit(events.WORKER_JOINED, worker=entry.worker_id,
-                        address=entry.address)
+                        address=entry.address, born_ms=entry.born_ms)
             self.request_round()
             return True
 
@@ -306,7 +306,8 @@
             worker.unresponsive = True
             worker.unresponsive_since = clock.now()
             events.emit(events.WORKER_UNRESPONSIVE, worker=worker_id,
-                        runs=len(worker.reserved), reason=reason)
+                        born_ms=worker.born_ms, runs=len(worker.reserved),
+                        reason=reason)
 
     def mark_dead(self, worker_id: str, reason: str) -> None:
         """Remove a worker whose incarnation has certainly ended."""
@@ -334,6 +335,7 @@
         now = clock.now()
         events.emit(
             events.WORKER_RUNS_LOST, worker=worker_id, reason=reason,
+            born_ms=worker.born_ms, last_end=worker.last_processed_end,
             rack=worker.entry.rack(), listed=worker.listed,
             draining=worker.entry.draining, lost=len(worker.reserved),
             silent_s=(round(now - worker.unresponsive_since, 3)
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -50,6 +50,9 @@
     def __init__(self, entry: messages.WorkerEntry,
                  limits_unsent_starts: bool = True) -> None:
         self.entry = entry
+        # When the life that last reported began, in ms since 1970 (0: not
+        # known).
+        self.born_ms = 0
         self.listed = True
         # Whether it was on any worker list that this owner has read.
         self.ever_listed = False
--- a/sycamorefield/platform/workers.py
+++ b/sycamorefield/platform/workers.py
@@ -136,6 +136,7 @@
     clock_ms: float
     running: list[RunningRow] | None = None
     ended: list[EndedRow] | None = None
+    born: float = 0.0
 
 
 REPORT_DECODER = msgspec.json.Decoder(ReportBody)
@@ -150,7 +151,8 @@
         return messages.WorkerReport(
             body.clock_ms,
             tuple(_running_task(row) for row in body.running or ()),
-            tuple(_ended_task(row) for row in body.ended or ()))
+            tuple(_ended_task(row) for row in body.ended or ()),
+            int(body.born))
     except (msgspec.MsgspecError, ValueError) as exc:
         raise interfaces.CallFailed(
             f"unreadable answer: {exc!r}") from exc
@@ -208,7 +210,8 @@
                                _require_number(capacity.get("mem_mb", 0)),
                                _require_number(capacity.get("gpu", 0))),
             tuple(_require_string(label) for label in row.get("labels") or ()),
-            None if remaining is None else float(remaining))
+            None if remaining is None else float(remaining),
+            _require_number(row.get("born", 0)))
     except (ValueError, KeyError, TypeError, AttributeError) as exc:
         events.emit(events.ENTRY_UNREADABLE, key=item.key, reason=repr(exc))
         return None
