Reproduce TWICE: ends on a restarted worker are acknowledged unread (known red)

What: MemoryWorker can start again under its ID, with a clock of its own. The owner goes on with the number of the last end of the earlier life, so it ignores the first ends of the new one and has the worker forget them; their tasks are missed in the next report and started again.

--- a/tests/fleetfakes.py
+++ b/tests/fleetfakes.py
@@ -168,7 +168,8 @@
 class MemoryWorker(interfaces.Worker):
     """A worker in memory, with fences, runs, leases and reports of ends.
 
-    A worker that has restarted answers as another incarnation.
+    A worker that has restarted under another ID answers as another
+    incarnation; after restart() it keeps its ID and knows nothing of before.
     """
 
     def __init__(self, worker_id: str) -> None:
@@ -188,6 +189,9 @@
         self.ended: list[messages.EndedTask] = []
         self.end_number = 0
         self.acknowledged_upto = 0
+        self.born_ms = 1_000
+        # Whether a call acknowledged ends that this life has not had.
+        self.acknowledged_unseen_ends = False
         self.restarted = False
         self.unresponsive = False
         self.starts: list[tuple[messages.TaskId, int]] = []
@@ -213,20 +217,22 @@
               wait_ms: int) -> messages.WorkerReport:
         with self.lock:
             self._check(fence)
+            born_ms = self.born_ms
+            self.acknowledged_unseen_ends |= recorded_upto > self.end_number
             self.acknowledged_upto = max(self.acknowledged_upto, recorded_upto)
             self.ended = [e for e in self.ended
                           if e.number > recorded_upto]
             self.lease_end_ms = max(self.lease_end_ms, lease_end_ms or 0.0)
             if wait_ms and not self.ended:
                 self.lock.wait(min(wait_ms, 30) / 1000.0)
-            if self.crashed:
+            if self.crashed or self.born_ms != born_ms:
                 raise interfaces.ConnectionClosed("closed")
             return messages.WorkerReport(
                 self.clock(),
                 tuple(messages.RunningTask(r.task, r.run, r.saved,
                                            r.percent, r.figure)
                       for r in self.runs.values()),
-                tuple(self.ended))
+                tuple(self.ended), self.born_ms)
 
     def start(self, order: messages.StartOrder, fence: int,
               lease_end_ms: float) -> float:
@@ -258,6 +264,19 @@
             self.lock.notify_all()
         self.on_crash()
 
+    def restart(self, clock_offset_ms: float = 1000.0) -> None:
+        """Start again under the same ID; calls in progress get no answer."""
+        with self.lock:
+            self.born_ms += 1_000
+            self.clock_offset_ms = clock_offset_ms
+            self.fence = self.end_number = self.acknowledged_upto = 0
+            self.lease_end_ms = 0.0
+            self.runs.clear()
+            self.ended.clear()
+            self.ended_run.clear()
+            self.crashed = self.unresponsive = False
+            self.lock.notify_all()
+
     def stop(self, order: messages.StopOrder, fence: int) -> float:
         with self.lock:
             self._check(fence)
--- a/tests/test_fleet_takeover.py
+++ b/tests/test_fleet_takeover.py
@@ -1,5 +1,6 @@
 """Test that the successor of an owner takes over without repeating work."""
 
+import dataclasses
 import threading
 import time
 import typing
@@ -32,6 +33,8 @@
         self.store = fleetfakes.MemoryStore()
         entries = [fleetfakes.entry(n) for n in range(workers)]
         self.worker_list = fleetfakes.MemoryWorkerList(entries)
+        self.worker_list.entries = tuple(
+            dataclasses.replace(e, born_ms=1_000) for e in entries)
         self.workers = {e.worker_id: fleetfakes.MemoryWorker(e.worker_id)
                         for e in entries}
         self.owner: owner_mod.Owner | None = None
@@ -50,6 +53,15 @@
         threading.Thread(target=self.owner.run, daemon=True).start()
         return self.owner
 
+    def restart(self, worker_id: str, clock_offset_ms: float = 1000.0) -> None:
+        """Let a worker start again under its ID, and list its new life."""
+        worker = self.workers[worker_id]
+        worker.restart(clock_offset_ms)
+        self.worker_list.entries = tuple(
+            dataclasses.replace(e, born_ms=worker.born_ms)
+            if e.worker_id == worker_id else e
+            for e in self.worker_list.entries)
+
     def submit(self, job: messages.Job) -> None:
         """Store a job in the way an entry process does."""
         self.store.commit(messages.Transaction(
