--- a/sycamorefield/fleet/answers.py
+++ b/sycamorefield/fleet/answers.py
@@ -31,6 +31,7 @@
                 and task.phase == progress.STARTING
                 and not job.final() and not worker.unresponsive
                 and not worker.entry.draining
+                and worker.entry_is_of_current_life()
                 and worker.entry.capacity.holds(worker.used)):
             return True
         worker.release((order.task, order.run), task.step)
@@ -40,16 +41,31 @@
         return False
 
 
+def should_repeat(fleet: state_mod.FleetState, worker_id: str,
+                  order: messages.StartOrder) -> bool:
+    """Return whether a start order without an answer should be sent again.
+
+    Its run may have been ordered to stop meanwhile.  Or the worker has ended
+    and the task may run elsewhere, and a new life would start it once more.
+    """
+    with fleet.lock:
+        found = fleet.find_worker_and_task(worker_id, order.task)
+        return (found is not None and fleet.is_current(*found, order.run)
+                and found[1].phase == progress.STARTING)
+
+
 def record_started(fleet: state_mod.FleetState, worker_id: str,
-                   order: messages.StartOrder, clock_ms: float,
-                   now: float) -> None:
-    """Record that a worker carried out a start order."""
+                   order: messages.StartOrder, now: float) -> None:
+    """Record that a worker carried out a start order.
+
+    The answer's reading of the clock is not used: it does not say which life
+    of the worker answered, and each has a clock of its own.
+    """
     with fleet.lock:
         found = fleet.find_worker_and_task(worker_id, order.task)
         if found is None:
             return
         worker, task = found
-        worker.sync_clock(clock_ms, now)
         worker.mark_start_sent((order.task, order.run))
         task.start_confirmed = True
         if fleet.is_current(worker, task, order.run):
--- a/sycamorefield/fleet/crashes.py
+++ b/sycamorefield/fleet/crashes.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import typing
 
 from sycamorefield import events
 from sycamorefield.fleet import clock
@@ -62,24 +63,36 @@
                        reason: str, restarted: bool) -> None:
     with fleet.lock:
         worker = fleet.workers.get(worker_id)
-        suspects = [] if worker is None else _record_suspects(
+        suspects = [] if worker is None else record_suspects(
             fleet, worker, restarted)
         fleet.mark_dead(worker_id, reason)
-        for suspect in suspects:
-            if suspect.task.job is not None:
-                suspect.task.job.dirty = True
-                fleet.commit_requested = True
-                fleet.update_job_state(suspect.task.job)
+        end_jobs_of(fleet, suspects)
 
 
-def _record_suspects(fleet: state_mod.FleetState,
-                     worker: workerstate.WorkerState,
-                     restarted: bool) -> list[ExposedRun]:
-    """Record a crash with each suspected task and return these tasks."""
+def end_jobs_of(fleet: state_mod.FleetState,
+                suspects: list[ExposedRun]) -> None:
+    """Store the suspicions; end the jobs of tasks that are confirmed."""
+    for suspect in suspects:
+        if suspect.task.job is not None:
+            suspect.task.job.dirty = True
+            fleet.commit_requested = True
+            fleet.update_job_state(suspect.task.job)
+
+
+def record_suspects(fleet: state_mod.FleetState,
+                    worker: workerstate.WorkerState, restarted: bool,
+                    excluded: typing.Container[workerstate.RunId] = ()
+                    ) -> list[ExposedRun]:
+    """Record a crash with each suspected task and return these tasks.
+
+    The excluded runs certainly began after the crash.
+    """
     now = clock.now()
     ended_at = worker.unresponsive_since if worker.unresponsive else now
     quarantined_tasks = fleet.trials.tasks_on(worker.entry.worker_id)
-    exposed_runs = _find_exposed_runs(fleet, worker, ended_at)
+    exposed_runs = [
+        exposed for exposed in _find_exposed_runs(fleet, worker, ended_at)
+        if (exposed.task.task, exposed.run) not in excluded]
     quarantined_runs = [exposed for exposed in exposed_runs
                         if exposed.task in quarantined_tasks]
     if not exposed_runs:
@@ -160,7 +173,7 @@
 
 def _classify_end(fleet: state_mod.FleetState, worker: workerstate.WorkerState,
                   ended_at: float, now: float, restarted: bool) -> Verdict:
-    if worker.entry.draining:
+    if worker.was_draining():
         return Verdict.DRAINED
     if not (worker.listed or worker.ever_listed):
         return Verdict.UNLISTED
--- a/sycamorefield/fleet/interfaces.py
+++ b/sycamorefield/fleet/interfaces.py
@@ -119,7 +119,8 @@
         """Extend the leases of all runs and return a report.
 
         Wait up to wait_ms for a run to end.  The worker forgets the ends
-        numbered up to recorded_upto, which are stored.
+        numbered up to recorded_upto, which are stored, if it is certain to
+        be the life that gave the last report.
         """
 
     @abc.abstractmethod
--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -15,6 +15,7 @@
 from sycamorefield.fleet import crashes
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import recordedends
 from sycamorefield.fleet import reports
 from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import usage
@@ -93,9 +94,12 @@
         self.may_lease = may_lease
         self.step_down = step_down
         self.closed = False
+        # Refused connections since the last answered call.
         self.refusals = 0
+        # Held while a start is sent, and while the worker is declared dead.
+        self.start_lock = threading.Lock()
         self.recorded = threading.Event()
-        self.recorded_upto = 0
+        self.ends = recordedends.RecordedEnds()
         self.orders = OrderQueue()
 
     def start(self) -> None:
@@ -124,10 +128,9 @@
         self.orders.put(None)
         self.recorded.set()
 
-    def acknowledge_ends(self, number: int) -> None:
+    def acknowledge_ends(self, ends: recordedends.LifeEnds) -> None:
         """Let the worker forget ends up to a number, as they are stored."""
-        if number > self.recorded_upto:
-            self.recorded_upto = number
+        if self.ends.store(ends):
             self.recorded.set()
 
     def _lease_end_ms(self) -> float | None:
@@ -174,8 +177,8 @@
             self.recorded.clear()
             try:
                 report = self.worker.renew(
-                    self.fleet.fence, self.recorded_upto, self._lease_end_ms(),
-                    self._report_wait_ms())
+                    self.fleet.fence, self.ends.acknowledged_number(),
+                    self._lease_end_ms(), self._report_wait_ms())
             except interfaces.IncarnationMismatch:
                 crashes.worker_restarted(self.fleet, self.worker_id)
                 return
@@ -194,6 +197,7 @@
             if self.closed:
                 return
             self.refusals = 0
+            self.ends.note_report(report.born_ms)
             received_at = clock.now()
             new_ends = reports.apply_report(
                 self.fleet, self.worker_id, report, sent_at, received_at)
@@ -205,13 +209,19 @@
         """Handle a refused connection; return whether the worker has ended.
 
         If so, its tasks run elsewhere within half a second instead of some
-        seconds later, when its leases have expired.
+        seconds later, when its leases have expired.  A start that is being
+        sent is waited for: the worker may just have started again under its
+        ID, and would run the task a second time.
         """
         self.refusals += 1
         if (self.refusals >= REFUSALS_UNTIL_DEAD
                 and self.fleet.has_listened(self.worker_id)):
-            crashes.worker_refused_connection(self.fleet, self.worker_id)
-            return True
+            with self.start_lock:
+                if self.refusals >= REFUSALS_UNTIL_DEAD:
+                    self.closed = True
+                    crashes.worker_refused_connection(
+                        self.fleet, self.worker_id)
+                    return True
         self._handle_failure(exc)
         return False
 
@@ -258,6 +268,9 @@
             if attempt == 0 and not answers.should_send(
                     self.fleet, self.worker_id, order):
                 return
+            if attempt and not answers.should_repeat(
+                    self.fleet, self.worker_id, order):
+                return
             lease_end_ms = self._lease_end_ms()
             if lease_end_ms is None and attempt == 0:
                 answers.record_rejected(self.fleet, self.worker_id, order,
@@ -267,10 +280,14 @@
                 # The first attempt may still be carried out.
                 break
             try:
-                clock_ms = self.worker.start(
-                    order, self.fleet.fence, lease_end_ms)
+                with self.start_lock:
+                    if self.closed:
+                        # The worker was declared dead in the meantime.
+                        return
+                    self.worker.start(order, self.fleet.fence, lease_end_ms)
+                    self.refusals = 0
                 answers.record_started(self.fleet, self.worker_id, order,
-                                       clock_ms, clock.now())
+                                       clock.now())
                 return
             except interfaces.OrderRejected as exc:
                 if not self._check_fenced(exc):
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -11,6 +11,7 @@
 from sycamorefield.fleet import jobwatcher as jobwatcher_mod
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import policy as policy_mod
+from sycamorefield.fleet import recordedends
 from sycamorefield.fleet import recorder as recorder_mod
 from sycamorefield.fleet import records
 from sycamorefield.fleet import recovery as recovery_mod
@@ -90,7 +91,8 @@
     def _send_order(self, worker_id: str, order: state_mod.Order) -> None:
         self.worker_links.send_order(worker_id, order)
 
-    def _acknowledge_ends(self, stored_ends: dict[str, int]) -> None:
+    def _acknowledge_ends(
+            self, stored_ends: dict[str, recordedends.LifeEnds]) -> None:
         self.worker_links.acknowledge_ends(stored_ends)
 
     def may_act(self) -> bool:
--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -122,6 +122,8 @@
         # and those of them that are stored.
         self.quarantine_workers: dict[messages.TaskId, str] = {}
         self.stored_quarantine_workers: dict[messages.TaskId, str] = {}
+        # When the lives of these workers began, in ms since 1970.
+        self.quarantine_births: dict[str, int] = {}
         # Whether the progress has changed since it was last written.
         self.dirty = False
         self.tasks: dict[StepIndex, list[TaskState]] = {}
@@ -320,7 +322,8 @@
     that succeeded and of the long-running tasks that have run.  "rest" holds
     [last run, failed runs, saved] of unfinished tasks that failed or saved
     something; "suspected" and "trials" hold what is known of tasks that are
-    suspected of crashing workers.
+    suspected of crashing workers, "trial_births" which lives of the workers
+    they are tried on.
     """
     row: dict[str, typing.Any] = {"state": state.state}
     if state.reason:
@@ -341,6 +344,7 @@
         if state.quarantine_workers:
             row["trials"] = {_short_name(task): worker_id for task, worker_id
                              in state.quarantine_workers.items()}
+            row["trial_births"] = state.quarantine_births
     return json.dumps(row, separators=(",", ":")).encode()
 
 
@@ -392,6 +396,7 @@
             found = _find_by_short_name(state, name)
             if found is not None:
                 state.quarantine_workers[found.task] = worker_id
+        state.quarantine_births = dict(row.get("trial_births", {}))
         state.stored_quarantine_workers = dict(state.quarantine_workers)
     except (KeyError, TypeError, AttributeError) as exc:
         raise ValueError(f"invalid progress record: {exc!r}") from exc
--- a/sycamorefield/fleet/quarantines.py
+++ b/sycamorefield/fleet/quarantines.py
@@ -59,6 +59,16 @@
             task for task, member_worker_id in quarantine.members
             if member_worker_id == worker_id]
 
+    def restored_born_ms(self, worker_id: str) -> int:
+        """Return when the life that an earlier owner quarantined began.
+
+        0 if it is not known or if no earlier owner quarantined the worker.
+        """
+        quarantine = self.by_worker.get(worker_id)
+        if quarantine is None or not quarantine.restored:
+            return 0
+        return quarantine.job.quarantine_births.get(worker_id, 0)
+
     def can_add(self, usable_workers: int) -> bool:
         """Return whether one more usable worker may be quarantined."""
         return len(self.by_worker) < max(
@@ -89,6 +99,7 @@
                 del self.by_worker[worker_id]
             self.by_task.pop(task.task, None)
             quarantine.job.quarantine_workers.pop(task.task, None)
+            quarantine.job.quarantine_births.pop(worker_id, None)
         quarantine.job.dirty = True
         quarantine.job.skip_rounds = False
         events.emit(events.QUARANTINE_ENDED, reason=reason, runs=[
--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -10,6 +10,7 @@
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import progress
+from sycamorefield.fleet import recordedends
 from sycamorefield.fleet import records
 from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import usage
@@ -60,8 +61,8 @@
                  fleet: state_mod.FleetState, owner_key: str,
                  may_act: typing.Callable[[], bool],
                  on_ownership_lost: typing.Callable[[str], None],
-                 on_ends_stored: typing.Callable[[dict[str, int]], None]
-                 ) -> None:
+                 on_ends_stored: typing.Callable[
+                     [dict[str, recordedends.LifeEnds]], None]) -> None:
         self.store = store
         self.fleet = fleet
         self.owner_key = owner_key
@@ -102,9 +103,10 @@
     def _flush(self) -> bool:
         with self.fleet.lock:
             self.fleet.commit_requested = False
-            stored_ends = {w.entry.worker_id: w.last_processed_end
-                           for w in self.fleet.workers.values()
-                           if w.last_processed_end}
+            stored_ends = {
+                w.entry.worker_id: recordedends.LifeEnds(
+                    w.born_ms, w.last_processed_end)
+                for w in self.fleet.workers.values() if w.last_processed_end}
             writes = self._job_writes()
             self._add_workers(writes)
             self._add_waiting_counts(writes)
--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -5,6 +5,7 @@
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import pacer
 from sycamorefield.fleet import progress
+from sycamorefield.fleet import restarts
 from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import stragglers
 from sycamorefield.fleet import workerstate
@@ -30,9 +31,12 @@
     """
     with fleet.lock:
         worker = fleet.workers.get(worker_id)
-        if worker is None:
+        if worker is None or report.born_ms < worker.born_ms:
+            # Of a later life, earlier reports say nothing.
             return False
-        _note_life(worker, report)
+        if worker.born_ms and report.born_ms > worker.born_ms:
+            restarts.apply_restart(fleet, worker, report, sent_at, now)
+        worker.born_ms = report.born_ms
         worker.sync_clock(report.clock_ms, now)
         worker.reported_at = now
         worker.acknowledged_at = max(worker.acknowledged_at, sent_at)
@@ -70,19 +74,6 @@
         return new_ends
 
 
-def _note_life(worker: workerstate.WorkerState,
-               report: messages.WorkerReport) -> None:
-    """Note which life of a worker reports; log a change."""
-    if worker.born_ms and report.born_ms != worker.born_ms:
-        events.emit(events.WORKER_RESTARTED, worker=worker.entry.worker_id,
-                    born_ms=report.born_ms, earlier_born_ms=worker.born_ms,
-                    last_end=worker.last_processed_end,
-                    clock_ms=report.clock_ms,
-                    earlier_clock_ms=worker.clock_ms,
-                    runs=len(worker.reserved))
-    worker.born_ms = report.born_ms
-
-
 def _record_end(fleet: state_mod.FleetState, worker: workerstate.WorkerState,
                 ended: messages.EndedTask, now: float) -> None:
     found = fleet.find(ended.task)
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -418,6 +418,8 @@
             return
         members = [(task, worker.entry.worker_id)
                    for task, worker in zip(tasks, chosen)]
+        state.quarantine_births.update(
+            {worker.entry.worker_id: worker.born_ms for worker in chosen})
         self.fleet.trials.add(quarantines.Quarantine(state, members, self.now))
         state.dirty = self.fleet.commit_requested = True
         for worker in chosen:
@@ -566,6 +568,7 @@
     list_is_new = now - fleet.list_read_at <= state_mod.MAX_LIST_AGE_S
     for worker_id, worker in fleet.workers.items():
         is_usable = (list_is_new and worker.usable(now)
+                     and fleet.may_be_fenced(worker)
                      and worker_id not in fleet.trials.by_worker)
         if is_usable:
             usable_workers.append(worker)
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -36,6 +36,10 @@
 # plus a lag of 0.8 s.  Until then the worker list may still contain a worker
 # that is known to have ended.
 ENTRY_TTL_S = 5.0
+NOT_ENDED = -1
+# How long the last life of a worker is remembered: an order to it that had no
+# answer may be carried out twelve seconds later.
+ENDED_LIFE_TTL_S = 15.0
 # A reduced capacity of a worker becomes binding 3 s after it shrank.  No task
 # is started on the basis of a worker list older than this, in seconds.
 MAX_LIST_AGE_S = 2.8
@@ -45,6 +49,18 @@
 FAILURE_RETENTION_S = 5.0
 
 
+class EndedLife(typing.NamedTuple):
+    """A life of a worker that was removed, and when.
+
+    uncertain_runs are runs whose start had no answer.  born_ms is NOT_ENDED
+    if the worker may still be alive.
+    """
+
+    born_ms: int
+    at: float
+    uncertain_runs: tuple[workerstate.RunId, ...]
+
+
 class FailedWorker(typing.NamedTuple):
     """Rack and time of failure of a worker that ended without draining."""
 
@@ -75,8 +91,9 @@
         # The lists of workers in use that a successor may read from the
         # store: several while the outcome of a write is unknown.
         self.possible_worker_lists: list[frozenset[str]] = [frozenset()]
-        # When workers that may still be listed were found to have ended.
-        self.worker_ended_at: dict[str, float] = {}
+        # The last lives of workers that may still be listed, or that may
+        # start again under their ID.
+        self.ended_lives: dict[str, EndedLife] = {}
         # Workers that ended without draining first.
         self.recent_failures: list[FailedWorker] = []
         # When the worker list was last read, and since when it has been read
@@ -213,17 +230,16 @@
         worker that was removed by mistake would be started a second time.
         """
         with self.lock:
-            if entry.worker_id in self.worker_ended_at:
+            if self._is_of_ended_life(entry):
                 return False
             known = self.workers.get(entry.worker_id)
             if known is not None:
-                if entry != known.entry:
-                    known.entry = entry
-                    known.record_change()
+                known.update_entry(entry)
                 known.listed = True
                 return False
             worker = workerstate.WorkerState(
                 entry, self.policy.limit_unsent_starts)
+            worker.born_ms = self.trials.restored_born_ms(entry.worker_id)
             worker.enrolled = all(entry.worker_id in listed
                                   for listed in self.possible_worker_lists)
             self.workers[entry.worker_id] = worker
@@ -232,6 +248,21 @@
             self.request_round()
             return True
 
+    def _is_of_ended_life(self, entry: messages.WorkerEntry) -> bool:
+        """Return whether an entry is left over from a life that has ended."""
+        ended = self.ended_lives.get(entry.worker_id)
+        return ended is not None and entry.born_ms <= ended.born_ms
+
+    def take_uncertain_runs(self, worker_id: str
+                            ) -> tuple[workerstate.RunId, ...]:
+        """Return the runs that an ended life of a worker may have started.
+
+        They are returned only once.
+        """
+        with self.lock:
+            ended = self.ended_lives.pop(worker_id, None)
+            return ended.uncertain_runs if ended is not None else ()
+
     def update_listed(self, listed: set[str], read_at: float) -> None:
         """Update which workers are listed, from a list read at read_at."""
         with self.lock:
@@ -288,10 +319,20 @@
         with self.lock:
             accepting = {
                 worker_id for worker_id, worker in self.workers.items()
-                if now - worker.acknowledged_at <= QUORUM_WINDOW_S}
+                if now - worker.acknowledged_at <= QUORUM_WINDOW_S
+                and self.may_be_fenced(worker)}
             return all(2 * len(accepting & listed) > len(listed)
                        for listed in self.possible_worker_lists)
 
+    def may_be_fenced(self, worker: workerstate.WorkerState) -> bool:
+        """Return whether a successor would have fenced a worker's life.
+
+        A worker that starts again forgets the fences that it has seen.  So a
+        life that began since this owner last held its lease would obey it,
+        although a successor may have fenced the life before.
+        """
+        return worker.restart_seen_at <= self.owner_lease_until
+
     def mark_unresponsive(self, worker_id: str, reason: str,
                           connection_closed: bool = False) -> None:
         """Record that a worker did not respond or closed the connection."""
@@ -313,8 +354,11 @@
         """Remove a worker whose incarnation has certainly ended."""
         with self.lock:
             self.awaited_workers.pop(worker_id, None)
-            self.worker_ended_at[worker_id] = clock.now()
             worker = self.workers.get(worker_id)
+            self.ended_lives[worker_id] = EndedLife(
+                worker.last_known_born_ms() if worker is not None else 0,
+                clock.now(),
+                worker.uncertain_runs() if worker is not None else ())
             if worker is not None:
                 self._remove_worker(worker, reason)
             self.request_round()
@@ -342,10 +386,9 @@
                       if worker.unresponsive else 0.0),
             runs=runlog.lost_run_rows(((task, run) for (_, run), task
                                        in worker.tasks.items()), now))
-        if not worker.entry.draining:
-            self.recent_failures.append(FailedWorker(
-                worker.entry.rack(),
-                worker.unresponsive_since if worker.unresponsive else now))
+        self.note_failure(worker, now)
+        self.ended_lives.setdefault(worker_id, EndedLife(
+            NOT_ENDED, now, worker.uncertain_runs()))
         self.workers.pop(worker_id, None)
         self.awaited_workers.pop(worker_id, None)
         for (_, run), task in worker.tasks.items():
@@ -354,6 +397,14 @@
         worker.reserved.clear()
         self.round_needed = True
 
+    def note_failure(self, worker: workerstate.WorkerState,
+                     now: float) -> None:
+        """Remember the end of a worker that was not draining."""
+        if not worker.was_draining():
+            self.recent_failures.append(FailedWorker(
+                worker.entry.rack(),
+                worker.unresponsive_since if worker.unresponsive else now))
+
     def expire(self, now: float) -> None:
         """Remove workers that have left or whose leases have expired.
 
@@ -377,9 +428,7 @@
                         and (worker.entry.worker_id
                              not in self.awaited_workers)):
                     self._remove_worker(worker, "neither listed nor answering")
-            for worker_id, at in list(self.worker_ended_at.items()):
-                if now - at > ENTRY_TTL_S:
-                    del self.worker_ended_at[worker_id]
+            self._forget_ended_lives(now)
             self.recent_failures = [
                 failure for failure in self.recent_failures
                 if now - failure.at <= FAILURE_RETENTION_S]
@@ -393,6 +442,15 @@
             if self.round_needed:
                 self.request_round()
 
+    def _forget_ended_lives(self, now: float) -> None:
+        """Forget ended lives whose entries and orders have expired."""
+        for worker_id, ended in list(self.ended_lives.items()):
+            if now - ended.at > ENDED_LIFE_TTL_S:
+                del self.ended_lives[worker_id]
+            elif now - ended.at > ENTRY_TTL_S:
+                self.ended_lives[worker_id] = ended._replace(
+                    born_ms=NOT_ENDED)
+
     def _shorten_deadlines(self, now: float) -> None:
         """Wait less for the remaining workers once most have reported.
 
--- a/sycamorefield/fleet/workerlinks.py
+++ b/sycamorefield/fleet/workerlinks.py
@@ -6,6 +6,7 @@
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import link as link_mod
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import recordedends
 from sycamorefield.fleet import state as state_mod
 
 WorkerFactory = typing.Callable[[messages.WorkerEntry], interfaces.Worker]
@@ -38,15 +39,16 @@
         if link is not None:
             link.orders.put(order)
 
-    def acknowledge_ends(self, stored_ends: dict[str, int]) -> None:
+    def acknowledge_ends(
+            self, stored_ends: dict[str, recordedends.LifeEnds]) -> None:
         """Acknowledge the ends of runs up to the stored numbers.
 
         Workers then stop reporting them.
         """
-        for worker_id, number in stored_ends.items():
+        for worker_id, ends in stored_ends.items():
             link = self.links.get(worker_id)
             if link is not None:
-                link.acknowledge_ends(number)
+                link.acknowledge_ends(ends)
 
     def close(self) -> None:
         """Close all links after their calls in flight.
@@ -85,9 +87,11 @@
         link = link_mod.WorkerLink(
             entry, self.connect(entry), self.fleet, self.may_act,
             self.may_lease, self.step_down)
-        if old_link is not None:
-            link.recorded_upto = old_link.recorded_upto
         self.links[entry.worker_id] = link
+        for task, run in self.fleet.take_uncertain_runs(entry.worker_id):
+            # The start may have been sent to the life before and may still
+            # be executed, now by this life.
+            link.orders.put(messages.StopOrder(task, run))
         return link
 
     def connect_unlisted(self) -> None:
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -50,9 +50,14 @@
     def __init__(self, entry: messages.WorkerEntry,
                  limits_unsent_starts: bool = True) -> None:
         self.entry = entry
+        # The entry of the life before, if the present one is of a later life.
+        self.earlier_entry: messages.WorkerEntry | None = None
         # When the life that last reported began, in ms since 1970 (0: not
         # known).
         self.born_ms = 0
+        # When the first report of a life arrived that began under the eyes
+        # of this owner, or 0.
+        self.restart_seen_at = 0.0
         self.listed = True
         # Whether it was on any worker list that this owner has read.
         self.ever_listed = False
@@ -116,6 +121,55 @@
         # makes little progress.
         self.has_stalled_run = False
 
+    def update_entry(self, entry: messages.WorkerEntry) -> None:
+        """Replace the entry unless the new one is of an earlier life."""
+        if entry == self.entry or 0 < entry.born_ms < self.entry.born_ms:
+            return
+        if entry.born_ms > self.entry.born_ms:
+            self.earlier_entry = self.entry
+        self.entry = entry
+        self.record_change()
+
+    def entry_is_of_current_life(self) -> bool:
+        """Return whether the entry is of the life that reports.
+
+        Lives may differ in capacity and kind.
+        """
+        return self.entry.born_ms in (0, self.born_ms)
+
+    def was_draining(self) -> bool:
+        """Return whether the life that last reported was draining."""
+        if self.earlier_entry is not None and not (
+                self.entry_is_of_current_life()):
+            return self.earlier_entry.draining
+        return self.entry.draining
+
+    def last_known_born_ms(self) -> int:
+        """Return when the last life that reported or was listed began."""
+        return self.born_ms or self.entry.born_ms
+
+    def uncertain_runs(self) -> tuple[RunId, ...]:
+        """Return runs that were ordered to start, without an answer."""
+        return tuple(
+            run for run, task in self.tasks.items()
+            if task.run == run[1] and not task.started_at
+            and run not in self.unsent_starts | self.refused_starts)
+
+    def begin_life(self, born_ms: int, now: float) -> None:
+        """Forget what was known only of the worker's life before.
+
+        Its runs stay reserved until they are released one by one.
+        """
+        self.born_ms = born_ms
+        self.restart_seen_at = now
+        self.last_processed_end = 0
+        self.clock_ms = self.clock_read_at = self.granted_end_ms = 0.0
+        self.failures = self.over_reports = 0
+        self.avoid_until = self.unused_cpu = 0.0
+        self.tail_latencies = []
+        self.connection_closed = False
+        self.refused_starts.clear()
+
     def record_change(self) -> None:
         """Record a change after which runs may fit that did not before."""
         self.change_number = next(CHANGE_NUMBERS)
@@ -217,7 +271,8 @@
         """Return whether new runs may be placed here."""
         return (self.listed and self.enrolled and self.has_reported
                 and not self.unresponsive
-                and not self.entry.draining and self.avoid_until <= now)
+                and not self.entry.draining and self.avoid_until <= now
+                and self.entry_is_of_current_life())
 
     def count_runs(self, job_id: str, occurrence: int, step: int) -> int:
         """Return the number of runs of a step here, stopping ones included."""
--- a/sycamorefield/platform/connections.py
+++ b/sycamorefield/platform/connections.py
@@ -123,12 +123,18 @@
         self.idle: collections.deque[Connection] = collections.deque()
         self.max_idle = max_idle
 
-    def send(self, request: bytes, timeout_s: float) -> Response:
+    def send(self, request: bytes, timeout_s: float,
+             first_request: bytes | None = None) -> Response:
         """Send a request over an idle connection or a new one.
 
-        Raises ConnectionRefused, CallRefused, ConnectionClosed or CallFailed.
+        A new one gets first_request instead, if given: another process may
+        listen at the address by now.  Raises ConnectionRefused, CallRefused,
+        ConnectionClosed or CallFailed.
         """
-        connection = self._take_idle() or self._connect(timeout_s)
+        connection = self._take_idle()
+        if connection is None:
+            connection = self._connect(timeout_s)
+            request = first_request or request
         try:
             response = connection.send(request, timeout_s)
         except interfaces.CallFailed:
--- a/sycamorefield/platform/jsonclient.py
+++ b/sycamorefield/platform/jsonclient.py
@@ -48,19 +48,29 @@
         self.headers = "\r\n".join(header_lines)
 
     def call(self, method: str, path: str, timeout_s: float,
-             body: Body | None = None) -> JsonResponse:
-        """Return the response; raises CallRefused or CallFailed."""
-        data = b"" if body is None else msgspec.json.encode(body)
-        head = (f"{method} {path} HTTP/1.1\r\n{self.headers}\r\n"
-                f"Content-Length: {len(data)}\r\n\r\n")
+             body: Body | None = None,
+             first_body: Body | None = None) -> JsonResponse:
+        """Return the response; raises CallRefused or CallFailed.
+
+        first_body replaces the body of the first call over a connection.
+        """
         started_at = clock.now()
-        response = self.pool.send(head.encode() + data, timeout_s)
+        response = self.pool.send(
+            self._encode(method, path, body), timeout_s,
+            None if first_body is None
+            else self._encode(method, path, first_body))
         if "watch" not in path and path.startswith("/-/"):
             # The duration of a watch is mostly its wait for changes.
             metrics.CALLS.record(path.partition("?")[0].split("/")[2],
                                  clock.now() - started_at)
         return JsonResponse(response.status, response.body)
 
+    def _encode(self, method: str, path: str, body: Body | None) -> bytes:
+        data = b"" if body is None else msgspec.json.encode(body)
+        head = (f"{method} {path} HTTP/1.1\r\n{self.headers}\r\n"
+                f"Content-Length: {len(data)}\r\n\r\n")
+        return head.encode() + data
+
     def close(self) -> None:
         """Close all idle connections."""
         self.pool.close()
--- a/sycamorefield/platform/workers.py
+++ b/sycamorefield/platform/workers.py
@@ -17,7 +17,8 @@
 # has lost the order or will carry it out seconds later.
 ORDER_TIMEOUT_S = 0.6
 REPORT_SLACK_S = 0.8
-MAX_IDLE_CONNECTIONS = 2
+# Reports and orders are requested by one thread each.
+MAX_IDLE_CONNECTIONS = 1
 
 Body = dict[str, typing.Any]
 Decoded = typing.TypeVar("Decoded")
@@ -27,37 +28,32 @@
     """Sends orders to one incarnation of a worker over HTTP."""
 
     def __init__(self, entry: messages.WorkerEntry) -> None:
-        self.client = jsonclient.JsonClient(
-            entry.address, MAX_IDLE_CONNECTIONS,
-            {"Sycamorefield-Expect-Instance": entry.worker_id})
-
-    def _post(self, path: str, body: dict[str, typing.Any],
-              timeout_s: float = ORDER_TIMEOUT_S) -> jsonclient.JsonResponse:
-        response = self.client.call("POST", path, timeout_s, body)
-        if response.status == 200:
-            return response
-        if response.status == 421:
-            raise interfaces.IncarnationMismatch(self.client.address)
-        if response.status in (429, 503):
-            raise interfaces.OrderRejected(interfaces.UNHEALTHY)
-        if response.status == 409:
-            raise interfaces.OrderRejected(
-                str(response.body.get("reason", "")))
-        if response.status == 400:
-            raise interfaces.OrderRejected(interfaces.MALFORMED)
-        raise interfaces.CallFailed(f"worker answers {response.status}")
+        headers = {"Sycamorefield-Expect-Instance": entry.worker_id}
+        self.reports = jsonclient.JsonClient(
+            entry.address, MAX_IDLE_CONNECTIONS, headers)
+        self.orders = jsonclient.JsonClient(
+            entry.address, MAX_IDLE_CONNECTIONS, headers)
+
+    def _order(self, path: str, body: Body) -> jsonclient.JsonResponse:
+        return _require_ok(
+            self.orders.call("POST", path, ORDER_TIMEOUT_S, body))
 
     def renew(self, fence: int, recorded_upto: int, lease_end_ms: float | None,
               wait_ms: int) -> messages.WorkerReport:
-        """Extend the leases of all runs and return the worker's report."""
+        """Extend the leases of all runs and return the worker's report.
+
+        Ends are acknowledged only over a connection that has given a report:
+        a worker that has started again would forget ends of its own.
+        """
         body: dict[str, typing.Any] = {"fence": fence,
                                        "seen_upto": recorded_upto}
         if lease_end_ms is not None:
             body["until_ms"] = int(lease_end_ms)
         if wait_ms:
             body["wait_ms"] = wait_ms
-        response = self._post("/-/hold", body,
-                              wait_ms / 1000.0 + REPORT_SLACK_S)
+        response = _require_ok(self.reports.call(
+            "POST", "/-/hold", wait_ms / 1000.0 + REPORT_SLACK_S, body,
+            {**body, "seen_upto": 0}))
         return decode_report(response.data)
 
     def start(self, order: messages.StartOrder, fence: int,
@@ -71,20 +67,35 @@
         if order.ticket:
             body["ticket"] = order.ticket
         return _decode_or_fail(_decode_clock_ms,
-                               self._post("/-/run-start", body).body)
+                               self._order("/-/run-start", body).body)
 
     def stop(self, order: messages.StopOrder, fence: int) -> float:
         """Stop a run and return the worker's time."""
         body = {"task": str(order.task), "run": order.run, "fence": fence}
         return _decode_or_fail(_decode_clock_ms,
-                               self._post("/-/run-stop", body).body)
+                               self._order("/-/run-stop", body).body)
 
     def pace(self, order: messages.PaceOrder, fence: int) -> float:
         """Limit the speed of a run and return the worker's time."""
         body = {"task": str(order.task), "run": order.run,
                 "percent": order.percent, "fence": fence}
         return _decode_or_fail(_decode_clock_ms,
-                               self._post("/-/pace", body).body)
+                               self._order("/-/pace", body).body)
+
+
+def _require_ok(response: jsonclient.JsonResponse) -> jsonclient.JsonResponse:
+    """Return a successful response; raise the error of another one."""
+    if response.status == 200:
+        return response
+    if response.status == 421:
+        raise interfaces.IncarnationMismatch("another incarnation answers")
+    if response.status in (429, 503):
+        raise interfaces.OrderRejected(interfaces.UNHEALTHY)
+    if response.status == 409:
+        raise interfaces.OrderRejected(str(response.body.get("reason", "")))
+    if response.status == 400:
+        raise interfaces.OrderRejected(interfaces.MALFORMED)
+    raise interfaces.CallFailed(f"worker answers {response.status}")
 
 
 def _decode_or_fail(decode: typing.Callable[[Body], Decoded],
--- a/tests/fleetfakes.py
+++ b/tests/fleetfakes.py
@@ -190,6 +190,8 @@
         self.end_number = 0
         self.acknowledged_upto = 0
         self.born_ms = 1_000
+        # The life that answered the last call.
+        self.reported_born_ms = 0
         # Whether a call acknowledged ends that this life has not had.
         self.acknowledged_unseen_ends = False
         self.restarted = False
@@ -218,6 +220,10 @@
         with self.lock:
             self._check(fence)
             born_ms = self.born_ms
+            if self.reported_born_ms != born_ms:
+                # A new connection carries no acknowledgement.
+                recorded_upto = 0
+            self.reported_born_ms = born_ms
             self.acknowledged_unseen_ends |= recorded_upto > self.end_number
             self.acknowledged_upto = max(self.acknowledged_upto, recorded_upto)
             self.ended = [e for e in self.ended
--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -1,12 +1,13 @@
 """Test the owner's decisions under random faults with a state machine.
 
 Time, workers and the store are simulated.  Orders and their answers are lost
-or delayed; workers crash, become unresponsive or lose their leases; some tasks
-crash every worker that starts them; capacities shrink and grow; the store is
-unreachable for longer than an owner continues without it.  Owners change: any
-process may run the next term, including the one that ran the last, and an
-owner behind a network partition may continue beside its successor.  The checks
-are made on what the workers observe.
+or delayed; workers crash, become unresponsive or lose their leases, and start
+again under another ID or their own; some tasks crash every worker that starts
+them; capacities shrink and grow; the store is unreachable for longer than an
+owner continues without it.  Owners change: any process may run the next term,
+including the one that ran the last, and an owner behind a network partition
+may continue beside its successor.  The checks are made on what the workers
+observe.
 """
 
 import contextlib
@@ -26,6 +27,7 @@
 from sycamorefield.fleet import owner as owner_mod
 from sycamorefield.fleet import ownership as ownership_mod
 from sycamorefield.fleet import progress
+from sycamorefield.fleet import recordedends
 from sycamorefield.fleet import recorder as recorder_mod
 from sycamorefield.fleet import records
 from sycamorefield.fleet import recovery
@@ -55,7 +57,11 @@
 # The attributes of the machine that belong to one term of an owner.
 TERM_ATTRIBUTES = (
     "fleet", "recorder", "process", "has_owner", "lease_renewed_at",
-    "store_down", "commit", "orders_in_flight")
+    "store_down", "commit", "orders_in_flight", "ends")
+# After this time a worker that has started again has updated its entry.
+ENTRY_DELAY_S = 0.2
+# What the clock of a worker that starts again is ahead of its former one.
+CLOCK_SHIFTS_MS = (-50_000.0, 0.0, 50_000.0)
 # The outcomes of a call to the store.
 CALL_OUTCOMES = strategies.sampled_from(
     ["answered", "answered", "answer lost", "lost", "late"])
@@ -86,14 +92,18 @@
     """Hold a commit of unknown outcome, and the ends of runs it stores."""
 
     values: list[recorder_mod.PendingWrite]
-    stored_ends: dict[str, int]
+    stored_ends: dict[str, recordedends.LifeEnds]
 
 
 class SimulatedWorker:
     """Execute fenced orders; kill all runs when the lease expires."""
 
-    def __init__(self, entry: messages.WorkerEntry) -> None:
+    def __init__(self, entry: messages.WorkerEntry,
+                 clock_shift_ms: float = 0.0) -> None:
         self.entry = entry
+        # The entry on the list: for a while that of the life before.
+        self.listed_entry = entry
+        self.clock_shift_ms = clock_shift_ms
         self.alive = True
         # Pairs of a start time and the capacity from then on, in millicores.
         self.capacity_history = [(-100.0, entry.capacity.cpu)]
@@ -104,6 +114,15 @@
         self.ended: list[messages.EndedTask] = []
         self.last_end_number = 0
 
+    def clock_ms(self, now: float) -> float:
+        """Return the worker's clock at a time."""
+        return now * 1000.0 + self.clock_shift_ms
+
+    def extend_lease(self, until_ms: float, now: float) -> None:
+        """Extend the lease of all runs, to the longest lease at most."""
+        self.lease_end_ms = max(self.lease_end_ms, min(
+            until_ms, self.clock_ms(now) + HOLD_MAX_MS))
+
     def max_cpu_since(self, at: float) -> int:
         """Return the largest capacity since a time, in millicores."""
         last = max(since for since, _ in self.capacity_history if since <= at)
@@ -139,6 +158,8 @@
         self.workers: dict[str, SimulatedWorker] = {}
         self.jobs: list[messages.Job] = []
         self.orders_in_flight: list[SentOrder] = []
+        # What each worker link knows of stored ends.
+        self.ends: dict[str, recordedends.RecordedEnds] = {}
         self.delayed_orders: list[SentOrder] = []
         # Tasks that are done; those of them whose end was acknowledged to the
         # worker; and those whose worker reports the end and kept its lease.
@@ -172,11 +193,25 @@
         self.incarnation += 1
         entry = dataclasses.replace(
             fleetfakes.entry(address_number, cpu=CAPACITY),
-            worker_id=f"i-{self.incarnation}")
+            worker_id=f"i-{self.incarnation}", born_ms=self.incarnation)
         worker = SimulatedWorker(entry)
         self.workers[entry.worker_id] = worker
         return worker
 
+    def _restart_under_its_id(self, worker: SimulatedWorker) -> None:
+        """Start a worker again; its entry is of the life before for now."""
+        self.incarnation += 1
+        worker_id = worker.entry.worker_id
+        new = SimulatedWorker(
+            dataclasses.replace(worker.entry, born_ms=self.incarnation),
+            CLOCK_SHIFTS_MS[self.incarnation % len(CLOCK_SHIFTS_MS)])
+        new.listed_entry = worker.listed_entry
+        new.capacity_history = worker.capacity_history
+        self.workers[worker_id] = new
+        # Orders that a worker has received and held back end with its life.
+        self.delayed_orders = [sent_order for sent_order in self.delayed_orders
+                               if sent_order.worker_id != worker_id]
+
     def _alive(self) -> list[SimulatedWorker]:
         return [w for w in self.workers.values() if w.alive]
 
@@ -259,6 +294,7 @@
         fence = self._claim(self.processes[process_index], call_outcome)
         self.process = self.processes[process_index]
         self.has_owner = True
+        self.ends = {}
         self.fleet = state_mod.FleetState(
             fence, HOLD_MAX_MS, self._send, fleetfakes.configuration)
         self._renew_owner_lease()
@@ -315,7 +351,7 @@
 
     def _read_worker_list(self) -> None:
         """Read the list of workers; crashed ones stay listed for a while."""
-        entries = [w.entry for w in self.workers.values()
+        entries = [w.listed_entry for w in self.workers.values()
                    if w.alive or w.entry.worker_id in self.undetected_crashes]
         for entry in entries:
             self.fleet.add_worker(entry)
@@ -365,10 +401,9 @@
         if (run <= worker.last_ended_run.get(task, 0)
                 or any(t == task for t, _ in worker.runs)):
             return interfaces.STALE_RUN
-        if sent_order.lease_until_ms <= self.now * 1000.0:
+        if sent_order.lease_until_ms <= worker.clock_ms(self.now):
             return interfaces.LEASE_EXPIRED
-        worker.lease_end_ms = max(
-            worker.lease_end_ms, sent_order.lease_until_ms)
+        worker.extend_lease(sent_order.lease_until_ms, self.now)
         step = self._job(task).steps[task.step]
         worker.runs[key] = step.reserved()
         self._check_start(worker, task, step, sent_order.at)
@@ -443,7 +478,9 @@
     def pass_time(self, seconds: float) -> None:
         self.now += seconds
         for worker in self._alive():
-            if worker.lease_end_ms <= self.now * 1000.0:
+            if seconds >= ENTRY_DELAY_S:
+                worker.listed_entry = worker.entry
+            if worker.lease_end_ms <= worker.clock_ms(self.now):
                 self._expire_lease(worker)
         self._advance_owner()
         with self._as_partitioned_owner():
@@ -640,7 +677,7 @@
                                     order, reason, self.now)
         else:
             answers.record_started(self.fleet, sent_order.worker_id, order,
-                                   self.now * 1000.0, self.now)
+                                   self.now)
 
     @stateful.precondition(lambda self: self.delayed_orders)
     @stateful.rule(data=strategies.data())
@@ -660,8 +697,9 @@
         worker_id = worker.entry.worker_id
         if not worker.alive:
             return
+        ends = self.ends.setdefault(worker_id, recordedends.RecordedEnds())
         if not self.store_down:
-            self.fleet.add_worker(worker.entry)
+            self.fleet.add_worker(worker.listed_entry)
         lease_until_ms = self._grant_lease(worker_id)
         if not answered:
             self.fleet.mark_unresponsive(worker_id, "no answer")
@@ -671,12 +709,14 @@
             return
         worker.fence = self.fleet.fence
         if lease_until_ms is not None:
-            worker.lease_end_ms = max(worker.lease_end_ms, lease_until_ms)
+            worker.extend_lease(lease_until_ms, self.now)
+        self._forget_ends(worker, ends)
+        ends.note_report(worker.entry.born_ms)
         reports.apply_report(self.fleet, worker_id, messages.WorkerReport(
-            self.now * 1000.0,
+            worker.clock_ms(self.now),
             tuple(messages.RunningTask(task, run, "", 10)
-                  for task, run in worker.runs), tuple(worker.ended)),
-            self.now, self.now)
+                  for task, run in worker.runs), tuple(worker.ended),
+            worker.entry.born_ms), self.now, self.now)
 
     @stateful.precondition(lambda self: self.has_owner)
     @stateful.rule(call_outcome=CALL_OUTCOMES)
@@ -698,23 +738,38 @@
             self._acknowledge_ends(commit.stored_ends)
 
     def _next_commit(self) -> PendingCommit:
-        stored_ends = {worker_id: worker.last_processed_end
-                       for worker_id, worker in self.fleet.workers.items()}
+        stored_ends = {
+            worker_id: recordedends.LifeEnds(
+                worker.born_ms, worker.last_processed_end)
+            for worker_id, worker in self.fleet.workers.items()}
         values = self.recorder._job_writes()
         self.recorder._add_workers(values)
         return PendingCommit(values, stored_ends)
 
-    def _acknowledge_ends(self, stored_ends: dict[str, int]) -> None:
-        for worker_id, upto in stored_ends.items():
-            worker = self.workers[worker_id]
-            for ended in worker.ended:
-                if (ended.number <= upto and ended.how == messages.DONE
-                        and not self._is_long_running(ended.task)):
-                    assert (self.reported_done.get(ended.task) != worker_id
-                            or ended.task not in self.restarted_after_end), (
-                        f"{ended.task} started after its end")
-                    self.acknowledged_done.add(ended.task)
-            worker.ended = [e for e in worker.ended if e.number > upto]
+    def _acknowledge_ends(
+            self, stored_ends: dict[str, recordedends.LifeEnds]) -> None:
+        for worker_id, stored in stored_ends.items():
+            ends = self.ends.setdefault(worker_id, recordedends.RecordedEnds())
+            ends.store(stored)
+            self._forget_ends(self.workers[worker_id], ends)
+
+    def _forget_ends(self, worker: SimulatedWorker,
+                     ends: recordedends.RecordedEnds) -> None:
+        """Let a worker forget ends, over the connection of its last report."""
+        worker_id = worker.entry.worker_id
+        upto = ends.acknowledged_number()
+        if ends.reporting_born_ms != worker.entry.born_ms:
+            upto = 0
+        assert upto <= worker.last_end_number, (
+            f"{worker_id} is told to forget ends that it has not had")
+        for ended in worker.ended:
+            if (ended.number <= upto and ended.how == messages.DONE
+                    and not self._is_long_running(ended.task)):
+                assert (self.reported_done.get(ended.task) != worker_id
+                        or ended.task not in self.restarted_after_end), (
+                    f"{ended.task} started after its end")
+                self.acknowledged_done.add(ended.task)
+        worker.ended = [e for e in worker.ended if e.number > upto]
 
     def _is_long_running(self, task: messages.TaskId) -> bool:
         return self._job(task).steps[task.step].perpetual
@@ -745,13 +800,32 @@
             crashes.worker_refused_connection(
                 self.fleet, worker.entry.worker_id)
 
-    def _end_worker(self, worker: SimulatedWorker) -> None:
+    @stateful.rule(data=strategies.data(), is_refused=strategies.booleans(),
+                   applies=RARELY)
+    def restart(self, data: strategies.DataObject, is_refused: bool,
+                applies: bool) -> None:
+        """Let workers start again; the owner may find nobody there first."""
+        if not applies:
+            return
+        for worker in data.draw(strategies.sets(
+                strategies.sampled_from(self._alive()), min_size=1)):
+            self._end_worker(worker, keeps_id=True)
+            if is_refused and self.has_owner:
+                self.fleet.mark_unresponsive(worker.entry.worker_id, "closed")
+                crashes.worker_refused_connection(
+                    self.fleet, worker.entry.worker_id)
+
+    def _end_worker(self, worker: SimulatedWorker,
+                    keeps_id: bool = False) -> None:
         worker.alive = False
         worker.runs.clear()
         worker.ended.clear()
         self.reported_done = {
             task: worker_id for task, worker_id in self.reported_done.items()
             if worker_id != worker.entry.worker_id}
+        if keeps_id:
+            self._restart_under_its_id(worker)
+            return
         address_number = int(worker.entry.address.split(".")[3].split(":")[0])
         self._new_worker(address_number)
 
--- a/tests/test_fleet_orders.py
+++ b/tests/test_fleet_orders.py
@@ -116,8 +116,7 @@
     rounds.place(bench.state, bench.now, 0)
     assert bench.state.count_waiting_jobs() == {"checks": 1}
     worker_id, order = bench.orders[-1]
-    answers.record_started(bench.state, worker_id, order,
-                           bench.now * 1000.0, bench.now)
+    answers.record_started(bench.state, worker_id, order, bench.now)
     assert bench.state.count_waiting_jobs() == {}
     bench.end(worker_id, "j.0.0.0", 1, "lapsed")
     assert bench.state.count_waiting_jobs() == {}
--- a/tests/test_fleet_ownership.py
+++ b/tests/test_fleet_ownership.py
@@ -9,6 +9,7 @@
 from sycamorefield.fleet import controlwatcher
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import ownership as ownership_mod
+from sycamorefield.fleet import recordedends
 from sycamorefield.fleet import recorder as recorder_mod
 from sycamorefield.fleet import records
 from sycamorefield.fleet import state as state_mod
@@ -208,7 +209,7 @@
         puts=(messages.Put(records.OWNER_KEY, b"me"),)))
     fleet = state_mod.FleetState(2, 6000.0, lambda *_: None,
                                  fleetfakes.configuration)
-    acknowledged: list[dict[str, int]] = []
+    acknowledged: list[dict[str, recordedends.LifeEnds]] = []
     recorder = recorder_mod.Recorder(
         store, fleet, records.OWNER_KEY, lambda: True, lambda _: None,
         acknowledged.append)
@@ -227,5 +228,5 @@
     store.refuse = False
     for thread in threads:
         thread.join(5)
-    assert {"i-0": 7} in acknowledged
+    assert {"i-0": recordedends.LifeEnds(0, 7)} in acknowledged
     assert records.progress_key("j") in store.items
--- a/tests/test_fleet_restarts.py
+++ b/tests/test_fleet_restarts.py
@@ -4,11 +4,24 @@
 fence, and numbers the ends of its runs from 1; its clock starts anew.
 """
 
+import threading
+
 import pytest
 
+from sycamorefield.fleet import answers
+from sycamorefield.fleet import clock
+from sycamorefield.fleet import crashes
+from sycamorefield.fleet import interfaces
+from sycamorefield.fleet import link as link_mod
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import progress
+from sycamorefield.fleet import reports
+from sycamorefield.fleet import rounds
+from sycamorefield.fleet import suspicion
+from sycamorefield.fleet import workerlinks
 from sycamorefield.fleet import workerstate
 from tests import fleetfakes
+from tests import test_fleet_state
 from tests import test_fleet_takeover
 
 wait_for = test_fleet_takeover.wait_for
@@ -58,3 +71,216 @@
         complete(fleet, job_id)
     assert not fleet.workers["i-0"].acknowledged_unseen_ends
     assert fleet.starts() == [f"{job_id}.0.0.0" for job_id in "abcde"]
+
+
+def entry(number=0, born_ms=1_000, **overrides):
+    return fleetfakes.entry(number, born_ms=born_ms, **overrides)
+
+
+class RestartBench(test_fleet_state.Bench):
+    """A fleet state whose workers report the life that they are in."""
+
+    def report(self, worker_id, running=(), ended=(), born_ms=1_000,
+               clock_ms=None, sent_at=None):
+        reports.apply_report(
+            self.state, worker_id, messages.WorkerReport(
+                self.now * 1000.0 if clock_ms is None else clock_ms,
+                tuple(running), tuple(ended), born_ms),
+            self.now if sent_at is None else sent_at, self.now)
+
+
+TASK = messages.TaskId("j", 0, 0, 0)
+
+
+@pytest.fixture(name="bench")
+def fixture_bench():
+    bench = RestartBench(entry(0), entry(1))
+    bench.add(fleetfakes.job("j"))
+    return bench
+
+
+def test_late_report_of_an_earlier_life_is_ignored(bench):
+    """Guards against a late report that undoes what the next life reported."""
+    assert bench.place() == ["j.0.0.0@i-0"]
+    bench.now += 0.1
+    bench.report("i-0", [messages.RunningTask(TASK, 1, "", 10)])
+    bench.now += 0.1
+    bench.report("i-0", born_ms=2_000)
+    assert bench.place() == ["j.0.0.0@i-1"]
+    bench.report("i-0", [messages.RunningTask(TASK, 1, "", 20)])
+    assert not bench.stops()
+    assert not bench.state.workers["i-0"].reserved
+    assert bench.state.workers["i-0"].born_ms == 2_000
+
+
+@pytest.mark.parametrize(("listed_born_ms", "usable"),
+                         [(1_000, False), (2_000, True), (0, True)],
+                         ids=["earlier", "current", "not-stated"])
+def test_worker_is_used_only_with_an_entry_of_its_present_life(
+        bench, listed_born_ms, usable):
+    """Guards against placing by the capacity of a life that has ended."""
+    bench.state.add_worker(entry(0, listed_born_ms))
+    bench.report("i-0", born_ms=2_000)
+    bench.state.add_worker(entry(1, draining=True))
+    assert bool(bench.place()) is usable
+
+
+def test_restarted_worker_is_added_again_at_once():
+    """Guards against leaving a restarted worker unused for seconds."""
+    bench = RestartBench(entry(0))
+    bench.state.mark_unresponsive("i-0", "closed")
+    crashes.worker_refused_connection(bench.state, "i-0")
+    assert not bench.state.add_worker(entry(0))
+    assert bench.state.add_worker(entry(0, 2_000))
+    assert not bench.state.add_worker(entry(0))
+    assert bench.state.workers["i-0"].entry.born_ms == 2_000
+
+
+@pytest.mark.parametrize("clock_ms", [500.0, 1e9])
+def test_leases_follow_the_clock_of_the_present_life(bench, clock_ms):
+    """Guards against leases by the clock of a life that has ended."""
+    worker = bench.state.workers["i-0"]
+    worker.grant_lease(workerstate.LEASE_MS, bench.now)
+    bench.now += 1.0
+    bench.report("i-0", born_ms=2_000, clock_ms=clock_ms)
+    # Leases for the earlier clock may last for the longest lease.
+    assert not worker.leases_expired(
+        bench.now + bench.state.hold_max_ms / 1000.0)
+    assert worker.leases_expired(
+        bench.now + bench.state.hold_max_ms / 1000.0 + 1.0)
+    assert worker.grant_lease(workerstate.LEASE_MS, bench.now) == (
+        clock_ms + workerstate.LEASE_MS)
+
+
+@pytest.mark.parametrize(("phase", "restarts"), [
+    ("confirmed", True), ("unanswered", False), ("confirmed-since", False),
+    ("listed", False)])
+def test_restart_ends_only_runs_of_the_life_before(bench, phase, restarts):
+    """Guards against a second run while the new life has the first."""
+    bench.now += 0.1
+    rounds.place(bench.state, bench.now, 1e12)
+    order = bench.orders[-1][1]
+    answers.should_send(bench.state, "i-0", order)
+    requested_at = bench.now + 0.1
+    if phase == "confirmed":
+        answers.record_started(bench.state, "i-0", order, bench.now)
+    bench.now += 0.2
+    if phase == "confirmed-since":
+        answers.record_started(bench.state, "i-0", order, bench.now)
+    running = ([messages.RunningTask(TASK, 1, "", 10)]
+               if phase == "listed" else [])
+    bench.report("i-0", running, born_ms=2_000, sent_at=requested_at)
+    bench.state.add_worker(entry(0, 2_000))
+    assert bool(bench.place()) is restarts
+
+
+@pytest.mark.parametrize("removed", [True, False],
+                         ids=["removed", "still-known"])
+def test_unanswered_start_is_stopped_on_the_next_life(bench, removed):
+    """Guards against a start to an earlier life that arrives late."""
+    connected = []
+
+    def connect(worker_entry):
+        connected.append(fleetfakes.MemoryWorker(worker_entry.worker_id))
+        return connected[-1]
+
+    links = workerlinks.WorkerLinks(
+        bench.state, connect, lambda: None, lambda: True, lambda: True,
+        lambda reason: None)
+    bench.now += 0.1
+    rounds.place(bench.state, bench.now, 1e12)
+    order = bench.orders[-1][1]
+    answers.should_send(bench.state, "i-0", order)
+    answers.stop_uncertain_run(bench.state, "i-0", order)
+    answers.record_stopped(bench.state, "i-0", order, bench.now)
+    before = len(bench.orders)
+    if removed:
+        crashes.worker_refused_connection(bench.state, "i-0")
+        link = links._add_worker(entry(0, 2_000))
+        assert link.orders.get() == messages.StopOrder(TASK, 1)
+        return
+    bench.now += 0.2
+    bench.report("i-0", born_ms=2_000)
+    assert bench.orders[before:] == [("i-0", messages.StopOrder(TASK, 1))]
+    assert not bench.place()
+    answers.record_stopped(bench.state, "i-0", order, bench.now)
+    bench.now += 0.1
+    bench.report("i-0", born_ms=2_000)
+    assert bench.state.find(TASK)[1].phase == progress.IDLE
+
+
+def test_start_is_not_repeated_once_its_worker_is_given_up(bench):
+    """Guards against a start that reaches the next life of a dead worker."""
+    worker = fleetfakes.MemoryWorker("i-0")
+    link = link_mod.WorkerLink(
+        entry(0), worker, bench.state, lambda: True, lambda: True,
+        lambda reason: None)
+
+    def die(order, fence, lease_end_ms):
+        link.refusals = link_mod.REFUSALS_UNTIL_DEAD - 1
+        threading.Thread(target=link._handle_refusal, args=(
+            interfaces.ConnectionRefused("refused"),)).start()
+        del worker.start
+        raise interfaces.ConnectionClosed("closed")
+
+    worker.start = die
+    bench.now += 0.1
+    rounds.place(bench.state, bench.now, 1e12)
+    link._send_start(bench.orders[-1][1])
+    assert not worker.starts or "i-0" in bench.state.workers
+
+
+def test_answered_start_keeps_a_refusing_worker_alive(bench):
+    """Guards against giving up a life that has just begun a run."""
+    link = link_mod.WorkerLink(
+        entry(0), fleetfakes.MemoryWorker("i-0"), bench.state, lambda: True,
+        lambda: True, lambda reason: None)
+    bench.place()
+    link._handle_refusal(interfaces.ConnectionRefused("refused"))
+    bench.state.workers["i-0"].unresponsive = False
+    link.worker.start(messages.StartOrder(TASK, 1, ""), 10, 1e12)
+    link.start_lock.acquire()
+    refusal = threading.Thread(target=link._handle_refusal, args=(
+        interfaces.ConnectionRefused("refused"),))
+    refusal.start()
+    link.refusals = 0
+    link.start_lock.release()
+    refusal.join(5)
+    assert "i-0" in bench.state.workers
+
+
+@pytest.mark.parametrize(("lease_until", "placed"), [(0.0, 0), (1e9, 1)],
+                         ids=["no-lease", "lease-renewed"])
+def test_owner_without_its_lease_uses_no_life_that_began_since(
+        bench, lease_until, placed):
+    """Guards against a new life that forgot the fence of a successor."""
+    bench.now += 0.1
+    bench.state.add_worker(entry(1, draining=True))
+    bench.report("i-0", born_ms=2_000)
+    bench.state.add_worker(entry(0, 2_000))
+    bench.state.owner_lease_until = lease_until
+    bench.state.jobs["j"].known_at = -1.0
+    assert len(bench.place()) == placed
+
+
+@pytest.mark.parametrize(("born_ms", "suspected"), [(1_000, 0), (2_000, 1)],
+                         ids=["same-life", "restarted"])
+def test_successor_counts_the_crash_of_a_quarantined_worker(
+        born_ms, suspected):
+    """Guards against a crash that nobody counts as the owner changes."""
+    state = progress.JobState(fleetfakes.job("j"), 1)
+    state.create_tasks(0)
+    task = state.find(TASK)
+    task.suspicion = suspicion.Suspicion(["i-9"], [0.0], likely=True)
+    state.quarantine_workers = {TASK: "i-0"}
+    state.quarantine_births = {"i-0": 1_000}
+    stored = progress.encode_progress(state)
+    bench = RestartBench()
+    bench.now = clock.now()
+    successor = bench.state.add_job(fleetfakes.job("j"), 1)
+    progress.apply_progress(successor, stored)
+    bench.state.trials.restore(successor, bench.now)
+    bench.state.add_worker(entry(0, born_ms))
+    bench.state.update_listed({"i-0"}, bench.now)
+    bench.report("i-0", born_ms=born_ms)
+    assert len(successor.find(TASK).suspicion.workers) == 1 + suspected
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -51,8 +51,7 @@
         for worker_id, order in self.orders[before:]:
             if isinstance(order, messages.StartOrder):
                 placed.append(f"{order.task}@{worker_id}")
-                answers.record_started(self.state, worker_id, order,
-                                       self.now * 1000.0, self.now)
+                answers.record_started(self.state, worker_id, order, self.now)
         return placed
 
     def stops(self) -> list[str]:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -162,9 +162,11 @@
 
 def test_worker_entry_is_decoded(store):
     put(store, "servers/i-2", json.dumps(
-        {**ENTRY, "state": "draining", "remaining_ms": 900}).encode())
+        {**ENTRY, "state": "draining", "remaining_ms": 900,
+         "born": 1787187189000}).encode())
     (worker,) = workers_mod.PlatformWorkerList(store).workers()
     assert worker.draining
+    assert worker.born_ms == 1787187189000
     assert worker.remaining_ms == 900
     assert worker.capacity == messages.Resources(1, 2, 0)
     assert worker.rack() == "r1-3"
@@ -182,6 +184,25 @@
 TASK = messages.TaskId(JOB_ID, 0, 1, 17)
 
 
+def test_ends_are_acknowledged_only_over_the_connection_of_a_report():
+    """Guards against a restarted worker forgetting ends that nobody read."""
+    acknowledged = []
+
+    def answer(method, path, query, body):
+        acknowledged.append(body.get("seen_upto"))
+        return 200, {"clock_ms": 1, "born": 1787187189000}
+    server = platformfakes.FaultyServer(answer)
+    worker = platform_worker(server)
+    assert worker.renew(7, 57, None, 0).born_ms == 1787187189000
+    worker.start(messages.StartOrder(TASK, 1, "s"), 7, 1.0)
+    worker.renew(7, 57, None, 0)
+    worker.reports.close()
+    worker.renew(7, 58, None, 0)
+    worker.renew(7, 58, None, 0)
+    assert acknowledged == [0, None, 57, 0, 58]
+    server.close()
+
+
 def test_report_is_decoded():
     server = worker_server(200, {
         "clock_ms": 482113, "running": [[f"{JOB_ID}.0.1.17", 2, "s", 41,
