Forget advice on a worker with its life; drop a failed request for advice

What callers would see: a job on a queue with a policy waits although workers are free (LOST), or its starts are rejected for their tickets. Cause: tickets and refusals were kept by the worker's ID. A ticket is of one life, and a worker that was named while it was down was never asked about again. A request that failed was repeated with the same workers, before those of all other steps. Change: both are forgotten when a life ends; a failed request is dropped and made anew by the next round, for the workers of that time.

--- a/sycamorefield/fleet/advice.py
+++ b/sycamorefield/fleet/advice.py
@@ -82,6 +82,17 @@
         with self.lock:
             self.tickets.get(step, {}).pop(worker_id, None)
 
+    def forget_worker(self, worker_id: str) -> None:
+        """Discard advice on a worker whose life has ended.
+
+        Tickets are of no use to its next life, which may be of another kind.
+        """
+        with self.lock:
+            for tickets in self.tickets.values():
+                tickets.pop(worker_id, None)
+            for rejected_workers in self.rejected_workers.values():
+                rejected_workers.discard(worker_id)
+
     def forget_job(self, job_id: str) -> None:
         """Discard advice and requests for a job that has ended."""
         with self.lock:
@@ -117,6 +128,10 @@
         except interfaces.CallFailed as exc:
             events.emit(events.ADVICE_MISSING, step=str(request.step),
                         reason=str(exc))
+            with self.lock:
+                # The next round requests it again if it is still needed, for
+                # the workers of that time, and other steps are not held up.
+                self.pending.pop(request.step, None)
             return False
         tickets_by_worker = advice.tickets
         valid_ms = (request.policy.valid_ms if advice.valid_ms is None
--- a/sycamorefield/fleet/restarts.py
+++ b/sycamorefield/fleet/restarts.py
@@ -29,6 +29,7 @@
             task.reset_run()
         worker.release(run, task.step)
     fleet.note_failure(worker, now)
+    fleet.advice.forget_worker(worker.entry.worker_id)
     worker.begin_life(report.born_ms, now)
     # The new life has taken the ends of leases that were meant for the clock
     # of the life before, and shortened them to the longest lease.
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -389,6 +389,7 @@
         self.note_failure(worker, now)
         self.ended_lives.setdefault(worker_id, EndedLife(
             NOT_ENDED, now, worker.uncertain_runs()))
+        self.advice.forget_worker(worker_id)
         self.workers.pop(worker_id, None)
         self.awaited_workers.pop(worker_id, None)
         for (_, run), task in worker.tasks.items():
--- a/tests/test_fleet_advice.py
+++ b/tests/test_fleet_advice.py
@@ -6,6 +6,7 @@
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import reports
 from sycamorefield.fleet import rounds
 from sycamorefield.platform import advice as platform_advice
 from tests import fleetfakes
@@ -144,3 +145,41 @@
                 service.advise("j.0.0", ("a", "b"), POLICY)
     finally:
         server.close()
+
+
+def restart(bench, worker_id):
+    """Let a worker report as its next life."""
+    for born_ms in (1_000, 2_000):
+        bench.now += 0.1
+        reports.apply_report(
+            bench.state, worker_id, messages.WorkerReport(
+                bench.now * 1000.0, (), (), born_ms), bench.now, bench.now)
+
+
+@pytest.mark.parametrize("advised", [True, False])
+def test_advice_on_a_worker_ends_with_its_life(bench, advised):
+    """Guards against tickets of an earlier life, and against never asking."""
+    bench.state.advice.service = service = StubAdviceService(
+        {"i-1"} if advised else set())
+    bench.add(fleetfakes.job("j", messages.Step(1, STEP.room)))
+    bench.place()
+    fetch_all(bench)
+    restart(bench, "i-1")
+    service.advised_workers = {"i-1"}
+    assert not bench.place()
+    fetch_all(bench)
+    assert "i-1" in service.requests[-1][1]
+    assert bench.place() == ["j.0.0.0@i-1"]
+
+
+def test_failed_request_does_not_block_those_of_other_steps(bench):
+    """Guards against a request that fails each time and holds up all others."""
+    bench.state.advice.service = service = StubAdviceService(
+        {"i-1"}, refusals=1)
+    for job_id in ("j", "k"):
+        bench.add(fleetfakes.job(job_id, messages.Step(1, STEP.room)))
+    bench.place()
+    cache = bench.state.advice
+    for _ in range(2):
+        cache.fetch(next(iter(cache.pending.values())))
+    assert [step for step, _ in service.requests] == ["k.0.0"]
