Don't suspect tasks when a fifth of the workers fail at once

What callers would see: a sound job shown as failed after waves of crashes. Cause: each worker of a wave was judged alone, so any task that had just been started on it became a suspect; two waves that hit its quarantine runs gave it up. Change: if more than a fifth of the workers fail within 0.25 s of each other without a recent run of the suspect's job, the cause is a common one. Workers in quarantine don't count, as many of them may be crashed at once by their tasks. Ruled out: taking a worker without young runs as evidence; on a busy fleet nearly every worker has some.

--- a/sycamorefield/fleet/crashes.py
+++ b/sycamorefield/fleet/crashes.py
@@ -27,6 +27,12 @@
 MAX_LIKELY_CAUSES = 3
 
 
+# If more than this share of the workers fail within this time of each other,
+# the cause is a common one rather than a task that few of them have run.
+COMMON_FAILURE_RATIO = 0.2
+COMMON_FAILURE_WINDOW_S = 0.25
+
+
 class Verdict(enum.Enum):
     """Classify the end of a worker as evidence against its runs."""
 
@@ -36,6 +42,7 @@
     STALE_LIST = "worker list too old to show a drain"
     UNRESPONSIVE = "was unresponsive for too long"
     NO_SUSPECT = "no recently started run, or its rack failed"
+    COMMON_CAUSE = "many workers failed at once"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,6 +113,11 @@
                                         exposed.age_s)]
         if not suspects:
             verdict = Verdict.NO_SUSPECT
+        failures = _simultaneous_failures(fleet, worker, ended_at)
+        suspects = [exposed for exposed in suspects if not _has_common_cause(
+            fleet, failures, exposed.task.task.job_id)]
+        if not suspects and verdict is Verdict.CRASH:
+            verdict = Verdict.COMMON_CAUSE
         _record_crash(suspects, worker.entry.worker_id, bool(quarantined_runs))
     events.emit(events.WORKER_CRASHED, worker=worker.entry.worker_id,
                 verdict=verdict.value, rack=worker.entry.rack(),
@@ -184,6 +196,33 @@
     return Verdict.CRASH
 
 
+def _simultaneous_failures(fleet: state_mod.FleetState,
+                           worker: workerstate.WorkerState,
+                           ended_at: float) -> list[state_mod.FailedWorker]:
+    """Return the failures of other workers at the time of a worker's end.
+
+    Workers in quarantine are left out: many of them may be crashed at once by
+    tasks that are tried at the same time.
+    """
+    failures = list(fleet.recent_failures)
+    failures += [fleet.failure_of(other, ended_at)
+                 for other in fleet.workers.values()
+                 if other.unresponsive and other is not worker
+                 and not other.was_draining()]
+    return [failure for failure in failures if not failure.quarantined
+            and abs(failure.at - ended_at) <= COMMON_FAILURE_WINDOW_S]
+
+
+def _has_common_cause(fleet: state_mod.FleetState,
+                      failures: list[state_mod.FailedWorker],
+                      job_id: str) -> bool:
+    """Return whether more workers failed at once than a job can explain."""
+    unexplained = sum(job_id not in failure.recent_jobs
+                      for failure in failures)
+    return unexplained > COMMON_FAILURE_RATIO * (
+        len(fleet.workers) + len(fleet.recent_failures))
+
+
 def _rack_failed(fleet: state_mod.FleetState, entry: messages.WorkerEntry,
                  ended_at: float, age_s: float) -> bool:
     """Return whether most other workers of a rack ended during a run.
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -23,6 +23,7 @@
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import quarantines
 from sycamorefield.fleet import runlog
+from sycamorefield.fleet import suspicion
 from sycamorefield.fleet import workerstate
 
 Order = messages.StartOrder | messages.StopOrder | messages.PaceOrder
@@ -62,10 +63,15 @@
 
 
 class FailedWorker(typing.NamedTuple):
-    """Rack and time of failure of a worker that ended without draining."""
+    """A worker that ended without draining, and when.
+
+    recent_jobs had started runs on it in its last seconds.
+    """
 
     rack: str
     at: float
+    quarantined: bool = False
+    recent_jobs: frozenset[str] = frozenset()
 
 
 class FleetState:
@@ -346,6 +352,8 @@
                 return
             worker.unresponsive = True
             worker.unresponsive_since = clock.now()
+            worker.recent_jobs = worker.find_recent_jobs(
+                worker.unresponsive_since - suspicion.MAX_SUSPECT_AGE_S)
             events.emit(events.WORKER_UNRESPONSIVE, worker=worker_id,
                         born_ms=worker.born_ms, runs=len(worker.reserved),
                         reason=reason)
@@ -402,9 +410,19 @@
                      now: float) -> None:
         """Remember the end of a worker that was not draining."""
         if not worker.was_draining():
-            self.recent_failures.append(FailedWorker(
-                worker.entry.rack(),
-                worker.unresponsive_since if worker.unresponsive else now))
+            self.recent_failures.append(self.failure_of(worker, now))
+
+    def failure_of(self, worker: workerstate.WorkerState,
+                   now: float) -> FailedWorker:
+        """Describe the failure of a worker that ends now or is silent."""
+        at, recent_jobs = worker.unresponsive_since, worker.recent_jobs
+        if not worker.unresponsive:
+            at = now
+            recent_jobs = worker.find_recent_jobs(
+                now - suspicion.MAX_SUSPECT_AGE_S)
+        return FailedWorker(
+            worker.entry.rack(), at,
+            worker.entry.worker_id in self.trials.by_worker, recent_jobs)
 
     def expire(self, now: float) -> None:
         """Remove workers that have left or whose leases have expired.
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -411,3 +411,31 @@
         suspicion_record.add_crash(f"i-{number}", age_s, likely=False,
                                    in_quarantine=number > 0)
     assert suspicion_record.is_confirmed() == confirmed
+
+
+@pytest.mark.parametrize(("one_job", "suspected"), [(False, 0), (True, 4)],
+                         ids=["many-jobs", "one-job"])
+def test_tasks_are_not_suspected_if_many_workers_fail_at_once(
+        one_job, suspected, monkeypatch):
+    """Guards against giving up innocent tasks after waves of crashes."""
+    bench = test_fleet_state.Bench(
+        *(fleetfakes.entry(n, labels=("a", f"r{n}")) for n in range(10)))
+    monkeypatch.setattr(clock, "now", lambda: bench.now)
+    bench.state.update_listed(set(bench.state.workers), bench.now)
+    if one_job:
+        bench.add(fleetfakes.job("j", messages.Step(
+            10, messages.Resources(3000, 10))))
+    else:
+        for number in range(10):
+            bench.add(fleetfakes.job(f"j{number}", messages.Step(
+                1, messages.Resources(3000, 10))))
+    assert len(bench.place()) == 10
+    bench.now += 0.1
+    failing = [f"i-{number}" for number in range(4)]
+    for worker_id in failing:
+        bench.state.mark_unresponsive(worker_id, "closed")
+    for worker_id in failing:
+        crashes.worker_refused_connection(bench.state, worker_id)
+    tasks = [task for state in bench.state.jobs.values()
+             for task in state.all_tasks()]
+    assert sum(task.suspicion is not None for task in tasks) == suspected
