--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -98,9 +98,10 @@
 class SimulatedWorker:
     """Execute fenced orders; kill all runs when the lease expires."""
 
-    def __init__(self, entry: messages.WorkerEntry,
+    def __init__(self, entry: messages.WorkerEntry, born_at: float = 0.0,
                  clock_shift_ms: float = 0.0) -> None:
         self.entry = entry
+        self.born_at = born_at
         # The entry on the list: for a while that of the life before.
         self.listed_entry = entry
         self.clock_shift_ms = clock_shift_ms
@@ -204,6 +205,7 @@
         worker_id = worker.entry.worker_id
         new = SimulatedWorker(
             dataclasses.replace(worker.entry, born_ms=self.incarnation),
+            self.now,
             CLOCK_SHIFTS_MS[self.incarnation % len(CLOCK_SHIFTS_MS)])
         new.listed_entry = worker.listed_entry
         new.capacity_history = worker.capacity_history
@@ -478,7 +480,7 @@
     def pass_time(self, seconds: float) -> None:
         self.now += seconds
         for worker in self._alive():
-            if seconds >= ENTRY_DELAY_S:
+            if self.now >= worker.born_at + ENTRY_DELAY_S:
                 worker.listed_entry = worker.entry
             if worker.lease_end_ms <= worker.clock_ms(self.now):
                 self._expire_lease(worker)
