Use a worker whose entry or report does not name its life

Cause: with `born` in only one of both, the entry would never match the life that reports, and the worker would never be used. Change: what is not stated is taken to be of the present life; two cases more.

--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -135,9 +135,11 @@
     def entry_is_of_current_life(self) -> bool:
         """Return whether the entry is of the life that reports.
 
-        Lives may differ in capacity and kind.
+        Lives may differ in capacity and kind.  An entry or a report that does
+        not name its life is taken to be of the present one.
         """
-        return self.entry.born_ms in (0, self.born_ms)
+        return (not self.entry.born_ms or not self.born_ms
+                or self.entry.born_ms == self.born_ms)
 
     def was_draining(self) -> bool:
         """Return whether the life that last reported was draining."""
