--- a/tests/test_fleet_advice.py
+++ b/tests/test_fleet_advice.py
@@ -173,7 +173,7 @@
 
 
 def test_failed_request_does_not_block_those_of_other_steps(bench):
-    """Guards against a request that fails each time and holds up all others."""
+    """Guards against a failing request that holds up all others."""
     bench.state.advice.service = service = StubAdviceService(
         {"i-1"}, refusals=1)
     for job_id in ("j", "k"):
