Tell callers that the store is unavailable, not the text of the error

Cause: replies carried the text of the failed store call, with addresses and names of library classes; refused cancellations and reads weren't logged. Change: two fixed texts; the reason goes to the log (SF1801's sibling for an unreachable store), with the job. Evidence: one new test and one more check; 125 tests of the adapter pass.

--- a/sycamorefield/fleet/jobrequests.py
+++ b/sycamorefield/fleet/jobrequests.py
@@ -109,10 +109,15 @@
             if not self._job_exists(job_id):
                 return UnknownJob()
         except interfaces.CallFailed as exc:
-            return Refused(str(exc))
-        outcome = self._create_key(records.cancel_key(job_id), b"1", deadline)
+            outcome: Outcome = Refused(str(exc))
+        else:
+            outcome = self._create_key(
+                records.cancel_key(job_id), b"1", deadline)
         if isinstance(outcome, Accepted):
             events.emit(events.CANCEL_STORED, job=job_id)
+        else:
+            events.emit(events.STORE_UNREACHABLE, job=job_id, reason=(
+                f"cancellation: {getattr(outcome, 'reason', '')}"))
         return outcome
 
     def _create_key(self, key: str, value: bytes, deadline: float) -> Outcome:
--- a/sycamorefield/platform/front.py
+++ b/sycamorefield/platform/front.py
@@ -19,6 +19,9 @@
                   405: "Method Not Allowed", 410: "Gone", 413: "Too Large",
                   500: "Internal Server Error", 503: "Service Unavailable",
                   504: "Gateway Timeout"}
+# What callers are told; the log has the reason.
+STORE_UNAVAILABLE = "the store is unavailable"
+OUTCOME_UNKNOWN = "the store has not confirmed the request"
 
 Environ = dict[str, typing.Any]
 StartResponse = typing.Callable[[str, list[tuple[str, str]]], typing.Any]
@@ -94,7 +97,9 @@
         try:
             return self._route(queue, job_id, body, environ)
         except interfaces.CallFailed as exc:
-            return Reply(503, {"error": str(exc)}, 1)
+            events.emit(events.STORE_UNREACHABLE, reason=f"request: {exc}",
+                        job=job_id, queue=queue.name)
+            return Reply(503, {"error": STORE_UNAVAILABLE}, 1)
 
     def _route(self, queue: messages.Queue, job_id: str, body: bytes,
                environ: Environ) -> Reply:
@@ -137,8 +142,8 @@
     if isinstance(outcome, jobrequests_mod.UnknownJob):
         return Reply(410, {"error": "no such job"})
     if isinstance(outcome, jobrequests_mod.Refused):
-        return Reply(503, {"error": outcome.reason}, outcome.retry_after_s)
-    return Reply(504, {"error": outcome.reason})
+        return Reply(503, {"error": STORE_UNAVAILABLE}, outcome.retry_after_s)
+    return Reply(504, {"error": OUTCOME_UNKNOWN})
 
 
 def _read_body(environ: Environ) -> bytes:
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -410,6 +410,14 @@
     assert response["status"] == 503
     assert "Retry-After" in response["headers"]
     assert len(server.calls) == calls_before
+    assert response["body"] == {"error": front_mod.STORE_UNAVAILABLE}
+
+
+def test_callers_do_not_see_errors_of_the_store(server, store):
+    """Guards against addresses and library errors in replies to callers."""
+    server.fault = "lost"
+    response = FrontClient(store).call("POST", f"/x/{JOB_ID}", JOB)
+    assert response["body"] == {"error": front_mod.OUTCOME_UNKNOWN}
 
 
 def test_resubmission_succeeds_after_lost_commit_response(server, store):
