Take only many failures of workers with known runs for a common cause

Change: at least five failures count as many, and a worker that has not reported to this owner, like a quarantined one, is no evidence. Names and a keyword that a newcomer would miss: leased_since_restart, worker_replaced.

--- a/sycamorefield/fleet/crashes.py
+++ b/sycamorefield/fleet/crashes.py
@@ -31,6 +31,8 @@
 # the cause is a common one rather than a task that few of them have run.
 COMMON_FAILURE_RATIO = 0.2
 COMMON_FAILURE_WINDOW_S = 0.25
+# The tasks of one job may crash several workers of a small fleet at once.
+MIN_COMMON_FAILURES = 5
 
 
 class Verdict(enum.Enum):
@@ -54,8 +56,8 @@
     age_s: float
 
 
-def worker_restarted(fleet: state_mod.FleetState, worker_id: str) -> None:
-    """Handle an answer by another incarnation at a worker's address."""
+def worker_replaced(fleet: state_mod.FleetState, worker_id: str) -> None:
+    """Handle an answer by a worker of another ID at a worker's address."""
     _handle_worker_end(fleet, worker_id, "reborn", restarted=True)
 
 
@@ -209,7 +211,7 @@
                  for other in fleet.workers.values()
                  if other.unresponsive and other is not worker
                  and not other.was_draining()]
-    return [failure for failure in failures if not failure.quarantined
+    return [failure for failure in failures if failure.is_evidence
             and abs(failure.at - ended_at) <= COMMON_FAILURE_WINDOW_S]
 
 
@@ -219,8 +221,9 @@
     """Return whether more workers failed at once than a job can explain."""
     unexplained = sum(job_id not in failure.recent_jobs
                       for failure in failures)
-    return unexplained > COMMON_FAILURE_RATIO * (
-        len(fleet.workers) + len(fleet.recent_failures))
+    worker_count = len(fleet.workers) + len(fleet.recent_failures)
+    return (unexplained >= MIN_COMMON_FAILURES
+            and unexplained > COMMON_FAILURE_RATIO * worker_count)
 
 
 def _rack_failed(fleet: state_mod.FleetState, entry: messages.WorkerEntry,
--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -180,7 +180,7 @@
                     self.fleet.fence, self.ends.acknowledged_number(),
                     self._lease_end_ms(), self._report_wait_ms())
             except interfaces.IncarnationMismatch:
-                crashes.worker_restarted(self.fleet, self.worker_id)
+                crashes.worker_replaced(self.fleet, self.worker_id)
                 return
             except interfaces.OrderRejected as exc:
                 if self._check_fenced(exc):
@@ -249,7 +249,7 @@
             try:
                 self._send(order)
             except interfaces.IncarnationMismatch:
-                crashes.worker_restarted(self.fleet, self.worker_id)
+                crashes.worker_replaced(self.fleet, self.worker_id)
                 return
 
     def _send(self, order: state_mod.Order) -> None:
--- a/sycamorefield/fleet/restarts.py
+++ b/sycamorefield/fleet/restarts.py
@@ -19,7 +19,8 @@
     """
     reported = {(row.task, row.run) for row in report.running}
     reported |= {(row.task, row.run) for row in report.ended}
-    suspects = crashes.record_suspects(fleet, worker, True, reported)
+    suspects = crashes.record_suspects(
+        fleet, worker, restarted=True, excluded=reported)
     lost = [(run, task) for run, task in worker.tasks.items()
             if run not in reported and _is_over(fleet, worker, run, task,
                                                 sent_at)]
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -568,7 +568,7 @@
     list_is_new = now - fleet.list_read_at <= state_mod.MAX_LIST_AGE_S
     for worker_id, worker in fleet.workers.items():
         is_usable = (list_is_new and worker.usable(now)
-                     and fleet.may_be_fenced(worker)
+                     and fleet.leased_since_restart(worker)
                      and worker_id not in fleet.trials.by_worker)
         if is_usable:
             usable_workers.append(worker)
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -37,6 +37,7 @@
 # plus a lag of 0.8 s.  Until then the worker list may still contain a worker
 # that is known to have ended.
 ENTRY_TTL_S = 5.0
+# Stands for the birth of a life that may not have ended.
 NOT_ENDED = -1
 # How long the last life of a worker is remembered: an order to it that had no
 # answer may be carried out twelve seconds later.
@@ -53,8 +54,7 @@
 class EndedLife(typing.NamedTuple):
     """A life of a worker that was removed, and when.
 
-    uncertain_runs are runs whose start had no answer.  born_ms is NOT_ENDED
-    if the worker may still be alive.
+    uncertain_runs are runs whose start had no answer.
     """
 
     born_ms: int
@@ -65,13 +65,15 @@
 class FailedWorker(typing.NamedTuple):
     """A worker that ended without draining, and when.
 
-    recent_jobs had started runs on it in its last seconds.
+    recent_jobs had started runs on it in its last seconds.  They are not
+    known if the worker never reported to this owner, and explain nothing if
+    it was quarantined: then is_evidence is False.
     """
 
     rack: str
     at: float
-    quarantined: bool = False
-    recent_jobs: frozenset[str] = frozenset()
+    is_evidence: bool
+    recent_jobs: frozenset[str]
 
 
 class FleetState:
@@ -326,12 +328,12 @@
             accepting = {
                 worker_id for worker_id, worker in self.workers.items()
                 if now - worker.acknowledged_at <= QUORUM_WINDOW_S
-                and self.may_be_fenced(worker)}
+                and self.leased_since_restart(worker)}
             return all(2 * len(accepting & listed) > len(listed)
                        for listed in self.possible_worker_lists)
 
-    def may_be_fenced(self, worker: workerstate.WorkerState) -> bool:
-        """Return whether a successor would have fenced a worker's life.
+    def leased_since_restart(self, worker: workerstate.WorkerState) -> bool:
+        """Return whether this owner held its lease after a worker restarted.
 
         A worker that starts again forgets the fences that it has seen.  So a
         life that began since this owner last held its lease would obey it,
@@ -420,9 +422,10 @@
             at = now
             recent_jobs = worker.find_recent_jobs(
                 now - suspicion.MAX_SUSPECT_AGE_S)
+        is_evidence = (worker.has_reported and worker.entry.worker_id
+                       not in self.trials.by_worker)
         return FailedWorker(
-            worker.entry.rack(), at,
-            worker.entry.worker_id in self.trials.by_worker, recent_jobs)
+            worker.entry.rack(), at, is_evidence, recent_jobs)
 
     def expire(self, now: float) -> None:
         """Remove workers that have left or whose leases have expired.
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -260,7 +260,7 @@
         state.update_listed({worker_id} if end.listed else set(), tenths / 10)
     fake_now[0] = ended
     if end.restarted:
-        crashes.worker_restarted(state, worker_id)
+        crashes.worker_replaced(state, worker_id)
     else:
         crashes.worker_refused_connection(state, worker_id)
     suspicion_record = state.jobs["j"].tasks[0, 0][0].suspicion
@@ -413,25 +413,26 @@
     assert suspicion_record.is_confirmed() == confirmed
 
 
-@pytest.mark.parametrize(("one_job", "suspected"), [(False, 0), (True, 4)],
-                         ids=["many-jobs", "one-job"])
+@pytest.mark.parametrize(("one_job", "failures", "suspected"), [
+    (False, 8, 0), (True, 8, 8), (False, 4, 4)],
+    ids=["many-jobs", "one-job", "few-workers"])
 def test_tasks_are_not_suspected_if_many_workers_fail_at_once(
-        one_job, suspected, monkeypatch):
+        one_job, failures, suspected, monkeypatch):
     """Guards against giving up innocent tasks after waves of crashes."""
     bench = test_fleet_state.Bench(
-        *(fleetfakes.entry(n, labels=("a", f"r{n}")) for n in range(10)))
+        *(fleetfakes.entry(n, labels=("a", f"r{n}")) for n in range(20)))
     monkeypatch.setattr(clock, "now", lambda: bench.now)
     bench.state.update_listed(set(bench.state.workers), bench.now)
     if one_job:
         bench.add(fleetfakes.job("j", messages.Step(
-            10, messages.Resources(3000, 10))))
+            20, messages.Resources(3000, 10))))
     else:
-        for number in range(10):
+        for number in range(20):
             bench.add(fleetfakes.job(f"j{number}", messages.Step(
                 1, messages.Resources(3000, 10))))
-    assert len(bench.place()) == 10
+    assert len(bench.place()) == 20
     bench.now += 0.1
-    failing = [f"i-{number}" for number in range(4)]
+    failing = [f"i-{number}" for number in range(failures)]
     for worker_id in failing:
         bench.state.mark_unresponsive(worker_id, "closed")
     for worker_id in failing:
