Measure a backend's speed by valid answers only

Cause: the time of each reply, also of a 500 at once, counted as the latency of the backend, so one that fails requests quickly looked fast and drew traffic. Change: a reply that is no valid answer ends the call without a measurement. It doesn't exclude the backend: a request that fails everywhere would exclude all.

--- a/sycamorefield/dispatch.py
+++ b/sycamorefield/dispatch.py
@@ -96,8 +96,14 @@
         except urllib3.exceptions.HTTPError as exc:
             self.router.record_call(backend, None)
             return Outcome(OutcomeKind.MAYBE_RAN, detail=type(exc).__name__)
-        self.router.record_call(backend, (time.monotonic() - sent_at) * 1000.0
-                                / work.service_ms)
+        answer = _parse_answer(reply, request)
+        if answer is None:
+            # A backend that fails requests quickly must not look fast.
+            self.router.end_call(backend)
+        else:
+            self.router.record_call(
+                backend,
+                (time.monotonic() - sent_at) * 1000.0 / work.service_ms)
         if reply.status == LEAVING_STATUS:
             # A leaving backend refuses requests before it runs them.
             self.router.mark_leaving(backend.name)
@@ -106,7 +112,6 @@
         if 400 <= reply.status < 500:
             return Outcome(OutcomeKind.REFUSED,
                            detail=f"backend refused with {reply.status}")
-        answer = _parse_answer(reply, request)
         if answer is not None:
             return Outcome(OutcomeKind.ANSWERED, answer)
         return Outcome(OutcomeKind.MAYBE_RAN,
--- a/sycamorefield/routing.py
+++ b/sycamorefield/routing.py
@@ -200,7 +200,7 @@
     def pick(self, zone: str | None = None) -> BackendState | None:
         """Return the backend for a request, or None if none is usable.
 
-        The request counts as in flight until record_call().
+        The request counts as in flight until record_call() or end_call().
         """
         with self.lock:
             usable = self._usable()
@@ -221,6 +221,11 @@
                 return
             backend.record_slowdown(slowdown, now)
 
+    def end_call(self, backend: BackendState) -> None:
+        """Record the end of a call whose duration says nothing."""
+        with self.lock:
+            backend.in_flight -= 1
+
     def mark_leaving(self, name: str) -> None:
         """Exclude a backend that answered that it is leaving."""
         with self.lock:
