--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -214,7 +214,7 @@
 @pytest.mark.parametrize(("status", "measured"), [(200, True), (500, False),
                                                   (400, False)])
 def test_failed_calls_do_not_make_a_backend_look_fast(kv, status, measured):
-    """Guards against traffic drawn to a backend that fails requests at once."""
+    """Guards against traffic drawn to a backend that fails at once."""
     server, _ = serve_fake_backend(status=status)
     process = make_entry_process(kv, server.server_address[1])
     process.serve_request(api.RequestModel(
