--- a/sycamorefield/fleet/crashes.py
+++ b/sycamorefield/fleet/crashes.py
@@ -28,7 +28,7 @@
 
 
 # If more than this share of the workers fail within this time of each other,
-# the cause is a common one rather than a task that few of them have run.
+# a task that few of them have run is not the cause.
 COMMON_FAILURE_RATIO = 0.2
 COMMON_FAILURE_WINDOW_S = 0.25
 # The tasks of one job may crash several workers of a small fleet at once.
--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -32,7 +32,7 @@
     with fleet.lock:
         worker = fleet.workers.get(worker_id)
         if worker is None or report.born_ms < worker.born_ms:
-            # Of a later life, earlier reports say nothing.
+            # A late report of an earlier life says nothing of this one.
             return False
         if worker.born_ms and report.born_ms > worker.born_ms:
             restarts.apply_restart(fleet, worker, report, sent_at, now)
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -99,8 +99,8 @@
         # The lists of workers in use that a successor may read from the
         # store: several while the outcome of a write is unknown.
         self.possible_worker_lists: list[frozenset[str]] = [frozenset()]
-        # The last lives of workers that may still be listed, or that may
-        # start again under their ID.
+        # The last lives of workers that were removed: they may still be
+        # listed, or start again under their ID.
         self.ended_lives: dict[str, EndedLife] = {}
         # Workers that ended without draining first.
         self.recent_failures: list[FailedWorker] = []
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -55,8 +55,8 @@
         # When the life that last reported began, in ms since 1970 (0: not
         # known).
         self.born_ms = 0
-        # When the first report of a life arrived that began under the eyes
-        # of this owner, or 0.
+        # When the first report arrived of a life that began in this owner's
+        # term, or 0.
         self.restart_seen_at = 0.0
         self.listed = True
         # Whether it was on any worker list that this owner has read.
@@ -166,7 +166,7 @@
             and run not in self.unsent_starts | self.refused_starts)
 
     def begin_life(self, born_ms: int, now: float) -> None:
-        """Forget what was known only of the worker's life before.
+        """Start the next life of a worker; reset what counts within one.
 
         Its runs stay reserved until they are released one by one.
         """
