Tell the lives of a worker apart by \`born\`, not by which is later

Cause: \`born\` is the worker's time of day, which may be set back before it starts again. The reports of such a life would have been ignored for ever, as if they were late ones of an earlier life: its worker lost, its runs kept. Change: another \`born\` is another life; a report of it is late only if it was requested before the last one that was applied. Entries are those of the last reading of the list.

--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -31,12 +31,15 @@
     """
     with fleet.lock:
         worker = fleet.workers.get(worker_id)
-        if worker is None or report.born_ms < worker.born_ms:
-            # A late report of an earlier life says nothing of this one.
+        if worker is None:
             return False
-        if worker.born_ms and report.born_ms > worker.born_ms:
+        if worker.born_ms and report.born_ms != worker.born_ms:
+            if sent_at < worker.report_requested_at:
+                # A late report of an earlier life says nothing of this one.
+                return False
             restarts.apply_restart(fleet, worker, report, sent_at, now)
         worker.born_ms = report.born_ms
+        worker.report_requested_at = sent_at
         worker.sync_clock(report.clock_ms, now)
         worker.reported_at = now
         worker.acknowledged_at = max(worker.acknowledged_at, sent_at)
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -259,7 +259,7 @@
     def _is_of_ended_life(self, entry: messages.WorkerEntry) -> bool:
         """Return whether an entry is left over from a life that has ended."""
         ended = self.ended_lives.get(entry.worker_id)
-        return ended is not None and entry.born_ms <= ended.born_ms
+        return ended is not None and entry.born_ms == ended.born_ms
 
     def take_uncertain_runs(self, worker_id: str
                             ) -> tuple[workerstate.RunId, ...]:
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -50,11 +50,13 @@
     def __init__(self, entry: messages.WorkerEntry,
                  limits_unsent_starts: bool = True) -> None:
         self.entry = entry
-        # The entry of the life before, if the present one is of a later life.
+        # The entry of the life before the one of the present entry, if any.
         self.earlier_entry: messages.WorkerEntry | None = None
         # When the life that last reported began, in ms since 1970 (0: not
-        # known).
+        # known), and when its last report was requested.  The time of day may
+        # jump, so a later life may state an earlier birth.
         self.born_ms = 0
+        self.report_requested_at = 0.0
         # When the first report arrived of a life that began in this owner's
         # term, or 0.
         self.restart_seen_at = 0.0
@@ -124,10 +126,10 @@
         self.has_stalled_run = False
 
     def update_entry(self, entry: messages.WorkerEntry) -> None:
-        """Replace the entry unless the new one is of an earlier life."""
-        if entry == self.entry or 0 < entry.born_ms < self.entry.born_ms:
+        """Replace the entry by one that was read later."""
+        if entry == self.entry:
             return
-        if entry.born_ms > self.entry.born_ms:
+        if entry.born_ms != self.entry.born_ms:
             self.earlier_entry = self.entry
         self.entry = entry
         self.record_change()
@@ -143,8 +145,8 @@
 
     def was_draining(self) -> bool:
         """Return whether the life that last reported was draining."""
-        if self.earlier_entry is not None and not (
-                self.entry_is_of_current_life()):
+        if (self.earlier_entry is not None
+                and self.earlier_entry.born_ms == self.born_ms):
             return self.earlier_entry.draining
         return self.entry.draining
 
