--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -20,6 +20,9 @@
     # Seed 1 loses a worker permanently while one entry process is stopped,
     # another is killed and the store is first down, then slow.
     (1, 6, 15.0, faults.Plan.EXTENDED_KINDS),
+    # Seed 6 restarts workers in waves while the store is down and an entry
+    # process is killed.
+    (6, 5, 15.0, faults.Plan.WAVE_KINDS),
 ]
 
 
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -25,6 +25,7 @@
 import grpc
 
 FAULT_DURATION_S = 2.0
+WAVE_SHARE = 0.4
 RESTART_DELAY_S = 1.0
 WORKER_FREEZE_S = 9.0
 
@@ -40,6 +41,10 @@
     EXTENDED_KINDS = BASIC_KINDS + ("freeze-worker", "lose-worker",
                                     "cut-entry", "stop-entry")
     ALL_KINDS = EXTENDED_KINDS + ("worker-shrinks",)
+    # Waves of workers that start again under their names, while owners and
+    # the store fail.
+    WAVE_KINDS = ("worker-wave", "worker-wave", "kill-entry", "kv-down")
+    RUN_KINDS = ALL_KINDS + ("worker-wave",)
 
     def __init__(self, deploy: "launch.Deployment", seed: int, count: int,
                  load_duration_s: float,
@@ -129,6 +134,20 @@
             self.deploy.start("worker", machine.name)
         return machine.name
 
+    def _worker_wave(self, entry: str, machine: object) -> str:
+        """Kill many workers at once and start them again."""
+        names = [m.name for m in self.deploy.opts.machines
+                 if m.name not in self.lost_workers]
+        wave = self.random.sample(names, max(1, int(
+            WAVE_SHARE * len(names))))
+        for name in wave:
+            self.deploy.signal(name, signal.SIGKILL)
+        time.sleep(RESTART_DELAY_S)
+        for name in wave:
+            if name not in self.lost_workers:
+                self.deploy.start("worker", name)
+        return " ".join(wave)
+
     def _inject_kv_fault(self, duration_s: float, **fault_fields: object
                          ) -> None:
         self.kv.set_faults(pb.KvFaults(**fault_fields))
--- a/tools/launch.py
+++ b/tools/launch.py
@@ -230,7 +230,7 @@
     try:
         deploy.up()
         plan = faults.Plan(deploy, args.seed, args.faults, duration_s,
-                           faults.Plan.ALL_KINDS)
+                           faults.Plan.RUN_KINDS)
         injector = threading.Thread(target=plan.run, daemon=True)
         injector.start()
         load = subprocess.run(deploy.command_prefix
