--- a/sycamorefield/explain.py
+++ b/sycamorefield/explain.py
@@ -35,9 +35,10 @@
     lines += _format_delays(history)
     lines.append(_format_job_end(history))
     if history.invalid_lines:
+        subject = ("1 line has" if history.invalid_lines == 1
+                   else f"{history.invalid_lines} lines have")
         lines.append(_format_row(
-            "note", f"{history.invalid_lines} lines have missing or malformed "
-            "fields"))
+            "note", f"{subject} missing or malformed fields"))
     lines.append(_format_row("cause", causes.likely_cause(history)))
     return lines
 
--- a/sycamorefield/fleet/headroom.py
+++ b/sycamorefield/fleet/headroom.py
@@ -73,7 +73,6 @@
     def __init__(self, workers: list[workerstate.WorkerState],
                  estimator: demand_mod.DemandEstimator, priority: int,
                  now: float) -> None:
-        self.workers = workers
         self.capacity_cpu = sum(w.entry.capacity.cpu for w in workers)
         self.slot_cpu = max(1.0, estimator.mean_task_cpu(priority))
         kept_cpu = estimator.kept_cpu(priority, self.capacity_cpu, now)
--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -331,14 +331,16 @@
     if not state.final():
         row["done"] = _encode_masks(state, lambda task: task.done)
         row["ran"] = _encode_masks(state, lambda task: task.has_run)
-        row["rest"] = {
-            _short_name(t.task):
-            [t.last_run, sorted(t.failed_runs), t.saved]
-            for t in state.all_tasks()
-            if not t.done and (t.failed_runs or t.saved)}
-        suspected = {_short_name(t.task): t.suspicion.encode()
-                     for t in state.all_tasks()
-                     if not t.done and t.suspicion is not None}
+        rest, suspected = {}, {}
+        for task in state.all_tasks():
+            if task.done:
+                continue
+            if task.failed_runs or task.saved:
+                rest[_short_name(task.task)] = [
+                    task.last_run, sorted(task.failed_runs), task.saved]
+            if task.suspicion is not None:
+                suspected[_short_name(task.task)] = task.suspicion.encode()
+        row["rest"] = rest
         if suspected:
             row["suspected"] = suspected
         if state.quarantine_workers:
--- a/sycamorefield/load.py
+++ b/sycamorefield/load.py
@@ -24,7 +24,7 @@
 JOB_WAIT_S = 90.0
 # Share of the run's duration over which the waves of jobs are submitted.
 SUBMISSION_SHARE = 0.75
-DIRECT_SAMPLES = 200
+DIRECT_SAMPLES = 50
 MAX_ATTEMPTS = 8
 # 0 stands for a connection that failed.
 RETRY_STATUSES = (0, 503, 504)
@@ -192,7 +192,7 @@
     machine = opts.machines[0]
     url = f"http://{opts.host}:{machine.http_port}/work/{work.name}"
     histogram = metrics.Latencies()
-    for number in range(DIRECT_SAMPLES // 4):
+    for number in range(DIRECT_SAMPLES):
         started = time.monotonic()
         try:
             client.http.request("POST", url, body=json.dumps(
--- a/tools/events_doc.py
+++ b/tools/events_doc.py
@@ -17,6 +17,10 @@
            "SF16": "checked mode (worker, backend, load)",
            "SF17": "load tool",
            "SF18": "fleet: job requests, owner, workers"}
+# What the catalogue does not say of an event.
+DETAILS = {
+    "SF1003": "; `unfinished` counts steps of the stop that were cut short",
+    "SF1601": "; an owner that refuses a start"}
 HEAD = """# Event catalogue
 
 Every process logs one JSON line per event to `<log_dir>/<process>.jsonl`.
@@ -36,7 +40,8 @@
 def main() -> int:
     """Write docs/EVENTS.md."""
     rows = [f"| {e.code} | {logbook.get_level_name(e.level)} | {e.text} "
-            f"| {SOURCES[e.code[:4]]} |" for e in events.CATALOGUE]
+            f"| {SOURCES[e.code[:4]]}{DETAILS.get(e.code, '')} |"
+            for e in events.CATALOGUE]
     with open(DOC, "w", encoding="utf-8") as handle:
         handle.write(HEAD + "\n".join(rows) + "\n")
     return 0
