Keep the clock of a restarted test worker from becoming negative

Cause: 'clock-back' set a worker's clock 1,000 s behind this machine's steady clock, which starts at 0 when the machine does. On a machine that had been up for less than that, the clock was negative and the owner ignored it: both cases failed on untouched, 8 minutes after the machine had started, alone and beside load, each time. Change: the first life's clock is ahead by 2,000 s; the same three cases (1,000 s back, the same, 1,000 s ahead) never reach zero. The check is unchanged.

--- a/tests/test_fleet_restarts.py
+++ b/tests/test_fleet_restarts.py
@@ -25,6 +25,9 @@
 from tests import test_fleet_takeover
 
 wait_for = test_fleet_takeover.wait_for
+# The clock of a worker's first life is ahead of the owner's by this much: set
+# back, it must not become negative, however recently this machine started.
+FIRST_OFFSET_MS = 2e6
 # Jobs that complete in the first life of a worker.
 EARLIER_JOBS = ("a", "b", "c")
 
@@ -56,13 +59,15 @@
     fleet.restart("i-0", clock_offset_ms)
 
 
-@pytest.mark.parametrize("clock_offset_ms", [-1e6, 1000.0, 1e6],
+@pytest.mark.parametrize("clock_offset_ms", [
+    0.5 * FIRST_OFFSET_MS, FIRST_OFFSET_MS, 1.5 * FIRST_OFFSET_MS],
                          ids=["clock-back", "same-clock", "clock-ahead"])
 @pytest.mark.parametrize("restart", [restart_quickly, restart_after_silence])
 def test_ends_on_a_restarted_worker_are_recorded(
         fleet, restart, clock_offset_ms, monkeypatch):
     """Guards against acknowledging unread ends, whose tasks then run twice."""
     monkeypatch.setattr(workerstate, "LEASE_MS", 400.0)
+    fleet.workers["i-0"].clock_offset_ms = FIRST_OFFSET_MS
     fleet.take_over()
     for job_id in EARLIER_JOBS:
         complete(fleet, job_id)
