Don't take a task's own crashes of workers for the failure of a rack

Cause: a crash of which most other workers of the rack had ended within 0.25 s counted as the failure of the rack. In a rack with few workers that return at once, these ends were crashes by the same task: it was never suspected and started without end. Change: the end of a worker on which the task itself had just started is no evidence of a failure of the rack. Ends on which other tasks of its job had started still are: a wide job has runs on a whole rack.

--- a/sycamorefield/fleet/crashes.py
+++ b/sycamorefield/fleet/crashes.py
@@ -112,7 +112,7 @@
         suspects = [exposed for exposed
                     in quarantined_runs or _possible_causes(exposed_runs)
                     if not _rack_failed(fleet, worker.entry, ended_at,
-                                        exposed.age_s)]
+                                        exposed)]
         if not suspects:
             verdict = Verdict.NO_SUSPECT
         failures = _simultaneous_failures(fleet, worker, ended_at)
@@ -219,7 +219,7 @@
                       failures: list[state_mod.FailedWorker],
                       job_id: str) -> bool:
     """Return whether more workers failed at once than a job can explain."""
-    unexplained = sum(job_id not in failure.recent_jobs
+    unexplained = sum(not failure.has_recent_run_of_job(job_id)
                       for failure in failures)
     worker_count = len(fleet.workers) + len(fleet.recent_failures)
     return (unexplained >= MIN_COMMON_FAILURES
@@ -227,17 +227,19 @@
 
 
 def _rack_failed(fleet: state_mod.FleetState, entry: messages.WorkerEntry,
-                 ended_at: float, age_s: float) -> bool:
+                 ended_at: float, exposed: ExposedRun) -> bool:
     """Return whether most other workers of a rack ended during a run.
 
     A task can crash one worker after another, but not most of a rack at
-    once.  A task that started after the others were lost stays suspect.
+    once.  A task that started after the others were lost, or that had just
+    started on them as well, stays suspect.
     """
     rack = entry.rack()
     if not rack:
         return False
     window_start = ended_at - max(
-        MIN_RACK_FAILURE_WINDOW_S, min(MAX_RACK_FAILURE_WINDOW_S, age_s))
+        MIN_RACK_FAILURE_WINDOW_S,
+        min(MAX_RACK_FAILURE_WINDOW_S, exposed.age_s))
     rack_peers = [w for w in fleet.workers.values()
                   if w.entry.rack() == rack and not w.entry.draining
                   and w.entry.worker_id != entry.worker_id]
@@ -245,6 +247,7 @@
                      for w in rack_peers)
     lost_count += sum(
         ended_worker.rack == rack and ended_worker.at >= window_start
+        and exposed.task.task not in ended_worker.recent_tasks
         for ended_worker in fleet.recent_failures)
     responsive_count = sum(
         w.has_reported and not w.unresponsive for w in rack_peers)
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -65,7 +65,7 @@
 class FailedWorker(typing.NamedTuple):
     """A worker that ended without draining, and when.
 
-    recent_jobs had started runs on it in its last seconds.  They are not
+    recent_tasks had started runs on it in its last seconds.  They are not
     known if the worker never reported to this owner, and explain nothing if
     it was quarantined: then is_evidence is False.
     """
@@ -73,7 +73,11 @@
     rack: str
     at: float
     is_evidence: bool
-    recent_jobs: frozenset[str]
+    recent_tasks: frozenset[messages.TaskId]
+
+    def has_recent_run_of_job(self, job_id: str) -> bool:
+        """Return whether a task of a job had just started on it."""
+        return any(task.job_id == job_id for task in self.recent_tasks)
 
 
 class FleetState:
@@ -354,7 +358,7 @@
                 return
             worker.unresponsive = True
             worker.unresponsive_since = clock.now()
-            worker.recent_jobs = worker.find_recent_jobs(
+            worker.recent_tasks = worker.find_recent_tasks(
                 worker.unresponsive_since - suspicion.MAX_SUSPECT_AGE_S)
             events.emit(events.WORKER_UNRESPONSIVE, worker=worker_id,
                         born_ms=worker.born_ms, runs=len(worker.reserved),
@@ -417,15 +421,15 @@
     def failure_of(self, worker: workerstate.WorkerState,
                    now: float) -> FailedWorker:
         """Describe the failure of a worker that ends now or is silent."""
-        at, recent_jobs = worker.unresponsive_since, worker.recent_jobs
+        at, recent_tasks = worker.unresponsive_since, worker.recent_tasks
         if not worker.unresponsive:
             at = now
-            recent_jobs = worker.find_recent_jobs(
+            recent_tasks = worker.find_recent_tasks(
                 now - suspicion.MAX_SUSPECT_AGE_S)
         is_evidence = (worker.has_reported and worker.entry.worker_id
                        not in self.trials.by_worker)
         return FailedWorker(
-            worker.entry.rack(), at, is_evidence, recent_jobs)
+            worker.entry.rack(), at, is_evidence, recent_tasks)
 
     def expire(self, now: float) -> None:
         """Remove workers that have left or whose leases have expired.
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -69,8 +69,8 @@
         self.unresponsive = False
         # Since when it has been unresponsive, if it is.
         self.unresponsive_since = 0.0
-        # Jobs of which runs had just started when it became unresponsive.
-        self.recent_jobs: frozenset[str] = frozenset()
+        # Tasks of which runs had just started when it became unresponsive.
+        self.recent_tasks: frozenset[messages.TaskId] = frozenset()
         # Whether it closed a connection while it was draining.
         self.connection_closed = False
         # When its last report arrived.
@@ -150,10 +150,10 @@
             return self.earlier_entry.draining
         return self.entry.draining
 
-    def find_recent_jobs(self, since: float) -> frozenset[str]:
-        """Return the jobs with runs that started after a time, or may have."""
+    def find_recent_tasks(self, since: float) -> frozenset[messages.TaskId]:
+        """Return tasks with runs that started after a time, or may have."""
         return frozenset(
-            task.task.job_id for (_, run), task in self.tasks.items()
+            task.task for (_, run), task in self.tasks.items()
             if task.run == run and not 0.0 < task.started_at < since)
 
     def last_known_born_ms(self) -> int:
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -268,6 +268,40 @@
         end.verdict is crashes.Verdict.CRASH)
 
 
+def replace_crashed(bench, worker_id, number):
+    """Let a worker crash; add another one in its rack."""
+    rack = bench.state.workers[worker_id].entry.rack()
+    crashes.worker_refused_connection(bench.state, worker_id)
+    bench.state.add_worker(fleetfakes.entry(number, labels=("a", rack)))
+    bench.report(f"i-{number}")
+    bench.state.enrol(list(bench.state.workers))
+
+
+def test_task_that_crashes_its_rack_repeatedly_is_given_up(monkeypatch):
+    """Guards against taking a task's own crashes for a rack failure."""
+    fake_now = [100.0]
+    monkeypatch.setattr(clock, "now", lambda: fake_now[0])
+    bench = test_fleet_state.Bench(
+        *(fleetfakes.entry(n, labels=("a", f"r{n}")) for n in range(2)))
+    bench.add(fleetfakes.job("j"))
+    state = bench.state.jobs["j"]
+    # Another worker of each rack has just crashed for another reason.
+    for number in range(2):
+        replace_crashed(bench, f"i-{number}", 2 + number)
+    starts = 0
+    for number in range(4, 40):
+        bench.now = fake_now[0]
+        bench.state.update_listed(set(bench.state.workers), bench.now)
+        placed = bench.place()
+        state.stored_quarantine_workers = dict(state.quarantine_workers)
+        fake_now[0] += 0.1
+        for worker_id in [text.partition("@")[2] for text in placed]:
+            starts += 1
+            replace_crashed(bench, worker_id, number)
+    assert state.state == messages.JOB_FAILED
+    assert starts <= 5
+
+
 @pytest.mark.parametrize("racks", [1, 2, 3])
 def test_rack_failures_fail_no_job(fleet, racks):
     """Guards against blaming a task for repeated failures of a rack."""
