Start nothing in data centres that operators evacuate

Change: the control watch decodes them (adapter: key and data centre; unreadable or unknown ones are logged once and ignored) and keeps a revision per key, so an older read neither begins nor ends one; a listing ends those it lacks. They are part of the configuration that every decision reads, so a successor knows them before it may claim. Workers there are not usable in a round: placing, gangs, reservations, headroom, moves, preemption, quarantines and advice see no capacity there. Queued starts are withdrawn when their turn comes, with their whole gang; a start without an answer is not repeated but stopped. Runs there go on. Logged by SF1843, SF1844 and two fields of SF1834; explain names it. Two ways weighed for runs of long-running jobs there: stop and restart elsewhere, or leave them. Tests: a table of reads, of paths, of fleet shapes; the random machine evacuates and loses data centres.

--- a/sycamorefield/causes.py
+++ b/sycamorefield/causes.py
@@ -173,6 +173,10 @@
     if any(usage.rounds_busy_s > SATURATED_FRACTION * (
             usage.rounds_busy_s + usage.rounds_waited_s) for usage in usages):
         return text + "the owner was saturated"
+    evacuated = max(usage.evacuated_workers for usage in usages)
+    if evacuated:
+        return text + (f"{evacuated} workers were closed by the evacuation of "
+                       "their data centre")
     if fullest.reserved_cores > FULL_FRACTION * fullest.capacity_cores:
         return text + "the fleet was full"
     return text + ("the fleet wasn't full, so the task needed more cores than "
--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -132,6 +132,10 @@
     "SF1840", INFO, "quarantine runs of suspected tasks ended")
 WORKER_RESTARTED = Event("SF1841", WARNING, "worker started again")
 TASKS_WAITING = Event("SF1842", WARNING, "tasks are ready but do not start")
+EVACUATION_BEGUN = Event(
+    "SF1843", INFO, "evacuation of a data centre requested")
+EVACUATION_ENDED = Event(
+    "SF1844", INFO, "evacuation of a data centre taken back")
 
 INVARIANT_BROKEN = Event("SF1601", ERROR, "invariant broken")
 
--- a/sycamorefield/fleet/answers.py
+++ b/sycamorefield/fleet/answers.py
@@ -31,16 +31,38 @@
                 and task.phase == progress.STARTING
                 and not job.final() and not worker.unresponsive
                 and not worker.entry.draining
+                and not fleet.is_evacuated(worker)
                 and worker.entry_is_of_current_life()
                 and worker.entry.capacity.holds(worker.used)):
             return True
         worker.release((order.task, order.run), task.step)
         if fleet.is_current(worker, task, order.run):
             task.reset_run()
+            _withdraw_gang(fleet, job, order)
         fleet.request_round()
         return False
 
 
+def _withdraw_gang(fleet: state_mod.FleetState, job: progress.JobState,
+                   order: messages.StartOrder) -> None:
+    """Stop the other members of a gang of which one is not started.
+
+    They would hold their resources and wait for it in vain.
+    """
+    step = order.task.step_id()
+    for member in job.tasks[step.occurrence, step.step]:
+        if (member.step.gang and member.run == order.run
+                and member.phase in (progress.STARTING, progress.RUNNING)):
+            fleet.stop_run(member, f"{order.task} is not started")
+
+
+def may_start_here(fleet: state_mod.FleetState, worker_id: str) -> bool:
+    """Return whether starts may be sent to a worker's data centre."""
+    with fleet.lock:
+        worker = fleet.workers.get(worker_id)
+        return worker is None or not fleet.is_evacuated(worker)
+
+
 def should_repeat(fleet: state_mod.FleetState, worker_id: str,
                   order: messages.StartOrder) -> bool:
     """Return whether a start order without an answer should be sent again.
--- a/sycamorefield/fleet/controlwatcher.py
+++ b/sycamorefield/fleet/controlwatcher.py
@@ -1,10 +1,12 @@
-"""Watch the operators' configuration and the owner's key in the store."""
+"""Watch the operators' requests and the owner's key in the store."""
 
+import dataclasses
 import threading
 import typing
 
 from sycamorefield import events
 from sycamorefield.fleet import clock
+from sycamorefield.fleet import evacuations as evacuations_mod
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import records
@@ -19,15 +21,23 @@
 DecodeConfiguration = typing.Callable[[bytes], messages.Configuration]
 
 
+def no_evacuations(key: str, value: bytes) -> str | None:
+    """Take no key for a request to evacuate a data centre."""
+    return None
+
+
 class ControlWatcher:
     """Hold the latest configuration and owner's key read from the store."""
 
     def __init__(self, store: interfaces.Store, config_key: str,
-                 decode: DecodeConfiguration) -> None:
+                 decode: DecodeConfiguration,
+                 decode_evacuation: evacuations_mod.DecodeEvacuation
+                 = no_evacuations) -> None:
         self.store = store
         self.config_key = config_key
         self.decode = decode
         self.latest_configuration = messages.Configuration()
+        self.evacuations = evacuations_mod.Evacuations(decode_evacuation)
         self.config_revision = 0
         self.configuration_known = False
         self.owner_item: messages.Item | None = None
@@ -61,8 +71,11 @@
         listing = self.store.listing(records.WATCHED_PREFIX)
         self._note_store_answered()
         items_by_key = {item.key: item for item in listing.items}
+        # Whoever claims the fleet must know the evacuations first.
+        self.evacuations.apply_listing(listing)
         for item in listing.items:
             self._apply_configuration(item.key, item)
+        self._publish_evacuations()
         self._set_owner(items_by_key.get(records.OWNER_KEY), listing.revision)
         return listing.revision
 
@@ -75,10 +88,18 @@
                 # Only a change may advance the revision: a stalled watch
                 # returns empty answers although keys have changed.
                 revision = max(revision, change.revision)
-                if change.key == records.OWNER_KEY:
-                    self._set_owner(change.item, change.revision)
-                elif change.item is not None:
-                    self._apply_configuration(change.key, change.item)
+                self._apply_change(change)
+
+    def _apply_change(self, change: messages.Change) -> None:
+        if change.key == records.OWNER_KEY:
+            self._set_owner(change.item, change.revision)
+            return
+        if change.item is None:
+            self.evacuations.apply_removal(change.key, change.revision)
+        else:
+            self.evacuations.apply_item(change.item)
+            self._apply_configuration(change.key, change.item)
+        self._publish_evacuations()
 
     def _note_store_answered(self) -> None:
         self.last_answer_at = clock.now()
@@ -101,12 +122,19 @@
             events.emit(events.CONFIG_UNREADABLE, revision=item.revision,
                         reason=str(exc))
             return
-        self.latest_configuration = decoded
+        self.latest_configuration = dataclasses.replace(
+            decoded, evacuated=self.evacuations.data_centres)
         self.config_revision = item.revision
         self.configuration_known = True
         events.emit(events.CONFIG_APPLIED, version=decoded.version,
                     queues=len(decoded.queues), revision=item.revision)
 
+    def _publish_evacuations(self) -> None:
+        evacuated = self.evacuations.data_centres
+        if evacuated != self.latest_configuration.evacuated:
+            self.latest_configuration = dataclasses.replace(
+                self.latest_configuration, evacuated=evacuated)
+
     def _set_owner(self, item: messages.Item | None, revision: int) -> None:
         with self.owner_changed:
             self.owner_item = item
--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -271,6 +271,9 @@
             if attempt and not answers.should_repeat(
                     self.fleet, self.worker_id, order):
                 return
+            if attempt and not answers.may_start_here(
+                    self.fleet, self.worker_id):
+                break
             lease_end_ms = self._lease_end_ms()
             if lease_end_ms is None and attempt == 0:
                 answers.record_rejected(self.fleet, self.worker_id, order,
--- a/sycamorefield/fleet/messages.py
+++ b/sycamorefield/fleet/messages.py
@@ -255,11 +255,13 @@
 
 @dataclasses.dataclass(frozen=True)
 class Configuration:
-    """The operators' configuration, with queues in matching order."""
+    """What operators request, with queues in matching order."""
 
     version: int = 0
     queues: tuple[Queue, ...] = ()
     max_body_bytes: int = 262_144
+    # Data centres in which nothing may be started.
+    evacuated: frozenset[str] = frozenset()
 
     def match(self, host: str, path: str) -> Queue | None:
         """Return the first matching queue; longer prefixes come first."""
--- a/sycamorefield/fleet/quarantines.py
+++ b/sycamorefield/fleet/quarantines.py
@@ -106,10 +106,11 @@
             (str(task.task), quarantine.run, worker_id)
             for task, worker_id in quarantine.members])
 
-    def release_finished(self, workers: Workers, now: float) -> None:
+    def release_finished(self, workers: Workers, evacuated: frozenset[str],
+                         now: float) -> None:
         """Release the workers of all quarantines that have ended."""
         for quarantine in set(self.by_task.values()):
-            reason = _release_reason(quarantine, workers, now)
+            reason = _release_reason(quarantine, workers, evacuated, now)
             if reason:
                 self.release(quarantine, reason)
 
@@ -160,7 +161,7 @@
 
 
 def _release_reason(quarantine: Quarantine, workers: Workers,
-                    now: float) -> str:
+                    evacuated: frozenset[str], now: float) -> str:
     """Return why a quarantine has ended, or an empty string."""
     if quarantine.job.final():
         return "job " + quarantine.job.state
@@ -177,6 +178,9 @@
     if any(not workers[worker_id].usable(now)
            for worker_id in quarantine.worker_ids()):
         return "worker accepts no starts"
+    if any(workers[worker_id].entry.data_centre in evacuated
+           for worker_id in quarantine.worker_ids()):
+        return "data centre is evacuated"
     if now - quarantine.created_at > START_TIMEOUT_S:
         return "start timed out"
     return ""
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -533,8 +533,9 @@
     with fleet.lock:
         fleet.round_needed = False
         fleet.demand.start_observing(now)
-        fleet.trials.release_finished(fleet.workers, now)
         configuration = fleet.configuration()
+        fleet.trials.release_finished(
+            fleet.workers, configuration.evacuated, now)
         queues = configuration.queues_by_name()
         if configuration.version != fleet.placed_config_version:
             # Priorities and services of queues may have changed.
@@ -545,7 +546,8 @@
             (state for state in fleet.active.values()
              if not state.skip_rounds),
             queues, wall_ms, now, fleet.policy.rank_by_lateness)
-        round_ = Round(fleet, queues, _usable_workers(fleet, now), now)
+        usable_workers = _usable_workers(fleet, configuration.evacuated, now)
+        round_ = Round(fleet, queues, usable_workers, now)
         for state in ranked:
             if state.created_revision <= fleet.fence and fleet.awaited_workers:
                 continue
@@ -557,10 +559,14 @@
         round_.finish()
 
 
-def _usable_workers(fleet: state_mod.FleetState, now: float
+def _usable_workers(fleet: state_mod.FleetState,
+                    evacuated: frozenset[str], now: float
                     ) -> list[workerstate.WorkerState]:
     """Return the workers that may get new runs; mark new ones as changed.
 
+    Those of evacuated data centres get none, so what is free there is no
+    capacity for any decision of the round.
+
     No worker is usable if the list of workers is outdated, because any of
     them may have lost capacity since.
     """
@@ -568,6 +574,7 @@
     list_is_new = now - fleet.list_read_at <= state_mod.MAX_LIST_AGE_S
     for worker_id, worker in fleet.workers.items():
         is_usable = (list_is_new and worker.usable(now)
+                     and worker.entry.data_centre not in evacuated
                      and fleet.leased_since_restart(worker)
                      and worker_id not in fleet.trials.by_worker)
         if is_usable:
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -336,6 +336,10 @@
             return all(2 * len(accepting & listed) > len(listed)
                        for listed in self.possible_worker_lists)
 
+    def is_evacuated(self, worker: workerstate.WorkerState) -> bool:
+        """Return whether nothing may be started in a worker's data centre."""
+        return worker.entry.data_centre in self.configuration().evacuated
+
     def leased_since_restart(self, worker: workerstate.WorkerState) -> bool:
         """Return whether this owner held its lease after a worker restarted.
 
--- a/sycamorefield/fleet/usage.py
+++ b/sycamorefield/fleet/usage.py
@@ -20,6 +20,7 @@
 class Usage:
     """Reserved resources, workers and waiting tasks of the fleet.
 
+    Without evacuated data centres, unless a field says otherwise.
     The field names are also the names of log fields.
     """
 
@@ -36,6 +37,9 @@
     workers_unheard: int
     # Reserved for quarantine runs of tasks suspected of crashing workers.
     workers_set_aside: int
+    # In evacuated data centres, and the runs there that go on.
+    workers_evacuated: int
+    runs_evacuated: int
     # What long-running tasks reserve, and what long-running jobs of the
     # priority that keeps most leave free for finite tasks.
     lasting_cores: float
@@ -71,7 +75,10 @@
                 down_tasks += _down_tasks(state)
                 longest_down_s = max(longest_down_s, state.downtime_s(now))
     with fleet.lock:
-        workers = [w for w in fleet.workers.values() if w.listed]
+        workers = [w for w in fleet.workers.values()
+                   if w.listed and not fleet.is_evacuated(w)]
+        evacuated = [w for w in fleet.workers.values()
+                     if fleet.is_evacuated(w)]
         capacity_cpu = sum(w.entry.capacity.cpu for w in workers)
         memory_mb = sum(w.entry.capacity.mem_mb for w in workers)
         kept_cpu = fleet.demand.total_kept_cpu(capacity_cpu, now)
@@ -84,6 +91,7 @@
             len(workers),
             sum(1 for w in fleet.workers.values() if w.unresponsive),
             len(fleet.awaited_workers), len(fleet.trials.by_worker),
+            len(evacuated), sum(len(w.reserved) for w in evacuated),
             sum(w.long_running_cpu for w in workers) / 1000.0,
             kept_cpu / 1000.0, ahead_cpu / 1000.0, waiting, len(down_tasks),
             round(longest_down_s, 3),
--- a/sycamorefield/historyreader.py
+++ b/sycamorefield/historyreader.py
@@ -61,6 +61,7 @@
     widest_gap_cores: float
     waiting: dict[str, int] = {}
     workers_unheard: int = 0
+    workers_evacuated: int = 0
     rounds_busy_s: float = 0.0
     rounds_waited_s: float = 0.0
 
@@ -154,7 +155,7 @@
             line.at, fields.capacity_cores, fields.reserved_cores,
             fields.widest_gap_cores, sum(fields.waiting.values()),
             fields.workers_unheard, fields.rounds_busy_s,
-            fields.rounds_waited_s))
+            fields.rounds_waited_s, fields.workers_evacuated))
 
     def _handle_reply(self, line: logfiles.LogLine) -> None:
         fields = _JobFields.model_validate(line.fields)
--- a/sycamorefield/jobhistory.py
+++ b/sycamorefield/jobhistory.py
@@ -135,6 +135,8 @@
     # Time in placement rounds and between them since the line before.
     rounds_busy_s: float
     rounds_waited_s: float
+    # Workers of data centres in which nothing may be started.
+    evacuated_workers: int = 0
 
 
 @dataclasses.dataclass(slots=True)
--- a/sycamorefield/platform/bootsettings.py
+++ b/sycamorefield/platform/bootsettings.py
@@ -48,6 +48,8 @@
     node: str
     ip: str = ""
     zone: str = ""
+    # The region of each data centre.
+    zones: dict[str, str] = {}
     listen: ListenModel = ListenModel()
     port_range: tuple[int, int] = (7720, 7735)
     platform: StoreModel
--- a/sycamorefield/platform/configuration.py
+++ b/sycamorefield/platform/configuration.py
@@ -1,4 +1,4 @@
-"""Decode the operators' configuration."""
+"""Decode the operators' configuration and requests for evacuations."""
 
 import json
 import typing
@@ -9,6 +9,7 @@
 from sycamorefield.fleet import messages
 
 KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
 
 
 class AdviceModel(pydantic.BaseModel):
@@ -80,3 +81,25 @@
         model = AdviceModel()
     return messages.AdvicePolicy(model.decide_ms, model.period_ms,
                                  model.valid_ms)
+
+
+class EvacuationDecoder:
+    """Decode requests to evacuate one of the known data centres."""
+
+    def __init__(self, data_centres: typing.Container[str]) -> None:
+        self.data_centres = data_centres
+
+    def __call__(self, key: str, value: bytes) -> str | None:
+        """Return the data centre to evacuate, or None for other keys.
+
+        Raises ValueError if the request is unreadable or if there is no such
+        data centre.
+        """
+        if not key.startswith(EVACUATION_PREFIX):
+            return None
+        if not isinstance(json.loads(value), dict):
+            raise ValueError("not a request to evacuate a data centre")
+        data_centre = key[len(EVACUATION_PREFIX):]
+        if data_centre not in self.data_centres:
+            raise ValueError(f"no data centre {data_centre!r}")
+        return data_centre
--- a/sycamorefield/platform/daemon.py
+++ b/sycamorefield/platform/daemon.py
@@ -53,7 +53,8 @@
         self.policy = policy
         self.store = store_mod.PlatformStore(settings.platform.addr)
         self.watcher = controlwatcher.ControlWatcher(
-            self.store, configuration.KEY, configuration.decode)
+            self.store, configuration.KEY, configuration.decode,
+            configuration.EvacuationDecoder(settings.zones))
         self.job_requests = jobrequests_mod.JobRequestHandler(
             self.store, self._store_unresponsive)
         self.advice = (advice_mod.PlatformAdvice(settings.advice)
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -57,11 +57,13 @@
     return line(at, events.JOB_ENDED, process, job=JOB, state=state)
 
 
-def fleet_usage(at, reserved=500.0, gap=2.5, busy=0.1, unheard=0):
+def fleet_usage(at, reserved=500.0, gap=2.5, busy=0.1, unheard=0,
+                evacuated=0):
     """Return the line of the usage of the fleet."""
     return line(at, events.FLEET_USAGE, capacity_cores=1000.0,
                 reserved_cores=reserved, widest_gap_cores=gap,
                 waiting={"0": 3, "2": 4}, workers_unheard=unheard,
+                workers_evacuated=evacuated,
                 rounds_busy_s=busy, rounds_waited_s=2.5 - busy)
 
 
@@ -424,6 +426,12 @@
          runs_ended(13.0, "done", ROW), job_ended(13.0)],
         ["4 workers of the previous owner hadn't reported"],
         id="workers not reported yet"),
+    pytest.param(
+        [*START, fleet_usage(11.0, 990.0, evacuated=80),
+         runs_ordered(12.5, ROW), runs_ended(13.0, "done", ROW),
+         job_ended(13.0)],
+        ["80 workers were closed by the evacuation of their data centre"],
+        id="evacuated"),
     pytest.param(
         [*START, fleet_usage(11.0, busy=2.4), runs_ordered(12.5, ROW),
          runs_ended(13.0, "done", ROW), job_ended(13.0)],
--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -3,8 +3,9 @@
 Time, workers and the store are simulated.  Orders and their answers are lost
 or delayed; workers crash, become unresponsive or lose their leases, and start
 again under another ID or their own; some tasks crash every worker that starts
-them; capacities shrink and grow; the store is unreachable for longer than an
-owner continues without it.  Owners change: any process may run the next term,
+them; capacities shrink and grow; data centres are evacuated, or all workers of
+one crash; the store is unreachable for longer than an owner continues without
+it.  Owners change: any process may run the next term,
 including the one that ran the last, and an owner behind a network partition
 may continue beside its successor.  The checks are made on what the workers
 observe.
@@ -38,6 +39,7 @@
 from tests import fleetfakes
 
 WORKERS = 3
+DATA_CENTRES = ("east", "west")
 PROCESSES = 2
 CAPACITY = 4000
 HOLD_MAX_MS = 6000.0
@@ -156,6 +158,7 @@
         self.undetected_crashes: dict[str, messages.TaskId] = {}
         self.undetectable_crashes: dict[messages.TaskId, int] = {}
         self.incarnation = 0
+        self.evacuated: frozenset[str] = frozenset()
         self.workers: dict[str, SimulatedWorker] = {}
         self.jobs: list[messages.Job] = []
         self.orders_in_flight: list[SentOrder] = []
@@ -194,6 +197,7 @@
         self.incarnation += 1
         entry = dataclasses.replace(
             fleetfakes.entry(address_number, cpu=CAPACITY),
+            data_centre=DATA_CENTRES[address_number % len(DATA_CENTRES)],
             worker_id=f"i-{self.incarnation}", born_ms=self._birth())
         worker = SimulatedWorker(entry)
         self.workers[entry.worker_id] = worker
@@ -221,6 +225,10 @@
         self.delayed_orders = [sent_order for sent_order in self.delayed_orders
                                if sent_order.worker_id != worker_id]
 
+    def _configuration(self) -> messages.Configuration:
+        return dataclasses.replace(fleetfakes.configuration(),
+                                   evacuated=self.evacuated)
+
     def _alive(self) -> list[SimulatedWorker]:
         return [w for w in self.workers.values() if w.alive]
 
@@ -305,7 +313,7 @@
         self.has_owner = True
         self.ends = {}
         self.fleet = state_mod.FleetState(
-            fence, HOLD_MAX_MS, self._send, fleetfakes.configuration)
+            fence, HOLD_MAX_MS, self._send, self._configuration)
         self._renew_owner_lease()
         self.recorder = recorder_mod.Recorder(
             self.store, self.fleet, records.OWNER_KEY, lambda: True,
@@ -664,6 +672,9 @@
         assert isinstance(order, messages.StartOrder)
         if not answers.should_send(self.fleet, sent_order.worker_id, order):
             return
+        data_centre = self.workers[sent_order.worker_id].entry.data_centre
+        assert data_centre not in self.evacuated, (
+            f"{order.task} is started in {data_centre}")
         lease_until_ms = self._grant_lease(sent_order.worker_id)
         if lease_until_ms is None:
             answers.record_rejected(self.fleet, sent_order.worker_id, order,
@@ -880,6 +891,20 @@
         self._change_capacity(
             data.draw(strategies.sampled_from(self._alive())), cpu)
 
+    @stateful.rule(data_centres=strategies.frozensets(
+        strategies.sampled_from(DATA_CENTRES)))
+    def evacuations_change(self, data_centres: frozenset[str]) -> None:
+        self.evacuated = data_centres
+
+    @stateful.rule(data_centre=strategies.sampled_from(DATA_CENTRES),
+                   keeps_id=strategies.booleans(), applies=RARELY)
+    def data_centre_is_lost(self, data_centre: str, keeps_id: bool,
+                            applies: bool) -> None:
+        """Let all workers of a data centre crash; they start again."""
+        for worker in self._alive() if applies else ():
+            if worker.entry.data_centre == data_centre:
+                self._end_worker(worker, keeps_id)
+
     def _change_capacity(self, worker: SimulatedWorker, cpu: int) -> None:
         worker.entry = dataclasses.replace(
             worker.entry, capacity=messages.Resources(cpu, 16_000, 0))
