Serve all links to workers by one event loop

Cause: two threads a worker. Weighed: a bounded pool of threads. A worker's report is a call that waits up to 1.2 s for an end, so a pool either has a thread a worker or gives the waiting up; at 1,500 workers and 50 threads a worker would be asked every 0.5 to 1 s without waiting, with 3 times the calls. Kept: coroutines on one loop, straight down as before; a thread in all. Each socket is used directly: one write, mostly one read. A time limit ends a call only if nothing has arrived: what came while the owner held the loop up is handled first. An idle connection for orders is kept for 15% of a VM's file descriptors at most; the one for reports always. A VM with 4,096 has room for some 3,000 workers.

--- a/sycamorefield/fleet/interfaces.py
+++ b/sycamorefield/fleet/interfaces.py
@@ -114,8 +114,9 @@
     """
 
     @abc.abstractmethod
-    def renew(self, fence: int, recorded_upto: int, lease_end_ms: float | None,
-              wait_ms: int) -> messages.WorkerReport:
+    async def renew(self, fence: int, recorded_upto: int,
+                    lease_end_ms: float | None, wait_ms: int
+                    ) -> messages.WorkerReport:
         """Extend the leases of all runs and return a report.
 
         Wait up to wait_ms for a run to end.  The worker forgets the ends
@@ -124,18 +125,21 @@
         """
 
     @abc.abstractmethod
-    def start(self, order: messages.StartOrder, fence: int,
-              lease_end_ms: float) -> float:
+    async def start(self, order: messages.StartOrder, fence: int,
+                    lease_end_ms: float) -> float:
         """Start a run and return the worker's time."""
 
     @abc.abstractmethod
-    def stop(self, order: messages.StopOrder, fence: int) -> float:
+    async def stop(self, order: messages.StopOrder, fence: int) -> float:
         """Stop a run and return the worker's time."""
 
     @abc.abstractmethod
-    def pace(self, order: messages.PaceOrder, fence: int) -> float:
+    async def pace(self, order: messages.PaceOrder, fence: int) -> float:
         """Limit the speed of a run and return the worker's time."""
 
+    def close(self) -> None:
+        """Release the connections; no call is in progress."""
+
 
 class AdviceService(abc.ABC):
     """Decides which workers a queue's policy lets a step run on."""
--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -1,11 +1,12 @@
 """Manage the calls to one worker.
 
-One thread renews the worker's lease and receives its reports; another one
+One coroutine renews the worker's lease and receives its reports; another one
 sends orders.
 """
 
+import asyncio
+import heapq
 import itertools
-import queue
 import threading
 import typing
 
@@ -14,6 +15,7 @@
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import crashes
 from sycamorefield.fleet import interfaces
+from sycamorefield.fleet import loopthread
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import recordedends
 from sycamorefield.fleet import reports
@@ -54,30 +56,38 @@
 
     A cancelled task would keep running while its stop is queued behind
     starts.  A start whose run is stopped while the start is queued is never
-    sent.
+    sent.  Any thread may add orders; one coroutine takes them.
     """
 
     def __init__(self) -> None:
-        self.entries: queue.PriorityQueue[
-            tuple[bool, int, state_mod.Order | None]] = queue.PriorityQueue()
+        self.lock = threading.Lock()
+        self.entries: list[tuple[bool, int, state_mod.Order | None]] = []
         self.sequence = itertools.count()
 
     def put(self, order: state_mod.Order | None) -> None:
         """Add an order; None makes the sender end before other orders."""
-        urgent = order is None or isinstance(order, messages.StopOrder)
-        self.entries.put((not urgent, next(self.sequence), order))
+        self._put(not (order is None or isinstance(order,
+                                                   messages.StopOrder)), order)
 
     def requeue(self, order: state_mod.Order) -> None:
         """Add an order whose call failed behind all queued ones."""
-        self.entries.put((True, next(self.sequence), order))
+        self._put(True, order)
 
-    def get(self) -> state_mod.Order | None:
-        """Wait for the next order and return it."""
-        return self.entries.get()[2]
+    def _put(self, waits: bool, order: state_mod.Order | None) -> None:
+        with self.lock:
+            heapq.heappush(self.entries, (waits, next(self.sequence), order))
+
+    def __len__(self) -> int:
+        return len(self.entries)
+
+    def pop(self) -> state_mod.Order | None:
+        """Remove and return the next order; raises IndexError if empty."""
+        with self.lock:
+            return heapq.heappop(self.entries)[2]
 
 
 class WorkerLink:
-    """Run the two threads that call one worker.
+    """Run the two coroutines that call one worker.
 
     may_act and may_lease return whether this process may still send orders
     and grant leases; step_down gives up ownership, with a reason.
@@ -94,44 +104,62 @@
         self.may_lease = may_lease
         self.step_down = step_down
         self.closed = False
+        # Runs the coroutines, once started.
+        self.loop_thread: loopthread.LoopThread | None = None
         # Refused connections since the last answered call.
         self.refusals = 0
         # Held while a start is sent, and while the worker is declared dead.
-        self.start_lock = threading.Lock()
-        self.recorded = threading.Event()
+        self.start_lock = asyncio.Lock()
+        self.recorded = asyncio.Event()
         self.ends = recordedends.RecordedEnds()
         self.orders = OrderQueue()
+        self.order_added = asyncio.Event()
+
+    def start(self, loop_thread: loopthread.LoopThread) -> None:
+        """Start both coroutines."""
+        self.loop_thread = loop_thread
+        loop_thread.spawn(self._run())
 
-    def start(self) -> None:
-        """Start both threads."""
-        for target in (self._renew_leases, self._send_orders):
-            threading.Thread(target=self._run_guarded, args=(target,),
-                             daemon=True).start()
+    async def _run(self) -> None:
+        await asyncio.gather(self._run_guarded(self._renew_leases),
+                             self._run_guarded(self._send_orders))
+        self.worker.close()
 
-    def _run_guarded(self, target: typing.Callable[[], None]) -> None:
-        """Run a thread's function; step down on an unexpected error.
+    async def _run_guarded(
+            self, target: typing.Callable[
+                [], typing.Coroutine[typing.Any, typing.Any, None]]) -> None:
+        """Run a coroutine; step down on an unexpected error.
 
-        A worker without one of its threads would still be considered usable,
-        but its leases would expire or its start orders never be sent.
+        A worker without one of its coroutines would still be considered
+        usable, but its leases would expire or its start orders never be sent.
         """
         try:
-            target()
+            await target()
         except Exception as exc:
             events.emit(events.THREAD_FAILED, reason=repr(exc),
                         where=events.error_location(exc),
                         worker=self.worker_id)
             self.step_down("unexpected error")
 
+    def put_order(self, order: state_mod.Order | None) -> None:
+        """Queue an order, from any thread."""
+        self.orders.put(order)
+        self._wake(self.order_added)
+
+    def _wake(self, event: asyncio.Event) -> None:
+        if self.loop_thread is not None:
+            self.loop_thread.call_soon(event.set)
+
     def close(self) -> None:
-        """End both threads after their current calls."""
+        """End both coroutines after their current calls."""
         self.closed = True
-        self.orders.put(None)
-        self.recorded.set()
+        self.put_order(None)
+        self._wake(self.recorded)
 
     def acknowledge_ends(self, ends: recordedends.LifeEnds) -> None:
         """Let the worker forget ends up to a number, as they are stored."""
         if self.ends.store(ends):
-            self.recorded.set()
+            self._wake(self.recorded)
 
     def _lease_end_ms(self) -> float | None:
         """Return the end of a lease granted now, or None to grant none.
@@ -171,12 +199,12 @@
                         else SHARED_WAIT_MS)
             return REPORT_WAIT_MS
 
-    def _renew_leases(self) -> None:
+    async def _renew_leases(self) -> None:
         while not self.closed and self.may_act():
             sent_at = clock.now()
             self.recorded.clear()
             try:
-                report = self.worker.renew(
+                report = await self.worker.renew(
                     self.fleet.fence, self.ends.acknowledged_number(),
                     self._lease_end_ms(), self._report_wait_ms())
             except interfaces.IncarnationMismatch:
@@ -185,14 +213,14 @@
             except interfaces.OrderRejected as exc:
                 if self._check_fenced(exc):
                     return
-                self._handle_failure(exc)
+                await self._handle_failure(exc)
                 continue
             except interfaces.ConnectionRefused as exc:
-                if self._handle_refusal(exc):
+                if await self._handle_refusal(exc):
                     return
                 continue
             except interfaces.CallFailed as exc:
-                self._handle_failure(exc)
+                await self._handle_failure(exc)
                 continue
             if self.closed:
                 return
@@ -203,9 +231,17 @@
                 self.fleet, self.worker_id, report, sent_at, received_at)
             metrics.CALLS.record(usage.REPORT, clock.now() - received_at)
             if new_ends or report.ended:
-                self.recorded.wait(RECORD_WAIT_S)
+                await self._wait_until_recorded()
 
-    def _handle_refusal(self, exc: interfaces.ConnectionRefused) -> bool:
+    async def _wait_until_recorded(self) -> None:
+        try:
+            async with asyncio.timeout(RECORD_WAIT_S):
+                await self.recorded.wait()
+        except TimeoutError:
+            # The worker lists the ends that are not stored yet once more.
+            return
+
+    async def _handle_refusal(self, exc: interfaces.ConnectionRefused) -> bool:
         """Handle a refused connection; return whether the worker has ended.
 
         If so, its tasks run elsewhere within half a second instead of some
@@ -216,13 +252,13 @@
         self.refusals += 1
         if (self.refusals >= REFUSALS_UNTIL_DEAD
                 and self.fleet.has_listened(self.worker_id)):
-            with self.start_lock:
+            async with self.start_lock:
                 if self.refusals >= REFUSALS_UNTIL_DEAD:
                     self.closed = True
                     crashes.worker_refused_connection(
                         self.fleet, self.worker_id)
                     return True
-        self._handle_failure(exc)
+        await self._handle_failure(exc)
         return False
 
     def _check_fenced(self, exc: interfaces.OrderRejected) -> bool:
@@ -235,32 +271,39 @@
         self.step_down(f"fenced by worker {self.worker_id}")
         return True
 
-    def _handle_failure(self, exc: Exception) -> None:
+    async def _handle_failure(self, exc: Exception) -> None:
         self.fleet.mark_unresponsive(
             self.worker_id, str(exc),
             isinstance(exc, interfaces.ConnectionClosed))
-        threading.Event().wait(RETRY_DELAY_S)
+        await asyncio.sleep(RETRY_DELAY_S)
 
-    def _send_orders(self) -> None:
+    async def _send_orders(self) -> None:
         while True:
-            order = self.orders.get()
+            order = await self._next_order()
             if order is None or self.closed:
                 return
             try:
-                self._send(order)
+                await self._send(order)
             except interfaces.IncarnationMismatch:
                 crashes.worker_replaced(self.fleet, self.worker_id)
                 return
 
-    def _send(self, order: state_mod.Order) -> None:
+    async def _next_order(self) -> state_mod.Order | None:
+        while not self.orders:
+            self.order_added.clear()
+            if not self.orders:
+                await self.order_added.wait()
+        return self.orders.pop()
+
+    async def _send(self, order: state_mod.Order) -> None:
         if isinstance(order, messages.StartOrder):
-            self._send_start(order)
+            await self._send_start(order)
         elif isinstance(order, messages.StopOrder):
-            self._send_stop(order)
+            await self._send_stop(order)
         else:
-            self._send_pace(order)
+            await self._send_pace(order)
 
-    def _send_start(self, order: messages.StartOrder) -> None:
+    async def _send_start(self, order: messages.StartOrder) -> None:
         refused = True
         for attempt in range(START_ATTEMPTS):
             if not self.may_act():
@@ -283,11 +326,12 @@
                 # The first attempt may still be carried out.
                 break
             try:
-                with self.start_lock:
+                async with self.start_lock:
                     if self.closed:
                         # The worker was declared dead in the meantime.
                         return
-                    self.worker.start(order, self.fleet.fence, lease_end_ms)
+                    await self.worker.start(order, self.fleet.fence,
+                                            lease_end_ms)
                     self.refusals = 0
                 answers.record_started(self.fleet, self.worker_id, order,
                                        clock.now())
@@ -313,7 +357,7 @@
         answers.record_rejected(self.fleet, self.worker_id,
                                 order, reason, clock.now())
 
-    def _send_stop(self, order: messages.StopOrder) -> None:
+    async def _send_stop(self, order: messages.StopOrder) -> None:
         """Send a stop; requeue it behind other orders if it fails.
 
         Until the worker acknowledges it, the run may still begin and its task
@@ -322,22 +366,22 @@
         if not self.may_act():
             return
         try:
-            self.worker.stop(order, self.fleet.fence)
+            await self.worker.stop(order, self.fleet.fence)
             answers.record_stopped(
                 self.fleet, self.worker_id, order, clock.now())
         except interfaces.OrderRejected as exc:
             if not self._check_fenced(exc):
-                self._handle_failure(exc)
+                await self._handle_failure(exc)
                 self.orders.requeue(order)
         except interfaces.CallFailed as exc:
-            self._handle_failure(exc)
+            await self._handle_failure(exc)
             self.orders.requeue(order)
 
-    def _send_pace(self, order: messages.PaceOrder) -> None:
+    async def _send_pace(self, order: messages.PaceOrder) -> None:
         if not self.may_act():
             return
         try:
-            self.worker.pace(order, self.fleet.fence)
+            await self.worker.pace(order, self.fleet.fence)
         except interfaces.OrderRejected as exc:
             self._check_fenced(exc)
         except interfaces.CallFailed:
--- a/sycamorefield/fleet/workerlinks.py
+++ b/sycamorefield/fleet/workerlinks.py
@@ -5,6 +5,7 @@
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import link as link_mod
+from sycamorefield.fleet import loopthread
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import recordedends
 from sycamorefield.fleet import state as state_mod
@@ -31,13 +32,14 @@
         self.may_lease = may_lease
         self.step_down = step_down
         self.links: dict[str, link_mod.WorkerLink] = {}
+        self.loop_thread = loopthread.LoopThread()
         self.closed = False
 
     def send_order(self, worker_id: str, order: state_mod.Order) -> None:
         """Queue an order on the link of its worker."""
         link = self.links.get(worker_id)
         if link is not None:
-            link.orders.put(order)
+            link.put_order(order)
 
     def acknowledge_ends(
             self, stored_ends: dict[str, recordedends.LifeEnds]) -> None:
@@ -58,6 +60,7 @@
         self.closed = True
         for link in list(self.links.values()):
             link.close()
+        self.loop_thread.stop()
 
     def update_workers(self, entries: tuple[messages.WorkerEntry, ...],
                        read_at: float | None = None) -> None:
@@ -91,7 +94,7 @@
         for task, run in self.fleet.take_uncertain_runs(entry.worker_id):
             # The start may have been sent to the life before and may still
             # be executed, now by this life.
-            link.orders.put(messages.StopOrder(task, run))
+            link.put_order(messages.StopOrder(task, run))
         return link
 
     def connect_unlisted(self) -> None:
@@ -114,7 +117,7 @@
     def _start_link(self, link: link_mod.WorkerLink | None) -> None:
         if link is None:
             return
-        link.start()
+        link.start(self.loop_thread)
         if self.closed:
             link.close()
 
--- a/sycamorefield/platform/bootsettings.py
+++ b/sycamorefield/platform/bootsettings.py
@@ -25,10 +25,14 @@
 
 
 class LimitsModel(pydantic.BaseModel):
-    """CPU limit: a share of a core, and the speed of a core as a factor."""
+    """Limits of the VM.
+
+    CPU is a share of a core, and the speed of a core as a factor.
+    """
 
     cpu_share: float = 1.0
     cores: float = 1.0
+    max_fds: int = 4096
 
 
 class BoundsModel(pydantic.BaseModel):
--- a/sycamorefield/platform/connections.py
+++ b/sycamorefield/platform/connections.py
@@ -1,20 +1,16 @@
 """Pool of HTTP/1.1 connections to one server.
 
-An owner makes hundreds of calls a second, and most of the CPU time that a
-report or an order takes is spent on its call.  urllib3 therefore only opens
-the connections; each request is a single write, and httptools, a parser
-written in C, parses the response.
+urllib3 only opens the connections; each request is a single write.
 """
 
 import collections
-import dataclasses
 import select
 import socket
 
-import httptools
 import urllib3
 
 from sycamorefield.fleet import interfaces
+from sycamorefield.platform import responses
 
 # Connecting to a VM that is powered off gets no answer.  A handshake with
 # another data centre takes 3 ms, so after half a second the VM is unreachable.
@@ -23,53 +19,25 @@
 READ_BUFFER_BYTES = 2048
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Response:
-    """Status and undecoded body of a response."""
-
-    status: int
-    body: bytes
-
-
 class Connection:
-    """A connection that carries one request at a time.
-
-    One parser parses all responses of the connection.  The parser and the
-    connection refer to each other: a parser for each response would leave
-    reference cycles that only the garbage collector frees, and tens of
-    megabytes of them would pile up between two collections.
-    """
+    """A connection that carries one request at a time."""
 
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
         self.timeout_s: float | None = None
         self.poller = select.poll()
         self.poller.register(sock, select.POLLIN)
-        self.parser = httptools.HttpResponseParser(self)
+        self.parser = responses.ResponseParser()
         # Reused because a buffer allocated for each read would be held while
-        # the call waits, and memory that hundreds of threads allocate and
-        # free is not returned to the operating system.
+        # the call waits, and memory that many threads allocate and free is
+        # not returned to the operating system.
         self.buffer = bytearray(READ_BUFFER_BYTES)
-        self.body_parts: list[bytes] = []
-        self.response: Response | None = None
-        # Whether the last response allows another request.
-        self.reusable = False
-
-    def on_body(self, part: bytes) -> None:
-        """Store a part of the body; called by the parser."""
-        self.body_parts.append(part)
-
-    def on_message_complete(self) -> None:
-        """Store the complete response; called by the parser."""
-        self.response = Response(int(self.parser.get_status_code()),
-                                 b"".join(self.body_parts))
-        self.reusable = bool(self.parser.should_keep_alive())
 
     def closed_by_server(self) -> bool:
         """Return whether the server closed the connection while idle."""
         return bool(self.poller.poll(0))
 
-    def send(self, request: bytes, timeout_s: float) -> Response:
+    def send(self, request: bytes, timeout_s: float) -> responses.Response:
         """Send a request and return the response; raises CallFailed.
 
         A connection may go dead without a reset, so each wait for more bytes
@@ -78,39 +46,24 @@
         if timeout_s != self.timeout_s:
             self.sock.settimeout(timeout_s)
             self.timeout_s = timeout_s
-        self.body_parts = []
-        self.response = None
+        self.parser.begin()
         try:
             self.sock.sendall(request)
-            while self.response is None:
-                self._receive()
+            response = self._receive()
+            while response is None:
+                response = self._receive()
         except OSError as exc:
             raise interfaces.CallFailed(f"no answer: {exc!r}") from exc
-        return self.response
+        return response
 
-    def _receive(self) -> None:
+    def _receive(self) -> responses.Response | None:
         byte_count = self.sock.recv_into(self.buffer)
-        if not byte_count:
-            raise self._closed_error()
-        try:
-            self.parser.feed_data(bytes(self.buffer[:byte_count]))
-        except httptools.HttpParserError as exc:
-            raise interfaces.CallFailed(f"not HTTP: {exc!r}") from exc
-
-    def _closed_error(self) -> interfaces.CallFailed:
-        """Return the error for a connection closed before a full response.
-
-        A worker that shuts down closes its connections properly, between
-        responses.  A network failure resets them while the worker goes on.
-        """
-        if self.body_parts:
-            return interfaces.CallFailed("answer broke off")
-        return interfaces.ConnectionClosed("closed before an answer")
+        return self.parser.feed(bytes(self.buffer[:byte_count]))
 
     def close(self) -> None:
         """Close the connection; it cannot be used again."""
         self.sock.close()
-        del self.parser
+        self.parser.close()
 
 
 class ConnectionPool:
@@ -123,24 +76,18 @@
         self.idle: collections.deque[Connection] = collections.deque()
         self.max_idle = max_idle
 
-    def send(self, request: bytes, timeout_s: float,
-             first_request: bytes | None = None) -> Response:
+    def send(self, request: bytes, timeout_s: float) -> responses.Response:
         """Send a request over an idle connection or a new one.
 
-        A new one gets first_request instead, if given: another process may
-        listen at the address by now.  Raises ConnectionRefused, CallRefused,
-        ConnectionClosed or CallFailed.
+        Raises ConnectionRefused, CallRefused, ConnectionClosed or CallFailed.
         """
-        connection = self._take_idle()
-        if connection is None:
-            connection = self._connect(timeout_s)
-            request = first_request or request
+        connection = self._take_idle() or self._connect(timeout_s)
         try:
             response = connection.send(request, timeout_s)
         except interfaces.CallFailed:
             connection.close()
             raise
-        if connection.reusable and len(self.idle) < self.max_idle:
+        if connection.parser.reusable and len(self.idle) < self.max_idle:
             self.idle.append(connection)
         else:
             connection.close()
--- a/sycamorefield/platform/daemon.py
+++ b/sycamorefield/platform/daemon.py
@@ -70,9 +70,12 @@
             self.stop_requested.is_set, self._metrics_text)
 
     def _make_owner(self, fence: int) -> owner_mod.Owner:
+        idle_clients = workers_mod.idle_order_clients(
+            self.settings.limits.max_fds)
         return owner_mod.Owner(
             self.store, workers_mod.PlatformWorkerList(self.store),
-            workers_mod.PlatformWorker, self.watcher.configuration, fence,
+            lambda entry: workers_mod.PlatformWorker(entry, idle_clients),
+            self.watcher.configuration, fence,
             self.settings.bounds.hold_max_ms, self.advice, self.policy)
 
     def _ready(self) -> bool:
--- a/sycamorefield/platform/jsonclient.py
+++ b/sycamorefield/platform/jsonclient.py
@@ -33,44 +33,53 @@
         return decoded if isinstance(decoded, dict) else {}
 
 
+class RequestEncoder:
+    """Encodes requests to one server with a common set of headers."""
+
+    def __init__(self, address: str,
+                 headers: dict[str, str] | None = None) -> None:
+        lines = [f"Host: {address}", "Content-Type: application/json"]
+        lines += [f"{name}: {value}"
+                  for name, value in (headers or {}).items()]
+        self.headers = "\r\n".join(lines)
+
+    def encode(self, method: str, path: str, body: Body | None) -> bytes:
+        """Return the bytes of a request with a JSON body."""
+        data = b"" if body is None else msgspec.json.encode(body)
+        head = (f"{method} {path} HTTP/1.1\r\n{self.headers}\r\n"
+                f"Content-Length: {len(data)}\r\n\r\n")
+        return head.encode() + data
+
+
+def record_duration(path: str, started_at: float) -> None:
+    """Record the duration of a call that has been answered.
+
+    That of a watch is not recorded: it mostly waits for changes.
+    """
+    if "watch" not in path and path.startswith("/-/"):
+        metrics.CALLS.record(path.partition("?")[0].split("/")[2],
+                             clock.now() - started_at)
+
+
 class JsonClient:
     """Calls one server over a pool of connections."""
 
-    def __init__(self, address: str, max_idle_connections: int,
-                 headers: dict[str, str] | None = None) -> None:
+    def __init__(self, address: str, max_idle_connections: int) -> None:
         host, _, port = address.rpartition(":")
         self.address = address
         self.pool = connections.ConnectionPool(
             host, int(port), max_idle_connections)
-        header_lines = [f"Host: {address}", "Content-Type: application/json"]
-        header_lines += [f"{name}: {value}"
-                         for name, value in (headers or {}).items()]
-        self.headers = "\r\n".join(header_lines)
+        self.encoder = RequestEncoder(address)
 
     def call(self, method: str, path: str, timeout_s: float,
-             body: Body | None = None,
-             first_body: Body | None = None) -> JsonResponse:
-        """Return the response; raises CallRefused or CallFailed.
-
-        first_body replaces the body of the first call over a connection.
-        """
+             body: Body | None = None) -> JsonResponse:
+        """Return the response; raises CallRefused or CallFailed."""
         started_at = clock.now()
         response = self.pool.send(
-            self._encode(method, path, body), timeout_s,
-            None if first_body is None
-            else self._encode(method, path, first_body))
-        if "watch" not in path and path.startswith("/-/"):
-            # The duration of a watch is mostly its wait for changes.
-            metrics.CALLS.record(path.partition("?")[0].split("/")[2],
-                                 clock.now() - started_at)
+            self.encoder.encode(method, path, body), timeout_s)
+        record_duration(path, started_at)
         return JsonResponse(response.status, response.body)
 
-    def _encode(self, method: str, path: str, body: Body | None) -> bytes:
-        data = b"" if body is None else msgspec.json.encode(body)
-        head = (f"{method} {path} HTTP/1.1\r\n{self.headers}\r\n"
-                f"Content-Length: {len(data)}\r\n\r\n")
-        return head.encode() + data
-
     def close(self) -> None:
         """Close all idle connections."""
         self.pool.close()
--- a/sycamorefield/platform/workers.py
+++ b/sycamorefield/platform/workers.py
@@ -10,6 +10,7 @@
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import messages
 from sycamorefield.platform import jsonclient
+from sycamorefield.platform import workerconnections
 
 ENTRY_PREFIX = "servers/"
 LISTED_STATES = ("ready", "draining")
@@ -17,29 +18,42 @@
 # has lost the order or will carry it out seconds later.
 ORDER_TIMEOUT_S = 0.6
 REPORT_SLACK_S = 0.8
-# Reports and orders are requested by one thread each.
-MAX_IDLE_CONNECTIONS = 1
+# The share of a process's file descriptors that idle connections for orders
+# may use; each worker has another connection for its reports.
+ORDER_CONNECTIONS_SHARE = 0.15
 
 Body = dict[str, typing.Any]
 Decoded = typing.TypeVar("Decoded")
 
 
+def idle_order_clients(max_files: int) -> workerconnections.IdleClients:
+    """Return the bound on idle connections of a process's file limit."""
+    return workerconnections.IdleClients(
+        max(1, int(ORDER_CONNECTIONS_SHARE * max_files)))
+
+
 class PlatformWorker(interfaces.Worker):
-    """Sends orders to one incarnation of a worker over HTTP."""
+    """Sends orders to one incarnation of a worker over HTTP.
 
-    def __init__(self, entry: messages.WorkerEntry) -> None:
+    A connection for reports is apart from the one for orders: a worker delays
+    its report while no run ends.
+    """
+
+    def __init__(self, entry: messages.WorkerEntry,
+                 idle_clients: workerconnections.IdleClients | None = None
+                 ) -> None:
         headers = {"Sycamorefield-Expect-Instance": entry.worker_id}
-        self.reports = jsonclient.JsonClient(
-            entry.address, MAX_IDLE_CONNECTIONS, headers)
-        self.orders = jsonclient.JsonClient(
-            entry.address, MAX_IDLE_CONNECTIONS, headers)
+        self.reports = workerconnections.WorkerClient(entry.address, headers)
+        self.orders = workerconnections.WorkerClient(
+            entry.address, headers, idle_clients)
 
-    def _order(self, path: str, body: Body) -> jsonclient.JsonResponse:
+    async def _order(self, path: str, body: Body) -> jsonclient.JsonResponse:
         return _require_ok(
-            self.orders.call("POST", path, ORDER_TIMEOUT_S, body))
+            await self.orders.call(path, ORDER_TIMEOUT_S, body))
 
-    def renew(self, fence: int, recorded_upto: int, lease_end_ms: float | None,
-              wait_ms: int) -> messages.WorkerReport:
+    async def renew(self, fence: int, recorded_upto: int,
+                    lease_end_ms: float | None, wait_ms: int
+                    ) -> messages.WorkerReport:
         """Extend the leases of all runs and return the worker's report.
 
         Ends are acknowledged only over a connection that has given a report:
@@ -51,13 +65,13 @@
             body["until_ms"] = int(lease_end_ms)
         if wait_ms:
             body["wait_ms"] = wait_ms
-        response = _require_ok(self.reports.call(
-            "POST", "/-/hold", wait_ms / 1000.0 + REPORT_SLACK_S, body,
+        response = _require_ok(await self.reports.call(
+            "/-/hold", wait_ms / 1000.0 + REPORT_SLACK_S, body,
             {**body, "seen_upto": 0}))
         return decode_report(response.data)
 
-    def start(self, order: messages.StartOrder, fence: int,
-              lease_end_ms: float) -> float:
+    async def start(self, order: messages.StartOrder, fence: int,
+                    lease_end_ms: float) -> float:
         """Start a run and return the worker's time."""
         body: dict[str, typing.Any] = {
             "task": str(order.task), "run": order.run, "spec": order.spec,
@@ -66,21 +80,26 @@
             body["saved"] = order.saved
         if order.ticket:
             body["ticket"] = order.ticket
-        return _decode_or_fail(_decode_clock_ms,
-                               self._order("/-/run-start", body).body)
+        response = await self._order("/-/run-start", body)
+        return _decode_or_fail(_decode_clock_ms, response.body)
 
-    def stop(self, order: messages.StopOrder, fence: int) -> float:
+    async def stop(self, order: messages.StopOrder, fence: int) -> float:
         """Stop a run and return the worker's time."""
         body = {"task": str(order.task), "run": order.run, "fence": fence}
-        return _decode_or_fail(_decode_clock_ms,
-                               self._order("/-/run-stop", body).body)
+        response = await self._order("/-/run-stop", body)
+        return _decode_or_fail(_decode_clock_ms, response.body)
 
-    def pace(self, order: messages.PaceOrder, fence: int) -> float:
+    async def pace(self, order: messages.PaceOrder, fence: int) -> float:
         """Limit the speed of a run and return the worker's time."""
         body = {"task": str(order.task), "run": order.run,
                 "percent": order.percent, "fence": fence}
-        return _decode_or_fail(_decode_clock_ms,
-                               self._order("/-/pace", body).body)
+        response = await self._order("/-/pace", body)
+        return _decode_or_fail(_decode_clock_ms, response.body)
+
+    def close(self) -> None:
+        """Close the connections."""
+        self.reports.close()
+        self.orders.close()
 
 
 def _require_ok(response: jsonclient.JsonResponse) -> jsonclient.JsonResponse:
--- a/tests/fleetfakes.py
+++ b/tests/fleetfakes.py
@@ -1,5 +1,6 @@
 """In-memory fakes of the store and the workers, with injected faults."""
 
+import asyncio
 import dataclasses
 import threading
 import typing
@@ -179,7 +180,7 @@
         self.crashing: dict[str, float] = {}
         self.on_crash: typing.Callable[[], None] = lambda: None
         self.crashed = False
-        self.lock = threading.Condition()
+        self.lock = threading.RLock()
         self.fence = 0
         self.clock_offset_ms = 1000.0
         self.lease_end_ms = 0.0
@@ -214,9 +215,26 @@
             raise interfaces.OrderRejected(interfaces.FENCED)
         self.fence = fence
 
-    def renew(self, fence: int, recorded_upto: int,
-              lease_end_ms: float | None,
-              wait_ms: int) -> messages.WorkerReport:
+    async def renew(self, fence: int, recorded_upto: int,
+                    lease_end_ms: float | None,
+                    wait_ms: int) -> messages.WorkerReport:
+        born_ms = self._renew(fence, recorded_upto, lease_end_ms)
+        wait_until = clock.now() + min(wait_ms, 30) / 1000.0
+        while not self.ended and clock.now() < wait_until:
+            await asyncio.sleep(0.002)
+        with self.lock:
+            if self.crashed or self.born_ms != born_ms:
+                raise interfaces.ConnectionClosed("closed")
+            return messages.WorkerReport(
+                self.clock(),
+                tuple(messages.RunningTask(r.task, r.run, r.saved,
+                                           r.percent, r.figure)
+                      for r in self.runs.values()),
+                tuple(self.ended), self.born_ms)
+
+    def _renew(self, fence: int, recorded_upto: int,
+               lease_end_ms: float | None) -> int:
+        """Extend the leases; return the birth of the life that did."""
         with self.lock:
             self._check(fence)
             born_ms = self.born_ms
@@ -229,19 +247,10 @@
             self.ended = [e for e in self.ended
                           if e.number > recorded_upto]
             self.lease_end_ms = max(self.lease_end_ms, lease_end_ms or 0.0)
-            if wait_ms and not self.ended:
-                self.lock.wait(min(wait_ms, 30) / 1000.0)
-            if self.crashed or self.born_ms != born_ms:
-                raise interfaces.ConnectionClosed("closed")
-            return messages.WorkerReport(
-                self.clock(),
-                tuple(messages.RunningTask(r.task, r.run, r.saved,
-                                           r.percent, r.figure)
-                      for r in self.runs.values()),
-                tuple(self.ended), self.born_ms)
+            return born_ms
 
-    def start(self, order: messages.StartOrder, fence: int,
-              lease_end_ms: float) -> float:
+    async def start(self, order: messages.StartOrder, fence: int,
+                    lease_end_ms: float) -> float:
         with self.lock:
             self._check(fence)
             key = (order.task, order.run)
@@ -267,7 +276,6 @@
             self.crashed = True
             self.runs.clear()
             self.ended.clear()
-            self.lock.notify_all()
         self.on_crash()
 
     def restart(self, clock_offset_ms: float = 1000.0) -> None:
@@ -281,9 +289,8 @@
             self.ended.clear()
             self.ended_run.clear()
             self.crashed = self.unresponsive = False
-            self.lock.notify_all()
 
-    def stop(self, order: messages.StopOrder, fence: int) -> float:
+    async def stop(self, order: messages.StopOrder, fence: int) -> float:
         with self.lock:
             self._check(fence)
             self.ended_run[order.task] = max(self.ended_run.get(order.task, 0),
@@ -291,7 +298,7 @@
             self._end((order.task, order.run), "stopped")
             return self.clock()
 
-    def pace(self, order: messages.PaceOrder, fence: int) -> float:
+    async def pace(self, order: messages.PaceOrder, fence: int) -> float:
         with self.lock:
             self._check(fence)
             self.pace_orders.append(order)
@@ -315,7 +322,6 @@
         self.end_number += 1
         self.ended.append(messages.EndedTask(
             self.end_number, run.task, run.run, how, run.saved))
-        self.lock.notify_all()
 
 
 class MemoryWorkerList(interfaces.WorkerList):
--- a/tests/test_fleet_evacuations.py
+++ b/tests/test_fleet_evacuations.py
@@ -1,5 +1,6 @@
 """Test that nothing is started in data centres that are being evacuated."""
 
+import asyncio
 import dataclasses
 import random
 import threading
@@ -223,7 +224,7 @@
     attempts = 0
     on_start = staticmethod(lambda: None)
 
-    def start(self, order, fence, lease_end_ms):
+    async def start(self, order, fence, lease_end_ms):
         self.attempts += 1
         self.on_start()
         raise interfaces.CallFailed("no answer")
@@ -240,7 +241,7 @@
     link = link_mod.WorkerLink(
         fleetfakes.entry(1), worker, bench.state, lambda: True,
         lambda: True, lambda reason: None)
-    link._send_start(bench.orders[-1][1])
+    asyncio.run(link._send_start(bench.orders[-1][1]))
     assert worker.attempts == 1
     task = bench.state.jobs["j"].tasks[0, 0][0]
     assert task.phase == progress.STOPPING
--- a/tests/test_fleet_link.py
+++ b/tests/test_fleet_link.py
@@ -1,5 +1,6 @@
 """Test what a worker's link sends when the worker does not respond."""
 
+import asyncio
 import threading
 import time
 
@@ -8,6 +9,7 @@
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import link as link_mod
+from sycamorefield.fleet import loopthread
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import owner as owner_mod
 from sycamorefield.fleet import progress
@@ -25,7 +27,7 @@
         super().__init__(worker_id)
         self.on_start = on_start
 
-    def start(self, order, fence, lease_end_ms):
+    async def start(self, order, fence, lease_end_ms):
         self.on_start()
         raise interfaces.CallFailed("no answer")
 
@@ -45,7 +47,7 @@
 
     refusals = 0
 
-    def renew(self, fence, recorded_upto, lease_end_ms, wait_ms):
+    async def renew(self, fence, recorded_upto, lease_end_ms, wait_ms):
         self.refusals += 1
         assert self.refusals < 20, "called without end"
         raise interfaces.ConnectionRefused("connection refused")
@@ -107,7 +109,8 @@
     bench.add(fleetfakes.job("j"))
     rounds.place(bench.state, bench.now, 0)
     order = bench.orders[-1][1]
-    sending = threading.Thread(target=link._send_start, args=(order,))
+    sending = threading.Thread(
+        target=asyncio.run, args=(link._send_start(order),))
     with bench.state.lock:
         sending.start()
         assert checked.wait(5)
@@ -127,7 +130,7 @@
     order = bench.orders[-1][1]
     link = make_link(bench, StartLosingWorker(
         "i-0", lambda: bench.state.mark_unresponsive("i-0", "cut")))
-    link._send_start(order)
+    asyncio.run(link._send_start(order))
     task = bench.state.jobs["j"].tasks[0, 0][0]
     assert task.phase == progress.STOPPING
     assert isinstance(bench.orders[-1][1], messages.StopOrder)
@@ -147,7 +150,7 @@
         bench.state.workers["i-0"].has_reported = False
         bench.state.await_workers(["i-0"], bench.now + 100)
     link = make_link(bench, RefusingWorker("i-0"))
-    link._renew_leases()
+    asyncio.run(link._renew_leases())
     assert "i-0" not in bench.state.workers
     assert not bench.state.awaited_workers
     assert bench.state.jobs["j"].tasks[0, 0][0].phase == progress.IDLE
@@ -159,7 +162,8 @@
     bench.place()
     worker = fleetfakes.MemoryWorker("i-0")
     link = make_link(bench, worker)
-    link._handle_refusal(interfaces.ConnectionRefused("connection refused"))
+    asyncio.run(link._handle_refusal(
+        interfaces.ConnectionRefused("connection refused")))
     assert "i-0" in bench.state.workers
 
 
@@ -181,11 +185,11 @@
         super().__init__(worker_id)
         self.unanswered = unanswered
 
-    def stop(self, order, fence):
+    async def stop(self, order, fence):
         if self.unanswered:
             self.unanswered -= 1
             raise interfaces.CallFailed("no answer")
-        return super().stop(order, fence)
+        return await super().stop(order, fence)
 
 
 def test_stop_is_retried_until_it_is_acknowledged(bench, monkeypatch):
@@ -200,15 +204,15 @@
     bench.state.stop_run(task, "test")
     worker = StopIgnoringWorker("i-0", 100)
     link = make_link(bench, worker)
-    link.orders.put(bench.orders[-1][1])
-    thread = threading.Thread(target=link._send_orders)
-    thread.start()
+    link.put_order(bench.orders[-1][1])
+    loop_thread = loopthread.LoopThread()
+    link.start(loop_thread)
     for _ in range(500):
         if worker.ended_run:
             break
         time.sleep(0.01)
     link.close()
-    thread.join(5)
+    loop_thread.stop()
     assert worker.ended_run == {task.task: task.run}
 
 
@@ -220,14 +224,14 @@
     bench.state.stop_run(task, "test")
     worker = StopIgnoringWorker("i-0", 10 ** 6)
     link = make_link(bench, worker)
-    link.orders.put(bench.orders[-1][1])
-    link.orders.put(messages.PaceOrder(task.task, task.run, 50))
-    thread = threading.Thread(target=link._send_orders)
-    thread.start()
+    link.put_order(bench.orders[-1][1])
+    link.put_order(messages.PaceOrder(task.task, task.run, 50))
+    loop_thread = loopthread.LoopThread()
+    link.start(loop_thread)
     for _ in range(200):
         if worker.pace_orders:
             break
         time.sleep(0.01)
     link.close()
-    thread.join(5)
+    loop_thread.stop()
     assert worker.pace_orders
--- a/tests/test_fleet_orders.py
+++ b/tests/test_fleet_orders.py
@@ -8,6 +8,7 @@
 from sycamorefield.fleet import answers
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import link as link_mod
+from sycamorefield.fleet import loopthread
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import owner as owner_mod
 from sycamorefield.fleet import rounds
@@ -80,7 +81,7 @@
         messages.StopOrder(task, 1), messages.StopOrder(task, 2)]
     for order in orders:
         queue.put(order)
-    got = [queue.get() for _ in orders]
+    got = [queue.pop() for _ in orders]
     assert got == orders[3:] + orders[:3]
 
 
@@ -92,15 +93,15 @@
     link = link_mod.WorkerLink(
         fleetfakes.entry(0), worker, bench.state, lambda: True,
         lambda: True, lambda reason: None)
-    bench.state.send = lambda _, order: link.orders.put(order)
+    bench.state.send = lambda _, order: link.put_order(order)
     bench.add(fleetfakes.job("j"))
     rounds.place(bench.state, bench.now, 0)
     bench.state.cancel("j")
-    thread = threading.Thread(target=link._send_orders)
-    thread.start()
+    loop_thread = loopthread.LoopThread()
+    link.start(loop_thread)
     time.sleep(0.2)
     link.close()
-    thread.join()
+    loop_thread.stop()
     assert not worker.starts
     assert not bench.state.workers["i-0"].reserved
 
@@ -148,7 +149,8 @@
     one was used again 24 s after its end, and 14 not within the whole test
     day.
     """
-    monkeypatch.setattr(link_mod.WorkerLink, "start", lambda self: None)
+    monkeypatch.setattr(link_mod.WorkerLink, "start",
+                        lambda self, loop_thread: None)
     entries = tuple(fleetfakes.entry(n) for n in range(28))
     owner = owner_mod.Owner(
         fleetfakes.MemoryStore(), fleetfakes.MemoryWorkerList(entries),
--- a/tests/test_fleet_restarts.py
+++ b/tests/test_fleet_restarts.py
@@ -4,7 +4,7 @@
 fence, and numbers the ends of its runs from 1; its clock starts anew.
 """
 
-import threading
+import asyncio
 
 import pytest
 
@@ -61,7 +61,7 @@
 
 @pytest.mark.parametrize("clock_offset_ms", [
     0.5 * FIRST_OFFSET_MS, FIRST_OFFSET_MS, 1.5 * FIRST_OFFSET_MS],
-                         ids=["clock-back", "same-clock", "clock-ahead"])
+    ids=["clock-back", "same-clock", "clock-ahead"])
 @pytest.mark.parametrize("restart", [restart_quickly, restart_after_silence])
 def test_ends_on_a_restarted_worker_are_recorded(
         fleet, restart, clock_offset_ms, monkeypatch):
@@ -209,7 +209,7 @@
     if removed:
         crashes.worker_refused_connection(bench.state, "i-0")
         link = links._add_worker(entry(0, 2_000))
-        assert link.orders.get() == messages.StopOrder(TASK, 1)
+        assert link.orders.pop() == messages.StopOrder(TASK, 1)
         return
     bench.now += 0.2
     bench.report("i-0", born_ms=2_000)
@@ -228,17 +228,24 @@
         entry(0), worker, bench.state, lambda: True, lambda: True,
         lambda reason: None)
 
-    def die(order, fence, lease_end_ms):
+    refusals = []
+
+    async def die(order, fence, lease_end_ms):
         link.refusals = link_mod.REFUSALS_UNTIL_DEAD - 1
-        threading.Thread(target=link._handle_refusal, args=(
-            interfaces.ConnectionRefused("refused"),)).start()
+        refusals.append(asyncio.create_task(link._handle_refusal(
+            interfaces.ConnectionRefused("refused"))))
+        await asyncio.sleep(0)
         del worker.start
         raise interfaces.ConnectionClosed("closed")
 
+    async def send():
+        await link._send_start(bench.orders[-1][1])
+        await asyncio.gather(*refusals)
+
     worker.start = die
     bench.now += 0.1
     rounds.place(bench.state, bench.now, 1e12)
-    link._send_start(bench.orders[-1][1])
+    asyncio.run(send())
     assert not worker.starts or "i-0" in bench.state.workers
 
 
@@ -248,16 +255,19 @@
         entry(0), fleetfakes.MemoryWorker("i-0"), bench.state, lambda: True,
         lambda: True, lambda reason: None)
     bench.place()
-    link._handle_refusal(interfaces.ConnectionRefused("refused"))
-    bench.state.workers["i-0"].unresponsive = False
-    link.worker.start(messages.StartOrder(TASK, 1, ""), 10, 1e12)
-    link.start_lock.acquire()
-    refusal = threading.Thread(target=link._handle_refusal, args=(
-        interfaces.ConnectionRefused("refused"),))
-    refusal.start()
-    link.refusals = 0
-    link.start_lock.release()
-    refusal.join(5)
+    refused = interfaces.ConnectionRefused("refused")
+
+    async def be_refused_during_a_start():
+        await link._handle_refusal(refused)
+        bench.state.workers["i-0"].unresponsive = False
+        await link.worker.start(messages.StartOrder(TASK, 1, ""), 10, 1e12)
+        async with link.start_lock:
+            refusal = asyncio.create_task(link._handle_refusal(refused))
+            await asyncio.sleep(0)
+            link.refusals = 0
+        await refusal
+
+    asyncio.run(be_refused_during_a_start())
     assert "i-0" in bench.state.workers
 
 
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -1,5 +1,6 @@
 """Test placement on a fleet state, without network or threads."""
 
+import asyncio
 import dataclasses
 
 import pytest
@@ -390,10 +391,10 @@
         bench.place()
         assert len(bench.orders) == step.count
         for worker_id, order in bench.orders:
-            workers[worker_id].start(order, fence, 0.0)
+            asyncio.run(workers[worker_id].start(order, fence, 0.0))
         for worker_id, order in bench.orders:
-            workers[worker_id].stop(messages.StopOrder(
-                order.task, order.run), fence)
+            asyncio.run(workers[worker_id].stop(messages.StopOrder(
+                order.task, order.run), fence))
 
 
 @pytest.mark.parametrize("state", [
--- a/tests/test_fleet_takeover.py
+++ b/tests/test_fleet_takeover.py
@@ -363,7 +363,8 @@
 
     A successor that reads the stored list would not contact the worker.
     """
-    monkeypatch.setattr(link_mod.WorkerLink, "start", lambda self: None)
+    monkeypatch.setattr(link_mod.WorkerLink, "start",
+                        lambda self, loop_thread: None)
     fleet = Fleet()
     fence = fleet.store.commit(messages.Transaction(
         puts=(messages.Put(records.OWNER_KEY, b"me"),)))
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -1,5 +1,6 @@
 """Test the wire formats and the error handling of the platform adapter."""
 
+import asyncio
 import gc
 import io
 import json
@@ -193,12 +194,17 @@
         return 200, {"clock_ms": 1, "born": 1787187189000}
     server = platformfakes.FaultyServer(answer)
     worker = platform_worker(server)
-    assert worker.renew(7, 57, None, 0).born_ms == 1787187189000
-    worker.start(messages.StartOrder(TASK, 1, "s"), 7, 1.0)
-    worker.renew(7, 57, None, 0)
-    worker.reports.close()
-    worker.renew(7, 58, None, 0)
-    worker.renew(7, 58, None, 0)
+
+    async def call():
+        report = await worker.renew(7, 57, None, 0)
+        assert report.born_ms == 1787187189000
+        await worker.start(messages.StartOrder(TASK, 1, "s"), 7, 1.0)
+        await worker.renew(7, 57, None, 0)
+        worker.reports.close()
+        await worker.renew(7, 58, None, 0)
+        await worker.renew(7, 58, None, 0)
+
+    asyncio.run(call())
     assert acknowledged == [0, None, 57, 0, 58]
     server.close()
 
@@ -208,7 +214,8 @@
         "clock_ms": 482113, "running": [[f"{JOB_ID}.0.1.17", 2, "s", 41,
                                          17.0]],
         "ended": [[58, f"{JOB_ID}.0.1.9", 1, "done", ""]]})
-    report = platform_worker(server).renew(7, 57, 486000.7, 1000)
+    report = asyncio.run(
+        platform_worker(server).renew(7, 57, 486000.7, 1000))
     assert report.running == (messages.RunningTask(TASK, 2, "s", 41, 17.0),)
     assert report.ended[0].number == 58
     assert report.ended[0].how == messages.DONE
@@ -232,14 +239,14 @@
     server = worker_server(200, body)
     worker = platform_worker(server)
     with pytest.raises(interfaces.CallFailed, match="unreadable"):
-        worker.renew(7, 57, 486000.7, 0)
+        asyncio.run(worker.renew(7, 57, 486000.7, 0))
     if "clock_ms" not in body:
         for call in (lambda: worker.start(messages.StartOrder(
                 TASK, 1, "s"), 7, 1.0),
                 lambda: worker.stop(messages.StopOrder(TASK, 1), 7),
                 lambda: worker.pace(messages.PaceOrder(TASK, 1, 50), 7)):
             with pytest.raises(interfaces.CallFailed, match="unreadable"):
-                call()
+                asyncio.run(call())
     server.close()
 
 
@@ -255,8 +262,8 @@
 def test_rejected_orders_raise_distinct_errors(status, body, error, reason):
     server = worker_server(status, body)
     with pytest.raises(error) as caught:
-        platform_worker(server).start(
-            messages.StartOrder(TASK, 1, "spec"), 7, 100.0)
+        asyncio.run(platform_worker(server).start(
+            messages.StartOrder(TASK, 1, "spec"), 7, 100.0))
     assert getattr(caught.value, "reason", "") == reason
     server.close()
 
@@ -580,3 +587,84 @@
     value = bytes(range(256)) * (size // 256) + b"x" * (size % 256)
     store.commit(messages.Transaction(puts=(messages.Put("k", value),)))
     assert store.get("k").value == value
+
+
+@pytest.mark.parametrize(("fault", "error"), [
+    ("busy", interfaces.OrderRejected), ("silent", interfaces.CallFailed),
+    ("lost", interfaces.ConnectionClosed), ("reset", interfaces.CallFailed)])
+def test_unanswered_orders_raise_different_errors(fault, error):
+    server = worker_server(200, {"clock_ms": 1})
+    server.fault = fault
+    with pytest.raises(error) as caught:
+        asyncio.run(platform_worker(server).stop(
+            messages.StopOrder(TASK, 1), 7))
+    assert caught.type is error
+    server.close()
+
+
+def test_order_to_a_closed_port_raises_connection_refused():
+    worker = workers_mod.PlatformWorker(
+        fleetfakes.entry(1, address="127.0.0.1:9"))
+    with pytest.raises(interfaces.ConnectionRefused):
+        asyncio.run(worker.stop(messages.StopOrder(TASK, 1), 7))
+
+
+def test_answer_that_arrived_in_time_counts_however_busy_the_owner_is():
+    """Guards against a busy owner that takes answers for missing ones."""
+    server = worker_server(200, {"clock_ms": 5})
+
+    async def call_beside_a_long_round():
+        call = asyncio.create_task(
+            platform_worker(server).stop(messages.StopOrder(TASK, 1), 7))
+        await asyncio.sleep(0.05)
+        time.sleep(2 * workers_mod.ORDER_TIMEOUT_S)
+        return await call
+
+    server.fault = "slow"
+    assert asyncio.run(call_beside_a_long_round()) == 5.0
+    server.close()
+
+
+def test_connections_of_workers_are_reused_until_closed():
+    """Guards against a call on a connection that the worker has closed."""
+    server = worker_server(200, {"clock_ms": 5})
+    client_addresses = set()
+    respond = server.respond
+
+    def record_socket(call):
+        client_addresses.add(call.client_address)
+        respond(call)
+        call.close_connection = len(server.calls) == 3
+    server.respond = record_socket
+    worker = platform_worker(server)
+
+    async def call():
+        for _ in range(3):
+            await worker.stop(messages.StopOrder(TASK, 1), 7)
+        await asyncio.sleep(0.05)
+        await worker.stop(messages.StopOrder(TASK, 1), 7)
+
+    asyncio.run(call())
+    assert len(client_addresses) == 2
+    server.close()
+
+
+def test_number_of_idle_order_connections_is_bounded():
+    """Guards against an owner of many workers without file descriptors."""
+    servers = [worker_server(200, {"clock_ms": 5}) for _ in range(5)]
+    idle_clients = workers_mod.idle_order_clients(20)
+    workers = [workers_mod.PlatformWorker(
+        fleetfakes.entry(n, address=server.address), idle_clients)
+        for n, server in enumerate(servers)]
+
+    async def call():
+        for worker in workers + workers[3:]:
+            await worker.stop(messages.StopOrder(TASK, 1), 7)
+        return [worker.orders.connection is not None for worker in workers]
+
+    assert asyncio.run(call()) == [False, False, True, True, True]
+    for worker in workers:
+        worker.close()
+    assert not idle_clients.clients
+    for server in servers:
+        server.close()
