Count waiting jobs from the store while no owner does

Cause: the number of waiting jobs is stored by the owner. Ruled out: refusing the status (it must be readable); counting always (a large read each time).

--- a/sycamorefield/fleet/controlwatcher.py
+++ b/sycamorefield/fleet/controlwatcher.py
@@ -53,6 +53,11 @@
         """Return the latest configuration read from the store."""
         return self.latest_configuration
 
+    def owner_claim(self) -> int | None:
+        """Return the revision at which the owner claimed the fleet, if any."""
+        item = self.owner_item
+        return None if item is None else item.revision
+
     def run(self) -> None:
         """List and watch the keys until stopped.
 
--- a/sycamorefield/fleet/jobrequests.py
+++ b/sycamorefield/fleet/jobrequests.py
@@ -14,6 +14,7 @@
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import records
+from sycamorefield.fleet import waitingcounts
 
 # A write that the store refuses (nothing is stored) is attempted this many
 # times before the caller is told to retry later: a single 429 is over in
@@ -73,8 +74,11 @@
     """Handle callers' requests to submit, cancel and query jobs."""
 
     def __init__(self, store: interfaces.Store,
-                 store_unresponsive: typing.Callable[[], bool]) -> None:
+                 store_unresponsive: typing.Callable[[], bool],
+                 owner_claim: waitingcounts.OwnerClaim) -> None:
         self.store = store
+        self.waiting_counts = waitingcounts.WaitingCounts(
+            store, self._read, owner_claim)
         # Returns whether the store has been unresponsive for some time.
         self.store_unresponsive = store_unresponsive
         # Set by a write without an answer, cleared by an answered call.
@@ -186,10 +190,7 @@
 
     def waiting_count(self, queue: str) -> int:
         """Return the number of waiting jobs in a queue; raises CallFailed."""
-        item = self._read(records.WAITING_JOBS_KEY)
-        if item is None:
-            return 0
-        return int(records.decode_mapping(item.value).get(queue, 0))
+        return self.waiting_counts.count(queue)
 
     def _read(self, key: str) -> messages.Item | None:
         """Read a key, or fail at once while the store is unresponsive.
--- a/sycamorefield/platform/daemon.py
+++ b/sycamorefield/platform/daemon.py
@@ -56,7 +56,7 @@
             self.store, configuration.KEY, configuration.decode,
             configuration.EvacuationDecoder(settings.zones))
         self.job_requests = jobrequests_mod.JobRequestHandler(
-            self.store, self._store_unresponsive)
+            self.store, self._store_unresponsive, self.watcher.owner_claim)
         self.advice = (advice_mod.PlatformAdvice(settings.advice)
                        if settings.advice else None)
         self.ownership = ownership_mod.Ownership(
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -305,7 +305,7 @@
         self.store_unresponsive = False
         self.front = front_mod.FrontApp(
             jobrequests_mod.JobRequestHandler(
-                store, lambda: self.store_unresponsive),
+                store, lambda: self.store_unresponsive, lambda: None),
             lambda: self.config, lambda: True,
             lambda: self.stopping, lambda: "metric 1\n")
 
