Rank at most 256 candidates for a step of a large fleet

Cause: each step was ranked against every worker. At 3,000 workers a round with 7 new steps took 109 ms, nearly all of it in ranking, and the pause after it as long again: urgent tasks waited for the owner, not for room. Kept: 256, the largest that leaves fleets of 246 workers as they are. The others are ranked once none of these fits, so nothing waits although a worker has room; steps with data nearby rank all. The places of the first ones fill up first, which packs.

--- a/sycamorefield/fleet/placing.py
+++ b/sycamorefield/fleet/placing.py
@@ -1,6 +1,7 @@
 """Choose workers for tasks, and runs to preempt for urgent tasks."""
 
 import heapq
+import sys
 import typing
 
 from sycamorefield.fleet import interference
@@ -102,32 +103,62 @@
             *_packing_rank(worker, step, model))
 
 
+# On a large fleet, a step is placed on the best of this many workers that fit,
+# not of all: ranking thousands of workers for each step takes an owner all of
+# its time, so that every task waits.  All workers of a fleet of hundreds are
+# ranked.
+MAX_CANDIDATES = 256
+
+
 class Ranking:
     """Choose workers for the tasks of a step, one after the other.
 
-    The result is the same as that of choose() for each task, but all workers
-    are ranked only once: searching them for each of dozens of tasks takes most
-    of the time of a round that starts these tasks.  Valid only while no
-    workers change but those it chose, and for tasks that avoid no worker.
+    The result is the same as that of choose() for each task, but workers are
+    ranked only once: searching them for each of dozens of tasks takes most of
+    the time of a round that starts these tasks.  Valid only while no workers
+    change but those it chose, and for tasks that avoid no worker.
+
+    At most max_candidates workers that fit are ranked at a time, in the order
+    given, and the others once none of these fits any more.
     """
 
     def __init__(self, task: progress.TaskState, service: str,
                  workers: typing.Iterable[workerstate.WorkerState],
-                 model: interference.InterferenceModel) -> None:
+                 model: interference.InterferenceModel,
+                 max_candidates: int = MAX_CANDIDATES) -> None:
         self.task = task
         self.service = service
         self.model = model
+        # The few workers near a task's data may be anywhere among them.
+        self.max_candidates = (
+            max_candidates if not task.step.affinity else sys.maxsize)
+        self.unranked = enumerate(workers)
         # Best first; ties are broken by the order of the workers.
         self.heap: list[tuple[Rank, int, int,
                               workerstate.WorkerState]] = []
-        for position, worker in enumerate(workers):
-            rank = _rank(worker, task, service, model)
+        self._rank_more()
+
+    def _rank_more(self) -> None:
+        """Rank workers until enough fit; the heap is empty."""
+        for position, worker in self.unranked:
+            rank = _rank(worker, self.task, self.service, self.model)
             if rank is not None:
                 self.heap.append(_heap_entry(rank, position, worker))
+                if len(self.heap) >= self.max_candidates:
+                    break
         heapq.heapify(self.heap)
 
     def best(self) -> workerstate.WorkerState | None:
         """Return the best worker at present, or None if there is none."""
+        found = self._best_of_ranked()
+        while found is None:
+            self._rank_more()
+            if not self.heap:
+                return None
+            found = self._best_of_ranked()
+        return found
+
+    def _best_of_ranked(self) -> workerstate.WorkerState | None:
         while self.heap:
             _, position, change_number, worker = self.heap[0]
             if worker.change_number == change_number:
--- a/sycamorefield/platform/workerconnections.py
+++ b/sycamorefield/platform/workerconnections.py
@@ -56,6 +56,8 @@
 
     def __init__(self, sock: socket.socket) -> None:
         self.sock = sock
+        # The loop takes longer for a socket than for its descriptor.
+        self.descriptor = sock.fileno()
         self.poller = select.poll()
         self.poller.register(sock, select.POLLIN)
         self.parser = responses.ResponseParser()
@@ -72,12 +74,12 @@
         answered: Answer = loop.create_future()
         try:
             await self._write(request, timeout_s)
-            loop.add_reader(self.sock, self._read, answered)
+            loop.add_reader(self.descriptor, self._read, answered)
             return await _wait(answered, timeout_s)
         except OSError as exc:
             raise interfaces.CallFailed(f"no answer: {exc!r}") from exc
         finally:
-            loop.remove_reader(self.sock)
+            loop.remove_reader(self.descriptor)
 
     async def _write(self, request: bytes, timeout_s: float) -> None:
         try:
