--- a/sycamorefield/fleet/crashes.py
+++ b/sycamorefield/fleet/crashes.py
@@ -6,6 +6,7 @@
 
 from sycamorefield import events
 from sycamorefield.fleet import clock
+from sycamorefield.fleet import failures as failures_mod
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import state as state_mod
@@ -200,14 +201,14 @@
 
 def _simultaneous_failures(fleet: state_mod.FleetState,
                            worker: workerstate.WorkerState,
-                           ended_at: float) -> list[state_mod.FailedWorker]:
+                           ended_at: float) -> list[failures_mod.FailedWorker]:
     """Return the failures of other workers at the time of a worker's end.
 
     Workers in quarantine are left out: many of them may be crashed at once by
     tasks that are tried at the same time.
     """
-    failures = list(fleet.recent_failures)
-    failures += [fleet.failure_of(other, ended_at)
+    failures = list(fleet.failures.recent)
+    failures += [fleet.failures.describe(other, ended_at)
                  for other in fleet.workers.values()
                  if other.unresponsive and other is not worker
                  and not other.was_draining()]
@@ -216,12 +217,12 @@
 
 
 def _has_common_cause(fleet: state_mod.FleetState,
-                      failures: list[state_mod.FailedWorker],
+                      failures: list[failures_mod.FailedWorker],
                       job_id: str) -> bool:
     """Return whether more workers failed at once than a job can explain."""
     unexplained = sum(not failure.has_recent_run_of_job(job_id)
                       for failure in failures)
-    worker_count = len(fleet.workers) + len(fleet.recent_failures)
+    worker_count = len(fleet.workers) + len(fleet.failures.recent)
     return (unexplained >= MIN_COMMON_FAILURES
             and unexplained > COMMON_FAILURE_RATIO * worker_count)
 
@@ -248,7 +249,7 @@
     lost_count += sum(
         ended_worker.rack == rack and ended_worker.at >= window_start
         and exposed.task.task not in ended_worker.recent_tasks
-        for ended_worker in fleet.recent_failures)
+        for ended_worker in fleet.failures.recent)
     responsive_count = sum(
         w.has_reported and not w.unresponsive for w in rack_peers)
     return lost_count > responsive_count
--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -170,6 +170,15 @@
             finish_ms.append(start_ms + duration_ms)
         return max(finish_ms)
 
+    def ready_tasks(self) -> typing.Iterator[list[TaskState]]:
+        """Yield the tasks that wait only for capacity, step by step."""
+        for (occurrence, step), tasks in self.tasks.items():
+            if self.step_ready(occurrence, step):
+                idle = [task for task in tasks
+                        if task.phase == IDLE and not task.done]
+                if idle:
+                    yield idle
+
     def create_tasks(self, occurrence: int) -> None:
         """Create the tasks of an occurrence unless they exist."""
         for index, step in enumerate(self.job.steps):
--- a/sycamorefield/fleet/restarts.py
+++ b/sycamorefield/fleet/restarts.py
@@ -2,9 +2,9 @@
 
 from sycamorefield import events
 from sycamorefield.fleet import crashes
+from sycamorefield.fleet import failures
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import progress
-from sycamorefield.fleet import runlog
 from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import workerstate
 
@@ -29,7 +29,7 @@
         if fleet.is_current(worker, task, run[1]):
             task.reset_run()
         worker.release(run, task.step)
-    fleet.note_failure(worker, now)
+    fleet.failures.note(worker, now)
     fleet.advice.forget_worker(worker.entry.worker_id)
     worker.begin_life(report.born_ms, now)
     # The new life has taken the ends of leases that were meant for the clock
@@ -58,19 +58,12 @@
                  report: messages.WorkerReport,
                  lost: list[tuple[progress.TaskState, int]],
                  now: float) -> None:
-    worker_id = worker.entry.worker_id
-    events.emit(events.WORKER_RESTARTED, worker=worker_id,
+    events.emit(events.WORKER_RESTARTED, worker=worker.entry.worker_id,
                 born_ms=report.born_ms, earlier_born_ms=worker.born_ms,
                 last_end=worker.last_processed_end, clock_ms=report.clock_ms,
                 earlier_clock_ms=worker.clock_ms, runs=len(worker.reserved))
-    events.emit(events.WORKER_RUNS_LOST, worker=worker_id,
-                born_ms=worker.born_ms, last_end=worker.last_processed_end,
-                reason="started again", rack=worker.entry.rack(),
-                listed=worker.listed, draining=worker.was_draining(),
-                lost=len(lost),
-                silent_s=(round(now - worker.unresponsive_since, 3)
-                          if worker.unresponsive else 0.0),
-                runs=runlog.lost_run_rows(lost, now))
+    failures.log_lost_runs(worker, "started again", worker.was_draining(),
+                           len(lost), lost, now)
 
 
 def _repeat_stops(fleet: state_mod.FleetState,
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -15,6 +15,8 @@
 from sycamorefield.fleet import advice
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import demand
+from sycamorefield.fleet import endedlives
+from sycamorefield.fleet import failures
 from sycamorefield.fleet import interference
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import pacer
@@ -33,51 +35,11 @@
 # workers accepted a call from it within this period, in seconds: otherwise a
 # successor may already have fenced them.
 QUORUM_WINDOW_S = 1.5
-# A worker's entry expires after three missed heartbeats, about 1.1 s apart,
-# plus a lag of 0.8 s.  Until then the worker list may still contain a worker
-# that is known to have ended.
-ENTRY_TTL_S = 5.0
-# Stands for the birth of a life that may not have ended.
-NOT_ENDED = -1
-# How long the last life of a worker is remembered: an order to it that had no
-# answer may be carried out twelve seconds later.
-ENDED_LIFE_TTL_S = 15.0
 # A reduced capacity of a worker becomes binding 3 s after it shrank.  No task
 # is started on the basis of a worker list older than this, in seconds.
 MAX_LIST_AGE_S = 2.8
 # A worker is listed as draining for at least this long before it leaves.
 DRAIN_NOTICE_S = 2.0
-# How long failures of workers are kept to detect failures of whole racks.
-FAILURE_RETENTION_S = 5.0
-
-
-class EndedLife(typing.NamedTuple):
-    """A life of a worker that was removed, and when.
-
-    uncertain_runs are runs whose start had no answer.
-    """
-
-    born_ms: int
-    at: float
-    uncertain_runs: tuple[workerstate.RunId, ...]
-
-
-class FailedWorker(typing.NamedTuple):
-    """A worker that ended without draining, and when.
-
-    recent_tasks had started runs on it in its last seconds.  They are not
-    known if the worker never reported to this owner, and explain nothing if
-    it was quarantined: then is_evidence is False.
-    """
-
-    rack: str
-    at: float
-    is_evidence: bool
-    recent_tasks: frozenset[messages.TaskId]
-
-    def has_recent_run_of_job(self, job_id: str) -> bool:
-        """Return whether a task of a job had just started on it."""
-        return any(task.job_id == job_id for task in self.recent_tasks)
 
 
 class FleetState:
@@ -103,16 +65,13 @@
         # The lists of workers in use that a successor may read from the
         # store: several while the outcome of a write is unknown.
         self.possible_worker_lists: list[frozenset[str]] = [frozenset()]
-        # The last lives of workers that were removed: they may still be
-        # listed, or start again under their ID.
-        self.ended_lives: dict[str, EndedLife] = {}
-        # Workers that ended without draining first.
-        self.recent_failures: list[FailedWorker] = []
+        self.ended_lives = endedlives.EndedLives()
         # When the worker list was last read, and since when it has been read
         # often enough not to miss a draining worker.
         self.list_read_at = math.inf
         self.drains_visible_since = -math.inf
         self.trials = quarantines.Quarantines()
+        self.failures = failures.Failures(self.trials)
         # Whether the store has been unreachable for longer than the owner's
         # lease, so that a successor may exist.
         self.store_unreachable = False
@@ -242,7 +201,7 @@
         worker that was removed by mistake would be started a second time.
         """
         with self.lock:
-            if self._is_of_ended_life(entry):
+            if self.ended_lives.includes(entry):
                 return False
             known = self.workers.get(entry.worker_id)
             if known is not None:
@@ -260,21 +219,6 @@
             self.request_round()
             return True
 
-    def _is_of_ended_life(self, entry: messages.WorkerEntry) -> bool:
-        """Return whether an entry is left over from a life that has ended."""
-        ended = self.ended_lives.get(entry.worker_id)
-        return ended is not None and entry.born_ms == ended.born_ms
-
-    def take_uncertain_runs(self, worker_id: str
-                            ) -> tuple[workerstate.RunId, ...]:
-        """Return the runs that an ended life of a worker may have started.
-
-        They are returned only once.
-        """
-        with self.lock:
-            ended = self.ended_lives.pop(worker_id, None)
-            return ended.uncertain_runs if ended is not None else ()
-
     def update_listed(self, listed: set[str], read_at: float) -> None:
         """Update which workers are listed, from a list read at read_at."""
         with self.lock:
@@ -373,10 +317,7 @@
         with self.lock:
             self.awaited_workers.pop(worker_id, None)
             worker = self.workers.get(worker_id)
-            self.ended_lives[worker_id] = EndedLife(
-                worker.last_known_born_ms() if worker is not None else 0,
-                clock.now(),
-                worker.uncertain_runs() if worker is not None else ())
+            self.ended_lives.add_ended(worker_id, worker, clock.now())
             if worker is not None:
                 self._remove_worker(worker, reason)
             self.request_round()
@@ -395,18 +336,11 @@
                        reason: str) -> None:
         worker_id = worker.entry.worker_id
         now = clock.now()
-        events.emit(
-            events.WORKER_RUNS_LOST, worker=worker_id, reason=reason,
-            born_ms=worker.born_ms, last_end=worker.last_processed_end,
-            rack=worker.entry.rack(), listed=worker.listed,
-            draining=worker.entry.draining, lost=len(worker.reserved),
-            silent_s=(round(now - worker.unresponsive_since, 3)
-                      if worker.unresponsive else 0.0),
-            runs=runlog.lost_run_rows(((task, run) for (_, run), task
-                                       in worker.tasks.items()), now))
-        self.note_failure(worker, now)
-        self.ended_lives.setdefault(worker_id, EndedLife(
-            NOT_ENDED, now, worker.uncertain_runs()))
+        failures.log_lost_runs(
+            worker, reason, worker.entry.draining, len(worker.reserved),
+            ((task, run) for (_, run), task in worker.tasks.items()), now)
+        self.failures.note(worker, now)
+        self.ended_lives.add_removed(worker, now)
         self.advice.forget_worker(worker_id)
         self.workers.pop(worker_id, None)
         self.awaited_workers.pop(worker_id, None)
@@ -416,25 +350,6 @@
         worker.reserved.clear()
         self.round_needed = True
 
-    def note_failure(self, worker: workerstate.WorkerState,
-                     now: float) -> None:
-        """Remember the end of a worker that was not draining."""
-        if not worker.was_draining():
-            self.recent_failures.append(self.failure_of(worker, now))
-
-    def failure_of(self, worker: workerstate.WorkerState,
-                   now: float) -> FailedWorker:
-        """Describe the failure of a worker that ends now or is silent."""
-        at, recent_tasks = worker.unresponsive_since, worker.recent_tasks
-        if not worker.unresponsive:
-            at = now
-            recent_tasks = worker.find_recent_tasks(
-                now - suspicion.MAX_SUSPECT_AGE_S)
-        is_evidence = (worker.has_reported and worker.entry.worker_id
-                       not in self.trials.by_worker)
-        return FailedWorker(
-            worker.entry.rack(), at, is_evidence, recent_tasks)
-
     def expire(self, now: float) -> None:
         """Remove workers that have left or whose leases have expired.
 
@@ -458,10 +373,8 @@
                         and (worker.entry.worker_id
                              not in self.awaited_workers)):
                     self._remove_worker(worker, "neither listed nor answering")
-            self._forget_ended_lives(now)
-            self.recent_failures = [
-                failure for failure in self.recent_failures
-                if now - failure.at <= FAILURE_RETENTION_S]
+            self.ended_lives.forget_old(now)
+            self.failures.forget_old(now)
             self._shorten_deadlines(now)
             for worker_id, until in list(self.awaited_workers.items()):
                 if now >= until and lease_held:
@@ -472,15 +385,6 @@
             if self.round_needed:
                 self.request_round()
 
-    def _forget_ended_lives(self, now: float) -> None:
-        """Forget ended lives whose entries and orders have expired."""
-        for worker_id, ended in list(self.ended_lives.items()):
-            if now - ended.at > ENDED_LIFE_TTL_S:
-                del self.ended_lives[worker_id]
-            elif now - ended.at > ENTRY_TTL_S:
-                self.ended_lives[worker_id] = ended._replace(
-                    born_ms=NOT_ENDED)
-
     def _shorten_deadlines(self, now: float) -> None:
         """Wait less for the remaining workers once most have reported.
 
--- a/sycamorefield/fleet/usage.py
+++ b/sycamorefield/fleet/usage.py
@@ -70,7 +70,7 @@
         with fleet.lock:
             priority = state.job.priority
             waiting[priority] = (waiting.get(priority, 0)
-                                 + _count_ready(state))
+                                 + sum(map(len, state.ready_tasks())))
             if state.long_running:
                 down_tasks += _down_tasks(state)
                 longest_down_s = max(longest_down_s, state.downtime_s(now))
@@ -98,13 +98,6 @@
             max((t.step.room.cpu for t in down_tasks), default=0) / 1000.0)
 
 
-def _count_ready(state: progress.JobState) -> int:
-    """Return how many tasks of a job wait only for capacity."""
-    return sum(1 for (occurrence, step), tasks in state.tasks.items()
-               if state.step_ready(occurrence, step) for t in tasks
-               if t.phase == progress.IDLE and not t.done)
-
-
 def _down_tasks(state: progress.JobState) -> list[progress.TaskState]:
     return [task for task in state.all_tasks()
             if task.phase == progress.IDLE and task.has_run]
--- a/sycamorefield/fleet/waitinglog.py
+++ b/sycamorefield/fleet/waitinglog.py
@@ -45,7 +45,7 @@
         rows = []
         for state in states:
             with fleet.lock:
-                for tasks in _waiting_steps(state):
+                for tasks in state.ready_tasks():
                     step_id = tasks[0].task.step_id()
                     since = self.waiting_since.get(step_id, now)
                     waiting[step_id] = since
@@ -56,17 +56,6 @@
         return rows[:STEPS_PER_LINE]
 
 
-def _waiting_steps(state: progress.JobState
-                   ) -> typing.Iterator[list[progress.TaskState]]:
-    """Yield the ready tasks without a run of each step that has any."""
-    for (occurrence, step), tasks in state.tasks.items():
-        if state.step_ready(occurrence, step):
-            idle = [task for task in tasks
-                    if task.phase == progress.IDLE and not task.done]
-            if idle:
-                yield idle
-
-
 def _row(fleet: "state_mod.FleetState", tasks: list[progress.TaskState],
          waited_s: float) -> WaitingRow:
     suspected = sum(1 for task in tasks if task.needs_quarantine_run()
--- a/sycamorefield/fleet/workerlinks.py
+++ b/sycamorefield/fleet/workerlinks.py
@@ -91,7 +91,10 @@
             entry, self.connect(entry), self.fleet, self.may_act,
             self.may_lease, self.step_down)
         self.links[entry.worker_id] = link
-        for task, run in self.fleet.take_uncertain_runs(entry.worker_id):
+        with self.fleet.lock:
+            uncertain_runs = self.fleet.ended_lives.take_uncertain_runs(
+                entry.worker_id)
+        for task, run in uncertain_runs:
             # The start may have been sent to the life before and may still
             # be executed, now by this life.
             link.put_order(messages.StopOrder(task, run))
--- a/tests/test_fleet_link.py
+++ b/tests/test_fleet_link.py
@@ -7,6 +7,7 @@
 import pytest
 
 from sycamorefield.fleet import clock
+from sycamorefield.fleet import endedlives
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import link as link_mod
 from sycamorefield.fleet import loopthread
@@ -14,7 +15,6 @@
 from sycamorefield.fleet import owner as owner_mod
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import rounds
-from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import workerstate
 from tests import fleetfakes
 from tests import test_fleet_state
@@ -174,7 +174,7 @@
     """
     bench.state.mark_dead("i-0", "nobody listens at its address")
     assert not bench.state.add_worker(fleetfakes.entry(0))
-    bench.state.expire(clock.now() + state_mod.ENTRY_TTL_S + 0.1)
+    bench.state.expire(clock.now() + endedlives.ENTRY_TTL_S + 0.1)
     assert bench.state.add_worker(fleetfakes.entry(0))
 
 
