Let the stub workers of the starts bench report their capacity

Cause: they reported none, so each decision divided by zero in the cell's thread; the bench printed a rate of 0 and ended with 0. Change: they report what their options say; the bench ends with 1 if a rate started nothing.

--- a/bench/starts.py
+++ b/bench/starts.py
@@ -39,6 +39,8 @@
 OWNED_CELLS = 8
 TASK_DURATION_S = 0.3
 MAX_WRITES_PER_S = 300
+# More than all tasks of a run need.
+CAPACITY = pb.Resources(cpus=1e6, memory_mb=10**9)
 
 
 class StubWorker(pb_grpc.WorkerServicer):
@@ -96,7 +98,8 @@
                 state="done" if t in ended else "running")
                 for t in listed]
             self.reported_ends |= ended
-        return pb.ReportReply(tasks=tasks, fence_seen=request.fence,
+        return pb.ReportReply(tasks=tasks, capacity=CAPACITY,
+                              fence_seen=request.fence,
                               sequence=1, incarnation=1,
                               full=not request.seen)
 
@@ -135,7 +138,7 @@
         servers.append(server)
         workers.append(options.WorkerSpec(
             f"w{index}", "z", "r", port, 0,
-            options.Capacity(1e6, 10**9, 0), 10**6))
+            options.Capacity(CAPACITY.cpus, CAPACITY.memory_mb, 0), 10**6))
     return workers, servers
 
 
@@ -226,7 +229,7 @@
             store.terminate()
             store.wait()
     output.write(args.out, results)
-    return 0
+    return 0 if all(row["started_per_s"] for row in results) else 1
 
 
 if __name__ == "__main__":
