--- a/tests/test_fleet_evacuations.py
+++ b/tests/test_fleet_evacuations.py
@@ -303,7 +303,7 @@
     assert not bench.state.active
 
 
-def test_evacuations_reach_the_sending_threads_at_once():
+def test_orders_sent_by_another_thread_follow_an_evacuation_at_once():
     """Guards against a start sent by a thread that uses an old state."""
     bench = make_bench(2)
     bench.add(fleetfakes.job("j", messages.Step(8, STEP.room)))
