Renew the owner's lease in the test of many workers

With 60 more threads in the process it fails each time (31 s), without an unexpected error: the term ends with 'store unreachable for too long'. Change: the lease is renewed as in the tests of crashes; and the bound counts the threads that the test adds, not those that earlier tests left. Ruled out: the bound on threads itself (no SF1831 in the trace).

--- a/tests/test_fleet_many_workers.py
+++ b/tests/test_fleet_many_workers.py
@@ -6,6 +6,7 @@
 
 from sycamorefield.fleet import messages
 from tests import fleetfakes
+from tests import test_fleet_crashes
 from tests import test_fleet_takeover
 
 WORKERS = 1500
@@ -15,11 +16,16 @@
 
 @pytest.fixture(name="bounded_threads")
 def fixture_bounded_threads(monkeypatch):
-    """Refuse more threads than MAX_THREADS, as the system does."""
+    """Refuse more than MAX_THREADS new threads, as the system does.
+
+    Threads that earlier tests left behind don't count.
+    """
     start = threading.Thread.start
+    earlier_threads = set(threading.enumerate())
 
     def start_if_allowed(thread):
-        if threading.active_count() >= MAX_THREADS:
+        new_threads = set(threading.enumerate()) - earlier_threads
+        if len(new_threads) >= MAX_THREADS:
             raise RuntimeError("can't start new thread")
         start(thread)
 
@@ -31,6 +37,9 @@
     monkeypatch.setattr(test_fleet_takeover, "WAIT_S", 30.0)
     fleet = test_fleet_takeover.Fleet(WORKERS)
     owner = fleet.take_over()
+    # An owner whose lease is not renewed ends its term after 8 s.
+    threading.Thread(target=test_fleet_crashes.CrashingFleet._renew,
+                     args=(owner,), daemon=True).start()
     try:
         for number in range(JOB_COUNT):
             fleet.submit(fleetfakes.job(f"j{number}", messages.Step(
