Log why ready tasks wait, and runs that nothing confirms

Cause: a step that is ready and does not start was named every 10 s (SF1842), but not what holds it; a task that the owner takes for starting, stopping or running was in no line at all.

Change: SF1842 names the reason of each step, counts the workers that can't be used by reason for the five longest waits, and tells the age of the last round and worker list. SF1845 names runs whose start, stop or worker has been in doubt for 10 s, and workers whose reserved capacity is not the sum of their runs. Metrics runs_in_doubt and round_age_s. Nothing is decided by these lines.

--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -136,6 +136,8 @@
     "SF1843", INFO, "evacuation of a data centre requested")
 EVACUATION_ENDED = Event(
     "SF1844", INFO, "evacuation of a data centre taken back")
+RUNS_IN_DOUBT = Event(
+    "SF1845", WARNING, "runs count as current without confirmation")
 
 INVARIANT_BROKEN = Event("SF1601", ERROR, "invariant broken")
 
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -7,6 +7,7 @@
 
 from sycamorefield import events
 from sycamorefield.fleet import clock
+from sycamorefield.fleet import doubtfulruns
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import jobwatcher as jobwatcher_mod
 from sycamorefield.fleet import messages
@@ -76,6 +77,9 @@
         self.usage: usage_mod.Usage | None = None
         self.round_times = usage_mod.RoundTimes()
         self.waiting_log = waitinglog.WaitingLog()
+        self.doubtful_runs = doubtfulruns.DoubtfulRuns()
+        # When the last round of placing ended.
+        self.round_ended_at = self.started_at
         self.recorder = recorder_mod.Recorder(
             store, self.fleet, records.OWNER_KEY, self.may_act,
             self.step_down, self._acknowledge_ends)
@@ -180,7 +184,9 @@
             "rounds_waited_s_total": self.round_times.waited_s,
             "round_longest_s": self.round_times.longest_s,
             "runs_ordered_total": float(self.fleet.run_log.ordered_total),
-            "runs_ended_total": float(self.fleet.run_log.ended_total)}
+            "runs_ended_total": float(self.fleet.run_log.ended_total),
+            "runs_in_doubt": float(self.doubtful_runs.count),
+            "round_age_s": now - self.round_ended_at}
         if self.usage is not None:
             usage_gauges = dataclasses.asdict(self.usage)
             for priority, count in usage_gauges.pop("waiting").items():
@@ -241,7 +247,9 @@
                    ) -> usage_mod.RoundTimes:
         """Log the utilisation; return the rounds counted so far."""
         self.usage = usage_mod.measure(self.fleet, clock.now())
-        self.waiting_log.update(self.fleet, clock.now())
+        self.waiting_log.update(self.fleet, clock.now(),
+                                clock.now() - self.round_ended_at)
+        self.doubtful_runs.update(self.fleet, clock.now())
         times = dataclasses.replace(self.round_times)
         events.emit(events.FLEET_USAGE, **dataclasses.asdict(self.usage),
                     **times.since(previous_times), fence=self.fence,
@@ -264,7 +272,7 @@
                 self.stepped_down.wait(MAX_IDLE_S)
                 continue
             rounds.place(self.fleet, started_at, clock.wall_ms())
-            ended_at = clock.now()
+            ended_at = self.round_ended_at = clock.now()
             round_s = ended_at - started_at
             self.round_times.add(waited_s, round_s)
             self.stepped_down.wait(min(MAX_ROUND_GAP_S, max(
--- /dev/null
+++ b/sycamorefield/fleet/waitingreasons.py
@@ -0,0 +1,116 @@
+"""Find out why tasks that are ready do not start."""
+
+import collections
+import typing
+
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import placing
+from sycamorefield.fleet import progress
+from sycamorefield.fleet import quarantines
+from sycamorefield.fleet import workerstate
+
+if typing.TYPE_CHECKING:
+    from sycamorefield.fleet import state as state_mod
+
+# Reasons that concern a step as a whole.  The first that holds is given.
+AWAITED_WORKERS = "workers of an earlier owner have not reported"
+OWN_LEASE = "the owner's lease had expired when it learned of the job"
+GANG_INCOMPLETE = "other members of the gang have not ended"
+DELAYED = "delayed after a failure or rejection"
+SKIPPED = "rounds skip the job"
+QUARANTINE_PENDING = "waits for a worker to be quarantined"
+QUARANTINE_RESTORED = "quarantine of an earlier owner is undecided"
+QUARANTINE_NOT_READY = "quarantine has not started"
+# The last of them: the search for workers tells more.
+NO_WORKER = "no worker found"
+
+# Reasons that exclude a worker, in the order in which they are checked.
+NOT_LISTED = "not listed"
+DRAINING = "draining"
+EVACUATED = "evacuated"
+OTHER_SERVICE = "other service"
+SILENT = "silent"
+NOT_REPORTED = "not reported"
+NOT_ENROLLED = "not enrolled"
+OTHER_LIFE = "entry of another life"
+RESTARTED_WITHOUT_LEASE = "restarted while the owner had no lease"
+QUARANTINED = "quarantined"
+AVOIDED = "avoided"
+NOT_ALLOWED = "label or runs per worker"
+UNSENT_STARTS = "too many unsent starts"
+FULL = "full"
+# Not excluded: if tasks wait long beside such workers, rounds keep them free.
+FITS = "fits"
+
+
+def step_reason(fleet: "state_mod.FleetState", state: progress.JobState,
+                tasks: list[progress.TaskState], now: float) -> str:
+    """Return why the idle tasks of a ready step have not started.
+
+    The caller holds the fleet's lock.
+    """
+    if state.created_revision <= fleet.fence and fleet.awaited_workers:
+        return AWAITED_WORKERS
+    if not fleet.may_start(state):
+        return OWN_LEASE
+    if state.skip_rounds:
+        return SKIPPED
+    suspected = [task for task in tasks if task.needs_quarantine_run()
+                 or task.task in fleet.trials.by_task]
+    if suspected:
+        return _quarantine_reason(
+            fleet.trials.by_task.get(suspected[0].task))
+    if tasks[0].step.gang and len(tasks) < tasks[0].step.count:
+        return GANG_INCOMPLETE
+    if all(task.not_before > now for task in tasks):
+        return DELAYED
+    return NO_WORKER
+
+
+def _quarantine_reason(quarantine: quarantines.Quarantine | None) -> str:
+    if quarantine is None:
+        return QUARANTINE_PENDING
+    if quarantine.restored and not quarantine.run:
+        return QUARANTINE_RESTORED
+    return QUARANTINE_NOT_READY
+
+
+def count_workers(fleet: "state_mod.FleetState", task: progress.TaskState,
+                  service: str, now: float) -> dict[str, int]:
+    """Return how many workers a task could not use, by reason.
+
+    The caller holds the fleet's lock.
+    """
+    return dict(collections.Counter(
+        _worker_reason(fleet, worker, task, service, now)
+        for worker in fleet.workers.values()))
+
+
+def _worker_reason(fleet: "state_mod.FleetState",
+                   worker: workerstate.WorkerState, task: progress.TaskState,
+                   service: str, now: float) -> str:
+    entry = worker.entry
+    checks = (
+        (NOT_LISTED, not worker.listed),
+        (DRAINING, entry.draining),
+        (EVACUATED, fleet.is_evacuated(worker)),
+        (OTHER_SERVICE, entry.service != service),
+        (SILENT, worker.unresponsive),
+        (NOT_REPORTED, not worker.has_reported),
+        (NOT_ENROLLED, not worker.enrolled),
+        (OTHER_LIFE, not worker.entry_is_of_current_life()),
+        (RESTARTED_WITHOUT_LEASE, not fleet.leased_since_restart(worker)),
+        (QUARANTINED, entry.worker_id in fleet.trials.by_worker),
+        (AVOIDED, worker.avoid_until > now),
+        (NOT_ALLOWED, not placing.allowed(worker, service, task)),
+        (UNSENT_STARTS, not worker.accepts_starts()),
+        (FULL, not placing.fits(worker, task.step,
+                                fleet.interference_model)))
+    return next((reason for reason, applies in checks if applies), FITS)
+
+
+def service_of(queues: dict[str, messages.Queue],
+               state: progress.JobState) -> str:
+    """Return the service whose workers run a job."""
+    queue = queues.get(state.job.queue)
+    return queue.service if queue is not None else state.job.service
