End a stored quarantine whose worker never reports to the successor

Callers saw: a job whose last task had been near a crash of a worker stays unfinished after a change of owner, with capacity free, until the owner changes once more.

Cause: a successor keeps the quarantines that its predecessor stored until each worker has reported, since the task may run there. A worker whose path to this process alone is cut stays listed and never reports, so nothing ended the wait: the owner gives such a worker up only when it leaves the list.

Ruled out: to release it at once. The run may be alive until its leases have ended.

--- a/sycamorefield/fleet/quarantines.py
+++ b/sycamorefield/fleet/quarantines.py
@@ -106,11 +106,13 @@
             (str(task.task), quarantine.run, worker_id)
             for task, worker_id in quarantine.members])
 
-    def release_finished(self, workers: Workers, evacuated: frozenset[str],
-                         now: float) -> None:
+    def release_finished(self, workers: Workers,
+                         awaited_workers: typing.Container[str],
+                         evacuated: frozenset[str], now: float) -> None:
         """Release the workers of all quarantines that have ended."""
         for quarantine in set(self.by_task.values()):
-            reason = _release_reason(quarantine, workers, evacuated, now)
+            reason = _release_reason(
+                quarantine, workers, awaited_workers, evacuated, now)
             if reason:
                 self.release(quarantine, reason)
 
@@ -161,12 +163,13 @@
 
 
 def _release_reason(quarantine: Quarantine, workers: Workers,
+                    awaited_workers: typing.Container[str],
                     evacuated: frozenset[str], now: float) -> str:
     """Return why a quarantine has ended, or an empty string."""
     if quarantine.job.final():
         return "job " + quarantine.job.state
     if quarantine.restored and not quarantine.run:
-        return _restored_release_reason(quarantine, workers)
+        return _restored_release_reason(quarantine, workers, awaited_workers)
     missing = quarantine.worker_ids() - workers.keys()
     if missing:
         return "worker is gone"
@@ -186,17 +189,21 @@
     return ""
 
 
-def _restored_release_reason(quarantine: Quarantine, workers: Workers) -> str:
+def _restored_release_reason(quarantine: Quarantine, workers: Workers,
+                             awaited_workers: typing.Container[str]) -> str:
     """Return why a restored quarantine has ended, or an empty string.
 
-    Sets its run number once all of its workers have reported their runs.
+    Sets its run number once all of its workers have reported their runs.  A
+    worker that is not awaited any more may stay listed and never report, if
+    only this owner can't reach it; the leases of its runs have expired.
     """
     for worker_id in quarantine.worker_ids():
         worker = workers.get(worker_id)
         if worker is None:
             return "worker is gone"
         if not worker.has_reported:
-            return ""
+            return ("" if worker_id in awaited_workers
+                    else "worker has not reported in time")
     runs = {task.run for task, worker_id in quarantine.members
             if task.worker_id == worker_id}
     if not runs:
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -535,7 +535,8 @@
         fleet.demand.start_observing(now)
         configuration = fleet.configuration()
         fleet.trials.release_finished(
-            fleet.workers, configuration.evacuated, now)
+            fleet.workers, fleet.awaited_workers, configuration.evacuated,
+            now)
         queues = configuration.queues_by_name()
         if configuration.version != fleet.placed_config_version:
             # Priorities and services of queues may have changed.
