Keep workers that never reported off the stored list of workers in use

Cause: the stored list of workers in use held every worker that the owner knew. A successor starts no task of an earlier job until each worker on it has reported or its leases have ended. A listed worker that the owner has given up and can't reach comes back as a worker that never reported, has no run, and was on the list all the same.

Why it holds: a worker gets a start only once it has reported and is on the stored list, and an owner drops a worker that reported only when its leases have certainly expired. Workers of an earlier owner stay on the list while they are awaited.

Two tests of the list took workers for enrolled before they report; they let them report first now and check the same.

Ruled out: a shorter wait for those on the list: their runs may be alive.

--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -137,11 +137,17 @@
         """Add the list of workers in use if it has changed.
 
         A later owner must ask each worker that may run a task, so a worker
-        gets its first start only after this list with it is stored.
+        gets its first start only after this list with it is stored.  Jobs wait
+        until all workers on the list have reported to the later owner, so it
+        lacks workers that cannot have runs: those that have neither reported
+        to this owner nor are awaited.
         """
+        awaited_workers = self.fleet.awaited_workers
         addresses = {w.entry.worker_id: w.entry.address
-                     for w in self.fleet.workers.values()}
-        for worker_id in self.fleet.awaited_workers:
+                     for w in self.fleet.workers.values()
+                     if (w.has_reported
+                         or w.entry.worker_id in awaited_workers)}
+        for worker_id in awaited_workers:
             if self.stored_addresses and worker_id in self.stored_addresses:
                 addresses.setdefault(
                     worker_id, self.stored_addresses[worker_id])
--- a/tests/test_fleet_owner_terms.py
+++ b/tests/test_fleet_owner_terms.py
@@ -228,6 +228,8 @@
         HOLD_MAX_MS)
     try:
         owner.worker_links.update_workers(worker_list.entries)
+        wait_for(lambda: all(w.has_reported
+                             for w in owner.fleet.workers.values()))
         assert owner.recorder.flush()
         wait_for(lambda: all(w.usable(clock.now())
                              for w in owner.fleet.workers.values()))
--- a/tests/test_fleet_partial_reach.py
+++ b/tests/test_fleet_partial_reach.py
@@ -1,6 +1,10 @@
 """Test fleets of which the owner reaches only some of the listed workers."""
 
+import pytest
+
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import recorder as recorder_mod
+from sycamorefield.fleet import records
 from sycamorefield.fleet import recovery
 from sycamorefield.fleet import suspicion
 from sycamorefield.fleet import workerstate
@@ -53,3 +57,29 @@
     successor.state.trials.restore(job, successor.now)
     assert not successor.run(AWAITED_S - 1.0)
     assert successor.run(3.0) == ["j.0.0.0@i-1"]
+
+
+@pytest.mark.parametrize(("awaited", "reported", "stored"), [
+    ([], [], []),
+    ([], ["i-0"], ["i-0"]),
+    (["i-1"], ["i-0"], ["i-0", "i-1"]),
+])
+def test_successor_awaits_no_worker_that_cannot_have_runs(
+        awaited, reported, stored):
+    """Guards against jobs held back for workers that the owner can't reach."""
+    bench = test_fleet_state.Bench()
+    bench.state.await_workers(awaited, bench.now + AWAITED_S)
+    for number in range(2):
+        bench.state.add_worker(fleetfakes.entry(number))
+    for worker_id in reported:
+        bench.report(worker_id)
+    store = fleetfakes.MemoryStore()
+    store.commit(messages.Transaction(
+        puts=(messages.Put(records.OWNER_KEY, b"me"),)))
+    bench.state.fence = store.items[records.OWNER_KEY].revision
+    recorder = recorder_mod.Recorder(
+        store, bench.state, records.OWNER_KEY, lambda: True,
+        lambda reason: None, lambda ends: None)
+    assert recorder.flush()
+    assert sorted(records.decode_mapping(
+        store.items[records.WORKERS_KEY].value)) == stored
--- a/tests/test_fleet_takeover.py
+++ b/tests/test_fleet_takeover.py
@@ -372,6 +372,8 @@
         fleet.store, fleet.worker_list, lambda entry: None,
         fleetfakes.configuration, fence, HOLD_MAX_MS)
     owner.worker_links.update_workers(fleet.worker_list.entries)
+    for worker in owner.fleet.workers.values():
+        worker.has_reported = True
     assert owner.recorder.flush()
     worker = owner.fleet.workers["i-0"]
     assert worker.enrolled
@@ -394,6 +396,7 @@
         fleet.store.items[records.WORKERS_KEY].value)
     assert enrolled == [False]
     assert not owner.fleet.workers["i-0"].enrolled
+    owner.fleet.workers["i-0"].has_reported = True
     assert owner.recorder.flush()
     assert owner.fleet.workers["i-0"].enrolled
 
