Give the fleet to a process that reaches the workers which its owner can't

The owner renews its lease, so nobody else claims the fleet; the workers stay listed and their capacity is free, but no start gets through, the leases of their runs end, and it stays so for as long as the path is cut. Nothing in the store tells of it; a change of owner happens to end it. Class: partial partition; the lease of ownership proves a path to the store, not to the workers.

Change: an owner that has been without live workers for as long as a change of owner costs (silent for over 5 s and still listed; 1 s of the whole fleet in sum) puts a request with samples of their addresses into the store, under the lease of its key. Processes that can open connections to them and to those that the owner reaches offer to take over, those that reach most first, weak VMs last; the owner ends its term and leaves the claim to the one that offered. Without an offer it stays. An owner by an offer asks again only if at most half of the workers in question are still cut off, or after a minute, so owners do not alternate where workers accept connections but do not answer.

Ruled out: to step down blindly (the next owner may be cut off as well, and where workers are down for everybody owners would only alternate); to relay calls by other processes (a second path for every call, with its own failures, for a fault that a change of owner ends).

--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -136,6 +136,10 @@
     "SF1843", INFO, "evacuation of a data centre requested")
 EVACUATION_ENDED = Event(
     "SF1844", INFO, "evacuation of a data centre taken back")
+HANDOVER_REQUESTED = Event(
+    "SF1846", WARNING, "owner does not reach workers that are alive")
+HANDOVER_OFFERED = Event(
+    "SF1847", INFO, "offered to take over from an owner")
 RUNS_IN_DOUBT = Event(
     "SF1845", WARNING, "runs count as current without confirmation")
 
--- a/sycamorefield/fleet/controlwatcher.py
+++ b/sycamorefield/fleet/controlwatcher.py
@@ -44,6 +44,9 @@
         self.owner_known = False
         # The store's revision as of which the owner's key is known.
         self.owner_revision = 0
+        # The owner's request to take over the fleet, and an offer to do so.
+        self.handover_request: messages.Item | None = None
+        self.handover_offer: messages.Item | None = None
         self.last_answer_at = 0.0
         self.store_reachable = True
         self.owner_changed = threading.Condition()
@@ -81,6 +84,8 @@
         for item in listing.items:
             self._apply_configuration(item.key, item)
         self._publish_evacuations()
+        for key in (records.HANDOVER_REQUEST_KEY, records.HANDOVER_OFFER_KEY):
+            self._set_handover(key, items_by_key.get(key))
         self._set_owner(items_by_key.get(records.OWNER_KEY), listing.revision)
         return listing.revision
 
@@ -99,6 +104,7 @@
         if change.key == records.OWNER_KEY:
             self._set_owner(change.item, change.revision)
             return
+        self._set_handover(change.key, change.item)
         if change.item is None:
             self.evacuations.apply_removal(change.key, change.revision)
         else:
@@ -140,6 +146,16 @@
             self.latest_configuration = dataclasses.replace(
                 self.latest_configuration, evacuated=evacuated)
 
+    def _set_handover(self, key: str, item: messages.Item | None) -> None:
+        with self.owner_changed:
+            if key == records.HANDOVER_REQUEST_KEY:
+                self.handover_request = item
+            elif key == records.HANDOVER_OFFER_KEY:
+                self.handover_offer = item
+            else:
+                return
+            self.owner_changed.notify_all()
+
     def _set_owner(self, item: messages.Item | None, revision: int) -> None:
         with self.owner_changed:
             self.owner_item = item
--- /dev/null
+++ b/sycamorefield/fleet/handover.py
@@ -0,0 +1,212 @@
+"""Hand the fleet to a process that reaches more workers than its owner.
+
+An owner whose path to many live workers is cut asks for offers under a key of
+the store.  A process that reaches these workers makes one, and the owner then
+ends its term, so that this process claims the fleet.  While no process reaches
+them, there is no offer and the owner stays.
+"""
+
+import dataclasses
+import json
+import random
+import typing
+
+from sycamorefield import events
+from sycamorefield.fleet import controlwatcher
+from sycamorefield.fleet import interfaces
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import records
+from sycamorefield.fleet import unreached as unreached_mod
+
+if typing.TYPE_CHECKING:
+    from sycamorefield.fleet import state as state_mod
+
+CHECK_PERIOD_S = 0.5
+# A change of owner stops all placement for about this long.  The owner asks
+# for offers once as much has been lost on the workers that it can't reach.
+CHANGE_OF_OWNER_S = 1.0
+# A request without an offer is repeated after this time, with other workers.
+REQUEST_PERIOD_S = 5.0
+# Where workers accept connections but do not answer, an offer does not help.
+# So a process that took over by an offer makes no request for this long,
+# unless at most this share of the workers in question is still not reached.
+MIN_TERM_AFTER_OFFER_S = 60.0
+MAX_UNREACHED_RATIO = 0.5
+# How many workers of each kind those who make offers try to reach.
+SAMPLE_SIZE = 5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """Workers that an owner does not reach and that it does, in part.
+
+    The samples hold addresses, the counts are of all workers.
+    """
+
+    unreached: tuple[str, ...]
+    reached: tuple[str, ...]
+    unreached_count: int
+    reached_count: int
+
+    def addresses(self) -> tuple[str, ...]:
+        """Return the addresses to be tried."""
+        return self.unreached + self.reached
+
+    def is_improved_by(self, answering: typing.Container[str]) -> bool:
+        """Return whether who reaches some of the addresses should take over.
+
+        It must reach more workers than the owner, by at least half of those
+        that the owner does not reach.
+        """
+        gained = _estimate(self.unreached, self.unreached_count, answering)
+        kept = _estimate(self.reached, self.reached_count, answering)
+        return (gained + kept - self.reached_count
+                >= max(1.0, self.unreached_count * (1 - MAX_UNREACHED_RATIO)))
+
+    def missing_ratio(self, answering: typing.Collection[str]) -> float:
+        """Return the share of the addresses that do not answer."""
+        addresses = self.addresses()
+        return 1.0 - len(answering) / max(1, len(addresses))
+
+
+def _estimate(sample: tuple[str, ...], count: int,
+              answering: typing.Container[str]) -> float:
+    """Return how many of all workers answer, as far as a sample tells."""
+    answers = sum(address in answering for address in sample)
+    return count * answers / max(1, len(sample))
+
+
+def encode_request(request: Request) -> bytes:
+    """Return the stored form of a request."""
+    return json.dumps(dataclasses.asdict(request)).encode()
+
+
+def decode_request(value: bytes) -> Request:
+    """Return a stored request; raises ValueError if it is unreadable."""
+    try:
+        row = json.loads(value)
+        return Request(tuple(row["unreached"]), tuple(row["reached"]),
+                       row["unreached_count"], row["reached_count"])
+    except (KeyError, TypeError) as exc:
+        raise ValueError(f"invalid request: {exc!r}") from exc
+
+
+def encode_offer(request_revision: int, identity: bytes) -> bytes:
+    """Return the stored form of an offer on a request."""
+    return json.dumps({"request": request_revision,
+                       "by": identity.decode()}).encode()
+
+
+def is_offer_on(item: messages.Item | None, request_revision: int) -> bool:
+    """Return whether a stored offer is one on a request."""
+    return item is not None and _decode_offer(item)[0] == request_revision
+
+
+def is_offer_by(item: messages.Item, identity: bytes) -> bool:
+    """Return whether a process has made a stored offer."""
+    return _decode_offer(item)[1] == identity.decode()
+
+
+def _decode_offer(item: messages.Item) -> tuple[int, str]:
+    """Return the request and the process of an offer; log an invalid one."""
+    try:
+        row = json.loads(item.value)
+        return int(row["request"]), str(row["by"])
+    except (ValueError, KeyError, TypeError) as exc:
+        events.emit(events.RECORD_UNREADABLE, key=item.key, reason=repr(exc))
+        return 0, ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestLimit:
+    """Limit requests until a time, unless few workers are not reached."""
+
+    until: float = 0.0
+    max_unreached: float = 0.0
+
+    def allows(self, unreached: int, now: float) -> bool:
+        """Return whether a request may be made."""
+        return now >= self.until or unreached <= self.max_unreached
+
+
+def limit_after_offer(request: messages.Item | None,
+                      now: float) -> RequestLimit:
+    """Return the limit for a process that takes over on a request."""
+    max_unreached = 0.0
+    if request is not None:
+        try:
+            max_unreached = decode_request(
+                request.value).unreached_count * MAX_UNREACHED_RATIO
+        except ValueError as exc:
+            events.emit(events.RECORD_UNREADABLE, key=request.key,
+                        reason=str(exc))
+    return RequestLimit(now + MIN_TERM_AFTER_OFFER_S, max_unreached)
+
+
+class HandoverRequests:
+    """Request offers for one term of an owner.
+
+    lease_id is the lease of the owner's key.
+    """
+
+    def __init__(self, store: interfaces.Store,
+                 watcher: controlwatcher.ControlWatcher,
+                 fleet: "state_mod.FleetState", lease_id: int,
+                 limit: RequestLimit = RequestLimit()) -> None:
+        self.store = store
+        self.watcher = watcher
+        self.fleet = fleet
+        self.lease_id = lease_id
+        self.limit = limit
+        self.unreached = unreached_mod.UnreachedWorkers()
+        self.request_revision = 0
+        self.requested_at = 0.0
+
+    def update(self, now: float) -> bool:
+        """Make a request if needed; return whether an offer was made."""
+        self.unreached.update(self.fleet, now)
+        if (not self.fleet.policy.hand_over
+                or self.unreached.lost_s(now) < CHANGE_OF_OWNER_S
+                or not self.limit.allows(
+                    len(self.unreached.worker_ids(now)), now)):
+            # An offer on an earlier request is of no use any more.
+            self.request_revision = 0
+            return False
+        if not self.request_revision or (
+                now - self.requested_at >= REQUEST_PERIOD_S):
+            self._make_request(now)
+        return bool(self.request_revision) and is_offer_on(
+            self.watcher.handover_offer, self.request_revision)
+
+    def _make_request(self, now: float) -> None:
+        request = self._sample(now)
+        try:
+            self.request_revision = self.store.commit(messages.Transaction(
+                (messages.Expect(records.OWNER_KEY, self.fleet.fence),),
+                (messages.Put(records.HANDOVER_REQUEST_KEY,
+                              encode_request(request), self.lease_id),)))
+        except (interfaces.CallFailed, interfaces.Conflict,
+                interfaces.LeaseEnded) as exc:
+            events.emit(events.STORE_UNREACHABLE,
+                        reason=f"request for a handover: {exc}")
+            return
+        self.requested_at = now
+        events.emit(events.HANDOVER_REQUESTED, fence=self.fleet.fence,
+                    unreached=request.unreached_count,
+                    reached=request.reached_count,
+                    lost_s=round(self.unreached.lost_s(now), 3))
+
+    def _sample(self, now: float) -> Request:
+        unreached_ids = set(self.unreached.worker_ids(now))
+        with self.fleet.lock:
+            workers = list(self.fleet.workers.values())
+        unreached = [w.entry.address for w in workers
+                     if w.entry.worker_id in unreached_ids]
+        reached = [w.entry.address for w in workers
+                   if w.listed and w.has_reported and not w.unresponsive]
+        return Request(_choose(unreached), _choose(reached),
+                       len(unreached), len(reached))
+
+
+def _choose(addresses: list[str]) -> tuple[str, ...]:
+    return tuple(random.sample(addresses, min(SAMPLE_SIZE, len(addresses))))
--- a/sycamorefield/fleet/interfaces.py
+++ b/sycamorefield/fleet/interfaces.py
@@ -1,6 +1,7 @@
 """Interfaces of the store, the workers and other external services."""
 
 import abc
+import typing
 
 from sycamorefield.fleet import messages
 
@@ -141,6 +142,14 @@
         """Release the connections; no call is in progress."""
 
 
+class ReachProbe(abc.ABC):
+    """Finds out which workers this process can reach."""
+
+    @abc.abstractmethod
+    def find_reached(self, addresses: typing.Iterable[str]) -> set[str]:
+        """Return those of some addresses of workers that can be reached."""
+
+
 class AdviceService(abc.ABC):
     """Decides which workers a queue's policy lets a step run on."""
 
--- a/sycamorefield/fleet/ownership.py
+++ b/sycamorefield/fleet/ownership.py
@@ -8,6 +8,7 @@
 from sycamorefield import events
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import controlwatcher
+from sycamorefield.fleet import handover
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import owner as owner_mod
@@ -28,6 +29,9 @@
 # no stronger VM, each takeover is delayed by this much.
 WEAK_VM_CLAIM_DELAY_S = 0.4
 RETRY_PAUSE_S = 0.2
+# How long a process leaves the claim to one that has offered to take over,
+# because it reaches more workers.
+OFFER_PRIORITY_S = 1.0
 
 OwnerFactory = typing.Callable[[int], owner_mod.Owner]
 
@@ -57,6 +61,9 @@
         self.lease_id = 0
         # When the last call that granted or renewed the lease was sent.
         self.lease_requested_at = 0.0
+        self.request_limit = handover.RequestLimit()
+        # Whether the term ends so that another process takes over.
+        self.handing_over = False
         self.stopped = threading.Event()
 
     def run(self) -> None:
@@ -90,8 +97,17 @@
                         break
                 self.watcher.owner_changed.wait(0.5)
         if self.watcher.owner_item is None:
-            self.stopped.wait(
-                self.claim_delay_s + random.uniform(0, CLAIM_JITTER_S))
+            self.stopped.wait(self._claim_wait_s())
+
+    def _claim_wait_s(self) -> float:
+        """Return how long to wait before claiming a free key."""
+        wait_s = self.claim_delay_s + random.uniform(0, CLAIM_JITTER_S)
+        offer = self.watcher.handover_offer
+        if offer is None:
+            return wait_s
+        if handover.is_offer_by(offer, self.identity):
+            return 0.0
+        return wait_s + OFFER_PRIORITY_S
 
     def _claim(self) -> int:
         """Return the fence (the key's new revision), or 0 if another won.
@@ -122,8 +138,16 @@
             # attempt requests a new lease.
             return 0
         events.emit(events.OWNERSHIP_CLAIMED, fence=fence, replaced=revision)
+        self._note_offer()
         return fence
 
+    def _note_offer(self) -> None:
+        """Limit the requests of a term that began by an offer."""
+        offer = self.watcher.handover_offer
+        if offer is not None and handover.is_offer_by(offer, self.identity):
+            self.request_limit = handover.limit_after_offer(
+                self.watcher.handover_request, clock.now())
+
     def _run_term(self, fence: int) -> None:
         """Run an Owner until it steps down."""
         owner = self.make_owner(fence)
@@ -140,11 +164,18 @@
                          daemon=True).start()
         threading.Thread(target=self._watch_owner_key, args=(owner,),
                          daemon=True).start()
+        threading.Thread(target=self._watch_reach, args=(owner,),
+                         daemon=True).start()
         owner.run()
         owner.step_down("term ended")
         self.owner = None
         if self.stopped.is_set():
             return
+        if self.handing_over:
+            # Until the key is released, this process would claim it again.
+            self.handing_over = False
+            self.release(fence)
+            return
         item = self.watcher.owner_item
         if item is not None and item.value == self.identity:
             # The term may have ended by a fault of this process.  Releasing
@@ -177,6 +208,17 @@
             if seems_lost and not self._confirm_key_lost(owner):
                 owner.stepped_down.wait(RETRY_PAUSE_S)
 
+    def _watch_reach(self, owner: owner_mod.Owner) -> None:
+        """Hand over to a process that reaches more workers."""
+        requests = handover.HandoverRequests(
+            self.store, self.watcher, owner.fleet, self.lease_id,
+            self.request_limit)
+        while not owner.stepped_down.wait(handover.CHECK_PERIOD_S):
+            if owner.recovered and requests.update(clock.now()):
+                owner.recorder.flush()
+                self.handing_over = True
+                owner.step_down("another process reaches more workers")
+
     def _key_seems_lost(self, owner: owner_mod.Owner) -> bool:
         item = self.watcher.owner_item
         if not self.watcher.owner_known:
--- a/sycamorefield/fleet/policy.py
+++ b/sycamorefield/fleet/policy.py
@@ -39,3 +39,5 @@
     limit_unsent_starts: bool = True
     # ownership.py: weak VMs delay their claim to own the fleet.
     weak_vms_wait: bool = True
+    # handover.py: an owner that does not reach enough workers is replaced.
+    hand_over: bool = True
--- a/sycamorefield/fleet/records.py
+++ b/sycamorefield/fleet/records.py
@@ -6,8 +6,11 @@
 CANCEL_SUFFIX = ".c"
 PROGRESS_PREFIX = "st/"
 OWNER_KEY = "owner/fleet"
+# An owner that does not reach enough workers asks for offers to take over.
+HANDOVER_REQUEST_KEY = "owner/request"
+HANDOVER_OFFER_KEY = "owner/offer"
 # A single watch of this prefix covers the operators' keys (op/...) and the
-# owner's key, so that only one call waits instead of two.
+# owner's keys, so that only one call waits instead of two.
 WATCHED_PREFIX = "o"
 WORKERS_KEY = "fleet/workers"
 WAITING_JOBS_KEY = "fleet/waiting"
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -572,7 +572,7 @@
     them may have lost capacity since.
     """
     usable_workers = []
-    list_is_new = now - fleet.list_read_at <= state_mod.MAX_LIST_AGE_S
+    list_is_new = fleet.has_current_list(now)
     for worker_id, worker in fleet.workers.items():
         is_usable = (list_is_new and worker.usable(now)
                      and worker.entry.data_centre not in evacuated
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -229,6 +229,10 @@
                 worker.listed = worker_id in listed
                 worker.ever_listed |= worker.listed
 
+    def has_current_list(self, now: float) -> bool:
+        """Return whether tasks may be started by the worker list."""
+        return now - self.list_read_at <= MAX_LIST_AGE_S
+
     def would_show_drain(self, since: float, now: float) -> bool:
         """Return whether a drain that began after a time would be known.
 
--- a/sycamorefield/platform/daemon.py
+++ b/sycamorefield/platform/daemon.py
@@ -17,11 +17,13 @@
 from sycamorefield.fleet import owner as owner_mod
 from sycamorefield.fleet import ownership as ownership_mod
 from sycamorefield.fleet import policy as policy_mod
+from sycamorefield.fleet import volunteer as volunteer_mod
 from sycamorefield import metrics
 from sycamorefield.platform import advice as advice_mod
 from sycamorefield.platform import bootsettings
 from sycamorefield.platform import configuration
 from sycamorefield.platform import front as front_mod
+from sycamorefield.platform import reachprobe
 from sycamorefield.platform import store as store_mod
 from sycamorefield.platform import workers as workers_mod
 from sycamorefield import policysettings
@@ -59,11 +61,17 @@
             self.store, self._store_unresponsive, self.watcher.owner_claim)
         self.advice = (advice_mod.PlatformAdvice(settings.advice)
                        if settings.advice else None)
+        claim_delay_s = ownership_mod.claim_delay_s(
+            settings.limits.cpu_share * settings.limits.cores,
+            policy.weak_vms_wait)
         self.ownership = ownership_mod.Ownership(
             self.store, self.watcher, settings.node, self._make_owner,
-            ownership_mod.claim_delay_s(
-                settings.limits.cpu_share * settings.limits.cores,
-                policy.weak_vms_wait))
+            claim_delay_s)
+        self.volunteer = volunteer_mod.Volunteer(
+            self.store, self.watcher, self.ownership.identity,
+            reachprobe.TcpReachProbe(),
+            lambda: self.ownership.owner is not None,
+            is_weak_vm=claim_delay_s > 0.0)
         self.stop_requested = threading.Event()
         self.front_app = front_mod.FrontApp(
             self.job_requests, self.watcher.configuration, self._ready,
@@ -109,7 +117,8 @@
         signal.signal(signal.SIGTERM, lambda *_: self.stop_requested.set())
         signal.signal(signal.SIGHUP, lambda *_: self.reload())
         servers = self._start_servers()
-        for target in (self.watcher.run, self.ownership.run):
+        for target in (self.watcher.run, self.ownership.run,
+                       self.volunteer.run):
             threading.Thread(target=target, daemon=True).start()
         events.emit(events.PROCESS_STARTED, address=self.settings.ip,
                     metrics=self.settings.metrics_address(),
@@ -132,6 +141,7 @@
         """
         deadline = clock.now() + self.settings.bounds.grace_s - STOP_MARGIN_S
         events.emit(events.PROCESS_STOPPING)
+        self.volunteer.stop()
         handover = _start_thread(self.ownership.stop)
         time.sleep(DRAIN_S)
         server_stops = [_start_thread(server.stop) for server in servers]
