Reserve no worker for a best-effort task that is down

Callers would see: nothing starts any more on a worker that is free (of a fleet of one, on the fleet), while a long-running best-effort task that ran before fits nowhere.

A best-effort task reserves no CPU, so every worker counts as one on which it will fit, the freest first; but whether it starts depends on unused CPU and tail latencies, which no ended run need change.

Change: best-effort tasks reserve no worker.

Evidence: the new test failed before (the finite task was not placed) and passes.

--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -192,7 +192,8 @@
         Return whether the other tasks of its step should be tried.
         """
         expects_capacity = self._expects_capacity(state, task, eligible, scope)
-        if (self.policy.keep_gaps and task.has_run
+        # Best-effort tasks reserve no CPU, so no worker becomes free for them.
+        if (self.policy.keep_gaps and task.has_run and not task.step.fills
                 and ordering.is_interrupted(state, self.now)):
             return (self._reserve_worker(task, eligible, scope)
                     or expects_capacity)
--- a/tests/test_fleet_starvation.py
+++ b/tests/test_fleet_starvation.py
@@ -104,3 +104,17 @@
             start_counts[stream.bench.now
                          > interrupted_at + ordering.BOOST_AFTER_DOWN_S] += 1
     assert start_counts[1] > start_counts[0] / 2
+
+
+def test_best_effort_task_that_fits_nowhere_reserves_no_worker():
+    """Guards against a worker on which nothing starts any more."""
+    bench = test_fleet_state.Bench(fleetfakes.entry(0))
+    bench.add(fleetfakes.job("wide", messages.Step(
+        1, messages.Resources(5000, 10), fills=True, perpetual=True)))
+    job = bench.state.jobs["wide"]
+    job.create_tasks(0)
+    job.tasks[0, 0][0].has_run = True
+    assert not bench.place()
+    bench.now += ordering.BOOST_AFTER_DOWN_S
+    bench.add(fleetfakes.job("finite"), 21)
+    assert bench.place() == ["finite.0.0.0@i-0"]
