Avoid a worker that leaves one start after another unanswered

Callers would see: jobs stand still although other workers are free; task after task goes to one worker that answers lease renewals and no orders.

Cause: a start without an answer is followed by a stop that is repeated until it is answered, and the task waits meanwhile. The worker's next report makes it usable again, and as the fullest worker that fits it is the first choice for the next task.

Change: an unanswered start counts as a failure of the worker. After three without a run that succeeds in between it gets none for 3 s, as after three failed runs.

The new test failed before: all seven tasks went there; now three at most.

Ruled out: to avoid it after a single one; where every worker leaves a share of its orders unanswered that would close most of the fleet.

--- a/sycamorefield/fleet/answers.py
+++ b/sycamorefield/fleet/answers.py
@@ -1,6 +1,7 @@
 """Apply the outcomes of orders sent to workers."""
 
 from sycamorefield import events
+from sycamorefield.fleet import clock
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import progress
@@ -141,6 +142,10 @@
         worker, task = found
         if refused:
             worker.refused_starts.add((order.task, order.run))
+        elif worker.record_failure(clock.now()):
+            # Reports may still arrive, so it would get start after start.
+            events.emit(events.WORKER_AVOIDED, failures=worker.failures,
+                        worker=worker_id)
         if fleet.is_current(worker, task, order.run):
             fleet.stop_run(task, "start got no answer")
 
--- a/tests/test_fleet_partial_reach.py
+++ b/tests/test_fleet_partial_reach.py
@@ -2,10 +2,14 @@
 
 import pytest
 
+from sycamorefield.fleet import answers
+from sycamorefield.fleet import clock
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import progress
 from sycamorefield.fleet import recorder as recorder_mod
 from sycamorefield.fleet import records
 from sycamorefield.fleet import recovery
+from sycamorefield.fleet import rounds
 from sycamorefield.fleet import suspicion
 from sycamorefield.fleet import workerstate
 from tests import fleetfakes
@@ -83,3 +87,32 @@
     assert recorder.flush()
     assert sorted(records.decode_mapping(
         store.items[records.WORKERS_KEY].value)) == stored
+
+
+@pytest.mark.parametrize(("answered", "most_held_back"), [
+    (True, 0), (False, workerstate.MAX_CONSECUTIVE_FAILURES)])
+def test_worker_that_leaves_starts_unanswered_gets_few_more(
+        answered, most_held_back, monkeypatch):
+    """Guards against a worker that reports and holds back task after task."""
+    bench = test_fleet_state.Bench(
+        fleetfakes.entry(0, 8000), fleetfakes.entry(1, 16_000))
+    monkeypatch.setattr(clock, "now", lambda: bench.now)
+    held_back = []
+    for number in range(7):
+        bench.add(fleetfakes.job(f"j-{number}"), 20 + number)
+        bench.now += 0.2
+        before = len(bench.orders)
+        rounds.place(bench.state, bench.now, 1e12)
+        for worker_id, order in bench.orders[before:]:
+            if answered or worker_id == "i-1":
+                answers.record_started(
+                    bench.state, worker_id, order, bench.now)
+            else:
+                held_back.append(str(order.task))
+                answers.stop_uncertain_run(bench.state, worker_id, order)
+        for worker_id, worker in bench.state.workers.items():
+            bench.report(worker_id, [
+                messages.RunningTask(task, run, "", 0)
+                for (task, run), state in worker.tasks.items()
+                if state.phase == progress.RUNNING])
+    assert len(held_back) <= most_held_back
