Send the present pace again after one that was not confirmed

Callers would see: a best-effort task stands still for good, while its owner takes it for running at full pace; or tasks that serve are over their target for as long as a pause that got lost would have to be repeated.

Cause: a pace without an answer was left to the next change. A pause that is lost is not sent again while the tail stays high, as the decision stays 0. Only a successor, which doesn't know the paces, sends new ones.

Change: while a pace may still be carried out, the present one is sent again after 1 s and each 3 s, and once at the end.

--- a/sycamorefield/fleet/answers.py
+++ b/sycamorefield/fleet/answers.py
@@ -4,6 +4,7 @@
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import pacer
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import state as state_mod
 
@@ -150,6 +151,15 @@
             fleet.stop_run(task, "start got no answer")
 
 
+def record_uncertain_pace(fleet: state_mod.FleetState, worker_id: str,
+                          order: messages.PaceOrder, now: float) -> None:
+    """Record that a pace order may be lost or be carried out late."""
+    with fleet.lock:
+        worker = fleet.workers.get(worker_id)
+        if worker is not None:
+            pacer.note_uncertain_pace(worker, (order.task, order.run), now)
+
+
 def record_stopped(fleet: state_mod.FleetState, worker_id: str,
                    order: messages.StopOrder, now: float) -> None:
     """Record that a worker accepted a stop: the run cannot begin any more."""
--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -383,10 +383,12 @@
         try:
             await self.worker.pace(order, self.fleet.fence)
         except interfaces.OrderRejected as exc:
-            self._check_fenced(exc)
+            if not self._check_fenced(exc):
+                answers.record_uncertain_pace(
+                    self.fleet, self.worker_id, order, clock.now())
         except interfaces.CallFailed:
-            # The next report shows whether the tail latency fell; the pace is
-            # sent again with its next change.
+            answers.record_uncertain_pace(
+                self.fleet, self.worker_id, order, clock.now())
             events.emit(events.RUN_UNCERTAIN, task=str(order.task),
                         run=order.run, worker=self.worker_id,
                         reason="pace got no answer")
--- a/sycamorefield/fleet/pacer.py
+++ b/sycamorefield/fleet/pacer.py
@@ -15,6 +15,14 @@
 # it is not expected to disturb any task, if there is one.
 STALLED_PACE_PERCENT = 10
 
+# A pace without an answer may be lost, or be carried out up to this much
+# later, even after newer ones.
+LATE_ORDER_S = 13.0
+# In this time the present pace is sent again, soon at first: a lost pause
+# leaves a tail latency over its target.
+FIRST_REPEAT_S = 1.0
+REPEAT_PERIOD_S = 3.0
+
 Send = typing.Callable[[str, messages.PaceOrder], None]
 
 
@@ -24,6 +32,16 @@
                           and 0 <= task.pace_percent <= STALLED_PACE_PERCENT)
 
 
+def note_uncertain_pace(worker: workerstate.WorkerState,
+                        run: workerstate.RunId, now: float) -> None:
+    """Have the present pace of a run sent again, as one was not confirmed."""
+    if run in worker.tasks:
+        known = worker.uncertain_paces.get(run)
+        worker.uncertain_paces[run] = workerstate.UncertainPace(
+            now + LATE_ORDER_S,
+            known.repeat_at if known is not None else now + FIRST_REPEAT_S)
+
+
 class Pacer:
     """Learn from reported tail latencies and send paces to workers."""
 
@@ -66,8 +84,9 @@
                              row.figure / 1000.0, task.pace_percent)
              for row, task in best_effort_runs],
             worker.over_reports, may_raise, self.model)
-        self._send_paces(
-            worker, [task for _, task in best_effort_runs], next_paces, now)
+        tasks = [task for _, task in best_effort_runs]
+        self._send_paces(worker, tasks, next_paces, now)
+        self._repeat_uncertain(worker, tasks, now)
 
     def _record_tail(self, worker: workerstate.WorkerState,
                      row: messages.RunningTask, task: progress.TaskState,
@@ -82,6 +101,24 @@
         worker.unused_cpu += task.step.room.cpu * (
             1.0 - tail.expected_load())
 
+    def _repeat_uncertain(self, worker: workerstate.WorkerState,
+                          tasks: list[progress.TaskState],
+                          now: float) -> None:
+        """Send the present pace again where one was not confirmed."""
+        for task in tasks if worker.uncertain_paces else ():
+            run = (task.task, task.run)
+            uncertain = worker.uncertain_paces.get(run)
+            if uncertain is None or now < uncertain.repeat_at:
+                continue
+            if now >= uncertain.until:
+                del worker.uncertain_paces[run]
+            else:
+                worker.uncertain_paces[run] = uncertain._replace(
+                    repeat_at=min(uncertain.until, now + REPEAT_PERIOD_S))
+            if task.pace_percent >= 0:
+                self.send(worker.entry.worker_id, messages.PaceOrder(
+                    task.task, task.run, task.pace_percent))
+
     def _send_paces(self, worker: workerstate.WorkerState,
                     tasks: list[progress.TaskState], next_paces: list[int],
                     now: float) -> None:
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -1,6 +1,7 @@
 """Track one worker: its runs, its free capacity and its lease."""
 
 import itertools
+import typing
 
 from sycamorefield.fleet import interference
 from sycamorefield.fleet import messages
@@ -40,6 +41,16 @@
 CHANGE_NUMBERS = itertools.count(1)
 
 
+class UncertainPace(typing.NamedTuple):
+    """Until when a pace may be carried out, and when to send the present one.
+
+    In seconds on clock.now().
+    """
+
+    until: float
+    repeat_at: float
+
+
 class WorkerState:
     """Track the reserved resources, the runs and the lease of one worker.
 
@@ -119,6 +130,8 @@
         # Runs of which each attempt to send the start was refused because
         # nothing listens at the worker's address.
         self.refused_starts: set[RunId] = set()
+        # Runs with a pace that was not confirmed.
+        self.uncertain_paces: dict[RunId, UncertainPace] = {}
         # Runs that have been ordered to stop.
         self.stopping: set[RunId] = set()
         # Whether the last report showed a run whose pace is so low that it
@@ -181,6 +194,7 @@
         self.tail_latencies = []
         self.connection_closed = False
         self.refused_starts.clear()
+        self.uncertain_paces.clear()
 
     def record_change(self) -> None:
         """Record a change after which runs may fit that did not before."""
@@ -240,6 +254,7 @@
         self.unsent_starts.discard(run)
         self.stopping.discard(run)
         self.refused_starts.discard(run)
+        self.uncertain_paces.pop(run, None)
         resources = self.reserved.pop(run, None)
         self.tasks.pop(run, None)
         if resources is None:
