Judge offers to take over by larger samples, of all workers that are silent

Cause: the request sampled five of those workers that had been silent for 5 s. When it was made, leases were just expiring; a worker that is removed and listed again counted as silent anew, so 48 of the 165 silent workers were in question, and an offer came from a process that was cut off from 106 workers itself and happened to reach nine of ten in the sample. Having taken over by an offer, with more than half of those 48 still silent, it asked nobody again.

The sample is of all silent workers (16) and of those reached (8). Processes wait by the share that they don't reach, for 2 s at most, so those that reach all come first. An owner by an offer may ask again unless the sampled workers themselves do not answer it either; an offer has to gain half of the unreached workers or a fifth of all, so each change of owner reaches more workers.

--- a/sycamorefield/fleet/handover.py
+++ b/sycamorefield/fleet/handover.py
@@ -28,12 +28,17 @@
 # A request without an offer is repeated after this time, with other workers.
 REQUEST_PERIOD_S = 5.0
 # Where workers accept connections but do not answer, an offer does not help.
-# So a process that took over by an offer makes no request for this long,
-# unless at most this share of the workers in question is still not reached.
+# A process that took over by an offer makes no request for this long if more
+# than this share of the workers in question does not answer it either.
 MIN_TERM_AFTER_OFFER_S = 60.0
-MAX_UNREACHED_RATIO = 0.5
-# How many workers of each kind those who make offers try to reach.
-SAMPLE_SIZE = 5
+MAX_SILENT_RATIO = 0.5
+# A change of owner is worth it if this share of the unreached workers, or this
+# share of all workers, can be used after it.
+MIN_GAIN_OF_UNREACHED = 0.5
+MIN_GAIN_OF_ALL = 0.2
+# How many of the workers those who make offers try to reach.
+UNREACHED_SAMPLE_SIZE = 16
+REACHED_SAMPLE_SIZE = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -55,13 +60,15 @@
     def is_improved_by(self, answering: typing.Container[str]) -> bool:
         """Return whether who reaches some of the addresses should take over.
 
-        It must reach more workers than the owner, by at least half of those
-        that the owner does not reach.
+        It must reach more workers than the owner, by what a change of owner
+        is worth.
         """
         gained = _estimate(self.unreached, self.unreached_count, answering)
         kept = _estimate(self.reached, self.reached_count, answering)
-        return (gained + kept - self.reached_count
-                >= max(1.0, self.unreached_count * (1 - MAX_UNREACHED_RATIO)))
+        all_workers = self.unreached_count + self.reached_count
+        needed = min(MIN_GAIN_OF_UNREACHED * self.unreached_count,
+                     MIN_GAIN_OF_ALL * all_workers)
+        return gained + kept - self.reached_count >= max(1.0, needed)
 
     def missing_ratio(self, answering: typing.Collection[str]) -> float:
         """Return the share of the addresses that do not answer."""
@@ -119,28 +126,33 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestLimit:
-    """Limit requests until a time, unless few workers are not reached."""
+    """Limit the requests of an owner that took over on a request.
+
+    addresses are those of workers that the owner before did not reach.
+    """
 
     until: float = 0.0
-    max_unreached: float = 0.0
+    addresses: frozenset[str] = frozenset()
 
-    def allows(self, unreached: int, now: float) -> bool:
-        """Return whether a request may be made."""
-        return now >= self.until or unreached <= self.max_unreached
+    def allows(self, silent: typing.Collection[str], now: float) -> bool:
+        """Return whether a request may be made, by who is silent now."""
+        if now >= self.until:
+            return True
+        still_silent = len(self.addresses.intersection(silent))
+        return still_silent < MAX_SILENT_RATIO * len(self.addresses)
 
 
 def limit_after_offer(request: messages.Item | None,
                       now: float) -> RequestLimit:
     """Return the limit for a process that takes over on a request."""
-    max_unreached = 0.0
+    addresses: frozenset[str] = frozenset()
     if request is not None:
         try:
-            max_unreached = decode_request(
-                request.value).unreached_count * MAX_UNREACHED_RATIO
+            addresses = frozenset(decode_request(request.value).unreached)
         except ValueError as exc:
             events.emit(events.RECORD_UNREADABLE, key=request.key,
                         reason=str(exc))
-    return RequestLimit(now + MIN_TERM_AFTER_OFFER_S, max_unreached)
+    return RequestLimit(now + MIN_TERM_AFTER_OFFER_S, addresses)
 
 
 class HandoverRequests:
@@ -167,8 +179,7 @@
         self.unreached.update(self.fleet, now)
         if (not self.fleet.policy.hand_over
                 or self.unreached.lost_s(now) < CHANGE_OF_OWNER_S
-                or not self.limit.allows(
-                    len(self.unreached.worker_ids(now)), now)):
+                or not self.limit.allows(self._silent_addresses(), now)):
             # An offer on an earlier request is of no use any more.
             self.request_revision = 0
             return False
@@ -179,7 +190,7 @@
             self.watcher.handover_offer, self.request_revision)
 
     def _make_request(self, now: float) -> None:
-        request = self._sample(now)
+        request = self._sample()
         try:
             self.request_revision = self.store.commit(messages.Transaction(
                 (messages.Expect(records.OWNER_KEY, self.fleet.fence),),
@@ -196,17 +207,21 @@
                     reached=request.reached_count,
                     lost_s=round(self.unreached.lost_s(now), 3))
 
-    def _sample(self, now: float) -> Request:
-        unreached_ids = set(self.unreached.worker_ids(now))
+    def _silent_addresses(self) -> list[str]:
+        silent_ids = self.unreached.silent_ids()
+        with self.fleet.lock:
+            return [w.entry.address for w in self.fleet.workers.values()
+                    if w.entry.worker_id in silent_ids]
+
+    def _sample(self) -> Request:
+        unreached = self._silent_addresses()
         with self.fleet.lock:
-            workers = list(self.fleet.workers.values())
-        unreached = [w.entry.address for w in workers
-                     if w.entry.worker_id in unreached_ids]
-        reached = [w.entry.address for w in workers
-                   if w.listed and w.has_reported and not w.unresponsive]
-        return Request(_choose(unreached), _choose(reached),
+            reached = [w.entry.address for w in self.fleet.workers.values()
+                       if w.listed and w.has_reported and not w.unresponsive]
+        return Request(_choose(unreached, UNREACHED_SAMPLE_SIZE),
+                       _choose(reached, REACHED_SAMPLE_SIZE),
                        len(unreached), len(reached))
 
 
-def _choose(addresses: list[str]) -> tuple[str, ...]:
-    return tuple(random.sample(addresses, min(SAMPLE_SIZE, len(addresses))))
+def _choose(addresses: list[str], count: int) -> tuple[str, ...]:
+    return tuple(random.sample(addresses, min(count, len(addresses))))
--- a/sycamorefield/fleet/volunteer.py
+++ b/sycamorefield/fleet/volunteer.py
@@ -13,9 +13,12 @@
 
 # All processes see a request at the same moment.  The first offer is enough,
 # so a random delay spares the workers most of the connections.
-MAX_DELAY_S = 1.0
+MAX_DELAY_S = 0.3
 # A weak VM tries after all others: as an owner it may start too few tasks.
-WEAK_VM_DELAY_S = MAX_DELAY_S
+WEAK_VM_DELAY_S = 0.5
+# A process that reaches no worker would wait this long before its offer; one
+# that reaches all makes it at once.
+MISSING_WORKERS_DELAY_S = 2.0
 # An offer is void after this time.
 OFFER_TTL_MS = 4000
 
@@ -77,7 +80,8 @@
         if not request.is_improved_by(answering):
             return
         # A process that reaches more of them goes first.
-        self.stopped.wait(MAX_DELAY_S * request.missing_ratio(answering))
+        self.stopped.wait(
+            MISSING_WORKERS_DELAY_S * request.missing_ratio(answering))
         if self._is_open(item):
             self._make_offer(item.revision, len(answering))
 
