Let a quarantine outlast crashes at a similar run age

Cause: a task that crashes its workers does so at run ages that differ by up to 0.4 s. A quarantine run passed after 0.25 s if the suspected run had been young when its worker ended, as when another task crashed the worker; a task that crashes at 0.3 s was then cleared.

Change: the quarantine lasts 0.4 s longer than the oldest run that ended in a crash (or 1.5 times as long, if that is more).

--- a/sycamorefield/fleet/suspicion.py
+++ b/sycamorefield/fleet/suspicion.py
@@ -64,9 +64,9 @@
 
     def quarantine_s(self) -> float:
         """Return the run age in seconds at which the task is cleared."""
+        longest_s = max(self.ages_s, default=0.0)
         return min(MAX_SUSPECT_AGE_S, max(
-            STARTUP_WINDOW_S,
-            QUARANTINE_TIME_FACTOR * max(self.ages_s, default=0.0)))
+            longest_s + SIMILAR_AGE_S, QUARANTINE_TIME_FACTOR * longest_s))
 
     def encode(self) -> dict[str, typing.Any]:
         """Return the stored form of this record."""
