Trust no idle connection of a pool after a call without an answer

Callers would see: an owner loses its lease of 2 s, and no worker list is read for seconds, although the network to the store is back.

Cause: a pool keeps up to 12 idle connections of the store. When they go silent at once without a reset (a path that drops packets), nothing tells it before a call is sent. Each later call takes one of them, waits for its whole timeout and fails; only that one is closed.

Change: a call that gets no answer closes all idle connections of the pool, too. Calls sent later open new ones or use those that answered since; calls that were already waiting on a silent connection still fail, each at its own timeout. Taking a connection and closing all is safe with several threads (by reading: close() could raise IndexError when another thread took the last one; no test shows that alone).

Evidence: the new test has 8 cases.

--- a/sycamorefield/platform/connections.py
+++ b/sycamorefield/platform/connections.py
@@ -86,6 +86,8 @@
             response = connection.send(request, timeout_s)
         except interfaces.CallFailed:
             connection.close()
+            # What silenced this connection may have silenced the idle ones.
+            self.close()
             raise
         if connection.parser.reusable and len(self.idle) < self.max_idle:
             self.idle.append(connection)
@@ -94,16 +96,19 @@
         return response
 
     def _take_idle(self) -> Connection | None:
-        while self.idle:
-            try:
-                connection = self.idle.pop()
-            except IndexError:
-                return None  # Another thread took the last one.
+        while (connection := self._pop_idle()) is not None:
             if not connection.closed_by_server():
                 return connection
             connection.close()
         return None
 
+    def _pop_idle(self) -> Connection | None:
+        """Return an idle connection; other threads may take them meanwhile."""
+        try:
+            return self.idle.pop()
+        except IndexError:
+            return None
+
     def _connect(self, timeout_s: float) -> Connection:
         http_connection = urllib3.connection.HTTPConnection(
             self.host, self.port, timeout=min(CONNECT_TIMEOUT_S, timeout_s))
@@ -119,5 +124,5 @@
 
     def close(self) -> None:
         """Close all idle connections."""
-        while self.idle:
-            self.idle.pop().close()
+        while (connection := self._pop_idle()) is not None:
+            connection.close()
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -6,6 +6,7 @@
 import json
 import os
 import socket
+import threading
 import time
 import tomllib
 import urllib.request
@@ -539,6 +540,76 @@
     assert len(client_addresses) == 2
 
 
+class SilencedServer:
+    """Lets the present connections of a server go silent, without a reset."""
+
+    def __init__(self, server, idle):
+        self.respond = server.respond
+        self.addresses = set()
+        self.silent_addresses = set()
+        self.ended = threading.Event()
+        # Keeps the first calls on connections of their own.
+        self.all_connected = threading.Barrier(idle)
+        # By default, more than 5 connections at a time are dropped.
+        server.server.socket.listen(2 * store_mod.MAX_IDLE_CONNECTIONS)
+        server.respond = self.respond_or_wait
+
+    def respond_or_wait(self, call):
+        if call.client_address not in self.addresses:
+            self.addresses.add(call.client_address)
+            if not self.silent_addresses:
+                self.all_connected.wait(10)
+        if call.client_address not in self.silent_addresses:
+            self.respond(call)
+            return
+        self.ended.wait(10)
+        call.close_connection = True
+
+
+def call_at_once(count, call):
+    """Call from several threads at once; return how many calls failed."""
+    failures = []
+    all_started = threading.Barrier(count)
+
+    def record_failure():
+        all_started.wait(10)
+        try:
+            call()
+        except interfaces.CallFailed as exc:
+            failures.append(exc)
+    threads = [threading.Thread(target=record_failure) for _ in range(count)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return len(failures)
+
+
+@pytest.mark.parametrize("at_once", [1, 3])
+@pytest.mark.parametrize(("idle", "goes_silent"), [
+    (6, False), (1, True), (6, True), (store_mod.MAX_IDLE_CONNECTIONS, True)])
+def test_no_call_fails_once_another_got_no_answer(
+        server, idle, goes_silent, at_once):
+    """Guards against calls that fail one by one over silent connections."""
+    silenced = SilencedServer(server, idle)
+    client = jsonclient.JsonClient(
+        server.address, store_mod.MAX_IDLE_CONNECTIONS)
+
+    def call(timeout_s):
+        client.call("GET", "/-/kv-key?key=k", timeout_s)
+    assert call_at_once(idle, lambda: call(10.0)) == 0
+    assert len(client.pool.idle) == idle
+    if goes_silent:
+        silenced.silent_addresses = set(silenced.addresses)
+    failures = call_at_once(at_once, lambda: call(0.5))
+    later_failures = sum(
+        call_at_once(at_once, lambda: call(0.5)) for _ in range(idle))
+    silenced.ended.set()
+    client.close()
+    assert failures <= (at_once if goes_silent else 0)
+    assert later_failures == 0
+
+
 @pytest.mark.parametrize("data", [
     b'{"clock_ms": 5, "running": [["a.0.0", 1]]}',
     b'{"clock_ms": 5, "running": [["a.0.0.0", "x"]]}',
