Ask for advice first on workers on which a step could run now

Callers would see: a task of a queue with an advice policy waits for as long as other steps do, although a worker with the right label, or with enough memory, is free.

Cause: a call names the 30 workers with the most free CPU that have no valid ticket, whatever their labels, free memory and size. The service answers one call at a time; with several steps waiting, the tickets of these 30 expire before the step's next turn, so they are named again and a suitable worker further down never is.

Change: - Workers whose label, service or whole capacity rules a step out are never asked about, so a step that no worker can run takes no turns. - A call names the workers on which the step fits now first. The others fill it up as before: they matter where runs are preempted, and a task that waits for capacity needs its ticket at the moment when a run there ends. - Among equals those of which the last ticket is the oldest are named first, so that calls get to all of them. - A worker that a round could have used by its ticket and its capacity, and did not use, ranks with those that don't fit.

--- a/sycamorefield/fleet/advice.py
+++ b/sycamorefield/fleet/advice.py
@@ -2,11 +2,11 @@
 
 The policy of some queues is known only to an advice service.  It answers one
 call at a time for each calling VM and takes some time for each worker named,
-so calls name the workers with the most free capacity, and no more of them
-than a step needs.
+so calls name first the workers on which the step could run now.
 """
 
 import dataclasses
+import heapq
 import threading
 import typing
 
@@ -24,7 +24,7 @@
 MAX_IDLE_WAIT_S = 0.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Ticket:
     """Permission to start a step on one worker.
 
@@ -33,6 +33,9 @@
 
     text: str
     valid_until: float
+    # Whether a round that could use it started no task there, although the
+    # worker had the capacity.
+    passed_over: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,18 +66,63 @@
                     in self.tickets.get(step, {}).items()
                     if ticket.valid_until - EXPIRY_MARGIN_S > now}
 
+    def is_pending(self, step: messages.StepId) -> bool:
+        """Return whether a request for advice on a step is queued or sent."""
+        with self.lock:
+            return step in self.pending
+
+    def known_workers(self, step: messages.StepId, now: float) -> set[str]:
+        """Return the workers on which advice for a step is cached."""
+        with self.lock:
+            return self._known_workers(step, now)
+
+    def _known_workers(self, step: messages.StepId, now: float) -> set[str]:
+        known = set(self.rejected_workers.get(step, ()))
+        known.update(worker_id for worker_id, ticket
+                     in self.tickets.get(step, {}).items()
+                     if ticket.valid_until - EXPIRY_MARGIN_S > now)
+        return known
+
+    def pass_over(self, step: messages.StepId,
+                  workers: typing.Iterable[str]) -> None:
+        """Record that a step was not placed on workers with tickets."""
+        with self.lock:
+            tickets = self.tickets.get(step, {})
+            for worker_id in workers:
+                if worker_id in tickets:
+                    tickets[worker_id].passed_over = True
+
     def request_advice(self, step: messages.StepId,
-                       workers: typing.Iterable[str],
-                       policy: messages.AdvicePolicy, now: float) -> None:
-        """Queue a request for those of some workers without cached advice."""
-        valid_tickets = self.valid_tickets(step, now)
+                       fitting: typing.Iterable[str],
+                       policy: messages.AdvicePolicy, now: float,
+                       others: typing.Iterable[str] = ()) -> None:
+        """Queue a request for those of some workers without cached advice.
+
+        It names first those that fit and have not been passed over, then the
+        ones of which the last ticket is the oldest.  Otherwise tickets of
+        some workers could expire, and be requested again, before any call
+        names the others.
+        """
         with self.lock:
-            rejected_workers = self.rejected_workers.get(step, set())
-            worker_ids = [w for w in workers if w not in valid_tickets
-                          and w not in rejected_workers][:MAX_WORKERS_PER_CALL]
-            if worker_ids and step not in self.pending:
+            if step in self.pending:
+                return
+            known_workers = self._known_workers(step, now)
+            last_tickets = self.tickets.get(step, {})
+            ranked: list[tuple[bool, float, int, str]] = []
+            for fits, workers in ((True, fitting), (False, others)):
+                for worker_id in workers:
+                    if worker_id in known_workers:
+                        continue
+                    last = last_tickets.get(worker_id)
+                    passed_over = last is not None and last.passed_over
+                    ranked.append((
+                        not fits or passed_over,
+                        last.valid_until if last is not None else 0.0,
+                        len(ranked), worker_id))
+            named = heapq.nsmallest(MAX_WORKERS_PER_CALL, ranked)
+            if named:
                 self.pending[step] = AdviceRequest(
-                    step, tuple(worker_ids), policy)
+                    step, tuple(entry[-1] for entry in named), policy)
                 self.lock.notify_all()
 
     def discard_ticket(self, step: messages.StepId, worker_id: str) -> None:
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -115,15 +115,36 @@
                         eligible: EligibleWorkers) -> None:
         """Request advice on more workers if tasks of a step are unplaced."""
         queue = self.queues[state.job.queue]
-        unplaced = [t for t in tasks if t.phase == progress.IDLE]
-        if not unplaced or queue.advice is None:
+        task = next((t for t in tasks if t.phase == progress.IDLE), None)
+        if task is None or queue.advice is None:
             return
-        by_free_cpu = sorted((w for w in self.usable_workers
-                              if w.entry.service == eligible.service),
-                             key=lambda w: -w.free_capacity().cpu)
-        self.fleet.advice.request_advice(
-            unplaced[0].task.step_id(),
-            (w.entry.worker_id for w in by_free_cpu), queue.advice, self.now)
+        advice = self.fleet.advice
+        step_id = task.task.step_id()
+        if advice.is_pending(step_id):
+            return
+        known_workers = advice.known_workers(step_id, self.now)
+        possible = [w for w in self.usable_workers
+                    if w.entry.worker_id not in known_workers
+                    and placing.allowed(w, eligible.service, task)
+                    and w.entry.capacity.holds(task.step.reserved())]
+        if not possible:
+            return
+        possible.sort(key=lambda w: -w.free_capacity().cpu)
+        fitting = self._fitting_workers(task, possible)
+        advice.pass_over(step_id, self._fitting_workers(
+            task, [w for w in eligible.workers
+                   if placing.allowed(w, eligible.service, task)]))
+        advice.request_advice(
+            step_id, fitting, queue.advice, self.now,
+            [w.entry.worker_id for w in possible
+             if w.entry.worker_id not in fitting])
+
+    def _fitting_workers(self, task: progress.TaskState,
+                         workers: list[workerstate.WorkerState]
+                         ) -> dict[str, None]:
+        """Return the IDs of those workers on which a task fits now."""
+        return {w.entry.worker_id: None for w in workers if placing.fits(
+            w, task.step, self.fleet.interference_model)}
 
     def _eligible_workers(self, state: progress.JobState,
                           task: progress.TaskState) -> EligibleWorkers:
--- a/tests/test_fleet_advice.py
+++ b/tests/test_fleet_advice.py
@@ -1,7 +1,10 @@
 """Test that queues with an advice policy run only on advised workers."""
 
+import math
+
 import pytest
 
+from sycamorefield.fleet import advice
 from sycamorefield.fleet import answers
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import interfaces
@@ -183,3 +186,115 @@
     for _ in range(2):
         cache.fetch(next(iter(cache.pending.values())))
     assert [step for step, _ in service.requests] == ["k.0.0"]
+
+
+# How long a call for advice takes, and how many workers are unsuitable.
+CALL_S = 0.7
+UNSUITABLE_WORKERS = 100
+SUITABLE_WORKER = f"i-{UNSUITABLE_WORKERS}"
+CALLS_FOR_ALL_WORKERS = math.ceil(
+    (UNSUITABLE_WORKERS + 1) / advice.MAX_WORKERS_PER_CALL)
+SLOW_POLICY = messages.AdvicePolicy(100.0, 20.0, 5000.0)
+LABELLED = messages.Step(1, messages.Resources(1000, 1000), requires="b")
+WIDE = messages.Step(1, messages.Resources(1000, 2000))
+# Fits on no worker besides the runs that fill most of the memory of each.
+TOO_WIDE = messages.Step(1, messages.Resources(1000, 15_500))
+
+
+def queues_with_and_without_advice():
+    return messages.Configuration(1, (
+        messages.Queue("checks", "h", "/c/", "desk", 1, 2, SLOW_POLICY),
+        messages.Queue("urgent", "h", "/u/", "desk", 0, 2),
+        messages.Queue("low", "h", "/l/", "desk", 2, 2)))
+
+
+def advise_on_all(bench, monkeypatch):
+    """Let the service of a bench advise each worker that it is asked about."""
+    bench.state.configuration = queues_with_and_without_advice
+    bench.state.advice.service = service = StubAdviceService(
+        set(bench.state.workers))
+    monkeypatch.setattr(clock, "now", lambda: bench.now)
+    return service
+
+
+def bench_with_one_suitable_worker(monkeypatch, low_mem_mb):
+    """Return a bench whose last worker has free memory, and less free CPU."""
+    bench = test_fleet_state.Bench(
+        *(fleetfakes.entry(n, 8000) for n in range(UNSUITABLE_WORKERS)),
+        fleetfakes.entry(UNSUITABLE_WORKERS, labels=("b", "r0"),
+                         capacity=messages.Resources(4000, 14_000, 0)))
+    service = advise_on_all(bench, monkeypatch)
+    bench.add(fleetfakes.job("urgent", messages.Step(
+        UNSUITABLE_WORKERS, messages.Resources(100, 15_000)), queue="urgent"))
+    if low_mem_mb:
+        bench.add(fleetfakes.job("low", messages.Step(
+            1, messages.Resources(100, low_mem_mb), requires="b"),
+            queue="low", priority=2))
+    placed = bench.place()
+    assert len(placed) == UNSUITABLE_WORKERS + bool(low_mem_mb)
+    return bench, service
+
+
+@pytest.mark.parametrize("other_steps", [0, 3])
+@pytest.mark.parametrize(("step", "low_mem_mb", "max_calls"), [
+    (LABELLED, 0, 1), (WIDE, 0, 1), (WIDE, 13_000, CALLS_FOR_ALL_WORKERS),
+], ids=["label", "memory", "preemption"])
+def test_suitable_worker_is_reached_although_other_steps_wait(
+        monkeypatch, step, low_mem_mb, max_calls, other_steps):
+    """Guards against asking about the same unsuitable workers for good."""
+    bench, service = bench_with_one_suitable_worker(monkeypatch, low_mem_mb)
+    for number in range(other_steps):
+        bench.add(fleetfakes.job(f"other-{number}", TOO_WIDE))
+    bench.add(fleetfakes.job("j", step))
+    before = len(bench.orders)
+    for _ in range(100):
+        bench.place()
+        if len(bench.orders) > before:
+            break
+        bench.state.advice.fetch(next(iter(
+            bench.state.advice.pending.values())))
+        bench.now += CALL_S
+    assert [worker for worker, _ in bench.orders[before:]] == [SUITABLE_WORKER]
+    assert sum(s == "j.0.0" for s, _ in service.requests) <= max_calls
+
+
+@pytest.mark.parametrize(("requires", "mem_mb"), [("c", 10), ("", 16_001)],
+                         ids=["label", "memory"])
+def test_no_request_for_a_step_that_no_worker_can_run(
+        bench, requires, mem_mb):
+    """Guards against calls of which no ticket can be used."""
+    bench.add(fleetfakes.job("j", messages.Step(
+        1, messages.Resources(1000, mem_mb), requires=requires)))
+    assert not bench.place()
+    assert not bench.state.advice.pending
+
+
+@pytest.mark.parametrize(("count", "asked_first"), [(2, False), (1, True)],
+                         ids=["found-unsuitable", "not-tried"])
+def test_worker_found_unsuitable_is_not_asked_about_first(
+        monkeypatch, count, asked_first):
+    """Guards against tickets that expire unused, again and again."""
+    free_workers = advice.MAX_WORKERS_PER_CALL
+    bench = test_fleet_state.Bench(*(
+        fleetfakes.entry(n, labels=("a",) if n < free_workers else ("b",))
+        for n in range(2 * free_workers)))
+    service = advise_on_all(bench, monkeypatch)
+    bench.add(fleetfakes.job("urgent", messages.Step(
+        free_workers, messages.Resources(4000, 10), requires="b"),
+        queue="urgent"))
+    assert len(bench.place()) == free_workers
+    bench.add(fleetfakes.job("j", messages.Step(
+        count, messages.Resources(4000, 10), gang=True)))
+    service.advised_workers = {"i-0"}
+    assert not bench.place()
+    cache = bench.state.advice
+    fetch_all(bench)
+    if not asked_first:
+        assert not bench.place()
+        service.refusals = 1
+        fetch_all(bench)
+    bench.now += 10.0
+    assert not bench.place()
+    named = cache.pending[messages.StepId("j", 0, 0)].workers
+    assert (named[0] == "i-0") == asked_first
+    assert len(named) == free_workers
