Discard advice on a life of a worker that ends during the request

Callers would see: a step never runs on a worker again, or starts there are rejected and asked for again, after the worker started again while a request for advice on it was under way.

Cause: the end of a life discards cached tickets and refusals, but not those that a queued or sent request is still to bring. They were stored for the next life: a refusal for good (the service doesn't advise a worker that is down), a ticket until it expired.

Change: a request keeps the workers whose lives ended since it was queued. A queued one is sent without them, or dropped if none is left; of an answer, what concerns them is discarded. The next request asks about them once they are usable.

--- a/sycamorefield/fleet/advice.py
+++ b/sycamorefield/fleet/advice.py
@@ -40,11 +40,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdviceRequest:
-    """A request for advice on one step and some workers."""
+    """A request for advice on one step and some workers.
+
+    Advice on workers whose lives have ended since it was queued is discarded.
+    """
 
     step: messages.StepId
     workers: tuple[str, ...]
     policy: messages.AdvicePolicy
+    ended_workers: set[str] = dataclasses.field(default_factory=set)
 
 
 class AdviceCache:
@@ -140,6 +144,8 @@
                 tickets.pop(worker_id, None)
             for rejected_workers in self.rejected_workers.values():
                 rejected_workers.discard(worker_id)
+            for request in self.pending.values():
+                request.ended_workers.add(worker_id)
 
     def forget_job(self, job_id: str) -> None:
         """Discard advice and requests for a job that has ended."""
@@ -168,10 +174,18 @@
 
     def fetch(self, request: AdviceRequest) -> bool:
         """Send a request; return whether it was answered."""
+        with self.lock:
+            workers = tuple(w for w in request.workers
+                            if w not in request.ended_workers)
+            if not workers:
+                self.pending.pop(request.step, None)
+        if not workers:
+            self.on_answer()
+            return True
         try:
             if self.service is None:
                 raise interfaces.CallRefused("no advice service is set")
-            advice = self.service.advise(str(request.step), request.workers,
+            advice = self.service.advise(str(request.step), workers,
                                          request.policy)
         except interfaces.CallFailed as exc:
             events.emit(events.ADVICE_MISSING, step=str(request.step),
@@ -181,22 +195,28 @@
                 # the workers of that time, and other steps are not held up.
                 self.pending.pop(request.step, None)
             return False
-        tickets_by_worker = advice.tickets
+        events.emit(events.ADVICE_GIVEN, step=str(request.step),
+                    asked=len(workers), good=len(advice.tickets))
+        if self._store(request, workers, advice):
+            self.on_answer()
+        return True
+
+    def _store(self, request: AdviceRequest, workers: tuple[str, ...],
+               advice: messages.Advice) -> bool:
+        """Cache advice on some workers; return whether it is still needed."""
         valid_ms = (request.policy.valid_ms if advice.valid_ms is None
                     else advice.valid_ms)
         # Tickets are issued when the service answers.
         valid_until = clock.now() + valid_ms / 1000.0
-        events.emit(events.ADVICE_GIVEN, step=str(request.step),
-                    asked=len(request.workers), good=len(tickets_by_worker))
         with self.lock:
             if request.step not in self.pending:
                 # The job has ended in the meantime.
-                return True
+                return False
             tickets = self.tickets.setdefault(request.step, {})
-            for worker_id, text in tickets_by_worker.items():
-                tickets[worker_id] = Ticket(text, valid_until)
+            for worker_id, text in advice.tickets.items():
+                if worker_id not in request.ended_workers:
+                    tickets[worker_id] = Ticket(text, valid_until)
             self.rejected_workers.setdefault(request.step, set()).update(
-                set(request.workers) - set(tickets_by_worker))
+                set(workers) - set(advice.tickets) - request.ended_workers)
             del self.pending[request.step]
-        self.on_answer()
         return True
--- a/tests/test_fleet_advice.py
+++ b/tests/test_fleet_advice.py
@@ -175,6 +175,49 @@
     assert bench.place() == ["j.0.0.0@i-1"]
 
 
+@pytest.mark.parametrize("advised", [True, False])
+@pytest.mark.parametrize("ends", ["queued", "sent"])
+def test_advice_on_an_ended_life_does_not_count_for_the_next_one(
+        bench, monkeypatch, ends, advised):
+    """Guards against tickets and refusals that a request in between brings."""
+    bench.state.advice.service = service = StubAdviceService(
+        {"i-1"} if advised else set())
+    bench.add(fleetfakes.job("j", messages.Step(1, STEP.room)))
+    bench.place()
+    if ends == "queued":
+        restart(bench, "i-1")
+    else:
+        advise = service.advise
+
+        def advise_during_restart(*request):
+            restart(bench, "i-1")
+            return advise(*request)
+        monkeypatch.setattr(service, "advise", advise_during_restart)
+    fetch_all(bench)
+    monkeypatch.undo()
+    service.advised_workers = {"i-1"}
+    assert not bench.place()
+    fetch_all(bench)
+    assert "i-1" in service.requests[-1][1]
+    assert bench.place() == ["j.0.0.0@i-1"]
+
+
+def test_no_call_without_workers_once_the_only_one_has_restarted():
+    """Guards against a step that waits for a call without workers."""
+    bench = test_fleet_state.Bench(fleetfakes.entry(1))
+    bench.state.configuration = configuration
+    bench.now = clock.now()
+    bench.state.advice.service = service = StubAdviceService({"i-1"})
+    bench.add(fleetfakes.job("j", messages.Step(1, STEP.room)))
+    bench.place()
+    restart(bench, "i-1")
+    fetch_all(bench)
+    assert not service.requests
+    bench.place()
+    fetch_all(bench)
+    assert bench.place() == ["j.0.0.0@i-1"]
+
+
 def test_failed_request_does_not_block_those_of_other_steps(bench):
     """Guards against a failing request that holds up all others."""
     bench.state.advice.service = service = StubAdviceService(
