--- a/sycamorefield/fleet/advice.py
+++ b/sycamorefield/fleet/advice.py
@@ -2,11 +2,11 @@
 
 The policy of some queues is known only to an advice service.  It answers one
 call at a time for each calling VM and takes some time for each worker named,
-so calls name the workers with the most free capacity, and no more of them
-than a step needs.
+so calls name first the workers on which the step could run now.
 """
 
 import dataclasses
+import heapq
 import threading
 import typing
 
@@ -24,7 +24,7 @@
 MAX_IDLE_WAIT_S = 0.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@dataclasses.dataclass(slots=True)
 class Ticket:
     """Permission to start a step on one worker.
 
@@ -33,15 +33,22 @@
 
     text: str
     valid_until: float
+    # Whether a round that could use it started no task there, although the
+    # worker had the capacity.
+    passed_over: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdviceRequest:
-    """A request for advice on one step and some workers."""
+    """A request for advice on one step and some workers.
+
+    Advice on workers whose lives have ended since it was queued is discarded.
+    """
 
     step: messages.StepId
     workers: tuple[str, ...]
     policy: messages.AdvicePolicy
+    ended_workers: set[str] = dataclasses.field(default_factory=set)
 
 
 class AdviceCache:
@@ -63,18 +70,63 @@
                     in self.tickets.get(step, {}).items()
                     if ticket.valid_until - EXPIRY_MARGIN_S > now}
 
+    def is_pending(self, step: messages.StepId) -> bool:
+        """Return whether a request for advice on a step is queued or sent."""
+        with self.lock:
+            return step in self.pending
+
+    def known_workers(self, step: messages.StepId, now: float) -> set[str]:
+        """Return the workers on which advice for a step is cached."""
+        with self.lock:
+            return self._known_workers(step, now)
+
+    def _known_workers(self, step: messages.StepId, now: float) -> set[str]:
+        known = set(self.rejected_workers.get(step, ()))
+        known.update(worker_id for worker_id, ticket
+                     in self.tickets.get(step, {}).items()
+                     if ticket.valid_until - EXPIRY_MARGIN_S > now)
+        return known
+
+    def pass_over(self, step: messages.StepId,
+                  workers: typing.Iterable[str]) -> None:
+        """Record that a step was not placed on workers with tickets."""
+        with self.lock:
+            tickets = self.tickets.get(step, {})
+            for worker_id in workers:
+                if worker_id in tickets:
+                    tickets[worker_id].passed_over = True
+
     def request_advice(self, step: messages.StepId,
-                       workers: typing.Iterable[str],
-                       policy: messages.AdvicePolicy, now: float) -> None:
-        """Queue a request for those of some workers without cached advice."""
-        valid_tickets = self.valid_tickets(step, now)
+                       fitting: typing.Iterable[str],
+                       policy: messages.AdvicePolicy, now: float,
+                       others: typing.Iterable[str] = ()) -> None:
+        """Queue a request for those of some workers without cached advice.
+
+        It names first those that fit and have not been passed over, then the
+        ones of which the last ticket is the oldest.  Otherwise tickets of
+        some workers could expire, and be requested again, before any call
+        names the others.
+        """
         with self.lock:
-            rejected_workers = self.rejected_workers.get(step, set())
-            worker_ids = [w for w in workers if w not in valid_tickets
-                          and w not in rejected_workers][:MAX_WORKERS_PER_CALL]
-            if worker_ids and step not in self.pending:
+            if step in self.pending:
+                return
+            known_workers = self._known_workers(step, now)
+            last_tickets = self.tickets.get(step, {})
+            ranked: list[tuple[bool, float, int, str]] = []
+            for fits, workers in ((True, fitting), (False, others)):
+                for worker_id in workers:
+                    if worker_id in known_workers:
+                        continue
+                    last = last_tickets.get(worker_id)
+                    passed_over = last is not None and last.passed_over
+                    ranked.append((
+                        not fits or passed_over,
+                        last.valid_until if last is not None else 0.0,
+                        len(ranked), worker_id))
+            named = heapq.nsmallest(MAX_WORKERS_PER_CALL, ranked)
+            if named:
                 self.pending[step] = AdviceRequest(
-                    step, tuple(worker_ids), policy)
+                    step, tuple(entry[-1] for entry in named), policy)
                 self.lock.notify_all()
 
     def discard_ticket(self, step: messages.StepId, worker_id: str) -> None:
@@ -92,6 +144,8 @@
                 tickets.pop(worker_id, None)
             for rejected_workers in self.rejected_workers.values():
                 rejected_workers.discard(worker_id)
+            for request in self.pending.values():
+                request.ended_workers.add(worker_id)
 
     def forget_job(self, job_id: str) -> None:
         """Discard advice and requests for a job that has ended."""
@@ -120,10 +174,18 @@
 
     def fetch(self, request: AdviceRequest) -> bool:
         """Send a request; return whether it was answered."""
+        with self.lock:
+            workers = tuple(w for w in request.workers
+                            if w not in request.ended_workers)
+            if not workers:
+                self.pending.pop(request.step, None)
+        if not workers:
+            self.on_answer()
+            return True
         try:
             if self.service is None:
                 raise interfaces.CallRefused("no advice service is set")
-            advice = self.service.advise(str(request.step), request.workers,
+            advice = self.service.advise(str(request.step), workers,
                                          request.policy)
         except interfaces.CallFailed as exc:
             events.emit(events.ADVICE_MISSING, step=str(request.step),
@@ -133,22 +195,28 @@
                 # the workers of that time, and other steps are not held up.
                 self.pending.pop(request.step, None)
             return False
-        tickets_by_worker = advice.tickets
+        events.emit(events.ADVICE_GIVEN, step=str(request.step),
+                    asked=len(workers), good=len(advice.tickets))
+        if self._store(request, workers, advice):
+            self.on_answer()
+        return True
+
+    def _store(self, request: AdviceRequest, workers: tuple[str, ...],
+               advice: messages.Advice) -> bool:
+        """Cache advice on some workers; return whether it is still needed."""
         valid_ms = (request.policy.valid_ms if advice.valid_ms is None
                     else advice.valid_ms)
         # Tickets are issued when the service answers.
         valid_until = clock.now() + valid_ms / 1000.0
-        events.emit(events.ADVICE_GIVEN, step=str(request.step),
-                    asked=len(request.workers), good=len(tickets_by_worker))
         with self.lock:
             if request.step not in self.pending:
                 # The job has ended in the meantime.
-                return True
+                return False
             tickets = self.tickets.setdefault(request.step, {})
-            for worker_id, text in tickets_by_worker.items():
-                tickets[worker_id] = Ticket(text, valid_until)
+            for worker_id, text in advice.tickets.items():
+                if worker_id not in request.ended_workers:
+                    tickets[worker_id] = Ticket(text, valid_until)
             self.rejected_workers.setdefault(request.step, set()).update(
-                set(request.workers) - set(tickets_by_worker))
+                set(workers) - set(advice.tickets) - request.ended_workers)
             del self.pending[request.step]
-        self.on_answer()
         return True
