Keep claiming the fleet after an unexpected error of a claim or a term

Seen by callers: after one unexpected error a process never claims the fleet again; if it was the last that could, nothing is scheduled. If the thread that watches the owner's key can't be started, the process renews the lease of a fleet that it doesn't schedule, for ever, and no other can claim it.

Cause: Ownership.run, _run_term, _renew_lease and _watch_owner_key ran without a guard. An error of another type than CallFailed (an answer without a field, no more threads, no more files) ended the thread. _renew_lease was started before _watch_owner_key and went on, as nothing stepped down.

--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -156,7 +156,19 @@
 
     def run(self) -> None:
         """Recover the stored state, then schedule until stepping down."""
-        self._run_guarded(self._run)
+        self.run_guarded(self._run)
+
+    def run_guarded(self, target: typing.Callable[[], None]) -> None:
+        """Run a target; step down on an unexpected error.
+
+        A successor then starts from the stored state.
+        """
+        try:
+            target()
+        except Exception as exc:
+            events.emit(events.THREAD_FAILED, reason=repr(exc),
+                        where=events.error_location(exc))
+            self.step_down("unexpected error")
 
     def _run(self) -> None:
         revision = self._recover()
@@ -166,9 +178,9 @@
         for target in (functools.partial(self.job_watcher.follow, revision),
                        self._follow_worker_list, self.recorder.run,
                        self._follow_advice):
-            threading.Thread(target=self._run_guarded, args=(target,),
+            threading.Thread(target=self.run_guarded, args=(target,),
                              daemon=True).start()
-        self._run_guarded(self._run_rounds)
+        self.run_guarded(self._run_rounds)
         self.fleet.run_log.flush()
 
     def gauges(self) -> dict[str, float]:
@@ -194,18 +206,6 @@
             gauges.update(usage_gauges)
         return gauges
 
-    def _run_guarded(self, target: typing.Callable[[], None]) -> None:
-        """Run a target; step down on an unexpected error.
-
-        A successor then starts from the stored state.
-        """
-        try:
-            target()
-        except Exception as exc:
-            events.emit(events.THREAD_FAILED, reason=repr(exc),
-                        where=events.error_location(exc))
-            self.step_down("unexpected error")
-
     def _follow_advice(self) -> None:
         self.fleet.advice.run(self.stepped_down)
 
--- a/sycamorefield/fleet/ownership.py
+++ b/sycamorefield/fleet/ownership.py
@@ -1,5 +1,6 @@
 """Elect the owner of the fleet through a leased key in the store."""
 
+import functools
 import random
 import threading
 import typing
@@ -62,18 +63,21 @@
     def run(self) -> None:
         """Claim and run terms until stopped."""
         while not self.stopped.is_set():
-            self._wait_until_claimable()
-            if self.stopped.is_set():
-                return
             try:
+                self._wait_until_claimable()
+                if self.stopped.is_set():
+                    return
                 fence = self._claim()
+                if fence:
+                    self._run_term(fence)
             except interfaces.CallFailed as exc:
                 events.emit(events.STORE_UNREACHABLE,
                             reason=f"owner claim: {exc}")
                 self.stopped.wait(RETRY_PAUSE_S)
-                continue
-            if fence:
-                self._run_term(fence)
+            except Exception as exc:
+                events.emit(events.THREAD_FAILED, reason=repr(exc),
+                            where=events.error_location(exc))
+                self.stopped.wait(RETRY_PAUSE_S)
 
     def _wait_until_claimable(self) -> None:
         """Wait until the key is free or holds this process's identity.
@@ -125,7 +129,28 @@
         return fence
 
     def _run_term(self, fence: int) -> None:
-        """Run an Owner until it steps down."""
+        """Run an Owner until it steps down, then let others claim the key.
+
+        The key is released even if the owner or one of its threads could not
+        be started.  Otherwise this process would keep the fleet without
+        scheduling it, or claim it again and again.
+        """
+        failed = False
+        try:
+            self._run_owner(fence)
+        except Exception as exc:
+            failed = True
+            events.emit(events.THREAD_FAILED, reason=repr(exc),
+                        where=events.error_location(exc))
+        if self.stopped.is_set():
+            return
+        item = self.watcher.owner_item
+        if failed or (item is not None and item.value == self.identity):
+            # The term may have ended by a fault of this process.
+            self._release_concurrently(fence)
+        self.stopped.wait(RETRY_PAUSE_S)
+
+    def _run_owner(self, fence: int) -> None:
         owner = self.make_owner(fence)
         # The claim may succeed seconds after its lease was granted.
         owner.note_lease_renewal(self.lease_requested_at)
@@ -136,22 +161,25 @@
             owner.step_down("planned stop")
             self.release(fence)
             return
-        threading.Thread(target=self._renew_lease, args=(owner,),
-                         daemon=True).start()
-        threading.Thread(target=self._watch_owner_key, args=(owner,),
-                         daemon=True).start()
-        owner.run()
-        owner.step_down("term ended")
-        self.owner = None
-        if self.stopped.is_set():
-            return
-        item = self.watcher.owner_item
-        if item is not None and item.value == self.identity:
-            # The term may have ended by a fault of this process.  Releasing
-            # the key lets others claim it.
+        try:
+            for target in (self._renew_lease, self._watch_owner_key):
+                threading.Thread(
+                    target=owner.run_guarded,
+                    args=(functools.partial(target, owner),),
+                    daemon=True).start()
+            owner.run()
+        finally:
+            owner.step_down("term ended")
+            self.owner = None
+
+    def _release_concurrently(self, fence: int) -> None:
+        """Release the key without waiting for the store, if possible."""
+        try:
             threading.Thread(target=self.release, args=(fence,),
                              daemon=True).start()
-        self.stopped.wait(RETRY_PAUSE_S)
+        except RuntimeError:
+            # The process may start no more threads.
+            self.release(fence)
 
     def _renew_lease(self, owner: owner_mod.Owner) -> None:
         while not owner.stepped_down.wait(RENEW_PERIOD_S):
--- /dev/null
+++ b/tests/test_fleet_unguarded_threads.py
@@ -0,0 +1,112 @@
+"""Test that no unexpected error leaves the fleet without an owner."""
+
+import threading
+
+import pytest
+
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import records
+from tests import fleetfakes
+from tests import livenessfakes
+
+THREAD_LIMIT = RuntimeError("can't start new thread")
+
+
+@pytest.fixture(name="fleet")
+def fixture_fleet():
+    fleet = livenessfakes.Deployment(names="a")
+    yield fleet
+    fleet.stop()
+
+
+def refuse_threads(monkeypatch, names, times):
+    """Let the first starts of threads that run one of some methods fail."""
+    start = threading.Thread.start
+    left = [times]
+
+    def start_or_fail(thread):
+        if left[0] and names & {name_of_target(thread)}:
+            left[0] -= 1
+            raise THREAD_LIMIT
+        start(thread)
+
+    monkeypatch.setattr(threading.Thread, "start", start_or_fail)
+    return left
+
+
+def name_of_target(thread):
+    """Return the name of the method that a thread runs."""
+    target = getattr(thread, "_target", None)
+    args = getattr(thread, "_args", ())
+    if target is None:
+        return ""
+    if args and callable(args[0]):
+        target = args[0]
+    return getattr(getattr(target, "func", target), "__qualname__", "")
+
+
+@pytest.mark.parametrize("name", [
+    "Ownership._renew_lease", "Ownership._watch_owner_key",
+    "JobWatcher.follow", "Owner._follow_worker_list", "Recorder.run",
+    "Owner._follow_advice", "LoopThread._run"])
+def test_fleet_is_scheduled_after_a_thread_of_a_term_failed_to_start(
+        fleet, monkeypatch, name):
+    """A claim without its threads renewed its lease and scheduled nothing."""
+    left = refuse_threads(monkeypatch, {name}, 2)
+    fleet.processes["a"].start()
+    fleet.submit(fleetfakes.job("j"))
+    livenessfakes.wait_for(lambda: fleet.running() == {"j.0.0.0"})
+    assert left == [0]
+
+
+def test_process_claims_again_after_its_owner_could_not_be_made(fleet):
+    """The thread that claims ended, so no process could own the fleet."""
+    process = fleet.processes["a"]
+    process.owner_error = OSError("too many open files")
+    process.start()
+    livenessfakes.wait_for(process.owns)
+    process.owner_error = None
+    fleet.submit(fleetfakes.job("j"))
+    livenessfakes.wait_for(lambda: fleet.running() == {"j.0.0.0"})
+
+
+@pytest.mark.parametrize("call", ["grant", "commit owner/fleet"])
+def test_process_claims_again_after_an_unexpected_error_of_a_claim(
+        fleet, call):
+    """An answer that lacked a field ended the thread that claims."""
+    process = fleet.processes["a"]
+    process.store.faults = {call: livenessfakes.ERROR}
+    process.start()
+    livenessfakes.wait_for(lambda: process.watcher.owner_known)
+    threading.Event().wait(0.3)
+    process.store.faults = {}
+    livenessfakes.wait_for(process.owns)
+
+
+def test_process_claims_again_if_no_thread_can_release_its_key(
+        fleet, monkeypatch):
+    """The thread that claims ended with the term."""
+    refuse_threads(monkeypatch, {"Ownership.release"}, 1)
+    process = fleet.processes["a"]
+    process.start()
+    livenessfakes.wait_for(lambda: len(process.owners) > 0)
+    process.owners[0].step_down("test")
+    livenessfakes.wait_for(lambda: len(process.owners) > 1
+                           and process.owners[-1].recovered)
+
+
+@pytest.mark.parametrize("call", ["renew", "get owner/fleet"])
+def test_owner_steps_down_after_an_unexpected_error_with_its_claim(
+        fleet, call):
+    """An owner went on without the thread that renews or checks its claim."""
+    process = fleet.processes["a"]
+    process.start()
+    livenessfakes.wait_for(lambda: len(process.owners) > 0
+                           and process.owners[0].recovered)
+    # The store keeps the key, so only the error can end the term in time.
+    fleet.store.expires_at.clear()
+    process.store.faults = {call: livenessfakes.ERROR}
+    # The key seems to be claimed by another, so it is read.
+    process.watcher._set_owner(messages.Item(
+        records.OWNER_KEY, b"x", 10 ** 6, 10 ** 6), 10 ** 6)
+    livenessfakes.wait_for(process.owners[0].stepped_down.is_set, 5.0)
