Keep watching the owner's key after an unexpected error

Seen by callers: a process goes on with an old state of the owner's key and of the configuration. It takes the fleet for owned ever after and never claims it; as an owner, it doesn't learn of evacuations.

Cause: ControlWatcher.run ended by any error other than CallFailed and HistoryCompacted, such as an answer without a field, or a configuration whose decoding fails by another error than ValueError (nested too deeply).

A value that can't be decoded is unreadable whatever the error; otherwise each listing would fail at it before the owner's key is applied.

--- a/sycamorefield/fleet/controlwatcher.py
+++ b/sycamorefield/fleet/controlwatcher.py
@@ -71,6 +71,13 @@
             except interfaces.CallFailed as exc:
                 self._note_store_lost(str(exc))
                 self.stopped.wait(RETRY_PAUSE_S)
+            except Exception as exc:
+                # Without this thread, the process would never learn that the
+                # owner's key is free.
+                events.emit(events.THREAD_FAILED, reason=repr(exc),
+                            where=events.error_location(exc))
+                self._note_store_lost(repr(exc))
+                self.stopped.wait(RETRY_PAUSE_S)
 
     def _list_keys(self) -> int:
         listing = self.store.listing(records.WATCHED_PREFIX)
@@ -123,7 +130,8 @@
             return
         try:
             decoded = self.decode(item.value)
-        except ValueError as exc:
+        except Exception as exc:
+            # Whatever the error, the owner's key must still be watched.
             events.emit(events.CONFIG_UNREADABLE, revision=item.revision,
                         reason=str(exc))
             return
--- a/sycamorefield/fleet/evacuations.py
+++ b/sycamorefield/fleet/evacuations.py
@@ -40,7 +40,8 @@
             return
         try:
             data_centre = self.decode(item.key, item.value)
-        except ValueError as exc:
+        except Exception as exc:
+            # Whatever the error, the other keys must still be watched.
             events.emit(events.ENTRY_UNREADABLE, key=item.key,
                         reason=str(exc))
             data_centre = ""
--- a/tests/test_fleet_unguarded_threads.py
+++ b/tests/test_fleet_unguarded_threads.py
@@ -110,3 +110,40 @@
     process.watcher._set_owner(messages.Item(
         records.OWNER_KEY, b"x", 10 ** 6, 10 ** 6), 10 ** 6)
     livenessfakes.wait_for(process.owners[0].stepped_down.is_set, 5.0)
+
+
+@pytest.mark.parametrize("call", ["listing o", "watch o"])
+def test_owner_key_is_watched_after_an_unexpected_error_of_the_watch(
+        fleet, call):
+    """The process took the key for claimed by another ever after."""
+    process = fleet.processes["a"]
+    fleet.store.commit(messages.Transaction(
+        puts=(messages.Put(records.OWNER_KEY, b"another"),)))
+    process.start()
+    livenessfakes.wait_for(lambda: process.watcher.owner_known)
+    # A listing follows a watch that failed.
+    process.store.faults = {call: livenessfakes.ERROR,
+                            "watch o": livenessfakes.ERROR}
+    threading.Event().wait(0.5)
+    process.store.faults = {}
+    fleet.store.commit(messages.Transaction(removes=(records.OWNER_KEY,)))
+    livenessfakes.wait_for(process.owns)
+
+
+@pytest.mark.parametrize("error", [
+    TypeError("not a number"), RecursionError("nested too deeply")])
+def test_fleet_is_claimed_if_a_later_configuration_can_not_be_decoded(
+        fleet, error):
+    """The watcher ended, and the owner's key was never seen again."""
+    process = fleet.processes["a"]
+    fleet.store.commit(messages.Transaction(
+        puts=(messages.Put(records.OWNER_KEY, b"another"),)))
+    process.start()
+    livenessfakes.wait_for(lambda: process.watcher.owner_known
+                           and process.watcher.configuration_known)
+    process.decode_error = error
+    fleet.store.commit(messages.Transaction(
+        puts=(messages.Put(livenessfakes.CONFIG_KEY, b"unreadable"),)))
+    threading.Event().wait(0.2)
+    fleet.store.commit(messages.Transaction(removes=(records.OWNER_KEY,)))
+    livenessfakes.wait_for(process.owns)
