Close the event loop of a term whose thread could not be started

Seen by callers: while a process may start no more threads, each term that it begins leaves three open files behind (a poller and a pair of sockets), until the garbage collector finds them; terms begin several times a second.

Cause: LoopThread.spawn noted the thread as started before it was, so stop() waited for the thread to close the loop. The coroutine was left unawaited.

Test: test_loop_is_closed_though_its_thread_failed_to_start; failed before, passes now.

--- a/sycamorefield/fleet/loopthread.py
+++ b/sycamorefield/fleet/loopthread.py
@@ -30,11 +30,18 @@
             if self.stopping:
                 coroutine.close()
                 return
-            if not self.started:
-                self.started = True
-                threading.Thread(target=self._run, daemon=True).start()
+            try:
+                self._start()
+            except BaseException:
+                coroutine.close()
+                raise
             self.loop.call_soon_threadsafe(self._create_task, coroutine)
 
+    def _start(self) -> None:
+        if not self.started:
+            threading.Thread(target=self._run, daemon=True).start()
+            self.started = True
+
     def call_soon(self, callback: typing.Callable[[], object]) -> None:
         """Call a function in the loop soon; do nothing if it is closed."""
         with self.lock:
--- a/tests/test_fleet_unguarded_threads.py
+++ b/tests/test_fleet_unguarded_threads.py
@@ -1,9 +1,11 @@
 """Test that no unexpected error leaves the fleet without an owner."""
 
+import inspect
 import threading
 
 import pytest
 
+from sycamorefield.fleet import loopthread
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import records
 from tests import fleetfakes
@@ -147,3 +149,19 @@
     threading.Event().wait(0.2)
     fleet.store.commit(messages.Transaction(removes=(records.OWNER_KEY,)))
     livenessfakes.wait_for(process.owns)
+
+
+def test_loop_is_closed_though_its_thread_failed_to_start(monkeypatch):
+    """Each term that failed so left three open files behind."""
+    refuse_threads(monkeypatch, {"LoopThread._run"}, 1)
+    loop_thread = loopthread.LoopThread()
+
+    async def do_nothing():
+        pass
+
+    coroutine = do_nothing()
+    with pytest.raises(RuntimeError):
+        loop_thread.spawn(coroutine)
+    loop_thread.stop()
+    assert loop_thread.loop.is_closed()
+    assert inspect.getcoroutinestate(coroutine) == inspect.CORO_CLOSED
