Take nothing from a call to the life before for the next life of a worker

Seen by callers: a worker that started again is given up, or counts as silent, right after it was added: its runs are started elsewhere while they still run there, and it gets no work for five seconds, as its own entry counts as one of an ended life.

Cause: a link that was closed and replaced still had a call under way. Its IncarnationMismatch, its second refusal or its timeout was reported for the worker ID, which by then named the new life (link._renew_leases, _send_orders, _handle_refusal, _handle_failure). Only a successful report was checked, and without the lock.

Change: each of these checks, under the lock that is held while links are replaced, that the link is not closed.

--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -208,7 +208,7 @@
                     self.fleet.fence, self.ends.acknowledged_number(),
                     self._lease_end_ms(), self._report_wait_ms())
             except interfaces.IncarnationMismatch:
-                crashes.worker_replaced(self.fleet, self.worker_id)
+                self._report_end(crashes.worker_replaced)
                 return
             except interfaces.OrderRejected as exc:
                 if self._check_fenced(exc):
@@ -222,17 +222,29 @@
             except interfaces.CallFailed as exc:
                 await self._handle_failure(exc)
                 continue
-            if self.closed:
-                return
-            self.refusals = 0
-            self.ends.note_report(report.born_ms)
             received_at = clock.now()
-            new_ends = reports.apply_report(
-                self.fleet, self.worker_id, report, sent_at, received_at)
+            with self.fleet.lock:
+                if self.closed:
+                    return
+                self.refusals = 0
+                self.ends.note_report(report.born_ms)
+                new_ends = reports.apply_report(
+                    self.fleet, self.worker_id, report, sent_at, received_at)
             metrics.CALLS.record(usage.REPORT, clock.now() - received_at)
             if new_ends or report.ended:
                 await self._wait_until_recorded()
 
+    def _report_end(self, report_end: typing.Callable[
+            [state_mod.FleetState, str], None]) -> None:
+        """Report the end of the worker's life, unless the link is closed.
+
+        The worker may have been added again with another link, and this call
+        concerns the life before.  The lock is held while links are replaced.
+        """
+        with self.fleet.lock:
+            if not self.closed:
+                report_end(self.fleet, self.worker_id)
+
     async def _wait_until_recorded(self) -> None:
         try:
             async with asyncio.timeout(RECORD_WAIT_S):
@@ -254,9 +266,8 @@
                 and self.fleet.has_listened(self.worker_id)):
             async with self.start_lock:
                 if self.refusals >= REFUSALS_UNTIL_DEAD:
+                    self._report_end(crashes.worker_refused_connection)
                     self.closed = True
-                    crashes.worker_refused_connection(
-                        self.fleet, self.worker_id)
                     return True
         await self._handle_failure(exc)
         return False
@@ -272,9 +283,11 @@
         return True
 
     async def _handle_failure(self, exc: Exception) -> None:
-        self.fleet.mark_unresponsive(
-            self.worker_id, str(exc),
-            isinstance(exc, interfaces.ConnectionClosed))
+        with self.fleet.lock:
+            if not self.closed:
+                self.fleet.mark_unresponsive(
+                    self.worker_id, str(exc),
+                    isinstance(exc, interfaces.ConnectionClosed))
         await asyncio.sleep(RETRY_DELAY_S)
 
     async def _send_orders(self) -> None:
@@ -285,7 +298,7 @@
             try:
                 await self._send(order)
             except interfaces.IncarnationMismatch:
-                crashes.worker_replaced(self.fleet, self.worker_id)
+                self._report_end(crashes.worker_replaced)
                 return
 
     async def _next_order(self) -> state_mod.Order | None:
--- a/tests/livenessfakes.py
+++ b/tests/livenessfakes.py
@@ -180,6 +180,8 @@
                     call: typing.Callable[[LeasedWorker], typing.Coroutine[
                         typing.Any, typing.Any, typing.Any]]) -> typing.Any:
         fault = self.fleet.worker_fault(self.worker_id, name, task)
+        if self.address in self.fleet.silent_addresses:
+            fault = HANGING
         if fault == ERROR:
             raise KeyError(name)
         if fault == REFUSED:
@@ -309,6 +311,8 @@
             puts=(messages.Put(CONFIG_KEY, b"any"),)))
         self.entries: dict[str, messages.WorkerEntry] = {}
         self.listeners: dict[str, LeasedWorker] = {}
+        # Addresses from which no answer comes, not even a refusal.
+        self.silent_addresses: set[str] = set()
         # Faults of calls to a worker by worker ID, and by call or, for starts,
         # by task.
         self.faults: dict[str, dict[str, str]] = {}
@@ -363,6 +367,13 @@
                 names |= {str(task) for task, _ in worker.runs}
         return names
 
+    def store_workers_in_use(self) -> None:
+        """Store the workers on the list as an earlier owner's."""
+        self.store.commit(messages.Transaction(puts=(messages.Put(
+            records.WORKERS_KEY, records.encode_addresses(
+                {e.worker_id: e.address
+                 for e in self.entries.values()})),)))
+
     def start(self) -> None:
         """Start all processes; the first one claims the fleet."""
         first, *others = self.processes.values()
