Call a worker that has never reported at its present address

Seen by callers: tasks wait although a worker is listed, alive and free. Its entry was outdated when a term began, or it wasn't listed and the stored address was outdated; the owner calls the first address until its term ends.

Cause: workerlinks._add_worker updated the entry of a known worker but kept its link. Other workers that move are removed and added again, once they refuse connections (has_listened) or their leases have expired; neither holds for a worker without a report (workerstate.leases_expired is False without a reading of its clock).

Change: the link of such a worker goes on with a client of the present address; its queued orders stay. A call to the earlier address that is still under way can't end the worker's life.

--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -98,6 +98,7 @@
                  may_act: Permission, may_lease: Permission,
                  step_down: typing.Callable[[str], None]) -> None:
         self.worker_id = entry.worker_id
+        self.address = entry.address
         self.worker = worker
         self.fleet = fleet
         self.may_act = may_act
@@ -156,6 +157,15 @@
         self.put_order(None)
         self._wake(self.recorded)
 
+    def change_address(self, address: str,
+                       worker: interfaces.Worker) -> None:
+        """Make further calls by another client, from any thread."""
+        self.address = address
+        old_worker, self.worker = self.worker, worker
+        self.refusals = 0
+        if self.loop_thread is not None:
+            self.loop_thread.call_soon(old_worker.close)
+
     def acknowledge_ends(self, ends: recordedends.LifeEnds) -> None:
         """Let the worker forget ends up to a number, as they are stored."""
         if self.ends.store(ends):
@@ -203,20 +213,22 @@
         while not self.closed and self.may_act():
             sent_at = clock.now()
             self.recorded.clear()
+            called = self.worker
             try:
-                report = await self.worker.renew(
+                report = await called.renew(
                     self.fleet.fence, self.ends.acknowledged_number(),
                     self._lease_end_ms(), self._report_wait_ms())
             except interfaces.IncarnationMismatch:
-                self._report_end(crashes.worker_replaced)
-                return
+                if self._report_end(called, crashes.worker_replaced):
+                    return
+                continue
             except interfaces.OrderRejected as exc:
                 if self._check_fenced(exc):
                     return
                 await self._handle_failure(exc)
                 continue
             except interfaces.ConnectionRefused as exc:
-                if await self._handle_refusal(exc):
+                if called is self.worker and await self._handle_refusal(exc):
                     return
                 continue
             except interfaces.CallFailed as exc:
@@ -234,16 +246,23 @@
             if new_ends or report.ended:
                 await self._wait_until_recorded()
 
-    def _report_end(self, report_end: typing.Callable[
-            [state_mod.FleetState, str], None]) -> None:
-        """Report the end of the worker's life, unless the link is closed.
+    def _report_end(self, called: interfaces.Worker,
+                    report_end: typing.Callable[
+                        [state_mod.FleetState, str], None]) -> bool:
+        """Report the end of the called life; return whether the link ends.
 
-        The worker may have been added again with another link, and this call
-        concerns the life before.  The lock is held while links are replaced.
+        If the link is closed, the worker may have been added again with
+        another link, and the call concerns the life before.  Nor does a call
+        to an earlier address say anything.  The lock is held while links and
+        addresses are replaced.
         """
         with self.fleet.lock:
-            if not self.closed:
-                report_end(self.fleet, self.worker_id)
+            if self.closed:
+                return True
+            if called is not self.worker:
+                return False
+            report_end(self.fleet, self.worker_id)
+            return True
 
     async def _wait_until_recorded(self) -> None:
         try:
@@ -261,12 +280,14 @@
         sent is waited for: the worker may just have started again under its
         ID, and would run the task a second time.
         """
+        called = self.worker
         self.refusals += 1
         if (self.refusals >= REFUSALS_UNTIL_DEAD
                 and self.fleet.has_listened(self.worker_id)):
             async with self.start_lock:
-                if self.refusals >= REFUSALS_UNTIL_DEAD:
-                    self._report_end(crashes.worker_refused_connection)
+                if (self.refusals >= REFUSALS_UNTIL_DEAD
+                        and self._report_end(
+                            called, crashes.worker_refused_connection)):
                     self.closed = True
                     return True
         await self._handle_failure(exc)
@@ -295,11 +316,13 @@
             order = await self._next_order()
             if order is None or self.closed:
                 return
+            called = self.worker
             try:
                 await self._send(order)
             except interfaces.IncarnationMismatch:
-                self._report_end(crashes.worker_replaced)
-                return
+                if self._report_end(called, crashes.worker_replaced):
+                    return
+                self.orders.requeue(order)
 
     async def _next_order(self) -> state_mod.Order | None:
         while not self.orders:
--- a/sycamorefield/fleet/workerlinks.py
+++ b/sycamorefield/fleet/workerlinks.py
@@ -84,6 +84,8 @@
         """Add or update a worker; return its link if the worker is new."""
         old_link = self.links.get(entry.worker_id)
         if not self.fleet.add_worker(entry):
+            if old_link is not None:
+                self._follow_address(old_link, entry)
             return None
         if old_link is not None:
             old_link.close()
@@ -100,6 +102,19 @@
             link.put_order(messages.StopOrder(task, run))
         return link
 
+    def _follow_address(self, link: link_mod.WorkerLink,
+                        entry: messages.WorkerEntry) -> None:
+        """Call a worker that has never reported at its present address.
+
+        Other workers are removed once they refuse connections or their leases
+        have expired, and are then added with their present address.  A worker
+        that has never reported has no leases that could expire.
+        """
+        worker = self.fleet.workers.get(entry.worker_id)
+        if (worker is not None and not worker.clock_read_at
+                and link.address != entry.address):
+            link.change_address(entry.address, self.connect(entry))
+
     def connect_unlisted(self) -> None:
         """Contact workers in use that are no longer listed.
 
--- a/tests/test_fleet_link_lives.py
+++ b/tests/test_fleet_link_lives.py
@@ -11,6 +11,7 @@
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import workerlinks as workerlinks_mod
 from tests import fleetfakes
+from tests import livenessfakes
 from tests import test_fleet_state
 
 TASK = messages.TaskId("j", 0, 0, 0)
@@ -76,3 +77,36 @@
     assert links.links["i-0"] is not link
     assert "i-0" in bench.state.workers
     assert not bench.state.workers["i-0"].unresponsive
+
+
+@pytest.mark.parametrize("is_silent", [True, False])
+@pytest.mark.parametrize("stored", [True, False])
+def test_worker_that_never_reported_is_called_at_its_new_address(
+        is_silent, stored):
+    """Its capacity was never used, as the outdated address was called on.
+
+    The entry was outdated when a term began, or the worker was not listed
+    and the stored address was.
+    """
+    fleet = livenessfakes.Deployment(workers=1, names="a")
+    try:
+        entry = fleet.entries["i-0"]
+        moved = "10.0.0.9:80"
+        fleet.listeners = {moved: fleet.worker("i-0")}
+        if is_silent:
+            fleet.silent_addresses.add(entry.address)
+        if stored:
+            fleet.store_workers_in_use()
+            del fleet.entries["i-0"]
+        fleet.start()
+        process = fleet.processes["a"]
+        livenessfakes.wait_for(lambda: len(process.owners) > 0 and any(
+            worker.unresponsive
+            for worker in process.owners[-1].fleet.workers.values()))
+        fleet.entries["i-0"] = dataclasses.replace(
+            entry, address=moved, born_ms=2_000)
+        fleet.worker("i-0").restart()
+        fleet.submit(fleetfakes.job("j"))
+        livenessfakes.wait_for(lambda: fleet.running() == {"j.0.0.0"})
+    finally:
+        fleet.stop()
