Skip entries of workers whose decoding or address raises another error

Seen by callers: nothing is scheduled while such an entry is listed. The owner steps down with an unexpected error (SF1831), and so does each successor as it recovers.

Cause: decode_entry caught the usual errors, but not OverflowError (born, capacity or remaining_ms infinite or too large) nor RecursionError (nested too deeply); and it let addresses pass that make the client or the socket raise ValueError, TypeError or OverflowError (a port above 65535 or of other digits, a host that can't be encoded). Those end the term as well, from workerlinks._add_worker or a link's coroutine.

Change: an entry that raises any error is unreadable; a port is 1 to 65535 in ASCII digits, a host printable ASCII without blanks.

--- a/sycamorefield/platform/workers.py
+++ b/sycamorefield/platform/workers.py
@@ -18,6 +18,7 @@
 # has lost the order or will carry it out seconds later.
 ORDER_TIMEOUT_S = 0.6
 REPORT_SLACK_S = 0.8
+MAX_PORT = 65535
 # The share of a process's file descriptors that idle connections for orders
 # may use; each worker has another connection for its reports.
 ORDER_CONNECTIONS_SHARE = 0.15
@@ -242,7 +243,7 @@
             tuple(_require_string(label) for label in row.get("labels") or ()),
             None if remaining is None else float(remaining),
             _require_number(row.get("born", 0)))
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+    except Exception as exc:
         events.emit(events.ENTRY_UNREADABLE, key=item.key, reason=repr(exc))
         return None
 
@@ -261,6 +262,8 @@
 
 def _require_address(value: object) -> str:
     host, _, port = _require_string(value).rpartition(":")
-    if not host or not port.isdigit():
+    if (not host or not host.isascii() or not host.isprintable()
+            or " " in host or not port.isascii() or not port.isdigit()
+            or not 1 <= int(port) <= MAX_PORT):
         raise ValueError(f"not an address: {value!r}")
     return _require_string(value)
