--- a/tests/livenessfakes.py
+++ b/tests/livenessfakes.py
@@ -254,7 +254,8 @@
     def __init__(self, fleet: "Deployment", name: str,
                  claim_delay_s: float = 0.0) -> None:
         self.fleet = fleet
-        self.name = name
+        # Unique among the fleets of a test run.
+        self.name = f"{name}-{id(fleet)}"
         self.store = StoreClient(fleet.store)
         self.worker_list = WorkerListClient(fleet, self.store)
         self.watcher = controlwatcher.ControlWatcher(
