Leave the fleet to a weak VM if the own terms end by unexpected errors

Seen by callers: the fleet keeps changing hands within one process whose terms fail (no more threads, an answer that it can't read), while a healthy VM with less than one core never gets it.

Cause: Ownership._run_term claimed again 0.2 s after such a term; a weak VM waits 0.4 s before it claims, and finds the key taken unless it looks just between two terms.

Change: after a term that an unexpected error ended, the process waits 1 s, which is longer than the delay of a weak VM and two slow calls to the store. Terms that end otherwise are followed by a claim after 0.2 s as before.

--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -47,6 +47,8 @@
 # is left at a worker's address.
 REFUSALS_UNTIL_DEAD = 2
 NO_LEASE = "no lease may be given"
+# Why an owner steps down after an error that its code doesn't expect.
+UNEXPECTED_ERROR = "unexpected error"
 
 Permission = typing.Callable[[], bool]
 
@@ -140,7 +142,7 @@
             events.emit(events.THREAD_FAILED, reason=repr(exc),
                         where=events.error_location(exc),
                         worker=self.worker_id)
-            self.step_down("unexpected error")
+            self.step_down(UNEXPECTED_ERROR)
 
     def put_order(self, order: state_mod.Order | None) -> None:
         """Queue an order, from any thread."""
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -10,6 +10,7 @@
 from sycamorefield.fleet import doubtfulruns
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import jobwatcher as jobwatcher_mod
+from sycamorefield.fleet import link as link_mod
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import policy as policy_mod
 from sycamorefield.fleet import recordedends
@@ -69,6 +70,8 @@
             fence, hold_max_ms, self._send_order, configuration, policy)
         self.fleet.advice.service = advice
         self.stepped_down = threading.Event()
+        # Whether the term was ended by an unexpected error.
+        self.failed = False
         self.recovered = False
         self.started_at = clock.now()
         self.note_lease_renewal(self.started_at)
@@ -147,6 +150,7 @@
         """End the term: send no more orders; reason is logged."""
         if self.stepped_down.is_set():
             return
+        self.failed = reason == link_mod.UNEXPECTED_ERROR
         self.stepped_down.set()
         events.emit(events.OWNERSHIP_LOST, fence=self.fence, reason=reason)
         self.recorder.stopped.set()
@@ -168,7 +172,7 @@
         except Exception as exc:
             events.emit(events.THREAD_FAILED, reason=repr(exc),
                         where=events.error_location(exc))
-            self.step_down("unexpected error")
+            self.step_down(link_mod.UNEXPECTED_ERROR)
 
     def _run(self) -> None:
         revision = self._recover()
--- a/sycamorefield/fleet/ownership.py
+++ b/sycamorefield/fleet/ownership.py
@@ -29,6 +29,11 @@
 # no stronger VM, each takeover is delayed by this much.
 WEAK_VM_CLAIM_DELAY_S = 0.4
 RETRY_PAUSE_S = 0.2
+# The pause after a term that an unexpected error ended.  The error may be one
+# of this process alone, for example if it may start no more threads.  Within
+# the pause a weak VM can claim the fleet, with its delay and with a store that
+# answers slowly.
+FAILED_TERM_PAUSE_S = 1.0
 
 OwnerFactory = typing.Callable[[int], owner_mod.Owner]
 
@@ -135,9 +140,8 @@
         be started.  Otherwise this process would keep the fleet without
         scheduling it, or claim it again and again.
         """
-        failed = False
         try:
-            self._run_owner(fence)
+            failed = self._run_owner(fence)
         except Exception as exc:
             failed = True
             events.emit(events.THREAD_FAILED, reason=repr(exc),
@@ -148,9 +152,10 @@
         if failed or (item is not None and item.value == self.identity):
             # The term may have ended by a fault of this process.
             self._release_concurrently(fence)
-        self.stopped.wait(RETRY_PAUSE_S)
+        self.stopped.wait(FAILED_TERM_PAUSE_S if failed else RETRY_PAUSE_S)
 
-    def _run_owner(self, fence: int) -> None:
+    def _run_owner(self, fence: int) -> bool:
+        """Run an Owner; return whether an unexpected error ended its term."""
         owner = self.make_owner(fence)
         # The claim may succeed seconds after its lease was granted.
         owner.note_lease_renewal(self.lease_requested_at)
@@ -160,7 +165,7 @@
             self.owner = None
             owner.step_down("planned stop")
             self.release(fence)
-            return
+            return False
         try:
             for target in (self._renew_lease, self._watch_owner_key):
                 threading.Thread(
@@ -171,6 +176,7 @@
         finally:
             owner.step_down("term ended")
             self.owner = None
+        return owner.failed
 
     def _release_concurrently(self, fence: int) -> None:
         """Release the key without waiting for the store, if possible."""
