Count an unreadable answer of the store as none

Seen by callers: one answer of the store without a field, or with a value of another type, ends the term of the owner or the thread that claims the fleet. A listing that answers 200 with an empty body was taken for that of an empty store: a term that begins so knows no jobs, no progress and no workers in use.

Cause: PlatformStore decoded answers without a guard (KeyError, ValueError, TypeError), and a listing without current_rev had revision 0 and no items.

Change: such an answer raises CallFailed, after which the call is repeated; a commit then learns from the conflict what is stored. A listing must name its revision.

--- a/sycamorefield/platform/jsonclient.py
+++ b/sycamorefield/platform/jsonclient.py
@@ -11,6 +11,7 @@
 from sycamorefield.platform import connections
 
 Body = dict[str, typing.Any]
+Decoded = typing.TypeVar("Decoded")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,6 +34,22 @@
         return decoded if isinstance(decoded, dict) else {}
 
 
+def decode_or_fail(decode: typing.Callable[[Body], Decoded],
+                   body: Body) -> Decoded:
+    """Decode a response body; raises CallFailed if it is invalid.
+
+    An unreadable response leaves the outcome of the call unknown.  Any other
+    exception would end the thread that makes the call: a worker's leases
+    would expire, its pending starts would never be sent, or a term would end.
+    """
+    try:
+        return decode(body)
+    except (KeyError, IndexError, TypeError, ValueError, AttributeError,
+            OverflowError) as exc:
+        raise interfaces.CallFailed(
+            f"unreadable answer: {exc!r}") from exc
+
+
 class RequestEncoder:
     """Encodes requests to one server with a common set of headers."""
 
--- a/sycamorefield/platform/store.py
+++ b/sycamorefield/platform/store.py
@@ -38,7 +38,7 @@
         if response.status == 404:
             return None
         _require_ok(response)
-        return _decode_item(response.body)
+        return jsonclient.decode_or_fail(_decode_item, response.body)
 
     def listing(self, prefix: str) -> messages.Listing:
         """Return all items under a prefix, fetched page by page."""
@@ -50,12 +50,13 @@
                                                     else {}))
             response = self._call("GET", "/-/kv-range?" + query)
             _require_ok(response)
-            revision = revision or int(response.body.get("current_rev", 0))
-            page = response.body.get("items") or []
-            items += [_decode_item(row) for row in page]
-            if not response.body.get("has_more") or not page:
+            page = jsonclient.decode_or_fail(
+                lambda body: _decode_page(body, revision), response.body)
+            revision = page.revision
+            items += page.items
+            if not response.body.get("has_more") or not page.items:
                 return messages.Listing(tuple(items), revision)
-            after = page[-1]["key"]
+            after = page.items[-1].key
 
     def watch(self, prefix: str, after: int,
               wait_ms: int) -> messages.Changes:
@@ -66,10 +67,8 @@
         if response.status == 410:
             raise interfaces.HistoryCompacted(str(after))
         _require_ok(response)
-        rows = response.body.get("events") or []
-        return messages.Changes(
-            tuple(_decode_change(row) for row in rows),
-            int(response.body.get("current_rev", after)))
+        return jsonclient.decode_or_fail(
+            lambda body: _decode_changes(body, after), response.body)
 
     def commit(self, transaction: messages.Transaction) -> int:
         """Commit a transaction and return its revision."""
@@ -79,19 +78,20 @@
                 "remove": list(transaction.removes)}
         response = self._call("POST", "/-/kv-txn", body, COMMIT_TIMEOUT_S)
         if response.status == 412:
-            raise interfaces.Conflict(tuple(
-                _decode_item(row) for row in response.body.get("items") or []
-                if row.get("rev")))
+            raise interfaces.Conflict(jsonclient.decode_or_fail(
+                _decode_existing_items, response.body))
         if response.status == 404:
             raise interfaces.LeaseEnded("lease of a put has ended")
         _require_ok(response)
-        return int(response.body["rev"])
+        return jsonclient.decode_or_fail(
+            lambda body: int(body["rev"]), response.body)
 
     def grant(self, ttl_ms: int) -> int:
         """Return the ID of a new lease that expires after ttl_ms."""
         response = self._call("POST", "/-/kv-lease", {"ttl_ms": ttl_ms})
         _require_ok(response)
-        return int(response.body["lease"])
+        return jsonclient.decode_or_fail(
+            lambda body: int(body["lease"]), response.body)
 
     def renew(self, lease: int) -> None:
         """Renew a lease; raises LeaseEnded if it no longer exists."""
@@ -115,6 +115,29 @@
                          int(row["rev"]), int(row.get("created", 0)))
 
 
+def _decode_page(body: jsonclient.Body, revision: int) -> messages.Listing:
+    """Return a page of a listing, with the revision of the first page.
+
+    The first page must name it: an answer without one would be taken for the
+    listing of an empty store.
+    """
+    return messages.Listing(
+        tuple(_decode_item(row) for row in body.get("items") or []),
+        revision or int(body["current_rev"]))
+
+
+def _decode_existing_items(body: jsonclient.Body
+                           ) -> tuple[messages.Item, ...]:
+    return tuple(_decode_item(row) for row in body.get("items") or []
+                 if row.get("rev"))
+
+
+def _decode_changes(body: jsonclient.Body, after: int) -> messages.Changes:
+    return messages.Changes(
+        tuple(_decode_change(row) for row in body.get("events") or []),
+        int(body.get("current_rev", after)))
+
+
 def _decode_change(row: dict[str, typing.Any]) -> messages.Change:
     item = None if row.get("deleted") else _decode_item(row)
     return messages.Change(row["key"], int(row["rev"]), item)
--- a/sycamorefield/platform/workers.py
+++ b/sycamorefield/platform/workers.py
@@ -24,7 +24,6 @@
 ORDER_CONNECTIONS_SHARE = 0.15
 
 Body = dict[str, typing.Any]
-Decoded = typing.TypeVar("Decoded")
 
 
 def idle_order_clients(max_files: int) -> workerconnections.IdleClients:
@@ -82,20 +81,20 @@
         if order.ticket:
             body["ticket"] = order.ticket
         response = await self._order("/-/run-start", body)
-        return _decode_or_fail(_decode_clock_ms, response.body)
+        return jsonclient.decode_or_fail(_decode_clock_ms, response.body)
 
     async def stop(self, order: messages.StopOrder, fence: int) -> float:
         """Stop a run and return the worker's time."""
         body = {"task": str(order.task), "run": order.run, "fence": fence}
         response = await self._order("/-/run-stop", body)
-        return _decode_or_fail(_decode_clock_ms, response.body)
+        return jsonclient.decode_or_fail(_decode_clock_ms, response.body)
 
     async def pace(self, order: messages.PaceOrder, fence: int) -> float:
         """Limit the speed of a run and return the worker's time."""
         body = {"task": str(order.task), "run": order.run,
                 "percent": order.percent, "fence": fence}
         response = await self._order("/-/pace", body)
-        return _decode_or_fail(_decode_clock_ms, response.body)
+        return jsonclient.decode_or_fail(_decode_clock_ms, response.body)
 
     def close(self) -> None:
         """Close the connections."""
@@ -118,21 +117,6 @@
     raise interfaces.CallFailed(f"worker answers {response.status}")
 
 
-def _decode_or_fail(decode: typing.Callable[[Body], Decoded],
-                    body: Body) -> Decoded:
-    """Decode a response body; raises CallFailed if it is invalid.
-
-    An unreadable response leaves the outcome of the call unknown.  Any other
-    exception would end the thread that calls the worker: the worker's leases
-    would expire, and its pending starts would never be sent.
-    """
-    try:
-        return decode(body)
-    except (KeyError, IndexError, TypeError, ValueError) as exc:
-        raise interfaces.CallFailed(
-            f"unreadable answer: {exc!r}") from exc
-
-
 def _decode_clock_ms(body: Body) -> float:
     return float(body["clock_ms"])
 
--- /dev/null
+++ b/tests/test_platform_answers.py
@@ -0,0 +1,40 @@
+"""Test that unreadable answers count as calls without an answer.
+
+Any other error ends a term, and that of each successor as long as a service
+answers so.
+"""
+
+import pytest
+
+from sycamorefield.fleet import interfaces
+from sycamorefield.fleet import messages
+from sycamorefield.platform import store as store_mod
+from tests import platformfakes
+
+TRANSACTION = messages.Transaction(puts=(messages.Put("k", b"v"),))
+CALLS = {
+    "get": lambda store: store.get("k"),
+    "listing": lambda store: store.listing("k"),
+    "watch": lambda store: store.watch("k", 1, 10),
+    "commit": lambda store: store.commit(TRANSACTION),
+    "grant": lambda store: store.grant(1000)}
+UNREADABLE_ROW = {"key": "k", "value": "x", "rev": 5}
+
+
+@pytest.mark.parametrize(("call", "status", "body"), [
+    ("get", 200, {}), ("get", 200, UNREADABLE_ROW),
+    ("get", 200, {"key": "k", "rev": None}),
+    ("listing", 200, {}), ("listing", 200, {"items": []}),
+    ("listing", 200, {"items": [{}], "current_rev": 5}),
+    ("listing", 200, {"items": [UNREADABLE_ROW], "current_rev": 5}),
+    ("listing", 200, {"items": 7, "current_rev": 5}),
+    ("listing", 200, {"items": [], "current_rev": "new"}),
+    ("watch", 200, {"events": [{}]}), ("watch", 200, {"events": 7}),
+    ("watch", 200, {"current_rev": "new"}),
+    ("commit", 200, {}), ("commit", 200, {"rev": None}),
+    ("commit", 412, {"items": [{"rev": 5}]}), ("commit", 412, {"items": 7}),
+    ("grant", 200, {}), ("grant", 200, {"lease": "x"})])
+def test_unreadable_answer_of_the_store_is_no_answer(call, status, body):
+    server = platformfakes.FaultyServer(lambda *_: (status, body))
+    with pytest.raises(interfaces.CallFailed):
+        CALLS[call](store_mod.PlatformStore(server.address))
