Count unreadable advice as none

Seen by callers: nothing is scheduled while the advice service answers with a list of tickets or a validity that can't be read: the thread that asks it ends the owner's term, and then each successor's, though only some queues need advice.

Cause: PlatformAdvice.advise decoded the answer without a guard (IndexError, TypeError, ValueError), and an owner steps down after any error other than CallFailed.

Test: test_unreadable_advice_is_no_answer, 6 failed before, 6 pass.

--- a/sycamorefield/platform/advice.py
+++ b/sycamorefield/platform/advice.py
@@ -28,8 +28,11 @@
         if response.status != 200:
             raise interfaces.CallFailed(
                 f"advice service answers {response.status}")
-        valid_ms = response.body.get("valid_ms")
-        return messages.Advice(
-            {str(row[0]): str(row[1])
-             for row in response.body.get("good") or []},
-            None if valid_ms is None else float(valid_ms))
+        return jsonclient.decode_or_fail(_decode_advice, response.body)
+
+
+def _decode_advice(body: jsonclient.Body) -> messages.Advice:
+    valid_ms = body.get("valid_ms")
+    return messages.Advice(
+        {str(row[0]): str(row[1]) for row in body.get("good") or []},
+        None if valid_ms is None else float(valid_ms))
--- a/tests/test_fleet_links_liveness.py
+++ b/tests/test_fleet_links_liveness.py
@@ -34,7 +34,11 @@
 PAIRS_BY_DEFAULT = "0/181"
 # How many cases are played at the same time.
 CASES_TOGETHER = 6
-EARLIER = "10.0.1.0:80"
+# Where a worker listens after it has moved.
+MOVED_ADDRESS = "10.0.1.0:80"
+FLEETS_WITHOUT_ROUNDS: list[state_mod.FleetState] = []
+# Processes, and so their threads, that may start no threads.
+NAMES_WITHOUT_THREADS: list[str] = []
 
 
 @pytest.fixture(name="short_times", autouse=True)
@@ -55,6 +59,28 @@
         monkeypatch.setattr(module, name, value)
 
 
+@pytest.fixture(name="failing_calls", autouse=True)
+def fixture_failing_calls(monkeypatch):
+    """Let rounds of some fleets and threads of some processes fail.
+
+    Several cases are played at the same time, so nothing is replaced by them.
+    """
+    place, start = rounds.place, threading.Thread.start
+
+    def place_or_fail(fleet, now, wall_ms):
+        if any(fleet is failing for failing in FLEETS_WITHOUT_ROUNDS):
+            raise KeyError("unexpected")
+        return place(fleet, now, wall_ms)
+
+    def start_or_fail(thread):
+        if threading.current_thread().name in NAMES_WITHOUT_THREADS:
+            raise RuntimeError("can't start new thread")
+        start(thread)
+
+    monkeypatch.setattr(rounds, "place", place_or_fail)
+    monkeypatch.setattr(threading.Thread, "start", start_or_fail)
+
+
 @dataclasses.dataclass
 class Scene:
     """A deployment, the process that owns it first and the busiest worker."""
@@ -62,8 +88,6 @@
     fleet: livenessfakes.Deployment
     process: livenessfakes.Process
     worker_id: str = "i-0"
-    cleanups: list[typing.Callable[[], None]] = dataclasses.field(
-        default_factory=list)
 
 
 class Fault(typing.NamedTuple):
@@ -121,13 +145,13 @@
 
 
 def restart_elsewhere(scene):
-    scene.fleet.restart(scene.worker_id, EARLIER)
+    scene.fleet.restart(scene.worker_id, MOVED_ADDRESS)
 
 
 def restart_with_silent_old_address(scene):
     scene.fleet.silent_addresses.add(
         scene.fleet.entries[scene.worker_id].address)
-    scene.fleet.restart(scene.worker_id, EARLIER)
+    scene.fleet.restart(scene.worker_id, MOVED_ADDRESS)
 
 
 def unlist_worker(scene):
@@ -244,18 +268,11 @@
 
 
 def fail_rounds(scene):
-    place = rounds.place
-    failing = {id(scene.process.ownership.owner)}
-
-    def place_or_fail(fleet, now, wall_ms):
-        owner = scene.process.ownership.owner
-        if owner is not None and owner.fleet is fleet and failing:
-            raise KeyError("unexpected")
-        return place(fleet, now, wall_ms)
-
-    rounds.place = place_or_fail
-    scene.cleanups.append(lambda: setattr(rounds, "place", place))
-    return failing.clear
+    owner = scene.process.ownership.owner
+    if owner is None:
+        return None
+    FLEETS_WITHOUT_ROUNDS.append(owner.fleet)
+    return lambda: FLEETS_WITHOUT_ROUNDS.remove(owner.fleet)
 
 
 def fail_advice(scene):
@@ -281,21 +298,9 @@
 
 def refuse_threads(scene):
     """Refuse threads to the first owner's process, and end its term."""
-    start = threading.Thread.start
-    name = scene.process.name
-
-    def start_or_fail(thread):
-        if threading.current_thread().name == name:
-            raise RuntimeError("can't start new thread")
-        start(thread)
-
-    threading.Thread.start = start_or_fail
-
-    def end():
-        threading.Thread.start = start
-    scene.cleanups.append(end)
+    NAMES_WITHOUT_THREADS.append(scene.process.name)
     change_owner(scene)
-    return end
+    return lambda: NAMES_WITHOUT_THREADS.remove(scene.process.name)
 
 
 START_OF_NEW_TASK = "start new.0.0.0"
@@ -390,8 +395,6 @@
         except AssertionError:
             pytest.fail(describe(scene, expected))
     finally:
-        for cleanup in reversed(scene.cleanups):
-            cleanup()
         fleet.stop()
 
 
--- a/tests/test_platform_answers.py
+++ b/tests/test_platform_answers.py
@@ -8,6 +8,7 @@
 
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import messages
+from sycamorefield.platform import advice as advice_mod
 from sycamorefield.platform import store as store_mod
 from tests import platformfakes
 
@@ -38,3 +39,13 @@
     server = platformfakes.FaultyServer(lambda *_: (status, body))
     with pytest.raises(interfaces.CallFailed):
         CALLS[call](store_mod.PlatformStore(server.address))
+
+
+@pytest.mark.parametrize("body", [
+    {"good": 7}, {"good": [[]]}, {"good": [7]}, {"good": {"a": 1}},
+    {"valid_ms": "long"}, {"valid_ms": []}])
+def test_unreadable_advice_is_no_answer(body):
+    server = platformfakes.FaultyServer(lambda *_: (200, body))
+    with pytest.raises(interfaces.CallFailed):
+        advice_mod.PlatformAdvice(server.address).advise(
+            "j.0.0", ("i-0",), messages.AdvicePolicy())
