--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -47,6 +47,8 @@
 # is left at a worker's address.
 REFUSALS_UNTIL_DEAD = 2
 NO_LEASE = "no lease may be given"
+# Why an owner steps down after an error that its code doesn't expect.
+UNEXPECTED_ERROR = "unexpected error"
 
 Permission = typing.Callable[[], bool]
 
@@ -98,6 +100,7 @@
                  may_act: Permission, may_lease: Permission,
                  step_down: typing.Callable[[str], None]) -> None:
         self.worker_id = entry.worker_id
+        self.address = entry.address
         self.worker = worker
         self.fleet = fleet
         self.may_act = may_act
@@ -139,7 +142,7 @@
             events.emit(events.THREAD_FAILED, reason=repr(exc),
                         where=events.error_location(exc),
                         worker=self.worker_id)
-            self.step_down("unexpected error")
+            self.step_down(UNEXPECTED_ERROR)
 
     def put_order(self, order: state_mod.Order | None) -> None:
         """Queue an order, from any thread."""
@@ -156,6 +159,15 @@
         self.put_order(None)
         self._wake(self.recorded)
 
+    def change_address(self, address: str,
+                       worker: interfaces.Worker) -> None:
+        """Make further calls by another client, from any thread."""
+        self.address = address
+        old_worker, self.worker = self.worker, worker
+        self.refusals = 0
+        if self.loop_thread is not None:
+            self.loop_thread.call_soon(old_worker.close)
+
     def acknowledge_ends(self, ends: recordedends.LifeEnds) -> None:
         """Let the worker forget ends up to a number, as they are stored."""
         if self.ends.store(ends):
@@ -203,36 +215,57 @@
         while not self.closed and self.may_act():
             sent_at = clock.now()
             self.recorded.clear()
+            called = self.worker
             try:
-                report = await self.worker.renew(
+                report = await called.renew(
                     self.fleet.fence, self.ends.acknowledged_number(),
                     self._lease_end_ms(), self._report_wait_ms())
             except interfaces.IncarnationMismatch:
-                crashes.worker_replaced(self.fleet, self.worker_id)
-                return
+                if self._report_end(called, crashes.worker_replaced):
+                    return
+                continue
             except interfaces.OrderRejected as exc:
                 if self._check_fenced(exc):
                     return
                 await self._handle_failure(exc)
                 continue
             except interfaces.ConnectionRefused as exc:
-                if await self._handle_refusal(exc):
+                if called is self.worker and await self._handle_refusal(exc):
                     return
                 continue
             except interfaces.CallFailed as exc:
                 await self._handle_failure(exc)
                 continue
-            if self.closed:
-                return
-            self.refusals = 0
-            self.ends.note_report(report.born_ms)
             received_at = clock.now()
-            new_ends = reports.apply_report(
-                self.fleet, self.worker_id, report, sent_at, received_at)
+            with self.fleet.lock:
+                if self.closed:
+                    return
+                self.refusals = 0
+                self.ends.note_report(report.born_ms)
+                new_ends = reports.apply_report(
+                    self.fleet, self.worker_id, report, sent_at, received_at)
             metrics.CALLS.record(usage.REPORT, clock.now() - received_at)
             if new_ends or report.ended:
                 await self._wait_until_recorded()
 
+    def _report_end(self, called: interfaces.Worker,
+                    report_end: typing.Callable[
+                        [state_mod.FleetState, str], None]) -> bool:
+        """Report the end of the called life; return whether the link ends.
+
+        If the link is closed, the worker may have been added again with
+        another link, and the call concerns the life before.  Nor does a call
+        to an earlier address say anything.  The lock is held while links and
+        addresses are replaced.
+        """
+        with self.fleet.lock:
+            if self.closed:
+                return True
+            if called is not self.worker:
+                return False
+            report_end(self.fleet, self.worker_id)
+            return True
+
     async def _wait_until_recorded(self) -> None:
         try:
             async with asyncio.timeout(RECORD_WAIT_S):
@@ -249,14 +282,15 @@
         sent is waited for: the worker may just have started again under its
         ID, and would run the task a second time.
         """
+        called = self.worker
         self.refusals += 1
         if (self.refusals >= REFUSALS_UNTIL_DEAD
                 and self.fleet.has_listened(self.worker_id)):
             async with self.start_lock:
-                if self.refusals >= REFUSALS_UNTIL_DEAD:
+                if (self.refusals >= REFUSALS_UNTIL_DEAD
+                        and self._report_end(
+                            called, crashes.worker_refused_connection)):
                     self.closed = True
-                    crashes.worker_refused_connection(
-                        self.fleet, self.worker_id)
                     return True
         await self._handle_failure(exc)
         return False
@@ -272,9 +306,11 @@
         return True
 
     async def _handle_failure(self, exc: Exception) -> None:
-        self.fleet.mark_unresponsive(
-            self.worker_id, str(exc),
-            isinstance(exc, interfaces.ConnectionClosed))
+        with self.fleet.lock:
+            if not self.closed:
+                self.fleet.mark_unresponsive(
+                    self.worker_id, str(exc),
+                    isinstance(exc, interfaces.ConnectionClosed))
         await asyncio.sleep(RETRY_DELAY_S)
 
     async def _send_orders(self) -> None:
@@ -282,11 +318,13 @@
             order = await self._next_order()
             if order is None or self.closed:
                 return
+            called = self.worker
             try:
                 await self._send(order)
             except interfaces.IncarnationMismatch:
-                crashes.worker_replaced(self.fleet, self.worker_id)
-                return
+                if self._report_end(called, crashes.worker_replaced):
+                    return
+                self.orders.requeue(order)
 
     async def _next_order(self) -> state_mod.Order | None:
         while not self.orders:
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -10,6 +10,7 @@
 from sycamorefield.fleet import doubtfulruns
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import jobwatcher as jobwatcher_mod
+from sycamorefield.fleet import link as link_mod
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import policy as policy_mod
 from sycamorefield.fleet import recordedends
@@ -69,6 +70,8 @@
             fence, hold_max_ms, self._send_order, configuration, policy)
         self.fleet.advice.service = advice
         self.stepped_down = threading.Event()
+        # Whether the term was ended by an unexpected error.
+        self.failed = False
         self.recovered = False
         self.started_at = clock.now()
         self.note_lease_renewal(self.started_at)
@@ -147,6 +150,7 @@
         """End the term: send no more orders; reason is logged."""
         if self.stepped_down.is_set():
             return
+        self.failed = reason == link_mod.UNEXPECTED_ERROR
         self.stepped_down.set()
         events.emit(events.OWNERSHIP_LOST, fence=self.fence, reason=reason)
         self.recorder.stopped.set()
@@ -156,7 +160,19 @@
 
     def run(self) -> None:
         """Recover the stored state, then schedule until stepping down."""
-        self._run_guarded(self._run)
+        self.run_guarded(self._run)
+
+    def run_guarded(self, target: typing.Callable[[], None]) -> None:
+        """Run a target; step down on an unexpected error.
+
+        A successor then starts from the stored state.
+        """
+        try:
+            target()
+        except Exception as exc:
+            events.emit(events.THREAD_FAILED, reason=repr(exc),
+                        where=events.error_location(exc))
+            self.step_down(link_mod.UNEXPECTED_ERROR)
 
     def _run(self) -> None:
         revision = self._recover()
@@ -166,9 +182,9 @@
         for target in (functools.partial(self.job_watcher.follow, revision),
                        self._follow_worker_list, self.recorder.run,
                        self._follow_advice):
-            threading.Thread(target=self._run_guarded, args=(target,),
+            threading.Thread(target=self.run_guarded, args=(target,),
                              daemon=True).start()
-        self._run_guarded(self._run_rounds)
+        self.run_guarded(self._run_rounds)
         self.fleet.run_log.flush()
 
     def gauges(self) -> dict[str, float]:
@@ -194,18 +210,6 @@
             gauges.update(usage_gauges)
         return gauges
 
-    def _run_guarded(self, target: typing.Callable[[], None]) -> None:
-        """Run a target; step down on an unexpected error.
-
-        A successor then starts from the stored state.
-        """
-        try:
-            target()
-        except Exception as exc:
-            events.emit(events.THREAD_FAILED, reason=repr(exc),
-                        where=events.error_location(exc))
-            self.step_down("unexpected error")
-
     def _follow_advice(self) -> None:
         self.fleet.advice.run(self.stepped_down)
 
--- a/sycamorefield/fleet/ownership.py
+++ b/sycamorefield/fleet/ownership.py
@@ -1,5 +1,6 @@
 """Elect the owner of the fleet through a leased key in the store."""
 
+import functools
 import random
 import threading
 import typing
@@ -32,6 +33,11 @@
 # How long a process leaves the claim to one that has offered to take over,
 # because it reaches more workers.
 OFFER_PRIORITY_S = 1.0
+# The pause after a term that an unexpected error ended.  The error may be one
+# of this process alone, for example if it may start no more threads.  Within
+# the pause a weak VM can claim the fleet, with its delay and with a store that
+# answers slowly.
+FAILED_TERM_PAUSE_S = 1.0
 
 OwnerFactory = typing.Callable[[int], owner_mod.Owner]
 
@@ -69,18 +75,21 @@
     def run(self) -> None:
         """Claim and run terms until stopped."""
         while not self.stopped.is_set():
-            self._wait_until_claimable()
-            if self.stopped.is_set():
-                return
             try:
+                self._wait_until_claimable()
+                if self.stopped.is_set():
+                    return
                 fence = self._claim()
+                if fence:
+                    self._run_term(fence)
             except interfaces.CallFailed as exc:
                 events.emit(events.STORE_UNREACHABLE,
                             reason=f"owner claim: {exc}")
                 self.stopped.wait(RETRY_PAUSE_S)
-                continue
-            if fence:
-                self._run_term(fence)
+            except Exception as exc:
+                events.emit(events.THREAD_FAILED, reason=repr(exc),
+                            where=events.error_location(exc))
+                self.stopped.wait(RETRY_PAUSE_S)
 
     def _wait_until_claimable(self) -> None:
         """Wait until the key is free or holds this process's identity.
@@ -149,7 +158,33 @@
                 self.watcher.handover_request, clock.now())
 
     def _run_term(self, fence: int) -> None:
-        """Run an Owner until it steps down."""
+        """Run an Owner until it steps down, then let others claim the key.
+
+        The key is released even if the owner or one of its threads could not
+        be started.  Otherwise this process would keep the fleet without
+        scheduling it, or claim it again and again.
+        """
+        try:
+            failed = self._run_owner(fence)
+        except Exception as exc:
+            failed = True
+            events.emit(events.THREAD_FAILED, reason=repr(exc),
+                        where=events.error_location(exc))
+        if self.stopped.is_set():
+            return
+        if self.handing_over:
+            # Until the key is released, this process would claim it again.
+            self.handing_over = False
+            self.release(fence)
+            return
+        item = self.watcher.owner_item
+        if failed or (item is not None and item.value == self.identity):
+            # The term may have ended by a fault of this process.
+            self._release_concurrently(fence)
+        self.stopped.wait(FAILED_TERM_PAUSE_S if failed else RETRY_PAUSE_S)
+
+    def _run_owner(self, fence: int) -> bool:
+        """Run an Owner; return whether an unexpected error ended its term."""
         owner = self.make_owner(fence)
         # The claim may succeed seconds after its lease was granted.
         owner.note_lease_renewal(self.lease_requested_at)
@@ -159,30 +194,28 @@
             self.owner = None
             owner.step_down("planned stop")
             self.release(fence)
-            return
-        threading.Thread(target=self._renew_lease, args=(owner,),
-                         daemon=True).start()
-        threading.Thread(target=self._watch_owner_key, args=(owner,),
-                         daemon=True).start()
-        threading.Thread(target=self._watch_reach, args=(owner,),
-                         daemon=True).start()
-        owner.run()
-        owner.step_down("term ended")
-        self.owner = None
-        if self.stopped.is_set():
-            return
-        if self.handing_over:
-            # Until the key is released, this process would claim it again.
-            self.handing_over = False
-            self.release(fence)
-            return
-        item = self.watcher.owner_item
-        if item is not None and item.value == self.identity:
-            # The term may have ended by a fault of this process.  Releasing
-            # the key lets others claim it.
+            return False
+        try:
+            for target in (self._renew_lease, self._watch_owner_key,
+                           self._watch_reach):
+                threading.Thread(
+                    target=owner.run_guarded,
+                    args=(functools.partial(target, owner),),
+                    daemon=True).start()
+            owner.run()
+        finally:
+            owner.step_down("term ended")
+            self.owner = None
+        return owner.failed
+
+    def _release_concurrently(self, fence: int) -> None:
+        """Release the key without waiting for the store, if possible."""
+        try:
             threading.Thread(target=self.release, args=(fence,),
                              daemon=True).start()
-        self.stopped.wait(RETRY_PAUSE_S)
+        except RuntimeError:
+            # The process may start no more threads.
+            self.release(fence)
 
     def _renew_lease(self, owner: owner_mod.Owner) -> None:
         while not owner.stepped_down.wait(RENEW_PERIOD_S):
--- a/sycamorefield/fleet/volunteer.py
+++ b/sycamorefield/fleet/volunteer.py
@@ -47,9 +47,15 @@
         """Answer each request once, until stopped."""
         while not self.stopped.is_set():
             item = self._wait_for_request()
-            if item is not None:
-                self.answered_revision = item.revision
+            if item is None:
+                continue
+            self.answered_revision = item.revision
+            try:
                 self._answer(item)
+            except Exception as exc:
+                # Later requests must still be answered.
+                events.emit(events.THREAD_FAILED, reason=repr(exc),
+                            where=events.error_location(exc))
 
     def stop(self) -> None:
         """Make no more offers."""
--- a/sycamorefield/platform/workers.py
+++ b/sycamorefield/platform/workers.py
@@ -18,12 +18,12 @@
 # has lost the order or will carry it out seconds later.
 ORDER_TIMEOUT_S = 0.6
 REPORT_SLACK_S = 0.8
+MAX_PORT = 65535
 # The share of a process's file descriptors that idle connections for orders
 # may use; each worker has another connection for its reports.
 ORDER_CONNECTIONS_SHARE = 0.15
 
 Body = dict[str, typing.Any]
-Decoded = typing.TypeVar("Decoded")
 
 
 def idle_order_clients(max_files: int) -> workerconnections.IdleClients:
@@ -81,20 +81,20 @@
         if order.ticket:
             body["ticket"] = order.ticket
         response = await self._order("/-/run-start", body)
-        return _decode_or_fail(_decode_clock_ms, response.body)
+        return jsonclient.decode_or_fail(_decode_clock_ms, response.body)
 
     async def stop(self, order: messages.StopOrder, fence: int) -> float:
         """Stop a run and return the worker's time."""
         body = {"task": str(order.task), "run": order.run, "fence": fence}
         response = await self._order("/-/run-stop", body)
-        return _decode_or_fail(_decode_clock_ms, response.body)
+        return jsonclient.decode_or_fail(_decode_clock_ms, response.body)
 
     async def pace(self, order: messages.PaceOrder, fence: int) -> float:
         """Limit the speed of a run and return the worker's time."""
         body = {"task": str(order.task), "run": order.run,
                 "percent": order.percent, "fence": fence}
         response = await self._order("/-/pace", body)
-        return _decode_or_fail(_decode_clock_ms, response.body)
+        return jsonclient.decode_or_fail(_decode_clock_ms, response.body)
 
     def close(self) -> None:
         """Close the connections."""
@@ -117,21 +117,6 @@
     raise interfaces.CallFailed(f"worker answers {response.status}")
 
 
-def _decode_or_fail(decode: typing.Callable[[Body], Decoded],
-                    body: Body) -> Decoded:
-    """Decode a response body; raises CallFailed if it is invalid.
-
-    An unreadable response leaves the outcome of the call unknown.  Any other
-    exception would end the thread that calls the worker: the worker's leases
-    would expire, and its pending starts would never be sent.
-    """
-    try:
-        return decode(body)
-    except (KeyError, IndexError, TypeError, ValueError) as exc:
-        raise interfaces.CallFailed(
-            f"unreadable answer: {exc!r}") from exc
-
-
 def _decode_clock_ms(body: Body) -> float:
     return float(body["clock_ms"])
 
@@ -242,7 +227,7 @@
             tuple(_require_string(label) for label in row.get("labels") or ()),
             None if remaining is None else float(remaining),
             _require_number(row.get("born", 0)))
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+    except Exception as exc:
         events.emit(events.ENTRY_UNREADABLE, key=item.key, reason=repr(exc))
         return None
 
@@ -261,6 +246,8 @@
 
 def _require_address(value: object) -> str:
     host, _, port = _require_string(value).rpartition(":")
-    if not host or not port.isdigit():
+    if (not host or not host.isascii() or not host.isprintable()
+            or " " in host or not port.isascii() or not port.isdigit()
+            or not 1 <= int(port) <= MAX_PORT):
         raise ValueError(f"not an address: {value!r}")
     return _require_string(value)
