Play sequences of faults in the test of liveness; make its faults independent

Faults that overlap undid each other: two cases at once replaced Thread.start, two workers moved to one address, and an entry was restored that its worker had outgrown.

New: sequences of eight faults of random kind, worker, process and time, by seed.

--- a/tests/livenessfakes.py
+++ b/tests/livenessfakes.py
@@ -311,6 +311,9 @@
         self.store.commit(messages.Transaction(
             puts=(messages.Put(CONFIG_KEY, b"any"),)))
         self.entries: dict[str, messages.WorkerEntry] = {}
+        # The first entry of each worker.
+        self.all_entries: dict[str, messages.WorkerEntry] = {}
+        self.moves = 0
         self.listeners: dict[str, LeasedWorker] = {}
         # Addresses from which no answer comes, not even a refusal.
         self.silent_addresses: set[str] = set()
@@ -325,6 +328,7 @@
         """List a new worker that listens at the address of its entry."""
         entry = dataclasses.replace(fleetfakes.entry(number), born_ms=1_000)
         self.entries[entry.worker_id] = entry
+        self.all_entries[entry.worker_id] = entry
         self.listeners[entry.address] = LeasedWorker(entry.worker_id)
 
     def worker(self, worker_id: str) -> LeasedWorker:
@@ -338,19 +342,27 @@
         faults = self.faults.get(worker_id, {})
         return faults.get(f"{name} {task}", faults.get(name))
 
-    def restart(self, worker_id: str, address: str = "") -> None:
-        """Start a worker again under its ID, perhaps at another address."""
+    def restart(self, worker_id: str, moves: bool = False) -> None:
+        """Start a worker again under its ID, perhaps at a new address."""
         worker = self.worker(worker_id)
         worker.restart()
-        entry = self.entries.get(worker_id)
-        for old_address, listener in list(self.listeners.items()):
-            if address and listener is worker:
-                del self.listeners[old_address]
-                self.listeners[address] = worker
-        if entry is not None:
-            self.entries[worker_id] = dataclasses.replace(
-                entry, born_ms=worker.born_ms,
-                address=address or entry.address)
+        if moves:
+            self.moves += 1
+            del self.listeners[self.address(worker_id)]
+            self.listeners[f"10.0.1.{self.moves}:80"] = worker
+        if worker_id in self.entries:
+            self.list_worker(worker_id)
+
+    def address(self, worker_id: str) -> str:
+        """Return the address at which a worker listens."""
+        return next(address for address, worker in self.listeners.items()
+                    if worker.worker_id == worker_id)
+
+    def list_worker(self, worker_id: str) -> None:
+        """List a worker as it is now."""
+        self.entries[worker_id] = dataclasses.replace(
+            self.all_entries[worker_id], address=self.address(worker_id),
+            born_ms=self.worker(worker_id).born_ms)
 
     def submit(self, job: messages.Job) -> None:
         """Store a job in the way an entry process does."""
--- a/tests/test_fleet_links_liveness.py
+++ b/tests/test_fleet_links_liveness.py
@@ -6,9 +6,12 @@
 
 from concurrent import futures
 import dataclasses
+import functools
 import itertools
 import os
+import random
 import threading
+import time
 import typing
 
 import pytest
@@ -32,10 +35,12 @@
 # The part of all pairs of faults to try, such as "0/4" for every fourth.
 PAIRS_VARIABLE = "SYCAMOREFIELD_LIVENESS_PAIRS"
 PAIRS_BY_DEFAULT = "0/181"
+# The first and the last seed of sequences of faults to try.
+SEEDS_VARIABLE = "SYCAMOREFIELD_LIVENESS_SEEDS"
+SEEDS_BY_DEFAULT = "0-5"
+FAULTS_IN_SEQUENCE = 8
 # How many cases are played at the same time.
 CASES_TOGETHER = 6
-# Where a worker listens after it has moved.
-MOVED_ADDRESS = "10.0.1.0:80"
 FLEETS_WITHOUT_ROUNDS: list[state_mod.FleetState] = []
 # Processes, and so their threads, that may start no threads.
 NAMES_WITHOUT_THREADS: list[str] = []
@@ -88,6 +93,7 @@
     fleet: livenessfakes.Deployment
     process: livenessfakes.Process
     worker_id: str = "i-0"
+    played: list[str] = dataclasses.field(default_factory=list)
 
 
 class Fault(typing.NamedTuple):
@@ -145,47 +151,41 @@
 
 
 def restart_elsewhere(scene):
-    scene.fleet.restart(scene.worker_id, MOVED_ADDRESS)
+    scene.fleet.restart(scene.worker_id, moves=True)
 
 
 def restart_with_silent_old_address(scene):
-    scene.fleet.silent_addresses.add(
-        scene.fleet.entries[scene.worker_id].address)
-    scene.fleet.restart(scene.worker_id, MOVED_ADDRESS)
+    scene.fleet.silent_addresses.add(scene.fleet.address(scene.worker_id))
+    scene.fleet.restart(scene.worker_id, moves=True)
 
 
-def unlist_worker(scene):
-    entry = scene.fleet.entries.pop(scene.worker_id, None)
+def relist(scene):
+    return functools.partial(scene.fleet.list_worker, scene.worker_id)
 
-    def end():
-        if entry is not None:
-            scene.fleet.entries.setdefault(scene.worker_id, entry)
-    return end
+
+def unlist_worker(scene):
+    scene.fleet.entries.pop(scene.worker_id, None)
+    return relist(scene)
 
 
 def restart_with_stale_entry(scene):
     entry = scene.fleet.entries.get(scene.worker_id)
     scene.fleet.restart(scene.worker_id)
-    restarted = scene.fleet.entries.get(scene.worker_id)
     if entry is not None:
         scene.fleet.entries[scene.worker_id] = entry
+    return relist(scene)
 
-    def end():
-        if restarted is not None:
-            scene.fleet.entries[scene.worker_id] = restarted
-    return end
 
-
-def list_wrong_address(scene):
+def change_entry(scene, **changes):
     entry = scene.fleet.entries.get(scene.worker_id)
-    if entry is None:
-        return None
-    scene.fleet.entries[scene.worker_id] = dataclasses.replace(
-        entry, address="10.0.2.0:80")
+    if entry is not None:
+        scene.fleet.entries[scene.worker_id] = dataclasses.replace(
+            entry, **changes)
+    return relist(scene)
 
-    def end():
-        scene.fleet.entries[scene.worker_id] = entry
-    return end
+
+def list_wrong_address(scene):
+    return change_entry(scene, address="10.0.2.0:80")
 
 
 def change_owner(scene):
@@ -204,15 +204,7 @@
 
 
 def list_another_birth(scene):
-    entry = scene.fleet.entries.get(scene.worker_id)
-    if entry is None:
-        return None
-    scene.fleet.entries[scene.worker_id] = dataclasses.replace(
-        entry, born_ms=entry.born_ms + 500)
-
-    def end():
-        scene.fleet.entries[scene.worker_id] = entry
-    return end
+    return change_entry(scene, born_ms=500)
 
 
 def stall_watch_then_cut_it(scene):
@@ -360,61 +352,102 @@
 FAULTS = WORKER_FAULTS + STORE_FAULTS + PROCESS_FAULTS
 
 
-def play(faults: typing.Sequence[Fault], names: str) -> None:
-    """Let faults last for a while; check that all ready tasks run."""
+FIRST_TASK = messages.TaskId("chain", 0, 0, 0)
+STEP = messages.Step(1, messages.Resources(1000, 1000))
+OLD_JOBS = (
+    fleetfakes.job("old", dataclasses.replace(STEP, count=3, perpetual=True)),
+    fleetfakes.job("chain", STEP,
+                   dataclasses.replace(STEP, count=2, after=(0,))))
+NEW_JOB = fleetfakes.job("new", dataclasses.replace(STEP, count=3))
+OLD_TASKS = {"old.0.0.0", "old.0.0.1", "old.0.0.2"}
+ALL_TASKS = OLD_TASKS | {"chain.0.1.0", "chain.0.1.1", "new.0.0.0",
+                         "new.0.0.1", "new.0.0.2", "late.0.0.0"}
+
+
+def play(play_faults: typing.Callable[[Scene], None], names: str) -> None:
+    """Let faults begin and end; check that all ready tasks run."""
     fleet = livenessfakes.Deployment(names=names)
     scene = Scene(fleet, fleet.processes["a"])
     try:
         fleet.start()
-        fleet.submit(fleetfakes.job(
-            "old", messages.Step(3, messages.Resources(1000, 1000),
-                                 perpetual=True)))
-        fleet.submit(fleetfakes.job(
-            "chain", messages.Step(1, messages.Resources(1000, 1000)),
-            messages.Step(2, messages.Resources(1000, 1000), after=(0,))))
-        first = {"chain.0.0.0", *(f"old.0.0.{n}" for n in range(3))}
-        livenessfakes.wait_for(lambda: fleet.running() == first)
+        for job in OLD_JOBS:
+            fleet.submit(job)
+        livenessfakes.wait_for(
+            lambda: fleet.running() == OLD_TASKS | {str(FIRST_TASK)})
         scene.worker_id = next(
             w.worker_id for w in fleet.listeners.values() if w.runs)
-        ends = [fault.begin(scene) for fault in faults]
-        fleet.submit(fleetfakes.job("new", messages.Step(
-            3, messages.Resources(1000, 1000))))
-        finish(fleet, messages.TaskId("chain", 0, 0, 0))
-        threading.Event().wait(FAULT_S)
-        for end in reversed(ends):
-            if end is not None:
-                end()
+        play_faults(scene)
         fleet.submit(fleetfakes.job("late"))
-        expected = first - {"chain.0.0.0"} | {
-            "chain.0.1.0", "chain.0.1.1", "new.0.0.0", "new.0.0.1",
-            "new.0.0.2", "late.0.0.0"}
         try:
             livenessfakes.wait_for(
-                lambda: finish_again(fleet) and fleet.running() == expected,
-                RECOVERY_LIMIT_S)
+                lambda: finish_first_task(fleet)
+                and fleet.running() == ALL_TASKS, RECOVERY_LIMIT_S)
         except AssertionError:
-            pytest.fail(describe(scene, expected))
+            pytest.fail(describe(scene))
     finally:
         fleet.stop()
 
 
-def finish(fleet: livenessfakes.Deployment, task: messages.TaskId) -> None:
-    """End the runs of a task as done."""
+def play_at_once(faults: typing.Sequence[Fault], scene: Scene) -> None:
+    """Begin faults together, submit a job, and end the faults."""
+    ends = [fault.begin(scene) for fault in faults]
+    scene.fleet.submit(NEW_JOB)
+    finish_first_task(scene.fleet)
+    threading.Event().wait(FAULT_S)
+    for end in reversed(ends):
+        if end is not None:
+            end()
+
+
+def play_in_sequence(seed: int, scene: Scene) -> None:
+    """Begin and end faults at random times; submit a job among them."""
+    generator = random.Random(seed)
+    ends: list[tuple[float, typing.Callable[[], None]]] = []
+    submit_at = generator.randrange(FAULTS_IN_SEQUENCE)
+    for number in range(FAULTS_IN_SEQUENCE):
+        if number == submit_at:
+            scene.fleet.submit(NEW_JOB)
+            finish_first_task(scene.fleet)
+        owners = [process for process in scene.fleet.processes.values()
+                  if process.ownership.owner is not None]
+        fault = generator.choice(FAULTS)
+        end = fault.begin(dataclasses.replace(
+            scene, process=generator.choice(owners or [scene.process]),
+            worker_id=f"i-{generator.randrange(3)}"))
+        scene.played.append(fault.name)
+        if end is not None:
+            ends.append((time.monotonic()
+                         + generator.uniform(0.1, FAULT_S), end))
+        pause_until = time.monotonic() + generator.uniform(0.0, FAULT_S / 2)
+        while time.monotonic() < pause_until:
+            ends = end_due(ends, time.monotonic())
+            threading.Event().wait(0.01)
+    for _, end in ends:
+        end()
+
+
+def end_due(ends: list[tuple[float, typing.Callable[[], None]]], now: float
+            ) -> list[tuple[float, typing.Callable[[], None]]]:
+    """End the faults that are due; return the others."""
+    for at, end in ends:
+        if at <= now:
+            end()
+    return [(at, end) for at, end in ends if at > now]
+
+
+def finish_first_task(fleet: livenessfakes.Deployment) -> bool:
+    """End each run of the first step; a fault may lose the end of one."""
     for worker in list(fleet.listeners.values()):
-        worker.finish(task)
-
-
-def finish_again(fleet: livenessfakes.Deployment) -> bool:
-    """End a further run of the first step, whose end a fault may lose."""
-    finish(fleet, messages.TaskId("chain", 0, 0, 0))
+        worker.finish(FIRST_TASK)
     return True
 
 
-def describe(scene: Scene, expected: set[str]) -> str:
+def describe(scene: Scene) -> str:
     """Return what is missing, and what the owners think."""
     running = scene.fleet.running()
-    lines = [f"missing {sorted(expected - running)}, "
-             f"not expected {sorted(running - expected)}"]
+    lines = [f"missing {sorted(ALL_TASKS - running)}, "
+             f"not expected {sorted(running - ALL_TASKS)}, "
+             f"played {scene.played}"]
     for process in scene.fleet.processes.values():
         lines.append(f"{process.name} owns the key: {process.owns()}, "
                      f"terms {len(process.owners)}")
@@ -434,47 +467,60 @@
 
 
 class Case(typing.NamedTuple):
-    """Faults at the same time, and the names of the processes."""
+    """Faults to be played, and the names of the processes."""
 
-    faults: tuple[Fault, ...]
+    name: str
+    play_faults: typing.Callable[[Scene], None]
     names: str
 
-    def __str__(self) -> str:
-        return f"{self.names}: {', '.join(f.name for f in self.faults)}"
+
+def at_once(names: str, *faults: Fault) -> Case:
+    """Return the case of faults that begin and end together."""
+    return Case(f"{names}: {', '.join(fault.name for fault in faults)}",
+                functools.partial(play_at_once, faults), names)
 
 
 def play_together(cases: typing.Sequence[Case]) -> None:
     """Play cases at the same time, each with a fleet of its own."""
     with futures.ThreadPoolExecutor(CASES_TOGETHER) as executor:
-        played = [(case, executor.submit(play, case.faults, case.names))
+        played = [(case, executor.submit(play, case.play_faults, case.names))
                   for case in cases]
-    failures = [f"{case}\n{future.exception()}" for case, future in played
-                if future.exception() is not None]
+    failures = [f"{case.name}\n{future.exception()}"
+                for case, future in played if future.exception() is not None]
     assert not failures, "\n\n".join(failures)
 
 
 def group(cases: typing.Sequence[Case]) -> list[typing.Any]:
     """Return parameters of the cases that are played together."""
     return [pytest.param(cases[first:first + CASES_TOGETHER],
-                         id="; ".join(str(case) for case in
+                         id="; ".join(case.name for case in
                                       cases[first:first + CASES_TOGETHER]))
             for first in range(0, len(cases), CASES_TOGETHER)]
 
 
 SINGLE_FAULTS = (
-    [Case((fault,), "a") for fault in FAULTS]
-    + [Case((fault,), "ab") for fault in STORE_FAULTS + PROCESS_FAULTS])
+    [at_once("a", fault) for fault in FAULTS]
+    + [at_once("ab", fault) for fault in STORE_FAULTS + PROCESS_FAULTS])
 
 
 def chosen_pairs() -> list[Case]:
     """Return the part of all ordered pairs that the environment asks for."""
     index, parts = (int(number) for number in os.environ.get(
         PAIRS_VARIABLE, PAIRS_BY_DEFAULT).split("/"))
-    pairs = [Case(pair, names) for pair, names in zip(
+    pairs = [at_once(names, *pair) for pair, names in zip(
         itertools.permutations(FAULTS, 2), itertools.cycle(("a", "ab")))]
     return pairs[index::parts]
 
 
+def chosen_sequences() -> list[Case]:
+    """Return the sequences of faults of the seeds in the environment."""
+    first, last = (int(seed) for seed in os.environ.get(
+        SEEDS_VARIABLE, SEEDS_BY_DEFAULT).split("-"))
+    return [Case(f"seed {seed}", functools.partial(play_in_sequence, seed),
+                 "ab" if seed % 2 else "a")
+            for seed in range(first, last + 1)]
+
+
 @pytest.mark.parametrize("cases", group(SINGLE_FAULTS))
 def test_ready_tasks_run_soon_after_a_fault(cases):
     play_together(cases)
@@ -483,3 +529,8 @@
 @pytest.mark.parametrize("cases", group(chosen_pairs()))
 def test_ready_tasks_run_soon_after_two_faults(cases):
     play_together(cases)
+
+
+@pytest.mark.parametrize("cases", group(chosen_sequences()))
+def test_ready_tasks_run_soon_after_a_sequence_of_faults(cases):
+    play_together(cases)
