Release the key at a planned stop although the last flush fails

Seen by callers: after an unexpected error of the last flush, a process that stops keeps the fleet until its lease expires, 2 s later. An unexpected error of a release itself ended its thread without a line in the log.

Cause: Ownership.stop called the flush, and release the store, without a guard.

Test: two more in tests/test_fleet_unguarded_threads.py, both failed before; with the tests of ownership, terms and the planned stop: 47 passed.

--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -162,7 +162,7 @@
         """Recover the stored state, then schedule until stepping down."""
         self.run_guarded(self._run)
 
-    def run_guarded(self, target: typing.Callable[[], None]) -> None:
+    def run_guarded(self, target: typing.Callable[[], object]) -> None:
         """Run a target; step down on an unexpected error.
 
         A successor then starts from the stored state.
--- a/sycamorefield/fleet/ownership.py
+++ b/sycamorefield/fleet/ownership.py
@@ -246,6 +246,10 @@
                 interfaces.LeaseEnded) as exc:
             events.emit(events.STORE_UNREACHABLE,
                         reason=f"owner release: {exc}")
+        except Exception as exc:
+            # The key expires with its lease.
+            events.emit(events.THREAD_FAILED, reason=repr(exc),
+                        where=events.error_location(exc))
 
     def stop(self) -> None:
         """Stop claiming; flush and release the fleet if owned here."""
@@ -256,6 +260,6 @@
         if owner is None:
             return
         if owner.recovered:
-            owner.recorder.flush()
+            owner.run_guarded(owner.recorder.flush)
         owner.step_down("planned stop")
         self.release(owner.fence)
--- a/tests/test_fleet_unguarded_threads.py
+++ b/tests/test_fleet_unguarded_threads.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from sycamorefield import events
 from sycamorefield.fleet import loopthread
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import ownership as ownership_mod
@@ -146,6 +147,33 @@
     livenessfakes.wait_for(process.owners[0].stepped_down.is_set, 5.0)
 
 
+def test_key_is_released_at_a_stop_though_the_last_flush_fails(
+        fleet, monkeypatch):
+    """The successor waited until the lease had expired."""
+    process = fleet.processes["a"]
+    process.start()
+    livenessfakes.wait_for(lambda: len(process.owners) > 0
+                           and process.owners[0].recovered)
+    process.owners[0].recorder.stopped.set()
+
+    def fail():
+        raise KeyError("unexpected")
+
+    monkeypatch.setattr(process.owners[0].recorder, "flush", fail)
+    process.ownership.stop()
+    assert process.owners[0].stepped_down.is_set()
+    assert records.OWNER_KEY not in fleet.store.items
+
+
+def test_unexpected_error_of_a_release_is_logged(fleet):
+    """It ended a thread unseen, or a planned stop half-way."""
+    process = fleet.processes["a"]
+    process.store.faults = {"commit owner/fleet": livenessfakes.ERROR}
+    before = events.COUNTS[events.THREAD_FAILED.code]
+    process.ownership.release(5)
+    assert events.COUNTS[events.THREAD_FAILED.code] == before + 1
+
+
 @pytest.mark.parametrize("call", ["listing o", "watch o"])
 def test_owner_key_is_watched_after_an_unexpected_error_of_the_watch(
         fleet, call):
