Use no worker that a list being stored lacks until a later list has it

Callers would see: a task runs twice after a change of owner.

Cause: since the list of workers in use lacks workers that never reported. A worker that was on an earlier list stayed enrolled, so at its first report it got starts before the list that adds it again was stored. A successor that reads the list without it doesn't await it, and starts the same task elsewhere.

Change: a worker that a list lacks is no longer enrolled from the moment the write begins; the write of the list that has it enrols it again.

--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -242,9 +242,15 @@
                 and now - self.list_read_at <= DRAIN_NOTICE_S)
 
     def add_possible_list(self, worker_ids: typing.Iterable[str]) -> None:
-        """Add a list of workers in use whose write has been started."""
+        """Add a list of workers in use whose write has been started.
+
+        A worker that it lacks is used again only once a later list is stored.
+        """
         with self.lock:
-            self.possible_worker_lists.append(frozenset(worker_ids))
+            listed = frozenset(worker_ids)
+            self.possible_worker_lists.append(listed)
+            for worker_id, worker in self.workers.items():
+                worker.enrolled &= worker_id in listed
 
     def enrol(self, worker_ids: typing.Iterable[str]) -> None:
         """Allow the use of the workers on the list that is now stored.
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -74,7 +74,7 @@
         self.listed = True
         # Whether it was on any worker list that this owner has read.
         self.ever_listed = False
-        # Whether it is on the stored list of workers in use.
+        # Whether it is on every list of workers in use that may be stored.
         self.enrolled = False
         self.has_reported = False
         self.unresponsive = False
