Count no address as reached to which a connection fails at once

Callers would see: the fleet goes to a process that reaches no worker at all, and stays there for a minute.

Cause: the probe ignored the result of connect_ex. An error given at once (no route) is not kept for SO_ERROR, so the socket counted as connected; such a process reaches "all" and makes its offer first.

Evidence: the new test failed before and passes.

--- a/sycamorefield/platform/reachprobe.py
+++ b/sycamorefield/platform/reachprobe.py
@@ -1,5 +1,6 @@
 """Find out which workers accept connections from this process."""
 
+import errno
 import select
 import socket
 import typing
@@ -8,26 +9,30 @@
 from sycamorefield.fleet import interfaces
 from sycamorefield.platform import connections
 
+CONNECTING = (0, errno.EINPROGRESS)
+
 
 class TcpReachProbe(interfaces.ReachProbe):
     """Opens and closes a TCP connection to each worker."""
 
     def find_reached(self, addresses: typing.Iterable[str]) -> set[str]:
         """Return the addresses that accept a connection in time."""
+        sockets: list[socket.socket] = []
         pending: dict[int, tuple[socket.socket, str]] = {}
         poller = select.poll()
         try:
             for address in addresses:
                 sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-                pending[sock.fileno()] = sock, address
+                sockets.append(sock)
                 sock.setblocking(False)
                 host, _, port = address.rpartition(":")
-                # If it fails at once, poll() reports the socket and its error.
-                sock.connect_ex((host, int(port)))
-                poller.register(sock, select.POLLOUT)
-            return _wait(poller, dict(pending))
+                # The error of a call that fails at once is not kept.
+                if sock.connect_ex((host, int(port))) in CONNECTING:
+                    pending[sock.fileno()] = sock, address
+                    poller.register(sock, select.POLLOUT)
+            return _wait(poller, pending)
         finally:
-            for sock, _ in pending.values():
+            for sock in sockets:
                 sock.close()
 
 
--- a/tests/test_platform_reachprobe.py
+++ b/tests/test_platform_reachprobe.py
@@ -19,3 +19,10 @@
         probe = reachprobe.TcpReachProbe()
         assert probe.find_reached(addresses) == {addresses[0]}
         assert probe.find_reached([]) == set()
+
+
+def test_address_without_a_route_is_not_reached():
+    """Guards against offers of a process that has no path to any worker."""
+    # Without SO_BROADCAST, a connection to this address fails at once.
+    address = "255.255.255.255:80"
+    assert reachprobe.TcpReachProbe().find_reached([address]) == set()
