Leave a fleet that was handed over to the offer though the release is lost

Callers would see: another second without placement, again and again, as the owner claims the fleet anew that it hands over.

Cause: the release of the key was a single call. If it got no answer, the key still held this process's identity, which it takes for a claim of its own whose answer was lost, and it claimed again. The mark of a handover was kept beside the terms, so a late one could concern the next term; and after a long last write the offer was not looked at again.

Change: the release is repeated until it is answered or the lease has ended; a key of the fence that was handed over is no claim of its own; the mark belongs to the term; the offer is checked after the last write.

--- a/sycamorefield/fleet/handover.py
+++ b/sycamorefield/fleet/handover.py
@@ -186,6 +186,10 @@
         if not self.request_revision or (
                 now - self.requested_at >= REQUEST_PERIOD_S):
             self._make_request(now)
+        return self.has_offer()
+
+    def has_offer(self) -> bool:
+        """Return whether there is an offer on the present request."""
         return bool(self.request_revision) and is_offer_on(
             self.watcher.handover_offer, self.request_revision)
 
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -72,6 +72,8 @@
         self.stepped_down = threading.Event()
         # Whether the term was ended by an unexpected error.
         self.failed = False
+        # Whether the term was ended so that another process takes over.
+        self.handed_over = False
         self.recovered = False
         self.started_at = clock.now()
         self.note_lease_renewal(self.started_at)
@@ -158,6 +160,12 @@
         with self.fleet.lock:
             self.fleet.round_requested.notify_all()
 
+    def hand_over(self) -> None:
+        """End the term so that a process that has offered takes over."""
+        if not self.stepped_down.is_set():
+            self.handed_over = True
+            self.step_down("another process reaches more workers")
+
     def run(self) -> None:
         """Recover the stored state, then schedule until stepping down."""
         self.run_guarded(self._run)
--- a/sycamorefield/fleet/ownership.py
+++ b/sycamorefield/fleet/ownership.py
@@ -68,8 +68,8 @@
         # When the last call that granted or renewed the lease was sent.
         self.lease_requested_at = 0.0
         self.request_limit = handover.RequestLimit()
-        # Whether the term ends so that another process takes over.
-        self.handing_over = False
+        # The fence of the last term that was ended by a handover.
+        self.handed_over_fence = 0
         self.stopped = threading.Event()
 
     def run(self) -> None:
@@ -95,14 +95,17 @@
         """Wait until the key is free or holds this process's identity.
 
         The latter happens if the answer to an earlier claim was lost, or if
-        an earlier term did not release the key.
+        an earlier term did not release the key.  A key that was handed over
+        is left to expire if its release was lost.
         """
         with self.watcher.owner_changed:
             while not self.stopped.is_set():
                 if (self.watcher.owner_known
                         and self.watcher.configuration_known):
                     item = self.watcher.owner_item
-                    if item is None or item.value == self.identity:
+                    if item is None or (
+                            item.value == self.identity
+                            and item.revision != self.handed_over_fence):
                         break
                 self.watcher.owner_changed.wait(0.5)
         if self.watcher.owner_item is None:
@@ -172,10 +175,8 @@
                         where=events.error_location(exc))
         if self.stopped.is_set():
             return
-        if self.handing_over:
-            # Until the key is released, this process would claim it again.
-            self.handing_over = False
-            self.release(fence)
+        if self.handed_over_fence == fence:
+            self._release_for_offer(fence)
             return
         item = self.watcher.owner_item
         if failed or (item is not None and item.value == self.identity):
@@ -205,9 +206,18 @@
             owner.run()
         finally:
             owner.step_down("term ended")
+            if owner.handed_over:
+                self.handed_over_fence = fence
             self.owner = None
         return owner.failed
 
+    def _release_for_offer(self, fence: int) -> None:
+        """Release the key, with repeats until it expires with its lease."""
+        deadline = clock.now() + owner_mod.OWNER_LEASE_S
+        while not self.release(fence) and clock.now() < deadline:
+            if self.stopped.wait(RETRY_PAUSE_S):
+                return
+
     def _release_concurrently(self, fence: int) -> None:
         """Release the key without waiting for the store, if possible."""
         try:
@@ -249,8 +259,8 @@
         while not owner.stepped_down.wait(handover.CHECK_PERIOD_S):
             if owner.recovered and requests.update(clock.now()):
                 owner.recorder.flush()
-                self.handing_over = True
-                owner.step_down("another process reaches more workers")
+                if requests.has_offer():
+                    owner.hand_over()
 
     def _key_seems_lost(self, owner: owner_mod.Owner) -> bool:
         item = self.watcher.owner_item
@@ -276,21 +286,30 @@
         owner.step_down("owner's key removed or claimed by another")
         return True
 
-    def release(self, fence: int) -> None:
-        """Remove the key so that a successor need not wait for the lease."""
+    def release(self, fence: int) -> bool:
+        """Remove the key so that a successor need not wait for the lease.
+
+        Return whether the key is certainly removed.
+        """
         try:
             self.store.commit(messages.Transaction(
                 (messages.Expect(records.OWNER_KEY, fence),), (),
                 (records.OWNER_KEY,)))
             events.emit(events.OWNERSHIP_RELEASED, fence=fence)
-        except (interfaces.CallFailed, interfaces.Conflict,
-                interfaces.LeaseEnded) as exc:
+            return True
+        except interfaces.Conflict:
+            # An earlier call has removed it, or it has expired.
+            events.emit(events.OWNERSHIP_RELEASED, fence=fence,
+                        reason="removed before")
+            return True
+        except (interfaces.CallFailed, interfaces.LeaseEnded) as exc:
             events.emit(events.STORE_UNREACHABLE,
                         reason=f"owner release: {exc}")
         except Exception as exc:
             # The key expires with its lease.
             events.emit(events.THREAD_FAILED, reason=repr(exc),
                         where=events.error_location(exc))
+        return False
 
     def stop(self) -> None:
         """Stop claiming; flush and release the fleet if owned here."""
--- a/tests/test_fleet_handover.py
+++ b/tests/test_fleet_handover.py
@@ -193,13 +193,17 @@
         self.ownership.stop()
 
 
-@pytest.fixture(name="fleet")
-def fixture_fleet(monkeypatch):
+def shorten_times(monkeypatch):
     monkeypatch.setattr(unreached_mod, "UNREACHED_AFTER_S", 0.3)
     monkeypatch.setattr(handover, "CHANGE_OF_OWNER_S", 0.1)
     monkeypatch.setattr(handover, "CHECK_PERIOD_S", 0.05)
     monkeypatch.setattr(volunteer_mod, "MAX_DELAY_S", 0.05)
     monkeypatch.setattr(volunteer_mod, "MISSING_WORKERS_DELAY_S", 0.3)
+
+
+@pytest.fixture(name="fleet")
+def fixture_fleet(monkeypatch):
+    shorten_times(monkeypatch)
     fleet = test_fleet_takeover.Fleet(WORKERS)
     fleet.store.commit(messages.Transaction(
         puts=(messages.Put(CONFIG_KEY, b"{}"),)))
@@ -272,3 +276,41 @@
     assert offering.ownership._claim_wait_s() == 0.0
     assert (other.ownership._claim_wait_s()
             >= ownership_mod.OFFER_PRIORITY_S)
+
+
+class LostReleaseStore(fleetfakes.MemoryStore):
+    """Lose the next call that removes the owner's key."""
+
+    lost_releases = 1
+
+    def commit(self, transaction):
+        if records.OWNER_KEY in transaction.removes and self.lost_releases:
+            self.lost_releases -= 1
+            raise interfaces.CallFailed("no answer")
+        return super().commit(transaction)
+
+
+def test_owner_whose_release_was_lost_leaves_the_fleet_to_the_offer(
+        monkeypatch):
+    """Guards against an owner that claims again what it hands over."""
+    shorten_times(monkeypatch)
+    fleet = test_fleet_takeover.Fleet(WORKERS)
+    fleet.store = LostReleaseStore()
+    fleet.store.commit(messages.Transaction(puts=(
+        messages.Put(CONFIG_KEY, b"{}"),)))
+    first = Process("first", fleet, ("i-0", "i-1", "i-2"))
+    second = Process("second", fleet)
+    try:
+        first.start()
+        test_fleet_takeover.wait_for(
+            lambda: first.is_owner() and first.ownership.owner.recovered)
+        fence = fleet.store.items[records.OWNER_KEY].revision
+        second.start()
+        test_fleet_takeover.wait_for(
+            lambda: records.OWNER_KEY in fleet.store.items and
+            fleet.store.items[records.OWNER_KEY].revision != fence)
+        owner = fleet.store.items[records.OWNER_KEY].value
+        assert owner == second.ownership.identity
+    finally:
+        first.stop()
+        second.stop()
