Make no offers by chance, and fewer requests; judge by service

Callers would see: owners that replace each other by chance, each change a second without placement and seven for earlier jobs if the new owner misses one worker; thousands of connections while no process can help; tasks of a small service that wait for minutes.

Cause: with few workers out of reach, eight answers of eight reached workers were enough for an offer of a process that reaches fewer in sum (by sampling 0.64 where either misses 9 of 176). Requests were repeated each 5 s, twice a second if the store's answer was lost. The time lost was divided by the workers of the whole fleet, though tasks wait for those of their service.

Change: 48 reached workers are tried, after the unreached ones have answered; if one of them does not answer, the offer has to gain a fifth of all workers. Requests without an offer are repeated after 5 s, 10 s and so on up to a minute; one that failed counts as made. The time lost is that of the service that lost most.

Left: a label or rack of which all workers are cut off is not told apart.

--- a/sycamorefield/fleet/handover.py
+++ b/sycamorefield/fleet/handover.py
@@ -8,6 +8,7 @@
 
 import dataclasses
 import json
+import math
 import random
 import typing
 
@@ -25,20 +26,24 @@
 # A change of owner stops all placement for about this long.  The owner asks
 # for offers once as much has been lost on the workers that it can't reach.
 CHANGE_OF_OWNER_S = 1.0
-# A request without an offer is repeated after this time, with other workers.
+# A request without an offer is repeated after this time, with other workers,
+# then after twice as long and so on: each makes every process try to connect.
 REQUEST_PERIOD_S = 5.0
+MAX_REQUEST_PERIOD_S = 60.0
 # Where workers accept connections but do not answer, an offer does not help.
 # A process that took over by an offer makes no request for this long if more
 # than this share of the workers in question does not answer it either.
 MIN_TERM_AFTER_OFFER_S = 60.0
 MAX_SILENT_RATIO = 0.5
-# A change of owner is worth it if this share of the unreached workers, or this
-# share of all workers, can be used after it.
-MIN_GAIN_OF_UNREACHED = 0.5
+# A change of owner is worth it if this share of all workers can be used after
+# it, or this share of the unreached ones without the loss of any other: while
+# a worker in use does not report to the new owner, earlier jobs stand still.
 MIN_GAIN_OF_ALL = 0.2
-# How many of the workers those who make offers try to reach.
+MIN_GAIN_OF_UNREACHED = 0.5
+# How many of the workers those who make offers try to reach.  The sample of
+# those that the owner reaches shows whether the new owner would lose some.
 UNREACHED_SAMPLE_SIZE = 16
-REACHED_SAMPLE_SIZE = 8
+REACHED_SAMPLE_SIZE = 48
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,9 +70,9 @@
         """
         gained = _estimate(self.unreached, self.unreached_count, answering)
         kept = _estimate(self.reached, self.reached_count, answering)
-        all_workers = self.unreached_count + self.reached_count
-        needed = min(MIN_GAIN_OF_UNREACHED * self.unreached_count,
-                     MIN_GAIN_OF_ALL * all_workers)
+        needed = MIN_GAIN_OF_ALL * (self.unreached_count + self.reached_count)
+        if kept >= self.reached_count:
+            needed = min(needed, MIN_GAIN_OF_UNREACHED * self.unreached_count)
         return gained + kept - self.reached_count >= max(1.0, needed)
 
     def missing_ratio(self, answering: typing.Collection[str]) -> float:
@@ -172,7 +177,8 @@
         self.limit = limit
         self.unreached = unreached_mod.UnreachedWorkers()
         self.request_revision = 0
-        self.requested_at = 0.0
+        self.requested_at = -math.inf
+        self.request_period_s = REQUEST_PERIOD_S
 
     def update(self, now: float) -> bool:
         """Make a request if needed; return whether an offer was made."""
@@ -182,10 +188,15 @@
                 or not self.limit.allows(self._silent_addresses(), now)):
             # An offer on an earlier request is of no use any more.
             self.request_revision = 0
+            self.request_period_s = REQUEST_PERIOD_S
             return False
-        if not self.request_revision or (
+        if not self.request_revision and (
                 now - self.requested_at >= REQUEST_PERIOD_S):
             self._make_request(now)
+        elif now - self.requested_at >= self.request_period_s:
+            self.request_period_s = min(
+                MAX_REQUEST_PERIOD_S, 2 * self.request_period_s)
+            self._make_request(now)
         return self.has_offer()
 
     def has_offer(self) -> bool:
@@ -195,6 +206,7 @@
 
     def _make_request(self, now: float) -> None:
         request = self._sample()
+        self.requested_at = now
         try:
             self.request_revision = self.store.commit(messages.Transaction(
                 (messages.Expect(records.OWNER_KEY, self.fleet.fence),),
@@ -205,7 +217,6 @@
             events.emit(events.STORE_UNREACHABLE,
                         reason=f"request for a handover: {exc}")
             return
-        self.requested_at = now
         events.emit(events.HANDOVER_REQUESTED, fence=self.fleet.fence,
                     unreached=request.unreached_count,
                     reached=request.reached_count,
--- a/sycamorefield/fleet/unreached.py
+++ b/sycamorefield/fleet/unreached.py
@@ -1,5 +1,6 @@
 """Tell which workers are alive although the owner can't reach them."""
 
+import collections
 import typing
 
 from sycamorefield.fleet import endedlives
@@ -17,11 +18,12 @@
 
 
 class Silence(typing.NamedTuple):
-    """Since when a worker has been silent, and when it last was known to be.
+    """The service of a silent worker, since when it has been, and last was.
 
-    In seconds on clock.now().
+    Times are in seconds on clock.now().
     """
 
+    service: str
     since: float
     seen_at: float
 
@@ -31,7 +33,8 @@
 
     def __init__(self) -> None:
         self.silences: dict[str, Silence] = {}
-        self.listed_workers = 0
+        # How many workers are listed, by service.
+        self.listed_workers: collections.Counter[str] = collections.Counter()
 
     def update(self, fleet: "state_mod.FleetState", now: float) -> None:
         """Note which listed workers do not answer."""
@@ -40,15 +43,16 @@
                 # Entries on an outdated list may have expired.
                 self.silences.clear()
                 return
-            self.listed_workers = 0
+            self.listed_workers.clear()
             for worker_id, worker in fleet.workers.items():
                 is_listed = worker.listed and not worker.entry.draining
-                self.listed_workers += is_listed
+                self.listed_workers[worker.entry.service] += is_listed
                 if not is_listed or _answers(worker):
                     self.silences.pop(worker_id, None)
                     continue
                 known = self.silences.get(worker_id)
                 self.silences[worker_id] = Silence(
+                    worker.entry.service,
                     known.since if known is not None else now, now)
         for worker_id, silence in list(self.silences.items()):
             if now - silence.seen_at > MAX_ABSENCE_S:
@@ -64,14 +68,17 @@
         return set(self.silences)
 
     def lost_s(self, now: float) -> float:
-        """Return for how long, in seconds, all workers could have been used.
+        """Return the time lost on unreached workers, as time of a service.
 
-        That is the time for which workers have not been reached, divided by
-        the number of all workers.
+        That is the sum, in seconds, over the workers of a service, divided by
+        their number, for the service that has lost most.
         """
-        silent_s = sum(now - self.silences[worker_id].since
-                       for worker_id in self.worker_ids(now))
-        return silent_s / max(1, self.listed_workers)
+        silent_s: dict[str, float] = collections.defaultdict(float)
+        for worker_id in self.worker_ids(now):
+            silence = self.silences[worker_id]
+            silent_s[silence.service] += now - silence.since
+        return max((seconds / max(1, self.listed_workers[service])
+                    for service, seconds in silent_s.items()), default=0.0)
 
 
 def _answers(worker: workerstate.WorkerState) -> bool:
--- a/sycamorefield/fleet/volunteer.py
+++ b/sycamorefield/fleet/volunteer.py
@@ -82,7 +82,10 @@
         self.stopped.wait(self.delay_s + random.uniform(0.0, MAX_DELAY_S))
         if not self._is_open(item):
             return
-        answering = self.probe.find_reached(request.addresses())
+        answering = self.probe.find_reached(request.unreached)
+        if not request.is_improved_by(answering.union(request.reached)):
+            return
+        answering |= self.probe.find_reached(request.reached)
         if not request.is_improved_by(answering):
             return
         # A process that reaches more of them goes first.
--- a/tests/test_fleet_handover.py
+++ b/tests/test_fleet_handover.py
@@ -1,5 +1,7 @@
 """Test that a fleet goes to a process that reaches its workers."""
 
+import dataclasses
+import random
 import threading
 
 import pytest
@@ -126,6 +128,62 @@
     assert limit.allows(silent, 100.0 + after_s) == allowed
 
 
+@pytest.mark.parametrize(("owner_misses", "volunteer_misses"), [
+    (9, 18), (4, 18)])
+def test_process_that_reaches_fewer_workers_makes_no_offer(
+        owner_misses, volunteer_misses):
+    """Guards against changes of owner decided by chance of a small sample."""
+    random.seed(1)
+    unreached = [f"u{n}" for n in range(owner_misses)]
+    reached = [f"r{n}" for n in range(176 - owner_misses)]
+    answering = set(unreached) | set(reached[volunteer_misses:])
+    offers = sum(handover.Request(
+        handover._choose(unreached, handover.UNREACHED_SAMPLE_SIZE),
+        handover._choose(reached, handover.REACHED_SAMPLE_SIZE),
+        len(unreached), len(reached)).is_improved_by(answering)
+        for _ in range(1000))
+    assert offers <= 50
+
+
+def test_requests_without_an_answer_of_the_store_are_not_repeated_at_once():
+    """Guards against probes by all processes twice a second."""
+    bench = test_fleet_state.Bench(*(fleetfakes.entry(n) for n in range(4)))
+    store = fleetfakes.MemoryStore()
+    store.commit(messages.Transaction(
+        puts=(messages.Put(records.OWNER_KEY, b"me"),)))
+    bench.state.fence = store.items[records.OWNER_KEY].revision
+    watcher = controlwatcher.ControlWatcher(
+        store, "op/c", lambda _: fleetfakes.configuration())
+    for number in range(2):
+        bench.state.workers[f"i-{number}"].unresponsive = True
+    requests = handover.HandoverRequests(store, watcher, bench.state, 0)
+    store.lose_answers = 1000
+    before = store.revision
+    for check in range(31):
+        now = bench.now + check * handover.CHECK_PERIOD_S
+        bench.state.list_read_at = now
+        requests.update(now)
+    # 15 s, of which 10 s are left for requests, every 5 s.
+    assert store.revision - before <= 3
+
+
+def test_request_is_made_soon_if_a_whole_small_service_is_not_reached():
+    """Guards against tasks of a small service that wait for minutes."""
+    bench = test_fleet_state.Bench(*(
+        dataclasses.replace(fleetfakes.entry(n),
+                            service="small" if n < 2 else "large")
+        for n in range(100)))
+    for number in range(2):
+        bench.state.workers[f"i-{number}"].unresponsive = True
+    unreached = unreached_mod.UnreachedWorkers()
+    at = bench.now
+    while at <= bench.now + 30.0:
+        bench.state.list_read_at = at
+        unreached.update(bench.state, at)
+        at += handover.CHECK_PERIOD_S
+    assert unreached.lost_s(bench.now + 30.0) >= handover.CHANGE_OF_OWNER_S
+
+
 class PartlyCutWorker(interfaces.Worker):
     """A worker that a process can't reach while its ID is in a set."""
 
