Count unanswered starts of a worker apart from failed runs

Change: a count of its own, reset by an answered start.

Evidence: test_answered_start_ends_the_count_of_unanswered_ones.

--- a/sycamorefield/fleet/answers.py
+++ b/sycamorefield/fleet/answers.py
@@ -91,6 +91,7 @@
             return
         worker, task = found
         worker.mark_start_sent((order.task, order.run))
+        worker.unanswered_starts = 0
         task.start_confirmed = True
         if fleet.is_current(worker, task, order.run):
             task.confirmed_at = now
@@ -143,10 +144,10 @@
         worker, task = found
         if refused:
             worker.refused_starts.add((order.task, order.run))
-        elif worker.record_failure(clock.now()):
+        elif worker.record_unanswered_start(clock.now()):
             # Reports may still arrive, so it would get start after start.
-            events.emit(events.WORKER_AVOIDED, failures=worker.failures,
-                        worker=worker_id)
+            events.emit(events.WORKER_AVOIDED, worker=worker_id,
+                        unanswered=worker.unanswered_starts)
         if fleet.is_current(worker, task, order.run):
             fleet.stop_run(task, "start got no answer")
 
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -113,8 +113,9 @@
         # When best-effort runs here were last allowed a higher pace.
         self.pace_raised_at = 0.0
         self.avoid_until = 0.0
-        # Consecutive failed runs.
+        # Consecutive failed runs, and consecutive starts without an answer.
         self.failures = 0
+        self.unanswered_starts = 0
         # The worker's clock, and when it was read.
         self.clock_ms = 0.0
         self.clock_read_at = 0.0
@@ -189,7 +190,7 @@
         self.restart_seen_at = now
         self.last_processed_end = 0
         self.clock_ms = self.clock_read_at = self.granted_end_ms = 0.0
-        self.failures = self.over_reports = 0
+        self.failures = self.over_reports = self.unanswered_starts = 0
         self.avoid_until = self.unused_cpu = 0.0
         self.tail_latencies = []
         self.connection_closed = False
@@ -311,6 +312,14 @@
         """Record a run that ended successfully."""
         self.failures = 0
 
+    def record_unanswered_start(self, now: float) -> bool:
+        """Record a start without an answer; return whether it is avoided."""
+        self.unanswered_starts += 1
+        if self.unanswered_starts < MAX_CONSECUTIVE_FAILURES:
+            return False
+        self.avoid_until = now + AVOID_S
+        return True
+
     def record_failure(self, now: float) -> bool:
         """Record a failed run; return whether the worker is avoided now."""
         self.failures += 1
--- a/tests/test_fleet_partial_reach.py
+++ b/tests/test_fleet_partial_reach.py
@@ -220,3 +220,14 @@
         assert fleet.starts().count("a.0.0.0") == 1
     finally:
         fleet.owner.step_down("test over")
+
+
+def test_answered_start_ends_the_count_of_unanswered_ones():
+    """Guards against avoiding a sound worker for starts lost long ago."""
+    bench = test_fleet_state.Bench(fleetfakes.entry(0))
+    bench.add(fleetfakes.job("j"))
+    worker = bench.state.workers["i-0"]
+    for _ in range(workerstate.MAX_CONSECUTIVE_FAILURES - 1):
+        assert not worker.record_unanswered_start(bench.now)
+    assert bench.place() == ["j.0.0.0@i-0"]
+    assert not worker.record_unanswered_start(bench.now)
