--- a/sycamorefield/fleet/handover.py
+++ b/sycamorefield/fleet/handover.py
@@ -48,19 +48,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
-    """Workers that an owner does not reach and that it does, in part.
+    """Samples of the workers that an owner reaches and does not reach.
 
     The samples hold addresses, the counts are of all workers.
     """
 
-    unreached: tuple[str, ...]
-    reached: tuple[str, ...]
+    unreached_sample: tuple[str, ...]
+    reached_sample: tuple[str, ...]
     unreached_count: int
     reached_count: int
 
     def addresses(self) -> tuple[str, ...]:
         """Return the addresses to be tried."""
-        return self.unreached + self.reached
+        return self.unreached_sample + self.reached_sample
 
     def is_improved_by(self, answering: typing.Container[str]) -> bool:
         """Return whether who reaches some of the addresses should take over.
@@ -68,8 +68,9 @@
         It must reach more workers than the owner, by what a change of owner
         is worth.
         """
-        gained = _estimate(self.unreached, self.unreached_count, answering)
-        kept = _estimate(self.reached, self.reached_count, answering)
+        gained = _estimate(self.unreached_sample, self.unreached_count,
+                           answering)
+        kept = _estimate(self.reached_sample, self.reached_count, answering)
         needed = MIN_GAIN_OF_ALL * (self.unreached_count + self.reached_count)
         if kept >= self.reached_count:
             needed = min(needed, MIN_GAIN_OF_UNREACHED * self.unreached_count)
@@ -97,7 +98,8 @@
     """Return a stored request; raises ValueError if it is unreadable."""
     try:
         row = json.loads(value)
-        return Request(tuple(row["unreached"]), tuple(row["reached"]),
+        return Request(tuple(row["unreached_sample"]),
+                       tuple(row["reached_sample"]),
                        row["unreached_count"], row["reached_count"])
     except (KeyError, TypeError) as exc:
         raise ValueError(f"invalid request: {exc!r}") from exc
@@ -133,7 +135,8 @@
 class RequestLimit:
     """Limit the requests of an owner that took over on a request.
 
-    addresses are those of workers that the owner before did not reach.
+    addresses are those of workers that the owner before did not reach; if none
+    are known, no request is made until the given time.
     """
 
     until: float = 0.0
@@ -153,7 +156,8 @@
     addresses: frozenset[str] = frozenset()
     if request is not None:
         try:
-            addresses = frozenset(decode_request(request.value).unreached)
+            addresses = frozenset(decode_request(
+                request.value).unreached_sample)
         except ValueError as exc:
             events.emit(events.RECORD_UNREADABLE, key=request.key,
                         reason=str(exc))
--- a/sycamorefield/fleet/unreached.py
+++ b/sycamorefield/fleet/unreached.py
@@ -58,7 +58,7 @@
             if now - silence.seen_at > MAX_ABSENCE_S:
                 del self.silences[worker_id]
 
-    def worker_ids(self, now: float) -> list[str]:
+    def unreached_ids(self, now: float) -> list[str]:
         """Return the workers that are alive and can't be reached."""
         return [worker_id for worker_id, silence in self.silences.items()
                 if now - silence.since >= UNREACHED_AFTER_S]
@@ -74,7 +74,7 @@
         their number, for the service that has lost most.
         """
         silent_s: dict[str, float] = collections.defaultdict(float)
-        for worker_id in self.worker_ids(now):
+        for worker_id in self.unreached_ids(now):
             silence = self.silences[worker_id]
             silent_s[silence.service] += now - silence.since
         return max((seconds / max(1, self.listed_workers[service])
--- a/sycamorefield/fleet/volunteer.py
+++ b/sycamorefield/fleet/volunteer.py
@@ -82,10 +82,11 @@
         self.stopped.wait(self.delay_s + random.uniform(0.0, MAX_DELAY_S))
         if not self._is_open(item):
             return
-        answering = self.probe.find_reached(request.unreached)
-        if not request.is_improved_by(answering.union(request.reached)):
+        answering = self.probe.find_reached(request.unreached_sample)
+        if not request.is_improved_by(answering.union(
+                request.reached_sample)):
             return
-        answering |= self.probe.find_reached(request.reached)
+        answering |= self.probe.find_reached(request.reached_sample)
         if not request.is_improved_by(answering):
             return
         # A process that reaches more of them goes first.
--- a/tests/test_fleet_handover.py
+++ b/tests/test_fleet_handover.py
@@ -73,7 +73,7 @@
     for after_s in (1.5, 3.0, ALIVE_S):
         bench.state.list_read_at = bench.now + after_s
         unreached.update(bench.state, bench.now + after_s)
-    assert unreached.worker_ids(bench.now + ALIVE_S) == ["i-0"]
+    assert unreached.unreached_ids(bench.now + ALIVE_S) == ["i-0"]
 
 
 UNREACHED, REACHED = ("u1", "u2", "u3", "u4"), ("r1", "r2", "r3", "r4")
@@ -101,7 +101,7 @@
 
 
 @pytest.mark.parametrize("value", [
-    b"", b"x", b"[]", b"{}", b'{"unreached": 1}', b"7"])
+    b"", b"x", b"[]", b"{}", b'{"unreached_sample": 1}', b"7"])
 def test_unreadable_handover_records_are_ignored(value):
     with pytest.raises(ValueError):
         handover.decode_request(value)
