--- a/tests/faultyfleet.py
+++ b/tests/faultyfleet.py
@@ -141,7 +141,7 @@
             self.submit(self.rng.choice(JOB_SHAPES))
         if step % 9 == 0 and sum(
                 job.steps[0].perpetual for job in machine.jobs
-                ) < MAX_LONG_RUNNING_JOBS:
+        ) < MAX_LONG_RUNNING_JOBS:
             self.submit(self.rng.choice(LONG_RUNNING_SHAPES))
 
     def submit(self, shape: tuple[messages.Step, ...], spec: str = "spec"
