--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -25,6 +25,7 @@
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import quarantines
 from sycamorefield.fleet import runlog
+from sycamorefield.fleet import runtimes
 from sycamorefield.fleet import suspicion
 from sycamorefield.fleet import workerstate
 
@@ -80,6 +81,7 @@
         self.interference_model = interference.InterferenceModel(
             policy.learn_weights, policy.limit_tails, policy.follow_slopes)
         self.demand = demand.DemandEstimator()
+        self.run_times = runtimes.RunTimeModel()
         self.pacer = pacer.Pacer(
             self.interference_model, send, policy.pace_filling)
         self.run_log = runlog.RunLog()
