Repeat a successor's lost calls for first reports early

Change: the first two calls to a worker that the successor waits for may take 0.2 and 0.4 s, and are repeated at once. They grant no lease, so a late one does no harm.

Ruled out: two calls at once to each worker, which doubles the connections of a takeover.

--- a/sycamorefield/fleet/interfaces.py
+++ b/sycamorefield/fleet/interfaces.py
@@ -106,6 +106,10 @@
         """Renew a lease; raises LeaseEnded or CallFailed."""
 
 
+# How long a worker may take to answer a call, in seconds.
+REPORT_ANSWER_S = 0.8
+
+
 class Worker(abc.ABC):
     """A client of one incarnation of a worker.
 
@@ -116,13 +120,14 @@
 
     @abc.abstractmethod
     async def renew(self, fence: int, recorded_upto: int,
-                    lease_end_ms: float | None, wait_ms: int
+                    lease_end_ms: float | None, wait_ms: int,
+                    answer_s: float = REPORT_ANSWER_S
                     ) -> messages.WorkerReport:
         """Extend the leases of all runs and return a report.
 
-        Wait up to wait_ms for a run to end.  The worker forgets the ends
-        numbered up to recorded_upto, which are stored, if it is certain to
-        be the life that gave the last report.
+        Wait up to wait_ms for a run to end, and answer_s for the answer.
+        The worker forgets the ends numbered up to recorded_upto, which are
+        stored, if it is certain to be the life that gave the last report.
         """
 
     @abc.abstractmethod
--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -38,6 +38,11 @@
 # task may use the worker.
 QUARANTINE_WAIT_MS = 150
 RETRY_DELAY_S = 0.15
+# How long the first calls to a worker that a successor waits for may take.
+# The tasks of all jobs accepted before the takeover wait until each worker has
+# reported, and a sound worker answers within some milliseconds; a lost call
+# would cost them a second.
+FIRST_ANSWERS_S = (0.2, 0.4)
 # A report lists ended runs until their ends are stored, and is sent without
 # delay while there are any.  So the next one is requested only when they are
 # stored, or after this many seconds.
@@ -109,6 +114,8 @@
         self.closed = False
         # Runs the coroutines, once started.
         self.loop_thread: loopthread.LoopThread | None = None
+        # Calls for a first report that got no answer.
+        self.first_calls_lost = 0
         # Refused connections since the last answered call.
         self.refusals = 0
         # Held while a start is sent, and while the worker is declared dead.
@@ -211,6 +218,28 @@
                         else SHARED_WAIT_MS)
             return REPORT_WAIT_MS
 
+    def _awaits_first_report(self) -> bool:
+        """Return whether tasks wait for the first report of the worker."""
+        return (self.fleet.policy.repeat_first_calls
+                and self.worker_id in self.fleet.awaited_workers
+                and self.first_calls_lost < len(FIRST_ANSWERS_S))
+
+    def _answer_s(self) -> float:
+        """Return how long the answer to the next call may take."""
+        if self._awaits_first_report():
+            return FIRST_ANSWERS_S[self.first_calls_lost]
+        return interfaces.REPORT_ANSWER_S
+
+    def _repeats_first_call(self) -> bool:
+        """Return whether a call without an answer is repeated at once.
+
+        It granted no lease, so it does no harm if it is carried out later.
+        """
+        if not self._awaits_first_report():
+            return False
+        self.first_calls_lost += 1
+        return True
+
     async def _renew_leases(self) -> None:
         while not self.closed and self.may_act():
             sent_at = clock.now()
@@ -219,7 +248,8 @@
             try:
                 report = await called.renew(
                     self.fleet.fence, self.ends.acknowledged_number(),
-                    self._lease_end_ms(), self._report_wait_ms())
+                    self._lease_end_ms(), self._report_wait_ms(),
+                    self._answer_s())
             except interfaces.IncarnationMismatch:
                 if self._report_end(called, crashes.worker_replaced):
                     return
@@ -233,9 +263,13 @@
                 if called is self.worker and await self._handle_refusal(exc):
                     return
                 continue
-            except interfaces.CallFailed as exc:
+            except interfaces.CallRefused as exc:
                 await self._handle_failure(exc)
                 continue
+            except interfaces.CallFailed as exc:
+                if not self._repeats_first_call():
+                    await self._handle_failure(exc)
+                continue
             received_at = clock.now()
             with self.fleet.lock:
                 if self.closed:
--- a/sycamorefield/platform/workers.py
+++ b/sycamorefield/platform/workers.py
@@ -17,7 +17,6 @@
 # An order takes about 4 ms; a worker that has not answered within this time
 # has lost the order or will carry it out seconds later.
 ORDER_TIMEOUT_S = 0.6
-REPORT_SLACK_S = 0.8
 MAX_PORT = 65535
 # The share of a process's file descriptors that idle connections for orders
 # may use; each worker has another connection for its reports.
@@ -52,7 +51,8 @@
             await self.orders.call(path, ORDER_TIMEOUT_S, body))
 
     async def renew(self, fence: int, recorded_upto: int,
-                    lease_end_ms: float | None, wait_ms: int
+                    lease_end_ms: float | None, wait_ms: int,
+                    answer_s: float = interfaces.REPORT_ANSWER_S
                     ) -> messages.WorkerReport:
         """Extend the leases of all runs and return the worker's report.
 
@@ -66,7 +66,7 @@
         if wait_ms:
             body["wait_ms"] = wait_ms
         response = _require_ok(await self.reports.call(
-            "/-/hold", wait_ms / 1000.0 + REPORT_SLACK_S, body,
+            "/-/hold", wait_ms / 1000.0 + answer_s, body,
             {**body, "seen_upto": 0}))
         return decode_report(response.data)
 
--- a/tests/fleetfakes.py
+++ b/tests/fleetfakes.py
@@ -216,8 +216,9 @@
         self.fence = fence
 
     async def renew(self, fence: int, recorded_upto: int,
-                    lease_end_ms: float | None,
-                    wait_ms: int) -> messages.WorkerReport:
+                    lease_end_ms: float | None, wait_ms: int,
+                    answer_s: float = interfaces.REPORT_ANSWER_S
+                    ) -> messages.WorkerReport:
         born_ms = self._renew(fence, recorded_upto, lease_end_ms)
         wait_until = clock.now() + min(wait_ms, 30) / 1000.0
         while (not self.ended and not self.crashed
--- a/tests/livenessfakes.py
+++ b/tests/livenessfakes.py
@@ -217,8 +217,9 @@
         return listener
 
     async def renew(self, fence: int, recorded_upto: int,
-                    lease_end_ms: float | None,
-                    wait_ms: int) -> messages.WorkerReport:
+                    lease_end_ms: float | None, wait_ms: int,
+                    answer_s: float = interfaces.REPORT_ANSWER_S
+                    ) -> messages.WorkerReport:
         return await self._call("renew", None, lambda worker: worker.renew(
             fence, recorded_upto, lease_end_ms, wait_ms))
 
--- a/tests/test_fleet_link.py
+++ b/tests/test_fleet_link.py
@@ -47,7 +47,8 @@
 
     refusals = 0
 
-    async def renew(self, fence, recorded_upto, lease_end_ms, wait_ms):
+    async def renew(self, fence, recorded_upto, lease_end_ms, wait_ms,
+                    answer_s):
         self.refusals += 1
         assert self.refusals < 20, "called without end"
         raise interfaces.ConnectionRefused("connection refused")
--- a/tests/test_fleet_takeover.py
+++ b/tests/test_fleet_takeover.py
@@ -1,5 +1,6 @@
 """Test that the successor of an owner takes over without repeating work."""
 
+import asyncio
 import dataclasses
 import threading
 import time
@@ -137,6 +138,42 @@
     wait_for(lambda: fleet.running() == ["a.0.0.0", "b.0.0.0"])
 
 
+class ReportLosingWorker(fleetfakes.MemoryWorker):
+    """Give no answer to the next calls for a report."""
+
+    lost_calls = 0
+
+    async def renew(self, fence, recorded_upto, lease_end_ms, wait_ms,
+                    answer_s=interfaces.REPORT_ANSWER_S):
+        if self.lost_calls:
+            self.lost_calls -= 1
+            await asyncio.sleep(answer_s)
+            raise interfaces.CallFailed("no answer")
+        return await super().renew(fence, recorded_upto, lease_end_ms,
+                                   wait_ms, answer_s)
+
+
+@pytest.mark.parametrize(("lost_calls", "starts_within_s"), [
+    (1, 0.8), (2, 1.2), (3, 2.4)])
+def test_lost_calls_after_a_takeover_delay_older_jobs_little(
+        fleet, lost_calls, starts_within_s):
+    """Guards against a lost call that holds up all jobs for a second or more.
+
+    Jobs accepted before a takeover wait until each worker has reported.
+    """
+    worker = fleet.workers["i-1"] = ReportLosingWorker("i-1")
+    fleet.take_over()
+    fleet.submit(fleetfakes.job("a"))
+    wait_for(lambda: fleet.running() == ["a.0.0.0"])
+    fleet.owner.step_down("planned stop")
+    fleet.submit(fleetfakes.job("b"))
+    worker.lost_calls = lost_calls
+    taken_over_at = time.monotonic()
+    fleet.take_over()
+    wait_for(lambda: fleet.running() == ["a.0.0.0", "b.0.0.0"])
+    assert time.monotonic() - taken_over_at < starts_within_s
+
+
 def test_takeover_neither_restarts_runs_nor_loses_ends(fleet):
     """Neither restart a running task nor lose the end of one.
 
