--- a/sycamorefield/causes.py
+++ b/sycamorefield/causes.py
@@ -124,6 +124,12 @@
         history, history.ownerships[index - 1], new) if index else "")
 
 
+def _describe_takeover(history: jobhistory.JobHistory, seconds: float,
+                       kind_delays: list[delays.Delay]) -> str:
+    return (f"held back for {seconds:.2f} s after a change of owner, until "
+            "the workers of the owner before had reported")
+
+
 def _describe_previous_owner(history: jobhistory.JobHistory,
                              previous: jobhistory.Ownership,
                              new: jobhistory.Ownership) -> str:
@@ -256,6 +262,7 @@
     [jobhistory.JobHistory, float, list[delays.Delay]], str]] = {
         delays.STORE: _describe_store_delay,
         delays.NO_OWNER: _describe_no_owner,
+        delays.TAKEOVER: _describe_takeover,
         delays.PICKUP: _describe_pickup_delay,
         delays.PLACEMENT: _describe_placement_delay,
         delays.THROTTLED: _describe_throttling}
--- a/sycamorefield/delays.py
+++ b/sycamorefield/delays.py
@@ -16,6 +16,9 @@
 # while the fleet has an owner counts as "room".
 STORE = "store"
 NO_OWNER = "no owner"
+# A successor holds back jobs accepted before its claim until it knows what
+# runs on the workers.
+TAKEOVER = "takeover"
 PICKUP = "pickup"
 PLACEMENT = "room"
 THROTTLED = "paced"
@@ -174,11 +177,25 @@
 
 def _waiting_delays(history: jobhistory.JobHistory, begin: float, end: float,
                     other_kind: str = PLACEMENT) -> list[Delay]:
-    """Split a wait into time without an owner and the rest."""
+    """Split a wait into the parts of changes of owner and the rest."""
     without_owner_s = time_without_owner_s(history, begin, end)
+    takeover_s = _takeover_s(history, begin, end)
     return [Delay(NO_OWNER, begin, end, without_owner_s),
-            Delay(other_kind, begin, end,
-                  max(0.0, end - begin - without_owner_s))]
+            Delay(TAKEOVER, begin, end, takeover_s),
+            Delay(other_kind, begin, end, max(
+                0.0, end - begin - without_owner_s - takeover_s))]
+
+
+def _takeover_s(history: jobhistory.JobHistory, begin: float,
+                end: float) -> float:
+    """Return for how long successors held the job back between two times."""
+    return sum(
+        max(0.0, min(end, ownership.workers_known_at)
+            - max(begin, ownership.ready_at))
+        for ownership in history.ownerships
+        if ownership.ready_at is not None
+        and ownership.workers_known_at is not None
+        and history.submitted_at() < ownership.claimed_at)
 
 
 def _run_delays(run: jobhistory.Run, ended_at: float, superseded: bool
--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -142,6 +142,8 @@
     "SF1847", INFO, "offered to take over from an owner")
 RUNS_IN_DOUBT = Event(
     "SF1845", WARNING, "runs count as current without confirmation")
+TAKEOVER_COMPLETED = Event(
+    "SF1868", INFO, "no worker of a previous owner is awaited any more")
 
 INVARIANT_BROKEN = Event("SF1601", ERROR, "invariant broken")
 
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -63,6 +63,8 @@
         # this one yet, with the time at which their leases have expired.
         self.awaited_workers: dict[str, float] = {}
         self.awaited_total = 0
+        # When this owner began to wait for them, or 0.
+        self.awaited_since = 0.0
         # The lists of workers in use that a successor may read from the
         # store: several while the outcome of a write is unknown.
         self.possible_worker_lists: list[frozenset[str]] = [frozenset()]
@@ -274,6 +276,7 @@
         """
         self.awaited_workers = {worker_id: until for worker_id in worker_ids}
         self.awaited_total = len(self.awaited_workers)
+        self.awaited_since = clock.now()
         self.possible_worker_lists = [frozenset(self.awaited_workers)]
 
     def has_quorum(self, now: float) -> bool:
@@ -394,9 +397,19 @@
                     events.emit(events.WORKER_RUNS_LOST, worker=worker_id,
                                 reason="leases of previous owner expired")
                     self.round_needed = True
+            self._note_takeover_end(now)
             if self.round_needed:
                 self.request_round()
 
+    def _note_takeover_end(self, now: float) -> None:
+        """Log once that no worker of a previous owner is awaited any more."""
+        if not self.awaited_since or self.awaited_workers:
+            return
+        events.emit(events.TAKEOVER_COMPLETED, fence=self.fence,
+                    workers=self.awaited_total,
+                    waited_s=round(now - self.awaited_since, 3))
+        self.awaited_since = 0.0
+
     def _shorten_deadlines(self, now: float) -> None:
         """Wait less for the remaining workers once most have reported.
 
--- a/sycamorefield/historyreader.py
+++ b/sycamorefield/historyreader.py
@@ -77,6 +77,7 @@
             str, typing.Callable[[logfiles.LogLine], None]] = {
             events.OWNERSHIP_CLAIMED.code: self._handle_owner_claim,
             events.FLEET_RECOVERED.code: self._handle_owner_ready,
+            events.TAKEOVER_COMPLETED.code: self._handle_takeover_end,
             events.OWNERSHIP_LOST.code: self._handle_owner_end,
             events.OWNERSHIP_RELEASED.code: self._handle_owner_end,
             events.STORE_UNREACHABLE.code: self._handle_store_outage,
@@ -138,6 +139,11 @@
         if ownership is not None:
             ownership.ready_at = line.at
 
+    def _handle_takeover_end(self, line: logfiles.LogLine) -> None:
+        ownership = self._current_ownership(line.process)
+        if ownership is not None:
+            ownership.workers_known_at = line.at
+
     def _handle_owner_end(self, line: logfiles.LogLine) -> None:
         fields = _JobFields.model_validate(line.fields)
         ownership = self._current_ownership(line.process)
--- a/sycamorefield/jobhistory.py
+++ b/sycamorefield/jobhistory.py
@@ -52,6 +52,9 @@
     claimed_at: float
     # When it had read the state of the fleet.
     ready_at: float | None = None
+    # When all workers of its predecessor had reported or were given up, if
+    # that is logged.
+    workers_known_at: float | None = None
     ended_at: float | None = None
     reason: str = ""
     # Time of its last line with an event that only owners log.
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -580,6 +580,26 @@
         read_history(job_stored(1.0), *texts)) == periods
 
 
+@pytest.mark.parametrize(("stored_at", "takeover_s", "cause"), [
+    (11.0, 2.0, "held back for 2.00 s"),
+    (12.2, 0.0, "waited 2.10 s to be placed"),
+], ids=["accepted-before-the-claim", "accepted-later"])
+def test_wait_for_workers_after_a_takeover_is_told_from_one_for_capacity(
+        stored_at, takeover_s, cause):
+    """Guards against operators who look for capacity that is not missing."""
+    history = read_history(
+        fleet_claimed(5.0), owner_ready(5.5), job_stored(stored_at),
+        fleet_claimed(12.0, SUCCESSOR), owner_ready(12.5, SUCCESSOR),
+        picked_up(12.5, SUCCESSOR),
+        line(14.5, events.TAKEOVER_COMPLETED, SUCCESSOR, workers=2),
+        runs_ordered(14.6, run_row(1001, "i-3"), process=SUCCESSOR),
+        runs_ended(15.0, "done", run_row(1001, "i-3"), process=SUCCESSOR),
+        job_ended(15.0, process=SUCCESSOR))
+    found = delays.total_by_kind(delays.find_delays(history))
+    assert found.get(delays.TAKEOVER, 0.0) == pytest.approx(takeover_s)
+    assert cause in causes.likely_cause(history)
+
+
 def test_open_task_with_the_longest_delay_gives_the_cause():
     history = read_history(
         *START, runs_ordered(10.1, run_row(1, "i-1"),
