Ask the run-time model for lateness, stuck runs and demand

Declared estimates are off by up to 90% in some queues. Lateness, stuck runs and demand then follow from wrong figures: a sound run with an estimate far too low is restarted, and jobs count as late that are not.

FleetState builds the model by the switch learn_run_times, and reports.py records runs that ended done, began at a known time, were never throttled and did not resume saved work. While the estimates of a queue are good, or nothing is known, the declared estimate is returned unchanged.

Demand asks for the mean and not the median, as a few long runs raise the mean.

Ruled out: passing the time with each record (the interface is shared by other parts), and a larger window (memory of 400 distributions).

--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -142,6 +142,10 @@
     "SF1847", INFO, "offered to take over from an owner")
 RUNS_IN_DOUBT = Event(
     "SF1845", WARNING, "runs count as current without confirmation")
+ESTIMATES_BAD = Event(
+    "SF1848", WARNING, "declared estimates of a queue are bad")
+ESTIMATES_GOOD = Event(
+    "SF1849", INFO, "declared estimates of a queue are good again")
 
 INVARIANT_BROKEN = Event("SF1601", ERROR, "invariant broken")
 
--- a/sycamorefield/fleet/answers.py
+++ b/sycamorefield/fleet/answers.py
@@ -71,11 +71,15 @@
 
     Its run may have been ordered to stop meanwhile.  Or the worker has ended
     and the task may run elsewhere, and a new life would start it once more.
+    An earlier call may have begun the run, so its begin is not known.
     """
     with fleet.lock:
         found = fleet.find_worker_and_task(worker_id, order.task)
-        return (found is not None and fleet.is_current(*found, order.run)
-                and found[1].phase == progress.STARTING)
+        if (found is None or not fleet.is_current(*found, order.run)
+                or found[1].phase != progress.STARTING):
+            return False
+        found[1].measurable = False
+        return True
 
 
 def record_started(fleet: state_mod.FleetState, worker_id: str,
--- a/sycamorefield/fleet/demand.py
+++ b/sycamorefield/fleet/demand.py
@@ -11,6 +11,7 @@
 import math
 
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import runtimes
 
 # After this time an arrival has half its weight.  Swings of the load over 15 s
 # are averaged; a persistent change is followed within a minute.
@@ -101,7 +102,10 @@
 class DemandEstimator:
     """Estimate the CPU that finite tasks of each priority need."""
 
-    def __init__(self) -> None:
+    def __init__(self, run_time_model: runtimes.RunTimeModel | None = None
+                 ) -> None:
+        # Predicts run times where declared estimates are seen to be bad.
+        self.run_time_model = run_time_model or runtimes.RunTimeModel()
         # When observation began, and when the sums were last decayed.
         self.observed_since: float | None = None
         self.decayed_at = 0.0
@@ -145,7 +149,9 @@
         self.run_times.setdefault(queue, RecentMean()).add(run_s)
 
     def _expected_run_s(self, queue: str, step: messages.Step) -> float:
-        """Return the recent mean run time; estimates are up to 90% off."""
+        """Return the mean run time; estimates are up to 90% off."""
+        if not self.run_time_model.trusts_estimate(queue, step):
+            return self.run_time_model.mean_s(queue, step)
         times = self.run_times.get(queue)
         if times is None:
             return step.estimate_ms / 1000.0
--- a/sycamorefield/fleet/ordering.py
+++ b/sycamorefield/fleet/ordering.py
@@ -12,6 +12,7 @@
 
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import progress
+from sycamorefield.fleet import runtimes
 
 # A late job still counts in part up to this many times its objective.
 LATE_FACTOR = 3.0
@@ -28,10 +29,11 @@
 
 
 def rank(state: progress.JobState, queue: messages.Queue | None,
-         wall_ms: float, now: float) -> int:
+         wall_ms: float, now: float,
+         run_times: runtimes.RunTimeModel | None = None) -> int:
     """Return the rank of a job among those of its priority."""
     if not state.long_running:
-        return lateness(state, queue, wall_ms)
+        return lateness(state, queue, wall_ms, run_times)
     return INTERRUPTED if is_interrupted(state, now) else LONG_RUNNING
 
 
@@ -41,11 +43,17 @@
 
 
 def lateness(state: progress.JobState, queue: messages.Queue | None,
-             wall_ms: float) -> int:
-    """Return whether a job is on time, late or too late, by estimates."""
+             wall_ms: float,
+             run_times: runtimes.RunTimeModel | None = None) -> int:
+    """Return whether a job is on time, late or too late, by estimates.
+
+    Without a model of run times, these are the declared estimates.
+    """
     job = state.job
     if queue is None:
         return ON_TIME
+    if run_times is not None:
+        state.update_run_times(run_times)
     allowed_ms = queue.stretch * state.critical_path_ms + queue.slo_ms
     due_since_ms = max(job.accepted_ms, job.due_ms(0))
     needed_ms = (wall_ms - due_since_ms
@@ -65,12 +73,13 @@
 
 def sort_jobs(states: typing.Iterable[progress.JobState],
               queues: dict[str, messages.Queue],
-              wall_ms: float, now: float, by_lateness: bool = True
+              wall_ms: float, now: float, by_lateness: bool = True,
+              run_times: runtimes.RunTimeModel | None = None
               ) -> list[progress.JobState]:
     """Return jobs in scheduling order: by priority, rank and age."""
     def key(state: progress.JobState) -> tuple[int, int, int]:
         queue = queues.get(state.job.queue)
-        job_rank = rank(state, queue, wall_ms, now)
+        job_rank = rank(state, queue, wall_ms, now, run_times)
         if not by_lateness and job_rank in (LATE, TOO_LATE):
             job_rank = ON_TIME
         return priority(state, queues), job_rank, state.created_revision
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -210,6 +210,10 @@
             "runs_ordered_total": float(self.fleet.run_log.ordered_total),
             "runs_ended_total": float(self.fleet.run_log.ended_total),
             "runs_in_doubt": float(self.doubtful_runs.count),
+            "run_times_recorded_total": float(
+                self.fleet.run_times.recorded_total),
+            "queues_with_bad_estimates": float(
+                self.fleet.run_times.distrusted_queues),
             "round_age_s": now - self.round_ended_at}
         if self.usage is not None:
             usage_gauges = dataclasses.asdict(self.usage)
--- a/sycamorefield/fleet/pacer.py
+++ b/sycamorefield/fleet/pacer.py
@@ -133,6 +133,7 @@
             if next_pace <= STALLED_PACE_PERCENT < task.pace_percent:
                 task.slowed_at = now
             task.pace_percent = next_pace
+            task.measurable = False
             self.send(worker.entry.worker_id,
                       messages.PaceOrder(task.task, task.run, next_pace))
         if changes:
--- a/sycamorefield/fleet/policy.py
+++ b/sycamorefield/fleet/policy.py
@@ -44,3 +44,6 @@
     repeat_first_calls: bool = True
     # handover.py: an owner that does not reach enough workers is replaced.
     hand_over: bool = True
+    # runtimes.py: run times are learnt, and declared estimates weighed by
+    # their error.
+    learn_run_times: bool = True
--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -5,6 +5,7 @@
 import typing
 
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import runtimes
 from sycamorefield.fleet import suspicion
 
 IDLE = "idle"
@@ -31,7 +32,7 @@
                  "started_at", "percent", "confirmed_at", "pace_percent",
                  "slowed_at", "stop_sent_at", "stuck", "has_run",
                  "start_confirmed", "job", "projected_run_s",
-                 "previous_run_s", "suspicion")
+                 "previous_run_s", "suspicion", "measurable")
 
     def __init__(self, task: messages.TaskId, step: messages.Step,
                  job: "JobState | None" = None) -> None:
@@ -65,6 +66,10 @@
         # unknown.
         self.projected_run_s = 0.0
         self.previous_run_s = 0.0
+        # Whether the duration of the current run tells the run time of the
+        # task: the run began at a known time, has not been throttled, and did
+        # not resume saved work.
+        self.measurable = False
         # Crashes of workers that may have been caused by the task, if any.
         self.suspicion: suspicion.Suspicion | None = None
 
@@ -87,6 +92,7 @@
         self.percent = 0
         self.pace_percent = 100
         self.stuck = False
+        self.measurable = False
         self.previous_run_s = self.projected_run_s or self.previous_run_s
         self.projected_run_s = 0.0
         if self.job is not None:
@@ -147,9 +153,24 @@
         # worker.
         self.skip_rounds = False
         self.long_running = any(step.perpetual for step in job.steps)
-        # The estimated critical path of all steps, cached for every round.
-        self.critical_path_ms = self._longest_path_ms([step.estimate_ms
-                                                       for step in job.steps])
+        # Expected run times of the tasks of each step, and the critical path
+        # of all steps, cached for every round.
+        self.step_times_ms: list[float] = [
+            step.estimate_ms for step in job.steps]
+        self.critical_path_ms = self._longest_path_ms(self.step_times_ms)
+        # The version of the run-time model that they are based on.
+        self.run_times_version = 0
+
+    def update_run_times(self, run_times: runtimes.RunTimeModel) -> None:
+        """Estimate the critical path again if the predictions changed."""
+        version = run_times.version(self.job.queue)
+        if version == self.run_times_version:
+            return
+        self.run_times_version = version
+        self.step_times_ms = [run_times.expected_ms(self.job.queue, step)
+                              for step in self.job.steps]
+        self.critical_path_ms = self._longest_path_ms(self.step_times_ms)
+        self.cached_done_tasks = -1
 
     def remaining_critical_path_ms(self) -> float:
         """Return the estimated critical path of steps not completed yet."""
@@ -158,8 +179,8 @@
             self.cached_remaining_ms = self._longest_path_ms([
                 0.0 if all(self.step_done(occurrence, index)
                            for occurrence in range(self.job.occurrences()))
-                else step.estimate_ms
-                for index, step in enumerate(self.job.steps)])
+                else self.step_times_ms[index]
+                for index in range(len(self.job.steps))])
         return self.cached_remaining_ms
 
     def _longest_path_ms(self, durations_ms: typing.Sequence[float]) -> float:
--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -87,6 +87,7 @@
     job, task = found
     current = fleet.is_current(worker, task, ended.run)
     started_at = task.started_at if current else 0.0
+    measurable = task.measurable and started_at > 0.0
     worker.release((ended.task, ended.run), task.step)
     task.last_run = max(task.last_run, ended.run)
     task.start_confirmed = True
@@ -96,6 +97,8 @@
         return
     job.mark_has_run(task)
     if ended.how == messages.DONE:
+        if measurable and not task.step.perpetual:
+            fleet.run_times.record(job.job.queue, task.step, now - started_at)
         _record_success(fleet, job, task, worker, started_at, now)
     elif ended.how == messages.FAILED:
         _record_failure(fleet, job, task, worker, ended.run, now)
@@ -155,13 +158,15 @@
             task.update_progress(row.percent, now)
         if row.saved:
             task.saved = row.saved
-        if not task.stuck and stragglers.is_stuck(task, now):
+        if not task.stuck and stragglers.is_stuck(
+                task, now, job.job.queue, fleet.run_times):
             task.stuck = True
             _mark_stuck(fleet, worker, task, now)
         if task.phase == progress.STARTING:
             # The response to the start order comes later or was lost.
             task.phase = progress.RUNNING
             task.confirmed_at = task.started_at = now
+            task.measurable = False
         return
     if job.final() or task.done:
         _stop_unexpected(fleet, worker, row, "already ended", now, task)
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -568,7 +568,8 @@
         ranked = ordering.sort_jobs(
             (state for state in fleet.active.values()
              if not state.skip_rounds),
-            queues, wall_ms, now, fleet.policy.rank_by_lateness)
+            queues, wall_ms, now, fleet.policy.rank_by_lateness,
+            fleet.run_times)
         usable_workers = _usable_workers(fleet, configuration.evacuated, now)
         round_ = Round(fleet, queues, usable_workers, now)
         for state in ranked:
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -80,8 +80,8 @@
         self.owner_lease_until = math.inf
         self.interference_model = interference.InterferenceModel(
             policy.learn_weights, policy.limit_tails, policy.follow_slopes)
-        self.demand = demand.DemandEstimator()
-        self.run_times = runtimes.RunTimeModel()
+        self.run_times = runtimes.RunTimeModel(policy.learn_run_times)
+        self.demand = demand.DemandEstimator(self.run_times)
         self.pacer = pacer.Pacer(
             self.interference_model, send, policy.pace_filling)
         self.run_log = runlog.RunLog()
@@ -463,6 +463,7 @@
         task.started_at = task.confirmed_at = 0.0
         task.percent = 0
         task.pace_percent = 100
+        task.measurable = not task.saved
         worker.reserve((task.task, run), task.step, task)
         worker.unsent_starts.add((task.task, run))
         if not worker.entry.capacity.holds(worker.used):
