--- a/sycamorefield/fleet/runtimes.py
+++ b/sycamorefield/fleet/runtimes.py
@@ -25,6 +25,8 @@
 # Predictions change at most this often: the critical path of each active job
 # is computed again after a change.
 UPDATE_PERIOD_S = 1.0
+# Predictions stay as they are while they would change by less than this share.
+NOTICEABLE_CHANGE = 0.05
 # With fewer run times the declared estimate is used alone.
 MIN_SAMPLES = 20
 # The estimates of a queue are good while the quotient of run time and estimate
@@ -144,22 +146,35 @@
                 and now - self.updated_at >= UPDATE_PERIOD_S)
 
     def update(self, now: float) -> bool:
-        """Derive the predictions; return whether they may have changed.
-
-        Estimates that scatter about the run time as much as run times scatter
-        about their median tell as much as the median does.
-        """
+        """Derive the predictions; return whether they have changed."""
         period_s = max(UPDATE_PERIOD_S, now - self.updated_at)
         self.stride = max(1, int(self.seen / period_s / MAX_RECORDS_PER_S))
         self.seen = 0
         self.updated_at = now
         were_trusted = self.trusted
+        before = self.median_s, self.median_ratio, self.weight
+        self._derive(were_trusted)
+        if self.trusted or were_trusted:
+            return self.trusted != were_trusted
+        after = self.median_s, self.median_ratio, self.weight
+        if all(math.isclose(old, new, rel_tol=NOTICEABLE_CHANGE)
+               for old, new in zip(before, after)):
+            self.median_s, self.median_ratio, self.weight = before
+            return False
+        return True
+
+    def _derive(self, were_trusted: bool) -> None:
+        """Derive the predictions from the recorded values.
+
+        Estimates that scatter about the run time as much as run times scatter
+        about their median tell as much as the median does.
+        """
         spread = self.run_s.deviation()
         self.median_s = self.run_s.quantile(0.5)
         self.mean_factor = self.run_s.mean() / self.median_s
         if self.ratios.count() < MIN_SAMPLES:
             self.trusted, self.weight = False, 0.0
-            return True
+            return
         self.median_ratio = self.ratios.quantile(0.5)
         error = self.ratios.deviation()
         limit = GOOD_ESTIMATE_ERROR if were_trusted else GOOD_AGAIN_ERROR
@@ -167,7 +182,6 @@
                         and abs(math.log(self.median_ratio)) < limit)
         total = spread * spread + error * error
         self.weight = spread * spread / total if total else 1.0
-        return not (self.trusted and were_trusted)
 
     def expected_ms(self, step: messages.Step) -> float:
         """Return the median run time of a step's tasks in milliseconds."""
