--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -144,6 +144,10 @@
     "SF1845", WARNING, "runs count as current without confirmation")
 TAKEOVER_COMPLETED = Event(
     "SF1868", INFO, "no worker of a previous owner is awaited any more")
+ESTIMATES_BAD = Event(
+    "SF1848", WARNING, "declared estimates of a queue are bad")
+ESTIMATES_GOOD = Event(
+    "SF1849", INFO, "declared estimates of a queue are good again")
 
 INVARIANT_BROKEN = Event("SF1601", ERROR, "invariant broken")
 
