Store what an owner has learned for its successor

A change of owner discarded the known run times and the demand, and the successor planned its first minute with declared estimates.

The write is a transaction of its own that is not repeated at once: a conflict on its key, or a store that refuses it, never delays the outcomes of tasks. Demand is stored with ages, as each process has its own clock, and with rounded figures, so that an idle fleet's settle.

Ruled out: a key for each part, and writing it together with outcomes.

--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -146,6 +146,10 @@
     "SF1848", WARNING, "declared estimates of a queue are bad")
 ESTIMATES_GOOD = Event(
     "SF1849", INFO, "declared estimates of a queue are good again")
+LEARNED_STATE_LOADED = Event(
+    "SF1850", INFO, "learned state of an earlier owner loaded")
+LEARNED_STATE_IGNORED = Event(
+    "SF1851", WARNING, "learned state ignored or not stored")
 
 INVARIANT_BROKEN = Event("SF1601", ERROR, "invariant broken")
 
--- a/sycamorefield/fleet/demand.py
+++ b/sycamorefield/fleet/demand.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 import math
+import typing
 
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import runtimes
@@ -43,6 +44,13 @@
 MEAN_WINDOW = 200
 # CPU of a finite task before any has arrived, in thousandths of a core.
 INITIAL_TASK_CPU = 3000.0
+# Beyond this time, more time observed changes no answer: sums have lost their
+# weight, and so has the initial share.
+MAX_OBSERVED_S = 600.0
+# Bounds the encoded form.
+MAX_ENCODED_ENTRIES = 100
+# Largest encoded value that is accepted: far above any sum of core-seconds.
+MAX_ENCODED_VALUE = 1e18
 
 
 @dataclasses.dataclass(slots=True)
@@ -89,6 +97,28 @@
         return self.total / self.count if self.count else 0.0
 
 
+def _bounded(value: object, maximum: float = MAX_ENCODED_VALUE) -> float:
+    """Return an encoded number; raises ValueError if it is out of bounds."""
+    if (not isinstance(value, (int, float))
+            or not 0 <= value <= maximum):
+        raise ValueError(f"invalid value {value!r:.40}")
+    return float(value)
+
+
+def _decode_arrivals(value: typing.Any) -> Arrivals:
+    """Return encoded arrivals; raises ValueError if they are invalid."""
+    cpu_s, squared_cpu_s, weighted_task_cpu_s = value
+    return Arrivals(_bounded(cpu_s), _bounded(squared_cpu_s),
+                    _bounded(weighted_task_cpu_s))
+
+
+def _decode_mean(value: typing.Any) -> RecentMean:
+    """Return an encoded recent mean; raises ValueError if it is invalid."""
+    mean, count = value
+    count = int(_bounded(count, MEAN_WINDOW))
+    return RecentMean(_bounded(mean) * count, count)
+
+
 def majority(step: messages.Step) -> int:
     """Return how many tasks of a long-running step its users need."""
     return step.count // 2 + 1
@@ -164,6 +194,62 @@
         for arrivals in self.arrivals.values():
             arrivals.decay(factor)
 
+    def encode(self, now: float) -> dict[str, typing.Any]:
+        """Return the estimate as values that JSON can represent.
+
+        Times are given as ages, because each process has its own clock.
+        Figures are rounded, so that an idle fleet's settle.
+        """
+        if self.observed_since is None:
+            return {}
+        factor = 0.5 ** ((now - self.decayed_at) / HALF_LIFE_S)
+        return {
+            "observed_s": round(min(MAX_OBSERVED_S, self._age_s(now)), 1),
+            "arrivals": {
+                str(priority): [round(value * factor) for value in
+                                dataclasses.astuple(arrivals)]
+                for priority, arrivals in self.arrivals.items()},
+            "run_times": {
+                queue: [round(times.mean(), 4), times.count] for queue, times
+                in list(self.run_times.items())[:MAX_ENCODED_ENTRIES]},
+            "majority_cpu": [round(self.majority_cpu.mean()),
+                             self.majority_cpu.count],
+            "batches": round(self.arrived_batches * factor, 3),
+            "last_batch_s": round(min(MAX_OBSERVED_S,
+                                      now - self.last_batch_at), 1)}
+
+    def decode(self, value: object, now: float) -> None:
+        """Load an encoded estimate; raises ValueError if it is invalid.
+
+        The time between two owners does not count as observed: arrivals were
+        not counted then.
+        """
+        if value == {}:
+            return
+        try:
+            row = dict(value)  # type: ignore[call-overload]
+            observed_s = _bounded(row["observed_s"], MAX_OBSERVED_S)
+            batches = _bounded(row["batches"])
+            last_batch_s = _bounded(row["last_batch_s"], MAX_OBSERVED_S)
+            majority_cpu = _decode_mean(row["majority_cpu"])
+            run_times = {str(queue): _decode_mean(mean)
+                         for queue, mean in row["run_times"].items()}
+            arrivals = {
+                int(priority): _decode_arrivals(values)
+                for priority, values in row["arrivals"].items()}
+        except (KeyError, TypeError, AttributeError) as exc:
+            raise ValueError(f"invalid demand: {exc!r}") from exc
+        if max(len(run_times), len(arrivals)) > MAX_ENCODED_ENTRIES:
+            raise ValueError(f"demand of {len(run_times)} queues and "
+                             f"{len(arrivals)} priorities")
+        self.observed_since = now - observed_s
+        self.decayed_at = now
+        self.arrived_batches = batches
+        self.last_batch_at = now - last_batch_s
+        self.majority_cpu = majority_cpu
+        self.run_times = run_times
+        self.arrivals = arrivals
+
     def kept_cpu(self, priority: int, capacity_cpu: float,
                  now: float) -> float:
         """Return the CPU to keep for finite tasks of at least a priority.
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -212,6 +212,9 @@
             "runs_in_doubt": float(self.doubtful_runs.count),
             "run_times_recorded_total": float(
                 self.fleet.run_times.recorded_total),
+            "learned_state_stored_total": float(
+                self.fleet.learned.stored_total),
+            "learned_state_bytes": float(self.fleet.learned.stored_bytes),
             "queues_with_bad_estimates": float(
                 self.fleet.run_times.distrusted_queues),
             "round_age_s": now - self.round_ended_at}
--- a/sycamorefield/fleet/policy.py
+++ b/sycamorefield/fleet/policy.py
@@ -47,3 +47,5 @@
     # runtimes.py: run times are learnt, and declared estimates weighed by
     # their error.
     learn_run_times: bool = True
+    # learnedstate.py: what an owner has learned is stored for its successor.
+    keep_learned_state: bool = True
--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -119,7 +119,7 @@
                 return False
         if Outcome.RETRY not in outcomes:
             self.on_ends_stored(stored_ends)
-        return True
+        return self._store_learned_state()
 
     def _job_writes(self) -> list[PendingWrite]:
         writes = []
@@ -183,6 +183,40 @@
                 records.WEIGHTS_KEY, data,
                 self.revisions.get(records.WEIGHTS_KEY, 0), None))
 
+    def _store_learned_state(self) -> bool:
+        """Store what was learned if it is due; return False if deposed.
+
+        It is a transaction of its own that is not repeated at once, so that
+        outcomes of tasks never wait for it.  If the outcome of the write
+        remains unknown, the next one fails with the revision that is stored.
+        """
+        learned = self.fleet.learned
+        with self.fleet.lock:
+            parts = learned.encode_when_due(clock.now())
+        if parts is None or not self.may_act():
+            return True
+        previous = learned.sent
+        data = learned.frame(parts, clock.wall_ms())
+        key = records.LEARNED_STATE_KEY
+        try:
+            revision = self.store.commit(messages.Transaction(
+                (messages.Expect(self.owner_key, self.fleet.fence),
+                 messages.Expect(key, learned.revision)),
+                (messages.Put(key, data),)))
+            learned.note_stored(revision)
+        except interfaces.Conflict as exc:
+            owner = exc.item_for(self.owner_key)
+            if owner is None or owner.revision != self.fleet.fence:
+                self.on_ownership_lost("owner's key has changed")
+                return False
+            if not learned.note_conflict(exc.item_for(key), previous):
+                events.emit(events.COMMIT_FAILED, key=key,
+                            reason="stored value is not ours")
+        except (interfaces.CallFailed, interfaces.LeaseEnded) as exc:
+            learned.note_failed()
+            events.emit(events.COMMIT_FAILED, key=key, reason=str(exc))
+        return True
+
     def _commit(self, writes: list[PendingWrite]) -> Outcome:
         """Commit, and retry until the outcome is known.
 
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -18,6 +18,7 @@
 from sycamorefield.fleet import endedlives
 from sycamorefield.fleet import failures
 from sycamorefield.fleet import interference
+from sycamorefield.fleet import learnedstate
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import pacer
 from sycamorefield.fleet import placement_cache
@@ -82,6 +83,13 @@
             policy.learn_weights, policy.limit_tails, policy.follow_slopes)
         self.run_times = runtimes.RunTimeModel(policy.learn_run_times)
         self.demand = demand.DemandEstimator(self.run_times)
+        self.learned = learnedstate.LearnedState(
+            fence, policy.keep_learned_state)
+        self.learned.register(
+            "run_times", self.run_times.encode, self.run_times.decode)
+        self.learned.register(
+            "demand", lambda: self.demand.encode(clock.now()),
+            lambda value: self.demand.decode(value, clock.now()))
         self.pacer = pacer.Pacer(
             self.interference_model, send, policy.pace_filling)
         self.run_log = runlog.RunLog()
