Publish the backlog of the fleet's finite work

Cause: entry processes accept every job, also those that cannot end in time, because they know nothing of the work that waits.

Change: once a second the owner measures, outside of the fleet's lock but for one job or 200 workers at a time, the waiting and running finite work and the CPU that serves it, and for each priority and width of task how long a new task would wait at least. The Recorder writes it under fleet/backlog, at most once a second, while anything waits and for 4 s after that. Unknown values are published on their optimistic side. Switch: reject_hopeless_jobs.

Ruled out: one wait per priority. Narrow tasks start where wide ones wait, so waits are published by width. Counting late jobs of the same priority as ahead of a new one: placement takes a job that is on time first.

--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -142,6 +142,12 @@
     "SF1847", INFO, "offered to take over from an owner")
 RUNS_IN_DOUBT = Event(
     "SF1845", WARNING, "runs count as current without confirmation")
+JOB_REJECTED = Event(
+    "SF1862", INFO, "job rejected: it could not end in time under load")
+OVERLOAD_CHANGED = Event(
+    "SF1863", INFO, "overload of the fleet began or ended")
+BACKLOG_UNUSABLE = Event(
+    "SF1864", WARNING, "backlog cannot be used; no job is rejected by it")
 
 INVARIANT_BROKEN = Event("SF1601", ERROR, "invariant broken")
 
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -6,6 +6,7 @@
 import typing
 
 from sycamorefield import events
+from sycamorefield.fleet import backlogmeter
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import doubtfulruns
 from sycamorefield.fleet import interfaces
@@ -88,6 +89,8 @@
         self.recorder = recorder_mod.Recorder(
             store, self.fleet, records.OWNER_KEY, self.may_act,
             self.step_down, self._acknowledge_ends)
+        self.backlog_meter = backlogmeter.BacklogMeter(self.fleet)
+        self.recorder.backlog_data = lambda: self.backlog_meter.data
         self.worker_links = workerlinks_mod.WorkerLinks(
             self.fleet, connect, lambda: self.recorder.stored_addresses,
             self.may_act, self.may_lease, self.step_down)
@@ -189,7 +192,7 @@
         self.recovered = True
         for target in (functools.partial(self.job_watcher.follow, revision),
                        self._follow_worker_list, self.recorder.run,
-                       self._follow_advice):
+                       self._follow_advice, self._follow_backlog):
             threading.Thread(target=self.run_guarded, args=(target,),
                              daemon=True).start()
         self.run_guarded(self._run_rounds)
@@ -211,6 +214,8 @@
             "runs_ended_total": float(self.fleet.run_log.ended_total),
             "runs_in_doubt": float(self.doubtful_runs.count),
             "round_age_s": now - self.round_ended_at}
+        if self.fleet.policy.reject_hopeless_jobs:
+            gauges.update(self.backlog_meter.gauges())
         if self.usage is not None:
             usage_gauges = dataclasses.asdict(self.usage)
             for priority, count in usage_gauges.pop("waiting").items():
@@ -221,6 +226,10 @@
     def _follow_advice(self) -> None:
         self.fleet.advice.run(self.stepped_down)
 
+    def _follow_backlog(self) -> None:
+        if self.fleet.policy.reject_hopeless_jobs:
+            self.backlog_meter.run(self.stepped_down)
+
     def _recover(self) -> int | None:
         """Load the stored state; return the revision of the jobs.
 
--- a/sycamorefield/fleet/policy.py
+++ b/sycamorefield/fleet/policy.py
@@ -44,3 +44,5 @@
     repeat_first_calls: bool = True
     # handover.py: an owner that does not reach enough workers is replaced.
     hand_over: bool = True
+    # admission.py, backlogmeter.py: jobs that cannot end in time are rejected.
+    reject_hopeless_jobs: bool = True
--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -28,6 +28,8 @@
 # about 1 KB; a new owner without them would harm the latency of serving tasks
 # for about ten seconds.
 WEIGHTS_PERIOD_S = 2.0
+# Minimum time between two writes of the backlog.
+BACKLOG_PERIOD_S = 1.0
 
 
 class Outcome(enum.Enum):
@@ -78,6 +80,10 @@
         self.counted_at = 0.0
         self.stored_weights = b"{}"
         self.weights_encoded_at = 0.0
+        # Returns the encoded backlog to be stored, or None.
+        self.backlog_data: typing.Callable[[], bytes | None] = lambda: None
+        self.taken_backlog: bytes | None = None
+        self.backlog_written_at = 0.0
         self.stopped = threading.Event()
         self.flush_lock = threading.Lock()
 
@@ -111,6 +117,7 @@
             self._add_workers(writes)
             self._add_waiting_counts(writes)
             self._add_weights(writes)
+            self._add_backlog(writes)
         outcomes = set()
         for first in range(0, len(writes), VALUES_PER_COMMIT):
             group = writes[first:first + VALUES_PER_COMMIT]
@@ -183,6 +190,18 @@
                 records.WEIGHTS_KEY, data,
                 self.revisions.get(records.WEIGHTS_KEY, 0), None))
 
+    def _add_backlog(self, writes: list[PendingWrite]) -> None:
+        data = self.backlog_data()
+        if (data is None or data == self.taken_backlog
+                or (time.monotonic() - self.backlog_written_at
+                    < BACKLOG_PERIOD_S)):
+            return
+        self.backlog_written_at = time.monotonic()
+        self.taken_backlog = data
+        writes.append(PendingWrite(
+            records.BACKLOG_KEY, data,
+            self.revisions.get(records.BACKLOG_KEY, 0), None))
+
     def _commit(self, writes: list[PendingWrite]) -> Outcome:
         """Commit, and retry until the outcome is known.
 
@@ -236,6 +255,8 @@
                 self.stored_addresses = None
             elif write.key == records.WEIGHTS_KEY:
                 self.stored_weights = b"{}"
+            elif write.key == records.BACKLOG_KEY:
+                self.taken_backlog = None
             else:
                 self.stored_counts = None
         return outcome
--- a/sycamorefield/fleet/records.py
+++ b/sycamorefield/fleet/records.py
@@ -15,6 +15,7 @@
 WORKERS_KEY = "fleet/workers"
 WAITING_JOBS_KEY = "fleet/waiting"
 WEIGHTS_KEY = "fleet/learnt"
+BACKLOG_KEY = "fleet/backlog"
 
 
 def job_key(job_id: str) -> str:
--- a/sycamorefield/fleet/recovery.py
+++ b/sycamorefield/fleet/recovery.py
@@ -44,6 +44,8 @@
         workers_item = self.store.get(records.WORKERS_KEY)
         waiting_item = self.store.get(records.WAITING_JOBS_KEY)
         weights_item = self.store.get(records.WEIGHTS_KEY)
+        backlog_item = (self.store.get(records.BACKLOG_KEY)
+                        if self.fleet.policy.reject_hopeless_jobs else None)
         jobs = self.store.listing(records.JOB_PREFIX)
         progress_items = self.store.listing(records.PROGRESS_PREFIX)
         listed_at = clock.now()
@@ -60,6 +62,9 @@
                     waiting_item.revision)
             if weights_item is not None:
                 self._load_weights(weights_item)
+            if backlog_item is not None:
+                self.recorder.revisions[records.BACKLOG_KEY] = (
+                    backlog_item.revision)
             self._expect_workers(workers_item)
         self._log_resumed_jobs()
         self.worker_links.update_workers(entries, listed_at)
