Reject jobs that cannot end in time under the present load

Cause: an accepted job that ends after three times its objective counts for nothing, and its caller waits for it.

Change: before a job is stored, the entry process estimates from the backlog when it would end at the earliest, and answers 503 with Retry-After if that is after three times its objective and its queue does not get less than its share. It then reads the job's key: a job that is stored, may be stored, or cannot be read is not rejected.

--- a/sycamorefield/fleet/jobrequests.py
+++ b/sycamorefield/fleet/jobrequests.py
@@ -9,6 +9,7 @@
 import typing
 
 from sycamorefield import events
+from sycamorefield.fleet import admission as admission_mod
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import messages
@@ -67,7 +68,8 @@
     reason: str = ""
 
 
-Outcome = Accepted | Refused | Uncertain | UnknownJob
+Outcome = (Accepted | Refused | Uncertain | UnknownJob
+           | admission_mod.Rejected)
 
 
 class JobRequestHandler:
@@ -75,8 +77,14 @@
 
     def __init__(self, store: interfaces.Store,
                  store_unresponsive: typing.Callable[[], bool],
-                 owner_claim: waitingcounts.OwnerClaim) -> None:
+                 owner_claim: waitingcounts.OwnerClaim,
+                 reject_hopeless_jobs: bool = False) -> None:
         self.store = store
+        # Rejects jobs that cannot end in time, if enabled.
+        self.admission = (
+            admission_mod.Admission(self._read, owner_claim)
+            if reject_hopeless_jobs else None)
+        self.in_progress = admission_mod.JobsInProgress()
         self.waiting_counts = waitingcounts.WaitingCounts(
             store, self._read, owner_claim)
         # Returns whether the store has been unresponsive for some time.
@@ -91,11 +99,56 @@
         self.existing_jobs: collections.OrderedDict[str, None] = (
             collections.OrderedDict())
 
-    def submit(self, job: messages.Job, deadline: float) -> Outcome:
+    def submit(self, job: messages.Job, deadline: float,
+               queue: messages.Queue | None = None) -> Outcome:
         """Store a job; repeating the call creates no second job.
 
-        deadline is on clock.now().
+        deadline is on clock.now().  Without its queue no job is rejected
+        because of load.
         """
+        if self.admission is None or queue is None:
+            return self._store_job(job, deadline)
+        with self.in_progress.entered(job.job_id):
+            rejection = self._find_rejection(self.admission, job, queue)
+            if rejection is None:
+                return self._store_job(job, deadline)
+            self.admission.note_rejected(job, rejection)
+            return rejection
+
+    def _find_rejection(self, admission: admission_mod.Admission,
+                        job: messages.Job, queue: messages.Queue
+                        ) -> admission_mod.Rejected | None:
+        """Return a rejection because of load, or None.
+
+        A rejected job must never run, so there is none if the job is stored
+        or if an earlier write of it may still take effect.
+        """
+        try:
+            if self._may_be_stored(job.job_id):
+                return None
+            rejection = admission.find_rejection(job, queue)
+            if rejection is None or self._job_exists(job.job_id):
+                return None
+        except interfaces.CallFailed:
+            return None
+        except Exception as exc:
+            # An error in the estimate must not cost the caller its job.
+            events.emit(events.THREAD_FAILED, job=job.job_id,
+                        reason=repr(exc), where=events.error_location(exc))
+            return None
+        # Another request for the job may have been made during the read.
+        if (not self.in_progress.is_only_one(job.job_id)
+                or self._may_be_stored(job.job_id)):
+            return None
+        return rejection
+
+    def _may_be_stored(self, job_id: str) -> bool:
+        """Return whether this process has written a job, or may have."""
+        with self.lock:
+            known = job_id in self.existing_jobs
+        return known or records.job_key(job_id) in self.uncertain_keys
+
+    def _store_job(self, job: messages.Job, deadline: float) -> Outcome:
         outcome = self._create_key(records.job_key(job.job_id),
                                    progress.encode_job(job), deadline)
         event_types = {Accepted: events.JOB_STORED,
--- a/sycamorefield/historyreader.py
+++ b/sycamorefield/historyreader.py
@@ -86,6 +86,7 @@
             str, typing.Callable[[logfiles.LogLine], None]] = {
             events.JOB_STORED.code: self._handle_reply,
             events.JOB_REFUSED.code: self._handle_reply,
+            events.JOB_REJECTED.code: self._handle_reply,
             events.JOB_UNCERTAIN.code: self._handle_reply,
             events.CANCEL_STORED.code: self._handle_cancellation,
             events.JOB_PICKED_UP.code: self._handle_pickup,
@@ -254,6 +255,7 @@
 
 _REPLY_KINDS = {events.JOB_STORED.code: jobhistory.STORED,
                 events.JOB_REFUSED.code: jobhistory.REFUSED,
+                events.JOB_REJECTED.code: jobhistory.REFUSED,
                 events.JOB_UNCERTAIN.code: jobhistory.UNCERTAIN}
 # Events that only an owner of the fleet logs.
 _OWNER_EVENTS = frozenset(event.code for event in (
--- a/sycamorefield/platform/daemon.py
+++ b/sycamorefield/platform/daemon.py
@@ -58,7 +58,8 @@
             self.store, configuration.KEY, configuration.decode,
             configuration.EvacuationDecoder(settings.zones))
         self.job_requests = jobrequests_mod.JobRequestHandler(
-            self.store, self._store_unresponsive, self.watcher.owner_claim)
+            self.store, self._store_unresponsive, self.watcher.owner_claim,
+            policy.reject_hopeless_jobs)
         self.advice = (advice_mod.PlatformAdvice(settings.advice)
                        if settings.advice else None)
         claim_delay_s = ownership_mod.claim_delay_s(
@@ -108,6 +109,8 @@
             "store_reachable": float(self.watcher.store_reachable),
             "store_silence_s": clock.now() - self.watcher.last_answer_at,
             "fleet_owner": float(owner is not None)}
+        if self.job_requests.admission is not None:
+            gauges.update(self.job_requests.admission.gauges())
         if owner is not None:
             gauges.update(owner.gauges())
         return metrics.as_text(gauges, dict(events.COUNTS))
--- a/sycamorefield/platform/front.py
+++ b/sycamorefield/platform/front.py
@@ -7,6 +7,7 @@
 import pydantic
 
 from sycamorefield import events
+from sycamorefield.fleet import admission
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import jobrequests as jobrequests_mod
@@ -21,6 +22,8 @@
                   504: "Gateway Timeout"}
 # What callers are told; the log has the reason.
 STORE_UNAVAILABLE = "the store is unavailable"
+OVERLOADED = ("the fleet is overloaded: the job could not end in time; it was "
+              "not stored and will not run")
 OUTCOME_UNKNOWN = "the store has not confirmed the request"
 
 Environ = dict[str, typing.Any]
@@ -133,7 +136,7 @@
             findings = [{"place": ".".join(str(part) for part in error["loc"]),
                          "message": error["msg"]} for error in exc.errors()]
             return Reply(400, {"error": "bad job", "findings": findings})
-        return _reply_for(self.job_requests.submit(job, deadline))
+        return _reply_for(self.job_requests.submit(job, deadline, queue))
 
 
 def _reply_for(outcome: jobrequests_mod.Outcome) -> Reply:
@@ -143,6 +146,8 @@
         return Reply(410, {"error": "no such job"})
     if isinstance(outcome, jobrequests_mod.Refused):
         return Reply(503, {"error": STORE_UNAVAILABLE}, outcome.retry_after_s)
+    if isinstance(outcome, admission.Rejected):
+        return Reply(503, {"error": OVERLOADED}, outcome.retry_after_s)
     return Reply(504, {"error": OUTCOME_UNKNOWN})
 
 
