--- a/sycamorefield/fleet/backlog.py
+++ b/sycamorefield/fleet/backlog.py
@@ -19,9 +19,9 @@
 VERSION: typing.Final = 1
 MAX_BYTES = 4096
 # Shares of the run times that count as the shortest and the longest.  In the
-# deployments with hard load 3% of the tasks take 7 times as long; the upper
-# share leaves those out.
-LOW_SHARE, MID_SHARE, HIGH_SHARE = 0.05, 0.5, 0.95
+# deployments with hard load 3% of the tasks take 7 times as long.  The upper
+# share leaves those out, also where 200 samples hold twice as many by chance.
+LOW_SHARE, MID_SHARE, HIGH_SHARE = 0.05, 0.5, 0.9
 LOW, MID, HIGH = range(3)
 # Widths for which waits are published per pool and priority.  Tasks wider than
 # a published width are left out of its wait, so fewer widths mean shorter
--- a/sycamorefield/fleet/backlogmeter.py
+++ b/sycamorefield/fleet/backlogmeter.py
@@ -19,6 +19,7 @@
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import runtimes
 from sycamorefield.fleet import state as state_mod
+from sycamorefield.fleet import workerstate
 
 PERIOD_S = 1.0
 WORKERS_PER_LOCK = 200
@@ -37,15 +38,8 @@
 # something else.  Tasks of a third of a worker leave up to a quarter of it
 # unused.
 MAX_FREE_SHARE = 0.25
-# More urgent work is expected to go on using the least CPU that it used within
-# this time: two periods of the slowest waves seen (17 s).
-USE_WINDOW_S = 40.0
 # What the queues got is averaged with this half-life.
 GOT_HALF_LIFE_S = 15.0
-# More urgent work leaves at least this share of the CPU to others, so that
-# waits stay finite.
-MIN_SERVING_SHARE = 0.02
-
 _RUNNING = (progress.STARTING, progress.RUNNING, progress.STOPPING)
 BoundsByQueue = dict[tuple[str, bool], backlog_mod.RunBounds]
 
@@ -91,22 +85,13 @@
         self.window_s = window_s
         self.values: collections.deque[tuple[float, float]] = (
             collections.deque())
-        self.began_at: float | None = None
 
     def add(self, value: float, now: float) -> None:
         """Add a value and drop old ones."""
-        if self.began_at is None:
-            self.began_at = now
         self.values.append((now, value))
         while self.values[0][0] < now - self.window_s:
             self.values.popleft()
 
-    def least(self, now: float) -> float:
-        """Return the least value; 0 until the window is full."""
-        if self.began_at is None or now - self.began_at < self.window_s:
-            return 0.0
-        return min(value for _, value in self.values)
-
     def has_changed(self, max_change: float) -> bool:
         """Return whether the values differ by more than a share."""
         values = [value for _, value in self.values]
@@ -129,7 +114,6 @@
         self.overloaded = False
         self.last_waits_at = float("-inf")
         self.listed_cpu: dict[str, RecentRange] = {}
-        self.more_urgent_cpu: dict[tuple[str, int], RecentRange] = {}
         self.got_cpu: dict[str, float] = {}
         self.got_at: float | None = None
 
@@ -189,11 +173,11 @@
                        and not fleet.store_unreachable)
         load = self._add_up_jobs(states, queues, bounds, now, wall_ms)
         capacities = self._add_up_workers(
-            {work.pool for work in load.works}, now)
+            {work.pool for work in load.works})
         self._update_history(load, capacities, queues, now)
         if not settled or now - self.started_at < WARM_UP_S:
             return None
-        pools = tuple(self._pools(load, capacities, queues, now))
+        pools = tuple(self._pools(load, capacities, queues))
         return backlog_mod.Backlog(
             backlog_mod.VERSION, round(wall_ms, 1), fleet.fence, pools,
             {name: self._queue_load(queue, load, pools, bounds)
@@ -217,7 +201,7 @@
                               bounds, lapse_s, now)
         return load
 
-    def _add_up_workers(self, pools: set[backlog_mod.PoolKey], now: float
+    def _add_up_workers(self, pools: set[backlog_mod.PoolKey]
                         ) -> dict[backlog_mod.PoolKey, Capacity]:
         """Return the CPU of each service, and of each label waited for."""
         fleet = self.fleet
@@ -231,9 +215,9 @@
                     if not worker.listed:
                         continue
                     entry = worker.entry
-                    usable = (worker.usable(now)
-                              and not fleet.is_evacuated(worker))
-                    free = max(0, worker.free_capacity().cpu) if usable else -1
+                    free = (max(0, worker.free_capacity().cpu)
+                            if (_is_known(worker)
+                                and not fleet.is_evacuated(worker)) else -1)
                     for label in {"", *(labels & set(entry.labels))}:
                         capacities.setdefault(
                             backlog_mod.PoolKey(entry.service, label),
@@ -250,13 +234,6 @@
                 self.listed_cpu.setdefault(
                     pool.service, RecentRange(CHANGE_WINDOW_S)).add(
                         capacity.listed, now)
-        for service, priority in _classes(queues):
-            more_urgent = sum(
-                cpu for (other, urgent), cpu in load.running_cpu.items()
-                if other == service and urgent < priority)
-            self.more_urgent_cpu.setdefault(
-                (service, priority), RecentRange(USE_WINDOW_S)).add(
-                    more_urgent, now)
         elapsed_s = 0.0 if self.got_at is None else now - self.got_at
         kept = 0.5 ** (elapsed_s / GOT_HALF_LIFE_S)
         self.got_at = now
@@ -267,21 +244,19 @@
 
     def _pools(self, load: Load,
                capacities: dict[backlog_mod.PoolKey, Capacity],
-               queues: dict[str, messages.Queue], now: float
+               queues: dict[str, messages.Queue]
                ) -> typing.Iterator[backlog_mod.Pool]:
         for pool, capacity in capacities.items():
             for service, priority in _classes(queues):
                 if service == pool.service:
-                    yield self._pool(load, pool, capacity, priority, now)
+                    yield self._pool(load, pool, capacity, priority)
 
     def _pool(self, load: Load, key: backlog_mod.PoolKey, capacity: Capacity,
-              priority: int, now: float) -> backlog_mod.Pool:
+              priority: int) -> backlog_mod.Pool:
         ahead = backlog_mod.works_ahead(load.works, key, priority)
         cpu = max(0, capacity.listed - capacity.long_running)
-        used_cpu = (0.0 if key.requires else self.more_urgent_cpu[
-            key.service, priority].least(now))
-        serving_cpu = max(MIN_SERVING_SHARE * cpu, cpu - used_cpu)
-        # Less urgent runs are preempted for a new job of this priority.
+        # All of it may serve a new job: more urgent work that is still to come
+        # may not come.  Less urgent runs are preempted for it.
         free_cpu = capacity.free + sum(
             used for (service, other), used in load.running_cpu.items()
             if service == key.service and other > priority)
@@ -289,14 +264,14 @@
         if (cpu and free_cpu <= MAX_FREE_SHARE * cpu
                 and capacity.usable >= (1.0 - MAX_CHANGE) * capacity.listed
                 and not self.listed_cpu[key.service].has_changed(MAX_CHANGE)):
-            waits = backlog_mod.find_waits(ahead, serving_cpu / 1000.0)
+            waits = backlog_mod.find_waits(ahead, cpu / 1000.0)
         running_cpu_s = sum(
             cpu_s for (service, other), cpu_s in load.running_cpu_s.items()
             if service == key.service and other <= priority)
         return backlog_mod.Pool(
             key.service, key.requires, priority,
             round(sum(work.cpu_s for work in ahead), 1),
-            round(running_cpu_s, 1), round(serving_cpu / 1000.0, 1),
+            round(running_cpu_s, 1), round(cpu / 1000.0, 1),
             capacity.widest / 1000.0, waits)
 
     def _queue_load(self, queue: messages.Queue, load: Load,
@@ -325,6 +300,16 @@
             if bounds is not None}
 
 
+def _is_known(worker: workerstate.WorkerState) -> bool:
+    """Return whether a worker serves, if not just now.
+
+    One that is avoided for some seconds does.
+    """
+    return (worker.enrolled and worker.has_reported
+            and not worker.unresponsive and not worker.entry.draining
+            and worker.entry_is_of_current_life())
+
+
 def _lapse_s(state: progress.JobState, queue: messages.Queue, wall_ms: float,
              by_lateness: bool) -> float:
     """Return how long a waiting job stays on time, as ordering.lateness."""
