--- a/sycamorefield/fleet/backlogmeter.py
+++ b/sycamorefield/fleet/backlogmeter.py
@@ -40,7 +40,6 @@
 MAX_FREE_SHARE = 0.25
 # What the queues got is averaged with this half-life.
 GOT_HALF_LIFE_S = 15.0
-_RUNNING = (progress.STARTING, progress.RUNNING, progress.STOPPING)
 BoundsByQueue = dict[tuple[str, bool], backlog_mod.RunBounds]
 
 
@@ -337,14 +336,15 @@
     # Work of a queue without learnt run times counts as none.
     task_s = (known.task_s(step, backlog_mod.MID)
               if known is not None else 0.0)
-    running = sum(1 for task in tasks if task.phase in _RUNNING)
+    idle = [task for task in tasks if task.phase == progress.IDLE]
+    running = len(tasks) - len(idle)
     load.running_cpu[queue.service, queue.priority] += running * cpu
     load.running_cpu_by_queue[queue.name] += running * cpu
     load.running_cpu_s[queue.service, queue.priority] += (
         running * cpu * task_s / 2000.0)
-    waiting = sum(1 for task in tasks if task.phase == progress.IDLE
-                  and not task.done and task.not_before <= now
-                  and task.suspicion is None)
+    waiting = len([task for task in idle
+                   if not task.done and task.not_before <= now
+                   and task.suspicion is None])
     if (not waiting or not task_s or queue.advice is not None
             or not _waits_for_cpu_alone(step)):
         return
