--- a/tests/test_fleet_admission.py
+++ b/tests/test_fleet_admission.py
@@ -13,6 +13,7 @@
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import jobrequests
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import owner as owner_mod
 from sycamorefield.fleet import policy as policy_mod
 from sycamorefield.fleet import recorder as recorder_mod
 from sycamorefield.fleet import records
@@ -21,6 +22,7 @@
 from tests import fleetfakes
 from tests import test_fleet_partial_reach
 from tests import test_fleet_state
+from tests import test_fleet_takeover
 from tests import test_fleet_usage
 
 WALL_MS = 1_000_000.0
@@ -622,6 +624,32 @@
     assert bench.state.lock.acquisitions >= 60
 
 
+@pytest.mark.parametrize("enabled", [True, False])
+def test_owner_without_the_switch_neither_reads_nor_measures(
+        enabled, monkeypatch):
+    """Guards against a switch that does not restore earlier behaviour."""
+    fleet = test_fleet_takeover.Fleet()
+    put(fleet.store, records.BACKLOG_KEY, b"of an earlier owner")
+    fence = put(fleet.store, records.OWNER_KEY, b"me")
+    keys = []
+    get = fleet.store.get
+    monkeypatch.setattr(fleet.store, "get",
+                        lambda key: keys.append(key) or get(key))
+    owner = owner_mod.Owner(
+        fleet.store, fleet.worker_list,
+        lambda entry: fleet.workers[entry.worker_id],
+        fleetfakes.configuration, fence, 6000.0,
+        policy=policy_mod.Policy(reject_hopeless_jobs=enabled))
+    owner.recovery.load()
+    assert (records.BACKLOG_KEY in keys) is enabled
+    assert ("backlog_bytes" in owner.gauges()) is enabled
+    started = []
+    monkeypatch.setattr(owner.backlog_meter, "run", started.append)
+    owner._follow_backlog()
+    assert bool(started) is enabled
+    owner.step_down("test over")
+
+
 def test_backlog_of_an_error_is_not_used(time_now, monkeypatch, lines):
     """Guards against an error in measuring that ends an owner's term."""
     meter = MeteredBench().meter
