--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -152,6 +152,12 @@
     "SF1850", INFO, "learned state of an earlier owner loaded")
 LEARNED_STATE_IGNORED = Event(
     "SF1851", WARNING, "learned state ignored or not stored")
+JOB_REJECTED = Event(
+    "SF1862", INFO, "job rejected: it could not end in time under load")
+OVERLOAD_CHANGED = Event(
+    "SF1863", INFO, "overload of the fleet began or ended")
+BACKLOG_UNUSABLE = Event(
+    "SF1864", WARNING, "backlog cannot be used; no job is rejected by it")
 
 INVARIANT_BROKEN = Event("SF1601", ERROR, "invariant broken")
 
--- a/sycamorefield/fleet/policy.py
+++ b/sycamorefield/fleet/policy.py
@@ -51,3 +51,5 @@
     learn_run_times: bool = True
     # learnedstate.py: what an owner has learned is stored for its successor.
     keep_learned_state: bool = True
+    # admission.py, backlogmeter.py: jobs that cannot end in time are rejected.
+    reject_hopeless_jobs: bool = True
--- a/sycamorefield/fleet/records.py
+++ b/sycamorefield/fleet/records.py
@@ -16,6 +16,7 @@
 WAITING_JOBS_KEY = "fleet/waiting"
 WEIGHTS_KEY = "fleet/learnt"
 LEARNED_STATE_KEY = "fleet/learned-state"
+BACKLOG_KEY = "fleet/backlog"
 
 
 def job_key(job_id: str) -> str:
--- a/sycamorefield/fleet/recovery.py
+++ b/sycamorefield/fleet/recovery.py
@@ -46,6 +46,8 @@
         weights_item = self.store.get(records.WEIGHTS_KEY)
         learned_item = (self.store.get(records.LEARNED_STATE_KEY)
                         if self.fleet.learned.enabled else None)
+        backlog_item = (self.store.get(records.BACKLOG_KEY)
+                        if self.fleet.policy.reject_hopeless_jobs else None)
         jobs = self.store.listing(records.JOB_PREFIX)
         progress_items = self.store.listing(records.PROGRESS_PREFIX)
         listed_at = clock.now()
@@ -63,6 +65,9 @@
             if weights_item is not None:
                 self._load_weights(weights_item)
             self.fleet.learned.load(learned_item, clock.wall_ms())
+            if backlog_item is not None:
+                self.recorder.revisions[records.BACKLOG_KEY] = (
+                    backlog_item.revision)
             self._expect_workers(workers_item)
         self._log_resumed_jobs()
         self.worker_links.update_workers(entries, listed_at)
