End a job that fails on every worker of its cell in bounded time

Cause: each failure of a worker doubles its exclusion, also that of tasks that were placed together: six failures at once exclude it for 32 s. In a cell of two workers a job needed six failures, and with one worker excluded it failed on the other one alone, with a delay of 1, 2, 4, 8 and 16 s between.

Change: a failure during an exclusion doesn't extend it. A job that has failed on every usable worker may run on a worker that is excluded for failures of other jobs; its failure elsewhere makes it suspect. It ends after three failures if it failed on each worker that can run it, and there are at least two. Workers that can't run the job (too small, or quiet) no longer count as untried ones, for which such a job waited forever.

Ruled out: an end after one failure on each of two workers (a sound job that failed on a broken worker would end by a single failure of the sound one); fewer failures in a cell of a single worker, which cannot show whose fault it is; no backoff for suspect jobs, with which a sound job uses up its failures while the other worker is away.

--- a/sycamorefield/cell.py
+++ b/sycamorefield/cell.py
@@ -23,7 +23,9 @@
 from sycamorefield import workerlink
 
 # A job ends as failed after failing on this many different workers, or after
-# this many failures in total.
+# this many failures in total.  A cell with fewer workers that can run the job
+# ends it after MAX_FAILED_WORKERS failures if it failed on each of them, and
+# there are at least two: a single worker cannot show whose fault it is.
 MAX_FAILED_WORKERS = 3
 MAX_FAILURES = 6
 # A task that started less than SUSPECT_AGE_S before its worker crashed is
@@ -70,10 +72,16 @@
     "WorkerView", placement.Candidate, eviction.WorkerLoad)
 
 
+def _untried_workers(record: jobtable.JobRecord, workers: list[WorkerView]
+                     ) -> list[WorkerView]:
+    """Return the workers on which a job has not failed."""
+    return [w for w in workers if w.name not in record.failed_on]
+
+
 def _preferred_workers(record: jobtable.JobRecord, workers: list[WorkerView]
                        ) -> list[WorkerView]:
     """Return the workers on which a job has not failed, or all if none."""
-    return [w for w in workers if w.name not in record.failed_on] or workers
+    return _untried_workers(record, workers) or workers
 
 
 class Cell:
@@ -247,13 +255,16 @@
             return True
         return False
 
-    def _candidates(self) -> list[placement.Candidate]:
+    def _candidates(self, excluded: bool = False
+                    ) -> list[placement.Candidate]:
+        """Return the usable workers, or those excluded after failures."""
         now = time.monotonic()
         candidates = []
         for link in self.links.values():
             quarantined = (self.quarantined_until.get(link.machine.name, 0.0)
                            > time.time())
-            if link.usable(now) and not quarantined:
+            if (link.responsive() and link.usable(now) != excluded
+                    and not quarantined):
                 candidates.append(placement.Candidate(
                     link.machine.name, link.machine.zone,
                     link.capacity, link.used(),
@@ -266,17 +277,34 @@
                        candidates: list[placement.Candidate]
                        ) -> placement.Candidate | None:
         work = self.opts.work[record.work]
-        preferred = _preferred_workers(record, candidates)
+        preferred = (self._candidates_after_failure(record, candidates)
+                     if record.failed_on else candidates)
         if record.crashed_on:
             preferred = [c for c in preferred
                          if not self._newest_task_age_s(c.name) < QUARANTINE_S]
         chosen = self.strategy.placement.choose(work, preferred)
         if chosen is not None:
             chosen.reserve(work.demand)
-        if chosen is not None and record.crashed_on:
+        if chosen in candidates and record.crashed_on:
             candidates.remove(chosen)
         return chosen
 
+    def _candidates_after_failure(self, record: jobtable.JobRecord,
+                                  candidates: list[placement.Candidate]
+                                  ) -> list[placement.Candidate]:
+        """Return the candidates for a job that has failed.
+
+        Its failure elsewhere makes the job suspect, so it may run on a worker
+        that is excluded for failures of other jobs.  Otherwise its end would
+        depend on how long earlier failures exclude workers.  A worker that
+        cannot run the job must not keep it from those that can.
+        """
+        capable = self._capable_workers(record)
+        usable = [c for c in candidates if c.name in capable]
+        excluded = [c for c in self._candidates(True) if c.name in capable]
+        return (_untried_workers(record, usable)
+                or _untried_workers(record, excluded) or usable)
+
     def _newest_task_age_s(self, worker: str) -> float:
         """Return how many seconds ago a worker got its newest task."""
         placed = [r.placed_at for r in self.table.placed_on(worker)]
@@ -452,14 +480,32 @@
         # fails everywhere from a sound job placed on workers that fail every
         # task.
         record.failed_on.append(worker)
-        if (len(set(record.failed_on)) >= MAX_FAILED_WORKERS
-                or len(record.failed_on) >= MAX_FAILURES):
+        if self._has_failed_enough(record):
             record.reason = ("failed on workers "
                              + ", ".join(sorted(set(record.failed_on))))
             self._finish(record, jobtable.FAILED)
         else:
             self._requeue(record, record.progress)
 
+    def _has_failed_enough(self, record: jobtable.JobRecord) -> bool:
+        """Return whether the failures of a job show that it fails anywhere."""
+        failures = len(record.failed_on)
+        failed_workers = set(record.failed_on)
+        if (len(failed_workers) >= MAX_FAILED_WORKERS
+                or failures >= MAX_FAILURES):
+            return True
+        return (failures >= MAX_FAILED_WORKERS and len(failed_workers) > 1
+                and self._capable_workers(record) <= failed_workers)
+
+    def _capable_workers(self, record: jobtable.JobRecord) -> set[str]:
+        """Return the workers that can run a job, reachable or not."""
+        work = self.opts.work[record.work]
+        quiet_machines = self.opts.quiet_machines
+        return {name for name, link in self.links.items()
+                if link.capacity.fits(options.ZERO_CAPACITY, work.demand)
+                and not self.strategy.placement.avoids(
+                    work, name in quiet_machines)}
+
     def _finish(self, record: jobtable.JobRecord, state: str) -> int:
         record.state = state
         record.finished_at = time.time()
--- a/sycamorefield/workerlink.py
+++ b/sycamorefield/workerlink.py
@@ -132,8 +132,11 @@
 
     def usable(self, now: float) -> bool:
         """Return whether new tasks may be placed here now."""
-        return (self.has_reported and not self.missed_reports
-                and now >= self.excluded_until)
+        return self.responsive() and now >= self.excluded_until
+
+    def responsive(self) -> bool:
+        """Return whether the worker answered the last report."""
+        return self.has_reported and not self.missed_reports
 
     def used(self) -> options.Capacity:
         """Return the total resources declared by the tasks placed here."""
@@ -163,9 +166,14 @@
         """Exclude the worker from placement for a while after a failure."""
         # A worker that fails every task looks free and would attract every
         # queued job.  Exponential backoff leaves the jobs to workers that
-        # finish them.
+        # finish them.  A failure during an exclusion does not extend it: the
+        # tasks that were placed together fail together, and doubling for each
+        # of them would exclude the worker for MAX_EXCLUSION_S at once.
+        now = time.monotonic()
         self.consecutive_failures += 1
-        self.excluded_until = time.monotonic() + self.exclusion_s
+        if now < self.excluded_until:
+            return
+        self.excluded_until = now + self.exclusion_s
         self.exclusion_s = min(MAX_EXCLUSION_S, self.exclusion_s * 2)
         events.emit(events.WORKER_EXCLUDED, worker=self.machine.name,
                     failures=self.consecutive_failures)
--- a/tests/test_jobs.py
+++ b/tests/test_jobs.py
@@ -451,6 +451,78 @@
         env.close(cell)
 
 
+def test_end_of_failing_job_depends_on_no_earlier_failures(kv):
+    """Guards against a job that fails everywhere but does not end.
+
+    Earlier failures of other jobs exclude one of two workers for half a
+    minute.  The job would fail on the other one alone, with a longer and
+    longer delay between its attempts.
+    """
+    env = CellEnv(kv, workers=2, run_seconds=0.1)
+    cell = env.start()
+    try:
+        for machine in env.machines:
+            machine.faults = pb.WorkerFaults(fail_all=True, slow_factor=1.0)
+        excluded = cell.links[env.machines[0].spec.name]
+        excluded.excluded_until = time.monotonic() + 30.0
+        excluded.exclusion_s = 30.0
+        env.submit(cell, "never")
+        assert deployment.wait_until(
+            lambda: state_of(cell, "never") == "failed", 10)
+        assert set(cell.table.get("never").failed_on) == set(cell.links)
+    finally:
+        env.close(cell)
+
+
+FAILED_ON = [
+    ("once-on-each-of-two", [0, 1], 2, False),
+    ("three-times-on-two", [1, 0, 1], 2, True),
+    ("three-times-on-one-of-two", [1, 1, 1], 2, False),
+    ("six-times-on-one-of-two", [1] * 6, 2, True),
+    ("three-times-on-the-only-one", [0, 0, 0], 1, False),
+    ("two-of-three", [0, 1, 1], 3, False),
+    ("all-of-three", [0, 1, 2], 3, True),
+    ("all-but-a-quiet-one", [0, 1, 1], "quiet", True),
+]
+
+
+@pytest.mark.parametrize("label,failed_on,workers,ends", FAILED_ON,
+                         ids=[row[0] for row in FAILED_ON])
+def test_failures_end_a_job_only_on_every_capable_worker(
+        kv, label, failed_on, workers, ends):
+    """Guards against ending a sound job for failures of its workers."""
+    env = CellEnv(kv, workers=3 if workers == "quiet" else workers)
+    names = [machine.spec.name for machine in env.machines]
+    if workers == "quiet":
+        env.opts = dataclasses.replace(
+            env.opts, quiet_machines=frozenset(names[2:]))
+    cell = env.start()
+    try:
+        record = jobtable.new_record("j1", "owners", env.renewal, "low")
+        for number in failed_on[:-1]:
+            record.failed_on.append(names[number])
+        cell._after_failure(record, names[failed_on[-1]])
+        assert (record.state == jobtable.FAILED) == ends
+    finally:
+        env.close(cell)
+
+
+def test_failures_of_tasks_placed_together_exclude_a_worker_once(kv):
+    """Guards against a worker excluded for 30 s by one batch of failures."""
+    env = CellEnv(kv)
+    cell = env.start()
+    try:
+        link, = cell.links.values()
+        for _ in range(6):
+            link.note_failure()
+        assert link.excluded_until - time.monotonic() <= 1.0
+        link.excluded_until = 0.0
+        link.note_failure()
+        assert 1.0 < link.excluded_until - time.monotonic() <= 2.0
+    finally:
+        env.close(cell)
+
+
 CANCELS = [("queued", 0), ("running", 1)]
 
 
