Validate entries of the list of workers by msgspec, and log each once

Cause: an entry with a negative or huge capacity, labels that are a text or an object, an empty service, or a key that no header accepts named a worker.

Change: entries are decoded by msgspec with bounds.

Ruled out: an entry of a service that no queue names is kept. Such a worker gets no task, and it may still run tasks of a queue that was just removed.

--- a/sycamorefield/platform/workers.py
+++ b/sycamorefield/platform/workers.py
@@ -1,7 +1,6 @@
 """Client of the platform's workers and decoder of their store entries."""
 
 import functools
-import json
 import typing
 
 import msgspec
@@ -18,11 +17,24 @@
 # has lost the order or will carry it out seconds later.
 ORDER_TIMEOUT_S = 0.6
 MAX_PORT = 65535
+# Bounds on an entry that another program may have written.  A number up to
+# MAX_NUMBER is exact as a floating-point number.
+MAX_AMOUNT = 1e9
+MAX_NUMBER = 2.0 ** 53
+MAX_NAME_CHARS = 256
+MAX_LABELS = 64
+# Invalid entries logged for each reading of the list, and the length of what a
+# line says of one.
+MAX_ENTRY_LINES = 20
+MAX_LOGGED_CHARS = 200
 # The share of a process's file descriptors that idle connections for orders
 # may use; each worker has another connection for its reports.
 ORDER_CONNECTIONS_SHARE = 0.15
 
 Body = dict[str, typing.Any]
+Amount = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_AMOUNT)]
+Moment = typing.Annotated[float, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+Name = typing.Annotated[str, msgspec.Meta(max_length=MAX_NAME_CHARS)]
 
 
 def idle_order_clients(max_files: int) -> workerconnections.IdleClients:
@@ -191,17 +203,69 @@
                               row.how, row.saved or "")
 
 
+class CapacityRow(msgspec.Struct):
+    """The capacity in a worker's entry."""
+
+    cpu: Amount = 0.0
+    mem_mb: Amount = 0.0
+    gpu: Amount = 0.0
+
+
+class EntryRow(msgspec.Struct):
+    """A worker's entry in the store; other fields are ignored."""
+
+    service: typing.Annotated[str, msgspec.Meta(
+        min_length=1, max_length=MAX_NAME_CHARS)]
+    addr: Name
+    state: Name
+    capacity: CapacityRow
+    zone: Name = ""
+    labels: typing.Annotated[list[Name], msgspec.Meta(
+        max_length=MAX_LABELS)] | None = None
+    remaining_ms: float | None = None
+    born: Moment = 0.0
+
+
+ENTRY_DECODER = msgspec.json.Decoder(EntryRow)
+
+
 class PlatformWorkerList(interfaces.WorkerList):
     """Reads the entries that workers write to the store."""
 
     def __init__(self, store: interfaces.Store) -> None:
         self.store = store
+        # The invalid entries of the last listing, by key, with the revision
+        # at which each was logged.
+        self.invalid_revisions: dict[str, int] = {}
 
     def workers(self) -> tuple[messages.WorkerEntry, ...]:
-        """Return the valid entries and log the invalid ones."""
+        """Return the valid entries and log new invalid ones.
+
+        The list is read every second, and other programs may write many
+        entries, so an invalid one is logged once and the lines are limited.
+        """
         listing = self.store.listing(ENTRY_PREFIX)
-        entries = (decode_entry(item) for item in listing.items)
-        return tuple(entry for entry in entries if entry is not None)
+        entries = []
+        invalid_revisions = {}
+        unlogged = 0
+        lines = 0
+        for item in listing.items:
+            try:
+                entries.append(_decode_entry(item))
+            except Exception as exc:
+                invalid_revisions[item.key] = item.revision
+                if self.invalid_revisions.get(item.key) == item.revision:
+                    continue
+                if lines < MAX_ENTRY_LINES:
+                    _log_invalid(item, exc)
+                    lines += 1
+                else:
+                    unlogged += 1
+        if unlogged:
+            events.emit(events.ENTRY_UNREADABLE, key=ENTRY_PREFIX,
+                        reason=f"{unlogged} other entries")
+        self.invalid_revisions = invalid_revisions
+        return tuple(entries)
 
 
 def decode_entry(item: messages.Item) -> messages.WorkerEntry | None:
@@ -211,43 +275,43 @@
     an entry describes no worker and must not hide the other workers.
     """
     try:
-        row = json.loads(item.value)
-        if row["state"] not in LISTED_STATES:
-            raise ValueError(f"unknown state {row['state']!r}")
-        capacity = row["capacity"]
-        remaining = row.get("remaining_ms")
-        return messages.WorkerEntry(
-            item.key[len(ENTRY_PREFIX):], _require_string(row["service"]),
-            _require_address(row["addr"]),
-            _require_string(row.get("zone", "")),
-            row["state"] == "draining",
-            messages.Resources(_require_number(capacity.get("cpu", 0)),
-                               _require_number(capacity.get("mem_mb", 0)),
-                               _require_number(capacity.get("gpu", 0))),
-            tuple(_require_string(label) for label in row.get("labels") or ()),
-            None if remaining is None else float(remaining),
-            _require_number(row.get("born", 0)))
+        return _decode_entry(item)
     except Exception as exc:
-        events.emit(events.ENTRY_UNREADABLE, key=item.key, reason=repr(exc))
+        _log_invalid(item, exc)
         return None
 
 
-def _require_string(value: object) -> str:
-    if not isinstance(value, str):
-        raise TypeError(f"not a string: {value!r}")
-    return value
+def _log_invalid(item: messages.Item, exc: Exception) -> None:
+    events.emit(events.ENTRY_UNREADABLE, key=item.key[:MAX_LOGGED_CHARS],
+                reason=repr(exc)[:MAX_LOGGED_CHARS])
 
 
-def _require_number(value: object) -> int:
-    if isinstance(value, bool) or not isinstance(value, (int, float)):
-        raise TypeError(f"not a number: {value!r}")
-    return int(value)
+def _decode_entry(item: messages.Item) -> messages.WorkerEntry:
+    """Decode a worker's entry; raises an error if it is invalid."""
+    row = ENTRY_DECODER.decode(item.value)
+    if row.state not in LISTED_STATES:
+        raise ValueError(f"unknown state {row.state!r}")
+    capacity = row.capacity
+    return messages.WorkerEntry(
+        _require_header_value(item.key[len(ENTRY_PREFIX):]), row.service,
+        _require_address(row.addr), row.zone, row.state == "draining",
+        messages.Resources(int(capacity.cpu), int(capacity.mem_mb),
+                           int(capacity.gpu)),
+        tuple(row.labels or ()), row.remaining_ms, int(row.born))
 
 
-def _require_address(value: object) -> str:
-    host, _, port = _require_string(value).rpartition(":")
+def _require_header_value(value: str) -> str:
+    """Return a worker's ID, which calls to the worker name in a header."""
+    if (not 0 < len(value) <= MAX_NAME_CHARS or not value.isascii()
+            or not value.isprintable() or " " in value):
+        raise ValueError(f"not a worker ID: {value!r}")
+    return value
+
+
+def _require_address(value: str) -> str:
+    host, _, port = value.rpartition(":")
     if (not host or not host.isascii() or not host.isprintable()
             or " " in host or not port.isascii() or not port.isdigit()
             or not 1 <= int(port) <= MAX_PORT):
         raise ValueError(f"not an address: {value!r}")
-    return _require_string(value)
+    return value
