Replace values out of bounds in reports by defaults

Cause: a saved text that is no text, or a percentage or figure of another type or beyond all bounds, made all of a report unreadable. The worker then counts as unresponsive and loses its runs. A percentage of 1e300, a birth or a clock beyond bounds and a huge run number were taken as they are, and a percentage that goes back made the remaining time of a run grow.

Change: reports are read by msgspec with bounds as before. Only if that fails, they are read again, and an optional value out of bounds is as if it were not reported (percentage and figure 0, no saved text); saved texts over 32,768 characters too, as the store takes a megabyte for all of a job. The highest percentage of a run counts. Each place is logged once, at most five lines a second (SF1867). A run, an end, a clock or a birth that can't be read makes the report invalid as before.

Ruled out: skipping rows that name no run. Such a row may be any run of the worker, which would count as vanished and be started a second time.

Measured: no cost figure was taken; the first reading is the same single pass.

--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -140,6 +140,8 @@
     "SF1846", WARNING, "owner does not reach workers that are alive")
 HANDOVER_OFFERED = Event(
     "SF1847", INFO, "offered to take over from an owner")
+INPUT_REPLACED = Event(
+    "SF1867", WARNING, "value out of bounds replaced by a default")
 RUNS_IN_DOUBT = Event(
     "SF1845", WARNING, "runs count as current without confirmation")
 
--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -2,6 +2,7 @@
 
 from sycamorefield import events
 from sycamorefield.fleet import demand
+from sycamorefield.fleet import inputlog
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import pacer
 from sycamorefield.fleet import progress
@@ -151,8 +152,14 @@
     task.start_confirmed = True
     worker.reserve((row.task, row.run), task.step, task)
     if fleet.is_current(worker, task, row.run):
-        if row.percent != task.percent:
+        if row.percent > task.percent or (task.step.perpetual
+                                          and row.percent != task.percent):
             task.update_progress(row.percent, now)
+        elif row.percent < task.percent:
+            inputlog.note(
+                f"worker {worker.entry.worker_id}: percentage of {row.task} "
+                f"run {row.run} goes back", row.percent,
+                f"{task.percent}, the highest reported")
         if row.saved:
             task.saved = row.saved
         if not task.stuck and stragglers.is_stuck(task, now):
--- a/sycamorefield/platform/workers.py
+++ b/sycamorefield/platform/workers.py
@@ -1,6 +1,5 @@
 """Client of the platform's workers and decoder of their store entries."""
 
-import functools
 import typing
 
 import msgspec
@@ -9,6 +8,7 @@
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import messages
 from sycamorefield.platform import jsonclient
+from sycamorefield.platform import reportrows
 from sycamorefield.platform import workerconnections
 
 ENTRY_PREFIX = "servers/"
@@ -53,6 +53,7 @@
     def __init__(self, entry: messages.WorkerEntry,
                  idle_clients: workerconnections.IdleClients | None = None
                  ) -> None:
+        self.worker_id = entry.worker_id
         headers = {"Sycamorefield-Expect-Instance": entry.worker_id}
         self.reports = workerconnections.WorkerClient(entry.address, headers)
         self.orders = workerconnections.WorkerClient(
@@ -80,7 +81,7 @@
         response = _require_ok(await self.reports.call(
             "/-/hold", wait_ms / 1000.0 + answer_s, body,
             {**body, "seen_upto": 0}))
-        return decode_report(response.data)
+        return reportrows.decode_report(response.data, self.worker_id)
 
     async def start(self, order: messages.StartOrder, fence: int,
                     lease_end_ms: float) -> float:
@@ -133,76 +134,6 @@
     return float(body["clock_ms"])
 
 
-class RunningRow(msgspec.Struct, array_like=True):
-    """A run in progress, as listed in a worker's report."""
-
-    task: str
-    run: int
-    saved: str | None = None
-    percent: float | None = None
-    figure: float | None = None
-
-
-class EndedRow(msgspec.Struct, array_like=True):
-    """An ended run, as listed in a worker's report."""
-
-    number: int
-    task: str
-    run: int
-    how: str
-    saved: str | None = None
-
-
-class ReportBody(msgspec.Struct):
-    """The body of a worker's report.
-
-    An owner reads hundreds of reports a second, more than anything else;
-    msgspec validates and decodes each in a single pass.
-    """
-
-    clock_ms: float
-    running: list[RunningRow] | None = None
-    ended: list[EndedRow] | None = None
-    born: float = 0.0
-
-
-REPORT_DECODER = msgspec.json.Decoder(ReportBody)
-# Every report repeats the IDs of all tasks that run on the worker.
-TASK_ID_CACHE_SIZE = 16384
-
-
-def decode_report(data: bytes) -> messages.WorkerReport:
-    """Decode the body of a report; raises CallFailed if it is invalid."""
-    try:
-        body = REPORT_DECODER.decode(data)
-        return messages.WorkerReport(
-            body.clock_ms,
-            tuple(_running_task(row) for row in body.running or ()),
-            tuple(_ended_task(row) for row in body.ended or ()),
-            int(body.born))
-    except (msgspec.MsgspecError, ValueError) as exc:
-        raise interfaces.CallFailed(
-            f"unreadable answer: {exc!r}") from exc
-
-
-@functools.lru_cache(maxsize=TASK_ID_CACHE_SIZE)
-def _parse_task_id(name: str) -> messages.TaskId:
-    job_id, occurrence, step, index = name.rsplit(".", 3)
-    return messages.TaskId(job_id, int(occurrence), int(step), int(index))
-
-
-def _running_task(row: RunningRow) -> messages.RunningTask:
-    return messages.RunningTask(
-        _parse_task_id(row.task), row.run, row.saved or "",
-        int(row.percent or 0),
-        row.figure or 0.0)
-
-
-def _ended_task(row: EndedRow) -> messages.EndedTask:
-    return messages.EndedTask(row.number, _parse_task_id(row.task), row.run,
-                              row.how, row.saved or "")
-
-
 class CapacityRow(msgspec.Struct):
     """The capacity in a worker's entry."""
 
--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -26,6 +26,7 @@
 from sycamorefield.platform import front as front_mod
 from sycamorefield.platform import jobbody
 from sycamorefield.platform import jsonclient
+from sycamorefield.platform import reportrows
 from sycamorefield.platform import store as store_mod
 from sycamorefield.platform import workers as workers_mod
 from tests import fleetfakes
@@ -617,11 +618,11 @@
     b'{"running": []}', b"[]", b"", b"<html>"])
 def test_invalid_report_raises_call_failed(data):
     with pytest.raises(interfaces.CallFailed):
-        workers_mod.decode_report(data)
+        reportrows.decode_report(data)
 
 
 def test_report_with_omitted_and_unknown_fields_is_decoded():
-    report = workers_mod.decode_report(
+    report = reportrows.decode_report(
         b'{"clock_ms": 5, "running": [["a.0.1.2", 3], '
         b'["a.0.1.3", 1, null, 40, 3250]], "ended": '
         b'[[7, "a.0.0.0", 1, "done", null]], "more": 1}')
