Stop unwanted runs in bounded lines, and none beside them

Cause: runs of jobs whose records are gone were ordered to stop, with a line each, at every report; with ends that wait for being stored a worker reports without delay. Other tasks were placed beside such a run, though what it uses is not known. A run that began after its accepted stop went on as stopping.

Change: a run that no open job wants is ordered to stop at its first report and once a second while it is reported, tracked for each run instead of each task. One line for each report names up to twenty of them (SF1866). A worker with a run of an unknown job gets no new ones. A run still reported 3 s after its stop was accepted is ordered to stop again.

Ruled out: a pause of a second for a worker with an unknown run; its report without the run comes within milliseconds of the stop.

Measured: tests of late starts of a cancelled job, with and without a successor and stored records, pass without the change too; the three tests of the bounds, the capacity and the second stop fail without it.

--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -140,6 +140,8 @@
     "SF1846", WARNING, "owner does not reach workers that are alive")
 HANDOVER_OFFERED = Event(
     "SF1847", INFO, "offered to take over from an owner")
+UNWANTED_RUNS_STOPPED = Event(
+    "SF1866", WARNING, "runs that no open job wants ordered to stop")
 INPUT_REPLACED = Event(
     "SF1867", WARNING, "value out of bounds replaced by a default")
 RUNS_IN_DOUBT = Event(
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -209,6 +209,8 @@
             "round_longest_s": self.round_times.longest_s,
             "runs_ordered_total": float(self.fleet.run_log.ordered_total),
             "runs_ended_total": float(self.fleet.run_log.ended_total),
+            "unwanted_runs_stopped_total": float(
+                self.fleet.unwanted_runs.stopped_total),
             "runs_in_doubt": float(self.doubtful_runs.count),
             "round_age_s": now - self.round_ended_at}
         if self.usage is not None:
--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -9,6 +9,7 @@
 from sycamorefield.fleet import restarts
 from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import stragglers
+from sycamorefield.fleet import unwantedruns
 from sycamorefield.fleet import workerstate
 
 # Minimum delay before a failed long-running task is restarted, so that one
@@ -16,9 +17,9 @@
 RESTART_DELAY_S = 0.2
 # Maximum number of ended runs in one report; the worker lists others later.
 MAX_ENDS_PER_REPORT = 500
-# An unexpected run that is still reported after this long is ordered to stop
-# again.
-STOP_RETRY_S = 1.0
+# Why runs that no open job wants are stopped.
+NO_SUCH_JOB = "no such job"
+ALREADY_ENDED = "already ended"
 # Pace of a best-effort run that a previous owner started: it is not known.
 UNKNOWN_PACE = -1
 
@@ -62,8 +63,10 @@
                 worker.last_processed_end = ended.number
                 new_ends = True
                 _record_end(fleet, worker, ended, now)
+        worker.has_unknown_run = False
         for row in report.running:
             _process_running(fleet, worker, row, now)
+        fleet.unwanted_runs.flush(now)
         if len(report.ended) < MAX_ENDS_PER_REPORT:
             # A full list may omit ends of tasks that seem not to have started.
             needs_round |= _release_missing(fleet, worker, report, sent_at)
@@ -145,7 +148,9 @@
                      row: messages.RunningTask, now: float) -> None:
     found = fleet.find(row.task)
     if found is None:
-        _stop_unexpected(fleet, worker, row, "no such job", now, None)
+        # It uses resources of an unknown size until its end.
+        worker.has_unknown_run = True
+        _stop_unexpected(fleet, worker, row, NO_SUCH_JOB, now)
         return
     job, task = found
     task.last_run = max(task.last_run, row.run)
@@ -169,13 +174,15 @@
             # The response to the start order comes later or was lost.
             task.phase = progress.RUNNING
             task.confirmed_at = task.started_at = now
+        elif unwantedruns.outlives_stop(task, now):
+            _stop_unexpected(fleet, worker, row, "began after its stop", now)
         return
     if job.final() or task.done:
-        _stop_unexpected(fleet, worker, row, "already ended", now, task)
+        _stop_unexpected(fleet, worker, row, ALREADY_ENDED, now)
     elif task.phase == progress.IDLE:
         _adopt(worker, job, task, row, now)
     else:
-        _stop_unexpected(fleet, worker, row, "runs elsewhere", now, task)
+        _stop_unexpected(fleet, worker, row, "runs elsewhere", now)
 
 
 def _mark_stuck(fleet: state_mod.FleetState, worker: workerstate.WorkerState,
@@ -205,14 +212,18 @@
 
 def _stop_unexpected(fleet: state_mod.FleetState,
                      worker: workerstate.WorkerState,
-                     row: messages.RunningTask, reason: str, now: float,
-                     task: progress.TaskState | None) -> None:
-    if task is not None and now - task.stop_sent_at < STOP_RETRY_S:
+                     row: messages.RunningTask, reason: str,
+                     now: float) -> None:
+    unwanted = unwantedruns.UnwantedRun(
+        worker.entry.worker_id, row.task, row.run)
+    if not fleet.unwanted_runs.is_due(unwanted, now):
         return
-    if task is not None:
-        task.stop_sent_at = now
-    events.emit(events.RUN_UNEXPECTED, task=str(row.task), run=row.run,
-                worker=worker.entry.worker_id, reason=reason)
+    if reason in (NO_SUCH_JOB, ALREADY_ENDED):
+        # A successor may find hundreds of them at once.
+        fleet.unwanted_runs.add_to_log(unwanted, reason)
+    else:
+        events.emit(events.RUN_UNEXPECTED, task=str(row.task), run=row.run,
+                    worker=worker.entry.worker_id, reason=reason)
     fleet.send(worker.entry.worker_id,
                messages.StopOrder(row.task, row.run))
 
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -27,6 +27,7 @@
 from sycamorefield.fleet import runlog
 from sycamorefield.fleet import runtimes
 from sycamorefield.fleet import suspicion
+from sycamorefield.fleet import unwantedruns
 from sycamorefield.fleet import workerstate
 
 Order = messages.StartOrder | messages.StopOrder | messages.PaceOrder
@@ -86,6 +87,7 @@
         self.pacer = pacer.Pacer(
             self.interference_model, send, policy.pace_filling)
         self.run_log = runlog.RunLog()
+        self.unwanted_runs = unwantedruns.UnwantedRuns()
         self.advice = advice.AdviceCache(None)
         self.advice.on_answer = self._advice_arrived
         # Requests that fitted on no worker, and requests for which no runs
@@ -164,6 +166,7 @@
         events.emit(events.RUN_STOPPED, task=str(task.task), run=task.run,
                     worker=task.worker_id, reason=reason)
         task.phase = progress.STOPPING
+        task.stop_sent_at = clock.now()
         worker = self.workers.get(task.worker_id)
         if worker is not None:
             worker.stopping.add((task.task, task.run))
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -135,6 +135,8 @@
         self.uncertain_paces: dict[RunId, UncertainPace] = {}
         # Runs that have been ordered to stop.
         self.stopping: set[RunId] = set()
+        # Whether the last report showed a run of a job that is not known.
+        self.has_unknown_run = False
         # Whether the last report showed a run whose pace is so low that it
         # makes little progress.
         self.has_stalled_run = False
@@ -298,7 +300,7 @@
     def usable(self, now: float) -> bool:
         """Return whether new runs may be placed here."""
         return (self.listed and self.enrolled and self.has_reported
-                and not self.unresponsive
+                and not self.unresponsive and not self.has_unknown_run
                 and not self.entry.draining and self.avoid_until <= now
                 and self.entry_is_of_current_life())
 
