Check jobs and progress records where they are decoded

Cause: stored jobs and progress were decoded without types or bounds. A count of text, a room that is a text or a run number of text raised an error in a placement round, which ends the term of each owner; nested or huge values raised errors that no one handled. An estimate of infinity ended a request with an unexpected error, and one body could ask for 10^9 tasks.

Change: both are decoded by msgspec with types, and jobs, submitted or stored, are checked by jobbounds.py.

Ruled out: refusing a job for a negative estimate, as before: nothing depends on it, and it counts as unknown now.

--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -4,6 +4,9 @@
 import json
 import typing
 
+import msgspec
+
+from sycamorefield.fleet import jobbounds
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import suspicion
 
@@ -312,15 +315,26 @@
     """Return a stored job; raises ValueError if it is unreadable."""
     try:
         row = json.loads(value)
-        steps = []
         for step in row["steps"]:
-            step["room"] = messages.Resources(*step["room"])
-            step["after"] = tuple(step.get("after", ()))
-            steps.append(messages.Step(**step))
-        row["steps"] = tuple(steps)
-        return messages.Job(**row)
-    except (KeyError, TypeError, AttributeError) as exc:
-        raise ValueError(f"invalid job record: {exc!r}") from exc
+            step["room"] = dict(zip(("cpu", "mem_mb", "gpu"), step["room"]))
+        return jobbounds.bounded(msgspec.convert(row, messages.Job))
+    except (KeyError, TypeError, AttributeError, RecursionError,
+            msgspec.MsgspecError) as exc:
+        raise ValueError(f"invalid job record: {repr(exc)[:200]}") from exc
+
+
+class ProgressRow(msgspec.Struct):
+    """The stored progress of a job, as encode_progress returns it."""
+
+    state: typing.Literal["pending", "running", "completed", "failed",
+                          "cancelled"]
+    reason: str = ""
+    done: dict[str, str] = {}
+    ran: dict[str, str] = {}
+    rest: dict[str, tuple[int, list[int], str]] = {}
+    suspected: dict[str, typing.Any] = {}
+    trials: dict[str, str] = {}
+    trial_births: dict[str, int] = {}
 
 
 def encode_progress(state: JobState) -> bytes:
@@ -386,31 +400,37 @@
 def apply_progress(state: JobState, value: bytes) -> None:
     """Load stored progress; raises ValueError if it is unreadable."""
     try:
-        row = json.loads(value)
-        state.state = row["state"]
-        state.reason = row.get("reason", "")
-        for task in _decode_masks(state, row.get("done", {})):
-            task.mark_done()
-        for task in _decode_masks(state, row.get("ran", {})):
-            task.has_run = True
-        for name, (run, failed, saved) in row.get("rest", {}).items():
-            found = _find_by_short_name(state, name)
-            if found is not None:
-                found.last_run = run
-                found.failed_runs = set(failed)
-                found.saved = saved
-        for name, suspected in row.get("suspected", {}).items():
-            found = _find_by_short_name(state, name)
-            if found is not None:
-                found.suspicion = suspicion.decode(suspected)
-        for name, worker_id in row.get("trials", {}).items():
-            found = _find_by_short_name(state, name)
-            if found is not None:
-                state.quarantine_workers[found.task] = worker_id
-        state.quarantine_births = dict(row.get("trial_births", {}))
-        state.stored_quarantine_workers = dict(state.quarantine_workers)
-    except (KeyError, TypeError, AttributeError) as exc:
-        raise ValueError(f"invalid progress record: {exc!r}") from exc
+        row = msgspec.convert(json.loads(value), ProgressRow)
+        _apply_row(state, row)
+    except (KeyError, TypeError, AttributeError, RecursionError,
+            OverflowError, msgspec.MsgspecError) as exc:
+        raise ValueError(
+            f"invalid progress record: {repr(exc)[:200]}") from exc
+
+
+def _apply_row(state: JobState, row: ProgressRow) -> None:
+    state.state = row.state
+    state.reason = row.reason
+    for task in _decode_masks(state, row.done):
+        task.mark_done()
+    for task in _decode_masks(state, row.ran):
+        task.has_run = True
+    for name, (run, failed, saved) in row.rest.items():
+        found = _find_by_short_name(state, name)
+        if found is not None:
+            found.last_run = run
+            found.failed_runs = set(failed)
+            found.saved = saved
+    for name, suspected in row.suspected.items():
+        found = _find_by_short_name(state, name)
+        if found is not None:
+            found.suspicion = suspicion.decode(suspected)
+    for name, worker_id in row.trials.items():
+        found = _find_by_short_name(state, name)
+        if found is not None:
+            state.quarantine_workers[found.task] = worker_id
+    state.quarantine_births = dict(row.trial_births)
+    state.stored_quarantine_workers = dict(state.quarantine_workers)
 
 
 def _find_by_short_name(state: JobState, short_name: str) -> TaskState | None:
--- a/sycamorefield/platform/front.py
+++ b/sycamorefield/platform/front.py
@@ -8,6 +8,7 @@
 
 from sycamorefield import events
 from sycamorefield.fleet import clock
+from sycamorefield.fleet import inputlog
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import jobrequests as jobrequests_mod
 from sycamorefield.fleet import messages
@@ -132,10 +133,19 @@
         except pydantic.ValidationError as exc:
             findings = [{"place": ".".join(str(part) for part in error["loc"]),
                          "message": error["msg"]} for error in exc.errors()]
-            return Reply(400, {"error": "bad job", "findings": findings})
+            return _reply_bad_job(job_id, findings)
+        except ValueError as exc:
+            return _reply_bad_job(job_id, [{"place": "",
+                                            "message": str(exc)}])
         return _reply_for(self.job_requests.submit(job, deadline))
 
 
+def _reply_bad_job(job_id: str, findings: list[dict[str, str]]) -> Reply:
+    inputlog.note(f"job {job_id}: {findings[0]['place']}",
+                  findings[0]["message"], "request refused")
+    return Reply(400, {"error": "bad job", "findings": findings})
+
+
 def _reply_for(outcome: jobrequests_mod.Outcome) -> Reply:
     if isinstance(outcome, jobrequests_mod.Accepted):
         return Reply(200)
--- a/sycamorefield/platform/jobbody.py
+++ b/sycamorefield/platform/jobbody.py
@@ -1,7 +1,10 @@
 """Decode and validate jobs that callers submit."""
 
+import math
+
 import pydantic
 
+from sycamorefield.fleet import jobbounds
 from sycamorefield.fleet import messages
 
 MAX_SPEC_BYTES = 4000
@@ -14,7 +17,7 @@
     cpu: int = pydantic.Field(default=0, ge=0)
     mem_mb: int = pydantic.Field(default=0, ge=0)
     gpu: int = pydantic.Field(default=0, ge=0)
-    est_runtime_ms: float = pydantic.Field(default=0, ge=0)
+    est_runtime_ms: float = 0
     after: list[int] = []
     gang: bool = False
     same_rack: bool = False
@@ -52,19 +55,28 @@
 
 def decode(job_id: str, queue: messages.Queue, accepted_ms: float,
            body: bytes) -> messages.Job:
-    """Return the job; raises pydantic.ValidationError."""
+    """Return the job, with defaults for values that are only hints.
+
+    Raises ValueError, such as pydantic.ValidationError, if the job cannot be
+    run as it says.
+    """
     model = JobModel.model_validate_json(body)
-    return messages.Job(
+    return jobbounds.bounded(messages.Job(
         job_id, queue.name, queue.service, queue.priority,
         queue.max_attempts, accepted_ms, model.spec,
         tuple(_step(step) for step in model.steps), model.start_at_ms,
-        model.repeat_count, model.interval_ms)
+        model.repeat_count, model.interval_ms))
+
+
+def _whole_ms(value: float) -> int:
+    """Return whole milliseconds, out of bounds for NaN and infinity."""
+    return int(value) if math.isfinite(value) else -1
 
 
 def _step(model: StepModel) -> messages.Step:
     return messages.Step(
         model.count, messages.Resources(model.cpu, model.mem_mb, model.gpu),
-        int(model.est_runtime_ms), tuple(model.after), model.gang,
+        _whole_ms(model.est_runtime_ms), tuple(model.after), model.gang,
         model.same_rack, model.requires, model.affinity,
         model.max_per_server, model.speculative, model.perpetual,
         model.checkpoint, model.fills, model.image, model.target_ms,
