End no term by an unreadable list of workers in use or weights

Cause: a successor that could not read the stored list of workers in use ended its term, and so did each one after it. A lowest tail latency of NaN was taken into the model for good, and one beyond floating point raised an error.

Change: if the list is unreadable, the workers of the worker list are taken to be in use, so tasks of earlier jobs wait for a report of each, and the list is written anew. A worker in use with an unusable address is not called, and its leases are waited for. Weights out of bounds are discarded with a line.

Ruled out: going on without any workers in use, which would start running tasks a second time.

--- a/sycamorefield/fleet/interference.py
+++ b/sycamorefield/fleet/interference.py
@@ -11,6 +11,7 @@
 import collections
 import dataclasses
 import json
+import math
 import typing
 
 from sycamorefield.fleet import loadswings
@@ -215,6 +216,8 @@
         try:
             for image, (lowest_ms, weights_by_image) in (
                     json.loads(value).items()):
+                if not 0.0 < float(lowest_ms) < math.inf:
+                    raise ValueError(f"tail latency {lowest_ms!r}")
                 self.lowest_tails_ms[image] = float(lowest_ms)
                 self.fits[image] = weights.WeightFit(
                     {name: float(weight)
--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -72,6 +72,8 @@
         # The revision of each key as last seen.
         self.revisions: dict[str, int] = {}
         self.stored_addresses: dict[str, str] | None = None
+        # Whether the stored list of workers in use cannot be read.
+        self.rewrite_workers = False
         # The stored numbers of waiting jobs, or None if unknown: those of an
         # earlier owner must be overwritten even if no job waits any more.
         self.stored_counts: dict[str, int] | None = None
@@ -151,7 +153,7 @@
             if self.stored_addresses and worker_id in self.stored_addresses:
                 addresses.setdefault(
                     worker_id, self.stored_addresses[worker_id])
-        if addresses != self.stored_addresses:
+        if addresses != self.stored_addresses or self.rewrite_workers:
             self.fleet.add_possible_list(addresses)
             writes.append(PendingWrite(
                 records.WORKERS_KEY, records.encode_addresses(addresses),
@@ -243,6 +245,7 @@
     def _mark_stored(self, write: PendingWrite, revision: int) -> None:
         self.revisions[write.key] = revision
         if write.key == records.WORKERS_KEY:
+            self.rewrite_workers = False
             self.stored_addresses = records.decode_mapping(write.data)
             self.fleet.enrol(self.stored_addresses)
         if write.job is not None:
--- a/sycamorefield/fleet/records.py
+++ b/sycamorefield/fleet/records.py
@@ -2,6 +2,8 @@
 
 import json
 
+import msgspec
+
 JOB_PREFIX = "in/"
 CANCEL_SUFFIX = ".c"
 PROGRESS_PREFIX = "st/"
@@ -48,3 +50,11 @@
     if not isinstance(decoded, dict):
         raise ValueError("stored value is not a JSON object")
     return decoded
+
+
+def decode_addresses(value: bytes) -> dict[str, str]:
+    """Return the workers in use; raises ValueError if they are unreadable."""
+    try:
+        return msgspec.convert(json.loads(value), dict[str, str])
+    except (msgspec.MsgspecError, RecursionError) as exc:
+        raise ValueError(repr(exc)[:200]) from exc
--- a/sycamorefield/fleet/recovery.py
+++ b/sycamorefield/fleet/recovery.py
@@ -60,7 +60,7 @@
                     waiting_item.revision)
             if weights_item is not None:
                 self._load_weights(weights_item)
-            self._expect_workers(workers_item)
+            self._expect_workers(workers_item, entries)
         self._log_resumed_jobs()
         self.worker_links.update_workers(entries, listed_at)
         self.worker_links.connect_unlisted()
@@ -101,13 +101,16 @@
         self.recorder.revisions[records.WEIGHTS_KEY] = item.revision
         try:
             self.fleet.interference_model.decode(item.value)
-        except ValueError as exc:
+        except (ValueError, OverflowError, RecursionError) as exc:
             events.emit(events.RECORD_UNREADABLE, key=item.key,
-                        reason=str(exc))
+                        reason=repr(exc)[:200])
 
-    def _expect_workers(self, item: messages.Item | None) -> None:
+    def _expect_workers(self, item: messages.Item | None,
+                        entries: tuple[messages.WorkerEntry, ...]) -> None:
         """Wait for a report of each worker that earlier owners may have used.
 
+        If their list is unreadable, they are taken to be the listed workers.
+
         An earlier owner may act without the store for MAX_STORE_OUTAGE_S.
         The last run that it started ends at most the longest lease later, on
         a clock that may be slow.
@@ -115,6 +118,13 @@
         if item is None:
             return
         self.recorder.revisions[records.WORKERS_KEY] = item.revision
-        self.recorder.stored_addresses = records.decode_mapping(item.value)
+        try:
+            addresses = records.decode_addresses(item.value)
+        except ValueError as exc:
+            events.emit(events.RECORD_UNREADABLE, key=item.key,
+                        reason=str(exc)[:200], default="listed workers")
+            addresses = {entry.worker_id: entry.address for entry in entries}
+            self.recorder.rewrite_workers = True
+        self.recorder.stored_addresses = addresses
         until = clock.now() + MAX_STORE_OUTAGE_S + workerstate.LEASE_EXPIRY_S
-        self.fleet.await_workers(self.recorder.stored_addresses, until)
+        self.fleet.await_workers(addresses, until)
--- a/sycamorefield/fleet/workerlinks.py
+++ b/sycamorefield/fleet/workerlinks.py
@@ -2,12 +2,15 @@
 
 import typing
 
+from sycamorefield import events
+from sycamorefield.fleet import addresses as addresses_mod
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import link as link_mod
 from sycamorefield.fleet import loopthread
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import recordedends
+from sycamorefield.fleet import records
 from sycamorefield.fleet import state as state_mod
 
 WorkerFactory = typing.Callable[[messages.WorkerEntry], interfaces.Worker]
@@ -124,9 +127,15 @@
         for worker_id in list(self.fleet.awaited_workers):
             if worker_id in self.links or not addresses:
                 continue
+            try:
+                address = addresses_mod.require(addresses[worker_id])
+            except ValueError as exc:
+                # Its leases end without a call.
+                events.emit(events.RECORD_UNREADABLE, key=records.WORKERS_KEY,
+                            worker=worker_id, reason=str(exc)[:200])
+                continue
             entry = messages.WorkerEntry(
-                worker_id, "", addresses[worker_id], "", False,
-                messages.Resources(), ())
+                worker_id, "", address, "", False, messages.Resources(), ())
             link = self._add_worker(entry)
             with self.fleet.lock:
                 self.fleet.workers[worker_id].listed = False
--- a/sycamorefield/platform/workers.py
+++ b/sycamorefield/platform/workers.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from sycamorefield import events
+from sycamorefield.fleet import addresses
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import messages
 from sycamorefield.platform import jsonclient
@@ -16,7 +17,6 @@
 # An order takes about 4 ms; a worker that has not answered within this time
 # has lost the order or will carry it out seconds later.
 ORDER_TIMEOUT_S = 0.6
-MAX_PORT = 65535
 # Bounds on an entry that another program may have written.  A number up to
 # MAX_NUMBER is exact as a floating-point number.
 MAX_AMOUNT = 1e9
@@ -225,7 +225,7 @@
     capacity = row.capacity
     return messages.WorkerEntry(
         _require_header_value(item.key[len(ENTRY_PREFIX):]), row.service,
-        _require_address(row.addr), row.zone, row.state == "draining",
+        addresses.require(row.addr), row.zone, row.state == "draining",
         messages.Resources(int(capacity.cpu), int(capacity.mem_mb),
                            int(capacity.gpu)),
         tuple(row.labels or ()), row.remaining_ms, int(row.born))
@@ -237,12 +237,3 @@
             or not value.isprintable() or " " in value):
         raise ValueError(f"not a worker ID: {value!r}")
     return value
-
-
-def _require_address(value: str) -> str:
-    host, _, port = value.rpartition(":")
-    if (not host or not host.isascii() or not host.isprintable()
-            or " " in host or not port.isascii() or not port.isdigit()
-            or not 1 <= int(port) <= MAX_PORT):
-        raise ValueError(f"not an address: {value!r}")
-    return value
--- a/tests/test_fleet_interference.py
+++ b/tests/test_fleet_interference.py
@@ -271,7 +271,9 @@
 
 
 @pytest.mark.parametrize("value", [b"", b"[]", b"7", b'{"s": 1}',
-                                   b'{"s": [1, 2]}', b'{"s": ["x", {}]}'])
+                                   b'{"s": [1, 2]}',
+                                   b'{"s": [NaN, {}]}', b'{"s": [0, {}]}',
+                                   b'{"s": ["x", {}]}'])
 def test_unreadable_record_raises_value_error(value):
     with pytest.raises(ValueError):
         interference.InterferenceModel().decode(value)
