--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -2,12 +2,14 @@
 
 from sycamorefield import events
 from sycamorefield.fleet import demand
+from sycamorefield.fleet import inputlog
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import pacer
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import restarts
 from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import stragglers
+from sycamorefield.fleet import unwantedruns
 from sycamorefield.fleet import workerstate
 
 # Minimum delay before a failed long-running task is restarted, so that one
@@ -15,9 +17,9 @@
 RESTART_DELAY_S = 0.2
 # Maximum number of ended runs in one report; the worker lists others later.
 MAX_ENDS_PER_REPORT = 500
-# An unexpected run that is still reported after this long is ordered to stop
-# again.
-STOP_RETRY_S = 1.0
+# Why runs that no open job wants are stopped.
+NO_SUCH_JOB = "no such job"
+ALREADY_ENDED = "already ended"
 # Pace of a best-effort run that a previous owner started: it is not known.
 UNKNOWN_PACE = -1
 
@@ -61,8 +63,10 @@
                 worker.last_processed_end = ended.number
                 new_ends = True
                 _record_end(fleet, worker, ended, now)
+        worker.has_unknown_run = False
         for row in report.running:
             _process_running(fleet, worker, row, now)
+        fleet.unwanted_runs.flush(now)
         if len(report.ended) < MAX_ENDS_PER_REPORT:
             # A full list may omit ends of tasks that seem not to have started.
             needs_round |= _release_missing(fleet, worker, report, sent_at)
@@ -147,15 +151,23 @@
                      row: messages.RunningTask, now: float) -> None:
     found = fleet.find(row.task)
     if found is None:
-        _stop_unexpected(fleet, worker, row, "no such job", now, None)
+        # It uses resources of an unknown size until its end.
+        worker.has_unknown_run = True
+        _stop_unexpected(fleet, worker, row, NO_SUCH_JOB, now)
         return
     job, task = found
     task.last_run = max(task.last_run, row.run)
     task.start_confirmed = True
     worker.reserve((row.task, row.run), task.step, task)
     if fleet.is_current(worker, task, row.run):
-        if row.percent != task.percent:
+        if row.percent > task.percent or (task.step.perpetual
+                                          and row.percent != task.percent):
             task.update_progress(row.percent, now)
+        elif row.percent < task.percent:
+            inputlog.note(
+                f"worker {worker.entry.worker_id}: percentage of {row.task} "
+                f"run {row.run} goes back", row.percent,
+                f"{task.percent}, the highest reported")
         if row.saved:
             task.saved = row.saved
         if not task.stuck and stragglers.is_stuck(
@@ -167,13 +179,15 @@
             task.phase = progress.RUNNING
             task.confirmed_at = task.started_at = now
             task.measurable = False
+        elif unwantedruns.outlives_stop(task, now):
+            _stop_unexpected(fleet, worker, row, "began after its stop", now)
         return
     if job.final() or task.done:
-        _stop_unexpected(fleet, worker, row, "already ended", now, task)
+        _stop_unexpected(fleet, worker, row, ALREADY_ENDED, now)
     elif task.phase == progress.IDLE:
         _adopt(worker, job, task, row, now)
     else:
-        _stop_unexpected(fleet, worker, row, "runs elsewhere", now, task)
+        _stop_unexpected(fleet, worker, row, "runs elsewhere", now)
 
 
 def _mark_stuck(fleet: state_mod.FleetState, worker: workerstate.WorkerState,
@@ -203,14 +217,18 @@
 
 def _stop_unexpected(fleet: state_mod.FleetState,
                      worker: workerstate.WorkerState,
-                     row: messages.RunningTask, reason: str, now: float,
-                     task: progress.TaskState | None) -> None:
-    if task is not None and now - task.stop_sent_at < STOP_RETRY_S:
+                     row: messages.RunningTask, reason: str,
+                     now: float) -> None:
+    unwanted = unwantedruns.UnwantedRun(
+        worker.entry.worker_id, row.task, row.run)
+    if not fleet.unwanted_runs.is_due(unwanted, now):
         return
-    if task is not None:
-        task.stop_sent_at = now
-    events.emit(events.RUN_UNEXPECTED, task=str(row.task), run=row.run,
-                worker=worker.entry.worker_id, reason=reason)
+    if reason in (NO_SUCH_JOB, ALREADY_ENDED):
+        # A successor may find hundreds of them at once.
+        fleet.unwanted_runs.add_to_log(unwanted, reason)
+    else:
+        events.emit(events.RUN_UNEXPECTED, task=str(row.task), run=row.run,
+                    worker=worker.entry.worker_id, reason=reason)
     fleet.send(worker.entry.worker_id,
                messages.StopOrder(row.task, row.run))
 
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -28,6 +28,7 @@
 from sycamorefield.fleet import runlog
 from sycamorefield.fleet import runtimes
 from sycamorefield.fleet import suspicion
+from sycamorefield.fleet import unwantedruns
 from sycamorefield.fleet import workerstate
 
 Order = messages.StartOrder | messages.StopOrder | messages.PaceOrder
@@ -82,7 +83,8 @@
         # Until when this owner certainly holds its lease, by clock.now().
         self.owner_lease_until = math.inf
         self.interference_model = interference.InterferenceModel(
-            policy.learn_weights, policy.limit_tails, policy.follow_slopes)
+            policy.learn_weights, policy.limit_tails, policy.follow_slopes,
+            policy.forecast_recent_swing)
         self.run_times = runtimes.RunTimeModel(policy.learn_run_times)
         self.demand = demand.DemandEstimator(self.run_times)
         self.learned = learnedstate.LearnedState(
@@ -95,6 +97,7 @@
         self.pacer = pacer.Pacer(
             self.interference_model, send, policy.pace_filling)
         self.run_log = runlog.RunLog()
+        self.unwanted_runs = unwantedruns.UnwantedRuns()
         self.advice = advice.AdviceCache(None)
         self.advice.on_answer = self._advice_arrived
         # Requests that fitted on no worker, and requests for which no runs
@@ -173,6 +176,7 @@
         events.emit(events.RUN_STOPPED, task=str(task.task), run=task.run,
                     worker=task.worker_id, reason=reason)
         task.phase = progress.STOPPING
+        task.stop_sent_at = clock.now()
         worker = self.workers.get(task.worker_id)
         if worker is not None:
             worker.stopping.add((task.task, task.run))
