--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -142,6 +142,11 @@
     "SF1847", INFO, "offered to take over from an owner")
 RUNS_IN_DOUBT = Event(
     "SF1845", WARNING, "runs count as current without confirmation")
+COPIES_STARTED = Event("SF1852", INFO, "copies of runs were ordered")
+COPIES_ENDED = Event(
+    "SF1853", INFO, "copies of runs, or the runs they copied, have ended")
+COPY_BUDGET_EXHAUSTED = Event(
+    "SF1854", INFO, "copies already use as much CPU as they may")
 
 INVARIANT_BROKEN = Event("SF1601", ERROR, "invariant broken")
 
--- a/sycamorefield/fleet/answers.py
+++ b/sycamorefield/fleet/answers.py
@@ -26,6 +26,7 @@
         if found is None or worker is None:
             return False
         job, task = found
+        task = fleet.run_state(worker, task, order.run)
         if worker.mark_start_sent((order.task, order.run)):
             fleet.request_round()
         # The worker's capacity may have shrunk while the order was queued.
@@ -73,7 +74,8 @@
     and the task may run elsewhere, and a new life would start it once more.
     """
     with fleet.lock:
-        found = fleet.find_worker_and_task(worker_id, order.task)
+        found = fleet.find_worker_and_task(
+            worker_id, order.task, order.run)
         return (found is not None and fleet.is_current(*found, order.run)
                 and found[1].phase == progress.STARTING)
 
@@ -86,13 +88,14 @@
     of the worker answered, and each has a clock of its own.
     """
     with fleet.lock:
-        found = fleet.find_worker_and_task(worker_id, order.task)
+        found = fleet.find_worker_and_task(
+            worker_id, order.task, order.run)
         if found is None:
             return
         worker, task = found
         worker.mark_start_sent((order.task, order.run))
         worker.unanswered_starts = 0
-        task.start_confirmed = True
+        task.original().start_confirmed = True
         if fleet.is_current(worker, task, order.run):
             task.confirmed_at = now
             if task.phase == progress.STARTING:
@@ -108,7 +111,8 @@
     events.emit(events.RUN_REJECTED, task=str(order.task),
                 run=order.run, worker=worker_id, reason=reason)
     with fleet.lock:
-        found = fleet.find_worker_and_task(worker_id, order.task)
+        found = fleet.find_worker_and_task(
+            worker_id, order.task, order.run)
         if found is None:
             return
         worker, task = found
@@ -120,8 +124,9 @@
         elif reason == interfaces.UNHEALTHY:
             worker.avoid_until = now + UNHEALTHY_PAUSE_S
         elif reason == interfaces.STALE_RUN:
-            task.last_run = max(task.last_run,
-                                order.run) + progress.RUNS_PER_TERM
+            original = task.original()
+            original.last_run = max(original.last_run,
+                                    order.run) + progress.RUNS_PER_TERM
         else:
             task.not_before = now + UNHEALTHY_PAUSE_S
         if fleet.is_current(worker, task, order.run):
@@ -138,7 +143,8 @@
     attempt was refused for lack of a listener, the run cannot have begun.
     """
     with fleet.lock:
-        found = fleet.find_worker_and_task(worker_id, order.task)
+        found = fleet.find_worker_and_task(
+            worker_id, order.task, order.run)
         if found is None:
             return
         worker, task = found
@@ -165,6 +171,7 @@
                    order: messages.StopOrder, now: float) -> None:
     """Record that a worker accepted a stop: the run cannot begin any more."""
     with fleet.lock:
-        found = fleet.find_worker_and_task(worker_id, order.task)
+        found = fleet.find_worker_and_task(
+            worker_id, order.task, order.run)
         if found is not None and fleet.is_current(*found, order.run):
             found[1].confirmed_at = now
--- a/sycamorefield/fleet/crashes.py
+++ b/sycamorefield/fleet/crashes.py
@@ -169,7 +169,7 @@
             # An unacknowledged start may have been executed at that moment.
             age_s = max(0.0, ended_at -
                         task.started_at) if task.started_at else 0.0
-            found.append(ExposedRun(task, run, age_s))
+            found.append(ExposedRun(task.original(), run, age_s))
     if worker.has_reported:
         return found
     # A previous owner quarantined these tasks on the worker and may have
--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -13,6 +13,7 @@
 from sycamorefield import events
 from sycamorefield.fleet import answers
 from sycamorefield.fleet import clock
+from sycamorefield.fleet import copies
 from sycamorefield.fleet import crashes
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import loopthread
@@ -180,7 +181,8 @@
         if self.ends.store(ends):
             self._wake(self.recorded)
 
-    def _lease_end_ms(self) -> float | None:
+    def _lease_end_ms(self, longest_ms: float = workerstate.LEASE_MS
+                      ) -> float | None:
         """Return the end of a lease granted now, or None to grant none.
 
         An unresponsive worker is queried without a lease: a call without a
@@ -199,7 +201,7 @@
             if worker is None or worker.unresponsive:
                 return None
             return worker.grant_lease(
-                min(workerstate.LEASE_MS, self.fleet.hold_max_ms), now)
+                min(longest_ms, self.fleet.hold_max_ms), now)
 
     def _report_wait_ms(self) -> int:
         with self.fleet.lock:
@@ -389,7 +391,8 @@
             if attempt and not answers.may_start_here(
                     self.fleet, self.worker_id):
                 break
-            lease_end_ms = self._lease_end_ms()
+            lease_end_ms = self._lease_end_ms(
+                copies.start_lease_ms(self.fleet, order.task))
             if lease_end_ms is None and attempt == 0:
                 answers.record_rejected(self.fleet, self.worker_id, order,
                                         NO_LEASE, clock.now())
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -210,6 +210,10 @@
             "runs_ordered_total": float(self.fleet.run_log.ordered_total),
             "runs_ended_total": float(self.fleet.run_log.ended_total),
             "runs_in_doubt": float(self.doubtful_runs.count),
+            "copies_running": float(self.fleet.copies.running_count),
+            "copies_started_total": float(self.fleet.copies.started_total),
+            "copies_won_total": float(self.fleet.copies.won_total),
+            "copies_wasted_cpu_s_total": self.fleet.copies.wasted_cpu_s,
             "round_age_s": now - self.round_ended_at}
         if self.usage is not None:
             usage_gauges = dataclasses.asdict(self.usage)
--- a/sycamorefield/fleet/policy.py
+++ b/sycamorefield/fleet/policy.py
@@ -42,5 +42,7 @@
     # link.py: calls for the first report of a worker that a successor waits
     # for are repeated early.
     repeat_first_calls: bool = True
+    # copies.py: runs of speculative tasks that may last long get a copy.
+    speculative_copies: bool = True
     # handover.py: an owner that does not reach enough workers is replaced.
     hand_over: bool = True
--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -31,7 +31,8 @@
                  "started_at", "percent", "confirmed_at", "pace_percent",
                  "slowed_at", "stop_sent_at", "stuck", "has_run",
                  "start_confirmed", "job", "projected_run_s",
-                 "previous_run_s", "suspicion")
+                 "previous_run_s", "suspicion", "copy",
+                 "copy_not_before")
 
     def __init__(self, task: messages.TaskId, step: messages.Step,
                  job: "JobState | None" = None) -> None:
@@ -67,6 +68,18 @@
         self.previous_run_s = 0.0
         # Crashes of workers that may have been caused by the task, if any.
         self.suspicion: suspicion.Suspicion | None = None
+        # The second run of a speculative task, if any, and when the next one
+        # may be ordered.
+        self.copy: Copy | None = None
+        self.copy_not_before = 0.0
+
+    def original(self) -> "TaskState":
+        """Return the state of the task itself."""
+        return self
+
+    def runs(self) -> "tuple[TaskState, ...]":
+        """Return the states of the current run and of its copy, if any."""
+        return (self,) if self.copy is None else (self, self.copy)
 
     def needs_quarantine_run(self) -> bool:
         """Return whether the next run must be a quarantine run."""
@@ -80,7 +93,10 @@
             self.projected_run_s = (now - self.started_at) * 100.0 / percent
 
     def reset_run(self) -> None:
-        """Forget the current run, so that the task may be started again."""
+        """Forget the current run, so that the task may be started again.
+
+        If the task has a copy, that becomes its current run.
+        """
         self.phase = IDLE
         self.run = 0
         self.worker_id = ""
@@ -91,6 +107,8 @@
         self.projected_run_s = 0.0
         if self.job is not None:
             self.job.skip_rounds = False
+        if self.copy is not None:
+            self.copy.replace_current_run()
 
     def mark_done(self) -> None:
         """Record that a run of the task has succeeded."""
@@ -102,6 +120,53 @@
             self.job.skip_rounds = False
 
 
+# What a task takes over from its copy when that becomes its current run.
+RUN_FIELDS = ("phase", "run", "worker_id", "started_at", "percent",
+              "confirmed_at", "pace_percent", "slowed_at", "stuck",
+              "projected_run_s")
+
+
+class Copy(TaskState):
+    """State of the second run of a task.
+
+    worker_tasks are the runs of its worker.  There it stands for the task, so
+    that code that looks at the runs of a worker treats it as any other run.
+    """
+
+    __slots__ = ("task_state", "worker_tasks")
+
+    def __init__(self, task: TaskState, worker_tasks: dict[
+            tuple[messages.TaskId, int], TaskState]) -> None:
+        super().__init__(task.task, task.step, task.job)
+        self.task_state = task
+        self.worker_tasks = worker_tasks
+        self.saved = task.saved
+        self.avoided_workers = task.avoided_workers
+
+    def original(self) -> TaskState:
+        """Return the state of the task itself."""
+        return self.task_state
+
+    def is_attached(self) -> bool:
+        """Return whether this is a copy of its task's current run."""
+        return self.task_state.copy is self
+
+    def reset_run(self) -> None:
+        """Forget this run; the current run of the task goes on."""
+        super().reset_run()
+        if self.is_attached():
+            self.task_state.copy = None
+
+    def replace_current_run(self) -> None:
+        """Become the current run of the task, whose former one has ended."""
+        task = self.task_state
+        task.copy = None
+        for name in RUN_FIELDS:
+            setattr(task, name, getattr(self, name))
+        task.saved = self.saved or task.saved
+        self.worker_tasks[self.task, self.run] = task
+
+
 class JobState:
     """State of a job: its tasks, and which of its state is stored.
 
--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -1,6 +1,7 @@
 """Apply workers' reports of running and ended tasks to the fleet state."""
 
 from sycamorefield import events
+from sycamorefield.fleet import copies
 from sycamorefield.fleet import demand
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import pacer
@@ -85,21 +86,23 @@
     if found is None:
         return
     job, task = found
-    current = fleet.is_current(worker, task, ended.run)
-    started_at = task.started_at if current else 0.0
+    run_state = fleet.run_state(worker, task, ended.run)
+    current = fleet.is_current(worker, run_state, ended.run)
+    started_at = run_state.started_at if current else 0.0
     worker.release((ended.task, ended.run), task.step)
     task.last_run = max(task.last_run, ended.run)
     task.start_confirmed = True
     if current:
-        task.reset_run()
+        run_state.reset_run()
     if task.done or job.final():
         return
     job.mark_has_run(task)
     if ended.how == messages.DONE:
+        fleet.copies.record_done(task, ended.run, now)
         _record_success(fleet, job, task, worker, started_at, now)
     elif ended.how == messages.FAILED:
         _record_failure(fleet, job, task, worker, ended.run, now)
-    elif ended.saved:
+    elif ended.saved and run_state is task:
         task.saved = ended.saved
         job.dirty = True
     fleet.update_job_state(job)
@@ -119,9 +122,8 @@
     members = job.tasks[step_index] if task.step.gang else [task]
     for member in members:
         member.mark_done()
-        if member is task and member.phase in (progress.STARTING,
-                                               progress.RUNNING):
-            fleet.stop_run(member, "done elsewhere")
+        if member is task:
+            fleet.stop_runs(member, "done elsewhere")
     job.dirty = True
 
 
@@ -150,27 +152,37 @@
     task.last_run = max(task.last_run, row.run)
     task.start_confirmed = True
     worker.reserve((row.task, row.run), task.step, task)
-    if fleet.is_current(worker, task, row.run):
-        if row.percent != task.percent:
-            task.update_progress(row.percent, now)
-        if row.saved:
-            task.saved = row.saved
-        if not task.stuck and stragglers.is_stuck(task, now):
-            task.stuck = True
-            _mark_stuck(fleet, worker, task, now)
-        if task.phase == progress.STARTING:
-            # The response to the start order comes later or was lost.
-            task.phase = progress.RUNNING
-            task.confirmed_at = task.started_at = now
+    run_state = fleet.run_state(worker, task, row.run)
+    if fleet.is_current(worker, run_state, row.run):
+        _update_run(fleet, worker, run_state, row, now)
         return
     if job.final() or task.done:
         _stop_unexpected(fleet, worker, row, "already ended", now, task)
     elif task.phase == progress.IDLE:
         _adopt(worker, job, task, row, now)
+        fleet.copies.watch(task, now)
+    elif copies.may_adopt(fleet, worker, task, row.run):
+        copies.adopt(fleet, worker, task, row, now)
     else:
         _stop_unexpected(fleet, worker, row, "runs elsewhere", now, task)
 
 
+def _update_run(fleet: state_mod.FleetState,
+                worker: workerstate.WorkerState, task: progress.TaskState,
+                row: messages.RunningTask, now: float) -> None:
+    if row.percent != task.percent:
+        task.update_progress(row.percent, now)
+    if row.saved:
+        task.saved = row.saved
+    if not task.stuck and stragglers.is_stuck(task, now):
+        task.stuck = True
+        _mark_stuck(fleet, worker, task, now)
+    if task.phase == progress.STARTING:
+        # The response to the start order comes later or was lost.
+        task.phase = progress.RUNNING
+        task.confirmed_at = task.started_at = now
+
+
 def _mark_stuck(fleet: state_mod.FleetState, worker: workerstate.WorkerState,
                 task: progress.TaskState, now: float) -> None:
     """Avoid a worker for a stuck task, and for all if several are stuck."""
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -1,8 +1,10 @@
 """Run scheduling rounds: match waiting tasks to workers."""
 
 import dataclasses
+import typing
 
 from sycamorefield import events
+from sycamorefield.fleet import copies
 from sycamorefield.fleet import freeing
 from sycamorefield.fleet import gangs
 from sycamorefield.fleet import headroom
@@ -83,6 +85,8 @@
         self.excluded: list[workerstate.WorkerState] = []
         # Ranked workers for the tasks of the step being placed.
         self.ranking: placing.Ranking | None = None
+        # What tasks request that this round leaves waiting.
+        self.waiting = copies.Waiting()
 
     def place_step(self, state: progress.JobState, occurrence: int,
                    number: int) -> bool:
@@ -108,6 +112,10 @@
             self._place_tasks(state, tasks, startable, eligible)
         if eligible.tickets is not None:
             self._request_advice(state, startable, eligible)
+        if self.fleet.copies.watched and any(
+                t.phase == progress.IDLE for t in reversed(startable)):
+            self.waiting.add(step, eligible.service,
+                             ordering.priority(state, self.queues))
         return True
 
     def _request_advice(self, state: progress.JobState,
@@ -481,6 +489,46 @@
                     self._exclude_worker(target, self.usable_workers)
                     return
 
+    def start_copies(self) -> None:
+        """Start copies of runs on capacity that no waiting task needs.
+
+        None are started while previous runs may be unknown: their tasks are
+        held back without being placed, and might need the capacity.
+        """
+        known_copies = self.fleet.copies
+        if not known_copies.watched and not known_copies.known:
+            return
+        known_copies.update(self.now)
+        copies.make_room(self.fleet, self.waiting)
+        if self.fleet.awaited_workers:
+            return
+        tasks = sorted(copies.due(self.fleet, self.now),
+                       key=lambda item: self._task_priority(item[0]))
+        if not tasks:
+            return
+        budget_cpu = copies.budget_cpu(self.fleet.workers.values())
+        used_cpu = sum(copy.step.room.cpu for copy in known_copies.attached())
+        for task, reason in tasks[:copies.MAX_SEARCHES]:
+            task.copy_not_before = self.now + copies.SEARCH_GAP_S
+            if used_cpu + task.step.room.cpu > budget_cpu:
+                known_copies.note_exhausted_budget(used_cpu, self.now)
+            elif self._start_copy(task, reason):
+                used_cpu += task.step.room.cpu
+
+    def _start_copy(self, task: progress.TaskState, reason: str) -> bool:
+        """Start a copy of a task; return whether a worker was found."""
+        state = self.fleet.jobs[task.task.job_id]
+        eligible = self._eligible_workers(state, task)
+        worker = copies.choose_worker(
+            task, eligible.service, eligible.workers, self.waiting,
+            ordering.priority(state, self.queues),
+            self.fleet.interference_model)
+        if worker is None:
+            return False
+        copies.start(self.fleet, task, worker, eligible.ticket(worker),
+                     reason, self.now)
+        return True
+
     def _find_move_target(self, worker: workerstate.WorkerState,
                           task: progress.TaskState
                           ) -> workerstate.WorkerState | None:
@@ -518,7 +566,10 @@
         """
         if self.freeing.claim(task, eligible.service, eligible.workers):
             return True
-        chosen = self._choose_victims(state, task, eligible)
+        chosen: typing.Sequence[progress.TaskState] = (
+            copies.choose_victims(self.fleet.copies, task, eligible.service,
+                                  eligible.workers)
+            or self._choose_victims(state, task, eligible))
         for victim in chosen:
             self.fleet.stop_run(victim, f"room for {task.task}")
         if chosen:
@@ -579,6 +630,7 @@
             _place_job(round_, state, wall_ms)
         if fleet.policy.move_stalled_runs:
             round_.move_one_stalled_run()
+        round_.start_copies()
         round_.finish()
 
 
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -14,6 +14,7 @@
 from sycamorefield import events
 from sycamorefield.fleet import advice
 from sycamorefield.fleet import clock
+from sycamorefield.fleet import copies
 from sycamorefield.fleet import demand
 from sycamorefield.fleet import endedlives
 from sycamorefield.fleet import failures
@@ -82,6 +83,7 @@
             policy.learn_weights, policy.limit_tails, policy.follow_slopes)
         self.demand = demand.DemandEstimator()
         self.run_times = runtimes.RunTimeModel()
+        self.copies = copies.Copies(policy.speculative_copies)
         self.pacer = pacer.Pacer(
             self.interference_model, send, policy.pace_filling)
         self.run_log = runlog.RunLog()
@@ -152,8 +154,13 @@
         self.advice.forget_job(state.job.job_id)
         self.commit_requested = True
         for task in state.all_tasks():
-            if task.phase in (progress.STARTING, progress.RUNNING):
-                self.stop_run(task, "job " + state.state)
+            self.stop_runs(task, "job " + state.state)
+
+    def stop_runs(self, task: progress.TaskState, reason: str) -> None:
+        """Order the current run of a task and its copy to stop."""
+        for run in task.runs():
+            if run.phase in (progress.STARTING, progress.RUNNING):
+                self.stop_run(run, reason)
 
     def stop_run(self, task: progress.TaskState, reason: str) -> None:
         """Order the current run of a task to stop.
@@ -421,15 +428,18 @@
             return None
         return job, state
 
-    def find_worker_and_task(self, worker_id: str, task: messages.TaskId
-                             ) -> tuple[workerstate.WorkerState,
-                                        progress.TaskState] | None:
-        """Return the worker and the task of an order, or None if unknown."""
+    def find_worker_and_task(self, worker_id: str, task: messages.TaskId,
+                             run: int) -> tuple[workerstate.WorkerState,
+                                                progress.TaskState] | None:
+        """Return the worker and the task of an order, or None if unknown.
+
+        If the order is for the task's copy, the state of that is returned.
+        """
         worker = self.workers.get(worker_id)
         found = self.find(task)
         if worker is None or found is None:
             return None
-        return worker, found[1]
+        return worker, self.run_state(worker, found[1], run)
 
     @staticmethod
     def is_current(worker: workerstate.WorkerState,
@@ -438,6 +448,15 @@
         return (task.phase != progress.IDLE and task.run == run
                 and task.worker_id == worker.entry.worker_id)
 
+    @classmethod
+    def run_state(cls, worker: workerstate.WorkerState,
+                  task: progress.TaskState, run: int) -> progress.TaskState:
+        """Return the state of the task's copy if that is the run."""
+        copy = task.copy
+        if copy is not None and cls.is_current(worker, copy, run):
+            return copy
+        return task
+
     # Starting runs
 
     def start(self, state: progress.JobState, task: progress.TaskState,
@@ -456,6 +475,13 @@
             events.emit(events.INVARIANT_BROKEN, task=str(task.task),
                         rule="no start of tasks a successor may have started")
             return
+        self.order_start(state, task, worker, run, ticket)
+        self.copies.watch(task, clock.now())
+
+    def order_start(self, state: progress.JobState, task: progress.TaskState,
+                    worker: workerstate.WorkerState, run: int,
+                    ticket: str) -> None:
+        """Send the order to start a run, and reserve its resources."""
         task.phase = progress.STARTING
         task.run = task.last_run = run
         state.mark_has_run(task)
