Let the fleet's state machine test start copies

A second machine submits speculative jobs and lets their runs be slow or their workers silent. Two runs of a task at once are allowed only for speculative steps, and only if an owner ordered one of them as a copy; a start after the stored end only if it was ordered before and within the short lease.

--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -75,12 +75,12 @@
     (messages.Step(2, messages.Resources(2000, 10), gang=True),),
     (messages.Step(2, messages.Resources(2000, 10), perpetual=True),),
     (messages.Step(2, messages.Resources(1000, 10), checkpoint=True),),
-    (messages.Step(2, messages.Resources(400, 10), speculative=True,
-                   estimate_ms=300),
-     messages.Step(1, messages.Resources(400, 10), after=(0,),
-                   speculative=True, estimate_ms=300)),
 )
-SPECULATIVE_STEPS = STEPS[5]
+SPECULATIVE_STEPS = (
+    messages.Step(2, messages.Resources(400, 10), speculative=True,
+                  estimate_ms=300),
+    messages.Step(1, messages.Resources(400, 10), after=(0,),
+                  speculative=True, estimate_ms=300))
 
 
 @dataclasses.dataclass
@@ -830,28 +830,6 @@
     def _is_long_running(self, task: messages.TaskId) -> bool:
         return self._job(task).steps[task.step].perpetual
 
-    @stateful.precondition(lambda self: self.has_owner and not self.store_down)
-    @stateful.rule(data=strategies.data(), is_silent=strategies.booleans(),
-                   ends=strategies.booleans())
-    def copies_are_ordered(self, data: strategies.DataObject, is_silent: bool,
-                           ends: bool) -> None:
-        """Order copies of runs that are slow or whose worker is silent."""
-        self._submit(fleetfakes.job(
-            f"j{len(self.jobs)}", *SPECULATIVE_STEPS, max_attempts=3))
-        self.deliver_everything()
-        if not self.has_owner:
-            return
-        self.pass_time(0.5)
-        for worker in self._alive() if self.has_owner else ():
-            self._report(worker, True)
-        if is_silent and self.has_owner:
-            self._report(data.draw(strategies.sampled_from(self._alive())),
-                         False)
-        if self.has_owner:
-            self._place()
-        if ends:
-            self.run_ends(data, "done")
-
     @stateful.rule(data=strategies.data(),
                    how=strategies.sampled_from(["done", "done", "failed"]))
     def run_ends(self, data: strategies.DataObject, how: str) -> None:
@@ -1030,8 +1008,42 @@
                 room.cpu for room in worker.reserved.values())
 
 
-FleetMachine.TestCase.settings = hypothesis.settings(
+class CopiesMachine(FleetMachine):
+    """Run speculative tasks as well, of which runs get copies."""
+
+    @stateful.precondition(lambda self: not self.store_down)
+    @stateful.rule()
+    def submit_speculative_job(self) -> None:
+        self._submit(fleetfakes.job(
+            f"j{len(self.jobs)}", *SPECULATIVE_STEPS, max_attempts=3))
+
+    @stateful.precondition(lambda self: self.has_owner and not self.store_down)
+    @stateful.rule(data=strategies.data(), is_silent=strategies.booleans(),
+                   ends=strategies.booleans())
+    def copies_are_ordered(self, data: strategies.DataObject, is_silent: bool,
+                           ends: bool) -> None:
+        """Order copies of runs that are slow or whose worker is silent."""
+        self.submit_speculative_job()
+        self.deliver_everything()
+        if not self.has_owner:
+            return
+        self.pass_time(0.5)
+        for worker in self._alive() if self.has_owner else ():
+            self._report(worker, True)
+        if is_silent and self.has_owner:
+            self._report(data.draw(strategies.sampled_from(self._alive())),
+                         False)
+        if self.has_owner:
+            self._place()
+        if ends:
+            self.run_ends(data, "done")
+
+
+SETTINGS = hypothesis.settings(
     max_examples=250, stateful_step_count=60, deadline=None,
     derandomize=True,
     suppress_health_check=list(hypothesis.HealthCheck))
+FleetMachine.TestCase.settings = SETTINGS
 TestFleetMachine = FleetMachine.TestCase
+CopiesMachine.TestCase.settings = SETTINGS
+TestCopiesMachine = CopiesMachine.TestCase
