Read the longest lease when a lease is granted

A default of a parameter had fixed it when the module was imported, so the tests that shorten leases waited for longer ones and failed (test_ends_on_a_restarted_worker_are_recorded, restart_after_silence). The machine's copies may also start late now, after the stored end of the first run.

--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -7,6 +7,7 @@
 import asyncio
 import heapq
 import itertools
+import math
 import threading
 import typing
 
@@ -181,8 +182,7 @@
         if self.ends.store(ends):
             self._wake(self.recorded)
 
-    def _lease_end_ms(self, longest_ms: float = workerstate.LEASE_MS
-                      ) -> float | None:
+    def _lease_end_ms(self, longest_ms: float = math.inf) -> float | None:
         """Return the end of a lease granted now, or None to grant none.
 
         An unresponsive worker is queried without a lease: a call without a
@@ -201,7 +201,8 @@
             if worker is None or worker.unresponsive:
                 return None
             return worker.grant_lease(
-                min(longest_ms, self.fleet.hold_max_ms), now)
+                min(longest_ms, workerstate.LEASE_MS,
+                    self.fleet.hold_max_ms), now)
 
     def _report_wait_ms(self) -> int:
         with self.fleet.lock:
--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -1038,6 +1038,26 @@
         if ends:
             self.run_ends(data, "done")
 
+    @stateful.precondition(lambda self: self.has_owner and not self.store_down)
+    @stateful.rule(data=strategies.data(),
+                   seconds=strategies.sampled_from([0.1, 1.0, 2.0]),
+                   is_cancelled=strategies.booleans())
+    def copies_start_late(self, data: strategies.DataObject, seconds: float,
+                          is_cancelled: bool) -> None:
+        """Let starts of copies arrive after the first run is done."""
+        self.copies_are_ordered(data, False, False)
+        for _ in range(len(self.orders_in_flight)):
+            self.order_arrives("late")
+        self.run_ends(data, "done")
+        if is_cancelled:
+            self.cancel(data, True)
+        if not self.has_owner:
+            return
+        self.report_store_and_place()
+        self.pass_time(seconds)
+        while self.delayed_orders:
+            self.late_order_arrives(data)
+
 
 SETTINGS = hypothesis.settings(
     max_examples=250, stateful_step_count=60, deadline=None,
