--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -162,6 +162,11 @@
     "SF1863", INFO, "overload of the fleet began or ended")
 BACKLOG_UNUSABLE = Event(
     "SF1864", WARNING, "backlog cannot be used; no job is rejected by it")
+COPIES_STARTED = Event("SF1852", INFO, "copies of runs were ordered")
+COPIES_ENDED = Event(
+    "SF1853", INFO, "copies of runs, or the runs they copied, have ended")
+COPY_BUDGET_EXHAUSTED = Event(
+    "SF1854", INFO, "copies already use as much CPU as they may")
 
 INVARIANT_BROKEN = Event("SF1601", ERROR, "invariant broken")
 
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -222,6 +222,10 @@
             "learned_state_bytes": float(self.fleet.learned.stored_bytes),
             "queues_with_bad_estimates": float(
                 self.fleet.run_times.distrusted_queues),
+            "copies_running": float(self.fleet.copies.running_count),
+            "copies_started_total": float(self.fleet.copies.started_total),
+            "copies_won_total": float(self.fleet.copies.won_total),
+            "copies_wasted_cpu_s_total": self.fleet.copies.wasted_cpu_s,
             "round_age_s": now - self.round_ended_at}
         if self.fleet.policy.reject_hopeless_jobs:
             gauges.update(self.backlog_meter.gauges())
