Preempt by the work lost, and hold what is freed

Cause: runs to stop were chosen by their number, so a run that saves no checkpoints lost all its work where others lose only the time to resume. What they freed was held within a round only: narrower tasks used it before a wide task fitted.

Change: where settings state checkpoint_interval_s and restore_ms, the runs that lose the least are stopped, weighted by how soon they end anyway. Long- running tasks are added within may_miss and beyond a majority, for a more urgent queue or at the last chance of an urgent job. What a waiting task requests is held on the worker for up to 2 s beyond stop_ms. After a hold has run out, nothing is preempted there until the runs have stopped.

Ruled out: reserving whole workers, which leaves the rest of a worker unused for a narrow task.

--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -142,6 +142,10 @@
     "SF1847", INFO, "offered to take over from an owner")
 RUNS_IN_DOUBT = Event(
     "SF1845", WARNING, "runs count as current without confirmation")
+RUNS_PREEMPTED = Event(
+    "SF1856", INFO, "runs stopped by the work lost for waiting tasks")
+RECENT_PEAK = Event(
+    "SF1857", INFO, "headroom follows the recent peak of finite tasks")
 
 INVARIANT_BROKEN = Event("SF1601", ERROR, "invariant broken")
 
--- a/sycamorefield/fleet/freeing.py
+++ b/sycamorefield/fleet/freeing.py
@@ -51,6 +51,20 @@
         self.by_worker()[worker.entry.worker_id] = _freeing_on(
             worker).minus(task.step.reserved())
 
+    def add(self, worker: workerstate.WorkerState,
+            resources: messages.Resources) -> None:
+        """Add what runs that have just been ordered to stop are freeing."""
+        freeing = self.by_worker()
+        worker_id = worker.entry.worker_id
+        freeing[worker_id] = freeing.get(
+            worker_id, messages.Resources()).plus(resources)
+
+    def on_worker(self, worker: workerstate.WorkerState
+                  ) -> messages.Resources:
+        """Return what is being freed on a worker and not claimed."""
+        return self.by_worker().get(worker.entry.worker_id,
+                                    messages.Resources())
+
     def record_start(self, worker: workerstate.WorkerState) -> None:
         """Record a start; tasks may wait for it if no more are accepted."""
         if self.freeing is not None and not worker.accepts_starts():
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -20,6 +20,7 @@
 from sycamorefield.fleet import rounds
 from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import usage as usage_mod
+from sycamorefield.fleet import victims
 from sycamorefield.fleet import waitinglog
 from sycamorefield.fleet import workerlinks as workerlinks_mod
 
@@ -63,11 +64,13 @@
                  configuration: typing.Callable[[], messages.Configuration],
                  fence: int, hold_max_ms: float,
                  advice: interfaces.AdviceService | None = None,
-                 policy: policy_mod.Policy = policy_mod.Policy()) -> None:
+                 policy: policy_mod.Policy = policy_mod.Policy(),
+                 stop_costs: victims.StopCosts | None = None) -> None:
         self.worker_list = worker_list
         self.fence = fence
         self.fleet = state_mod.FleetState(
-            fence, hold_max_ms, self._send_order, configuration, policy)
+            fence, hold_max_ms, self._send_order, configuration, policy,
+            stop_costs)
         self.fleet.advice.service = advice
         self.stepped_down = threading.Event()
         # Whether the term was ended by an unexpected error.
@@ -210,7 +213,9 @@
             "runs_ordered_total": float(self.fleet.run_log.ordered_total),
             "runs_ended_total": float(self.fleet.run_log.ended_total),
             "runs_in_doubt": float(self.doubtful_runs.count),
-            "round_age_s": now - self.round_ended_at}
+            "round_age_s": now - self.round_ended_at,
+            "workers_reserved": float(self.fleet.held_workers.count()),
+            **self.fleet.preemptions.gauges()}
         if self.usage is not None:
             usage_gauges = dataclasses.asdict(self.usage)
             for priority, count in usage_gauges.pop("waiting").items():
--- a/sycamorefield/fleet/policy.py
+++ b/sycamorefield/fleet/policy.py
@@ -44,3 +44,6 @@
     repeat_first_calls: bool = True
     # handover.py: an owner that does not reach enough workers is replaced.
     hand_over: bool = True
+    # victims.py: runs are preempted by the work lost, and what they free is
+    # held for the waiting task.
+    preempt_by_lost_work: bool = True
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -6,6 +6,7 @@
 from sycamorefield.fleet import freeing
 from sycamorefield.fleet import gangs
 from sycamorefield.fleet import headroom
+from sycamorefield.fleet import heldworkers
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import ordering
 from sycamorefield.fleet import pacer
@@ -15,6 +16,7 @@
 from sycamorefield.fleet import quarantines
 from sycamorefield.fleet import reservations
 from sycamorefield.fleet import state as state_mod
+from sycamorefield.fleet import victims
 from sycamorefield.fleet import workerstate
 
 # A best-effort run throttled to pacer.STALLED_PACE_PERCENT for this long is
@@ -55,7 +57,7 @@
     def __init__(self, fleet: state_mod.FleetState,
                  queues: dict[str, messages.Queue],
                  usable_workers: list[workerstate.WorkerState],
-                 now: float) -> None:
+                 now: float, wall_ms: float) -> None:
         self.fleet = fleet
         self.queues = queues
         self.usable_workers = usable_workers
@@ -78,7 +80,14 @@
             for required in headroom.RequiredHeadroom}
         # By service and by the priority of the long-running job.
         self.headrooms: dict[tuple[str, int], headroom.Headroom] = {}
-        self.freeing = freeing.FreeingCapacity(usable_workers)
+        self.freeing = freeing.FreeingCapacity(
+            fleet.held_workers.without_paused(usable_workers))
+        # None if runs to preempt are not chosen by the work lost.
+        self.victim_finder = (
+            victims.VictimFinder(fleet, fleet.stop_costs, queues,
+                                 self.freeing, now, wall_ms)
+            if self.policy.preempt_by_lost_work
+            and fleet.stop_costs is not None else None)
         # Workers on which this round must not start any other task.
         self.excluded: list[workerstate.WorkerState] = []
         # Ranked workers for the tasks of the step being placed.
@@ -171,6 +180,9 @@
         exhausted: set[headroom.RequiredHeadroom] = set()
         self.ranking = None
         for task in startable:
+            if self._start_where_held(state, task, eligible):
+                placed_count += 1
+                continue
             required = headroom.required_headroom(
                 task, placed_count, self.policy.spread_lasting_jobs)
             if (keeps_headroom
@@ -187,6 +199,22 @@
                 # The other tasks request as much in the same scope.
                 break
 
+    def _start_where_held(self, state: progress.JobState,
+                          task: progress.TaskState,
+                          eligible: EligibleWorkers) -> bool:
+        """Start a task where resources are held for it, if it fits by now."""
+        hold = self.fleet.held_workers.find(task)
+        if hold is None or hold.worker not in eligible.workers:
+            return False
+        worker = hold.worker
+        request = task.step.reserved()
+        if (not worker.accepts_starts()
+                or not worker.free_capacity().plus(request).holds(request)
+                or not placing.allowed(worker, eligible.service, task)):
+            return False
+        self._start(state, task, worker, eligible)
+        return True
+
     def _place_task(self, state: progress.JobState,
                     task: progress.TaskState,
                     eligible: EligibleWorkers) -> bool:
@@ -326,6 +354,7 @@
     def _start(self, state: progress.JobState, task: progress.TaskState,
                worker: workerstate.WorkerState,
                eligible: EligibleWorkers) -> None:
+        self.fleet.held_workers.drop(task)
         self.fleet.start(state, task, worker, state.next_run_number(task),
                          eligible.ticket(worker))
         for headroom_ in self.headrooms.values():
@@ -337,13 +366,14 @@
                           scope: placement_cache.SearchScope) -> bool:
         """Return whether capacity is being freed; preempt runs if needed."""
         request = task.step.room
-        if task.step.fills or self.no_capacity_expected.covers(scope, request):
+        if task.step.fills:
             # Best-effort tasks wait for CPU that other tasks leave unused.
             return False
-        if self._preempt_for(state, task, eligible):
-            return True
-        self.no_capacity_expected.add(scope, request)
-        return False
+        if not self.no_capacity_expected.covers(scope, request):
+            if self._preempt_for(state, task, eligible):
+                return True
+            self.no_capacity_expected.add(scope, request)
+        return self._preempt_long_running_for(state, task, eligible)
 
     def _reserve_worker(self, task: progress.TaskState,
                         eligible: EligibleWorkers,
@@ -516,8 +546,15 @@
 
         Return whether the task can expect capacity.
         """
+        if self.fleet.held_workers.find(task) is not None:
+            return True
+        if self._take_over_hold(state, task, eligible):
+            return True
         if self.freeing.claim(task, eligible.service, eligible.workers):
             return True
+        if self.victim_finder is not None:
+            return self._preempt_by_lost_work(
+                self.victim_finder, state, task, eligible)
         chosen = self._choose_victims(state, task, eligible)
         for victim in chosen:
             self.fleet.stop_run(victim, f"room for {task.task}")
@@ -526,6 +563,83 @@
                 task, self.fleet.workers[chosen[0].worker_id])
         return bool(chosen)
 
+    def _preempt_by_lost_work(self, finder: victims.VictimFinder,
+                              state: progress.JobState,
+                              task: progress.TaskState,
+                              eligible: EligibleWorkers) -> bool:
+        """Preempt the finite runs that lose the least; return whether any."""
+        priority = ordering.priority(state, self.queues)
+        scope = dataclasses.replace(eligible.scope(task), priority=priority)
+        remember_searches = (eligible.tickets is None
+                             and not task.step.perpetual
+                             and self.policy.remember_shortage)
+        workers = eligible.workers
+        if remember_searches:
+            workers = self.fleet.preemption_misses.workers_to_search(
+                scope, task.step.room, workers)
+        waiting = victims.Waiting(
+            state, task, priority, eligible.service, workers)
+        choice = finder.choose(waiting)
+        if choice is None and remember_searches:
+            self.fleet.preemption_misses.add(scope, task.step.room)
+        return self._preempt_choice(finder, waiting, choice)
+
+    def _preempt_long_running_for(self, state: progress.JobState,
+                                  task: progress.TaskState,
+                                  eligible: EligibleWorkers) -> bool:
+        """Preempt long-running tasks that their users can miss."""
+        if self.victim_finder is None:
+            return False
+        waiting = victims.Waiting(
+            state, task, ordering.priority(state, self.queues),
+            eligible.service, eligible.workers)
+        return self._preempt_choice(
+            self.victim_finder, waiting,
+            self.victim_finder.choose_long_running(waiting))
+
+    def _preempt_choice(self, finder: victims.VictimFinder,
+                        waiting: victims.Waiting,
+                        choice: victims.Choice | None) -> bool:
+        """Stop chosen runs and hold what they free for the waiting task."""
+        if choice is None:
+            return False
+        worker = choice.worker
+        for victim in choice.victims:
+            self.fleet.stop_run(victim.task, f"room for {waiting.task.task}")
+            self.freeing.add(worker, victim.task.step.reserved())
+            self.fleet.preemptions.add(waiting.task, victim)
+        finder.record_stops(choice)
+        self._hold(waiting.job, waiting.task, worker, waiting.priority)
+        return True
+
+    def _hold(self, state: progress.JobState, task: progress.TaskState,
+              worker: workerstate.WorkerState, priority: int) -> None:
+        """Hold what a task requests on a worker until it starts there."""
+        stop_costs = self.fleet.stop_costs
+        stop_s = stop_costs.stop_s if stop_costs is not None else 0.0
+        self.fleet.held_workers.add(heldworkers.Hold(
+            worker, worker.born_ms, state, task, priority,
+            self.now + stop_s + heldworkers.HOLD_S))
+        self.ranking = None
+
+    def _take_over_hold(self, state: progress.JobState,
+                        task: progress.TaskState,
+                        eligible: EligibleWorkers) -> bool:
+        """Use what is held for a less urgent task, if it suffices."""
+        priority = ordering.priority(state, self.queues)
+        request = task.step.reserved()
+        for hold in list(self.fleet.held_workers.by_task.values()):
+            worker = hold.worker
+            if (hold.priority > priority and worker in eligible.workers
+                    and placing.allowed(worker, eligible.service, task)
+                    and worker.free_capacity().plus(
+                        self.freeing.on_worker(worker)).plus(
+                            hold.task.step.reserved()).holds(request)):
+                self.fleet.held_workers.drop(hold.task)
+                self._hold(state, task, worker, priority)
+                return True
+        return False
+
     def _choose_victims(self, state: progress.JobState,
                         task: progress.TaskState,
                         eligible: EligibleWorkers) -> list[progress.TaskState]:
@@ -570,7 +684,8 @@
              if not state.skip_rounds),
             queues, wall_ms, now, fleet.policy.rank_by_lateness)
         usable_workers = _usable_workers(fleet, configuration.evacuated, now)
-        round_ = Round(fleet, queues, usable_workers, now)
+        expired = fleet.held_workers.drop_finished(fleet.workers, now)
+        round_ = Round(fleet, queues, usable_workers, now, wall_ms)
         for state in ranked:
             if state.created_revision <= fleet.fence and fleet.awaited_workers:
                 continue
@@ -580,6 +695,7 @@
         if fleet.policy.move_stalled_runs:
             round_.move_one_stalled_run()
         round_.finish()
+        fleet.preemptions.log([str(hold.task.task) for hold in expired])
 
 
 def _usable_workers(fleet: state_mod.FleetState,
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -17,6 +17,7 @@
 from sycamorefield.fleet import demand
 from sycamorefield.fleet import endedlives
 from sycamorefield.fleet import failures
+from sycamorefield.fleet import heldworkers
 from sycamorefield.fleet import interference
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import pacer
@@ -27,6 +28,7 @@
 from sycamorefield.fleet import runlog
 from sycamorefield.fleet import runtimes
 from sycamorefield.fleet import suspicion
+from sycamorefield.fleet import victims
 from sycamorefield.fleet import workerstate
 
 Order = messages.StartOrder | messages.StopOrder | messages.PaceOrder
@@ -48,8 +50,11 @@
 
     def __init__(self, fence: int, hold_max_ms: float, send: SendOrder,
                  configuration: typing.Callable[[], messages.Configuration],
-                 policy: policy_mod.Policy = policy_mod.Policy()) -> None:
+                 policy: policy_mod.Policy = policy_mod.Policy(),
+                 stop_costs: victims.StopCosts | None = None) -> None:
         self.policy = policy
+        # None if settings don't state them.
+        self.stop_costs = stop_costs
         self.fence = fence
         self.hold_max_ms = hold_max_ms
         self.send = send
@@ -91,6 +96,8 @@
         # could be preempted.
         self.placement_misses = placement_cache.SearchCache()
         self.preemption_misses = placement_cache.SearchCache()
+        self.held_workers = heldworkers.HeldWorkers()
+        self.preemptions = victims.Preemptions()
         # The version of the configuration used in the last round.
         self.placed_config_version = 0
         self.round_needed = False
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -90,8 +90,12 @@
         self.acknowledged_at = 0.0
         self.reserved: dict[RunId, messages.Resources] = {}
         self.used = messages.Resources()
-        # The capacity and use for which the free capacity was computed.
-        self.free_capacity_key = (messages.Resources(), messages.Resources())
+        # What is kept for tasks for which runs here have been preempted.
+        self.held = messages.Resources()
+        # The capacity, the use and the held resources for which the free
+        # capacity was computed.
+        self.free_capacity_key = (messages.Resources(), messages.Resources(),
+                                  messages.Resources())
         self.cached_free_capacity = messages.Resources()
         self.tasks: dict[RunId, progress.TaskState] = {}
         # Runs whose start order is queued and has not been sent.
@@ -286,13 +290,17 @@
     def free_capacity(self) -> messages.Resources:
         """Return the capacity that no run reserves; stopping runs do.
 
+        Resources held for a waiting task are not free either.  They include
+        what stopping runs still reserve, so the result may be negative.
+
         Placement rounds ask for it tens of thousands of times a second, so it
         is recomputed only when capacity or use has changed.
         """
         capacity = self.entry.capacity
-        if self.free_capacity_key != (capacity, self.used):
-            self.free_capacity_key = (capacity, self.used)
-            self.cached_free_capacity = capacity.minus(self.used)
+        held = self.held
+        if self.free_capacity_key != (capacity, self.used, held):
+            self.free_capacity_key = (capacity, self.used, held)
+            self.cached_free_capacity = capacity.minus(self.used).minus(held)
         return self.cached_free_capacity
 
     def usable(self, now: float) -> bool:
--- a/sycamorefield/platform/bootsettings.py
+++ b/sycamorefield/platform/bootsettings.py
@@ -1,9 +1,12 @@
 """Read the settings file that the platform passes to a process."""
 
 import os
+import typing
 
 import pydantic
 
+from sycamorefield.fleet import victims
+
 ORDERS_BY_RPC = "rpc"
 PATH_VARIABLE = "SYCAMOREFIELD_BOOT"
 # deploy/system.toml sets this variable to the port of its `metrics` entry, at
@@ -35,15 +38,37 @@
     max_fds: int = 4096
 
 
+# Longer times are taken for a mistake of the unit.
+MAX_CHECKPOINT_INTERVAL_S = 3600.0
+MAX_STOP_OR_RESTORE_MS = 600_000.0
+_Millis = typing.Annotated[float | None, pydantic.Field(
+    strict=True, ge=0.0, le=MAX_STOP_OR_RESTORE_MS, allow_inf_nan=False)]
+_Interval = typing.Annotated[float | None, pydantic.Field(
+    strict=True, gt=0.0, le=MAX_CHECKPOINT_INTERVAL_S, allow_inf_nan=False)]
+
+
 class BoundsModel(pydantic.BaseModel):
     """Bounds that the platform imposes.
 
     Workers shorten leases to hold_max_ms; a process that has been told to
-    stop is killed after grace_s.
+    stop is killed after grace_s.  Runs that save checkpoints do so every
+    checkpoint_interval_s, take restore_ms to resume, and a stopped run takes
+    up to stop_ms to end.
     """
 
     hold_max_ms: int = 6000
     grace_s: float = 6.0
+    checkpoint_interval_s: _Interval = None
+    restore_ms: _Millis = None
+    stop_ms: _Millis = None
+
+    def stop_costs(self) -> victims.StopCosts | None:
+        """Return what stopping a run costs, or None if it is not stated."""
+        if self.checkpoint_interval_s is None or self.restore_ms is None:
+            return None
+        return victims.StopCosts(
+            self.checkpoint_interval_s, self.restore_ms / 1000.0,
+            (self.stop_ms or 0.0) / 1000.0)
 
 
 class BootSettings(pydantic.BaseModel):
--- a/sycamorefield/platform/daemon.py
+++ b/sycamorefield/platform/daemon.py
@@ -84,7 +84,8 @@
             self.store, workers_mod.PlatformWorkerList(self.store),
             lambda entry: workers_mod.PlatformWorker(entry, idle_clients),
             self.watcher.configuration, fence,
-            self.settings.bounds.hold_max_ms, self.advice, self.policy)
+            self.settings.bounds.hold_max_ms, self.advice, self.policy,
+            self.settings.bounds.stop_costs())
 
     def _ready(self) -> bool:
         """Return whether the load balancer may send new connections.
