Compare the victims of workers once for all tasks of a step

Cause: each waiting task compared up to 256 workers.

Change: the choices for a step are kept in a heap; the best is checked again for each task. Workers with the most free CPU are compared first. A worker is not held twice for a step whose tasks are spread over workers.

--- a/sycamorefield/fleet/heldworkers.py
+++ b/sycamorefield/fleet/heldworkers.py
@@ -62,6 +62,12 @@
         """Return the hold for a task, or None."""
         return self.by_task.get(task.task)
 
+    def holds_for_step(self, worker: workerstate.WorkerState,
+                       step_id: messages.StepId) -> bool:
+        """Return whether anything is held on a worker for tasks of a step."""
+        return any(hold.worker is worker and task.step_id() == step_id
+                   for task, hold in self.by_task.items())
+
     def add(self, hold: Hold) -> None:
         """Hold what a task requests."""
         self.drop(hold.task)
--- a/sycamorefield/fleet/victims.py
+++ b/sycamorefield/fleet/victims.py
@@ -7,6 +7,7 @@
 
 import collections
 import dataclasses
+import heapq
 import typing
 
 from sycamorefield import events
@@ -65,6 +66,8 @@
     priority: int
     lost_core_s: float
     cost: float
+    # Whether it ends as soon as if it were ordered to stop.
+    ends_as_soon: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -75,6 +78,14 @@
     victims: list[Candidate]
     cost: float
 
+    def order(self) -> tuple[float, int]:
+        """Return the sort key: the least is best."""
+        return self.cost, len(self.victims)
+
+
+# Sort key of the choice on a worker, position, worker.
+HeapEntry = tuple[tuple[float, int], int, workerstate.WorkerState]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Waiting:
@@ -182,6 +193,11 @@
         self.freeing = freeing
         self.now = now
         self.wall_ms = wall_ms
+        # The choices for the step that was last asked for.
+        self.step: messages.Step | None = None
+        self.job: progress.JobState | None = None
+        self.heap: list[HeapEntry] = []
+        self.uncompared: typing.Iterator[workerstate.WorkerState] = iter(())
         # The candidates of a worker, as of a change number.
         self.finite: dict[str, tuple[int, list[Candidate]]] = {}
         self.long_running: dict[str, list[Candidate]] | None = None
@@ -189,8 +205,48 @@
         self.allowances: dict[messages.StepId, int] = {}
 
     def choose(self, waiting: Waiting) -> Choice | None:
-        """Return the finite runs to stop that lose the least, or None."""
-        return self._choose(waiting, waiting.workers, self._finite_on)
+        """Return the finite runs to stop that lose the least, or None.
+
+        The workers are compared once for all tasks of a step.  Until the next
+        step, choices on them only become worse, so only the best one is
+        checked again for each task.
+        """
+        if self.step is not waiting.task.step or self.job is not waiting.job:
+            self.step, self.job = waiting.task.step, waiting.job
+            self.heap = []
+            self.uncompared = self._in_order(waiting.workers)
+        while self.heap or self._compare_more(waiting):
+            order, position, worker = self.heap[0]
+            choice = self._choose_on(worker, waiting, self._finite_on)
+            if choice is None:
+                heapq.heappop(self.heap)
+            elif choice.order() <= order:
+                return choice
+            else:
+                heapq.heapreplace(
+                    self.heap, (choice.order(), position, worker))
+        return None
+
+    def _in_order(self, workers: list[workerstate.WorkerState]
+                  ) -> typing.Iterator[workerstate.WorkerState]:
+        """Return the workers in the order in which they are compared.
+
+        Fewer runs must be stopped on workers with more free CPU.
+        """
+        if len(workers) > MAX_COMPARED_WORKERS:
+            workers = sorted(workers, key=lambda w: -w.free_capacity().cpu)
+        return iter(workers)
+
+    def _compare_more(self, waiting: Waiting) -> bool:
+        """Add the next workers on which victims suffice; False if none."""
+        for worker in self.uncompared:
+            choice = self._choose_on(worker, waiting, self._finite_on)
+            if choice is not None:
+                self.heap.append((choice.order(), len(self.heap), worker))
+                if len(self.heap) >= MAX_COMPARED_WORKERS:
+                    break
+        heapq.heapify(self.heap)
+        return bool(self.heap)
 
     def choose_long_running(self, waiting: Waiting) -> Choice | None:
         """Return runs to stop of which some are long-running, or None."""
@@ -227,41 +283,41 @@
                     [workerstate.WorkerState], list[Candidate]],
                 may_stop_equal: bool = False) -> Choice | None:
         best: Choice | None = None
-        compared = 0
-        request = waiting.task.step.reserved()
         for worker in workers:
-            if (self.fleet.held_workers.is_paused(worker)
-                    or not worker.entry.capacity.holds(request)):
-                continue
-            candidates = [
-                c for c in candidates_on(worker)
-                if c.priority > waiting.priority
-                or (may_stop_equal and c.task.step.perpetual)]
-            if not candidates or not placing.allowed(
-                    worker, waiting.service, waiting.task):
-                continue
-            chosen = self._choose_on(worker, request, candidates)
-            if chosen is None:
-                continue
-            if best is None or ((chosen.cost, len(chosen.victims))
-                                < (best.cost, len(best.victims))):
+            chosen = self._choose_on(worker, waiting, candidates_on,
+                                     may_stop_equal)
+            if chosen is not None and (
+                    best is None or chosen.order() < best.order()):
                 best = chosen
-            compared += 1
-            if compared >= MAX_COMPARED_WORKERS or not best.victims:
-                break
         return best
 
-    def _choose_on(self, worker: workerstate.WorkerState,
-                   request: messages.Resources,
-                   candidates: list[Candidate]) -> Choice | None:
+    def _choose_on(self, worker: workerstate.WorkerState, waiting: Waiting,
+                   candidates_on: typing.Callable[
+                       [workerstate.WorkerState], list[Candidate]],
+                   may_stop_equal: bool = False) -> Choice | None:
+        """Return the runs to stop on a worker so that a task fits."""
+        request = waiting.task.step.reserved()
+        if (self.fleet.held_workers.is_paused(worker)
+                or not worker.entry.capacity.holds(request)):
+            return None
         available = worker.free_capacity().plus(self.freeing.on_worker(worker))
-        ending = [c for c in candidates if self._ends_as_soon(c.task)]
+        ending: list[Candidate] = []
+        others: list[Candidate] = []
+        for candidate in candidates_on(worker):
+            if candidate.priority > waiting.priority or (
+                    may_stop_equal and candidate.task.step.perpetual):
+                (ending if candidate.ends_as_soon else others).append(
+                    candidate)
         for candidate in ending:
             available = available.plus(candidate.task.step.reserved())
-        shortage = request.minus(available)
-        victims = _cheapest(
-            shortage, [c for c in candidates if c not in ending]
-            if ending else candidates)
+        if not (ending or others) or not placing.allowed(
+                worker, waiting.service, waiting.task):
+            return None
+        if (waiting.task.step.max_per_worker
+                and self.fleet.held_workers.holds_for_step(
+                    worker, waiting.task.task.step_id())):
+            return None
+        victims = _cheapest(request.minus(available), others)
         if victims is None:
             return None
         return Choice(worker, victims, sum(c.cost for c in victims))
@@ -312,7 +368,8 @@
                     state.job.queue, step, self.now - task.started_at,
                     task.percent)))
         return Candidate(task, ordering.priority(state, self.queues),
-                         lost_core_s, lost_core_s * USEFUL_S / gain_s)
+                         lost_core_s, lost_core_s * USEFUL_S / gain_s,
+                         self._ends_as_soon(task))
 
     def _is_last_chance(self, waiting: Waiting) -> bool:
         """Return whether an urgent job meets its objective only if it starts.
--- a/tests/test_fleet_victims.py
+++ b/tests/test_fleet_victims.py
@@ -358,3 +358,28 @@
             "bounds": {name: value}})
     (error,) = caught.value.errors()
     assert error["loc"] == ("bounds", name)
+
+
+def test_step_wider_than_the_workers_compared_at_once_preempts_everywhere():
+    """Go on with other workers once those compared first are used up."""
+    count = victims.MAX_COMPARED_WORKERS + 20
+    bench = Bench(workers=count)
+    bench.add(fleetfakes.job("low", messages.Step(
+        count, messages.Resources(4000, 10)), queue="renewals", priority=2))
+    bench.place()
+    bench.urgent(count=count)
+    bench.place()
+    assert len(set(bench.stops())) == count
+    bench.place()
+    assert len(bench.stops()) == count
+
+
+def test_tasks_spread_over_workers_hold_one_worker_each():
+    bench = Bench(workers=2, cpu=8000)
+    for n in range(4):
+        bench.low(f"low{n}", 4000, 0.5 + n)
+    bench.add(fleetfakes.job("urgent", messages.Step(
+        2, messages.Resources(4000, 10), max_per_worker=1)), 30)
+    bench.place()
+    holds = bench.state.held_workers.by_task.values()
+    assert {hold.worker.entry.worker_id for hold in holds} == {"i-0", "i-1"}
