Keep headroom for the recent peak of urgent tasks

Cause: arrivals are averaged over 30 s, which hides waves of 17 s and bursts of 3 s.

Change: the CPU in use by finite tasks, by priority, of the last 40 s. Its peak is kept if it is at least 1.3 times the mean and three standard deviations of constant arrivals above it.

Ruled out: requiring keep_room_for_short_work in policysettings.py, because operators' files that switch that off would be refused.

--- a/sycamorefield/fleet/demand.py
+++ b/sycamorefield/fleet/demand.py
@@ -11,6 +11,7 @@
 import math
 
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import recentpeak
 
 # After this time an arrival has half its weight.  Swings of the load over 15 s
 # are averaged; a persistent change is followed within a minute.
@@ -101,7 +102,9 @@
 class DemandEstimator:
     """Estimate the CPU that finite tasks of each priority need."""
 
-    def __init__(self) -> None:
+    def __init__(self,
+                 recent_peak: recentpeak.RecentPeak | None = None) -> None:
+        self.recent_peak = recent_peak or recentpeak.RecentPeak(False)
         # When observation began, and when the sums were last decayed.
         self.observed_since: float | None = None
         self.decayed_at = 0.0
@@ -164,6 +167,15 @@
 
         All in thousandths of a core.
         """
+        expected_cpu, peak_cpu = self._expected_and_peak_cpu(priority, now)
+        initial_cpu = (INITIAL_SHARE * capacity_cpu
+                       * 0.5 ** (self._age_s(now) / INITIAL_HALF_LIFE_S))
+        return min(MAX_SHARE * capacity_cpu,
+                   max(initial_cpu, expected_cpu, peak_cpu))
+
+    def _expected_and_peak_cpu(self, priority: int,
+                               now: float) -> tuple[float, float]:
+        """Return the CPU needed by the arrivals and by the recent peak."""
         cpu_s = squared_cpu_s = 0.0
         factor = 0.5 ** ((now - self.decayed_at) / HALF_LIFE_S)
         for arrival_priority, arrivals in self.arrivals.items():
@@ -171,16 +183,18 @@
                 cpu_s += arrivals.cpu_s * factor
                 squared_cpu_s += arrivals.squared_cpu_s * factor
         observed_s = self._observed_s(now)
+        deviation_cpu = math.sqrt(squared_cpu_s / observed_s)
         expected_cpu = (cpu_s / observed_s
-                        + HEADROOM_DEVIATIONS
-                        * math.sqrt(squared_cpu_s / observed_s))
-        initial_cpu = (INITIAL_SHARE * capacity_cpu
-                       * 0.5 ** (self._age_s(now) / INITIAL_HALF_LIFE_S))
-        return min(MAX_SHARE * capacity_cpu, max(initial_cpu, expected_cpu))
+                        + HEADROOM_DEVIATIONS * deviation_cpu)
+        return expected_cpu, self.recent_peak.kept_cpu(
+            priority, deviation_cpu, now)
 
     def total_kept_cpu(self, capacity_cpu: float, now: float) -> float:
         """Return the CPU kept for finite tasks of all priorities together."""
-        return self.kept_cpu(max(self.arrivals, default=0), capacity_cpu, now)
+        priority = max(self.arrivals, default=0)
+        expected_cpu, peak_cpu = self._expected_and_peak_cpu(priority, now)
+        self.recent_peak.note_acting(priority, expected_cpu, peak_cpu)
+        return self.kept_cpu(priority, capacity_cpu, now)
 
     def kept_for_new_jobs_cpu(self, capacity_cpu: float, now: float) -> float:
         """Return the CPU to keep for long-running jobs expected to arrive.
--- a/sycamorefield/fleet/policy.py
+++ b/sycamorefield/fleet/policy.py
@@ -47,3 +47,5 @@
     # victims.py: runs are preempted by the work lost, and what they free is
     # held for the waiting task.
     preempt_by_lost_work: bool = True
+    # recentpeak.py: headroom follows the recent peak of finite tasks.
+    keep_recent_peak: bool = True
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -25,6 +25,7 @@
 from sycamorefield.fleet import policy as policy_mod
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import quarantines
+from sycamorefield.fleet import recentpeak
 from sycamorefield.fleet import runlog
 from sycamorefield.fleet import runtimes
 from sycamorefield.fleet import suspicion
@@ -85,7 +86,8 @@
         self.owner_lease_until = math.inf
         self.interference_model = interference.InterferenceModel(
             policy.learn_weights, policy.limit_tails, policy.follow_slopes)
-        self.demand = demand.DemandEstimator()
+        self.recent_peak = recentpeak.RecentPeak(policy.keep_recent_peak)
+        self.demand = demand.DemandEstimator(self.recent_peak)
         self.run_times = runtimes.RunTimeModel()
         self.pacer = pacer.Pacer(
             self.interference_model, send, policy.pace_filling)
