Keep workers free of long-running tasks for wide urgent tasks

Cause: headroom is counted in slots as wide as an average finite task, so hardly a worker had room for a task several times as wide.

Change: where tasks wider than twice the mean arrived in the last 60 s, slots as wide as 95% of them need are kept on as many workers as run at a time, with the largest share in total.

Ruled out: making all slots that wide.

--- a/sycamorefield/fleet/demand.py
+++ b/sycamorefield/fleet/demand.py
@@ -12,6 +12,7 @@
 
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import recentpeak
+from sycamorefield.fleet import widetasks
 
 # After this time an arrival has half its weight.  Swings of the load over 15 s
 # are averaged; a persistent change is followed within a minute.
@@ -105,6 +106,7 @@
     def __init__(self,
                  recent_peak: recentpeak.RecentPeak | None = None) -> None:
         self.recent_peak = recent_peak or recentpeak.RecentPeak(False)
+        self.wide_tasks = widetasks.WideTasks(self.recent_peak.enabled)
         # When observation began, and when the sums were last decayed.
         self.observed_since: float | None = None
         self.decayed_at = 0.0
@@ -134,7 +136,9 @@
             return
         arrivals = self.arrivals.setdefault(job.priority, Arrivals())
         for step in steps:
-            arrivals.add(step, self._expected_run_s(job.queue, step))
+            run_s = self._expected_run_s(job.queue, step)
+            arrivals.add(step, run_s)
+            self.wide_tasks.add(step, job.priority, run_s, now)
 
     def _add_long_running(self, step: messages.Step, now: float) -> None:
         self.majority_cpu.add(majority(step) * step.room.cpu)
--- a/sycamorefield/fleet/headroom.py
+++ b/sycamorefield/fleet/headroom.py
@@ -6,6 +6,7 @@
 from sycamorefield.fleet import demand as demand_mod
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import progress
+from sycamorefield.fleet import widetasks
 from sycamorefield.fleet import workerstate
 
 # No headroom is required while a smaller share of the CPU than this is
@@ -82,6 +83,10 @@
             self.capacity_cpu, now)
         self.kept_for_new_jobs_cpu = (
             for_new_jobs_cpu if for_new_jobs_cpu >= self.slot_cpu else 0.0)
+        self.wide_slots = estimator.wide_tasks.slots(
+            priority, self.slot_cpu,
+            demand_mod.MAX_SHARE * self.capacity_cpu, now)
+        self.wide_workers = widetasks.choose_workers(self.wide_slots, workers)
         self.reserved_cpu = sum(w.used.cpu for w in workers)
         self.slots_cpu_by_worker = {
             w.entry.worker_id: self._slots_cpu(w, 0) for w in workers}
@@ -136,4 +141,6 @@
             kept_cpu += self.kept_for_new_jobs_cpu
         max_loss_cpu = max(0.0, self.total_slots_cpu - kept_cpu)
         return [w for w in workers
-                if self._lost_slots_cpu(w, step.room.cpu) <= max_loss_cpu]
+                if self._lost_slots_cpu(w, step.room.cpu) <= max_loss_cpu
+                and widetasks.leaves_slot(self.wide_slots, self.wide_workers,
+                                          w, step.room.cpu)]
