Extrapolate arrivals where their peak differs, in place of the peak

Change: arrivals by second; where their peak over 3 s is clearly above the mean, the line through the last 6 s is extrapolated by 2 s and bounded by the peak. Workers no longer count the CPU of finite runs.

--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -145,7 +145,7 @@
 RUNS_PREEMPTED = Event(
     "SF1856", INFO, "runs stopped by the work lost for waiting tasks")
 RECENT_PEAK = Event(
-    "SF1857", INFO, "headroom follows the recent peak of finite tasks")
+    "SF1857", INFO, "headroom follows waves of finite tasks, or no more")
 
 INVARIANT_BROKEN = Event("SF1601", ERROR, "invariant broken")
 
--- a/sycamorefield/fleet/demand.py
+++ b/sycamorefield/fleet/demand.py
@@ -138,6 +138,8 @@
         for step in steps:
             run_s = self._expected_run_s(job.queue, step)
             arrivals.add(step, run_s)
+            self.recent_peak.add(
+                job.priority, step.room.cpu * step.count * run_s, now)
             self.wide_tasks.add(step, job.priority, run_s, now)
 
     def _add_long_running(self, step: messages.Step, now: float) -> None:
--- a/sycamorefield/fleet/policy.py
+++ b/sycamorefield/fleet/policy.py
@@ -47,5 +47,6 @@
     # victims.py: runs are preempted by the work lost, and what they free is
     # held for the waiting task.
     preempt_by_lost_work: bool = True
-    # recentpeak.py: headroom follows the recent peak of finite tasks.
+    # recentpeak.py, widetasks.py: headroom follows waves and bursts of finite
+    # tasks, and the widest of them.
     keep_recent_peak: bool = True
--- a/sycamorefield/fleet/recentpeak.py
+++ b/sycamorefield/fleet/recentpeak.py
@@ -1,9 +1,9 @@
-"""Keep capacity for the recent peak of the CPU that finite tasks use.
+"""Follow waves and bursts of the CPU that arriving finite tasks need.
 
 The mean of arrivals over half a minute hides waves of 17 s and bursts of 3 s:
-at their peak, urgent tasks wait behind long-running tasks that stay for
-minutes.  Capacity is kept for the peak only where it differs clearly from
-what the mean and the scatter of arrivals explain.
+while demand rises, long-running tasks take capacity that urgent tasks need
+some seconds later, and stay for minutes.  Where the recent peak of arrivals
+differs clearly from their mean, they are extrapolated.
 """
 
 import collections
@@ -11,167 +11,147 @@
 import typing
 
 from sycamorefield import events
-from sycamorefield.fleet import workerstate
 
-# How often the CPU in use is added up.  Bursts of 3 s contain several samples.
-SAMPLE_PERIOD_S = 0.25
 # Two periods of a wave of 17 s and some more.
-WINDOW_S = 40.0
-# For one period of a wave a peak counts in full; then it fades until it leaves
-# the window, so that a burst that does not return is forgotten.
-FULL_WEIGHT_S = 20.0
-# With less history, the peak of a burst and the mean can't be told apart.
-MIN_HISTORY_S = 10.0
-# The peak counts only beyond this multiple of the mean, and beyond this many
-# standard deviations of what constant arrivals would use: the peak of these in
-# 40 s is about 2.2 of them above the mean.
+WINDOW_S = 40
+# With less history, a peak and the mean can't be told apart.
+MIN_HISTORY_S = 10
+# Arrivals are averaged over this time for the peak: the length of a burst.
+PEAK_S = 3
+# The peak must exceed the mean by this factor, and by this many standard
+# deviations of the CPU that constant arrivals would use.  Averages over PEAK_S
+# of tasks that run for a second scatter by half as much, so 1.5 is about
+# three of theirs.
 MIN_PEAK_RATIO = 1.3
-MIN_PEAK_DEVIATIONS = 3.0
-# More samples than this are not accepted from an encoded state.
+MIN_PEAK_DEVIATIONS = 1.5
+# The slope of the last seconds is extrapolated by AHEAD_S, measured from now.
+SLOPE_S = 6
+AHEAD_S = 2.0
 MAX_PRIORITIES = 20
-BUCKETS = int(WINDOW_S)
-
-
-class Usage:
-    """CPU in use in the last seconds: peak and sum of each second."""
-
-    def __init__(self) -> None:
-        # [second, peak, sum, count]; seconds count up from any origin.
-        self.buckets: collections.deque[list[float]] = collections.deque()
-
-    def add(self, second: int, cpu: float) -> None:
-        """Add a sample."""
-        if not self.buckets or self.buckets[-1][0] < second:
-            self.buckets.append([second, cpu, cpu, 1])
-        else:
-            bucket = self.buckets[-1]
-            bucket[1] = max(bucket[1], cpu)
-            bucket[2] += cpu
-            bucket[3] += 1
-        while self.buckets[0][0] <= second - BUCKETS:
-            self.buckets.popleft()
-
-    def peak(self, second: float) -> float:
-        """Return the weighted peak."""
-        return max((cpu * _weight(second - at)
-                    for at, cpu, _, _ in self.buckets), default=0.0)
-
-    def mean(self) -> float:
-        """Return the mean of all samples."""
-        count = sum(bucket[3] for bucket in self.buckets)
-        return sum(b[2] for b in self.buckets) / count if count else 0.0
-
-
-def _weight(age_s: float) -> float:
-    return min(1.0, max(0.0, (WINDOW_S - age_s) / (WINDOW_S - FULL_WEIGHT_S)))
 
 
 class RecentPeak:
-    """The recent peak of the CPU in use by finite tasks, by priority.
+    """The CPU time of finite tasks that arrived, by priority and second.
 
-    Times are in seconds on clock.now().  A peak that is disabled keeps
-    nothing.
+    Times are in seconds on clock.now(), CPU in thousandths of a core.
     """
 
     def __init__(self, enabled: bool = True) -> None:
         self.enabled = enabled
-        # By priority: the use of all finite tasks at least as urgent.
-        self.usages: dict[int, Usage] = {}
-        self.sampled_at = 0.0
-        # Time of the origin of the seconds in the buckets, or None before
-        # the first sample.
+        # Seconds count from the origin; those of a predecessor are negative.
+        self.arrived: dict[int, collections.Counter[int]] = {}
         self.origin: float | None = None
-        # Priorities for which the peak decides what is kept.
+        self.last_second = 0
+        # Priorities for which the extrapolation decides what is kept.
         self.acting: set[int] = set()
 
-    def sample(self, workers: typing.Iterable[workerstate.WorkerState],
-               now: float) -> None:
-        """Record the CPU in use if SAMPLE_PERIOD_S has passed."""
-        if not self.enabled or (self.origin is not None
-                                and now - self.sampled_at < SAMPLE_PERIOD_S):
+    def add(self, priority: int, cpu_s: float, now: float) -> None:
+        """Record tasks that arrived, with the CPU time that they need."""
+        if not self.enabled:
             return
         if self.origin is None:
             self.origin = now
-        self.sampled_at = now
-        totals: collections.Counter[int] = collections.Counter()
-        for worker in workers:
-            for priority, cpu in worker.finite_cpu.items():
-                totals[priority] += cpu
-        priorities = sorted({*totals, *self.usages})[:MAX_PRIORITIES]
-        in_use = itertools.accumulate(totals[p] for p in priorities)
-        for priority, cpu in zip(priorities, in_use):
-            self.usages.setdefault(priority, Usage()).add(
-                int(now - self.origin), cpu)
-
-    def note_acting(self, priority: int, expected_cpu: float,
-                    peak_cpu: float) -> None:
-        """Log when the peak begins or ceases to decide what is kept."""
-        if (priority in self.acting) == (peak_cpu > expected_cpu):
+        if (priority not in self.arrived
+                and len(self.arrived) >= MAX_PRIORITIES):
             return
-        self.acting ^= {priority}
-        events.emit(events.RECENT_PEAK, priority=priority,
-                    acting=priority in self.acting,
-                    expected_cores=round(expected_cpu / 1000.0, 1),
-                    peak_cores=round(peak_cpu / 1000.0, 1))
+        second = int(now - self.origin)
+        self.arrived.setdefault(
+            priority, collections.Counter())[second] += round(cpu_s)
+        if second != self.last_second:
+            self.last_second = second
+            for seconds in self.arrived.values():
+                for old in [s for s in seconds if s < second - WINDOW_S]:
+                    del seconds[old]
 
     def kept_cpu(self, priority: int, deviation_cpu: float,
                  now: float) -> float:
         """Return the CPU to keep for finite tasks of at least a priority.
 
-        In thousandths of a core; 0 if the peak is not clearly above what
-        arrivals with this standard deviation explain.
+        deviation_cpu is the standard deviation of what constant arrivals
+        would use.  0 if the peak is not clearly above what that explains.
         """
-        known = [p for p in self.usages if p <= priority]
-        if not known or self.origin is None:
+        if self.origin is None or not self.arrived:
+            return 0.0
+        second = int(now - self.origin)
+        known = [seconds for p, seconds in self.arrived.items()
+                 if p <= priority]
+        first = max(second - WINDOW_S, min(
+            (min(seconds, default=second) for seconds in known),
+            default=second))
+        if second - first < MIN_HISTORY_S:
             return 0.0
-        usage = self.usages[max(known)]
-        if (not usage.buckets or usage.buckets[-1][0] - usage.buckets[0][0]
-                < MIN_HISTORY_S):
+        values = [sum(seconds[s] for seconds in known)
+                  for s in range(first, second)]
+        mean = sum(values) / len(values)
+        peak = _peak(values)
+        if peak < max(MIN_PEAK_RATIO * mean,
+                      mean + MIN_PEAK_DEVIATIONS * deviation_cpu):
             return 0.0
-        peak = usage.peak(now - self.origin)
-        mean = usage.mean()
-        return peak if peak >= max(
-            MIN_PEAK_RATIO * mean,
-            mean + MIN_PEAK_DEVIATIONS * deviation_cpu) else 0.0
+        # The last whole second was centred half a second before it ended.
+        ahead_s = now - self.origin - second + 0.5 + AHEAD_S
+        ahead_cpu = _extrapolate(values[-SLOPE_S:], ahead_s)
+        # Single wide steps make a slope steep; the peak bounds it.
+        return max(0.0, min(peak, ahead_cpu) + deviation_cpu)
+
+    def note_acting(self, priority: int, expected_cpu: float,
+                    ahead_cpu: float) -> None:
+        """Log when the extrapolation begins or ceases to decide."""
+        if (priority in self.acting) == (ahead_cpu > expected_cpu):
+            return
+        self.acting ^= {priority}
+        events.emit(events.RECENT_PEAK, priority=priority,
+                    acting=priority in self.acting,
+                    expected_cores=round(expected_cpu / 1000.0, 1),
+                    ahead_cores=round(ahead_cpu / 1000.0, 1))
 
     def encode(self) -> dict[str, typing.Any]:
         """Return the state as values that JSON can represent.
 
-        Times are ages at the last sample, as clocks of processes differ.
+        Times are ages at the last arrival, as clocks of processes differ.
         """
-        if self.origin is None:
-            return {}
-        last = int(self.sampled_at - self.origin)
-        return {str(priority): [[last - at, peak, round(total / count)]
-                                for at, peak, total, count in usage.buckets]
-                for priority, usage in self.usages.items()}
+        return {str(priority): [[self.last_second - second, cpu_s]
+                                for second, cpu_s in sorted(seconds.items())]
+                for priority, seconds in self.arrived.items()}
 
     def decode(self, value: object) -> None:
         """Load an encoded state; raises ValueError if it is invalid.
 
-        Its last sample counts as taken when the next one is.
+        Its last arrival counts as just before the next one.  Do nothing if
+        there have been arrivals already.
         """
         if not self.enabled or self.origin is not None:
             return
-        usages: dict[int, Usage] = {}
+        arrived: dict[int, collections.Counter[int]] = {}
         try:
             rows = dict(value)  # type: ignore[call-overload]
-            for priority, buckets in rows.items():
-                usages[int(priority)] = _decode_usage(buckets)
+            for priority, seconds in rows.items():
+                arrived[int(priority)] = _decode_seconds(seconds)
         except (TypeError, AttributeError, OverflowError) as exc:
             raise ValueError(f"invalid recent peak: {exc!r}") from exc
-        if len(usages) > MAX_PRIORITIES:
-            raise ValueError(f"recent peaks of {len(usages)} priorities")
-        self.usages = usages
-
-
-def _decode_usage(buckets: list[list[float]]) -> Usage:
-    """Return usage with seconds counted from the last sample (0) back."""
-    usage = Usage()
-    for age, peak, mean in buckets:
-        if not (0 <= age < BUCKETS and 0 <= mean <= peak < float("inf")):
-            raise ValueError(f"recent peak {peak!r} {age!r} s ago")
-        if usage.buckets and -age <= usage.buckets[-1][0]:
-            raise ValueError("recent peaks out of order")
-        usage.buckets.append([-int(age), peak, mean, 1])
-    return usage
+        if len(arrived) > MAX_PRIORITIES:
+            raise ValueError(f"recent peaks of {len(arrived)} priorities")
+        self.arrived = arrived
+
+
+def _peak(values: list[int]) -> float:
+    """Return the largest average over PEAK_S seconds."""
+    sums = [0, *itertools.accumulate(values)]
+    return max(b - a for a, b in zip(sums, sums[PEAK_S:])) / PEAK_S
+
+
+def _extrapolate(values: list[int], ahead_s: float) -> float:
+    """Return the line through values of successive seconds, later on."""
+    mean_at = (len(values) - 1) / 2.0
+    mean = sum(values) / len(values)
+    slope = (sum((at - mean_at) * value for at, value in enumerate(values))
+             / sum((at - mean_at) ** 2 for at in range(len(values))))
+    return mean + slope * (mean_at + ahead_s)
+
+
+def _decode_seconds(rows: list[list[float]]) -> collections.Counter[int]:
+    seconds: collections.Counter[int] = collections.Counter()
+    for age, cpu_s in rows:
+        if not (0 <= age <= WINDOW_S and 0 <= cpu_s < float("inf")):
+            raise ValueError(f"recent peak {cpu_s!r} {age!r} s ago")
+        seconds[-1 - int(age)] += int(cpu_s)
+    return seconds
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -669,7 +669,6 @@
     with fleet.lock:
         fleet.round_needed = False
         fleet.demand.start_observing(now)
-        fleet.recent_peak.sample(fleet.workers.values(), now)
         configuration = fleet.configuration()
         fleet.trials.release_finished(
             fleet.workers, fleet.awaited_workers, configuration.evacuated,
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -106,8 +106,6 @@
         # Number of runs that more urgent ones may preempt: neither
         # best-effort nor long-running.
         self.preemptible_runs = 0
-        # CPU reserved by finite runs, by the priority of their jobs.
-        self.finite_cpu: dict[int, int] = {}
         # CPU requested by best-effort runs, and reserved by long-running ones.
         self.best_effort_cpu = 0
         self.long_running_cpu = 0
@@ -250,7 +248,6 @@
             self.long_running_cpu += step.room.cpu
         else:
             self.preemptible_runs += 1
-            self._add_finite_cpu(task, step.room.cpu)
         if step.target_ms:
             self.target_runs += 1
         if task is not None:
@@ -264,7 +261,7 @@
         self.refused_starts.discard(run)
         self.uncertain_paces.pop(run, None)
         resources = self.reserved.pop(run, None)
-        task = self.tasks.pop(run, None)
+        self.tasks.pop(run, None)
         if resources is None:
             return
         self.used = self.used.minus(resources)
@@ -274,17 +271,9 @@
             self.long_running_cpu -= step.room.cpu
         else:
             self.preemptible_runs -= 1
-            self._add_finite_cpu(task, -step.room.cpu)
         if step.target_ms:
             self.target_runs -= 1
 
-    def _add_finite_cpu(self, task: progress.TaskState | None,
-                        cpu: int) -> None:
-        if task is not None and task.job is not None:
-            priority = task.job.job.priority
-            self.finite_cpu[priority] = (
-                self.finite_cpu.get(priority, 0) + cpu)
-
     def accepts_starts(self) -> bool:
         """Return whether another start order may be queued."""
         return (len(self.unsent_starts) < MAX_UNSENT_STARTS
