--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -167,6 +167,10 @@
     "SF1853", INFO, "copies of runs, or the runs they copied, have ended")
 COPY_BUDGET_EXHAUSTED = Event(
     "SF1854", INFO, "copies already use as much CPU as they may")
+RUNS_PREEMPTED = Event(
+    "SF1856", INFO, "runs stopped by the work lost for waiting tasks")
+RECENT_PEAK = Event(
+    "SF1857", INFO, "headroom follows waves of finite tasks, or no more")
 
 INVARIANT_BROKEN = Event("SF1601", ERROR, "invariant broken")
 
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -21,6 +21,7 @@
 from sycamorefield.fleet import rounds
 from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import usage as usage_mod
+from sycamorefield.fleet import victims
 from sycamorefield.fleet import waitinglog
 from sycamorefield.fleet import workerlinks as workerlinks_mod
 
@@ -64,11 +65,13 @@
                  configuration: typing.Callable[[], messages.Configuration],
                  fence: int, hold_max_ms: float,
                  advice: interfaces.AdviceService | None = None,
-                 policy: policy_mod.Policy = policy_mod.Policy()) -> None:
+                 policy: policy_mod.Policy = policy_mod.Policy(),
+                 stop_costs: victims.StopCosts | None = None) -> None:
         self.worker_list = worker_list
         self.fence = fence
         self.fleet = state_mod.FleetState(
-            fence, hold_max_ms, self._send_order, configuration, policy)
+            fence, hold_max_ms, self._send_order, configuration, policy,
+            stop_costs)
         self.fleet.advice.service = advice
         self.stepped_down = threading.Event()
         # Whether the term was ended by an unexpected error.
@@ -226,7 +229,9 @@
             "copies_started_total": float(self.fleet.copies.started_total),
             "copies_won_total": float(self.fleet.copies.won_total),
             "copies_wasted_cpu_s_total": self.fleet.copies.wasted_cpu_s,
-            "round_age_s": now - self.round_ended_at}
+            "round_age_s": now - self.round_ended_at,
+            "workers_reserved": float(self.fleet.held_workers.count()),
+            **self.fleet.preemptions.gauges()}
         if self.fleet.policy.reject_hopeless_jobs:
             gauges.update(self.backlog_meter.gauges())
         if self.usage is not None:
--- a/sycamorefield/fleet/policy.py
+++ b/sycamorefield/fleet/policy.py
@@ -57,3 +57,10 @@
     keep_learned_state: bool = True
     # admission.py, backlogmeter.py: jobs that cannot end in time are rejected.
     reject_hopeless_jobs: bool = True
+    # victims.py: runs are preempted by the work lost, and what they free is
+    # held for the waiting task.
+    preempt_by_lost_work: bool = True
+    # recentpeak.py: headroom follows waves and bursts of finite tasks.
+    keep_recent_peak: bool = True
+    # widetasks.py: some workers are kept for the widest finite tasks.
+    keep_wide_gaps: bool = True
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -18,6 +18,7 @@
 from sycamorefield.fleet import demand
 from sycamorefield.fleet import endedlives
 from sycamorefield.fleet import failures
+from sycamorefield.fleet import heldworkers
 from sycamorefield.fleet import interference
 from sycamorefield.fleet import learnedstate
 from sycamorefield.fleet import messages
@@ -26,10 +27,12 @@
 from sycamorefield.fleet import policy as policy_mod
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import quarantines
+from sycamorefield.fleet import recentpeak
 from sycamorefield.fleet import runlog
 from sycamorefield.fleet import runtimes
 from sycamorefield.fleet import suspicion
 from sycamorefield.fleet import unwantedruns
+from sycamorefield.fleet import victims
 from sycamorefield.fleet import workerstate
 
 Order = messages.StartOrder | messages.StopOrder | messages.PaceOrder
@@ -51,8 +54,11 @@
 
     def __init__(self, fence: int, hold_max_ms: float, send: SendOrder,
                  configuration: typing.Callable[[], messages.Configuration],
-                 policy: policy_mod.Policy = policy_mod.Policy()) -> None:
+                 policy: policy_mod.Policy = policy_mod.Policy(),
+                 stop_costs: victims.StopCosts | None = None) -> None:
         self.policy = policy
+        # None if settings don't state them.
+        self.stop_costs = stop_costs
         self.fence = fence
         self.hold_max_ms = hold_max_ms
         self.send = send
@@ -86,8 +92,10 @@
         self.interference_model = interference.InterferenceModel(
             policy.learn_weights, policy.limit_tails, policy.follow_slopes,
             policy.forecast_recent_swing)
+        self.recent_peak = recentpeak.RecentPeak(policy.keep_recent_peak)
         self.run_times = runtimes.RunTimeModel(policy.learn_run_times)
-        self.demand = demand.DemandEstimator(self.run_times)
+        self.demand = demand.DemandEstimator(
+            self.run_times, self.recent_peak, policy.keep_wide_gaps)
         self.learned = learnedstate.LearnedState(
             fence, policy.keep_learned_state)
         self.learned.register(
@@ -95,6 +103,8 @@
         self.learned.register(
             "demand", lambda: self.demand.encode(clock.now()),
             lambda value: self.demand.decode(value, clock.now()))
+        self.learned.register(
+            "recent_peak", self.recent_peak.encode, self.recent_peak.decode)
         self.copies = copies.Copies(policy.speculative_copies)
         self.pacer = pacer.Pacer(
             self.interference_model, send, policy.pace_filling)
@@ -106,6 +116,8 @@
         # could be preempted.
         self.placement_misses = placement_cache.SearchCache()
         self.preemption_misses = placement_cache.SearchCache()
+        self.held_workers = heldworkers.HeldWorkers()
+        self.preemptions = victims.Preemptions()
         # The version of the configuration used in the last round.
         self.placed_config_version = 0
         self.round_needed = False
