--- a/sycamorefield/fleet/policy.py
+++ b/sycamorefield/fleet/policy.py
@@ -5,7 +5,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Policy:
-    """Which mechanisms are enabled; by default all are.
+    """Which mechanisms are enabled; by default all but keep_recent_peak.
 
     Each is described, with its benefit, in the module that implements it;
     docs/operators/policy.md lists them.
@@ -60,7 +60,8 @@
     # victims.py: runs are preempted by the work lost, and what they free is
     # held for the waiting task.
     preempt_by_lost_work: bool = True
-    # recentpeak.py: headroom follows waves and bursts of finite tasks.
-    keep_recent_peak: bool = True
+    # recentpeak.py: headroom follows waves and bursts of finite tasks.  In a
+    # simulated load it cost long-running jobs more than urgent ones gained.
+    keep_recent_peak: bool = False
     # widetasks.py: some workers are kept for the widest finite tasks.
     keep_wide_gaps: bool = True
