Keep awaited workers on the list after a conflict on it

Cause, found by reading: after a write of the list of workers in use whose outcome is unknown, a conflict made the recorder forget the stored addresses. The next list lacked workers of the owner before that had not reported yet, so a further successor would not wait for their runs and start tasks twice.

Change: the addresses are kept, and the list is written again. The new test fails without it.

--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -74,7 +74,7 @@
         # The revision of each key as last seen.
         self.revisions: dict[str, int] = {}
         self.stored_addresses: dict[str, str] | None = None
-        # Whether the stored list of workers in use cannot be read.
+        # Whether the stored list of workers in use is not the one known here.
         self.rewrite_workers = False
         # The stored numbers of waiting jobs, or None if unknown: those of an
         # earlier owner must be overwritten even if no job waits any more.
@@ -288,7 +288,8 @@
                 write.job.state_revision = revision
                 write.job.dirty = True
             elif write.key == records.WORKERS_KEY:
-                self.stored_addresses = None
+                # The addresses of awaited workers are known from this list.
+                self.rewrite_workers = True
             elif write.key == records.WEIGHTS_KEY:
                 self.stored_weights = b"{}"
             elif write.key == records.BACKLOG_KEY:
--- a/tests/test_fleet_ownership.py
+++ b/tests/test_fleet_ownership.py
@@ -253,3 +253,28 @@
         thread.join(5)
     assert {"i-0": recordedends.LifeEnds(0, 7)} in acknowledged
     assert records.progress_key("j") in store.items
+
+
+def test_awaited_worker_stays_listed_after_a_conflict_on_the_list():
+    """Guards against a successor that does not wait for a worker with runs.
+
+    After a write of unknown outcome the stored list was not the owner's, and
+    its next list lacked workers that had not reported to it yet.
+    """
+    store = fleetfakes.MemoryStore()
+    store.commit(messages.Transaction(
+        puts=(messages.Put(records.OWNER_KEY, b"me"),)))
+    fleet = state_mod.FleetState(2, 6000.0, lambda *_: None,
+                                 fleetfakes.configuration)
+    recorder = recorder_mod.Recorder(
+        store, fleet, records.OWNER_KEY, lambda: True, lambda _: None,
+        lambda _: None)
+    address = fleetfakes.entry(0).address
+    recorder.stored_addresses = {"i-0": address, "i-1": "10.0.0.9:1"}
+    fleet.await_workers({"i-0"}, time.monotonic() + 60.0)
+    store.commit(messages.Transaction(
+        puts=(messages.Put(records.WORKERS_KEY, b"{}"),)))
+    for _ in range(2):
+        assert recorder.flush()
+    stored = records.decode_addresses(store.items[records.WORKERS_KEY].value)
+    assert stored == {"i-0": address}
