Use workers less on which several runs are slow, fail or hang

A worker at a fifth of its speed answers and reports as any other, so urgent tasks are placed there and their callers wait. Only failures in a row and two stuck tasks counted against a worker so far.

workerspeed.py compares runs with the other tasks of their step that ended on other workers, or with the run-time model. From three bad runs on, a worker is ranked behind equal ones, from four on it gets no runs for 3 to 10 s, and then one run at a time. At most 20% of the usable workers of a service are excluded. Runs that only the model speaks against count as one for each step, because all tasks of some steps take long on any worker.

Ruled out: the declared estimate as reference (off by a factor of ten in some queues), and a limit on the whole fleet instead of a service, by which a small service could lose all workers.

--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -152,6 +152,10 @@
     "SF1850", INFO, "learned state of an earlier owner loaded")
 LEARNED_STATE_IGNORED = Event(
     "SF1851", WARNING, "learned state ignored or not stored")
+WORKER_SLOW = Event(
+    "SF1859", WARNING, "runs on a worker are slow, fail or hang")
+WORKER_SPEED_RECOVERED = Event(
+    "SF1860", INFO, "worker used as usual again")
 
 INVARIANT_BROKEN = Event("SF1601", ERROR, "invariant broken")
 
--- a/sycamorefield/fleet/gangs.py
+++ b/sycamorefield/fleet/gangs.py
@@ -30,19 +30,22 @@
             ) -> list[workerstate.WorkerState]:
     """Return a worker for each task, or an empty list if some don't fit.
 
-    Workers with the most free CPU are used first.
+    Workers with the most free CPU are used first, slow ones last.
     """
     step = tasks[0].step
     reserved = step.reserved()
     chosen: list[workerstate.WorkerState] = []
-    for worker in sorted(workers, key=lambda w: -w.free_capacity().cpu):
+    for worker in sorted(workers, key=lambda w: (
+            w.slow, -w.free_capacity().cpu)):
         if not placing.allowed(worker, service, tasks[0]):
             continue
         free_capacity = worker.free_capacity()
         placed_here = 0
         while (len(chosen) < len(tasks) and free_capacity.holds(reserved)
                and not (step.max_per_worker
-                        and placed_here >= step.max_per_worker)):
+                        and placed_here >= step.max_per_worker)
+               and not (worker.on_trial
+                        and (placed_here or worker.has_trial_run()))):
             chosen.append(worker)
             free_capacity = free_capacity.minus(reserved)
             placed_here += 1
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -212,6 +212,11 @@
             "runs_in_doubt": float(self.doubtful_runs.count),
             "run_times_recorded_total": float(
                 self.fleet.run_times.recorded_total),
+            "workers_slow": float(len(self.fleet.worker_speeds.degraded)),
+            "workers_excluded_as_slow": float(
+                len(self.fleet.worker_speeds.excluded)),
+            "worker_exclusions_total": float(
+                self.fleet.worker_speeds.exclusions_total),
             "learned_state_stored_total": float(
                 self.fleet.learned.stored_total),
             "learned_state_bytes": float(self.fleet.learned.stored_bytes),
--- a/sycamorefield/fleet/placing.py
+++ b/sycamorefield/fleet/placing.py
@@ -77,7 +77,8 @@
     """Return the best worker for a task, or None if it fits on none.
 
     Workers on which the task has not failed come first, then those near its
-    data; _packing_rank() decides between equal ones.
+    data, then those that are not slow; _packing_rank() decides between equal
+    ones.
     """
     best = None
     highest_rank: Rank = ()
@@ -99,7 +100,7 @@
         return None
     has_data_nearby = not step.affinity or step.affinity in worker.entry.labels
     not_failed_here = worker.entry.worker_id not in task.avoided_workers
-    return (not_failed_here, has_data_nearby,
+    return (not_failed_here, has_data_nearby, not worker.slow,
             *_packing_rank(worker, step, model))
 
 
--- a/sycamorefield/fleet/policy.py
+++ b/sycamorefield/fleet/policy.py
@@ -51,3 +51,6 @@
     learn_run_times: bool = True
     # learnedstate.py: what an owner has learned is stored for its successor.
     keep_learned_state: bool = True
+    # workerspeed.py: workers on which runs are slow, fail or hang are used
+    # less.
+    learn_worker_speeds: bool = True
--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -93,6 +93,9 @@
     task.start_confirmed = True
     if current:
         task.reset_run()
+        fleet.worker_speeds.note_end(
+            worker, job.job.queue, task, ended.run, ended.how,
+            started_at if measurable else 0.0, now)
     if task.done or job.final():
         return
     job.mark_has_run(task)
@@ -158,6 +161,7 @@
             task.update_progress(row.percent, now)
         if row.saved:
             task.saved = row.saved
+        fleet.worker_speeds.note_progress(worker, job.job.queue, task, now)
         if not task.stuck and stragglers.is_stuck(
                 task, now, job.job.queue, fleet.run_times):
             task.stuck = True
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -606,7 +606,20 @@
             if not worker.was_usable:
                 worker.record_change()
         worker.was_usable = is_usable
-    return usable_workers
+    return _without_slow_workers(fleet, usable_workers, now)
+
+
+def _without_slow_workers(fleet: state_mod.FleetState,
+                          workers: list[workerstate.WorkerState], now: float
+                          ) -> list[workerstate.WorkerState]:
+    """Return those of the usable workers that are not excluded as slow."""
+    excluded = fleet.worker_speeds.update_excluded(
+        fleet.workers, workers, now)
+    if not excluded:
+        return workers
+    for worker_id in excluded:
+        fleet.workers[worker_id].was_usable = False
+    return [w for w in workers if w.entry.worker_id not in excluded]
 
 
 def _record_arrival(round_: Round, state: progress.JobState) -> None:
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -28,6 +28,7 @@
 from sycamorefield.fleet import runlog
 from sycamorefield.fleet import runtimes
 from sycamorefield.fleet import suspicion
+from sycamorefield.fleet import workerspeed
 from sycamorefield.fleet import workerstate
 
 Order = messages.StartOrder | messages.StopOrder | messages.PaceOrder
@@ -92,6 +93,11 @@
         self.learned.register(
             "demand", lambda: self.demand.encode(clock.now()),
             lambda value: self.demand.decode(value, clock.now()))
+        self.worker_speeds = workerspeed.WorkerSpeeds(
+            self.run_times, policy.learn_worker_speeds)
+        self.learned.register(
+            "worker_speeds", lambda: self.worker_speeds.encode(clock.now()),
+            lambda value: self.worker_speeds.decode(value, clock.now()))
         self.pacer = pacer.Pacer(
             self.interference_model, send, policy.pace_filling)
         self.run_log = runlog.RunLog()
@@ -487,6 +493,8 @@
         task.measurable = not task.saved
         worker.reserve((task.task, run), task.step, task)
         worker.unsent_starts.add((task.task, run))
+        if worker.on_trial:
+            worker.trial_run = (task.task, run)
         if not worker.entry.capacity.holds(worker.used):
             events.emit(events.INVARIANT_BROKEN, task=str(task.task),
                         worker=task.worker_id, rule="capacity of a worker")
--- a/sycamorefield/fleet/waitingreasons.py
+++ b/sycamorefield/fleet/waitingreasons.py
@@ -36,6 +36,7 @@
 RESTARTED_WITHOUT_LEASE = "restarted while the owner had no lease"
 QUARANTINED = "quarantined"
 AVOIDED = "avoided"
+SLOW = "runs there are slow, fail or hang"
 NOT_ALLOWED = "label or runs per worker"
 UNSENT_STARTS = "too many unsent starts"
 FULL = "full"
@@ -102,6 +103,7 @@
         (RESTARTED_WITHOUT_LEASE, not fleet.leased_since_restart(worker)),
         (QUARANTINED, entry.worker_id in fleet.trials.by_worker),
         (AVOIDED, worker.avoid_until > now),
+        (SLOW, entry.worker_id in fleet.worker_speeds.excluded),
         (NOT_ALLOWED, not placing.allowed(worker, service, task)),
         (UNSENT_STARTS, not worker.accepts_starts()),
         (FULL, not placing.fits(worker, task.step,
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -138,6 +138,11 @@
         # Whether the last report showed a run whose pace is so low that it
         # makes little progress.
         self.has_stalled_run = False
+        # Whether it is used less because its runs are slow or fail, and
+        # whether it gets one run at a time (workerspeed.py).
+        self.slow = False
+        self.on_trial = False
+        self.trial_run: RunId | None = None
 
     def update_entry(self, entry: messages.WorkerEntry) -> None:
         """Replace the entry by one that was read later."""
@@ -196,6 +201,8 @@
         self.connection_closed = False
         self.refused_starts.clear()
         self.uncertain_paces.clear()
+        self.slow = self.on_trial = False
+        self.trial_run = None
 
     def record_change(self) -> None:
         """Record a change after which runs may fit that did not before."""
@@ -272,8 +279,13 @@
 
     def accepts_starts(self) -> bool:
         """Return whether another start order may be queued."""
-        return (len(self.unsent_starts) < MAX_UNSENT_STARTS
-                or not self.limits_unsent_starts)
+        return ((len(self.unsent_starts) < MAX_UNSENT_STARTS
+                 or not self.limits_unsent_starts)
+                and not self.has_trial_run())
+
+    def has_trial_run(self) -> bool:
+        """Return whether the one run that it gets at a time goes on."""
+        return self.on_trial and self.trial_run in self.reserved
 
     def mark_start_sent(self, run: RunId) -> bool:
         """Mark a start order as sent; return whether that unblocks others."""
