--- a/sycamorefield/fleet/workerspeed.py
+++ b/sycamorefield/fleet/workerspeed.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+import operator
 import statistics
 import typing
 
@@ -507,10 +508,13 @@
 
     Of each service they are the slowest ones, at most MAX_EXCLUDED_SHARE.
     """
-    counts = collections.Counter(w.entry.service for w in usable)
-    candidates = [w for w in usable
-                  if w.entry.worker_id in degraded
-                  and degraded[w.entry.worker_id].level != USED_LESS]
+    limited = {worker_id for worker_id, record in degraded.items()
+               if record.level != USED_LESS}
+    if not limited:
+        return set()
+    counts = collections.Counter(map(
+        operator.attrgetter("entry.service"), usable))
+    candidates = [w for w in usable if w.entry.worker_id in limited]
     candidates.sort(key=lambda w: -degraded[w.entry.worker_id].factor)
     chosen: set[str] = set()
     taken: collections.Counter[str] = collections.Counter()
--- a/tests/test_fleet_learnedstate.py
+++ b/tests/test_fleet_learnedstate.py
@@ -15,6 +15,7 @@
 from sycamorefield.fleet import records
 from sycamorefield.fleet import runtimes
 from sycamorefield.fleet import state as state_mod
+from sycamorefield.fleet import workerspeed
 from tests import fleetfakes
 from tests import test_fleet_takeover
 
@@ -324,9 +325,15 @@
             run_s = 1.2345678 * (1 + sample)
             fleet.run_times.record(f"queue-of-a-team-{number}", STEP, run_s)
             fleet.demand.add_run(f"queue-of-a-team-{number}", run_s)
+    fleet.worker_speeds.degraded = {
+        f"worker-of-a-long-name-{number:08}": workerspeed.WorkerRecord(
+            1764800000000 + number, workerspeed.USED_LESS, factor=12.34)
+        for number in range(workerspeed.MAX_ENCODED_WORKERS + 50)}
     fleet.learned.encoded_at = 0.0
     parts = json.loads(fleet.learned.encode_when_due(clock.now()))
-    assert list(parts) == ["run_times", "demand", "p"]
+    assert list(parts) == ["run_times", "demand", "worker_speeds", "p"]
+    assert (len(parts["worker_speeds"])
+            == workerspeed.MAX_ENCODED_WORKERS)
 
 
 @pytest.fixture(name="fleet")
--- a/tests/test_fleet_workerspeed.py
+++ b/tests/test_fleet_workerspeed.py
@@ -88,6 +88,8 @@
 
 @pytest.mark.parametrize(("runs", "options", "level"), [
     (SLOW_RUNS[:2], {}, ""),
+    ([(0, job, 5.0) for job in "abcd"], {}, EXCLUDED),
+    ([(0, "a", 5.0)], {}, ""),
     (SLOW_RUNS[:3], {}, LESS),
     (SLOW_RUNS, {}, EXCLUDED),
     (SLOW_RUNS, {"known_s": 0.0}, ""),
@@ -281,6 +283,29 @@
     assert not successor.level(2)
 
 
+@pytest.mark.parametrize("gang", [False, True])
+def test_round_starts_one_run_on_a_worker_on_trial(gang):
+    """Guards against a trial with as many runs as fit into one round."""
+    bench = test_fleet_state.Bench(*(fleetfakes.entry(n) for n in range(5)))
+    speeds = bench.state.worker_speeds
+    speeds.decode({"i-0": [0, TRIAL, 5.0, 0.0, 0.0]}, bench.now)
+    bench.add(fleetfakes.job("j", messages.Step(
+        17, messages.Resources(1000, 10), 1000, gang=gang)))
+    placed = bench.place()
+    # Four runs fit on each of the others.
+    assert len(placed) == 17
+    trials = [name for name in placed if "@i-0" in name]
+    assert len(trials) == 1
+    bench.add(fleetfakes.job("k", messages.Step(1, ROOM, 1000)), 21)
+    assert not bench.place()
+    assert speeds.excluded == {"i-0"}
+    # A trial run that ends without a result frees the trial for another.
+    state = bench.state
+    task = state.find(next(iter(state.workers["i-0"].tasks))[0])[1]
+    state.workers["i-0"].release((task.task, task.run), task.step)
+    assert bench.place() == ["k.0.0.0@i-0"]
+
+
 ROW = [5, EXCLUDED, 4.0, 1.0, 2.0]
 
 
