--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -171,6 +171,10 @@
     "SF1856", INFO, "runs stopped by the work lost for waiting tasks")
 RECENT_PEAK = Event(
     "SF1857", INFO, "headroom follows waves of finite tasks, or no more")
+WORKER_SLOW = Event(
+    "SF1859", WARNING, "runs on a worker are slow, fail or hang")
+WORKER_SPEED_RECOVERED = Event(
+    "SF1860", INFO, "worker used as usual again")
 
 INVARIANT_BROKEN = Event("SF1601", ERROR, "invariant broken")
 
--- a/sycamorefield/fleet/policy.py
+++ b/sycamorefield/fleet/policy.py
@@ -65,3 +65,6 @@
     keep_recent_peak: bool = False
     # widetasks.py: some workers are kept for the widest finite tasks.
     keep_wide_gaps: bool = True
+    # workerspeed.py: workers on which runs are slow, fail or hang are used
+    # less.
+    learn_worker_speeds: bool = True
--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -99,6 +99,9 @@
     task.start_confirmed = True
     if current:
         run_state.reset_run()
+        fleet.worker_speeds.note_end(
+            worker, job.job.queue, task, ended.run, ended.how,
+            started_at if measurable else 0.0, now)
     if task.done or job.final():
         return
     job.mark_has_run(task)
@@ -190,6 +193,7 @@
             f"{task.percent}, the highest reported")
     if row.saved:
         task.saved = row.saved
+    fleet.worker_speeds.note_progress(worker, job.job.queue, task, now)
     if not task.stuck and stragglers.is_stuck(
             task, now, job.job.queue, fleet.run_times):
         task.stuck = True
