--- a/sycamorefield/fleet/policy.py
+++ b/sycamorefield/fleet/policy.py
@@ -5,7 +5,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Policy:
-    """Which mechanisms are enabled; by default all but keep_recent_peak.
+    """Which mechanisms are enabled; by default all but two.
+
+    These two, marked below, were not shown to serve callers better.
 
     Each is described, with its benefit, in the module that implements it;
     docs/operators/policy.md lists them.
@@ -32,7 +34,9 @@
     # interference.py: rising or falling loads are extrapolated.
     follow_slopes: bool = True
     # loadswings.py: forecasts follow how the load rose in similar moments.
-    forecast_recent_swing: bool = True
+    # They are too low in 5% instead of 48% of the cases, but then best-effort
+    # jobs are placed so much later that callers are served worse.
+    forecast_recent_swing: bool = False
     # rounds.py: runs that make little progress are moved to other workers.
     move_stalled_runs: bool = True
     # ordering.py: jobs that can still finish on time go before late ones.
--- a/tests/test_fleet_interference.py
+++ b/tests/test_fleet_interference.py
@@ -8,6 +8,7 @@
 from sycamorefield.fleet import interference
 from sycamorefield.fleet import loadswings
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import policy as policy_mod
 from sycamorefield.fleet import pacing
 from sycamorefield.fleet import weights
 
@@ -90,9 +91,14 @@
     assert sum(errors) / len(errors) < 0.06
 
 
-def forecast_errors(seed: int, follow_slopes: bool,
-                    recent_swing: bool = True) -> list[float]:
-    """Return expected minus actual highest loads of the next 2.5 s."""
+def forecast_errors(
+        seed: int, follow_slopes: bool,
+        recent_swing: bool = policy_mod.Policy().forecast_recent_swing
+        ) -> list[float]:
+    """Return expected minus actual highest loads of the next 2.5 s.
+
+    By default the forecast is the one that is in use.
+    """
     rng = random.Random(seed)
     model = interference.InterferenceModel(
         follow_slopes=follow_slopes, forecast_recent_swing=recent_swing)
@@ -138,10 +144,18 @@
     assert too_low <= 0.1 * len(forecast)
 
 
+@pytest.mark.parametrize("seed", range(4))
+def test_load_forecast_by_swings_is_rarely_too_low(seed):
+    """Guards against the same, where the policy switches it on."""
+    forecast = forecast_errors(seed, True, recent_swing=True)
+    too_low = sum(1 for error in forecast if error < -0.06)
+    assert too_low <= 0.1 * len(forecast)
+
+
 @pytest.mark.parametrize("seed", range(4))
 def test_load_forecast_by_swings_is_closer_than_by_slope(seed):
     """Guards against forecasts that are rarely too low as all are high."""
-    by_swing = forecast_errors(seed, True)
+    by_swing = forecast_errors(seed, True, recent_swing=True)
     by_slope = forecast_errors(seed, True, recent_swing=False)
     assert sum(map(abs, by_swing)) < 0.5 * sum(map(abs, by_slope))
     assert abs(sum(by_swing)) < 0.03 * len(by_swing)
