Start a quarantine run only after a report that follows other starts

Cause: is_ready took a run on the quarantined worker as past its start 0.25 s after the start was answered, by the owner's clock. If that run crashed the worker and no failed call has shown it yet, the quarantine run was ordered to the dead worker, got no answer, and the crash was attributed to it alone. Twice of that fails a sound job.

Change: the other runs must have been past their start at the worker's last report, as it is already required to clear a quarantined task.

Ruled out: a delayed start of a copy on a quarantined worker; no late start takes part in the sequence. A fault of the model; a worker whose machine dies is noticed only when its report call times out.

--- a/sycamorefield/fleet/quarantines.py
+++ b/sycamorefield/fleet/quarantines.py
@@ -122,6 +122,8 @@
 
     Their assignments must be stored, so that a succeeding owner knows which
     tasks to suspect, and no other run on the workers may have just started.
+    A worker that has not reported since such a start may have crashed
+    unnoticed: the crash would be attributed to the quarantined tasks.
     """
     assignments = quarantine.assignments()
     if any(quarantine.job.stored_quarantine_workers.get(task_id) != worker_id
@@ -129,7 +131,8 @@
         return False
     members = {task for task, _ in quarantine.members}
     return not any(
-        has_recent_start(workers[worker_id], now, members)
+        has_recent_start(workers[worker_id],
+                         min(now, workers[worker_id].reported_at), members)
         for worker_id in quarantine.worker_ids())
 
 
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -356,6 +356,26 @@
                for placement in bench.place())
 
 
+def test_quarantine_run_waits_for_a_report_after_other_starts(monkeypatch):
+    """Guards against blaming a task for a crash that is not noticed yet."""
+    bench = test_fleet_state.Bench(*(fleetfakes.entry(n) for n in range(2)))
+    monkeypatch.setattr(clock, "now", lambda: bench.now)
+    bench.add(fleetfakes.job("j", FINITE))
+    job = bench.state.jobs["j"]
+    job.create_tasks(0)
+    [task] = job.tasks[0, 0]
+    task.suspicion = suspicion.Suspicion(["i-9"], [0.0], likely=True)
+    bench.add(fleetfakes.job("k", messages.Step(
+        2, SMALL_RESOURCES, max_per_worker=1)), 15)
+    assert len(bench.place()) == 2
+    [worker_id] = job.quarantine_workers.values()
+    job.stored_quarantine_workers = dict(job.quarantine_workers)
+    bench.now += 1.0
+    assert not bench.place()
+    report_all(bench)
+    assert bench.place() == [f"j.0.0.0@{worker_id}"]
+
+
 class CapacityChange(typing.NamedTuple):
     """A worker's final CPU capacity, and whether another task starts."""
 
