Let no less urgent best-effort task keep copies away

Cause: best-effort tasks reserve no CPU and wait as long as there is load. Each one that fits without a copy stopped that copy in the next round (make_room), so copies of urgent runs were started and stopped again.

Change: best-effort tasks that are less urgent than the copy neither keep free capacity from it nor stop it. Tasks that reserve CPU, of any priority, and best-effort tasks at least as urgent do so as before.

Ruled out: keeping make_room as it was, and changing only where copies start; it is make_room that stops them.

--- a/sycamorefield/fleet/copies.py
+++ b/sycamorefield/fleet/copies.py
@@ -3,8 +3,8 @@
 A few tasks hang, run on a slow worker, or are on a worker that does not
 answer.  Callers of urgent jobs allow one and a half times the run time and
 some 0.3 s, which a run that starts after the end of a lease (5 s) misses.  A
-copy is placed on capacity that nothing waits for, and the first of both runs
-that is done counts.
+copy is placed on capacity that no task waits for but less urgent best-effort
+ones, and the first of both runs that is done counts.
 """
 
 import typing
@@ -69,6 +69,14 @@
     best_effort: bool
     gang: bool
 
+    def yields_to(self, priority: int) -> bool:
+        """Return whether copies of a priority may use what it fits into.
+
+        Less urgent best-effort tasks wait as long as there is load, and take
+        whatever CPU a copy that is stopped leaves.
+        """
+        return self.best_effort and self.priority > priority
+
 
 class Waiting:
     """The least resources that waiting tasks of each kind request."""
@@ -93,7 +101,7 @@
         not enough yet.
         """
         for kind, request in self.requests.items():
-            if not _is_allowed(worker, kind):
+            if kind.yields_to(priority) or not _is_allowed(worker, kind):
                 continue
             if not kind.best_effort and kind.priority <= priority:
                 if worker.entry.capacity.holds(request):
@@ -103,7 +111,9 @@
         return False
 
     def copies_in_the_way(self, worker: workerstate.WorkerState,
-                          copies: list[progress.Copy]
+                          copies: list[progress.Copy],
+                          priority_of: typing.Callable[
+                              [progress.TaskState], int]
                           ) -> list[progress.Copy]:
         """Return copies without which a gang or best-effort task would fit.
 
@@ -111,8 +121,11 @@
         """
         for kind, request in self.requests.items():
             if (kind.best_effort or kind.gang) and _is_allowed(worker, kind):
-                chosen = _copies_to_stop(_free_for(worker, kind), copies,
-                                         _demand(kind, request))
+                chosen = _copies_to_stop(
+                    _free_for(worker, kind),
+                    [copy for copy in copies
+                     if not kind.yields_to(priority_of(copy))],
+                    _demand(kind, request))
                 if chosen:
                     return chosen
         return []
@@ -390,13 +403,15 @@
     return by_worker
 
 
-def make_room(fleet: "state_mod.FleetState", waiting: Waiting) -> None:
+def make_room(fleet: "state_mod.FleetState", waiting: Waiting,
+              priority_of: typing.Callable[[progress.TaskState], int]
+              ) -> None:
     """Stop copies for gangs and best-effort tasks, which preempt no runs."""
     for worker_id, copies in _by_worker(fleet.copies).items():
         worker = fleet.workers.get(worker_id)
         if worker is None:
             continue
-        for copy in waiting.copies_in_the_way(worker, copies):
+        for copy in waiting.copies_in_the_way(worker, copies, priority_of):
             fleet.stop_run(copy, "room for waiting tasks")
 
 
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -499,7 +499,7 @@
         if not known_copies.watched and not known_copies.known:
             return
         known_copies.update(self.now)
-        copies.make_room(self.fleet, self.waiting)
+        copies.make_room(self.fleet, self.waiting, self._task_priority)
         if self.fleet.awaited_workers:
             return
         tasks = sorted(copies.due(self.fleet, self.now),
