--- a/tests/test_fleet_interference.py
+++ b/tests/test_fleet_interference.py
@@ -8,8 +8,8 @@
 from sycamorefield.fleet import interference
 from sycamorefield.fleet import loadswings
 from sycamorefield.fleet import messages
-from sycamorefield.fleet import policy as policy_mod
 from sycamorefield.fleet import pacing
+from sycamorefield.fleet import policy as policy_mod
 from sycamorefield.fleet import weights
 
 # The true utilisation added per core, as found in recorded data.
