Look through the watched runs at most every 40 ms

Cause: each round looked through all watched runs. With 900 of them that takes about 4 ms of a whole core, and rounds may follow each other after 5 ms or their own duration, so an owner with half a core could spend its time on that.

Change: the search for runs that need a copy is made at most every 40 ms. Copies in the way of waiting tasks are still stopped in each round.

The new test fails without the change.

--- a/sycamorefield/fleet/copies.py
+++ b/sycamorefield/fleet/copies.py
@@ -38,6 +38,9 @@
 # 5,500 workers such a search takes about 10 ms, so a round makes one at most.
 SEARCH_GAP_S = 0.2
 MAX_SEARCHES = 4
+# The watched runs are looked through this often: with 900 of them that takes
+# 4 ms of a whole core, and rounds may follow each other after 5 ms.
+CHECK_PERIOD_S = 0.04
 # A copy is placed on the best of this many workers that fit, which ends most
 # searches early.
 MAX_CANDIDATES = 32
@@ -188,6 +191,7 @@
         self.started: list[tuple[str, int, str, str]] = []
         self.ended: list[tuple[str, int, str]] = []
         self.budget_logged_at = 0.0
+        self.checked_at = 0.0
 
     def may_copy(self, step: messages.Step) -> bool:
         """Return whether tasks of a step may have copies."""
@@ -247,6 +251,13 @@
             self.wasted_cpu_s += (
                 (now - copy.started_at) * copy.step.room.cpu / 1000.0)
 
+    def start_check(self, now: float) -> bool:
+        """Return whether to look through the watched runs now."""
+        if 0.0 <= now - self.checked_at < CHECK_PERIOD_S:
+            return False
+        self.checked_at = now
+        return True
+
     def note_exhausted_budget(self, used_cpu: int, now: float) -> None:
         """Log now and then that the budget does not allow a copy."""
         if now - self.budget_logged_at >= BUDGET_LOG_PERIOD_S:
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -500,7 +500,8 @@
             return
         known_copies.update(self.now)
         copies.make_room(self.fleet, self.waiting, self._task_priority)
-        if self.fleet.awaited_workers:
+        if (self.fleet.awaited_workers
+                or not known_copies.start_check(self.now)):
             return
         tasks = sorted(copies.due(self.fleet, self.now),
                        key=lambda item: self._task_priority(item[0]))
--- a/tests/test_fleet_copies.py
+++ b/tests/test_fleet_copies.py
@@ -473,3 +473,14 @@
     waiting = copies.Waiting()
     waiting.add(step, _worker().entry.service, priority)
     assert waiting.needs(_worker(), 0) == needed
+
+
+def test_watched_runs_are_not_looked_through_in_each_round(monkeypatch):
+    """Guards against an owner that spends its time on 900 watched runs."""
+    fleet = Fleet(monkeypatch, percent=90)
+    checks = []
+    monkeypatch.setattr(copies, "due", lambda *_: checks.append(1) or [])
+    for _ in range(20):
+        fleet.now += 0.01
+        rounds.place(fleet.state, fleet.now, 1e12)
+    assert 4 <= len(checks) <= 6
