Let a task take the place of a copy of its own step

Cause: on a worker where max_per_worker runs of the step are, one of them a copy, a waiting task of the step is not allowed, so that copy was never chosen as a victim: a copy kept a first run waiting until it ended.

Change: choose_victims stops a copy of the same step where that alone makes room under max_per_worker, and further copies if capacity is short.

Ruled out: starting no copies of such steps; most of them have tasks on few workers and gain as others do.

The new test fails without the change.

--- a/sycamorefield/fleet/copies.py
+++ b/sycamorefield/fleet/copies.py
@@ -396,15 +396,36 @@
     best: list[progress.Copy] = []
     for worker in workers if by_worker else ():
         here = by_worker.get(worker.entry.worker_id)
-        if here is None or not placing.allowed(worker, service, task):
+        if here is None:
             continue
-        chosen = _copies_to_stop(worker.free_capacity(), here,
-                                 task.step.reserved())
+        chosen = _victims_on(worker, here, task, service)
         if chosen and (not best or len(chosen) < len(best)):
             best = chosen
     return best
 
 
+def _victims_on(worker: workerstate.WorkerState, copies: list[progress.Copy],
+                task: progress.TaskState, service: str
+                ) -> list[progress.Copy]:
+    """Return copies on a worker to stop so that a task fits.
+
+    A copy of the task's own step may be the run that max_per_worker counts.
+    """
+    free = worker.free_capacity()
+    request = task.step.reserved()
+    if placing.allowed(worker, service, task):
+        return _copies_to_stop(free, copies, request)
+    step_id = task.task.step_id()
+    first = next((copy for copy in copies
+                  if copy.task.step_id() == step_id), None)
+    if first is None or not placing.allowed(worker, service, task, leaving=1):
+        return []
+    free = free.plus(request)
+    others = [copy for copy in copies if copy is not first]
+    more = _copies_to_stop(free, others, request)
+    return [first, *more] if more or free.holds(request) else []
+
+
 def _by_worker(copies: Copies) -> dict[str, list[progress.Copy]]:
     """Return the copies that are not being stopped, by worker."""
     by_worker: dict[str, list[progress.Copy]] = {}
--- a/sycamorefield/fleet/placing.py
+++ b/sycamorefield/fleet/placing.py
@@ -37,8 +37,11 @@
 
 
 def allowed(worker: workerstate.WorkerState, service: str,
-            task: progress.TaskState) -> bool:
-    """Return whether a task may run on a worker, capacity aside."""
+            task: progress.TaskState, leaving: int = 0) -> bool:
+    """Return whether a task may run on a worker, capacity aside.
+
+    Of the runs of its step there, some are leaving.
+    """
     step = task.step
     if worker.entry.service != service:
         return False
@@ -48,7 +51,7 @@
         task_id = task.task
         running_here = worker.count_runs(
             task_id.job_id, task_id.occurrence, task_id.step)
-        if running_here >= step.max_per_worker:
+        if running_here - leaving >= step.max_per_worker:
             return False
     return True
 
--- a/tests/test_fleet_copies.py
+++ b/tests/test_fleet_copies.py
@@ -484,3 +484,19 @@
         fleet.now += 0.01
         rounds.place(fleet.state, fleet.now, 1e12)
     assert 4 <= len(checks) <= 6
+
+
+def test_copy_leaves_its_place_to_a_task_of_its_step(monkeypatch):
+    """Guards against a task kept out by max_per_worker and a copy."""
+    fleet = Fleet(monkeypatch, workers=3, step=dataclasses.replace(
+        STEP, count=2, max_per_worker=1))
+    second = fleet.copy()
+    sibling = TASK._replace(number=1)
+    [other] = set(fleet.state.workers) - {fleet.first, second}
+    fleet.report(other, (), [messages.EndedTask(1, sibling, 1, "failed", "")])
+    fleet.state.workers[other].avoid_until = fleet.now + 9.0
+    fleet.round()
+    assert fleet.stopped() == [(second, 2)]
+    fleet.ends(second, (2, "stopped"))
+    assert fleet.round() == [second]
+    assert fleet.state.find(sibling)[1].worker_id == second
