--- a/tests/test_fleet_copies.py
+++ b/tests/test_fleet_copies.py
@@ -500,3 +500,28 @@
     fleet.ends(second, (2, "stopped"))
     assert fleet.round() == [second]
     assert fleet.state.find(sibling)[1].worker_id == second
+
+
+def test_stopping_copy_that_becomes_the_run_is_stopped_again(monkeypatch):
+    """Guards against a task that waits for a run that outlives its stop."""
+    fleet = Fleet(monkeypatch)
+    second = fleet.copy()
+    fleet.state.stop_run(fleet.task.copy, "room")
+    fleet.ends(fleet.first, (1, "failed"))
+    assert (fleet.task.run, fleet.task.phase) == (2, progress.STOPPING)
+    answers.record_stopped(fleet.state, second,
+                           messages.StopOrder(TASK, 2), fleet.now)
+    fleet.now += 3.1
+    fleet.run(second, 2)
+    assert fleet.stopped() == [(second, 2)] * 2
+
+
+def test_run_time_of_a_copy_that_became_the_run_is_learned(monkeypatch):
+    fleet = Fleet(monkeypatch)
+    second = fleet.copy()
+    fleet.ends(fleet.first, (1, "failed"))
+    recorded = []
+    monkeypatch.setattr(fleet.state.run_times, "record",
+                        lambda *values: recorded.append(values))
+    fleet.ends(second, (2, "done"))
+    assert len(recorded) == 1
