--- a/tests/test_fleet_copies.py
+++ b/tests/test_fleet_copies.py
@@ -473,3 +473,55 @@
     waiting = copies.Waiting()
     waiting.add(step, _worker().entry.service, priority)
     assert waiting.needs(_worker(), 0) == needed
+
+
+def test_watched_runs_are_not_looked_through_in_each_round(monkeypatch):
+    """Guards against an owner that spends its time on 900 watched runs."""
+    fleet = Fleet(monkeypatch, percent=90)
+    checks = []
+    monkeypatch.setattr(copies, "due", lambda *_: checks.append(1) or [])
+    for _ in range(20):
+        fleet.now += 0.01
+        rounds.place(fleet.state, fleet.now, 1e12)
+    assert 4 <= len(checks) <= 6
+
+
+def test_copy_leaves_its_place_to_a_task_of_its_step(monkeypatch):
+    """Guards against a task kept out by max_per_worker and a copy."""
+    fleet = Fleet(monkeypatch, workers=3, step=dataclasses.replace(
+        STEP, count=2, max_per_worker=1))
+    second = fleet.copy()
+    sibling = TASK._replace(number=1)
+    [other] = set(fleet.state.workers) - {fleet.first, second}
+    fleet.report(other, (), [messages.EndedTask(1, sibling, 1, "failed", "")])
+    fleet.state.workers[other].avoid_until = fleet.now + 9.0
+    fleet.round()
+    assert fleet.stopped() == [(second, 2)]
+    fleet.ends(second, (2, "stopped"))
+    assert fleet.round() == [second]
+    assert fleet.state.find(sibling)[1].worker_id == second
+
+
+def test_stopping_copy_that_becomes_the_run_is_stopped_again(monkeypatch):
+    """Guards against a task that waits for a run that outlives its stop."""
+    fleet = Fleet(monkeypatch)
+    second = fleet.copy()
+    fleet.state.stop_run(fleet.task.copy, "room")
+    fleet.ends(fleet.first, (1, "failed"))
+    assert (fleet.task.run, fleet.task.phase) == (2, progress.STOPPING)
+    answers.record_stopped(fleet.state, second,
+                           messages.StopOrder(TASK, 2), fleet.now)
+    fleet.now += 3.1
+    fleet.run(second, 2)
+    assert fleet.stopped() == [(second, 2)] * 2
+
+
+def test_run_time_of_a_copy_that_became_the_run_is_learned(monkeypatch):
+    fleet = Fleet(monkeypatch)
+    second = fleet.copy()
+    fleet.ends(fleet.first, (1, "failed"))
+    recorded = []
+    monkeypatch.setattr(fleet.state.run_times, "record",
+                        lambda *values: recorded.append(values))
+    fleet.ends(second, (2, "done"))
+    assert len(recorded) == 1
