Move EligibleWorkers to its own module

The quarantine and preemption parts that are to leave it need EligibleWorkers at import time, and would otherwise import rounds.py, which imports them. No change of behaviour.

--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -5,6 +5,7 @@
 
 from sycamorefield import events
 from sycamorefield.fleet import copies
+from sycamorefield.fleet import eligibleworkers
 from sycamorefield.fleet import freeing
 from sycamorefield.fleet import gangs
 from sycamorefield.fleet import headroom
@@ -28,31 +29,6 @@
 MOVE_STALLED_AFTER_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EligibleWorkers:
-    """The workers on which a step may run, with their tickets.
-
-    There are no tickets (None) if the queue has no advice policy.
-    """
-
-    service: str
-    workers: list[workerstate.WorkerState]
-    tickets: dict[str, str] | None = None
-
-    def ticket(self, worker: workerstate.WorkerState) -> str:
-        """Return the ticket to start a run on a worker, or an empty string."""
-        return (self.tickets or {}).get(worker.entry.worker_id, "")
-
-    def scope(self, task: progress.TaskState) -> placement_cache.SearchScope:
-        """Return the scope of a search for a worker for a task of the step."""
-        step = task.step
-        own = step.max_per_worker or self.tickets is not None
-        return placement_cache.SearchScope(
-            self.service, step.fills, step.requires,
-            step.image if step.fills else "",
-            task.task.step_id() if own else None)
-
-
 class Round:
     """A scheduling round; caches which requests could not be placed."""
 
@@ -129,7 +105,7 @@
 
     def _request_advice(self, state: progress.JobState,
                         tasks: list[progress.TaskState],
-                        eligible: EligibleWorkers) -> None:
+                        eligible: eligibleworkers.EligibleWorkers) -> None:
         """Request advice on more workers if tasks of a step are unplaced."""
         queue = self.queues[state.job.queue]
         task = next((t for t in tasks if t.phase == progress.IDLE), None)
@@ -164,22 +140,24 @@
             w, task.step, self.fleet.interference_model)}
 
     def _eligible_workers(self, state: progress.JobState,
-                          task: progress.TaskState) -> EligibleWorkers:
+                          task: progress.TaskState
+                          ) -> eligibleworkers.EligibleWorkers:
         """Return the workers that configuration and advice allow a step."""
         queue = self.queues.get(state.job.queue)
         service = queue.service if queue else state.job.service
         if queue is None or queue.advice is None:
-            return EligibleWorkers(service, self.usable_workers)
+            return eligibleworkers.EligibleWorkers(
+                service, self.usable_workers)
         tickets = self.fleet.advice.valid_tickets(
             task.task.step_id(), self.now)
-        return EligibleWorkers(
+        return eligibleworkers.EligibleWorkers(
             service, [w for w in self.usable_workers
                       if w.entry.worker_id in tickets], tickets)
 
     def _place_tasks(self, state: progress.JobState,
                      tasks: list[progress.TaskState],
                      startable: list[progress.TaskState],
-                     eligible: EligibleWorkers) -> None:
+                     eligible: eligibleworkers.EligibleWorkers) -> None:
         """Start as many of the startable tasks of a step as possible."""
         keeps_headroom = (
             self.policy.keep_room_for_short_work
@@ -209,7 +187,7 @@
 
     def _start_where_held(self, state: progress.JobState,
                           task: progress.TaskState,
-                          eligible: EligibleWorkers) -> bool:
+                          eligible: eligibleworkers.EligibleWorkers) -> bool:
         """Start a task where resources are held for it, if it fits by now."""
         hold = self.fleet.held_workers.find(task)
         if hold is None or hold.worker not in eligible.workers:
@@ -225,7 +203,7 @@
 
     def _place_task(self, state: progress.JobState,
                     task: progress.TaskState,
-                    eligible: EligibleWorkers) -> bool:
+                    eligible: eligibleworkers.EligibleWorkers) -> bool:
         """Start a task if it fits on a worker.
 
         Return whether the other tasks of its step should be tried.
@@ -242,7 +220,8 @@
         return self._wait_for_capacity(state, task, eligible, scope)
 
     def _wait_for_capacity(self, state: progress.JobState,
-                           task: progress.TaskState, eligible: EligibleWorkers,
+                           task: progress.TaskState,
+                           eligible: eligibleworkers.EligibleWorkers,
                            scope: placement_cache.SearchScope) -> bool:
         """Free or reserve capacity for a task that fits on no worker.
 
@@ -259,7 +238,7 @@
         return expects_capacity or task.step.perpetual
 
     def _choose_worker(self, task: progress.TaskState,
-                       eligible: EligibleWorkers
+                       eligible: eligibleworkers.EligibleWorkers
                        ) -> workerstate.WorkerState | None:
         """Return the best worker for a task of the step being placed."""
         if task.avoided_workers or not self.policy.remember_shortage:
@@ -276,7 +255,7 @@
         return self.ranking.best()
 
     def _workers_to_search(self, task: progress.TaskState,
-                           eligible: EligibleWorkers,
+                           eligible: eligibleworkers.EligibleWorkers,
                            scope: placement_cache.SearchScope
                            ) -> list[workerstate.WorkerState]:
         """Return the workers on which a task may fit by now."""
@@ -305,7 +284,7 @@
 
     def _place_long_running(self, state: progress.JobState,
                             task: progress.TaskState,
-                            eligible: EligibleWorkers,
+                            eligible: eligibleworkers.EligibleWorkers,
                             required: headroom.RequiredHeadroom) -> bool:
         """Start a long-running task where enough headroom remains.
 
@@ -334,7 +313,7 @@
         return False
 
     def _is_held_back(self, state: progress.JobState, task: progress.TaskState,
-                      eligible: EligibleWorkers,
+                      eligible: eligibleworkers.EligibleWorkers,
                       required: headroom.RequiredHeadroom) -> bool:
         """Return whether a long-running task can't start in this round.
 
@@ -348,7 +327,8 @@
                     self.now - state.first_ready_at))
 
     def _headroom_for(self, state: progress.JobState,
-                      eligible: EligibleWorkers) -> headroom.Headroom:
+                      eligible: eligibleworkers.EligibleWorkers
+                      ) -> headroom.Headroom:
         priority = ordering.priority(state, self.queues)
         headroom_ = self.headrooms.get((eligible.service, priority))
         if headroom_ is None:
@@ -361,7 +341,7 @@
 
     def _start(self, state: progress.JobState, task: progress.TaskState,
                worker: workerstate.WorkerState,
-               eligible: EligibleWorkers) -> None:
+               eligible: eligibleworkers.EligibleWorkers) -> None:
         self.fleet.held_workers.drop(task)
         self.fleet.start(state, task, worker, state.next_run_number(task),
                          eligible.ticket(worker))
@@ -370,7 +350,8 @@
         self.freeing.record_start(worker)
 
     def _expects_capacity(self, state: progress.JobState,
-                          task: progress.TaskState, eligible: EligibleWorkers,
+                          task: progress.TaskState,
+                          eligible: eligibleworkers.EligibleWorkers,
                           scope: placement_cache.SearchScope) -> bool:
         """Return whether capacity is being freed; preempt runs if needed."""
         request = task.step.room
@@ -384,7 +365,7 @@
         return self._preempt_long_running_for(state, task, eligible)
 
     def _reserve_worker(self, task: progress.TaskState,
-                        eligible: EligibleWorkers,
+                        eligible: eligibleworkers.EligibleWorkers,
                         scope: placement_cache.SearchScope) -> bool:
         """Reserve a worker for a long-running task that is down.
 
@@ -402,7 +383,7 @@
     def _place_gang(self, state: progress.JobState,
                     tasks: list[progress.TaskState],
                     startable: list[progress.TaskState],
-                    eligible: EligibleWorkers) -> None:
+                    eligible: eligibleworkers.EligibleWorkers) -> None:
         """Start all members of a gang with one run number, or none."""
         if len(startable) < len(tasks):
             return
@@ -417,7 +398,7 @@
                          tasks: list[progress.TaskState],
                          startable: list[progress.TaskState],
                          suspected: list[progress.TaskState],
-                         eligible: EligibleWorkers) -> None:
+                         eligible: eligibleworkers.EligibleWorkers) -> None:
         """Start suspected tasks of a step in quarantine, others as usual."""
         if tasks[0].step.gang:
             if len(startable) == len(tasks):
@@ -431,7 +412,8 @@
 
     def _place_in_quarantine(self, state: progress.JobState,
                              tasks: list[progress.TaskState],
-                             eligible: EligibleWorkers) -> None:
+                             eligible: eligibleworkers.EligibleWorkers
+                             ) -> None:
         """Start suspected tasks where only they could cause a crash."""
         quarantine = self.fleet.trials.by_task.get(tasks[0].task)
         if quarantine is None:
@@ -450,7 +432,8 @@
         self._start_quarantine_run(quarantine, eligible)
 
     def _start_quarantine_run(self, quarantine: quarantines.Quarantine,
-                              eligible: EligibleWorkers) -> None:
+                              eligible: eligibleworkers.EligibleWorkers
+                              ) -> None:
         state = quarantine.job
         quarantine.run = max(state.next_run_number(task)
                              for task, _ in quarantine.members)
@@ -466,7 +449,7 @@
 
     def _quarantine_workers(self, state: progress.JobState,
                             tasks: list[progress.TaskState],
-                            eligible: EligibleWorkers) -> None:
+                            eligible: eligibleworkers.EligibleWorkers) -> None:
         """Quarantine workers: only the given tasks may start there."""
         if not self.fleet.trials.can_add(self.worker_count):
             return
@@ -487,7 +470,7 @@
             self._exclude_worker(worker, self.usable_workers, eligible.workers)
 
     def _choose_quarantine_workers(self, tasks: list[progress.TaskState],
-                                   eligible: EligibleWorkers
+                                   eligible: eligibleworkers.EligibleWorkers
                                    ) -> list[workerstate.WorkerState]:
         """Return workers to quarantine, preferably without recent starts."""
         without_recent_starts = [worker for worker in eligible.workers
@@ -593,7 +576,7 @@
 
     def _preempt_for(self, state: progress.JobState,
                      task: progress.TaskState,
-                     eligible: EligibleWorkers) -> bool:
+                     eligible: eligibleworkers.EligibleWorkers) -> bool:
         """Preempt lower-priority runs for a task unless capacity is freed.
 
         Return whether the task can expect capacity.
@@ -620,7 +603,8 @@
     def _preempt_by_lost_work(self, finder: victims.VictimFinder,
                               state: progress.JobState,
                               task: progress.TaskState,
-                              eligible: EligibleWorkers) -> bool:
+                              eligible: eligibleworkers.EligibleWorkers
+                              ) -> bool:
         """Preempt the finite runs that lose the least; return whether any."""
         priority = ordering.priority(state, self.queues)
         scope = dataclasses.replace(eligible.scope(task), priority=priority)
@@ -640,7 +624,8 @@
 
     def _preempt_long_running_for(self, state: progress.JobState,
                                   task: progress.TaskState,
-                                  eligible: EligibleWorkers) -> bool:
+                                  eligible: eligibleworkers.EligibleWorkers
+                                  ) -> bool:
         """Preempt long-running tasks that their users can miss."""
         if self.victim_finder is None:
             return False
@@ -678,7 +663,7 @@
 
     def _take_over_hold(self, state: progress.JobState,
                         task: progress.TaskState,
-                        eligible: EligibleWorkers) -> bool:
+                        eligible: eligibleworkers.EligibleWorkers) -> bool:
         """Use what is held for a less urgent task, if it suffices."""
         priority = ordering.priority(state, self.queues)
         request = task.step.reserved()
@@ -696,7 +681,8 @@
 
     def _choose_victims(self, state: progress.JobState,
                         task: progress.TaskState,
-                        eligible: EligibleWorkers) -> list[progress.TaskState]:
+                        eligible: eligibleworkers.EligibleWorkers
+                        ) -> list[progress.TaskState]:
         """Return lower-priority runs to preempt so that a task fits."""
         priority = ordering.priority(state, self.queues)
         scope = dataclasses.replace(eligible.scope(task), priority=priority)
