Move quarantine placing out of rounds.py

The functions that start suspected tasks on quarantined workers take the round as their first argument. A class that keeps the round was ruled out: the round would refer to it in turn, and each round would leave a reference cycle to the garbage collector. Methods of Round that the new module calls lose the underscore.

--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -3,7 +3,6 @@
 import dataclasses
 import typing
 
-from sycamorefield import events
 from sycamorefield.fleet import copies
 from sycamorefield.fleet import eligibleworkers
 from sycamorefield.fleet import freeing
@@ -16,7 +15,7 @@
 from sycamorefield.fleet import placement_cache
 from sycamorefield.fleet import placing
 from sycamorefield.fleet import progress
-from sycamorefield.fleet import quarantines
+from sycamorefield.fleet import quarantineplacing
 from sycamorefield.fleet import reservations
 from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import victims
@@ -90,11 +89,12 @@
         suspected = [
             t for t in startable if t.suspicion and t.needs_quarantine_run()]
         if suspected:
-            self._place_suspected(state, tasks, startable, suspected, eligible)
+            quarantineplacing.place_suspected(
+                self, state, tasks, startable, suspected, eligible)
         elif step.gang:
             self._place_gang(state, tasks, startable, eligible)
         else:
-            self._place_tasks(state, tasks, startable, eligible)
+            self.place_tasks(state, tasks, startable, eligible)
         if eligible.tickets is not None:
             self._request_advice(state, startable, eligible)
         if self.fleet.copies.watched and any(
@@ -154,10 +154,10 @@
             service, [w for w in self.usable_workers
                       if w.entry.worker_id in tickets], tickets)
 
-    def _place_tasks(self, state: progress.JobState,
-                     tasks: list[progress.TaskState],
-                     startable: list[progress.TaskState],
-                     eligible: eligibleworkers.EligibleWorkers) -> None:
+    def place_tasks(self, state: progress.JobState,
+                    tasks: list[progress.TaskState],
+                    startable: list[progress.TaskState],
+                    eligible: eligibleworkers.EligibleWorkers) -> None:
         """Start as many of the startable tasks of a step as possible."""
         keeps_headroom = (
             self.policy.keep_room_for_short_work
@@ -217,12 +217,12 @@
                 return True
             self.unplaceable.add(scope, request)
             self.fleet.placement_misses.add(scope, request)
-        return self._wait_for_capacity(state, task, eligible, scope)
+        return self.wait_for_capacity(state, task, eligible, scope)
 
-    def _wait_for_capacity(self, state: progress.JobState,
-                           task: progress.TaskState,
-                           eligible: eligibleworkers.EligibleWorkers,
-                           scope: placement_cache.SearchScope) -> bool:
+    def wait_for_capacity(self, state: progress.JobState,
+                          task: progress.TaskState,
+                          eligible: eligibleworkers.EligibleWorkers,
+                          scope: placement_cache.SearchScope) -> bool:
         """Free or reserve capacity for a task that fits on no worker.
 
         Return whether the other tasks of its step should be tried.
@@ -264,8 +264,8 @@
         return self.fleet.placement_misses.workers_to_search(
             scope, task.step.room, eligible.workers)
 
-    def _exclude_worker(self, worker: workerstate.WorkerState,
-                        *worker_lists: list[workerstate.WorkerState]) -> None:
+    def exclude_worker(self, worker: workerstate.WorkerState,
+                       *worker_lists: list[workerstate.WorkerState]) -> None:
         """Start nothing more on a worker in this round.
 
         The next round treats the worker as changed, because requests that
@@ -377,7 +377,7 @@
         if worker is None:
             return False
         self.freeing.discard(worker)
-        self._exclude_worker(worker, self.usable_workers, eligible.workers)
+        self.exclude_worker(worker, self.usable_workers, eligible.workers)
         return True
 
     def _place_gang(self, state: progress.JobState,
@@ -394,99 +394,6 @@
             task.saved = saved
             self.fleet.start(state, task, worker, run, eligible.ticket(worker))
 
-    def _place_suspected(self, state: progress.JobState,
-                         tasks: list[progress.TaskState],
-                         startable: list[progress.TaskState],
-                         suspected: list[progress.TaskState],
-                         eligible: eligibleworkers.EligibleWorkers) -> None:
-        """Start suspected tasks of a step in quarantine, others as usual."""
-        if tasks[0].step.gang:
-            if len(startable) == len(tasks):
-                self._place_in_quarantine(state, tasks, eligible)
-            return
-        for task in suspected:
-            self._place_in_quarantine(state, [task], eligible)
-        others = [task for task in startable if task not in suspected]
-        if others:
-            self._place_tasks(state, tasks, others, eligible)
-
-    def _place_in_quarantine(self, state: progress.JobState,
-                             tasks: list[progress.TaskState],
-                             eligible: eligibleworkers.EligibleWorkers
-                             ) -> None:
-        """Start suspected tasks where only they could cause a crash."""
-        quarantine = self.fleet.trials.by_task.get(tasks[0].task)
-        if quarantine is None:
-            self._quarantine_workers(state, tasks, eligible)
-            return
-        workers = self.fleet.workers
-        if quarantine.run or quarantine.restored:
-            return
-        if not quarantines.is_ready(quarantine, workers, self.now):
-            return
-        if not quarantines.fits(quarantine, workers, eligible.service,
-                                eligible.tickets):
-            self.fleet.trials.release(
-                quarantine, "does not fit or not allowed")
-            return
-        self._start_quarantine_run(quarantine, eligible)
-
-    def _start_quarantine_run(self, quarantine: quarantines.Quarantine,
-                              eligible: eligibleworkers.EligibleWorkers
-                              ) -> None:
-        state = quarantine.job
-        quarantine.run = max(state.next_run_number(task)
-                             for task, _ in quarantine.members)
-        saved = max(task.saved for task, _ in quarantine.members)
-        events.emit(events.QUARANTINE_STARTED, runs=[
-            (str(task.task), quarantine.run, worker_id)
-            for task, worker_id in quarantine.members])
-        for task, worker_id in quarantine.members:
-            task.saved = saved
-            worker = self.fleet.workers[worker_id]
-            self.fleet.start(state, task, worker, quarantine.run,
-                             eligible.ticket(worker))
-
-    def _quarantine_workers(self, state: progress.JobState,
-                            tasks: list[progress.TaskState],
-                            eligible: eligibleworkers.EligibleWorkers) -> None:
-        """Quarantine workers: only the given tasks may start there."""
-        if not self.fleet.trials.can_add(self.worker_count):
-            return
-        chosen = self._choose_quarantine_workers(tasks, eligible)
-        if not chosen and not tasks[0].step.gang:
-            self._wait_for_capacity(
-                state, tasks[0], eligible, eligible.scope(tasks[0]))
-        if not chosen:
-            return
-        members = [(task, worker.entry.worker_id)
-                   for task, worker in zip(tasks, chosen)]
-        state.quarantine_births.update(
-            {worker.entry.worker_id: worker.born_ms for worker in chosen})
-        self.fleet.trials.add(quarantines.Quarantine(state, members, self.now))
-        state.dirty = self.fleet.commit_requested = True
-        for worker in chosen:
-            self.freeing.discard(worker)
-            self._exclude_worker(worker, self.usable_workers, eligible.workers)
-
-    def _choose_quarantine_workers(self, tasks: list[progress.TaskState],
-                                   eligible: eligibleworkers.EligibleWorkers
-                                   ) -> list[workerstate.WorkerState]:
-        """Return workers to quarantine, preferably without recent starts."""
-        without_recent_starts = [worker for worker in eligible.workers
-                                 if not quarantines.has_recent_start(
-                                     worker, self.now)]
-        for workers in (without_recent_starts, eligible.workers):
-            if tasks[0].step.gang:
-                chosen = gangs.choose(tasks, eligible.service, workers)
-            else:
-                best = placing.choose(tasks[0], eligible.service, workers,
-                                      self.fleet.interference_model)
-                chosen = [best] if best is not None else []
-            if chosen:
-                return chosen
-        return []
-
     def move_one_stalled_run(self) -> None:
         """Stop one run that makes little progress, if it can run elsewhere."""
         for worker in self.fleet.workers.values():
@@ -499,7 +406,7 @@
                     self.fleet.stop_run(task, "little progress here")
                     # No other task may use this capacity before the run is
                     # placed there.
-                    self._exclude_worker(target, self.usable_workers)
+                    self.exclude_worker(target, self.usable_workers)
                     return
 
     def start_copies(self) -> None:
