Move preemption and holds out of rounds.py

The functions that choose victims for a waiting task, stop them, hold what they free and start the task there take the round as their first argument, as in quarantineplacing.py. Round.start and Round.task_priority lose the underscore, because the new module calls them.

--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -1,19 +1,18 @@
 """Run scheduling rounds: match waiting tasks to workers."""
 
 import dataclasses
-import typing
 
 from sycamorefield.fleet import copies
 from sycamorefield.fleet import eligibleworkers
 from sycamorefield.fleet import freeing
 from sycamorefield.fleet import gangs
 from sycamorefield.fleet import headroom
-from sycamorefield.fleet import heldworkers
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import ordering
 from sycamorefield.fleet import pacer
 from sycamorefield.fleet import placement_cache
 from sycamorefield.fleet import placing
+from sycamorefield.fleet import preemption
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import quarantineplacing
 from sycamorefield.fleet import reservations
@@ -166,7 +165,7 @@
         exhausted: set[headroom.RequiredHeadroom] = set()
         self.ranking = None
         for task in startable:
-            if self._start_where_held(state, task, eligible):
+            if preemption.start_where_held(self, state, task, eligible):
                 placed_count += 1
                 continue
             required = headroom.required_headroom(
@@ -185,22 +184,6 @@
                 # The other tasks request as much in the same scope.
                 break
 
-    def _start_where_held(self, state: progress.JobState,
-                          task: progress.TaskState,
-                          eligible: eligibleworkers.EligibleWorkers) -> bool:
-        """Start a task where resources are held for it, if it fits by now."""
-        hold = self.fleet.held_workers.find(task)
-        if hold is None or hold.worker not in eligible.workers:
-            return False
-        worker = hold.worker
-        request = task.step.reserved()
-        if (not worker.accepts_starts()
-                or not worker.free_capacity().plus(request).holds(request)
-                or not placing.allowed(worker, eligible.service, task)):
-            return False
-        self._start(state, task, worker, eligible)
-        return True
-
     def _place_task(self, state: progress.JobState,
                     task: progress.TaskState,
                     eligible: eligibleworkers.EligibleWorkers) -> bool:
@@ -213,7 +196,7 @@
         if not self.unplaceable.covers(scope, request):
             worker = self._choose_worker(task, eligible)
             if worker is not None:
-                self._start(state, task, worker, eligible)
+                self.start(state, task, worker, eligible)
                 return True
             self.unplaceable.add(scope, request)
             self.fleet.placement_misses.add(scope, request)
@@ -304,11 +287,11 @@
                       else placing.choose(task, eligible.service, workers,
                                           self.fleet.interference_model))
             if worker is not None:
-                self._start(state, task, worker, eligible)
+                self.start(state, task, worker, eligible)
                 return True
-        if not self._preempt_for(state, task,
-                                 dataclasses.replace(eligible,
-                                                     workers=workers)):
+        if not preemption.preempt_for(
+                self, state, task,
+                dataclasses.replace(eligible, workers=workers)):
             self.held_back[required].add(scope, request)
         return False
 
@@ -339,9 +322,9 @@
             self.headrooms[eligible.service, priority] = headroom_
         return headroom_
 
-    def _start(self, state: progress.JobState, task: progress.TaskState,
-               worker: workerstate.WorkerState,
-               eligible: eligibleworkers.EligibleWorkers) -> None:
+    def start(self, state: progress.JobState, task: progress.TaskState,
+              worker: workerstate.WorkerState,
+              eligible: eligibleworkers.EligibleWorkers) -> None:
         self.fleet.held_workers.drop(task)
         self.fleet.start(state, task, worker, state.next_run_number(task),
                          eligible.ticket(worker))
@@ -359,10 +342,10 @@
             # Best-effort tasks wait for CPU that other tasks leave unused.
             return False
         if not self.no_capacity_expected.covers(scope, request):
-            if self._preempt_for(state, task, eligible):
+            if preemption.preempt_for(self, state, task, eligible):
                 return True
             self.no_capacity_expected.add(scope, request)
-        return self._preempt_long_running_for(state, task, eligible)
+        return preemption.preempt_long_running_for(self, state, task, eligible)
 
     def _reserve_worker(self, task: progress.TaskState,
                         eligible: eligibleworkers.EligibleWorkers,
@@ -419,12 +402,12 @@
         if not known_copies.watched and not known_copies.known:
             return
         known_copies.update(self.now)
-        copies.make_room(self.fleet, self.waiting, self._task_priority)
+        copies.make_room(self.fleet, self.waiting, self.task_priority)
         if (self.fleet.awaited_workers
                 or not known_copies.start_check(self.now)):
             return
         tasks = sorted(copies.due(self.fleet, self.now),
-                       key=lambda item: self._task_priority(item[0]))
+                       key=lambda item: self.task_priority(item[0]))
         if not tasks:
             return
         budget_cpu = copies.budget_cpu(self.fleet.workers.values())
@@ -481,132 +464,7 @@
         return pacer.is_stalled(task) and (
             task.stuck or self.now - task.slowed_at >= MOVE_STALLED_AFTER_S)
 
-    def _preempt_for(self, state: progress.JobState,
-                     task: progress.TaskState,
-                     eligible: eligibleworkers.EligibleWorkers) -> bool:
-        """Preempt lower-priority runs for a task unless capacity is freed.
-
-        Return whether the task can expect capacity.
-        """
-        if self.fleet.held_workers.find(task) is not None:
-            return True
-        if self._take_over_hold(state, task, eligible):
-            return True
-        if self.freeing.claim(task, eligible.service, eligible.workers):
-            return True
-        chosen: typing.Sequence[progress.TaskState] = copies.choose_victims(
-            self.fleet.copies, task, eligible.service, eligible.workers)
-        if not chosen and self.victim_finder is not None:
-            return self._preempt_by_lost_work(
-                self.victim_finder, state, task, eligible)
-        chosen = chosen or self._choose_victims(state, task, eligible)
-        for victim in chosen:
-            self.fleet.stop_run(victim, f"room for {task.task}")
-        if chosen:
-            self.freeing.record_preemption(
-                task, self.fleet.workers[chosen[0].worker_id])
-        return bool(chosen)
-
-    def _preempt_by_lost_work(self, finder: victims.VictimFinder,
-                              state: progress.JobState,
-                              task: progress.TaskState,
-                              eligible: eligibleworkers.EligibleWorkers
-                              ) -> bool:
-        """Preempt the finite runs that lose the least; return whether any."""
-        priority = ordering.priority(state, self.queues)
-        scope = dataclasses.replace(eligible.scope(task), priority=priority)
-        remember_searches = (eligible.tickets is None
-                             and not task.step.perpetual
-                             and self.policy.remember_shortage)
-        workers = eligible.workers
-        if remember_searches:
-            workers = self.fleet.preemption_misses.workers_to_search(
-                scope, task.step.room, workers)
-        waiting = victims.Waiting(
-            state, task, priority, eligible.service, workers)
-        choice = finder.choose(waiting)
-        if choice is None and remember_searches:
-            self.fleet.preemption_misses.add(scope, task.step.room)
-        return self._preempt_choice(finder, waiting, choice)
-
-    def _preempt_long_running_for(self, state: progress.JobState,
-                                  task: progress.TaskState,
-                                  eligible: eligibleworkers.EligibleWorkers
-                                  ) -> bool:
-        """Preempt long-running tasks that their users can miss."""
-        if self.victim_finder is None:
-            return False
-        waiting = victims.Waiting(
-            state, task, ordering.priority(state, self.queues),
-            eligible.service, eligible.workers)
-        return self._preempt_choice(
-            self.victim_finder, waiting,
-            self.victim_finder.choose_long_running(waiting))
-
-    def _preempt_choice(self, finder: victims.VictimFinder,
-                        waiting: victims.Waiting,
-                        choice: victims.Choice | None) -> bool:
-        """Stop chosen runs and hold what they free for the waiting task."""
-        if choice is None:
-            return False
-        worker = choice.worker
-        for victim in choice.victims:
-            self.fleet.stop_run(victim.task, f"room for {waiting.task.task}")
-            self.freeing.add(worker, victim.task.step.reserved())
-            self.fleet.preemptions.add(waiting.task, victim)
-        finder.record_stops(choice)
-        self._hold(waiting.job, waiting.task, worker, waiting.priority)
-        return True
-
-    def _hold(self, state: progress.JobState, task: progress.TaskState,
-              worker: workerstate.WorkerState, priority: int) -> None:
-        """Hold what a task requests on a worker until it starts there."""
-        stop_costs = self.fleet.stop_costs
-        stop_s = stop_costs.stop_s if stop_costs is not None else 0.0
-        self.fleet.held_workers.add(heldworkers.Hold(
-            worker, worker.born_ms, state, task, priority,
-            self.now + stop_s + heldworkers.HOLD_S))
-        self.ranking = None
-
-    def _take_over_hold(self, state: progress.JobState,
-                        task: progress.TaskState,
-                        eligible: eligibleworkers.EligibleWorkers) -> bool:
-        """Use what is held for a less urgent task, if it suffices."""
-        priority = ordering.priority(state, self.queues)
-        request = task.step.reserved()
-        for hold in list(self.fleet.held_workers.by_task.values()):
-            worker = hold.worker
-            if (hold.priority > priority and worker in eligible.workers
-                    and placing.allowed(worker, eligible.service, task)
-                    and worker.free_capacity().plus(
-                        self.freeing.on_worker(worker)).plus(
-                            hold.task.step.reserved()).holds(request)):
-                self.fleet.held_workers.drop(hold.task)
-                self._hold(state, task, worker, priority)
-                return True
-        return False
-
-    def _choose_victims(self, state: progress.JobState,
-                        task: progress.TaskState,
-                        eligible: eligibleworkers.EligibleWorkers
-                        ) -> list[progress.TaskState]:
-        """Return lower-priority runs to preempt so that a task fits."""
-        priority = ordering.priority(state, self.queues)
-        scope = dataclasses.replace(eligible.scope(task), priority=priority)
-        workers = eligible.workers
-        remember_searches = (eligible.tickets is None
-                             and not task.step.perpetual
-                             and self.policy.remember_shortage)
-        if remember_searches:
-            workers = self.fleet.preemption_misses.workers_to_search(
-                scope, task.step.room, workers)
-        chosen = placing.choose_victims(task, eligible.service, priority,
-                                        workers, self._task_priority)
-        if remember_searches and not chosen:
-            self.fleet.preemption_misses.add(scope, task.step.room)
-        return chosen
-
-    def _task_priority(self, task: progress.TaskState) -> int:
+    def task_priority(self, task: progress.TaskState) -> int:
         return ordering.priority(self.fleet.jobs[task.task.job_id],
                                  self.queues)
 
