--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -1,21 +1,20 @@
 """Run scheduling rounds: match waiting tasks to workers."""
 
 import dataclasses
-import typing
 
-from sycamorefield import events
 from sycamorefield.fleet import copies
+from sycamorefield.fleet import eligibleworkers
 from sycamorefield.fleet import freeing
 from sycamorefield.fleet import gangs
 from sycamorefield.fleet import headroom
-from sycamorefield.fleet import heldworkers
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import ordering
 from sycamorefield.fleet import pacer
 from sycamorefield.fleet import placement_cache
 from sycamorefield.fleet import placing
+from sycamorefield.fleet import preemption
 from sycamorefield.fleet import progress
-from sycamorefield.fleet import quarantines
+from sycamorefield.fleet import quarantineplacing
 from sycamorefield.fleet import reservations
 from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import victims
@@ -28,31 +27,6 @@
 MOVE_STALLED_AFTER_S = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class EligibleWorkers:
-    """The workers on which a step may run, with their tickets.
-
-    There are no tickets (None) if the queue has no advice policy.
-    """
-
-    service: str
-    workers: list[workerstate.WorkerState]
-    tickets: dict[str, str] | None = None
-
-    def ticket(self, worker: workerstate.WorkerState) -> str:
-        """Return the ticket to start a run on a worker, or an empty string."""
-        return (self.tickets or {}).get(worker.entry.worker_id, "")
-
-    def scope(self, task: progress.TaskState) -> placement_cache.SearchScope:
-        """Return the scope of a search for a worker for a task of the step."""
-        step = task.step
-        own = step.max_per_worker or self.tickets is not None
-        return placement_cache.SearchScope(
-            self.service, step.fills, step.requires,
-            step.image if step.fills else "",
-            task.task.step_id() if own else None)
-
-
 class Round:
     """A scheduling round; caches which requests could not be placed."""
 
@@ -114,11 +88,12 @@
         suspected = [
             t for t in startable if t.suspicion and t.needs_quarantine_run()]
         if suspected:
-            self._place_suspected(state, tasks, startable, suspected, eligible)
+            quarantineplacing.place_suspected(
+                self, state, tasks, startable, suspected, eligible)
         elif step.gang:
             self._place_gang(state, tasks, startable, eligible)
         else:
-            self._place_tasks(state, tasks, startable, eligible)
+            self.place_tasks(state, tasks, startable, eligible)
         if eligible.tickets is not None:
             self._request_advice(state, startable, eligible)
         if self.fleet.copies.watched and any(
@@ -129,7 +104,7 @@
 
     def _request_advice(self, state: progress.JobState,
                         tasks: list[progress.TaskState],
-                        eligible: EligibleWorkers) -> None:
+                        eligible: eligibleworkers.EligibleWorkers) -> None:
         """Request advice on more workers if tasks of a step are unplaced."""
         queue = self.queues[state.job.queue]
         task = next((t for t in tasks if t.phase == progress.IDLE), None)
@@ -164,22 +139,24 @@
             w, task.step, self.fleet.interference_model)}
 
     def _eligible_workers(self, state: progress.JobState,
-                          task: progress.TaskState) -> EligibleWorkers:
+                          task: progress.TaskState
+                          ) -> eligibleworkers.EligibleWorkers:
         """Return the workers that configuration and advice allow a step."""
         queue = self.queues.get(state.job.queue)
         service = queue.service if queue else state.job.service
         if queue is None or queue.advice is None:
-            return EligibleWorkers(service, self.usable_workers)
+            return eligibleworkers.EligibleWorkers(
+                service, self.usable_workers)
         tickets = self.fleet.advice.valid_tickets(
             task.task.step_id(), self.now)
-        return EligibleWorkers(
+        return eligibleworkers.EligibleWorkers(
             service, [w for w in self.usable_workers
                       if w.entry.worker_id in tickets], tickets)
 
-    def _place_tasks(self, state: progress.JobState,
-                     tasks: list[progress.TaskState],
-                     startable: list[progress.TaskState],
-                     eligible: EligibleWorkers) -> None:
+    def place_tasks(self, state: progress.JobState,
+                    tasks: list[progress.TaskState],
+                    startable: list[progress.TaskState],
+                    eligible: eligibleworkers.EligibleWorkers) -> None:
         """Start as many of the startable tasks of a step as possible."""
         keeps_headroom = (
             self.policy.keep_room_for_short_work
@@ -188,7 +165,7 @@
         exhausted: set[headroom.RequiredHeadroom] = set()
         self.ranking = None
         for task in startable:
-            if self._start_where_held(state, task, eligible):
+            if preemption.start_where_held(self, state, task, eligible):
                 placed_count += 1
                 continue
             required = headroom.required_headroom(
@@ -207,25 +184,9 @@
                 # The other tasks request as much in the same scope.
                 break
 
-    def _start_where_held(self, state: progress.JobState,
-                          task: progress.TaskState,
-                          eligible: EligibleWorkers) -> bool:
-        """Start a task where resources are held for it, if it fits by now."""
-        hold = self.fleet.held_workers.find(task)
-        if hold is None or hold.worker not in eligible.workers:
-            return False
-        worker = hold.worker
-        request = task.step.reserved()
-        if (not worker.accepts_starts()
-                or not worker.free_capacity().plus(request).holds(request)
-                or not placing.allowed(worker, eligible.service, task)):
-            return False
-        self._start(state, task, worker, eligible)
-        return True
-
     def _place_task(self, state: progress.JobState,
                     task: progress.TaskState,
-                    eligible: EligibleWorkers) -> bool:
+                    eligible: eligibleworkers.EligibleWorkers) -> bool:
         """Start a task if it fits on a worker.
 
         Return whether the other tasks of its step should be tried.
@@ -235,15 +196,16 @@
         if not self.unplaceable.covers(scope, request):
             worker = self._choose_worker(task, eligible)
             if worker is not None:
-                self._start(state, task, worker, eligible)
+                self.start(state, task, worker, eligible)
                 return True
             self.unplaceable.add(scope, request)
             self.fleet.placement_misses.add(scope, request)
-        return self._wait_for_capacity(state, task, eligible, scope)
+        return self.wait_for_capacity(state, task, eligible, scope)
 
-    def _wait_for_capacity(self, state: progress.JobState,
-                           task: progress.TaskState, eligible: EligibleWorkers,
-                           scope: placement_cache.SearchScope) -> bool:
+    def wait_for_capacity(self, state: progress.JobState,
+                          task: progress.TaskState,
+                          eligible: eligibleworkers.EligibleWorkers,
+                          scope: placement_cache.SearchScope) -> bool:
         """Free or reserve capacity for a task that fits on no worker.
 
         Return whether the other tasks of its step should be tried.
@@ -259,7 +221,7 @@
         return expects_capacity or task.step.perpetual
 
     def _choose_worker(self, task: progress.TaskState,
-                       eligible: EligibleWorkers
+                       eligible: eligibleworkers.EligibleWorkers
                        ) -> workerstate.WorkerState | None:
         """Return the best worker for a task of the step being placed."""
         if task.avoided_workers or not self.policy.remember_shortage:
@@ -276,7 +238,7 @@
         return self.ranking.best()
 
     def _workers_to_search(self, task: progress.TaskState,
-                           eligible: EligibleWorkers,
+                           eligible: eligibleworkers.EligibleWorkers,
                            scope: placement_cache.SearchScope
                            ) -> list[workerstate.WorkerState]:
         """Return the workers on which a task may fit by now."""
@@ -285,8 +247,8 @@
         return self.fleet.placement_misses.workers_to_search(
             scope, task.step.room, eligible.workers)
 
-    def _exclude_worker(self, worker: workerstate.WorkerState,
-                        *worker_lists: list[workerstate.WorkerState]) -> None:
+    def exclude_worker(self, worker: workerstate.WorkerState,
+                       *worker_lists: list[workerstate.WorkerState]) -> None:
         """Start nothing more on a worker in this round.
 
         The next round treats the worker as changed, because requests that
@@ -305,7 +267,7 @@
 
     def _place_long_running(self, state: progress.JobState,
                             task: progress.TaskState,
-                            eligible: EligibleWorkers,
+                            eligible: eligibleworkers.EligibleWorkers,
                             required: headroom.RequiredHeadroom) -> bool:
         """Start a long-running task where enough headroom remains.
 
@@ -325,16 +287,16 @@
                       else placing.choose(task, eligible.service, workers,
                                           self.fleet.interference_model))
             if worker is not None:
-                self._start(state, task, worker, eligible)
+                self.start(state, task, worker, eligible)
                 return True
-        if not self._preempt_for(state, task,
-                                 dataclasses.replace(eligible,
-                                                     workers=workers)):
+        if not preemption.preempt_for(
+                self, state, task,
+                dataclasses.replace(eligible, workers=workers)):
             self.held_back[required].add(scope, request)
         return False
 
     def _is_held_back(self, state: progress.JobState, task: progress.TaskState,
-                      eligible: EligibleWorkers,
+                      eligible: eligibleworkers.EligibleWorkers,
                       required: headroom.RequiredHeadroom) -> bool:
         """Return whether a long-running task can't start in this round.
 
@@ -348,7 +310,8 @@
                     self.now - state.first_ready_at))
 
     def _headroom_for(self, state: progress.JobState,
-                      eligible: EligibleWorkers) -> headroom.Headroom:
+                      eligible: eligibleworkers.EligibleWorkers
+                      ) -> headroom.Headroom:
         priority = ordering.priority(state, self.queues)
         headroom_ = self.headrooms.get((eligible.service, priority))
         if headroom_ is None:
@@ -359,9 +322,9 @@
             self.headrooms[eligible.service, priority] = headroom_
         return headroom_
 
-    def _start(self, state: progress.JobState, task: progress.TaskState,
-               worker: workerstate.WorkerState,
-               eligible: EligibleWorkers) -> None:
+    def start(self, state: progress.JobState, task: progress.TaskState,
+              worker: workerstate.WorkerState,
+              eligible: eligibleworkers.EligibleWorkers) -> None:
         self.fleet.held_workers.drop(task)
         self.fleet.start(state, task, worker, state.next_run_number(task),
                          eligible.ticket(worker))
@@ -370,7 +333,8 @@
         self.freeing.record_start(worker)
 
     def _expects_capacity(self, state: progress.JobState,
-                          task: progress.TaskState, eligible: EligibleWorkers,
+                          task: progress.TaskState,
+                          eligible: eligibleworkers.EligibleWorkers,
                           scope: placement_cache.SearchScope) -> bool:
         """Return whether capacity is being freed; preempt runs if needed."""
         request = task.step.room
@@ -378,13 +342,13 @@
             # Best-effort tasks wait for CPU that other tasks leave unused.
             return False
         if not self.no_capacity_expected.covers(scope, request):
-            if self._preempt_for(state, task, eligible):
+            if preemption.preempt_for(self, state, task, eligible):
                 return True
             self.no_capacity_expected.add(scope, request)
-        return self._preempt_long_running_for(state, task, eligible)
+        return preemption.preempt_long_running_for(self, state, task, eligible)
 
     def _reserve_worker(self, task: progress.TaskState,
-                        eligible: EligibleWorkers,
+                        eligible: eligibleworkers.EligibleWorkers,
                         scope: placement_cache.SearchScope) -> bool:
         """Reserve a worker for a long-running task that is down.
 
@@ -396,13 +360,13 @@
         if worker is None:
             return False
         self.freeing.discard(worker)
-        self._exclude_worker(worker, self.usable_workers, eligible.workers)
+        self.exclude_worker(worker, self.usable_workers, eligible.workers)
         return True
 
     def _place_gang(self, state: progress.JobState,
                     tasks: list[progress.TaskState],
                     startable: list[progress.TaskState],
-                    eligible: EligibleWorkers) -> None:
+                    eligible: eligibleworkers.EligibleWorkers) -> None:
         """Start all members of a gang with one run number, or none."""
         if len(startable) < len(tasks):
             return
@@ -413,97 +377,6 @@
             task.saved = saved
             self.fleet.start(state, task, worker, run, eligible.ticket(worker))
 
-    def _place_suspected(self, state: progress.JobState,
-                         tasks: list[progress.TaskState],
-                         startable: list[progress.TaskState],
-                         suspected: list[progress.TaskState],
-                         eligible: EligibleWorkers) -> None:
-        """Start suspected tasks of a step in quarantine, others as usual."""
-        if tasks[0].step.gang:
-            if len(startable) == len(tasks):
-                self._place_in_quarantine(state, tasks, eligible)
-            return
-        for task in suspected:
-            self._place_in_quarantine(state, [task], eligible)
-        others = [task for task in startable if task not in suspected]
-        if others:
-            self._place_tasks(state, tasks, others, eligible)
-
-    def _place_in_quarantine(self, state: progress.JobState,
-                             tasks: list[progress.TaskState],
-                             eligible: EligibleWorkers) -> None:
-        """Start suspected tasks where only they could cause a crash."""
-        quarantine = self.fleet.trials.by_task.get(tasks[0].task)
-        if quarantine is None:
-            self._quarantine_workers(state, tasks, eligible)
-            return
-        workers = self.fleet.workers
-        if quarantine.run or quarantine.restored:
-            return
-        if not quarantines.is_ready(quarantine, workers, self.now):
-            return
-        if not quarantines.fits(quarantine, workers, eligible.service,
-                                eligible.tickets):
-            self.fleet.trials.release(
-                quarantine, "does not fit or not allowed")
-            return
-        self._start_quarantine_run(quarantine, eligible)
-
-    def _start_quarantine_run(self, quarantine: quarantines.Quarantine,
-                              eligible: EligibleWorkers) -> None:
-        state = quarantine.job
-        quarantine.run = max(state.next_run_number(task)
-                             for task, _ in quarantine.members)
-        saved = max(task.saved for task, _ in quarantine.members)
-        events.emit(events.QUARANTINE_STARTED, runs=[
-            (str(task.task), quarantine.run, worker_id)
-            for task, worker_id in quarantine.members])
-        for task, worker_id in quarantine.members:
-            task.saved = saved
-            worker = self.fleet.workers[worker_id]
-            self.fleet.start(state, task, worker, quarantine.run,
-                             eligible.ticket(worker))
-
-    def _quarantine_workers(self, state: progress.JobState,
-                            tasks: list[progress.TaskState],
-                            eligible: EligibleWorkers) -> None:
-        """Quarantine workers: only the given tasks may start there."""
-        if not self.fleet.trials.can_add(self.worker_count):
-            return
-        chosen = self._choose_quarantine_workers(tasks, eligible)
-        if not chosen and not tasks[0].step.gang:
-            self._wait_for_capacity(
-                state, tasks[0], eligible, eligible.scope(tasks[0]))
-        if not chosen:
-            return
-        members = [(task, worker.entry.worker_id)
-                   for task, worker in zip(tasks, chosen)]
-        state.quarantine_births.update(
-            {worker.entry.worker_id: worker.born_ms for worker in chosen})
-        self.fleet.trials.add(quarantines.Quarantine(state, members, self.now))
-        state.dirty = self.fleet.commit_requested = True
-        for worker in chosen:
-            self.freeing.discard(worker)
-            self._exclude_worker(worker, self.usable_workers, eligible.workers)
-
-    def _choose_quarantine_workers(self, tasks: list[progress.TaskState],
-                                   eligible: EligibleWorkers
-                                   ) -> list[workerstate.WorkerState]:
-        """Return workers to quarantine, preferably without recent starts."""
-        without_recent_starts = [worker for worker in eligible.workers
-                                 if not quarantines.has_recent_start(
-                                     worker, self.now)]
-        for workers in (without_recent_starts, eligible.workers):
-            if tasks[0].step.gang:
-                chosen = gangs.choose(tasks, eligible.service, workers)
-            else:
-                best = placing.choose(tasks[0], eligible.service, workers,
-                                      self.fleet.interference_model)
-                chosen = [best] if best is not None else []
-            if chosen:
-                return chosen
-        return []
-
     def move_one_stalled_run(self) -> None:
         """Stop one run that makes little progress, if it can run elsewhere."""
         for worker in self.fleet.workers.values():
@@ -516,7 +389,7 @@
                     self.fleet.stop_run(task, "little progress here")
                     # No other task may use this capacity before the run is
                     # placed there.
-                    self._exclude_worker(target, self.usable_workers)
+                    self.exclude_worker(target, self.usable_workers)
                     return
 
     def start_copies(self) -> None:
@@ -529,12 +402,12 @@
         if not known_copies.watched and not known_copies.known:
             return
         known_copies.update(self.now)
-        copies.make_room(self.fleet, self.waiting, self._task_priority)
+        copies.make_room(self.fleet, self.waiting, self.task_priority)
         if (self.fleet.awaited_workers
                 or not known_copies.start_check(self.now)):
             return
         tasks = sorted(copies.due(self.fleet, self.now),
-                       key=lambda item: self._task_priority(item[0]))
+                       key=lambda item: self.task_priority(item[0]))
         if not tasks:
             return
         budget_cpu = copies.budget_cpu(self.fleet.workers.values())
@@ -591,129 +464,7 @@
         return pacer.is_stalled(task) and (
             task.stuck or self.now - task.slowed_at >= MOVE_STALLED_AFTER_S)
 
-    def _preempt_for(self, state: progress.JobState,
-                     task: progress.TaskState,
-                     eligible: EligibleWorkers) -> bool:
-        """Preempt lower-priority runs for a task unless capacity is freed.
-
-        Return whether the task can expect capacity.
-        """
-        if self.fleet.held_workers.find(task) is not None:
-            return True
-        if self._take_over_hold(state, task, eligible):
-            return True
-        if self.freeing.claim(task, eligible.service, eligible.workers):
-            return True
-        chosen: typing.Sequence[progress.TaskState] = copies.choose_victims(
-            self.fleet.copies, task, eligible.service, eligible.workers)
-        if not chosen and self.victim_finder is not None:
-            return self._preempt_by_lost_work(
-                self.victim_finder, state, task, eligible)
-        chosen = chosen or self._choose_victims(state, task, eligible)
-        for victim in chosen:
-            self.fleet.stop_run(victim, f"room for {task.task}")
-        if chosen:
-            self.freeing.record_preemption(
-                task, self.fleet.workers[chosen[0].worker_id])
-        return bool(chosen)
-
-    def _preempt_by_lost_work(self, finder: victims.VictimFinder,
-                              state: progress.JobState,
-                              task: progress.TaskState,
-                              eligible: EligibleWorkers) -> bool:
-        """Preempt the finite runs that lose the least; return whether any."""
-        priority = ordering.priority(state, self.queues)
-        scope = dataclasses.replace(eligible.scope(task), priority=priority)
-        remember_searches = (eligible.tickets is None
-                             and not task.step.perpetual
-                             and self.policy.remember_shortage)
-        workers = eligible.workers
-        if remember_searches:
-            workers = self.fleet.preemption_misses.workers_to_search(
-                scope, task.step.room, workers)
-        waiting = victims.Waiting(
-            state, task, priority, eligible.service, workers)
-        choice = finder.choose(waiting)
-        if choice is None and remember_searches:
-            self.fleet.preemption_misses.add(scope, task.step.room)
-        return self._preempt_choice(finder, waiting, choice)
-
-    def _preempt_long_running_for(self, state: progress.JobState,
-                                  task: progress.TaskState,
-                                  eligible: EligibleWorkers) -> bool:
-        """Preempt long-running tasks that their users can miss."""
-        if self.victim_finder is None:
-            return False
-        waiting = victims.Waiting(
-            state, task, ordering.priority(state, self.queues),
-            eligible.service, eligible.workers)
-        return self._preempt_choice(
-            self.victim_finder, waiting,
-            self.victim_finder.choose_long_running(waiting))
-
-    def _preempt_choice(self, finder: victims.VictimFinder,
-                        waiting: victims.Waiting,
-                        choice: victims.Choice | None) -> bool:
-        """Stop chosen runs and hold what they free for the waiting task."""
-        if choice is None:
-            return False
-        worker = choice.worker
-        for victim in choice.victims:
-            self.fleet.stop_run(victim.task, f"room for {waiting.task.task}")
-            self.freeing.add(worker, victim.task.step.reserved())
-            self.fleet.preemptions.add(waiting.task, victim)
-        finder.record_stops(choice)
-        self._hold(waiting.job, waiting.task, worker, waiting.priority)
-        return True
-
-    def _hold(self, state: progress.JobState, task: progress.TaskState,
-              worker: workerstate.WorkerState, priority: int) -> None:
-        """Hold what a task requests on a worker until it starts there."""
-        stop_costs = self.fleet.stop_costs
-        stop_s = stop_costs.stop_s if stop_costs is not None else 0.0
-        self.fleet.held_workers.add(heldworkers.Hold(
-            worker, worker.born_ms, state, task, priority,
-            self.now + stop_s + heldworkers.HOLD_S))
-        self.ranking = None
-
-    def _take_over_hold(self, state: progress.JobState,
-                        task: progress.TaskState,
-                        eligible: EligibleWorkers) -> bool:
-        """Use what is held for a less urgent task, if it suffices."""
-        priority = ordering.priority(state, self.queues)
-        request = task.step.reserved()
-        for hold in list(self.fleet.held_workers.by_task.values()):
-            worker = hold.worker
-            if (hold.priority > priority and worker in eligible.workers
-                    and placing.allowed(worker, eligible.service, task)
-                    and worker.free_capacity().plus(
-                        self.freeing.on_worker(worker)).plus(
-                            hold.task.step.reserved()).holds(request)):
-                self.fleet.held_workers.drop(hold.task)
-                self._hold(state, task, worker, priority)
-                return True
-        return False
-
-    def _choose_victims(self, state: progress.JobState,
-                        task: progress.TaskState,
-                        eligible: EligibleWorkers) -> list[progress.TaskState]:
-        """Return lower-priority runs to preempt so that a task fits."""
-        priority = ordering.priority(state, self.queues)
-        scope = dataclasses.replace(eligible.scope(task), priority=priority)
-        workers = eligible.workers
-        remember_searches = (eligible.tickets is None
-                             and not task.step.perpetual
-                             and self.policy.remember_shortage)
-        if remember_searches:
-            workers = self.fleet.preemption_misses.workers_to_search(
-                scope, task.step.room, workers)
-        chosen = placing.choose_victims(task, eligible.service, priority,
-                                        workers, self._task_priority)
-        if remember_searches and not chosen:
-            self.fleet.preemption_misses.add(scope, task.step.room)
-        return chosen
-
-    def _task_priority(self, task: progress.TaskState) -> int:
+    def task_priority(self, task: progress.TaskState) -> int:
         return ordering.priority(self.fleet.jobs[task.task.job_id],
                                  self.queues)
 
