Start tasks where resources are held for them first

A finite task that fits on no worker ends the loop over the tasks of its step, because the others request as much. Since resources are held for single tasks, this is no longer so: if the hold of an earlier task was dropped (its worker became unusable), a later one did not start on the worker that was held for it until its own hold ran out, about two seconds later, and the worker was then paused for preemption.

Tasks with a hold are now tried first. Trying all tasks after a failure was ruled out: a step may have 100,000 tasks. The new test failed before the change.

--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -187,6 +187,11 @@
         placed_count = headroom.placed_count(tasks) if keeps_headroom else 0
         exhausted: set[headroom.RequiredHeadroom] = set()
         self.ranking = None
+        held_workers = self.fleet.held_workers
+        if held_workers.by_task:
+            # A task that fits nowhere ends the search for all that follow.
+            startable = sorted(
+                startable, key=lambda t: held_workers.find(t) is None)
         for task in startable:
             if self._start_where_held(state, task, eligible):
                 placed_count += 1
--- a/tests/test_fleet_victims.py
+++ b/tests/test_fleet_victims.py
@@ -383,3 +383,18 @@
     bench.place()
     holds = bench.state.held_workers.by_task.values()
     assert {hold.worker.entry.worker_id for hold in holds} == {"i-0", "i-1"}
+
+
+def test_a_task_starts_where_held_though_one_before_it_fits_nowhere():
+    bench = Bench(workers=2)
+    bench.low("low0", 4000)
+    bench.low("low1", 4000)
+    bench.urgent(count=2)
+    bench.place()
+    assert bench.stopped() == {"low0", "low1"}
+    held = bench.state.held_workers
+    lost = held.find(bench.task("urgent", 0)).worker
+    other = held.find(bench.task("urgent", 1)).worker
+    lost.avoid_until = bench.now + 10.0
+    bench.finish(next(iter(other.tasks.values())).task.job_id + ".0.0.0")
+    assert bench.place() == [f"urgent.0.0.1@{other.entry.worker_id}"]
