End no term by a text that is no Unicode in a report or a record

Reports that msgspec refuses are decoded again by json.loads, which accepts half a surrogate pair in a saved text or in the name of a task. The start or stop order with that text could not be encoded: UnicodeEncodeError is not a failed call, so it ended the owner's term, and that of each successor, since the worker goes on reporting the run.

Such bodies are now encoded with the half pair escaped, as it was received. Refusing the report was ruled out: the worker would lose all of its runs. Jobs' specs and stored progress are read by json.loads too and are covered. Both cases of the new test failed before the change.

--- a/sycamorefield/platform/jsonclient.py
+++ b/sycamorefield/platform/jsonclient.py
@@ -1,6 +1,7 @@
 """HTTP client for calls with JSON bodies."""
 
 import dataclasses
+import json
 import typing
 
 import msgspec
@@ -50,6 +51,17 @@
             f"unreadable answer: {exc!r}") from exc
 
 
+def _encode_body(body: Body) -> bytes:
+    """Return a body as JSON; half a surrogate pair in a text is escaped.
+
+    Saved texts and names of tasks are returned as workers report them.
+    """
+    try:
+        return msgspec.json.encode(body)
+    except UnicodeEncodeError:
+        return json.dumps(body).encode()
+
+
 class RequestEncoder:
     """Encodes requests to one server with a common set of headers."""
 
@@ -62,7 +74,7 @@
 
     def encode(self, method: str, path: str, body: Body | None) -> bytes:
         """Return the bytes of a request with a JSON body."""
-        data = b"" if body is None else msgspec.json.encode(body)
+        data = b"" if body is None else _encode_body(body)
         head = (f"{method} {path} HTTP/1.1\r\n{self.headers}\r\n"
                 f"Content-Length: {len(data)}\r\n\r\n")
         return head.encode() + data
--- a/tests/test_platform_reports.py
+++ b/tests/test_platform_reports.py
@@ -13,6 +13,7 @@
 from sycamorefield.fleet import inputlog
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import messages
+from sycamorefield.platform import jsonclient
 from sycamorefield.platform import reportrows
 from tests import fleetfakes
 from tests import test_fleet_state
@@ -119,3 +120,15 @@
         bench.report("i-1", [messages.RunningTask(TASK, 1, "", percent)])
         assert task.percent == expected
     assert len(lines) == 1 and "a.0.0.0" in lines[0]["place"]
+
+
+@pytest.mark.parametrize("name", ["saved", "task"])
+def test_texts_that_are_no_unicode_are_returned_as_reported(name):
+    """An order that can't be encoded ends the term of any owner."""
+    rows = {"saved": b'["j.0.0.0", 1, "\\ud800"]',
+            "task": b'["j\\ud800.0.0.0", 1, ""]'}
+    [row] = reportrows.decode_report(
+        b'{"clock_ms": 1, "running": [' + rows[name] + b"]}").running
+    body = {"task": str(row.task), "saved": row.saved}
+    request = jsonclient.RequestEncoder("h:1").encode("POST", "/", body)
+    assert json.loads(request.partition(b"\r\n\r\n")[2]) == body
