Stop no run for a second task in the round in which it was stopped

The candidates on a worker are kept for a round until the worker's change number changes.

Candidates that no longer run are now left out where runs are chosen. A new change number at each stop was ruled out, since it would make later rounds search the worker again before anything is free. The new test failed before the change.

--- a/sycamorefield/fleet/victims.py
+++ b/sycamorefield/fleet/victims.py
@@ -304,6 +304,9 @@
         ending: list[Candidate] = []
         others: list[Candidate] = []
         for candidate in candidates_on(worker):
+            if candidate.task.phase != progress.RUNNING:
+                # A copy stopped for another task since it was found.
+                continue
             if candidate.priority > waiting.priority or (
                     may_stop_equal and candidate.task.step.perpetual):
                 (ending if candidate.ends_as_soon else others).append(
--- a/tests/test_fleet_victims.py
+++ b/tests/test_fleet_victims.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from sycamorefield.fleet import freeing
 from sycamorefield.fleet import heldworkers
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import policy as policy_mod
@@ -398,3 +399,21 @@
     lost.avoid_until = bench.now + 10.0
     bench.finish(next(iter(other.tasks.values())).task.job_id + ".0.0.0")
     assert bench.place() == [f"urgent.0.0.1@{other.entry.worker_id}"]
+
+
+def test_a_run_stopped_meanwhile_is_not_stopped_for_another_task():
+    """A copy may be stopped for a task after it was found as a candidate."""
+    bench = Bench()
+    bench.low("low", 4000)
+    bench.urgent()
+    state = bench.state.jobs["urgent"]
+    state.create_tasks(0)
+    worker = bench.state.workers["i-0"]
+    finder = victims.VictimFinder(
+        bench.state, COSTS, fleetfakes.configuration().queues_by_name(),
+        freeing.FreeingCapacity([]), bench.now, WALL_MS)
+    waiting = victims.Waiting(
+        state, bench.task("urgent"), 0, worker.entry.service, [worker])
+    assert finder.choose(waiting) is not None
+    bench.state.stop_run(bench.task("low"), "room for another task")
+    assert finder.choose(waiting) is None
