Let a suspected task use what is held for it

A task that is suspected of crashing workers starts in quarantine, for which a worker is chosen by its free capacity. Where runs had been preempted for the task, what they freed was held for it and so did not count as free: the task waited until its hold ran out (two seconds and the time of a stop), by when others could take the capacity, and runs were preempted for it again.

The hold is now dropped while a worker for the quarantine is chosen, and restored if there is none. The new test failed before the change.

--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -475,7 +475,13 @@
         """Quarantine workers: only the given tasks may start there."""
         if not self.fleet.trials.can_add(self.worker_count):
             return
+        # What is held for a task is not free for its own quarantine run.
+        held_workers = self.fleet.held_workers
+        hold = held_workers.find(tasks[0])
+        held_workers.drop(tasks[0])
         chosen = self._choose_quarantine_workers(tasks, eligible)
+        if not chosen and hold is not None:
+            held_workers.add(hold)
         if not chosen and not tasks[0].step.gang:
             self._wait_for_capacity(
                 state, tasks[0], eligible, eligible.scope(tasks[0]))
--- a/tests/test_fleet_victims.py
+++ b/tests/test_fleet_victims.py
@@ -9,6 +9,7 @@
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import policy as policy_mod
 from sycamorefield.fleet import progress
+from sycamorefield.fleet import suspicion
 from sycamorefield.fleet import victims
 from sycamorefield.platform import bootsettings
 from tests import fleetfakes
@@ -417,3 +418,20 @@
     assert finder.choose(waiting) is not None
     bench.state.stop_run(bench.task("low"), "room for another task")
     assert finder.choose(waiting) is None
+
+
+def test_a_suspected_task_starts_in_quarantine_where_its_hold_is():
+    """A hold that its own task can't use keeps it waiting until it ends."""
+    bench = Bench()
+    bench.low("low", 4000)
+    bench.urgent()
+    state = bench.state.jobs["urgent"]
+    state.create_tasks(0)
+    bench.task("urgent").suspicion = suspicion.Suspicion(likely=True)
+    bench.place()
+    assert bench.stopped() == {"low"}
+    bench.finish("low.0.0.0")
+    bench.now += 0.3
+    bench.place()
+    assert bench.task("urgent").task in bench.state.trials.by_task
+    assert bench.state.workers["i-0"].held == messages.Resources()
