Repeat the stop of a copy that became the current run

When a run of a task ends, its copy becomes the current run, but the time at which the copy was ordered to stop was not taken over. A worker may begin a run after it accepted its stop; the stop is repeated by that time, so it was never repeated for such a run (or, after an earlier stop of the task, early). The new test failed before the change.

--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -131,8 +131,8 @@
 
 # What a task takes over from its copy when that becomes its current run.
 RUN_FIELDS = ("phase", "run", "worker_id", "started_at", "percent",
-              "confirmed_at", "pace_percent", "slowed_at", "stuck",
-              "projected_run_s")
+              "confirmed_at", "pace_percent", "slowed_at", "stop_sent_at",
+              "stuck", "projected_run_s")
 
 
 class Copy(TaskState):
--- a/tests/test_fleet_copies.py
+++ b/tests/test_fleet_copies.py
@@ -12,6 +12,7 @@
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import rounds
 from sycamorefield.fleet import runtimes
+from sycamorefield.fleet import unwantedruns
 from sycamorefield.fleet import workerstate
 from tests import fleetfakes
 from tests import test_fleet_state
@@ -473,3 +474,19 @@
     waiting = copies.Waiting()
     waiting.add(step, _worker().entry.service, priority)
     assert waiting.needs(_worker(), 0) == needed
+
+
+def test_stop_of_a_copy_is_repeated_after_it_became_the_current_run(
+        monkeypatch):
+    """A run that begins after its stop was accepted would go on for ever."""
+    fleet = Fleet(monkeypatch)
+    worker = fleet.copy()
+    fleet.state.stop_run(fleet.task.copy, "room for another task")
+    fleet.now += 0.01
+    answers.record_stopped(fleet.state, worker,
+                           messages.StopOrder(TASK, 2), fleet.now)
+    fleet.ends(fleet.first, (1, messages.FAILED))
+    assert (fleet.task.run, fleet.task.phase) == (2, progress.STOPPING)
+    fleet.now += unwantedruns.STOP_REPEAT_S
+    fleet.run(worker, 2)
+    assert fleet.stopped() == [(worker, 2), (worker, 2)]
