Begin each trial of a slow worker without its last trial run

A worker on trial gets one run at a time. If that run hung, each report of it excluded the worker again, also in the next trials, and no other run could start there for as long as it hung. Tasks with affinity, for example, are not restarted when they hang. A task that may use only this worker waited for as long, against the bound of MAX_EXCLUSION_S.

The next trial now starts with any new run; the one that hangs began before it and so no longer speaks against it. The new test failed before the change.

--- a/sycamorefield/fleet/workerspeed.py
+++ b/sycamorefield/fleet/workerspeed.py
@@ -458,6 +458,9 @@
         elif record.level == EXCLUDED:
             if now >= record.until:
                 record.enter(TRIAL, now)
+                if worker is not None:
+                    # One that hangs must not keep the next from starting.
+                    worker.trial_run = None
         elif now - max(record.last_bad_at, record.since) > FORGET_S:
             self._recover(worker_id, worker, "no bad runs", now)
 
--- a/tests/test_fleet_workerspeed.py
+++ b/tests/test_fleet_workerspeed.py
@@ -373,3 +373,23 @@
     waiting = state.find(messages.TaskId("k", 0, 0, 4))[1]
     counts = waitingreasons.count_workers(state, waiting, "desk", bench.now)
     assert counts.get(waitingreasons.SLOW, 0) == int(enabled)
+
+
+def test_a_trial_run_that_hangs_does_not_exclude_its_worker_for_ever():
+    """A task that may use this worker alone would wait for as long."""
+    speeds = Speeds()
+    speeds.make_excluded()
+    worker = speeds.workers["i-0"]
+    speeds.now += workerspeed.EXCLUSION_S
+    speeds.place()
+    assert worker.on_trial
+    run = worker.trial_run = (messages.TaskId("t", 0, 0, speeds.tasks + 1), 1)
+    worker.reserve(run, STEP, None)
+    speeds.run(0, "t", 5.0, RUNNING)
+    assert speeds.level(0) == EXCLUDED
+    speeds.now += workerspeed.MAX_EXCLUSION_S
+    assert speeds.place() == []
+    assert worker.on_trial and worker.accepts_starts()
+    # It is seen to hang as before.
+    speeds.run(0, "t", 20.0, RUNNING, started_at=1.0)
+    assert speeds.level(0) == TRIAL
