Check cheap conditions first when taking over a hold

For each waiting task and each hold for a less urgent one, a round searched the list of workers before it checked whether the hold suffices. The new test failed before the change.

--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -694,11 +694,13 @@
         request = task.step.reserved()
         for hold in list(self.fleet.held_workers.by_task.values()):
             worker = hold.worker
-            if (hold.priority > priority and worker in eligible.workers
-                    and placing.allowed(worker, eligible.service, task)
+            # The search in the list takes time for each worker: it is last.
+            if (hold.priority > priority
                     and worker.free_capacity().plus(
                         self.freeing.on_worker(worker)).plus(
-                            hold.task.step.reserved()).holds(request)):
+                            hold.task.step.reserved()).holds(request)
+                    and placing.allowed(worker, eligible.service, task)
+                    and worker in eligible.workers):
                 self.fleet.held_workers.drop(hold.task)
                 self._hold(state, task, worker, priority)
                 return True
--- a/tests/test_fleet_victims.py
+++ b/tests/test_fleet_victims.py
@@ -9,6 +9,7 @@
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import policy as policy_mod
 from sycamorefield.fleet import progress
+from sycamorefield.fleet import rounds
 from sycamorefield.fleet import suspicion
 from sycamorefield.fleet import victims
 from sycamorefield.platform import bootsettings
@@ -435,3 +436,27 @@
     bench.place()
     assert bench.task("urgent").task in bench.state.trials.by_task
     assert bench.state.workers["i-0"].held == messages.Resources()
+
+
+def test_holds_that_do_not_suffice_cost_no_search_among_the_workers():
+    """With 5,500 workers and 200 holds, such a round took over 2 s."""
+    class Workers(list):
+        def __contains__(self, worker):
+            raise AssertionError("searched")
+
+    bench = Bench()
+    bench.low("low", 4000)
+    bench.urgent("narrow", 1000, queue="renewals", priority=2)
+    bench.urgent()
+    for name in ("narrow", "urgent"):
+        bench.state.jobs[name].create_tasks(0)
+    worker = bench.state.workers["i-0"]
+    bench.state.held_workers.add(heldworkers.Hold(
+        worker, worker.born_ms, bench.state.jobs["narrow"],
+        bench.task("narrow"), 2, bench.now + 9.0))
+    round_ = rounds.Round(
+        bench.state, fleetfakes.configuration().queues_by_name(), [worker],
+        bench.now, WALL_MS)
+    assert not round_._take_over_hold(
+        bench.state.jobs["urgent"], bench.task("urgent"),
+        rounds.EligibleWorkers(worker.entry.service, Workers([worker])))
