--- a/sycamorefield/fleet/preemption.py
+++ b/sycamorefield/fleet/preemption.py
@@ -133,11 +133,13 @@
     request = task.step.reserved()
     for hold in list(round_.fleet.held_workers.by_task.values()):
         worker = hold.worker
-        if (hold.priority > priority and worker in eligible.workers
-                and placing.allowed(worker, eligible.service, task)
+        # The search in the list takes time for each worker: it is last.
+        if (hold.priority > priority
                 and worker.free_capacity().plus(
                     round_.freeing.on_worker(worker)).plus(
-                        hold.task.step.reserved()).holds(request)):
+                        hold.task.step.reserved()).holds(request)
+                and placing.allowed(worker, eligible.service, task)
+                and worker in eligible.workers):
             round_.fleet.held_workers.drop(hold.task)
             _hold(round_, state, task, worker, priority)
             return True
--- a/sycamorefield/fleet/quarantineplacing.py
+++ b/sycamorefield/fleet/quarantineplacing.py
@@ -75,7 +75,13 @@
     """Quarantine workers: only the given tasks may start there."""
     if not round_.fleet.trials.can_add(round_.worker_count):
         return
+    # What is held for a task is not free for its own quarantine run.
+    held_workers = round_.fleet.held_workers
+    hold = held_workers.find(tasks[0])
+    held_workers.drop(tasks[0])
     chosen = _choose_quarantine_workers(round_, tasks, eligible)
+    if not chosen and hold is not None:
+        held_workers.add(hold)
     if not chosen and not tasks[0].step.gang:
         round_.wait_for_capacity(
             state, tasks[0], eligible, eligible.scope(tasks[0]))
--- a/tests/test_fleet_copies.py
+++ b/tests/test_fleet_copies.py
@@ -12,6 +12,7 @@
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import rounds
 from sycamorefield.fleet import runtimes
+from sycamorefield.fleet import unwantedruns
 from sycamorefield.fleet import workerstate
 from tests import fleetfakes
 from tests import test_fleet_state
@@ -525,3 +526,19 @@
                         lambda *values: recorded.append(values))
     fleet.ends(second, (2, "done"))
     assert len(recorded) == 1
+
+
+def test_stop_of_a_copy_is_repeated_after_it_became_the_current_run(
+        monkeypatch):
+    """A run that begins after its stop was accepted would go on for ever."""
+    fleet = Fleet(monkeypatch)
+    worker = fleet.copy()
+    fleet.state.stop_run(fleet.task.copy, "room for another task")
+    fleet.now += 0.01
+    answers.record_stopped(fleet.state, worker,
+                           messages.StopOrder(TASK, 2), fleet.now)
+    fleet.ends(fleet.first, (1, messages.FAILED))
+    assert (fleet.task.run, fleet.task.phase) == (2, progress.STOPPING)
+    fleet.now += unwantedruns.STOP_REPEAT_S
+    fleet.run(worker, 2)
+    assert fleet.stopped() == [(worker, 2), (worker, 2)]
--- a/tests/test_fleet_victims.py
+++ b/tests/test_fleet_victims.py
@@ -4,10 +4,15 @@
 
 import pytest
 
+from sycamorefield.fleet import eligibleworkers
+from sycamorefield.fleet import freeing
 from sycamorefield.fleet import heldworkers
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import policy as policy_mod
+from sycamorefield.fleet import preemption
 from sycamorefield.fleet import progress
+from sycamorefield.fleet import rounds
+from sycamorefield.fleet import suspicion
 from sycamorefield.fleet import victims
 from sycamorefield.platform import bootsettings
 from tests import fleetfakes
@@ -383,3 +388,78 @@
     bench.place()
     holds = bench.state.held_workers.by_task.values()
     assert {hold.worker.entry.worker_id for hold in holds} == {"i-0", "i-1"}
+
+
+def test_a_task_starts_where_held_though_one_before_it_fits_nowhere():
+    bench = Bench(workers=2)
+    bench.low("low0", 4000)
+    bench.low("low1", 4000)
+    bench.urgent(count=2)
+    bench.place()
+    assert bench.stopped() == {"low0", "low1"}
+    held = bench.state.held_workers
+    lost = held.find(bench.task("urgent", 0)).worker
+    other = held.find(bench.task("urgent", 1)).worker
+    lost.avoid_until = bench.now + 10.0
+    bench.finish(next(iter(other.tasks.values())).task.job_id + ".0.0.0")
+    assert bench.place() == [f"urgent.0.0.1@{other.entry.worker_id}"]
+
+
+def test_a_run_stopped_meanwhile_is_not_stopped_for_another_task():
+    """A copy may be stopped for a task after it was found as a candidate."""
+    bench = Bench()
+    bench.low("low", 4000)
+    bench.urgent()
+    state = bench.state.jobs["urgent"]
+    state.create_tasks(0)
+    worker = bench.state.workers["i-0"]
+    finder = victims.VictimFinder(
+        bench.state, COSTS, fleetfakes.configuration().queues_by_name(),
+        freeing.FreeingCapacity([]), bench.now, WALL_MS)
+    waiting = victims.Waiting(
+        state, bench.task("urgent"), 0, worker.entry.service, [worker])
+    assert finder.choose(waiting) is not None
+    bench.state.stop_run(bench.task("low"), "room for another task")
+    assert finder.choose(waiting) is None
+
+
+def test_a_suspected_task_starts_in_quarantine_where_its_hold_is():
+    """A hold that its own task can't use keeps it waiting until it ends."""
+    bench = Bench()
+    bench.low("low", 4000)
+    bench.urgent()
+    state = bench.state.jobs["urgent"]
+    state.create_tasks(0)
+    bench.task("urgent").suspicion = suspicion.Suspicion(likely=True)
+    bench.place()
+    assert bench.stopped() == {"low"}
+    bench.finish("low.0.0.0")
+    bench.now += 0.3
+    bench.place()
+    assert bench.task("urgent").task in bench.state.trials.by_task
+    assert bench.state.workers["i-0"].held == messages.Resources()
+
+
+def test_holds_that_do_not_suffice_cost_no_search_among_the_workers():
+    """With 5,500 workers and 200 holds, such a round took over 2 s."""
+    class Workers(list):
+        def __contains__(self, worker):
+            raise AssertionError("searched")
+
+    bench = Bench()
+    bench.low("low", 4000)
+    bench.urgent("narrow", 1000, queue="renewals", priority=2)
+    bench.urgent()
+    for name in ("narrow", "urgent"):
+        bench.state.jobs[name].create_tasks(0)
+    worker = bench.state.workers["i-0"]
+    bench.state.held_workers.add(heldworkers.Hold(
+        worker, worker.born_ms, bench.state.jobs["narrow"],
+        bench.task("narrow"), 2, bench.now + 9.0))
+    round_ = rounds.Round(
+        bench.state, fleetfakes.configuration().queues_by_name(), [worker],
+        bench.now, WALL_MS)
+    assert not preemption._take_over_hold(
+        round_, bench.state.jobs["urgent"], bench.task("urgent"),
+        eligibleworkers.EligibleWorkers(
+            worker.entry.service, Workers([worker])))
