--- a/tests/test_fleet_interference.py
+++ b/tests/test_fleet_interference.py
@@ -94,7 +94,7 @@
 def forecast_errors(
         seed: int, follow_slopes: bool,
         recent_swing: bool = policy_mod.Policy().forecast_recent_swing
-        ) -> list[float]:
+) -> list[float]:
     """Return expected minus actual highest loads of the next 2.5 s.
 
     By default the forecast is the one that is in use.
