--- a/sycamorefield/fleet/backlogmeter.py
+++ b/sycamorefield/fleet/backlogmeter.py
@@ -36,7 +36,7 @@
 MAX_CHANGE = 0.1
 # A pool with more CPU free than this is not overloaded: its tasks wait for
 # something else.  Tasks of a third of a worker can leave nearly a third of it
-# unused, and about half of that on average.  Not measured.
+# unused, and about half of that on average.
 MAX_FREE_SHARE = 0.25
 # What the queues got is averaged with this half-life.
 GOT_HALF_LIFE_S = 15.0
