--- a/sycamorefield/fleet/runtimes.py
+++ b/sycamorefield/fleet/runtimes.py
@@ -216,8 +216,10 @@
     """
 
     def __init__(self, enabled: bool = True,
-                 now: typing.Callable[[], float] = clock.now) -> None:
+                 now: typing.Callable[[], float] = lambda: clock.now()
+                 ) -> None:
         self.enabled = enabled
+        # Looked up in each call, so that a simulated clock is used, too.
         self.now = now
         # By queue, and by whether the tasks are best-effort: these run on CPU
         # that others leave unused.
