Test that a successor restarts long-running tasks that ran unstored (fails)

What callers see: a long-running task is down after a change of owner, beside workers on which it fits, for as long as capacity is kept for finite tasks.

The owner orders a first start, the commit that marks the task as having run gets no answer, and the owner and the worker are lost.

--- a/tests/test_fleet_takeover.py
+++ b/tests/test_fleet_takeover.py
@@ -516,3 +516,53 @@
     running_worker.unresponsive = False
     wait_for(lambda: not fleet.owner.fleet.awaited_workers)
     assert fleet.starts().count("a.0.0.0") == 1
+
+
+class UnrecordingStore(fleetfakes.MemoryStore):
+    """A store that can leave commits of progress without an answer."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.drop_progress = False
+
+    def commit(self, transaction: messages.Transaction) -> int:
+        if self.drop_progress and any(
+                put.key.startswith(records.PROGRESS_PREFIX)
+                for put in transaction.puts):
+            raise interfaces.CallFailed("no answer")
+        return super().commit(transaction)
+
+
+@pytest.mark.parametrize("is_stored", [True, False])
+def test_long_running_task_that_ran_is_not_held_back_after_takeover(is_stored):
+    """Guards against a task that is down while capacity is kept for others."""
+    fleet = Fleet(workers=12)
+    fleet.store = UnrecordingStore()
+    step = messages.Step(1, messages.Resources(3000, 1000), perpetual=True)
+    try:
+        fleet.take_over()
+        for number in range(8):
+            fleet.submit(fleetfakes.job(f"j{number}", step))
+        wait_for(lambda: len(fleet.running()) == 8)
+        fleet.store.drop_progress = not is_stored
+        fleet.submit(fleetfakes.job("last", step))
+        wait_for(lambda: "last.0.0.0" in fleet.running()
+                 and (fleet.state("last") != "") == is_stored)
+        # The worker with the last job ends, and an unused one: now 60% of the
+        # CPU is reserved, and both workers without a run must be left free.
+        used = [w for w in fleet.workers.values() if w.runs]
+        lost = [next(w for w in fleet.workers.values() if not w.runs),
+                next(w for w in used
+                     if any(task.job_id == "last" for task, _ in w.runs))]
+        for worker in lost:
+            worker.runs.clear()
+            worker.restarted = True
+        fleet.worker_list.entries = tuple(
+            e for e in fleet.worker_list.entries
+            if not fleet.workers[e.worker_id].restarted)
+        fleet.owner.step_down("test")
+        fleet.store.drop_progress = False
+        fleet.take_over()
+        wait_for(lambda: "last.0.0.0" in fleet.running())
+    finally:
+        fleet.owner.step_down("test over")
