Name long-running tasks that may wait for headroom in SF1842

SF1842 gave "no worker found" for a long-running task that headroom holds back, as for one that fits nowhere. Beside workers on which it fits, the new reason tells that the task counts as never started.

--- a/sycamorefield/fleet/waitingreasons.py
+++ b/sycamorefield/fleet/waitingreasons.py
@@ -3,6 +3,7 @@
 import collections
 import typing
 
+from sycamorefield.fleet import headroom
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import placing
 from sycamorefield.fleet import progress
@@ -21,6 +22,7 @@
 QUARANTINE_PENDING = "waits for a worker to be quarantined"
 QUARANTINE_RESTORED = "quarantine of an earlier owner is undecided"
 QUARANTINE_NOT_READY = "quarantine has not started"
+HEADROOM = "may have to leave capacity free for other tasks"
 # The last of them: the search for workers tells more.
 NO_WORKER = "no worker found"
 
@@ -65,6 +67,10 @@
         return GANG_INCOMPLETE
     if all(task.not_before > now for task in tasks):
         return DELAYED
+    if fleet.policy.keep_room_for_short_work and all(
+            headroom.required_headroom(task, 0)
+            is not headroom.RequiredHeadroom.NONE for task in tasks):
+        return HEADROOM
     return NO_WORKER
 
 
--- a/tests/test_fleet_held_tasks.py
+++ b/tests/test_fleet_held_tasks.py
@@ -7,6 +7,7 @@
 from sycamorefield import events
 from sycamorefield.fleet import doubtfulruns
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import policy as policy_mod
 from sycamorefield.fleet import quarantines
 from sycamorefield.fleet import suspicion
 from sycamorefield.fleet import waitinglog
@@ -140,6 +141,23 @@
         bench.state, state.tasks[0, 0][0], "desk", bench.now) == {reason: 1}
 
 
+@pytest.mark.parametrize(("policy", "has_run", "reason"), [
+    (policy_mod.Policy(), False, waitingreasons.HEADROOM),
+    (policy_mod.Policy(), True, waitingreasons.NO_WORKER),
+    (fleetfakes.NO_RESERVED_CAPACITY, False, waitingreasons.NO_WORKER),
+])
+def test_long_running_step_that_waits_for_headroom_is_named(
+        policy, has_run, reason):
+    bench = test_fleet_state.Bench(fleetfakes.entry(0), policy=policy)
+    bench.add(fleetfakes.job("j", messages.Step(
+        1, messages.Resources(1000, 1000), perpetual=True)))
+    state = bench.state.jobs["j"]
+    state.create_tasks(0)
+    state.tasks[0, 0][0].has_run = has_run
+    assert waitingreasons.step_reason(
+        bench.state, state, state.tasks[0, 0], bench.now) == reason
+
+
 def test_steps_that_wait_long_are_logged_with_reason_and_workers(logged):
     bench = test_fleet_state.Bench(fleetfakes.entry(0))
     bench.add(fleetfakes.job("j", messages.Step(
