Record which long-running tasks were never started

What callers see: after a change of owner a long-running task that has run is down for as long as demand for finite tasks lasts, beside workers on which it fits (LOST).

Cause: has_run is stored by a commit that follows the start. Class: state derived from a write-behind record, where missing means "has not happened".

Change: the record names the tasks that have waited for a second and were never started; a successor takes every other long-running task of an earlier job for one that may have run, which needs to leave no headroom. A task that a stored record may name is started only after a record without it is stored, so a record can't be wrong whatever is lost. Other starts wait for nothing. Weighed: storing each first start before it is ordered (a commit's delay for every start, none while the store is away); no headroom at all after a takeover (urgent work loses its room at each change of owner).

--- a/sycamorefield/fleet/headroom.py
+++ b/sycamorefield/fleet/headroom.py
@@ -24,8 +24,8 @@
 class RequiredHeadroom(enum.Enum):
     """The capacity that a long-running task must leave to others."""
 
-    # Nothing: it has run before, so its users notice that it is down, or all
-    # members of its gang must start at once.
+    # Nothing: it may have run before, so its users may notice that it is down,
+    # or all members of its gang must start at once.
     NONE = enum.auto()
     # Capacity for finite tasks only: without a majority of its tasks a job
     # serves its users too badly to count.
@@ -48,7 +48,7 @@
     Without spreading, every task of a job must leave as much as its last one.
     """
     step = task.step
-    if not step.perpetual or step.gang or task.has_run:
+    if not step.perpetual or step.gang or task.may_have_run():
         return RequiredHeadroom.NONE
     if not spread:
         return RequiredHeadroom.ALL
--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -94,6 +94,16 @@
         return (self.suspicion is not None
                 and self.suspicion.needs_quarantine_run())
 
+    def may_have_run(self) -> bool:
+        """Return whether a run of a long-running task may have been started.
+
+        The start of a task of an earlier owner's job may not be stored; only
+        a task that is recorded as unstarted has certainly never run.
+        """
+        return self.has_run or (
+            self.job is not None and self.job.taken_over
+            and self.task not in self.job.unstarted)
+
     def update_progress(self, percent: int, now: float) -> None:
         """Record the progress of the current run."""
         self.percent = percent
@@ -198,6 +208,12 @@
         self.stored_quarantine_workers: dict[messages.TaskId, str] = {}
         # When the lives of these workers began, in ms since 1970.
         self.quarantine_births: dict[str, int] = {}
+        # Whether the job is older than the term of this owner.
+        self.taken_over = False
+        # Long-running tasks that wait and have never been started, and those
+        # that a stored record may name as such.
+        self.unstarted: set[messages.TaskId] = set()
+        self.stored_unstarted: frozenset[messages.TaskId] = frozenset()
         # Whether the progress has changed since it was last written.
         self.dirty = False
         self.tasks: dict[StepIndex, list[TaskState]] = {}
@@ -334,6 +350,27 @@
         """
         if task.step.perpetual and not task.has_run:
             task.has_run = self.dirty = True
+            self.unstarted.discard(task.task)
+
+    def mark_unstarted(self, task: TaskState) -> None:
+        """Record for later owners that a long-running task waits.
+
+        They leave capacity for other tasks before they start it.
+        """
+        if not task.may_have_run() and task.task not in self.unstarted:
+            self.unstarted.add(task.task)
+            self.dirty = True
+
+    def confirm_start(self, task: TaskState) -> bool:
+        """Return whether no stored record names a task as unstarted.
+
+        Otherwise a record without it is to be stored first: a later owner
+        could not tell that a run of the task has been lost.
+        """
+        if task.task in self.unstarted:
+            self.unstarted.discard(task.task)
+            self.dirty = True
+        return task.task not in self.stored_unstarted
 
     def next_run_number(self, state: TaskState) -> int:
         """Return a run number higher than any the task may have had."""
@@ -421,6 +458,7 @@
     suspected: dict[str, typing.Any] = {}
     trials: dict[str, str] = {}
     trial_births: dict[str, int] = {}
+    unstarted: dict[str, str] = {}
 
 
 def encode_progress(state: JobState) -> bytes:
@@ -428,11 +466,12 @@
 
     A job in a final state has only its state and the reason of a failure.
     Otherwise "done" and "ran" hold, for each step, a bit mask of the tasks
-    that succeeded and of the long-running tasks that have run.  "rest" holds
-    [last run, failed runs, saved] of unfinished tasks that failed or saved
-    something; "suspected" and "trials" hold what is known of tasks that are
-    suspected of crashing workers, "trial_births" which lives of the workers
-    they are tried on.
+    that succeeded and of the long-running tasks that have run; "unstarted"
+    holds those of the long-running tasks that wait for their first start.
+    "rest" holds [last run, failed runs, saved] of unfinished tasks that failed
+    or saved something; "suspected" and "trials" hold what is known of tasks
+    that are suspected of crashing workers, "trial_births" which lives of the
+    workers they are tried on.
     """
     row: dict[str, typing.Any] = {"state": state.state}
     if state.reason:
@@ -440,6 +479,9 @@
     if not state.final():
         row["done"] = _encode_masks(state, lambda task: task.done)
         row["ran"] = _encode_masks(state, lambda task: task.has_run)
+        if state.unstarted:
+            row["unstarted"] = _encode_masks(
+                state, lambda task: task.task in state.unstarted)
         rest, suspected = {}, {}
         for task in state.all_tasks():
             if task.done:
@@ -501,6 +543,10 @@
         task.mark_done()
     for task in _decode_masks(state, row.ran):
         task.has_run = True
+    state.unstarted = {
+        task.task for task in _decode_masks(state, row.unstarted)
+        if not task.has_run}
+    state.stored_unstarted = frozenset(state.unstarted)
     for name, (run, failed, saved) in row.rest.items():
         found = _find_by_short_name(state, name)
         if found is not None:
--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -49,6 +49,8 @@
     job: progress.JobState | None
     # The workers reserved for quarantine runs according to the data.
     quarantine_workers: dict[messages.TaskId, str] = {}
+    # The long-running tasks that wait for their first start by the data.
+    unstarted: frozenset[messages.TaskId] = frozenset()
 
 
 class Recorder:
@@ -136,10 +138,13 @@
             if not job.dirty:
                 continue
             job.dirty = False
+            unstarted = frozenset(job.unstarted)
+            # The write may be applied without an answer.
+            job.stored_unstarted |= unstarted
             writes.append(PendingWrite(
                 records.progress_key(job.job.job_id),
                 progress.encode_progress(job), job.state_revision, job,
-                dict(job.quarantine_workers)))
+                dict(job.quarantine_workers), unstarted))
         return writes
 
     def _add_workers(self, writes: list[PendingWrite]) -> None:
@@ -306,12 +311,15 @@
             self.fleet.enrol(self.stored_addresses)
         if write.job is not None:
             write.job.state_revision = revision
-            self._mark_quarantine_stored(write.job, write.quarantine_workers)
+            self._mark_stored_for_rounds(write.job, write)
 
-    def _mark_quarantine_stored(self, job: progress.JobState,
-                                stored: dict[messages.TaskId, str]) -> None:
-        if stored == job.stored_quarantine_workers:
+    def _mark_stored_for_rounds(self, job: progress.JobState,
+                                write: PendingWrite) -> None:
+        """Note what was stored that starts may have waited for."""
+        if (write.quarantine_workers == job.stored_quarantine_workers
+                and write.unstarted == job.stored_unstarted):
             return
         with self.fleet.lock:
-            job.stored_quarantine_workers = stored
+            job.stored_quarantine_workers = write.quarantine_workers
+            job.stored_unstarted = write.unstarted
             self.fleet.request_round()
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -163,6 +163,8 @@
             and state.job.steps[startable[0].task.step].perpetual)
         placed_count = headroom.placed_count(tasks) if keeps_headroom else 0
         exhausted: set[headroom.RequiredHeadroom] = set()
+        delay_is_over = (self.now - state.first_ready_at
+                         >= headroom.REMAINING_TASKS_DELAY_S)
         self.ranking = None
         held_workers = self.fleet.held_workers
         if held_workers.by_task:
@@ -179,12 +181,15 @@
                     and required is not headroom.RequiredHeadroom.NONE):
                 # Go on after a failure: tasks that have run before may use
                 # capacity that this one must leave.
-                if required in exhausted:
-                    continue
-                if self._place_long_running(state, task, eligible, required):
-                    placed_count += 1
-                elif self._is_held_back(state, task, eligible, required):
-                    exhausted.add(required)
+                if required not in exhausted:
+                    if self._place_long_running(
+                            state, task, eligible, required):
+                        placed_count += 1
+                        continue
+                    if self._is_held_back(state, task, eligible, required):
+                        exhausted.add(required)
+                if delay_is_over:
+                    state.mark_unstarted(task)
             elif not self._place_task(state, task, eligible):
                 # The other tasks request as much in the same scope.
                 break
@@ -330,6 +335,10 @@
     def start(self, state: progress.JobState, task: progress.TaskState,
               worker: workerstate.WorkerState,
               eligible: eligibleworkers.EligibleWorkers) -> None:
+        """Start a task, or leave that to a round once its record allows it."""
+        if not state.confirm_start(task):
+            self.fleet.commit_requested = True
+            return
         self.fleet.held_workers.drop(task)
         self.fleet.start(state, task, worker, state.next_run_number(task),
                          eligible.ticket(worker))
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -142,6 +142,7 @@
             state.known_at = clock.now()
             if created_revision <= self.fence:
                 state.run_base = self.fence * progress.RUNS_PER_TERM
+                state.taken_over = True
             self.jobs[job.job_id] = state
             self.active[job.job_id] = state
             self.request_round()
--- /dev/null
+++ b/tests/test_fleet_unstarted.py
@@ -0,0 +1,91 @@
+"""Test records of long-running tasks that wait for their first start."""
+
+import json
+
+import pytest
+
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import progress
+from sycamorefield.fleet import records
+from tests import fleetfakes
+from tests import test_fleet_partial_reach
+from tests import test_fleet_state
+
+STEP = messages.Step(1, messages.Resources(3000, 1000), perpetual=True)
+# Of the CPU of all workers, the jobs that run reserve 60%; a further task
+# would take capacity that is kept for finite tasks.
+WORKERS = 10
+RUNNING_JOBS = 8
+OLD_JOB, NEW_JOB = 5, 20
+WAITING = messages.TaskId("waiting", 0, 0, 0)
+
+
+def make_bench(created=NEW_JOB):
+    """Return a fleet with a job that must wait, and what was started."""
+    bench = test_fleet_state.Bench(*(
+        fleetfakes.entry(number) for number in range(WORKERS)))
+    for number in range(RUNNING_JOBS):
+        bench.add(fleetfakes.job(f"j{number}", STEP), NEW_JOB + number)
+    assert len(bench.place()) == RUNNING_JOBS
+    bench.add(fleetfakes.job("waiting", STEP), created)
+    return bench, bench.state.jobs["waiting"]
+
+
+def run_rounds(bench, count=12):
+    return [placed for _ in range(count) for placed in bench.place()]
+
+
+def join_workers(bench):
+    """Let workers join, so that a waiting task may start."""
+    for number in range(WORKERS, WORKERS + 4):
+        bench.state.add_worker(fleetfakes.entry(number))
+        bench.report(f"i-{number}")
+    bench.state.enrol(bench.state.workers)
+
+
+@pytest.mark.parametrize(("created", "record", "starts"), [
+    (NEW_JOB, {}, False),
+    (OLD_JOB, {}, True),
+    (OLD_JOB, {"ran": {"0.0": "1"}}, True),
+    (OLD_JOB, {"unstarted": {"0.0": "1"}}, False),
+    (OLD_JOB, {"unstarted": {"0.0": "1"}, "ran": {"0.0": "1"}}, True),
+])
+def test_only_tasks_that_never_ran_leave_headroom(created, record, starts):
+    """Guards against a task that is held back as its run was not stored."""
+    bench, job = make_bench(created)
+    progress.apply_progress(job, json.dumps(
+        {"state": "pending", **record}).encode())
+    assert bool(run_rounds(bench)) == starts
+
+
+@pytest.mark.parametrize("lost", [
+    {}, {"lose_calls": 1}, {"lose_answers": 1}])
+def test_start_waits_until_no_record_names_the_task_as_unstarted(
+        lost):
+    """Guards against a run that a successor does not know to be lost."""
+    bench, job = make_bench()
+    store = fleetfakes.MemoryStore()
+    recorder = test_fleet_partial_reach.make_recorder(bench, store)
+    assert not run_rounds(bench)
+    assert job.unstarted == {WAITING}
+    assert recorder.flush()
+    join_workers(bench)
+    assert not run_rounds(bench)
+    assert not job.unstarted
+    for name, count in lost.items():
+        setattr(store, name, count)
+    assert recorder.flush()
+    item = store.items[records.progress_key("waiting")]
+    successor = progress.JobState(job.job, OLD_JOB)
+    progress.apply_progress(successor, item.value)
+    assert not successor.unstarted
+    assert len(run_rounds(bench)) == 1
+
+
+def test_task_that_is_placed_within_the_delay_is_not_recorded():
+    """Guards against starts that wait for a commit without need."""
+    bench, job = make_bench()
+    assert not run_rounds(bench, 5)
+    assert not job.unstarted
+    join_workers(bench)
+    assert len(bench.place()) == 1
