Hold the worker of a task whose record must be stored before its start

What callers see: beside one free worker, rounds of a large fleet take minutes; tasks that arrive late start before those that have waited.

Cause: Round.start left a task that a stored record may name as unstarted to a later round, but reserved nothing. Every other waiting task then "fitted" on the same worker: each was searched for anew and its job written, and later or less urgent tasks took the capacity, after which the job was written again.

Change: such a task holds what it requests until it starts. Headroom counts what is held for long-running tasks as if they had started.

--- a/sycamorefield/fleet/headroom.py
+++ b/sycamorefield/fleet/headroom.py
@@ -2,6 +2,7 @@
 
 import enum
 import math
+import typing
 
 from sycamorefield.fleet import demand as demand_mod
 from sycamorefield.fleet import messages
@@ -73,7 +74,10 @@
 
     def __init__(self, workers: list[workerstate.WorkerState],
                  estimator: demand_mod.DemandEstimator, priority: int,
-                 now: float) -> None:
+                 now: float, held_cpu: typing.Mapping[str, int] = {}
+                 ) -> None:
+        # What is held for long-running tasks counts as if they had started.
+        self.held_cpu = held_cpu
         self.capacity_cpu = sum(w.entry.capacity.cpu for w in workers)
         self.slot_cpu = max(1.0, estimator.mean_task_cpu(priority))
         kept_cpu = estimator.kept_cpu(priority, self.capacity_cpu, now)
@@ -87,7 +91,8 @@
             priority, self.slot_cpu,
             demand_mod.MAX_SHARE * self.capacity_cpu, now)
         self.wide_workers = widetasks.choose_workers(self.wide_slots, workers)
-        self.reserved_cpu = sum(w.used.cpu for w in workers)
+        self.reserved_cpu = sum(
+            w.used.cpu + held_cpu.get(w.entry.worker_id, 0) for w in workers)
         self.slots_cpu_by_worker = {
             w.entry.worker_id: self._slots_cpu(w, 0) for w in workers}
         self.total_slots_cpu = sum(self.slots_cpu_by_worker.values())
@@ -98,7 +103,7 @@
         return self.reserved_cpu / max(1, self.capacity_cpu)
 
     def record_start(self, worker: workerstate.WorkerState, cpu: int) -> None:
-        """Update the slots of the worker on which a task has started."""
+        """Update the slots of the worker on which a task starts."""
         worker_id = worker.entry.worker_id
         if worker_id not in self.slots_cpu_by_worker:
             return
@@ -111,6 +116,7 @@
                    added_cpu: int) -> float:
         """Return the CPU of the slots that long-running tasks leave free."""
         available_cpu = (worker.entry.capacity.cpu - worker.long_running_cpu
+                         - self.held_cpu.get(worker.entry.worker_id, 0)
                          - added_cpu)
         return self.slot_cpu * max(
             0, math.floor(available_cpu / self.slot_cpu))
@@ -142,5 +148,6 @@
         max_loss_cpu = max(0.0, self.total_slots_cpu - kept_cpu)
         return [w for w in workers
                 if self._lost_slots_cpu(w, step.room.cpu) <= max_loss_cpu
-                and widetasks.leaves_slot(self.wide_slots, self.wide_workers,
-                                          w, step.room.cpu)]
+                and widetasks.leaves_slot(
+                    self.wide_slots, self.wide_workers, w, step.room.cpu
+                    + self.held_cpu.get(w.entry.worker_id, 0))]
--- a/sycamorefield/fleet/heldworkers.py
+++ b/sycamorefield/fleet/heldworkers.py
@@ -5,6 +5,7 @@
 wide task again and again.
 """
 
+import collections
 import dataclasses
 
 from sycamorefield.fleet import messages
@@ -50,6 +51,9 @@
 
     def __init__(self) -> None:
         self.by_task: dict[messages.TaskId, Hold] = {}
+        # The CPU held for long-running tasks, by worker ID.
+        self.long_running_cpu: collections.Counter[str] = (
+            collections.Counter())
         # Workers on which nothing is preempted at present, by ID.
         self.pauses: dict[str, Pause] = {}
 
@@ -73,6 +77,7 @@
         self.drop(hold.task)
         self.by_task[hold.task.task] = hold
         hold.worker.held = hold.worker.held.plus(hold.task.step.reserved())
+        self._count_long_running(hold, 1)
         hold.worker.record_change()
 
     def drop(self, task: progress.TaskState) -> None:
@@ -81,8 +86,14 @@
         if hold is not None:
             hold.worker.held = hold.worker.held.minus(
                 task.step.reserved())
+            self._count_long_running(hold, -1)
             hold.worker.record_change()
 
+    def _count_long_running(self, hold: Hold, sign: int) -> None:
+        if hold.task.step.perpetual:
+            self.long_running_cpu[hold.worker.entry.worker_id] += (
+                sign * hold.task.step.reserved().cpu)
+
     def is_paused(self, worker: workerstate.WorkerState) -> bool:
         """Return whether nothing should be preempted on a worker now."""
         return worker.entry.worker_id in self.pauses
--- a/sycamorefield/fleet/preemption.py
+++ b/sycamorefield/fleet/preemption.py
@@ -125,6 +125,16 @@
     round_.ranking = None
 
 
+def hold_until_recorded(round_: "rounds.Round", state: progress.JobState,
+                        task: progress.TaskState,
+                        worker: workerstate.WorkerState) -> None:
+    """Hold what a task requests until its record allows its start."""
+    hold = round_.fleet.held_workers.find(task)
+    if hold is None or hold.worker is not worker:
+        _hold(round_, state, task, worker,
+              ordering.priority(state, round_.queues))
+
+
 def _take_over_hold(round_: "rounds.Round", state: progress.JobState,
                     task: progress.TaskState,
                     eligible: eligibleworkers.EligibleWorkers) -> bool:
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -328,22 +328,28 @@
             headroom_ = headroom.Headroom(
                 [w for w in self.usable_workers
                  if w.entry.service == eligible.service],
-                self.fleet.demand, priority, self.now)
+                self.fleet.demand, priority, self.now,
+                self.fleet.held_workers.long_running_cpu)
             self.headrooms[eligible.service, priority] = headroom_
         return headroom_
 
     def start(self, state: progress.JobState, task: progress.TaskState,
               worker: workerstate.WorkerState,
               eligible: eligibleworkers.EligibleWorkers) -> None:
-        """Start a task, or leave that to a round once its record allows it."""
+        """Start a task, or hold its worker until its record allows that."""
+        hold = self.fleet.held_workers.find(task)
+        is_counted = (task.step.perpetual and hold is not None
+                      and hold.worker is worker)
         if not state.confirm_start(task):
             self.fleet.commit_requested = True
-            return
-        self.fleet.held_workers.drop(task)
-        self.fleet.start(state, task, worker, state.next_run_number(task),
-                         eligible.ticket(worker))
+            preemption.hold_until_recorded(self, state, task, worker)
+        else:
+            self.fleet.held_workers.drop(task)
+            self.fleet.start(state, task, worker, state.next_run_number(task),
+                             eligible.ticket(worker))
+        added_cpu = 0 if is_counted else task.step.reserved().cpu
         for headroom_ in self.headrooms.values():
-            headroom_.record_start(worker, task.step.reserved().cpu)
+            headroom_.record_start(worker, added_cpu)
         self.freeing.record_start(worker)
 
     def _expects_capacity(self, state: progress.JobState,
--- /dev/null
+++ b/tests/test_fleet_unstarted_many.py
@@ -0,0 +1,47 @@
+"""Test starts of many recorded long-running tasks that compete."""
+
+import pytest
+
+from tests import fleetfakes
+from tests import test_fleet_partial_reach
+from tests import test_fleet_unstarted
+
+WAITING_JOBS = 20
+
+
+@pytest.fixture
+def waiting():
+    """Return a fleet, its recorder and jobs that are recorded as waiting."""
+    bench, _ = test_fleet_unstarted.make_bench()
+    store = fleetfakes.MemoryStore()
+    recorder = test_fleet_partial_reach.make_recorder(bench, store)
+    for number in range(WAITING_JOBS):
+        bench.add(fleetfakes.job(f"w{number}", test_fleet_unstarted.STEP),
+                  100 + number)
+    assert not test_fleet_unstarted.run_rounds(bench, 14)
+    assert recorder.flush()
+    return bench, recorder
+
+
+def test_only_tasks_that_fit_are_recorded_again(waiting):
+    """Guards against a write for each waiting job when one may start."""
+    bench, _ = waiting
+    test_fleet_unstarted.join_workers(bench)
+    assert not bench.place()
+    changed = [job for job in bench.state.active.values() if job.dirty]
+    assert 1 <= len(changed) <= 4
+
+
+def test_task_that_waits_for_its_record_keeps_its_place(waiting):
+    """Guards against later tasks that take what an earlier one waits for."""
+    bench, recorder = waiting
+    test_fleet_unstarted.join_workers(bench)
+    for number in range(10):
+        bench.add(fleetfakes.job(f"late{number}", test_fleet_unstarted.STEP),
+                  500 + number)
+    placed = bench.place()
+    assert recorder.flush()
+    placed += bench.place()
+    assert placed
+    assert placed[0].startswith("waiting.")
+    assert not any(name.startswith("late") for name in placed)
