Keep headroom for tasks that no earlier owner can have started

What callers see: after a change of owner, scheduled long-running jobs take the capacity that is kept for urgent tasks when they become due; so do all jobs that were submitted to a new fleet before its first owner.

Cause: every task of an older job that is not recorded as unstarted counts as one that may have run. Only tasks that a round tries to place are recorded, so a scheduled task never is, and there is no record before the first owner.

Change: a task that becomes due later than an earlier owner may act has never run, and nothing has if no list of workers in use was ever stored.

--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -100,9 +100,11 @@
         The start of a task of an earlier owner's job may not be stored; only
         a task that is recorded as unstarted has certainly never run.
         """
+        job = self.job
         return self.has_run or (
-            self.job is not None and self.job.taken_over
-            and self.task not in self.job.unstarted)
+            job is not None and job.taken_over
+            and job.job.due_ms(self.task.occurrence) <= job.earlier_starts_ms
+            and self.task not in job.unstarted)
 
     def update_progress(self, percent: int, now: float) -> None:
         """Record the progress of the current run."""
@@ -210,6 +212,8 @@
         self.quarantine_births: dict[str, int] = {}
         # Whether the job is older than the term of this owner.
         self.taken_over = False
+        # Until when an earlier owner may have started tasks, in ms since 1970.
+        self.earlier_starts_ms = 0.0
         # Long-running tasks that wait and have never been started, and those
         # that a stored record may name as such.
         self.unstarted: set[messages.TaskId] = set()
--- a/sycamorefield/fleet/recovery.py
+++ b/sycamorefield/fleet/recovery.py
@@ -124,6 +124,9 @@
         a clock that may be slow.
         """
         if item is None:
+            # No worker gets a start before it is on a stored list.
+            for state in self.fleet.jobs.values():
+                state.taken_over = False
             return
         self.recorder.revisions[records.WORKERS_KEY] = item.revision
         try:
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -48,6 +48,9 @@
 MAX_LIST_AGE_S = 2.8
 # A worker is listed as draining for at least this long before it leaves.
 DRAIN_NOTICE_S = 2.0
+# An earlier owner may start tasks for this long after a successor has loaded
+# the jobs: without the store, and with a clock that is ahead.
+EARLIER_STARTS_S = 15.0
 
 
 class FleetState:
@@ -143,6 +146,8 @@
             if created_revision <= self.fence:
                 state.run_base = self.fence * progress.RUNS_PER_TERM
                 state.taken_over = True
+                state.earlier_starts_ms = (
+                    clock.wall_ms() + EARLIER_STARTS_S * 1000.0)
             self.jobs[job.job_id] = state
             self.active[job.job_id] = state
             self.request_round()
--- a/tests/test_fleet_unstarted.py
+++ b/tests/test_fleet_unstarted.py
@@ -1,6 +1,8 @@
 """Test records of long-running tasks that wait for their first start."""
 
+import dataclasses
 import json
+import time
 
 import pytest
 
@@ -10,6 +12,7 @@
 from tests import fleetfakes
 from tests import test_fleet_partial_reach
 from tests import test_fleet_state
+from tests import test_fleet_takeover
 
 STEP = messages.Step(1, messages.Resources(3000, 1000), perpetual=True)
 # Of the CPU of all workers, the jobs that run reserve 60%; a further task
@@ -89,3 +92,27 @@
     assert not job.unstarted
     join_workers(bench)
     assert len(bench.place()) == 1
+
+
+def test_scheduled_task_that_was_not_due_at_the_takeover_leaves_headroom():
+    """Guards against scheduled tasks that take what urgent ones need."""
+    bench, _ = make_bench()
+    bench.state.cancel("waiting")
+    job = dataclasses.replace(
+        fleetfakes.job("later", STEP), start_at_ms=time.time() * 1000.0 + 6e4)
+    bench.add(job, OLD_JOB)
+    placed = [name for _ in range(12)
+              for name in bench.place(job.start_at_ms + 1.0)]
+    assert not placed
+
+
+def test_no_task_may_have_run_without_a_list_of_workers_in_use():
+    """Guards against jobs of a new fleet that leave no headroom."""
+    fleet = test_fleet_takeover.Fleet(workers=1)
+    try:
+        fleet.submit(fleetfakes.job("first", STEP))
+        fleet.take_over()
+        test_fleet_takeover.wait_for(lambda: fleet.running())
+        assert not fleet.owner.fleet.jobs["first"].taken_over
+    finally:
+        fleet.owner.step_down("test over")
