Count tasks that may have run in the majority of a long-running job

What callers see: after a change of owner, further tasks of a job take capacity that is kept for the majority of new jobs.

Cause: placed_count left out tasks that may have run, so the others of their step counted towards the majority although it may be placed already.

test_tasks_that_may_have_run_count_as_placed fails without the change and passes.

--- a/sycamorefield/fleet/headroom.py
+++ b/sycamorefield/fleet/headroom.py
@@ -37,9 +37,9 @@
 
 
 def placed_count(tasks: list[progress.TaskState]) -> int:
-    """Return how many tasks of a long-running step run or have run."""
+    """Return how many tasks of a long-running step run or may have run."""
     return sum(1 for task in tasks
-               if task.has_run or task.phase != progress.IDLE)
+               if task.may_have_run() or task.phase != progress.IDLE)
 
 
 def required_headroom(task: progress.TaskState, placed_before: int,
--- a/tests/test_fleet_unstarted.py
+++ b/tests/test_fleet_unstarted.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from sycamorefield.fleet import headroom
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import records
@@ -116,3 +117,16 @@
         assert not fleet.owner.fleet.jobs["first"].taken_over
     finally:
         fleet.owner.step_down("test over")
+
+
+def test_tasks_that_may_have_run_count_as_placed():
+    """Guards against tasks that take what new jobs need for a majority."""
+    step = messages.Step(5, messages.Resources(3000, 1000), perpetual=True)
+    job = progress.JobState(fleetfakes.job("mixed", step), OLD_JOB)
+    job.taken_over = True
+    progress.apply_progress(
+        job, b'{"state":"pending","unstarted":{"0.0":"18"}}')
+    tasks = job.tasks[0, 0]
+    assert headroom.required_headroom(
+        tasks[4], headroom.placed_count(tasks)) is (
+            headroom.RequiredHeadroom.ALL)
