Write records of waiting tasks after outcomes, a few in each flush

What callers see: when thousands of long-running tasks have waited for a second, the ends of other jobs are stored behind hundreds of commits.

Until one is written, a successor takes its tasks for ones that may have run.

--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -220,6 +220,8 @@
         self.stored_unstarted: frozenset[messages.TaskId] = frozenset()
         # Whether the progress has changed since it was last written.
         self.dirty = False
+        # Whether further tasks are unstarted, which is written in time.
+        self.unstarted_added = False
         self.tasks: dict[StepIndex, list[TaskState]] = {}
         # Cache of completed steps: a completed step stays so, and every round
         # checks it.
@@ -363,7 +365,7 @@
         """
         if not task.may_have_run() and task.task not in self.unstarted:
             self.unstarted.add(task.task)
-            self.dirty = True
+            self.unstarted_added = True
 
     def confirm_start(self, task: TaskState) -> bool:
         """Return whether no stored record names a task as unstarted.
--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -22,6 +22,9 @@
 # Outcomes that end no job wait this long to share a commit with others.
 BATCH_DELAY_S = 0.04
 RETRY_DELAY_S = 0.1
+# A flush includes at most this many jobs of which only waiting tasks changed,
+# so that outcomes don't wait for thousands of them.
+MAX_UNHURRIED_WRITES = VALUES_PER_COMMIT
 # Minimum time between two writes of the numbers of waiting jobs.
 WAITING_JOBS_PERIOD_S = 1.0
 # How often the learned interference weights of images are written.  They take
@@ -133,19 +136,26 @@
         return self._store_learned_state()
 
     def _job_writes(self) -> list[PendingWrite]:
-        writes = []
+        """Return changed progress; some of what can wait comes last."""
+        changed: list[progress.JobState] = []
+        unhurried: list[progress.JobState] = []
         for job in self.fleet.jobs.values():
-            if not job.dirty:
-                continue
-            job.dirty = False
-            unstarted = frozenset(job.unstarted)
-            # The write may be applied without an answer.
-            job.stored_unstarted |= unstarted
-            writes.append(PendingWrite(
-                records.progress_key(job.job.job_id),
-                progress.encode_progress(job), job.state_revision, job,
-                dict(job.quarantine_workers), unstarted))
-        return writes
+            if job.dirty:
+                changed.append(job)
+            elif (job.unstarted_added
+                  and len(unhurried) < MAX_UNHURRIED_WRITES):
+                unhurried.append(job)
+        return [self._job_write(job) for job in changed + unhurried]
+
+    def _job_write(self, job: progress.JobState) -> PendingWrite:
+        job.dirty = job.unstarted_added = False
+        unstarted = frozenset(job.unstarted)
+        # The write may be applied without an answer.
+        job.stored_unstarted |= unstarted
+        return PendingWrite(
+            records.progress_key(job.job.job_id),
+            progress.encode_progress(job), job.state_revision, job,
+            dict(job.quarantine_workers), unstarted)
 
     def _add_workers(self, writes: list[PendingWrite]) -> None:
         """Add the list of workers in use if it has changed.
--- a/tests/test_fleet_unstarted_many.py
+++ b/tests/test_fleet_unstarted_many.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from sycamorefield.fleet import recorder as recorder_mod
+from sycamorefield.fleet import records
 from tests import fleetfakes
 from tests import test_fleet_partial_reach
 from tests import test_fleet_unstarted
@@ -19,7 +21,8 @@
         bench.add(fleetfakes.job(f"w{number}", test_fleet_unstarted.STEP),
                   100 + number)
     assert not test_fleet_unstarted.run_rounds(bench, 14)
-    assert recorder.flush()
+    while any(job.unstarted_added for job in bench.state.active.values()):
+        assert recorder.flush()
     return bench, recorder
 
 
@@ -45,3 +48,20 @@
     assert placed
     assert placed[0].startswith("waiting.")
     assert not any(name.startswith("late") for name in placed)
+
+
+def test_outcomes_do_not_wait_for_records_of_waiting_tasks():
+    """Guards against ends of jobs that are stored after thousands of jobs."""
+    bench, _ = test_fleet_unstarted.make_bench()
+    store = fleetfakes.MemoryStore()
+    writer = test_fleet_partial_reach.make_recorder(bench, store)
+    for number in range(5 * recorder_mod.VALUES_PER_COMMIT):
+        bench.add(fleetfakes.job(f"w{number}", test_fleet_unstarted.STEP),
+                  100 + number)
+    test_fleet_unstarted.run_rounds(bench, 14)
+    bench.add(fleetfakes.job("last", test_fleet_unstarted.STEP), 1000)
+    bench.state.cancel("last")
+    first = store.commits
+    assert writer.flush()
+    assert store.commits - first <= 3
+    assert records.progress_key("last") in store.items
