--- a/tests/test_fleet_unstarted.py
+++ b/tests/test_fleet_unstarted.py
@@ -1,15 +1,19 @@
 """Test records of long-running tasks that wait for their first start."""
 
+import dataclasses
 import json
+import time
 
 import pytest
 
+from sycamorefield.fleet import headroom
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import records
 from tests import fleetfakes
 from tests import test_fleet_partial_reach
 from tests import test_fleet_state
+from tests import test_fleet_takeover
 
 STEP = messages.Step(1, messages.Resources(3000, 1000), perpetual=True)
 # Of the CPU of all workers, the jobs that run reserve 60%; a further task
@@ -89,3 +93,40 @@
     assert not job.unstarted
     join_workers(bench)
     assert len(bench.place()) == 1
+
+
+def test_scheduled_task_that_was_not_due_at_the_takeover_leaves_headroom():
+    """Guards against scheduled tasks that take what urgent ones need."""
+    bench, _ = make_bench()
+    bench.state.cancel("waiting")
+    job = dataclasses.replace(
+        fleetfakes.job("later", STEP), start_at_ms=time.time() * 1000.0 + 6e4)
+    bench.add(job, OLD_JOB)
+    placed = [name for _ in range(12)
+              for name in bench.place(job.start_at_ms + 1.0)]
+    assert not placed
+
+
+def test_no_task_may_have_run_without_a_list_of_workers_in_use():
+    """Guards against jobs of a new fleet that leave no headroom."""
+    fleet = test_fleet_takeover.Fleet(workers=1)
+    try:
+        fleet.submit(fleetfakes.job("first", STEP))
+        fleet.take_over()
+        test_fleet_takeover.wait_for(lambda: fleet.running())
+        assert not fleet.owner.fleet.jobs["first"].taken_over
+    finally:
+        fleet.owner.step_down("test over")
+
+
+def test_tasks_that_may_have_run_count_as_placed():
+    """Guards against tasks that take what new jobs need for a majority."""
+    step = messages.Step(5, messages.Resources(3000, 1000), perpetual=True)
+    job = progress.JobState(fleetfakes.job("mixed", step), OLD_JOB)
+    job.taken_over = True
+    progress.apply_progress(
+        job, b'{"state":"pending","unstarted":{"0.0":"18"}}')
+    tasks = job.tasks[0, 0]
+    assert headroom.required_headroom(
+        tasks[4], headroom.placed_count(tasks)) is (
+            headroom.RequiredHeadroom.ALL)
