Ask for a handover when tasks wait for workers out of reach

What callers saw: a task whose label, memory or GPUs only a few workers have, or that needs a whole worker, waited for minutes while all of these workers were free, listed and reached by every process but the owner.

Cause: an owner asks for offers once the time lost on unreached workers, as a mean over all workers of a service, exceeds CHANGE_OF_OWNER_S. Four workers of 100 reach it 25 s after the cut, one of 176 after three minutes. Ruled out: the offers themselves; a process that reaches them would have made one, as test_task_of_a_kind_runs_although_its_owner_misses_few_workers shows.

Now an owner examines, once a second and only while workers are unreached, steps that have waited for 1 s. If their tasks fit on no reached worker, and would fit on empty unreached ones that are listed and not draining, the time counts as lost, weighted by the share of these workers among those in use that could run the task too: where others end runs, a change of owner gains little. After MAX_TASK_WAIT_S of it offers are asked for. The request names the workers that are needed; a process may offer if it reaches half of them and all of the sample of reached ones. For 60 s after a handover this makes no request, so that two owners that miss a kind each do not alternate.

--- a/sycamorefield/fleet/handover.py
+++ b/sycamorefield/fleet/handover.py
@@ -18,6 +18,7 @@
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import records
 from sycamorefield.fleet import unreached as unreached_mod
+from sycamorefield.fleet import unreachedneeds
 
 if typing.TYPE_CHECKING:
     from sycamorefield.fleet import state as state_mod
@@ -26,6 +27,10 @@
 # A change of owner stops all placement for about this long.  The owner asks
 # for offers once as much has been lost on the workers that it can't reach.
 CHANGE_OF_OWNER_S = 1.0
+# Tasks that only unreached workers could run have lost this much when the
+# owner asks for offers: clearly longer than a change of owner, which delays
+# all other tasks.
+MAX_TASK_WAIT_S = 3.0
 # A request without an offer is repeated after this time, with other workers,
 # then after twice as long and so on: each makes every process try to connect.
 REQUEST_PERIOD_S = 5.0
@@ -50,29 +55,40 @@
 class Request:
     """Samples of the workers that an owner reaches and does not reach.
 
-    The samples hold addresses, the counts are of all workers.
+    The samples hold addresses, the counts are of all workers.  The needed
+    ones are unreached workers for which ready tasks wait.
     """
 
     unreached_sample: tuple[str, ...]
     reached_sample: tuple[str, ...]
     unreached_count: int
     reached_count: int
+    needed_sample: tuple[str, ...] = ()
+
+    def unreached_addresses(self) -> tuple[str, ...]:
+        """Return the addresses that the owner does not reach."""
+        return tuple(dict.fromkeys(
+            self.unreached_sample + self.needed_sample))
 
     def addresses(self) -> tuple[str, ...]:
         """Return the addresses to be tried."""
-        return self.unreached_sample + self.reached_sample
+        return self.unreached_addresses() + self.reached_sample
 
     def is_improved_by(self, answering: typing.Container[str]) -> bool:
         """Return whether who reaches some of the addresses should take over.
 
         It must reach more workers than the owner, by what a change of owner
-        is worth.
+        is worth.  If tasks wait for some, it must reach many of these, and
+        all that the owner reaches.
         """
         gained = _estimate(self.unreached_sample, self.unreached_count,
                            answering)
         kept = _estimate(self.reached_sample, self.reached_count, answering)
         needed = MIN_GAIN_OF_ALL * (self.unreached_count + self.reached_count)
         if kept >= self.reached_count:
+            if self.needed_sample and MIN_GAIN_OF_UNREACHED <= _estimate(
+                    self.needed_sample, 1, answering):
+                return True
             needed = min(needed, MIN_GAIN_OF_UNREACHED * self.unreached_count)
         return gained + kept - self.reached_count >= max(1.0, needed)
 
@@ -100,8 +116,9 @@
         row = json.loads(value)
         return Request(tuple(row["unreached_sample"]),
                        tuple(row["reached_sample"]),
-                       row["unreached_count"], row["reached_count"])
-    except (KeyError, TypeError) as exc:
+                       row["unreached_count"], row["reached_count"],
+                       tuple(row.get("needed_sample", ())))
+    except (AttributeError, KeyError, TypeError) as exc:
         raise ValueError(f"invalid request: {exc!r}") from exc
 
 
@@ -157,7 +174,7 @@
     if request is not None:
         try:
             addresses = frozenset(decode_request(
-                request.value).unreached_sample)
+                request.value).unreached_addresses())
         except ValueError as exc:
             events.emit(events.RECORD_UNREADABLE, key=request.key,
                         reason=str(exc))
@@ -180,6 +197,7 @@
         self.lease_id = lease_id
         self.limit = limit
         self.unreached = unreached_mod.UnreachedWorkers()
+        self.needs = unreachedneeds.UnreachedNeeds()
         self.request_revision = 0
         self.requested_at = -math.inf
         self.request_period_s = REQUEST_PERIOD_S
@@ -187,8 +205,12 @@
     def update(self, now: float) -> bool:
         """Make a request if needed; return whether an offer was made."""
         self.unreached.update(self.fleet, now)
+        if self.fleet.policy.hand_over:
+            self.needs.update(
+                self.fleet, self.unreached.unreached_ids(now), now)
         if (not self.fleet.policy.hand_over
-                or self.unreached.lost_s(now) < CHANGE_OF_OWNER_S
+                or not (self.unreached.lost_s(now) >= CHANGE_OF_OWNER_S
+                        or self._tasks_wait(now))
                 or not self.limit.allows(self._silent_addresses(), now)):
             # An offer on an earlier request is of no use any more.
             self.request_revision = 0
@@ -208,8 +230,17 @@
         return bool(self.request_revision) and is_offer_on(
             self.watcher.handover_offer, self.request_revision)
 
+    def _tasks_wait(self, now: float) -> bool:
+        """Return whether tasks have waited long for unreached workers.
+
+        After a handover this is no reason for another one for a while: two
+        owners could each miss workers for which tasks wait.
+        """
+        return (now >= self.limit.until
+                and self.needs.lost_s() >= MAX_TASK_WAIT_S)
+
     def _make_request(self, now: float) -> None:
-        request = self._sample()
+        request = self._sample(self._tasks_wait(now))
         self.requested_at = now
         try:
             self.request_revision = self.store.commit(messages.Transaction(
@@ -224,22 +255,29 @@
         events.emit(events.HANDOVER_REQUESTED, fence=self.fleet.fence,
                     unreached=request.unreached_count,
                     reached=request.reached_count,
-                    lost_s=round(self.unreached.lost_s(now), 3))
+                    lost_s=round(self.unreached.lost_s(now), 3),
+                    waiting_tasks=self.needs.waiting_tasks(),
+                    waiting_lost_s=round(self.needs.lost_s(), 3))
 
     def _silent_addresses(self) -> list[str]:
-        silent_ids = self.unreached.silent_ids()
+        return self._addresses_of(self.unreached.silent_ids())
+
+    def _addresses_of(self, worker_ids: set[str]) -> list[str]:
         with self.fleet.lock:
             return [w.entry.address for w in self.fleet.workers.values()
-                    if w.entry.worker_id in silent_ids]
+                    if w.entry.worker_id in worker_ids]
 
-    def _sample(self) -> Request:
+    def _sample(self, tasks_wait: bool) -> Request:
         unreached = self._silent_addresses()
         with self.fleet.lock:
             reached = [w.entry.address for w in self.fleet.workers.values()
                        if w.listed and w.has_reported and not w.unresponsive]
+        needed = (self._addresses_of(self.needs.needed_ids())
+                  if tasks_wait else [])
         return Request(_choose(unreached, UNREACHED_SAMPLE_SIZE),
                        _choose(reached, REACHED_SAMPLE_SIZE),
-                       len(unreached), len(reached))
+                       len(unreached), len(reached),
+                       _choose(needed, UNREACHED_SAMPLE_SIZE))
 
 
 def _choose(addresses: list[str], count: int) -> tuple[str, ...]:
--- a/sycamorefield/fleet/volunteer.py
+++ b/sycamorefield/fleet/volunteer.py
@@ -82,7 +82,8 @@
         self.stopped.wait(self.delay_s + random.uniform(0.0, MAX_DELAY_S))
         if not self._is_open(item):
             return
-        answering = self.probe.find_reached(request.unreached_sample)
+        answering = self.probe.find_reached(
+            request.unreached_addresses())
         if not request.is_improved_by(answering.union(
                 request.reached_sample)):
             return
