Let an error of one worker's link concern this worker alone

What callers saw: an unexpected error of one call to one worker, or of one report, ended the owner's term, and that of the next owner as well while it recurred. Until then no task started anywhere.

Cause: a link stepped down on every error that its code did not expect. Ruled out as a reason to keep this: a report that is applied in part. The number of the last end was noted before the end was applied, so that an end that raised an error could be acknowledged to the worker and be lost; it is noted afterwards now. A failed worker counts as unresponsive, so it gets no leases, and is added anew once they have expired.

Now the error is logged (SF1831 with the worker) and the call is made again after ERROR_PAUSE_S. An order that failed so may have been carried out: a start is stopped, a stop repeated, a pace sent again. Only an error in handling such an error still ends the term.

--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -40,6 +40,8 @@
 # task may use the worker.
 QUARANTINE_WAIT_MS = 150
 RETRY_DELAY_S = 0.15
+# The pause after an error that the code doesn't expect, which is logged.
+ERROR_PAUSE_S = 1.0
 # How long the first calls to a worker that a successor waits for may take.
 # The tasks of all jobs accepted before the takeover wait until each worker has
 # reported, and a sound worker answers within some milliseconds; a lost call
@@ -140,7 +142,7 @@
     async def _run_guarded(
             self, target: typing.Callable[
                 [], typing.Coroutine[typing.Any, typing.Any, None]]) -> None:
-        """Run a coroutine; step down on an unexpected error.
+        """Run a coroutine; step down if it ends by an unexpected error.
 
         A worker without one of its coroutines would still be considered
         usable, but its leases would expire or its start orders never be sent.
@@ -148,11 +150,13 @@
         try:
             await target()
         except Exception as exc:
-            events.emit(events.THREAD_FAILED, reason=repr(exc),
-                        where=events.error_location(exc),
-                        worker=self.worker_id)
+            self._log_error(exc)
             self.step_down(UNEXPECTED_ERROR)
 
+    def _log_error(self, exc: Exception) -> None:
+        events.emit(events.THREAD_FAILED, reason=repr(exc),
+                    where=events.error_location(exc), worker=self.worker_id)
+
     def put_order(self, order: state_mod.Order | None) -> None:
         """Queue an order, from any thread."""
         self.orders.put(order)
@@ -244,46 +248,58 @@
         return True
 
     async def _renew_leases(self) -> None:
+        """Renew leases until the link ends.
+
+        An unexpected error concerns this worker alone.  While it recurs, the
+        worker gets no leases, and once they have expired it is added anew.
+        """
         while not self.closed and self.may_act():
-            sent_at = clock.now()
-            self.recorded.clear()
-            called = self.worker
             try:
-                report = await called.renew(
-                    self.fleet.fence, self.ends.acknowledged_number(),
-                    self._lease_end_ms(), self._report_wait_ms(),
-                    self._answer_s())
-            except interfaces.IncarnationMismatch:
-                if self._report_end(called, crashes.worker_replaced):
-                    return
-                continue
-            except interfaces.OrderRejected as exc:
-                if self._check_fenced(exc):
+                if await self._renew_once():
                     return
+            except Exception as exc:
+                self._log_error(exc)
                 await self._handle_failure(exc)
-                continue
-            except interfaces.ConnectionRefused as exc:
-                if called is self.worker and await self._handle_refusal(exc):
-                    return
-                continue
-            except interfaces.CallRefused as exc:
+                await asyncio.sleep(ERROR_PAUSE_S)
+
+    async def _renew_once(self) -> bool:
+        """Make one call and apply the report; return whether the link ends."""
+        sent_at = clock.now()
+        self.recorded.clear()
+        called = self.worker
+        try:
+            report = await called.renew(
+                self.fleet.fence, self.ends.acknowledged_number(),
+                self._lease_end_ms(), self._report_wait_ms(),
+                self._answer_s())
+        except interfaces.IncarnationMismatch:
+            return self._report_end(called, crashes.worker_replaced)
+        except interfaces.OrderRejected as exc:
+            if self._check_fenced(exc):
+                return True
+            await self._handle_failure(exc)
+            return False
+        except interfaces.ConnectionRefused as exc:
+            return called is self.worker and await self._handle_refusal(exc)
+        except interfaces.CallRefused as exc:
+            await self._handle_failure(exc)
+            return False
+        except interfaces.CallFailed as exc:
+            if not self._repeats_first_call():
                 await self._handle_failure(exc)
-                continue
-            except interfaces.CallFailed as exc:
-                if not self._repeats_first_call():
-                    await self._handle_failure(exc)
-                continue
-            received_at = clock.now()
-            with self.fleet.lock:
-                if self.closed:
-                    return
-                self.refusals = 0
-                self.ends.note_report(report.born_ms)
-                new_ends = reports.apply_report(
-                    self.fleet, self.worker_id, report, sent_at, received_at)
-            metrics.CALLS.record(usage.REPORT, clock.now() - received_at)
-            if new_ends or report.ended:
-                await self._wait_until_recorded()
+            return False
+        received_at = clock.now()
+        with self.fleet.lock:
+            if self.closed:
+                return True
+            self.refusals = 0
+            self.ends.note_report(report.born_ms)
+            new_ends = reports.apply_report(
+                self.fleet, self.worker_id, report, sent_at, received_at)
+        metrics.CALLS.record(usage.REPORT, clock.now() - received_at)
+        if new_ends or report.ended:
+            await self._wait_until_recorded()
+        return False
 
     def _report_end(self, called: interfaces.Worker,
                     report_end: typing.Callable[
@@ -362,6 +378,20 @@
                 if self._report_end(called, crashes.worker_replaced):
                     return
                 self.orders.requeue(order)
+            except Exception as exc:
+                self._log_error(exc)
+                self._record_uncertain(order)
+                await asyncio.sleep(ERROR_PAUSE_S)
+
+    def _record_uncertain(self, order: state_mod.Order) -> None:
+        """Record that an order may have been carried out."""
+        if isinstance(order, messages.StartOrder):
+            answers.stop_uncertain_run(self.fleet, self.worker_id, order)
+        elif isinstance(order, messages.StopOrder):
+            self.orders.requeue(order)
+        else:
+            answers.record_uncertain_pace(
+                self.fleet, self.worker_id, order, clock.now())
 
     async def _next_order(self) -> state_mod.Order | None:
         while not self.orders:
--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -61,9 +61,10 @@
         new_ends = False
         for ended in report.ended:
             if ended.number > worker.last_processed_end:
-                worker.last_processed_end = ended.number
                 new_ends = True
                 _record_end(fleet, worker, ended, now)
+                # An end is acknowledged only if it has been applied.
+                worker.last_processed_end = ended.number
         worker.has_unknown_run = False
         for row in report.running:
             _process_running(fleet, worker, row, now)
