Read a deeply nested answer as none

What callers saw: an answer of a worker, the store or the advice service whose JSON is nested more than some 900 times raised RecursionError, which ended the owner's term, and the next one as well.

Cause: only errors of msgspec counted as unreadable answers.

--- a/sycamorefield/platform/jsonclient.py
+++ b/sycamorefield/platform/jsonclient.py
@@ -29,7 +29,7 @@
             return {}
         try:
             decoded = msgspec.json.decode(self.data)
-        except msgspec.MsgspecError as exc:
+        except (msgspec.MsgspecError, RecursionError) as exc:
             raise interfaces.CallFailed(
                 f"unreadable answer: {exc}") from exc
         return decoded if isinstance(decoded, dict) else {}
@@ -46,9 +46,9 @@
     try:
         return decode(body)
     except (KeyError, IndexError, TypeError, ValueError, AttributeError,
-            OverflowError) as exc:
+            OverflowError, RecursionError) as exc:
         raise interfaces.CallFailed(
-            f"unreadable answer: {exc!r}") from exc
+            f"unreadable answer: {repr(exc)[:200]}") from exc
 
 
 def _encode_body(body: Body) -> bytes:
--- a/tests/test_platform_answers.py
+++ b/tests/test_platform_answers.py
@@ -9,7 +9,10 @@
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import messages
 from sycamorefield.platform import advice as advice_mod
+from sycamorefield.platform import jsonclient
+from sycamorefield.platform import reportrows
 from sycamorefield.platform import store as store_mod
+from sycamorefield.platform import workers as workers_mod
 from tests import platformfakes
 
 TRANSACTION = messages.Transaction(puts=(messages.Put("k", b"v"),))
@@ -49,3 +52,35 @@
     with pytest.raises(interfaces.CallFailed):
         advice_mod.PlatformAdvice(server.address).advise(
             "j.0.0", ("i-0",), messages.AdvicePolicy())
+
+
+def clock_ms_of(data):
+    """Return the time in an answer to an order."""
+    return jsonclient.decode_or_fail(
+        workers_mod._decode_clock_ms, jsonclient.JsonResponse(200, data).body)
+
+
+NESTED = b"[" * 100_000 + b"]" * 100_000
+
+
+@pytest.mark.parametrize("decode", [
+    clock_ms_of, reportrows.decode_report,
+    lambda data: workers_mod._require_ok(jsonclient.JsonResponse(409, data))],
+    ids=["order", "report", "rejection"])
+@pytest.mark.parametrize("data", [
+    NESTED, NESTED[:100_000], b'{"clock_ms": ' + NESTED + b"}",
+    b'{"reason": ' + NESTED + b"}", b"\xff"],
+    ids=["list", "open", "clock", "reason", "bytes"])
+def test_answer_of_a_worker_that_can_not_be_decoded_is_no_answer(
+        decode, data):
+    """Guards against other errors, as of nesting, that end a term."""
+    with pytest.raises(interfaces.CallFailed):
+        decode(data)
+
+
+@pytest.mark.parametrize("depth", [10, 300, 900, 990])
+def test_reason_of_a_rejection_may_be_nested(depth):
+    """Guards against errors of a text made of a nested value."""
+    data = b'{"reason": ' + b"[" * depth + b"]" * depth + b"}"
+    with pytest.raises((interfaces.CallFailed, interfaces.OrderRejected)):
+        workers_mod._require_ok(jsonclient.JsonResponse(409, data))
