Accept no host names in addresses of workers

What callers saw: a worker's entry whose address names a host made the owner's event loop look it up, so that while the name server was slow all leases and orders of all workers waited.

Cause: any printable host was accepted, and connect_ex() of a name blocks. Ruled out: the reach probe and the stored list of workers in use as other ways in; both get their addresses through the same check.

--- a/tests/test_platform_entries.py
+++ b/tests/test_platform_entries.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import socket
 
 import pytest
 
@@ -117,6 +118,18 @@
     assert decode(json.dumps({**ENTRY, "addr": address}).encode()) is None
 
 
+@pytest.mark.parametrize("address", [
+    "localhost:80", "worker-7.example.org:80", "10.0.0:80", "10.0.0.256:80",
+    "0x0a.0.0.1:80", "[::1]:80", "::1:80", "1.2.3.4.5:80", " 10.0.0.1:80"])
+def test_host_name_is_not_resolved(address, monkeypatch):
+    """Guards against lookups in the event loop that serves all workers."""
+    def fail(*args):
+        raise AssertionError("looked up")
+
+    monkeypatch.setattr(socket, "getaddrinfo", fail)
+    assert decode(json.dumps({**ENTRY, "addr": address}).encode()) is None
+
+
 @pytest.mark.parametrize("address", [
     "10.0.0.1:80", "10.0.0.1:65535", "127.0.0.1:1"])
 def test_other_addresses_are_read(address):
