Log a worker's start before it takes tasks

Callers saw nothing wrong: every job ended as done.

Cell 1 has no owner that could learn of it (no SF1403 for .1), and the store is down 198.44 last event of tsv-r1-w2 (198.61 of tsv-r1-w1); the plan kills both at 9.83 s, so the outcome is lost 199.411 SF1104: entry-3 claims cell 1 (fence 299), releases it at 200.436; the worker is down all the while 200.767 SF1104, SF1106: entry-1, started again, owns cell 1 (fence 359); the table has the job as placed, with progress 0 200.793 SF1409: tsv-r1-w2 begins .1 from 0 for fence 359 200.858 SF1001: tsv-r1-w2 logs "process started"

The second run is legitimate: an outcome that no owner recorded is lost with its worker, and the check allows that if the worker's restart precedes the run. The restart was logged 65 to 75 ms after the runs, so the check found none. The worker served calls, then started its HTTP server, and only then logged SF1001: an event logged after effects of what it announces. An owner that takes its cell within that window makes the check fail.

Ruled out: an outcome dropped by an owner (entry-1 was dead, no SF1403), an acknowledged and unstored end (no owner between 195.4 and the kill), a stale owner (the fence rises, 13, 299, 359), and overlapping runs (.1 ended at 198.089). With SF1001 moved before the runs in the kept logs, the check finds nothing (8 findings without).

The worker now logs its start when its port is bound and before it serves calls, so no task can begin earlier. It is not logged before the bind: a process started by mistake would otherwise report a loss of the tasks of the one that listens, and the check would accept a second run of them. checks.py is unchanged. The run times and crashes of work are set before the first call as well, for the same reason; no test shows that one.

--- a/sycamorefield/backend.py
+++ b/sycamorefield/backend.py
@@ -100,9 +100,14 @@
           ) -> tuple[grpc.Server, worker.WorkerServer]:
     """Start a worker and its backend; return the gRPC server and worker."""
     spec = opts.machine(name)
-    server, machine = worker.serve_grpc(opts.host, spec)
+    server, machine = worker.bind_grpc(opts.host, spec)
     machine.misdeclared_by_work = {
         w.name: w.misdeclared for w in opts.work.values()}
     machine.crashing_work = {w.name for w in opts.work.values() if w.crashes}
+    # Owners start tasks as soon as the worker serves calls, and checks.py
+    # takes this event for the end of all tasks begun before it.
+    events.emit(events.PROCESS_STARTED, role="worker",
+                grpc_port=spec.grpc_port, http_port=spec.http_port)
+    worker.start(server, machine)
     httpserver.start(opts.host, spec.http_port, Backend(machine, opts))
     return server, machine
--- a/sycamorefield/cli.py
+++ b/sycamorefield/cli.py
@@ -131,8 +131,6 @@
     spec = opts.machine(name)
     events.configure(name, spec.zone, opts.log_dir)
     server, machine = backend.serve(opts, name)
-    events.emit(events.PROCESS_STARTED, role="worker",
-                grpc_port=spec.grpc_port, http_port=spec.http_port)
     _wait_for_signal()
     machine.stopped.set()
     server.stop(1.0).wait()
--- a/sycamorefield/worker.py
+++ b/sycamorefield/worker.py
@@ -375,15 +375,31 @@
         return service_ms / 1000.0 * factor
 
 
-def serve_grpc(host: str, spec: options.WorkerSpec,
-               server_class: type[WorkerServer] = WorkerServer
-               ) -> tuple[grpc.Server, WorkerServer]:
-    """Start the worker's gRPC server and the thread that advances tasks."""
+def bind_grpc(host: str, spec: options.WorkerSpec,
+              server_class: type[WorkerServer] = WorkerServer
+              ) -> tuple[grpc.Server, WorkerServer]:
+    """Return a worker and its gRPC server, which does not serve yet.
+
+    Raise RuntimeError if another process listens on the worker's port.
+    """
     machine = server_class(spec)
     server = channels.server(threads=16)
     pb_grpc.add_WorkerServicer_to_server(machine, server)
     server.add_insecure_port(f"{host}:{spec.grpc_port}")
+    return server, machine
+
+
+def start(server: grpc.Server, machine: WorkerServer) -> None:
+    """Serve calls and start the thread that advances tasks."""
     server.start()
     threading.Thread(target=machine.tick_forever, name="tick",
                      daemon=True).start()
+
+
+def serve_grpc(host: str, spec: options.WorkerSpec,
+               server_class: type[WorkerServer] = WorkerServer
+               ) -> tuple[grpc.Server, WorkerServer]:
+    """Start a worker and its gRPC server; return both."""
+    server, machine = bind_grpc(host, spec, server_class)
+    start(server, machine)
     return server, machine
