Log that a task began before it can end

A worker logged SF1409 "began a task" after it had released its lock, so the thread that advances tasks could log SF1410 "ended a task" of that task first. checks.py drops an end without a begin, takes the task for one that never ended, and reports the job's next run elsewhere as "runs as j.2 while j.1 still runs".

The event is now logged under the lock, as the end is.

test_begin_is_logged_before_the_end_of_a_task advances the task while its begin is being logged. Before: SF1410 before SF1409; now in order and no finding. checks.py is unchanged.

--- a/sycamorefield/worker.py
+++ b/sycamorefield/worker.py
@@ -180,9 +180,11 @@
             self._record_change(task)
             self.peak_usage = self._max_usage(self.used())
             self._check_capacity()
-        events.emit(events.TASK_BEGAN, worker=self.spec.name,
-                    task=task.task_id, job=task.job_id, fence=task.fence,
-                    owner=task.owner, progress=round(task.progress, 3))
+            # Logged under the lock: the task may end right after it is
+            # released, and its end must be logged later than its begin.
+            events.emit(events.TASK_BEGAN, worker=self.spec.name,
+                        task=task.task_id, job=task.job_id, fence=task.fence,
+                        owner=task.owner, progress=round(task.progress, 3))
         if task.work in self.crashing_work:
             threading.Timer(CRASH_DELAY_S, self.crash).start()
         return pb.TaskReply(accepted=True, state=RUNNING,
--- a/tests/test_worker_start.py
+++ b/tests/test_worker_start.py
@@ -1,6 +1,7 @@
 """Test that a worker logs its start and its tasks in the order of events."""
 
 import dataclasses
+import threading
 import time
 
 import pytest
@@ -17,6 +18,7 @@
 from tests import test_checks
 
 WORKER = "tsv-r1-w1"
+TICK_WAIT_S = 0.3
 
 
 def start_request():
@@ -94,3 +96,37 @@
     finally:
         server.stop(0)
     assert lines == []
+
+
+def test_begin_is_logged_before_the_end_of_a_task(monkeypatch, lines, opts):
+    """Guards against a task whose end is logged before its begin.
+
+    A task that fails at once may end while its start call is still logging
+    that it began.  The checks then take it for a task that never ended, and
+    its next run on another worker for a second place.
+    """
+    machine = worker.WorkerServer(opts.machine(WORKER))
+    machine.faults = pb.WorkerFaults(fail_all=True)
+    record_event = events.emit
+
+    def tick():
+        with machine.lock:
+            for task in machine.tasks.values():
+                machine._advance_task(task, 0.1)
+
+    ticker = threading.Thread(target=tick)
+
+    def tick_while_logging(event, **fields):
+        if event is events.TASK_BEGAN:
+            ticker.start()
+            ticker.join(TICK_WAIT_S)
+        record_event(event, **fields)
+
+    monkeypatch.setattr(events, "emit", tick_while_logging)
+    machine.StartTask(start_request(), None)
+    ticker.join()
+    assert [line["event"] for line in lines] == [
+        events.TASK_BEGAN.code, events.TASK_ENDED.code]
+    lines.append(test_checks.task_began(time.time() + 1.0, "w2", "j.2"))
+    findings = checks.check(lines)
+    assert findings == [], [str(f) for f in findings]
