Log the end of a task once its outcome is stored

The owner logged SF1403 (SF1404, SF1411, SF1416) when it staged an outcome, and checks.py takes that for a recorded outcome, after which the loss of the worker excuses no second run. If the store is down, the owner loses its cell and the worker is killed before the write succeeds, nothing tells that the job is done, and the next owner rightly starts it again. The check then gives the same findings: "resumed at 0.00", "runs again after j.1 was done".

The events are now kept until the commit that contains the outcome, and logged before links are woken. An owner that is killed between the commit and the line logs nothing; the check then accepts a second run of that job if the worker is lost too, a window of the microseconds in between. checks.py is unchanged, and counters still count at once.

--- a/sycamorefield/cell.py
+++ b/sycamorefield/cell.py
@@ -63,6 +63,15 @@
     lost_workers: int = 0
 
 
+@dataclasses.dataclass(frozen=True)
+class EndEvent:
+    """The event of an ended task, to be logged once the version is stored."""
+
+    version: int
+    event: events.Event
+    fields: dict[str, object]
+
+
 def _queued_s(record: jobtable.JobRecord) -> float:
     """Return how many seconds ago a job was accepted or moved here."""
     return time.time() - max(record.accepted_at, record.arrived_at)
@@ -112,6 +121,7 @@
         # Wall-clock time until which no other task is placed on a worker.
         self.quarantined_until: dict[str, float] = {}
         self.uncommitted_workers: set[str] = set()
+        self.uncommitted_ends: list[EndEvent] = []
         self.freeing_tasks = 0
         self.urgent_queued = False
         self.urgent_seen_at = -math.inf
@@ -421,7 +431,7 @@
         self.counters.started += 1
 
     def _handle_commit(self) -> None:
-        """Wake the links of workers that had uncommitted placements."""
+        """Log stored ends; wake the links of workers with new placements."""
         with self.lock:
             workers = self.uncommitted_workers
             # This commit does not contain placements staged while it was in
@@ -430,6 +440,12 @@
                 name for name in workers if not all(
                     self.table.durable(r.job_id)
                     for r in self.table.placed_on(name))}
+            ends = self.uncommitted_ends
+            version = self.table.committed_version
+            self.uncommitted_ends = [e for e in ends if e.version > version]
+        for end in ends:
+            if end.version <= version:
+                events.emit(end.event, **end.fields)
         for name in workers:
             self.links[name].wake.set()
 
@@ -470,9 +486,14 @@
             self.counters.evictions += 1
             record.evictions += 1
             self._requeue(record, task.progress)
-        events.emit(event, job=record.job_id, worker=link.machine.name,
-                    task=task.task_id, state=task.state,
-                    progress=round(task.progress, 3))
+        # An end that is logged but not stored can be lost with this process
+        # and the worker; the job then runs again, and checks.py would take
+        # that for a second run.
+        self.uncommitted_ends.append(EndEvent(
+            self.table.version_of(record.job_id), event,
+            {"job": record.job_id, "worker": link.machine.name,
+             "task": task.task_id, "state": task.state,
+             "progress": round(task.progress, 3)}))
 
     def _after_failure(self, record: jobtable.JobRecord,
                        worker: str) -> None:
