Keep the wide tasks that arrived lately for the successor of an owner

What callers see: in the minute after a change of owner, long-running tasks start on the workers that are kept for wide urgent tasks, which then wait.

Cause: the learned state has the demand without the recent wide tasks, so a successor keeps no worker for them until more arrive.

Change: the demand includes the last 200 that are wide, at most 60 s old.

test_successor_keeps_slots_for_wide_tasks fails without the change and passes.

--- a/sycamorefield/fleet/demand.py
+++ b/sycamorefield/fleet/demand.py
@@ -223,6 +223,8 @@
                 in list(self.run_times.items())[:MAX_ENCODED_ENTRIES]},
             "majority_cpu": [round(self.majority_cpu.mean()),
                              self.majority_cpu.count],
+            "wide": self.wide_tasks.encode(min(
+                map(self.mean_task_cpu, self.arrivals), default=0.0), now),
             "batches": round(self.arrived_batches * factor, 3),
             "last_batch_s": round(min(MAX_OBSERVED_S,
                                       now - self.last_batch_at), 1)}
@@ -241,6 +243,7 @@
             batches = _bounded(row["batches"])
             last_batch_s = _bounded(row["last_batch_s"], MAX_OBSERVED_S)
             majority_cpu = _decode_mean(row["majority_cpu"])
+            wide = widetasks.decode(row.get("wide", []), now)
             run_times = {str(queue): _decode_mean(mean)
                          for queue, mean in row["run_times"].items()}
             arrivals = {
@@ -258,6 +261,7 @@
         self.majority_cpu = majority_cpu
         self.run_times = run_times
         self.arrivals = arrivals
+        self.wide_tasks.load(wide)
 
     def kept_cpu(self, priority: int, capacity_cpu: float,
                  now: float) -> float:
--- a/sycamorefield/fleet/widetasks.py
+++ b/sycamorefield/fleet/widetasks.py
@@ -10,6 +10,8 @@
 import math
 import typing
 
+import msgspec
+
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import workerstate
 
@@ -20,10 +22,16 @@
 # given to long-running tasks, which are at work for minutes.
 WINDOW_S = 60.0
 MAX_RECENT_STEPS = 400
+# Bounds the encoded form.
+MAX_ENCODED_STEPS = 200
 # Of the CPU time of wide tasks, this share must fit.
 WIDTH_QUANTILE = 0.95
 
 
+AgeS = typing.Annotated[float, msgspec.Meta(ge=0.0, le=2 * WINDOW_S)]
+TaskS = typing.Annotated[float, msgspec.Meta(ge=0.0, le=1e12)]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Slots:
     """How many workers are kept for wide tasks, and how much CPU on each."""
@@ -56,6 +64,21 @@
             self.recent.append(Arrival(
                 now, priority, step.room.cpu, step.count * run_s))
 
+    def encode(self, mean_cpu: float, now: float) -> list[list[float]]:
+        """Return the recent wide tasks as values that JSON can represent.
+
+        mean_cpu is the least mean CPU of finite tasks of any priority.
+        """
+        return [[round(now - a.at, 1), a.priority, a.cpu, round(a.task_s, 1)]
+                for a in self.recent if now - a.at <= WINDOW_S
+                and a.cpu > WIDE_FACTOR * mean_cpu][-MAX_ENCODED_STEPS:]
+
+    def load(self, recent: list[Arrival]) -> None:
+        """Replace the recent wide tasks by decoded ones."""
+        if self.enabled:
+            self.recent.clear()
+            self.recent.extend(recent)
+
     def slots(self, priority: int, mean_cpu: float, max_cpu: float,
               now: float) -> Slots | None:
         """Return what to keep for tasks of at least a priority, or None.
@@ -80,6 +103,19 @@
         return Slots(count, cpu) if count else None
 
 
+def decode(value: object, now: float) -> list[Arrival]:
+    """Return encoded tasks; raises ValueError if they are invalid."""
+    try:
+        rows = msgspec.convert(value, list[tuple[
+            AgeS, int, typing.Annotated[int, msgspec.Meta(ge=0)], TaskS]])
+    except msgspec.MsgspecError as exc:
+        raise ValueError(f"invalid wide tasks: {exc!r:.200}") from exc
+    if len(rows) > MAX_ENCODED_STEPS:
+        raise ValueError(f"{len(rows)} wide tasks")
+    return [Arrival(now - age_s, priority, cpu, task_s)
+            for age_s, priority, cpu, task_s in rows]
+
+
 def _quantile_cpu(wide: list[Arrival]) -> float:
     """Return the width of which a share of the CPU time of tasks is."""
     left = WIDTH_QUANTILE * sum(a.cpu * a.task_s for a in wide)
