Refuse stored suspicions whose values have wrong types

What callers see: nothing is scheduled any more. A stored suspicion with a value of a wrong type was accepted, the first round of each owner failed on it and ended its term.

Change: the values are checked, so that the record is unreadable (SF1830).

The tests in test_fleet_suspicion_records.py fail without the change and pass.

--- a/sycamorefield/fleet/suspicion.py
+++ b/sycamorefield/fleet/suspicion.py
@@ -11,6 +11,8 @@
 import itertools
 import typing
 
+import msgspec
+
 # A task that crashes its worker on start does so within this time.
 STARTUP_WINDOW_S = 0.25
 # A run that has executed for this long is not the cause of a crash.
@@ -74,8 +76,8 @@
 
 
 def decode(row: dict[str, typing.Any]) -> Suspicion:
-    """Decode a stored record; raise TypeError if it is malformed."""
-    return Suspicion(**row)
+    """Decode a stored record; raise MsgspecError if it is malformed."""
+    return msgspec.convert(row, Suspicion)
 
 
 def _is_similar_age(first_s: float, second_s: float) -> bool:
