Remove the setting leaving_grace_seconds

No sample, deployment or page of this repository names it. A settings file that does is now rejected, with the place of the key. It was not wired up instead: that a leaving backend gets no new requests after 3 s is promised (INVARIANTS, row 7), and the backend asserts it with that bound; a setting could only loosen the check.

The new row of BAD_SETTINGS fails on the code before.

--- a/sycamorefield/options.py
+++ b/sycamorefield/options.py
@@ -97,7 +97,6 @@
     rules_poll: float
     report: float
     request_timeout: float
-    leaving_grace: float
     drain: float
     move_after: float
     clock_skew: float
--- a/sycamorefield/settings.py
+++ b/sycamorefield/settings.py
@@ -80,7 +80,6 @@
     rules_poll_seconds: float = pydantic.Field(default=2.0, gt=0)
     report_seconds: float = pydantic.Field(default=0.5, gt=0)
     request_timeout_seconds: float = pydantic.Field(default=2.0, gt=0)
-    leaving_grace_seconds: float = pydantic.Field(default=1.0, ge=0)
     drain_seconds: float = pydantic.Field(default=5.0, ge=0)
     move_after_seconds: float = pydantic.Field(default=1.0, ge=0)
     clock_skew_seconds: float = pydantic.Field(default=0.5, ge=0)
@@ -227,7 +226,7 @@
         member_ttl=t.member_ttl_seconds, heartbeat=t.heartbeat_seconds,
         task_lease=t.task_lease_seconds, rules_poll=t.rules_poll_seconds,
         report=t.report_seconds, request_timeout=t.request_timeout_seconds,
-        leaving_grace=t.leaving_grace_seconds, drain=t.drain_seconds,
+        drain=t.drain_seconds,
         move_after=t.move_after_seconds, clock_skew=t.clock_skew_seconds,
         job_retention=t.job_retention_seconds,
         request_retention=t.request_retention_seconds)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -41,6 +41,9 @@
     ("task lease that one lost report would end",
      lambda r: r["timings"].update(report_seconds=1.5),
      ["f.yaml:timings.task_lease_seconds"]),
+    ("timing that nothing reads",
+     lambda r: r["timings"].update(leaving_grace_seconds=1.0),
+     ["f.yaml:timings.leaving_grace_seconds"]),
     ("bad kind", lambda r: r["work"][0].update(kind="sometimes"),
      ["f.yaml:work.0.kind"]),
 ]
