--- a/tests/faultyfleet.py
+++ b/tests/faultyfleet.py
@@ -65,14 +65,16 @@
 class FaultyDay(test_fleet_restart_days.RestartSimulation):
     """A seeded run with some faults, and how it ends."""
 
+    worker_count = WORKERS
+
     def __init__(self, faults: typing.Iterable[str], seed: int = 0,
                  changes_owner: bool = False,
                  keeps_silent_worker: bool = False) -> None:
         faults = tuple(faults)
         self.rng = random.Random(f"{faults} {seed} {changes_owner}")
-        self.machine = linkedmachine.LinkedMachine()
+        self.machine = self.make_machine()
         self.incomplete_since: dict[object, float] = {}
-        for number in range(test_fleet_machine.WORKERS, WORKERS):
+        for number in range(test_fleet_machine.WORKERS, self.worker_count):
             self.machine._new_worker(number)
         # How often an order meets each outcome, and a commit.
         self.order_outcomes: list[str] = ["answered"]
@@ -87,12 +89,20 @@
             first = self.rng.randrange(*FIRST_STEPS)
             self.windows.append([first, min(
                 FAULT_STEPS, first + self.rng.randrange(*WINDOW_STEPS)),
-                FAULTS[name]])
+                self.faults_by_name()[name]])
         self.change_at = (self.rng.randrange(10, FAULT_STEPS)
                           if changes_owner else FAULT_STEPS + 1)
         self.silence_at = (self.rng.randrange(10, FAULT_STEPS)
                            if keeps_silent_worker else FAULT_STEPS + 1)
 
+    def make_machine(self) -> linkedmachine.LinkedMachine:
+        """Return the simulated fleet."""
+        return linkedmachine.LinkedMachine()
+
+    def faults_by_name(self) -> "dict[str, Fault]":
+        """Return the faults that may be chosen."""
+        return FAULTS
+
     # The day
 
     def run(self) -> None:
--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -324,8 +324,7 @@
         self.process = self.processes[process_index]
         self.has_owner = True
         self.ends = {}
-        self.fleet = state_mod.FleetState(
-            fence, HOLD_MAX_MS, self._send, self._configuration)
+        self.fleet = self._new_fleet(fence)
         self._renew_owner_lease()
         self.recorder = recorder_mod.Recorder(
             self.store, self.fleet, records.OWNER_KEY, lambda: True,
@@ -343,6 +342,10 @@
                                            -len(records.CANCEL_SUFFIX)])
         self._expect_workers()
 
+    def _new_fleet(self, fence: int) -> state_mod.FleetState:
+        return state_mod.FleetState(
+            fence, HOLD_MAX_MS, self._send, self._configuration)
+
     def _add_job(self, job: messages.Job,
                  created_revision: int) -> progress.JobState:
         state = self.fleet.add_job(job, created_revision)
@@ -769,10 +772,16 @@
         ends.note_report(worker.entry.born_ms)
         reports.apply_report(self.fleet, worker_id, messages.WorkerReport(
             worker.clock_ms(self.now),
-            tuple(messages.RunningTask(task, run, "", 10)
-                  for task, run in worker.runs), tuple(worker.ended),
+            tuple(messages.RunningTask(
+                task, run, "", self._percent(worker, (task, run)))
+                for task, run in worker.runs), tuple(worker.ended),
             worker.entry.born_ms), self.now, self.now)
 
+    def _percent(self, worker: SimulatedWorker,
+                 key: tuple[messages.TaskId, int]) -> int:
+        """Return the progress that a worker reports of a run."""
+        return 10
+
     @stateful.precondition(lambda self: self.has_owner)
     @stateful.rule(call_outcome=CALL_OUTCOMES)
     def store_progress(self, call_outcome: str) -> None:
