Start tasks on slow workers if no other worker can run them

Callers saw a long-running task that was down not run again, and tasks that require a label wait, beside a worker with capacity for them.

Cause: a worker on which runs are slow, fail or hang gets no runs for 3 to 10 s, then one at a time. The limit of a fifth of the workers holds for a service, so all free workers with a label could be excluded, and on a full fleet the only worker with capacity. A long-running task could be the one trial run; the worker then got nothing else for up to 30 s.

Long-running tasks that may have run start on slow workers if they fit nowhere else, and of the workers that a step can use no greater share is excluded than of all. Long-running tasks are no trial runs.

--- a/sycamorefield/fleet/gangs.py
+++ b/sycamorefield/fleet/gangs.py
@@ -44,7 +44,7 @@
         while (len(chosen) < len(tasks) and free_capacity.holds(reserved)
                and not (step.max_per_worker
                         and placed_here >= step.max_per_worker)
-               and not (worker.on_trial
+               and not (worker.on_trial and not step.perpetual
                         and (placed_here or worker.has_trial_run()))):
             chosen.append(worker)
             free_capacity = free_capacity.minus(reserved)
--- a/sycamorefield/fleet/placing.py
+++ b/sycamorefield/fleet/placing.py
@@ -61,6 +61,9 @@
     """Return whether a worker has the capacity and accepts starts now."""
     if not worker.accepts_starts():
         return False
+    if worker.on_trial and step.perpetual:
+        # Its run would not end and tells nothing of the worker.
+        return False
     if (step.fills and available_best_effort_cpu(worker)
             < BEST_EFFORT_CPU_FACTOR * step.room.cpu):
         return False
@@ -73,6 +76,13 @@
                                    MAX_TAIL_LATENCY_RATIO)
 
 
+def has_room_when_slow(worker: workerstate.WorkerState,
+                       step: messages.Step) -> bool:
+    """Return whether a worker has the capacity, on trial or not."""
+    return (worker.can_queue_start()
+            and worker.free_capacity().holds(step.reserved()))
+
+
 def choose(task: progress.TaskState, service: str,
            workers: typing.Iterable[workerstate.WorkerState],
            model: interference.InterferenceModel
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -1,6 +1,7 @@
 """Run scheduling rounds: match waiting tasks to workers."""
 
 import dataclasses
+import typing
 
 from sycamorefield.fleet import copies
 from sycamorefield.fleet import eligibleworkers
@@ -16,6 +17,7 @@
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import quarantineplacing
 from sycamorefield.fleet import reservations
+from sycamorefield.fleet import slowplacing
 from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import victims
 from sycamorefield.fleet import workerstate
@@ -33,7 +35,9 @@
     def __init__(self, fleet: state_mod.FleetState,
                  queues: dict[str, messages.Queue],
                  usable_workers: list[workerstate.WorkerState],
-                 now: float, wall_ms: float) -> None:
+                 now: float, wall_ms: float,
+                 slow_workers: typing.Sequence[workerstate.WorkerState] = ()
+                 ) -> None:
         self.fleet = fleet
         self.queues = queues
         self.usable_workers = usable_workers
@@ -68,6 +72,7 @@
         self.excluded: list[workerstate.WorkerState] = []
         # Ranked workers for the tasks of the step being placed.
         self.ranking: placing.Ranking | None = None
+        self.slow_workers = slowplacing.SlowWorkers(self, slow_workers)
         # What tasks request that this round leaves waiting.
         self.waiting = copies.Waiting()
 
@@ -210,8 +215,21 @@
                 return True
             self.unplaceable.add(scope, request)
             self.fleet.placement_misses.add(scope, request)
+        if self._start_on_slow_worker(state, task, eligible):
+            return True
         return self.wait_for_capacity(state, task, eligible, scope)
 
+    def _start_on_slow_worker(self, state: progress.JobState,
+                              task: progress.TaskState,
+                              eligible: eligibleworkers.EligibleWorkers
+                              ) -> bool:
+        """Start a task that fits nowhere else on a slow worker if it may."""
+        worker = self.slow_workers.choose(task, eligible)
+        if worker is None:
+            return False
+        self.start(state, task, worker, eligible)
+        return True
+
     def wait_for_capacity(self, state: progress.JobState,
                           task: progress.TaskState,
                           eligible: eligibleworkers.EligibleWorkers,
@@ -299,6 +317,9 @@
             if worker is not None:
                 self.start(state, task, worker, eligible)
                 return True
+        if (workers is eligible.workers
+                and self._start_on_slow_worker(state, task, eligible)):
+            return True
         if not preemption.preempt_for(
                 self, state, task,
                 dataclasses.replace(eligible, workers=workers)):
@@ -386,6 +407,10 @@
             return
         run = max(state.next_run_number(t) for t in tasks)
         chosen = gangs.choose(tasks, eligible.service, eligible.workers)
+        if not chosen and (slow := self.slow_workers.usable_for(
+                tasks[0], eligible)):
+            chosen = gangs.choose(tasks, eligible.service, [
+                *(w for w in eligible.workers if w not in slow), *slow])
         saved = max((t.saved for t in tasks), default="")
         for task, worker in zip(tasks, chosen):
             task.saved = saved
@@ -503,9 +528,11 @@
              if not state.skip_rounds),
             queues, wall_ms, now, fleet.policy.rank_by_lateness,
             fleet.run_times)
-        usable_workers = _usable_workers(fleet, configuration.evacuated, now)
+        usable_workers, slow_workers = _usable_workers(
+            fleet, configuration.evacuated, now)
         expired = fleet.held_workers.drop_finished(fleet.workers, now)
-        round_ = Round(fleet, queues, usable_workers, now, wall_ms)
+        round_ = Round(fleet, queues, usable_workers, now, wall_ms,
+                       slow_workers)
         for state in ranked:
             if state.created_revision <= fleet.fence and fleet.awaited_workers:
                 continue
@@ -521,11 +548,13 @@
 
 def _usable_workers(fleet: state_mod.FleetState,
                     evacuated: frozenset[str], now: float
-                    ) -> list[workerstate.WorkerState]:
-    """Return the workers that may get new runs; mark new ones as changed.
+                    ) -> tuple[list[workerstate.WorkerState],
+                               list[workerstate.WorkerState]]:
+    """Return the workers that may get new runs, and those used as slow.
 
-    Those of evacuated data centres get none, so what is free there is no
-    capacity for any decision of the round.
+    Workers that have become usable are marked as changed.  Those of evacuated
+    data centres get none, so what is free there is no capacity for any
+    decision of the round.
 
     No worker is usable if the list of workers is outdated, because any of
     them may have lost capacity since.
@@ -547,15 +576,21 @@
 
 def _without_slow_workers(fleet: state_mod.FleetState,
                           workers: list[workerstate.WorkerState], now: float
-                          ) -> list[workerstate.WorkerState]:
-    """Return those of the usable workers that are not excluded as slow."""
+                          ) -> tuple[list[workerstate.WorkerState],
+                                     list[workerstate.WorkerState]]:
+    """Return the workers that are not excluded as slow, and slow ones.
+
+    Those that get one run at a time are in both lists.
+    """
     excluded = fleet.worker_speeds.update_excluded(
         fleet.workers, workers, now)
+    slow = [w for w in workers
+            if w.on_trial or w.entry.worker_id in excluded]
     if not excluded:
-        return workers
+        return workers, slow
     for worker_id in excluded:
         fleet.workers[worker_id].was_usable = False
-    return [w for w in workers if w.entry.worker_id not in excluded]
+    return [w for w in workers if w.entry.worker_id not in excluded], slow
 
 
 def _record_arrival(round_: Round, state: progress.JobState) -> None:
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -536,7 +536,7 @@
         task.measurable = not task.saved
         worker.reserve((task.task, run), task.step, task)
         worker.unsent_starts.add((task.task, run))
-        if worker.on_trial:
+        if worker.on_trial and not task.step.perpetual:
             worker.trial_run = (task.task, run)
         if not worker.entry.capacity.holds(worker.used):
             events.emit(events.INVARIANT_BROKEN, task=str(task.task),
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -285,9 +285,12 @@
 
     def accepts_starts(self) -> bool:
         """Return whether another start order may be queued."""
-        return ((len(self.unsent_starts) < MAX_UNSENT_STARTS
-                 or not self.limits_unsent_starts)
-                and not self.has_trial_run())
+        return self.can_queue_start() and not self.has_trial_run()
+
+    def can_queue_start(self) -> bool:
+        """Return whether few enough starts are queued for one more."""
+        return (len(self.unsent_starts) < MAX_UNSENT_STARTS
+                or not self.limits_unsent_starts)
 
     def has_trial_run(self) -> bool:
         """Return whether the one run that it gets at a time goes on."""
--- a/tests/fullfleet.py
+++ b/tests/fullfleet.py
@@ -13,7 +13,6 @@
 from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import victims
 from tests import faultyfleet
-from tests import fleetfakes
 from tests import linkedmachine
 from tests import test_fleet_machine
 
@@ -103,6 +102,9 @@
         if not known and not reason:
             self.begun_at[key] = self.now
             self.begun_tasks.add(key[0])
+            if key in self.copy_runs:
+                # The copy was ordered before the report of the end arrived.
+                self.restarted_after_end.discard(key[0])
         return reason
 
     def run_s(self, worker: test_fleet_machine.SimulatedWorker,
--- a/tests/test_fleet_workerspeed.py
+++ b/tests/test_fleet_workerspeed.py
@@ -306,6 +306,59 @@
     assert bench.place() == ["k.0.0.0@i-0"]
 
 
+def slow_bench(workers, levels):
+    """Return a bench of some workers and record the levels of the first."""
+    bench = test_fleet_state.Bench(*(fleetfakes.entry(
+        n, labels=("a", "big") if n < 2 else ("a",)) for n in range(workers)))
+    bench.state.worker_speeds.decode(
+        {f"i-{n}": [0, level, 5.0, 0.0, 9.0]
+         for n, level in enumerate(levels)}, bench.now)
+    return bench
+
+
+@pytest.mark.parametrize("level", [EXCLUDED, TRIAL])
+@pytest.mark.parametrize("gang", [False, True])
+def test_long_running_task_that_ran_restarts_on_a_slow_worker(level, gang):
+    """Guards against tasks that are down beside an excluded worker."""
+    bench = slow_bench(5, [level])
+    step = messages.Step(1, ROOM, perpetual=True, gang=gang)
+    bench.add(fleetfakes.job("j", step), 5)
+    # Each other worker is full.
+    bench.add(fleetfakes.job("k", messages.Step(
+        4, messages.Resources(4000, 10), 1000, max_per_worker=1)), 4)
+    if level == TRIAL:
+        # One run at a time is under way there.
+        task = bench.state.workers["i-0"].trial_run = (
+            messages.TaskId("t", 0, 0, 0), 1)
+        bench.state.workers["i-0"].reserve(task, STEP, None)
+    assert "j.0.0.0@i-0" in bench.place()
+
+
+@pytest.mark.parametrize(("label", "starts"), [("big", True), ("a", False)])
+def test_no_greater_share_of_labelled_workers_is_excluded(label, starts):
+    """Guards against tasks that wait because each worker they need is slow."""
+    bench = slow_bench(10, [EXCLUDED, EXCLUDED])
+    # Each worker that is not slow is full.
+    bench.add(fleetfakes.job("k", messages.Step(
+        8, messages.Resources(4000, 10), 1000, max_per_worker=1)))
+    assert len(bench.place()) == 8
+    bench.add(fleetfakes.job("j", messages.Step(
+        1, ROOM, 1000, requires=label)), 21)
+    assert bool(bench.place()) is starts
+
+
+def test_long_running_task_is_no_trial_run():
+    """Guards against a worker that is kept for one run that does not end."""
+    bench = slow_bench(5, [TRIAL])
+    bench.add(fleetfakes.job("k", messages.Step(
+        4, messages.Resources(4000, 10), 1000, max_per_worker=1)), 4)
+    bench.place()
+    bench.add(fleetfakes.job("j", messages.Step(1, ROOM, perpetual=True)), 5)
+    assert bench.place() == ["j.0.0.0@i-0"]
+    bench.add(fleetfakes.job("l", messages.Step(1, ROOM, 1000)), 21)
+    assert bench.place() == ["l.0.0.0@i-0"]
+
+
 ROW = [5, EXCLUDED, 4.0, 1.0, 2.0]
 
 
