Restart a long-running task on a worker reserved for a wider one

Callers could see a long-running task down for as long as a finite run of another job lasted, with capacity for it free.

Cause: a worker is reserved for a long-running task that is down until it fits there, without a limit in time, and nothing else may start on it. Another long-running task that is down and narrower waited as well.

The test, which fails without the change, has a wide task wait for a run of 60 s and a narrow one beside it. Finite tasks still leave the worker free.

--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -70,6 +70,8 @@
             and fleet.stop_costs is not None else None)
         # Workers on which this round must not start any other task.
         self.excluded: list[workerstate.WorkerState] = []
+        # Those of them that are reserved for long-running tasks.
+        self.reserved_workers: list[workerstate.WorkerState] = []
         # Ranked workers for the tasks of the step being placed.
         self.ranking: placing.Ranking | None = None
         self.slow_workers = slowplacing.SlowWorkers(self, slow_workers)
@@ -215,7 +217,8 @@
                 return True
             self.unplaceable.add(scope, request)
             self.fleet.placement_misses.add(scope, request)
-        if self._start_on_slow_worker(state, task, eligible):
+        if (self._start_on_slow_worker(state, task, eligible)
+                or self._start_on_reserved_worker(state, task, eligible)):
             return True
         return self.wait_for_capacity(state, task, eligible, scope)
 
@@ -230,6 +233,27 @@
         self.start(state, task, worker, eligible)
         return True
 
+    def _start_on_reserved_worker(self, state: progress.JobState,
+                                  task: progress.TaskState,
+                                  eligible: eligibleworkers.EligibleWorkers
+                                  ) -> bool:
+        """Start a long-running task on a worker reserved for a wider one.
+
+        The wider one waits for runs to end there, which may take long.
+        """
+        if not (self.reserved_workers and task.step.perpetual
+                and task.may_have_run()):
+            return False
+        worker = placing.choose(
+            task, eligible.service,
+            [w for w in self.reserved_workers if eligible.tickets is None
+             or w.entry.worker_id in eligible.tickets],
+            self.fleet.interference_model)
+        if worker is None:
+            return False
+        self.start(state, task, worker, eligible)
+        return True
+
     def wait_for_capacity(self, state: progress.JobState,
                           task: progress.TaskState,
                           eligible: eligibleworkers.EligibleWorkers,
@@ -395,6 +419,7 @@
         if worker is None:
             return False
         self.freeing.discard(worker)
+        self.reserved_workers.append(worker)
         self.exclude_worker(worker, self.usable_workers, eligible.workers)
         return True
 
--- a/tests/test_fleet_starvation.py
+++ b/tests/test_fleet_starvation.py
@@ -118,3 +118,26 @@
     bench.now += ordering.BOOST_AFTER_DOWN_S
     bench.add(fleetfakes.job("finite"), 21)
     assert bench.place() == ["finite.0.0.0@i-0"]
+
+
+@pytest.mark.parametrize(("perpetual", "starts"), [(True, True),
+                                                   (False, False)])
+def test_long_running_task_restarts_on_a_worker_reserved_for_another(
+        perpetual, starts):
+    """Guards against a task that is down until a run of another job ends."""
+    bench = test_fleet_state.Bench(fleetfakes.entry(0), fleetfakes.entry(1))
+    for name, cpu in (("r0", 500), ("r1", 4000)):
+        bench.add(fleetfakes.job(f"finite-{name}", messages.Step(
+            1, messages.Resources(cpu, 10), 60_000, requires=name)))
+    bench.place()
+    for number, (name, cpu, is_long) in enumerate((
+            ("wide", 3800, True), ("narrow", 500, perpetual))):
+        bench.add(fleetfakes.job(name, messages.Step(
+            1, messages.Resources(cpu, 10), perpetual=is_long),
+            priority=number), 21 + number)
+        job = bench.state.jobs[name]
+        job.create_tasks(0)
+        job.tasks[0, 0][0].has_run = is_long
+        job.downtime_s(bench.now)
+    bench.now += ordering.BOOST_AFTER_DOWN_S
+    assert bench.place() == ["narrow.0.0.0@i-0"] * starts
