Name resources held, reserved and kept for others in SF1842

Tasks that waited beside a worker on which resources were held for another task, that was reserved for a long-running task, kept as a slot for wide tasks, limited to one run at a time or that ran a run of an unknown job were logged with "full", "fits" or "too many unsent starts".

--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -313,7 +313,15 @@
                 workers.remove(worker)
 
     def finish(self) -> None:
-        """Mark excluded workers as changed for the next round."""
+        """Mark excluded workers as changed for the next round.
+
+        What was kept for others is recorded for the log of waiting tasks.
+        """
+        self.fleet.reserved_workers = frozenset(
+            w.entry.worker_id for w in self.reserved_workers)
+        self.fleet.headrooms = [
+            headroom_ for headroom_ in self.headrooms.values()
+            if headroom_.utilisation >= headroom.MIN_UTILISATION]
         for worker in self.excluded:
             worker.record_change()
 
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -18,6 +18,7 @@
 from sycamorefield.fleet import demand
 from sycamorefield.fleet import endedlives
 from sycamorefield.fleet import failures
+from sycamorefield.fleet import headroom
 from sycamorefield.fleet import heldworkers
 from sycamorefield.fleet import interference
 from sycamorefield.fleet import learnedstate
@@ -123,6 +124,10 @@
         self.placement_misses = placement_cache.SearchCache()
         self.preemption_misses = placement_cache.SearchCache()
         self.held_workers = heldworkers.HeldWorkers()
+        # The workers that the last round reserved for long-running tasks, and
+        # the headroom that it required.
+        self.reserved_workers: frozenset[str] = frozenset()
+        self.headrooms: list[headroom.Headroom] = []
         self.preemptions = victims.Preemptions()
         # The version of the configuration used in the last round.
         self.placed_config_version = 0
--- a/sycamorefield/fleet/waitingreasons.py
+++ b/sycamorefield/fleet/waitingreasons.py
@@ -8,6 +8,7 @@
 from sycamorefield.fleet import placing
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import quarantines
+from sycamorefield.fleet import widetasks
 from sycamorefield.fleet import workerstate
 
 if typing.TYPE_CHECKING:
@@ -40,8 +41,13 @@
 AVOIDED = "avoided"
 SLOW = "runs there are slow, fail or hang"
 NOT_ALLOWED = "label or runs per worker"
+TRIAL = "slow worker that gets one run at a time"
+UNKNOWN_RUN = "run of an unknown job"
 UNSENT_STARTS = "too many unsent starts"
+HELD = "resources held for another task"
 FULL = "full"
+RESERVED = "reserved for a long-running task that is down"
+WIDE_SLOT = "kept for wide finite tasks"
 # Not excluded: if tasks wait long beside such workers, rounds keep them free.
 FITS = "fits"
 
@@ -112,12 +118,41 @@
         (SLOW, entry.worker_id in fleet.worker_speeds.excluded
          or (worker.on_trial and task.step.perpetual)),
         (NOT_ALLOWED, not placing.allowed(worker, service, task)),
+        (TRIAL, worker.has_trial_run()),
+        (UNKNOWN_RUN, worker.has_unknown_run),
         (UNSENT_STARTS, not worker.accepts_starts()),
+        (HELD, _is_held(fleet, worker, task)),
         (FULL, not placing.fits(worker, task.step,
-                                fleet.interference_model)))
+                                fleet.interference_model)),
+        (RESERVED, entry.worker_id in fleet.reserved_workers),
+        (WIDE_SLOT, _is_wide_slot(fleet, worker, task)))
     return next((reason for reason, applies in checks if applies), FITS)
 
 
+def _is_held(fleet: "state_mod.FleetState",
+             worker: workerstate.WorkerState,
+             task: progress.TaskState) -> bool:
+    """Return whether a task fits but for what is held for others."""
+    own = fleet.held_workers.find(task)
+    request = task.step.reserved()
+    free = worker.free_capacity()
+    if own is not None and own.worker is worker:
+        return False
+    return (not free.holds(request)
+            and free.plus(worker.held).holds(request))
+
+
+def _is_wide_slot(fleet: "state_mod.FleetState",
+                  worker: workerstate.WorkerState,
+                  task: progress.TaskState) -> bool:
+    """Return whether the last round kept a worker from a task as a slot."""
+    return (headroom.required_headroom(task, 0)
+            is not headroom.RequiredHeadroom.NONE
+            and any(not widetasks.leaves_slot(
+                kept.wide_slots, kept.wide_workers, worker,
+                task.step.room.cpu) for kept in fleet.headrooms))
+
+
 def service_of(queues: dict[str, messages.Queue],
                state: progress.JobState) -> str:
     """Return the service whose workers run a job."""
--- a/tests/test_fleet_held_tasks.py
+++ b/tests/test_fleet_held_tasks.py
@@ -6,12 +6,16 @@
 
 from sycamorefield import events
 from sycamorefield.fleet import doubtfulruns
+from sycamorefield.fleet import headroom
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import ordering
 from sycamorefield.fleet import policy as policy_mod
 from sycamorefield.fleet import quarantines
 from sycamorefield.fleet import suspicion
 from sycamorefield.fleet import waitinglog
 from sycamorefield.fleet import waitingreasons
+from sycamorefield.fleet import widetasks
+from sycamorefield.fleet import workerstate
 from tests import fleetfakes
 from tests import test_fleet_state
 
@@ -112,6 +116,10 @@
     worker.restart_seen_at = bench.now + 1.0
 
 
+def reserve_worker(bench, worker):
+    bench.state.reserved_workers = frozenset({worker.entry.worker_id})
+
+
 @pytest.mark.parametrize(("exclude", "reason"), [
     (exclude_by_state(listed=False), waitingreasons.NOT_LISTED),
     (exclude_by_entry(draining=True), waitingreasons.DRAINING),
@@ -124,6 +132,14 @@
     (exclude_by_quarantine, waitingreasons.QUARANTINED),
     (exclude_by_state(avoid_until=1e9), waitingreasons.AVOIDED),
     (exclude_by_entry(labels=()), waitingreasons.NOT_ALLOWED),
+    (exclude_by_state(on_trial=True, trial_run="t", reserved={"t": 0}),
+     waitingreasons.TRIAL),
+    (exclude_by_state(has_unknown_run=True), waitingreasons.UNKNOWN_RUN),
+    (exclude_by_state(unsent_starts=set(
+        range(workerstate.MAX_UNSENT_STARTS))), waitingreasons.UNSENT_STARTS),
+    (exclude_by_state(held=messages.Resources(3500, 10, 0)),
+     waitingreasons.HELD),
+    (reserve_worker, waitingreasons.RESERVED),
     (exclude_by_entry(capacity=messages.Resources(10, 10, 0)),
      waitingreasons.FULL),
     (exclude_by_state(), waitingreasons.FITS),
@@ -158,6 +174,41 @@
         bench.state, state, state.tasks[0, 0], bench.now) == reason
 
 
+@pytest.mark.parametrize(("has_run", "reason"), [
+    (False, waitingreasons.WIDE_SLOT), (True, waitingreasons.FITS)])
+def test_worker_kept_for_wide_tasks_is_named(has_run, reason):
+    bench = test_fleet_state.Bench(fleetfakes.entry(0))
+    bench.add(fleetfakes.job("j", messages.Step(
+        1, messages.Resources(1000, 1000), perpetual=True)))
+    state = bench.state.jobs["j"]
+    state.create_tasks(0)
+    task = state.tasks[0, 0][0]
+    task.has_run = has_run
+    kept = headroom.Headroom(list(bench.state.workers.values()),
+                             bench.state.demand, 0, bench.now)
+    kept.wide_slots = widetasks.Slots(1, 3500.0)
+    kept.wide_workers = {"i-0"}
+    bench.state.headrooms = [kept]
+    assert waitingreasons.count_workers(
+        bench.state, task, "desk", bench.now) == {reason: 1}
+
+
+def test_reserved_worker_is_named_after_a_round():
+    bench = test_fleet_state.Bench(fleetfakes.entry(0))
+    bench.add(fleetfakes.job("k", messages.Step(
+        1, messages.Resources(1000, 10), 60_000)))
+    bench.place()
+    bench.add(fleetfakes.job("j", messages.Step(
+        1, messages.Resources(4000, 10), perpetual=True)), 21)
+    state = bench.state.jobs["j"]
+    state.create_tasks(0)
+    state.tasks[0, 0][0].has_run = True
+    state.downtime_s(bench.now)
+    bench.now += ordering.BOOST_AFTER_DOWN_S
+    bench.place()
+    assert bench.state.reserved_workers == {"i-0"}
+
+
 def test_steps_that_wait_long_are_logged_with_reason_and_workers(logged):
     bench = test_fleet_state.Bench(fleetfakes.entry(0))
     bench.add(fleetfakes.job("j", messages.Step(
