Say in SF1842 that a step waits for advice

What operators saw: while the advice service did not answer the owner, SF1842 gave "no worker found" for steps of queues with an advice policy, with workers counted as "fits".

Cause: the reasons did not look at tickets. Now a step without valid tickets has as its reason that the service does not answer, or that advice is awaited. Ruled out: a step that waits although the service answers again, as each round asks anew (third case).

--- a/sycamorefield/fleet/advice.py
+++ b/sycamorefield/fleet/advice.py
@@ -61,6 +61,8 @@
         self.rejected_workers: dict[messages.StepId, set[str]] = {}
         self.pending: dict[messages.StepId, AdviceRequest] = {}
         self.on_answer: typing.Callable[[], None] = lambda: None
+        # Whether the last call failed.
+        self.failing = False
 
     def valid_tickets(self, step: messages.StepId,
                       now: float) -> dict[str, str]:
@@ -194,7 +196,9 @@
                 # The next round requests it again if it is still needed, for
                 # the workers of that time, and other steps are not held up.
                 self.pending.pop(request.step, None)
+            self.failing = True
             return False
+        self.failing = False
         events.emit(events.ADVICE_GIVEN, step=str(request.step),
                     asked=len(workers), good=len(advice.tickets))
         if self._store(request, workers, advice):
--- a/sycamorefield/fleet/waitingreasons.py
+++ b/sycamorefield/fleet/waitingreasons.py
@@ -22,6 +22,8 @@
 QUARANTINE_PENDING = "waits for a worker to be quarantined"
 QUARANTINE_RESTORED = "quarantine of an earlier owner is undecided"
 QUARANTINE_NOT_READY = "quarantine has not started"
+ADVICE_FAILING = "the advice service does not answer the owner"
+ADVICE_PENDING = "waits for advice on workers"
 HEADROOM = "may have to leave capacity free for other tasks"
 # The last of them: the search for workers tells more.
 NO_WORKER = "no worker found"
@@ -67,6 +69,9 @@
         return GANG_INCOMPLETE
     if all(task.not_before > now for task in tasks):
         return DELAYED
+    advice_reason = _advice_reason(fleet, state, tasks[0], now)
+    if advice_reason:
+        return advice_reason
     if fleet.policy.keep_room_for_short_work and all(
             headroom.required_headroom(task, 0)
             is not headroom.RequiredHeadroom.NONE for task in tasks):
@@ -74,6 +79,19 @@
     return NO_WORKER
 
 
+def _advice_reason(fleet: "state_mod.FleetState", state: progress.JobState,
+                   task: progress.TaskState, now: float) -> str:
+    """Return whether a step waits for advice; empty if it does not."""
+    queue = fleet.configuration().find_queue(state.job.queue)
+    step_id = task.task.step_id()
+    if (queue is None or queue.advice is None
+            or fleet.advice.valid_tickets(step_id, now)):
+        return ""
+    if fleet.advice.failing:
+        return ADVICE_FAILING
+    return ADVICE_PENDING if fleet.advice.is_pending(step_id) else ""
+
+
 def _quarantine_reason(quarantine: quarantines.Quarantine | None) -> str:
     if quarantine is None:
         return QUARANTINE_PENDING
--- a/tests/test_fleet_advice.py
+++ b/tests/test_fleet_advice.py
@@ -11,6 +11,7 @@
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import reports
 from sycamorefield.fleet import rounds
+from sycamorefield.fleet import waitingreasons
 from sycamorefield.platform import advice as platform_advice
 from tests import fleetfakes
 from tests import platformfakes
@@ -341,3 +342,25 @@
     named = cache.pending[messages.StepId("j", 0, 0)].workers
     assert (named[0] == "i-0") == asked_first
     assert len(named) == free_workers
+
+
+@pytest.mark.parametrize(("refusals", "calls", "reason"), [
+    (0, 0, waitingreasons.ADVICE_PENDING),
+    (9, 1, waitingreasons.ADVICE_FAILING),
+    (1, 2, ""),
+])
+def test_reason_says_that_a_step_waits_for_advice(
+        bench, refusals, calls, reason):
+    """Guards against "no worker found" beside free workers."""
+    bench.now = clock.now()
+    bench.state.advice.service = StubAdviceService({"i-1"}, refusals=refusals)
+    bench.add(fleetfakes.job("j", messages.Step(1, STEP.room)))
+    for _ in range(calls):
+        bench.place()
+        fetch_all(bench)
+    placed = bench.place()
+    job = bench.state.jobs["j"]
+    assert bool(placed) != bool(reason)
+    if reason:
+        assert waitingreasons.step_reason(
+            bench.state, job, job.tasks[0, 0], bench.now) == reason
