Hand over if only the owner can't connect to the advice service

What callers saw: tasks of queues with an advice policy waited for as long as the owner was cut off from the advice service, although other processes reached it; nothing ended the wait.

Cause: a handover was asked for on account of workers only. Now an owner that has got no connection to the service for MAX_TASK_WAIT_S, while advice is needed, names its address in a request, and a process may offer that connects to it and to all of the sample of reached workers. Ruled out on purpose: answers of 503 and calls without an answer, since others would connect as well and the change of owner would help no task. Left: a service that accepts connections and answers all but the owner.

--- a/sycamorefield/fleet/advice.py
+++ b/sycamorefield/fleet/advice.py
@@ -7,6 +7,7 @@
 
 import dataclasses
 import heapq
+import math
 import threading
 import typing
 
@@ -21,6 +22,8 @@
 # milliseconds to arrive and is rejected if the ticket has expired by then.
 EXPIRY_MARGIN_S = 0.5
 RETRY_DELAY_S = 0.2
+# A failed call is repeated sooner than this while advice is still needed.
+MAX_FAILURE_AGE_S = 3.0
 MAX_IDLE_WAIT_S = 0.5
 
 
@@ -63,6 +66,10 @@
         self.on_answer: typing.Callable[[], None] = lambda: None
         # Whether the last call failed.
         self.failing = False
+        # When the first and the last one failed since there was a connection
+        # to the service, if any did.
+        self.unconnected_since = math.inf
+        self.unconnected_at = -math.inf
 
     def valid_tickets(self, step: messages.StepId,
                       now: float) -> dict[str, str]:
@@ -197,14 +204,31 @@
                 # the workers of that time, and other steps are not held up.
                 self.pending.pop(request.step, None)
             self.failing = True
+            self._note_connection(exc)
             return False
         self.failing = False
+        self._note_connection(None)
         events.emit(events.ADVICE_GIVEN, step=str(request.step),
                     asked=len(workers), good=len(advice.tickets))
         if self._store(request, workers, advice):
             self.on_answer()
         return True
 
+    def _note_connection(self, failure: interfaces.CallFailed | None) -> None:
+        if isinstance(failure, interfaces.NotConnected):
+            self.unconnected_at = clock.now()
+            self.unconnected_since = min(
+                self.unconnected_since, self.unconnected_at)
+        elif failure is None or isinstance(failure, interfaces.CallRefused):
+            # The service has answered.
+            self.unconnected_since = math.inf
+
+    def unconnected_s(self, now: float) -> float:
+        """Return for how long calls that are needed get no connection."""
+        if now - self.unconnected_at > MAX_FAILURE_AGE_S:
+            return 0.0
+        return max(0.0, now - self.unconnected_since)
+
     def _store(self, request: AdviceRequest, workers: tuple[str, ...],
                advice: messages.Advice) -> bool:
         """Cache advice on some workers; return whether it is still needed."""
--- a/sycamorefield/fleet/handover.py
+++ b/sycamorefield/fleet/handover.py
@@ -56,7 +56,8 @@
     """Samples of the workers that an owner reaches and does not reach.
 
     The samples hold addresses, the counts are of all workers.  The needed
-    ones are unreached workers for which ready tasks wait.
+    ones are unreached workers for which ready tasks wait.  services are the
+    addresses of services for which they wait.
     """
 
     unreached_sample: tuple[str, ...]
@@ -64,12 +65,17 @@
     unreached_count: int
     reached_count: int
     needed_sample: tuple[str, ...] = ()
+    services: tuple[str, ...] = ()
 
-    def unreached_addresses(self) -> tuple[str, ...]:
-        """Return the addresses that the owner does not reach."""
+    def unreached_workers(self) -> tuple[str, ...]:
+        """Return the addresses of workers that the owner does not reach."""
         return tuple(dict.fromkeys(
             self.unreached_sample + self.needed_sample))
 
+    def unreached_addresses(self) -> tuple[str, ...]:
+        """Return the addresses that the owner does not reach."""
+        return self.unreached_workers() + self.services
+
     def addresses(self) -> tuple[str, ...]:
         """Return the addresses to be tried."""
         return self.unreached_addresses() + self.reached_sample
@@ -78,8 +84,8 @@
         """Return whether who reaches some of the addresses should take over.
 
         It must reach more workers than the owner, by what a change of owner
-        is worth.  If tasks wait for some, it must reach many of these, and
-        all that the owner reaches.
+        is worth.  If tasks wait for some, or for services, it must reach many
+        of the workers or all services, and what the owner reaches.
         """
         gained = _estimate(self.unreached_sample, self.unreached_count,
                            answering)
@@ -89,6 +95,9 @@
             if self.needed_sample and MIN_GAIN_OF_UNREACHED <= _estimate(
                     self.needed_sample, 1, answering):
                 return True
+            if self.services and all(
+                    address in answering for address in self.services):
+                return True
             needed = min(needed, MIN_GAIN_OF_UNREACHED * self.unreached_count)
         return gained + kept - self.reached_count >= max(1.0, needed)
 
@@ -117,7 +126,8 @@
         return Request(tuple(row["unreached_sample"]),
                        tuple(row["reached_sample"]),
                        row["unreached_count"], row["reached_count"],
-                       tuple(row.get("needed_sample", ())))
+                       tuple(row.get("needed_sample", ())),
+                       tuple(row.get("services", ())))
     except (AttributeError, KeyError, TypeError) as exc:
         raise ValueError(f"invalid request: {exc!r}") from exc
 
@@ -174,7 +184,7 @@
     if request is not None:
         try:
             addresses = frozenset(decode_request(
-                request.value).unreached_addresses())
+                request.value).unreached_workers())
         except ValueError as exc:
             events.emit(events.RECORD_UNREADABLE, key=request.key,
                         reason=str(exc))
@@ -210,7 +220,7 @@
                 self.fleet, self.unreached.unreached_ids(now), now)
         if (not self.fleet.policy.hand_over
                 or not (self.unreached.lost_s(now) >= CHANGE_OF_OWNER_S
-                        or self._tasks_wait(now))
+                        or self._tasks_wait(now) or self._services(now))
                 or not self.limit.allows(self._silent_addresses(), now)):
             # An offer on an earlier request is of no use any more.
             self.request_revision = 0
@@ -239,8 +249,17 @@
         return (now >= self.limit.until
                 and self.needs.lost_s() >= MAX_TASK_WAIT_S)
 
+    def _services(self, now: float) -> tuple[str, ...]:
+        """Return the services without which tasks have waited long."""
+        advice = self.fleet.advice
+        if (now < self.limit.until or advice.service is None
+                or not advice.service.address
+                or advice.unconnected_s(now) < MAX_TASK_WAIT_S):
+            return ()
+        return (advice.service.address,)
+
     def _make_request(self, now: float) -> None:
-        request = self._sample(self._tasks_wait(now))
+        request = self._sample(now)
         self.requested_at = now
         try:
             self.request_revision = self.store.commit(messages.Transaction(
@@ -257,7 +276,8 @@
                     reached=request.reached_count,
                     lost_s=round(self.unreached.lost_s(now), 3),
                     waiting_tasks=self.needs.waiting_tasks(),
-                    waiting_lost_s=round(self.needs.lost_s(), 3))
+                    waiting_lost_s=round(self.needs.lost_s(), 3),
+                    services=list(request.services))
 
     def _silent_addresses(self) -> list[str]:
         return self._addresses_of(self.unreached.silent_ids())
@@ -267,17 +287,18 @@
             return [w.entry.address for w in self.fleet.workers.values()
                     if w.entry.worker_id in worker_ids]
 
-    def _sample(self, tasks_wait: bool) -> Request:
+    def _sample(self, now: float) -> Request:
         unreached = self._silent_addresses()
         with self.fleet.lock:
             reached = [w.entry.address for w in self.fleet.workers.values()
                        if w.listed and w.has_reported and not w.unresponsive]
         needed = (self._addresses_of(self.needs.needed_ids())
-                  if tasks_wait else [])
+                  if self._tasks_wait(now) else [])
         return Request(_choose(unreached, UNREACHED_SAMPLE_SIZE),
                        _choose(reached, REACHED_SAMPLE_SIZE),
                        len(unreached), len(reached),
-                       _choose(needed, UNREACHED_SAMPLE_SIZE))
+                       _choose(needed, UNREACHED_SAMPLE_SIZE),
+                       self._services(now))
 
 
 def _choose(addresses: list[str], count: int) -> tuple[str, ...]:
--- a/sycamorefield/fleet/interfaces.py
+++ b/sycamorefield/fleet/interfaces.py
@@ -14,7 +14,11 @@
     """A call was refused; it had no effect."""
 
 
-class ConnectionRefused(CallRefused):
+class NotConnected(CallRefused):
+    """No connection could be opened."""
+
+
+class ConnectionRefused(NotConnected):
     """The address refuses connections: its process has ended.
 
     A process that is cut off or has lost power does not answer at all.
@@ -156,7 +160,12 @@
 
 
 class AdviceService(abc.ABC):
-    """Decides which workers a queue's policy lets a step run on."""
+    """Decides which workers a queue's policy lets a step run on.
+
+    address is that of the service, or empty if it has none.
+    """
+
+    address = ""
 
     @abc.abstractmethod
     def advise(self, step: str, workers: tuple[str, ...],
--- a/sycamorefield/platform/advice.py
+++ b/sycamorefield/platform/advice.py
@@ -13,6 +13,7 @@
     """Calls the advice service over HTTP, over a single pooled connection."""
 
     def __init__(self, address: str) -> None:
+        self.address = address
         self.client = jsonclient.JsonClient(address, 1)
 
     def advise(self, step: str, workers: tuple[str, ...],
--- a/sycamorefield/platform/connections.py
+++ b/sycamorefield/platform/connections.py
@@ -117,9 +117,9 @@
         except urllib3.exceptions.NewConnectionError as exc:
             if isinstance(exc.__cause__, ConnectionRefusedError):
                 raise interfaces.ConnectionRefused(str(exc)) from exc
-            raise interfaces.CallRefused(f"no connection: {exc}") from exc
+            raise interfaces.NotConnected(f"no connection: {exc}") from exc
         except (urllib3.exceptions.HTTPError, OSError) as exc:
-            raise interfaces.CallRefused(f"no connection: {exc}") from exc
+            raise interfaces.NotConnected(f"no connection: {exc}") from exc
         return Connection(http_connection.sock)
 
     def close(self) -> None:
--- a/tests/test_fleet_unreached_needs.py
+++ b/tests/test_fleet_unreached_needs.py
@@ -10,13 +10,16 @@
 import pytest
 
 from sycamorefield import events
+from sycamorefield.fleet import clock
 from sycamorefield.fleet import controlwatcher
 from sycamorefield.fleet import handover
+from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import records
 from sycamorefield.fleet import unreached as unreached_mod
 from sycamorefield.fleet import unreachedneeds
 from tests import fleetfakes
+from tests import test_fleet_advice
 from tests import test_fleet_handover
 from tests import test_fleet_state
 from tests import test_fleet_takeover
@@ -320,3 +323,110 @@
     finally:
         for process in processes:
             process.stop()
+
+
+SERVICE = "10.9.0.1:80"
+
+
+@pytest.mark.parametrize(("answering", "improved"), [
+    ((SERVICE, *REACHED), True),
+    ((SERVICE, *REACHED[1:]), False),
+    ((SERVICE,), False),
+    (REACHED, False),
+])
+def test_process_that_reaches_a_service_and_loses_no_worker_takes_over(
+        answering, improved):
+    """Guards against offers that gain a service and lose workers."""
+    request = handover.Request((), REACHED, 0, 176, services=(SERVICE,))
+    assert request.is_improved_by(answering) == improved
+    assert handover.decode_request(handover.encode_request(request)) == request
+    assert SERVICE in request.unreached_addresses()
+    assert SERVICE not in request.unreached_workers()
+
+
+class AdviceService(interfaces.AdviceService):
+    """Advise all workers, unless calls end with an error."""
+
+    address = SERVICE
+
+    def __init__(self, error=None):
+        self.error = error
+
+    def advise(self, step, workers, policy):
+        if self.error is not None:
+            raise self.error
+        return messages.Advice(dict.fromkeys(workers, "ticket"), None)
+
+
+@pytest.mark.parametrize(("error", "requested"), [
+    (interfaces.NotConnected("timed out"), True),
+    (interfaces.ConnectionRefused("refused"), True),
+    (interfaces.CallRefused("answers 503"), False),
+    (interfaces.CallFailed("no answer"), False),
+    (None, False),
+])
+def test_request_names_a_service_to_which_there_is_no_connection(
+        monkeypatch, error, requested):
+    """Guards against a change of owner while a service is down for all."""
+    owner = Owner(nothing, workers=CUT)
+    monkeypatch.setattr(clock, "now", lambda: owner.bench.now)
+    owner.bench.state.configuration = test_fleet_advice.configuration
+    cache = owner.bench.state.advice
+    cache.service = AdviceService(error)
+    owner.bench.add(fleetfakes.job("j"))
+    for _ in range(8):
+        owner.pass_time(0.5)
+        for request in list(cache.pending.values()):
+            cache.fetch(request)
+    owner.requests.update(owner.bench.now)
+    request = owner.request()
+    assert (request.services if request else ()) == (
+        (SERVICE,) if requested else ())
+    owner.bench.state.cancel("j")
+    owner.pass_time(5.0)
+    assert not owner.requests.request_revision
+
+
+class AdvisedProcess(test_fleet_handover.Process):
+    """A process that may be cut off from the advice service."""
+
+    def __init__(self, name, fleet, error=None):
+        super().__init__(name, fleet)
+        self.error = error
+
+    def make_owner(self, fence):
+        owner = super().make_owner(fence)
+        owner.fleet.advice.service = AdviceService(self.error)
+        owner.fleet.configuration = test_fleet_advice.configuration
+        return owner
+
+    def find_reached(self, addresses):
+        reached = super().find_reached(addresses)
+        return reached | (set() if self.error else {SERVICE})
+
+
+def test_task_runs_although_its_owner_does_not_reach_the_advice_service(
+        monkeypatch):
+    """Guards against tasks that wait as long as the owner is cut off."""
+    test_fleet_handover.shorten_times(monkeypatch)
+    monkeypatch.setattr(handover, "MAX_TASK_WAIT_S", 0.5)
+    fleet = test_fleet_takeover.Fleet(CUT)
+    fleet.store.commit(messages.Transaction(
+        puts=(messages.Put(test_fleet_handover.CONFIG_KEY, b"{}"),)))
+    error = interfaces.NotConnected("timed out")
+    processes = [AdvisedProcess("first", fleet, error),
+                 AdvisedProcess("second", fleet, error),
+                 AdvisedProcess("third", fleet)]
+    try:
+        processes[0].start()
+        test_fleet_takeover.wait_for(
+            lambda: processes[0].is_owner()
+            and processes[0].ownership.owner.recovered)
+        for process in processes[1:]:
+            process.start()
+        fleet.submit(fleetfakes.job("j"))
+        test_fleet_takeover.wait_for(lambda: len(fleet.running()) == 1)
+        assert processes[2].is_owner()
+    finally:
+        for process in processes:
+            process.stop()
--- a/tests/test_platform_answers.py
+++ b/tests/test_platform_answers.py
@@ -84,3 +84,17 @@
     data = b'{"reason": ' + b"[" * depth + b"]" * depth + b"}"
     with pytest.raises((interfaces.CallFailed, interfaces.OrderRejected)):
         workers_mod._require_ok(jsonclient.JsonResponse(409, data))
+
+
+def test_advice_service_without_a_listener_is_not_connected():
+    """Guards against an owner that takes a cut for an answer."""
+    server = platformfakes.FaultyServer(lambda *_: (503, {}))
+    service = advice_mod.PlatformAdvice(server.address)
+    assert service.address == server.address
+    with pytest.raises(interfaces.CallRefused) as answered:
+        service.advise("j.0.0", ("i-0",), messages.AdvicePolicy())
+    assert not isinstance(answered.value, interfaces.NotConnected)
+    server.close()
+    service = advice_mod.PlatformAdvice(server.address)
+    with pytest.raises(interfaces.NotConnected):
+        service.advise("j.0.0", ("i-0",), messages.AdvicePolicy())
