Break the import cycles of api and entry, faults and launch

Both now declare the methods that they call as a protocol, as workerlink does for a cell, so that mypy checks callers against it, and neither needs the other. No behaviour changes.

--- a/sycamorefield/api.py
+++ b/sycamorefield/api.py
@@ -2,7 +2,7 @@
 
 Request bodies are JSON and are validated here by pydantic models.  Every
 error response has an error code, the findings with their location in the
-body and, where a retry makes sense, when to retry.  entry.EntryProcess
+body and, where a retry makes sense, when to retry.  An EntryProcess
 processes the requests.
 """
 
@@ -15,11 +15,10 @@
 from returns import result
 
 from sycamorefield import errors
+from sycamorefield import options
+from sycamorefield import ruleadmin
 from sycamorefield import rules
 
-if typing.TYPE_CHECKING:
-    from sycamorefield import entry as entry_mod
-
 
 class RequestModel(pydantic.BaseModel):
     """The body of a latency-critical request."""
@@ -78,6 +77,47 @@
 
 Answer = result.Result[tuple[int, dict[str, object]], errors.Problem]
 Model = typing.TypeVar("Model", bound=pydantic.BaseModel)
+RulesAnswer = result.Result[rules.RuleSet, errors.Problem]
+
+
+class EntryProcess(typing.Protocol):
+    """The attributes and methods of an entry process that the API uses."""
+
+    opts: options.Options
+    admin: ruleadmin.RuleAdmin
+
+    def ready(self) -> bool:
+        """Return whether this process accepts new work."""
+
+    def health(self) -> dict[str, object]:
+        """Return the body of /healthz."""
+
+    def metrics_body(self) -> dict[str, object]:
+        """Return the body of /metrics."""
+
+    def serve_request(self, request: RequestModel) -> Answer:
+        """Process a latency-critical request and return its answer."""
+
+    def submit_job(self, request: JobModel) -> Answer:
+        """Accept a batch or standing job."""
+
+    def show_job(self, job_id: str) -> Answer:
+        """Return a job's record."""
+
+    def cancel_job(self, job_id: str) -> Answer:
+        """Cancel a job."""
+
+    def add_rule(self, model: AddRuleModel) -> RulesAnswer:
+        """Add a rule."""
+
+    def replace_rules(self, model: ReplaceRulesModel) -> RulesAnswer:
+        """Replace all rules."""
+
+    def retire_rule(self, name: str, model: RetireRuleModel) -> RulesAnswer:
+        """Remove a rule."""
+
+    def move_rule(self, name: str, model: MoveRuleModel) -> RulesAnswer:
+        """Move a rule to a new position."""
 
 
 def _findings(exc: pydantic.ValidationError) -> tuple[errors.Finding, ...]:
@@ -175,7 +215,7 @@
 class Admin:
     """Serve /admin/rules to operators."""
 
-    def __init__(self, entry: "entry_mod.EntryProcess") -> None:
+    def __init__(self, entry: EntryProcess) -> None:
         self.entry = entry
 
     @endpoint
@@ -210,7 +250,7 @@
 class V1:
     """Serve /v1 to callers."""
 
-    def __init__(self, entry: "entry_mod.EntryProcess") -> None:
+    def __init__(self, entry: EntryProcess) -> None:
         self.entry = entry
 
     @endpoint
@@ -238,7 +278,7 @@
 class Root:
     """Serve all HTTP paths of an entry process."""
 
-    def __init__(self, entry: "entry_mod.EntryProcess") -> None:
+    def __init__(self, entry: EntryProcess) -> None:
         self.entry = entry
         self.v1 = V1(entry)
         self.admin = Admin(entry)
--- a/tools/faults.py
+++ b/tools/faults.py
@@ -15,21 +15,41 @@
 import time
 import typing
 
+import grpc
+
 from sycamorefield import kvclient
+from sycamorefield import options
 from sycamorefield import sycamorefield_pb2 as pb
 from sycamorefield import sycamorefield_pb2_grpc as pb_grpc
 
-if typing.TYPE_CHECKING:
-    from tools import launch
-
-import grpc
-
 FAULT_DURATION_S = 2.0
 WAVE_SHARE = 0.4
 RESTART_DELAY_S = 1.0
 WORKER_FREEZE_S = 9.0
 
 
+class Deployment(typing.Protocol):
+    """The methods of a local deployment that inject and undo faults."""
+
+    opts: options.Options
+
+    def start(self, role: str, name: str = "") -> None:
+        """Start the process of a role and name unless it is running."""
+
+    def signal(self, label: str, signal_number: int) -> None:
+        """Send a signal to a process unless it has exited."""
+
+    def wait_for_exit(self, label: str) -> bool:
+        """Wait for a process to exit; return whether it did."""
+
+    def url(self, entry_index: int = 0) -> str:
+        """Return the base URL of the HTTP interface of an entry process."""
+
+    def call(self, method: str, url: str, body: object = None,
+             raw: bytes | None = None) -> tuple[int, dict]:
+        """Send an HTTP request; return the status and the JSON body."""
+
+
 class Plan:
     """A seeded random list of faults spread over the duration of a load."""
 
@@ -46,7 +66,7 @@
     WAVE_KINDS = ("worker-wave", "worker-wave", "kill-entry", "kv-down")
     RUN_KINDS = ALL_KINDS + ("worker-wave",)
 
-    def __init__(self, deploy: "launch.Deployment", seed: int, count: int,
+    def __init__(self, deploy: Deployment, seed: int, count: int,
                  load_duration_s: float,
                  kinds: tuple[str, ...] = EXTENDED_KINDS) -> None:
         self.deploy = deploy
