Run no request again that is retried under its own request id

A request that must not run twice was sent to a backend again if its caller sent it once more with the same idempotency key and the same request_id to the same entry process while the record said "started": while the first try was running, after the caller's timeout, or while its answer waited for the store.

Cause: record_start took a record with its own request id, entry and lease for its own write whose reply was lost. Request ids are the caller's, so the record of an earlier try looked the same. The state machine never found it, because it gives every try an id of its own. Records now carry an id of the try ("attempt"), and only that makes a record one's own. A record written before the change has none, so it is never taken for one's own.

test_retry_with_the_same_request_id_does_not_run_again: the retry got a new record before, "in progress" and then the answer now. test_write_whose_reply_was_lost_is_recognized passes before and after.

--- a/sycamorefield/idempotency.py
+++ b/sycamorefield/idempotency.py
@@ -14,6 +14,7 @@
 import threading
 import time
 import typing
+import uuid
 
 from returns import result
 
@@ -40,12 +41,15 @@
 
 @dataclasses.dataclass(frozen=True)
 class RecordedRequest:
-    """A request in the store: new, or answered and to be replayed."""
+    """A request in the store: new, or answered and to be replayed.
+
+    attempt names the try that recorded a new one.
+    """
 
     kind: RecordKind
     answer: dict[str, object] | None = None
     revision: int = 0
-    request_id: str = ""
+    attempt: str = ""
 
 
 @dataclasses.dataclass(frozen=True)
@@ -69,7 +73,7 @@
         self.entry = entry
         self.lease = lease
         self.lock = threading.Lock()
-        self.active_request_ids: set[str] = set()
+        self.active_attempts: set[str] = set()
         self.pending_writes: queue.Queue[PendingWrite] = queue.Queue()
         self.writer_thread: threading.Thread | None = None
 
@@ -80,15 +84,19 @@
         Fails if the store cannot be reached, if the request is in progress
         or if the outcome of an earlier try is unknown.
         """
+        # A caller may send a request again under its own id while the first
+        # try runs, so that only an id of the try tells whose record it is.
+        attempt = uuid.uuid4().hex
         record = {"state": STARTED, "request_id": request_id,
-                  "entry": self.entry, "lease": self.lease()}
+                  "attempt": attempt, "entry": self.entry,
+                  "lease": self.lease()}
         swap = self._compare_and_swap(key, 0, kvclient.encode(record))
         if isinstance(swap, result.Success):
             outcome = swap.unwrap()
             if outcome.succeeded:
                 return result.Success(self._new_record(outcome.revision,
-                                                       request_id))
-            return self._resolve_existing(outcome.current, request_id)
+                                                       attempt))
+            return self._resolve_existing(outcome.current, attempt)
         failure = swap.failure()
         if not failure.maybe_applied:
             return result.Failure(errors.problem(
@@ -102,7 +110,7 @@
             return result.Failure(errors.problem(
                 errors.NOT_RUN, retry_after=RETRY_AFTER_S,
                 detail=failure.detail))
-        return self._resolve_existing(reply.unwrap(), request_id)
+        return self._resolve_existing(reply.unwrap(), attempt)
 
     def _compare_and_swap(self, key: str, revision: int, value: bytes,
                           delete: bool = False
@@ -120,34 +128,32 @@
             self.retention.handle_write_error(swap.failure())
         return swap
 
-    def _resolve_existing(self, item: object, request_id: str
+    def _resolve_existing(self, item: object, attempt: str
                           ) -> result.Result[RecordedRequest, errors.Problem]:
         record = kvclient.decode(getattr(item, "value", b"")) or {}
         if record.get("state") == DONE:
             return result.Success(RecordedRequest(RecordKind.REPLAY,
                                                   record.get("answer")))
-        if (record.get("request_id") == request_id
-                and record.get("entry") == self.entry
-                and record.get("lease") == self.lease()):
-            # This request's own write, whose reply was lost.
+        if record.get("attempt") == attempt:
+            # This try's own write, whose reply was lost.
             return result.Success(self._new_record(
-                getattr(item, "mod_revision", 0), request_id))
+                getattr(item, "mod_revision", 0), attempt))
         if record.get("state") == STARTED and self._recorder_alive(record):
             return result.Failure(errors.problem(errors.IN_PROGRESS,
                                                  retry_after=RETRY_AFTER_S))
         return result.Failure(errors.problem(errors.OUTCOME_UNKNOWN,
                                              retry_after=RETRY_AFTER_S))
 
-    def _new_record(self, revision: int, request_id: str) -> RecordedRequest:
+    def _new_record(self, revision: int, attempt: str) -> RecordedRequest:
         with self.lock:
-            self.active_request_ids.add(request_id)
+            self.active_attempts.add(attempt)
         return RecordedRequest(RecordKind.NEW, revision=revision,
-                               request_id=request_id)
+                               attempt=attempt)
 
     def _recorder_alive(self, record: dict[str, object]) -> bool:
         if record.get("entry") == self.entry:
             with self.lock:
-                return record.get("request_id") in self.active_request_ids
+                return record.get("attempt") in self.active_attempts
         recorder = membership.member_id(str(record.get("entry")),
                                         int(str(record.get("lease"))))
         reply = self.kv.get(membership.MEMBERS_PREFIX + recorder)
@@ -193,7 +199,7 @@
                         name="ledger")
                     self.writer_thread.start()
         with self.lock:
-            self.active_request_ids.discard(recorded.request_id)
+            self.active_attempts.discard(recorded.attempt)
 
     def _write(self, write: PendingWrite) -> bool:
         """Try to write once; return whether the write is settled."""
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -15,7 +15,9 @@
 import pytest
 from returns import result
 
+from sycamorefield import errors
 from sycamorefield import idempotency
+from sycamorefield import kvclient
 from tests import standins
 from tests import test_answers
 
@@ -132,3 +134,43 @@
     generate_only = settings(HYPOTHESIS_SETTINGS, phases=[Phase.generate])
     with pytest.raises(AssertionError):
         stateful.run_state_machine_as_test(naive, settings=generate_only)
+
+
+@pytest.fixture(name="kv")
+def fixture_kv():
+    stand_in = standins.Kv()
+    yield stand_in
+    stand_in.close()
+
+
+def test_retry_with_the_same_request_id_does_not_run_again(kv):
+    """Guards against a second run of a request retried under its own id.
+
+    A caller that got no answer sends the same request again, id included, to
+    the same entry process while the first try still runs.  The record of the
+    first try must not be taken for a write of the second whose reply was
+    lost.
+    """
+    store = idempotency.IdempotencyStore(kv.client, "entry-1")
+    first = store.record_start("cert-1", "a").unwrap()
+    assert first.kind == idempotency.RecordKind.NEW
+    retry = store.record_start("cert-1", "a")
+    assert retry.failure().code == errors.IN_PROGRESS
+    store.record_answer("cert-1", first, {"certificate": 1})
+    assert store.record_start("cert-1", "a").unwrap().answer == {
+        "certificate": 1}
+
+
+def test_write_whose_reply_was_lost_is_recognized(kv, monkeypatch):
+    """Guards against a request that is refused because of its own record."""
+    store = idempotency.IdempotencyStore(kv.client, "entry-1")
+    swap = kv.client.cas
+
+    def lose_reply(*args, **kwargs):
+        swap(*args, **kwargs)
+        return result.Failure(kvclient.KvError("UNAVAILABLE", "reply lost"))
+
+    monkeypatch.setattr(kv.client, "cas", lose_reply)
+    recorded = store.record_start("cert-1", "a").unwrap()
+    assert recorded.kind == idempotency.RecordKind.NEW
+    assert recorded.revision > 0
