Tell the records of a process and its replacement apart

A retry that reached the replacement of an entry process while its predecessor of the same name still answered the first try was told "outcome unknown" instead of "in progress": a record under one's own name that one did not write counted as left by a dead process. The id of the try and the lease now tell whose it is; a record of another lease is looked up among the members, like one of another name.

test_replacement_is_told_apart_from_its_predecessor[alive] got "outcome unknown" before; [dead] gets it before and after.

--- a/sycamorefield/idempotency.py
+++ b/sycamorefield/idempotency.py
@@ -151,9 +151,14 @@
                                attempt=attempt)
 
     def _recorder_alive(self, record: dict[str, object]) -> bool:
-        if record.get("entry") == self.entry:
-            with self.lock:
-                return record.get("attempt") in self.active_attempts
+        with self.lock:
+            if record.get("attempt") in self.active_attempts:
+                return True
+        if (record.get("entry") == self.entry
+                and record.get("lease") == self.lease()):
+            return False
+        # Another process, of another name or of this one: a process and its
+        # replacement may run at the same time.
         recorder = membership.member_id(str(record.get("entry")),
                                         int(str(record.get("lease"))))
         reply = self.kv.get(membership.MEMBERS_PREFIX + recorder)
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -18,6 +18,7 @@
 from sycamorefield import errors
 from sycamorefield import idempotency
 from sycamorefield import kvclient
+from sycamorefield import membership
 from tests import standins
 from tests import test_answers
 
@@ -174,3 +175,25 @@
     recorded = store.record_start("cert-1", "a").unwrap()
     assert recorded.kind == idempotency.RecordKind.NEW
     assert recorded.revision > 0
+
+
+@pytest.mark.parametrize("predecessor_alive,code", [
+    (True, errors.IN_PROGRESS), (False, errors.OUTCOME_UNKNOWN)],
+    ids=["alive", "dead"])
+def test_replacement_is_told_apart_from_its_predecessor(
+        kv, predecessor_alive, code):
+    """Guards against "outcome unknown" while the request still runs.
+
+    A process and its replacement of the same name run at the same time.  The
+    replacement must look up whether its predecessor is still a member.
+    """
+    lease = kv.client.grant(60_000).unwrap()
+    if predecessor_alive:
+        kv.client.put(membership.MEMBERS_PREFIX
+                      + membership.member_id("entry-1", lease), b"{}").unwrap()
+    predecessor = idempotency.IdempotencyStore(
+        kv.client, "entry-1", lambda: lease)
+    predecessor.record_start("cert-1", "a").unwrap()
+    replacement = idempotency.IdempotencyStore(
+        kv.client, "entry-1", lambda: lease + 1)
+    assert replacement.record_start("cert-1", "b").failure().code == code
