Remove the record of a request that was told "not run"

If the reply to the write of a record was lost and the store did not answer the read-back, the caller was told "not run", which was true, but the record could stay as "started". No later try with the key could run: it was told "outcome unknown", until the record's retention ended.

The record is now removed in the background once the store answers: it is read, and deleted by compare-and-swap if this try wrote it. Until then the try counts as active, so a retry is told "in progress" and to come again.

During an outage each request whose write may have been applied queues one read, before later writes of answers in the same queue. A write that reaches the store only after it was read as absent still stays.

--- a/sycamorefield/idempotency.py
+++ b/sycamorefield/idempotency.py
@@ -54,12 +54,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class PendingWrite:
-    """A write to the record of a request that is not stored yet."""
+    """A write to the record of a request that is not stored yet.
+
+    If attempt is given, the revision is unknown, and the write applies only
+    to a record of this try.
+    """
 
     key: str
     value: bytes
     revision: int
     delete: bool = False
+    attempt: str = ""
 
 
 class IdempotencyStore:
@@ -106,6 +111,8 @@
         # record back: if it is this request's, continue; if it is absent,
         # the request was not run and the caller may send it again.
         reply = self.kv.get(KEY_PREFIX + key)
+        if not isinstance(reply, result.Success):
+            self._delete_later(key, attempt)
         if not isinstance(reply, result.Success) or reply.unwrap() is None:
             return result.Failure(errors.problem(
                 errors.NOT_RUN, retry_after=RETRY_AFTER_S,
@@ -176,6 +183,15 @@
         self._write_or_queue(recorded, PendingWrite(
             key, b"", recorded.revision, delete=True))
 
+    def _delete_later(self, key: str, attempt: str) -> None:
+        """Delete the record of a try, if there is one, in the background.
+
+        Until then the try counts as active: retries are told to come again.
+        """
+        with self.lock:
+            self.active_attempts.add(attempt)
+        self._queue(PendingWrite(key, b"", 0, delete=True, attempt=attempt))
+
     def record_unknown_outcome(self, key: str,
                                recorded: RecordedRequest) -> None:
         """Record that the outcome of a dispatched request is unknown."""
@@ -196,18 +212,30 @@
         # retried in the background until the store is back; without them a
         # retry of the request would get "in progress" forever.
         if self.pending_writes.unfinished_tasks or not self._write(write):
-            self.pending_writes.put(write)
-            with self.lock:
-                if self.writer_thread is None:
-                    self.writer_thread = threading.Thread(
-                        target=self._write_pending, daemon=True,
-                        name="ledger")
-                    self.writer_thread.start()
+            self._queue(write)
         with self.lock:
             self.active_attempts.discard(recorded.attempt)
 
+    def _queue(self, write: PendingWrite) -> None:
+        """Write in the background, and retry until it is settled."""
+        self.pending_writes.put(write)
+        with self.lock:
+            if self.writer_thread is None:
+                self.writer_thread = threading.Thread(
+                    target=self._write_pending, daemon=True, name="ledger")
+                self.writer_thread.start()
+
     def _write(self, write: PendingWrite) -> bool:
         """Try to write once; return whether the write is settled."""
+        if write.attempt:
+            reply = self.kv.get(KEY_PREFIX + write.key)
+            if not isinstance(reply, result.Success):
+                return False
+            item = reply.unwrap()
+            if (item is None or kvclient.decode(item.value).get("attempt")
+                    != write.attempt):
+                return True
+            write = dataclasses.replace(write, revision=item.mod_revision)
         # A compare-and-swap that fails on the revision finds an outcome
         # stored already (this write's own, if its reply was lost), so
         # nothing is left to write.
@@ -220,4 +248,6 @@
             write = self.pending_writes.get()
             while not self._write(write):
                 time.sleep(WRITE_RETRY_S)
+            with self.lock:
+                self.active_attempts.discard(write.attempt)
             self.pending_writes.task_done()
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import threading
 
 from hypothesis import Phase
 from hypothesis import settings
@@ -19,6 +20,7 @@
 from sycamorefield import idempotency
 from sycamorefield import kvclient
 from sycamorefield import membership
+from tests import deployment
 from tests import standins
 from tests import test_answers
 
@@ -197,3 +199,64 @@
     replacement = idempotency.IdempotencyStore(
         kv.client, "entry-1", lambda: lease + 1)
     assert replacement.record_start("cert-1", "b").failure().code == code
+
+
+def _lose_reply_and_store(kv, monkeypatch, store):
+    """Make a record whose write and read-back get no answer."""
+    swap = kv.client.cas
+
+    def apply_and_go_down(*args, **kwargs):
+        swap(*args, **kwargs)
+        kv.faults(down=True)
+        return result.Failure(kvclient.KvError("UNAVAILABLE", "reply lost"))
+
+    with monkeypatch.context() as patch:
+        patch.setattr(kv.client, "cas", apply_and_go_down)
+        refused = store.record_start("cert-1", "a")
+    assert refused.failure().code == errors.NOT_RUN
+
+
+def test_record_of_a_request_told_not_run_is_removed(kv, monkeypatch):
+    """Guards against a retry that is told "outcome unknown" for ever.
+
+    The reply to the write of the record is lost, and the store does not
+    answer the read-back.  The caller is told "not run", which is true, but
+    the record stays and no later try with the key may run.
+    """
+    store = idempotency.IdempotencyStore(kv.client, "entry-1")
+    _lose_reply_and_store(kv, monkeypatch, store)
+    kv.faults()
+
+    def retry_runs():
+        recorded = store.record_start("cert-1", "b")
+        if isinstance(recorded, result.Success):
+            return True
+        assert recorded.failure().code == errors.IN_PROGRESS
+        return False
+    assert deployment.wait_until(retry_runs, 5)
+
+
+def test_late_removal_keeps_the_record_of_a_retry(kv, monkeypatch):
+    """Guards against a second run after the removal of another's record.
+
+    The record that is to be removed is gone, and a retry has made one of
+    its own under the same request id.
+    """
+    retried = threading.Event()
+    get = kv.client.get
+
+    def get_after_retry(key):
+        if threading.current_thread().name == "ledger":
+            assert retried.wait(10)
+        return get(key)
+
+    monkeypatch.setattr(kv.client, "get", get_after_retry)
+    store = idempotency.IdempotencyStore(kv.client, "entry-1")
+    _lose_reply_and_store(kv, monkeypatch, store)
+    kv.store.items.clear()
+    kv.faults()
+    retry_store = idempotency.IdempotencyStore(kv.client, "entry-2")
+    retry_store.record_start("cert-1", "a").unwrap()
+    retried.set()
+    store.pending_writes.join()
+    assert kv.client.get("/idem/cert-1").unwrap() is not None
