--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -7,6 +7,7 @@
 """
 
 import collections
+import threading
 
 from hypothesis import Phase
 from hypothesis import settings
@@ -15,7 +16,11 @@
 import pytest
 from returns import result
 
+from sycamorefield import errors
 from sycamorefield import idempotency
+from sycamorefield import kvclient
+from sycamorefield import membership
+from tests import deployment
 from tests import standins
 from tests import test_answers
 
@@ -132,3 +137,126 @@
     generate_only = settings(HYPOTHESIS_SETTINGS, phases=[Phase.generate])
     with pytest.raises(AssertionError):
         stateful.run_state_machine_as_test(naive, settings=generate_only)
+
+
+@pytest.fixture(name="kv")
+def fixture_kv():
+    stand_in = standins.Kv()
+    yield stand_in
+    stand_in.close()
+
+
+def test_retry_with_the_same_request_id_does_not_run_again(kv):
+    """Guards against a second run of a request retried under its own id.
+
+    A caller that got no answer sends the same request again, id included, to
+    the same entry process while the first try still runs.  The record of the
+    first try must not be taken for a write of the second whose reply was
+    lost.
+    """
+    store = idempotency.IdempotencyStore(kv.client, "entry-1")
+    first = store.record_start("cert-1", "a").unwrap()
+    assert first.kind == idempotency.RecordKind.NEW
+    retry = store.record_start("cert-1", "a")
+    assert retry.failure().code == errors.IN_PROGRESS
+    store.record_answer("cert-1", first, {"certificate": 1})
+    assert store.record_start("cert-1", "a").unwrap().answer == {
+        "certificate": 1}
+
+
+def test_write_whose_reply_was_lost_is_recognized(kv, monkeypatch):
+    """Guards against a request that is refused because of its own record."""
+    store = idempotency.IdempotencyStore(kv.client, "entry-1")
+    swap = kv.client.cas
+
+    def lose_reply(*args, **kwargs):
+        swap(*args, **kwargs)
+        return result.Failure(kvclient.KvError("UNAVAILABLE", "reply lost"))
+
+    monkeypatch.setattr(kv.client, "cas", lose_reply)
+    recorded = store.record_start("cert-1", "a").unwrap()
+    assert recorded.kind == idempotency.RecordKind.NEW
+    assert recorded.revision > 0
+
+
+@pytest.mark.parametrize("predecessor_alive,code", [
+    (True, errors.IN_PROGRESS), (False, errors.OUTCOME_UNKNOWN)],
+    ids=["alive", "dead"])
+def test_replacement_is_told_apart_from_its_predecessor(
+        kv, predecessor_alive, code):
+    """Guards against "outcome unknown" while the request still runs.
+
+    A process and its replacement of the same name run at the same time.  The
+    replacement must look up whether its predecessor is still a member.
+    """
+    lease = kv.client.grant(60_000).unwrap()
+    if predecessor_alive:
+        kv.client.put(membership.MEMBERS_PREFIX
+                      + membership.member_id("entry-1", lease), b"{}").unwrap()
+    predecessor = idempotency.IdempotencyStore(
+        kv.client, "entry-1", lambda: lease)
+    predecessor.record_start("cert-1", "a").unwrap()
+    replacement = idempotency.IdempotencyStore(
+        kv.client, "entry-1", lambda: lease + 1)
+    assert replacement.record_start("cert-1", "b").failure().code == code
+
+
+def _lose_reply_and_store(kv, monkeypatch, store):
+    """Make a record whose write and read-back get no answer."""
+    swap = kv.client.cas
+
+    def apply_and_go_down(*args, **kwargs):
+        swap(*args, **kwargs)
+        kv.faults(down=True)
+        return result.Failure(kvclient.KvError("UNAVAILABLE", "reply lost"))
+
+    with monkeypatch.context() as patch:
+        patch.setattr(kv.client, "cas", apply_and_go_down)
+        refused = store.record_start("cert-1", "a")
+    assert refused.failure().code == errors.NOT_RUN
+
+
+def test_record_of_a_request_told_not_run_is_removed(kv, monkeypatch):
+    """Guards against a retry that is told "outcome unknown" for ever.
+
+    The reply to the write of the record is lost, and the store does not
+    answer the read-back.  The caller is told "not run", which is true, but
+    the record stays and no later try with the key may run.
+    """
+    store = idempotency.IdempotencyStore(kv.client, "entry-1")
+    _lose_reply_and_store(kv, monkeypatch, store)
+    kv.faults()
+
+    def retry_runs():
+        recorded = store.record_start("cert-1", "b")
+        if isinstance(recorded, result.Success):
+            return True
+        assert recorded.failure().code == errors.IN_PROGRESS
+        return False
+    assert deployment.wait_until(retry_runs, 5)
+
+
+def test_late_removal_keeps_the_record_of_a_retry(kv, monkeypatch):
+    """Guards against a second run after the removal of another's record.
+
+    The record that is to be removed is gone, and a retry has made one of
+    its own under the same request id.
+    """
+    retried = threading.Event()
+    get = kv.client.get
+
+    def get_after_retry(key):
+        if threading.current_thread().name == "ledger":
+            assert retried.wait(10)
+        return get(key)
+
+    monkeypatch.setattr(kv.client, "get", get_after_retry)
+    store = idempotency.IdempotencyStore(kv.client, "entry-1")
+    _lose_reply_and_store(kv, monkeypatch, store)
+    kv.store.items.clear()
+    kv.faults()
+    retry_store = idempotency.IdempotencyStore(kv.client, "entry-2")
+    retry_store.record_start("cert-1", "a").unwrap()
+    retried.set()
+    store.pending_writes.join()
+    assert kv.client.get("/idem/cert-1").unwrap() is not None
