Bound searches for victims by round

A comparison is now shared by all tasks of equal scope, priority and request, and starts from a lower bound of the cost on each worker, so that few choices are computed. A failed search covers larger requests of its scope until something else frees capacity in the round. What stopping all lower-priority runs of a worker would free is cached by its change number (freeable.py), so that a worker that has only reported costs a comparison of numbers. Claims, copies and holds to take over are not searched in vain again either. Scopes of long-running tasks name the headroom that restricts their workers.

A miss kept across rounds missed workers on which stopping runs were claimed by another task in the round of the miss; these are now always searched.

--- a/sycamorefield/fleet/eligibleworkers.py
+++ b/sycamorefield/fleet/eligibleworkers.py
@@ -17,6 +17,8 @@
     service: str
     workers: list[workerstate.WorkerState]
     tickets: dict[str, str] | None = None
+    # The headroom that restricts the workers, if any.
+    headroom: str = ""
 
     def ticket(self, worker: workerstate.WorkerState) -> str:
         """Return the ticket to start a run on a worker, or an empty string."""
@@ -29,4 +31,4 @@
         return placement_cache.SearchScope(
             self.service, step.fills, step.requires,
             step.image if step.fills else "",
-            task.task.step_id() if own else None)
+            task.task.step_id() if own else None, headroom=self.headroom)
--- a/sycamorefield/fleet/heldworkers.py
+++ b/sycamorefield/fleet/heldworkers.py
@@ -5,6 +5,7 @@
 wide task again and again.
 """
 
+import collections
 import dataclasses
 
 from sycamorefield.fleet import messages
@@ -50,6 +51,10 @@
 
     def __init__(self) -> None:
         self.by_task: dict[messages.TaskId, Hold] = {}
+        # The tasks with a hold, by ID of its worker.
+        self.tasks_by_worker: dict[str, set[messages.TaskId]] = {}
+        # How many holds there are of each priority.
+        self.priorities: collections.Counter[int] = collections.Counter()
         # Workers on which nothing is preempted at present, by ID.
         self.pauses: dict[str, Pause] = {}
 
@@ -65,23 +70,46 @@
     def holds_for_step(self, worker: workerstate.WorkerState,
                        step_id: messages.StepId) -> bool:
         """Return whether anything is held on a worker for tasks of a step."""
-        return any(hold.worker is worker and task.step_id() == step_id
-                   for task, hold in self.by_task.items())
+        return any(
+            self.by_task[task].worker is worker and task.step_id() == step_id
+            for task in self.tasks_by_worker.get(worker.entry.worker_id, ()))
+
+    def any_on(self, worker: workerstate.WorkerState) -> bool:
+        """Return whether anything is held on a worker."""
+        return worker.entry.worker_id in self.tasks_by_worker
+
+    def any_less_urgent(self, priority: int) -> bool:
+        """Return whether anything is held for a task below a priority."""
+        return any(held > priority for held in self.priorities)
 
     def add(self, hold: Hold) -> None:
         """Hold what a task requests."""
         self.drop(hold.task)
         self.by_task[hold.task.task] = hold
+        self.tasks_by_worker.setdefault(
+            hold.worker.entry.worker_id, set()).add(hold.task.task)
+        self.priorities[hold.priority] += 1
         hold.worker.held = hold.worker.held.plus(hold.task.step.reserved())
         hold.worker.record_change()
 
     def drop(self, task: progress.TaskState) -> None:
         """End the hold for a task, if there is one."""
         hold = self.by_task.pop(task.task, None)
-        if hold is not None:
-            hold.worker.held = hold.worker.held.minus(
-                task.step.reserved())
-            hold.worker.record_change()
+        if hold is None:
+            return
+        self._remove_from_indexes(hold)
+        hold.worker.held = hold.worker.held.minus(task.step.reserved())
+        hold.worker.record_change()
+
+    def _remove_from_indexes(self, hold: Hold) -> None:
+        worker_id = hold.worker.entry.worker_id
+        tasks = self.tasks_by_worker[worker_id]
+        tasks.discard(hold.task.task)
+        if not tasks:
+            del self.tasks_by_worker[worker_id]
+        self.priorities[hold.priority] -= 1
+        if not self.priorities[hold.priority]:
+            del self.priorities[hold.priority]
 
     def is_paused(self, worker: workerstate.WorkerState) -> bool:
         """Return whether nothing should be preempted on a worker now."""
--- a/sycamorefield/fleet/placement_cache.py
+++ b/sycamorefield/fleet/placement_cache.py
@@ -23,10 +23,14 @@
     step: messages.StepId | None = None
     # Set only for searches for runs of lower-priority jobs to preempt.
     priority: int | None = None
+    # The headroom that tasks must leave, which is possible on some workers
+    # only.  Within a round, and for larger requests, these become fewer.
+    headroom: str = ""
 
     def without_restrictions(self) -> "SearchScope":
-        """Return the scope without restrictions to a step or label."""
-        return SearchScope(self.service, self.best_effort, image=self.image)
+        """Return the scope without restrictions to some workers."""
+        return dataclasses.replace(self, requires="", step=None,
+                                   headroom="")
 
 
 class UnplaceableRequests:
@@ -62,6 +66,10 @@
                 if not known.holds(request)]
         self.unplaceable[scope] = kept + [request]
 
+    def clear(self) -> None:
+        """Drop all entries, because more capacity has become available."""
+        self.unplaceable.clear()
+
 
 # Most failed searches cached; on a full fleet some hundred requests wait.
 MAX_CACHED_SEARCHES = 4096
@@ -85,13 +93,19 @@
 
     def workers_to_search(self, scope: SearchScope,
                           request: messages.Resources,
-                          workers: list[workerstate.WorkerState]
+                          workers: list[workerstate.WorkerState],
+                          stopping_too: bool = False
                           ) -> list[workerstate.WorkerState]:
-        """Return the workers on which a request may fit, in their order."""
+        """Return the workers on which a request may fit, in their order.
+
+        What stopping runs free may have been claimed for another task when the
+        search failed, and not be now.
+        """
         since = self.searched_at.get((scope, request))
         if since is None:
             return workers
-        return [w for w in workers if w.change_number > since]
+        return [w for w in workers if w.change_number > since
+                or stopping_too and w.stopping]
 
     def add(self, scope: SearchScope, request: messages.Resources) -> None:
         """Record that a request has just been found to fit on no worker."""
--- a/sycamorefield/fleet/quarantineplacing.py
+++ b/sycamorefield/fleet/quarantineplacing.py
@@ -87,6 +87,8 @@
             state, tasks[0], eligible, eligible.scope(tasks[0]))
     if not chosen:
         return
+    if hold is not None and hold.worker not in chosen:
+        round_.record_gain(hold.worker)
     members = [(task, worker.entry.worker_id)
                for task, worker in zip(tasks, chosen)]
     state.quarantine_births.update(
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -58,6 +58,12 @@
         self.headrooms: dict[tuple[str, int], headroom.Headroom] = {}
         self.freeing = freeing.FreeingCapacity(
             fleet.held_workers.without_paused(usable_workers))
+        # Requests that no copies can be stopped for, and those for which no
+        # less urgent hold suffices; the scopes have a priority.
+        self.no_copies = placement_cache.UnplaceableRequests(
+            remember_searches)
+        self.no_holds = placement_cache.UnplaceableRequests(
+            remember_searches)
         # None if runs to preempt are not chosen by the work lost.
         self.victim_finder = (
             victims.VictimFinder(fleet, fleet.stop_costs, queues,
@@ -266,10 +272,23 @@
         """
         self.excluded.append(worker)
         self.ranking = None
+        if self.victim_finder is not None:
+            self.victim_finder.excluded.add(worker.entry.worker_id)
         for workers in worker_lists:
             if worker in workers:
                 workers.remove(worker)
 
+    def record_gain(self, worker: workerstate.WorkerState) -> None:
+        """Record that more of a worker is available than before.
+
+        What was found to fit on no worker by preemption may fit there.
+        """
+        self.freeing.record_gain(worker)
+        self.no_copies.clear()
+        self.no_holds.clear()
+        if self.victim_finder is not None:
+            self.victim_finder.record_gain(worker)
+
     def finish(self) -> None:
         """Mark excluded workers as changed for the next round."""
         for worker in self.excluded:
@@ -301,7 +320,10 @@
                 return True
         if not preemption.preempt_for(
                 self, state, task,
-                dataclasses.replace(eligible, workers=workers)):
+                dataclasses.replace(
+                    eligible, workers=workers, headroom=(
+                        required.name if workers is not eligible.workers
+                        else ""))):
             self.held_back[required].add(scope, request)
         return False
 
@@ -339,7 +361,10 @@
         if not state.confirm_start(task):
             self.fleet.commit_requested = True
             return
+        hold = self.fleet.held_workers.find(task)
         self.fleet.held_workers.drop(task)
+        if hold is not None and hold.worker is not worker:
+            self.record_gain(hold.worker)
         self.fleet.start(state, task, worker, state.next_run_number(task),
                          eligible.ticket(worker))
         for headroom_ in self.headrooms.values():
@@ -498,6 +523,7 @@
             fleet.placed_config_version = configuration.version
             fleet.placement_misses.clear()
             fleet.preemption_misses.clear()
+            fleet.freeable.clear()
         ranked = ordering.sort_jobs(
             (state for state in fleet.active.values()
              if not state.skip_rounds),
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -18,6 +18,7 @@
 from sycamorefield.fleet import demand
 from sycamorefield.fleet import endedlives
 from sycamorefield.fleet import failures
+from sycamorefield.fleet import freeable
 from sycamorefield.fleet import heldworkers
 from sycamorefield.fleet import interference
 from sycamorefield.fleet import learnedstate
@@ -122,6 +123,7 @@
         # could be preempted.
         self.placement_misses = placement_cache.SearchCache()
         self.preemption_misses = placement_cache.SearchCache()
+        self.freeable = freeable.FreeableCapacity(self.jobs)
         self.held_workers = heldworkers.HeldWorkers()
         self.preemptions = victims.Preemptions()
         # The version of the configuration used in the last round.
@@ -396,6 +398,7 @@
         self.ended_lives.add_removed(worker, now)
         self.advice.forget_worker(worker_id)
         self.workers.pop(worker_id, None)
+        self.freeable.forget(worker_id)
         self.awaited_workers.pop(worker_id, None)
         for (_, run), task in worker.tasks.items():
             if task.worker_id == worker_id and task.run == run:
--- a/sycamorefield/fleet/victims.py
+++ b/sycamorefield/fleet/victims.py
@@ -5,16 +5,19 @@
 stops runs that would end as soon as the stop.
 """
 
+import bisect
 import collections
 import dataclasses
-import heapq
+import itertools
 import typing
 
 from sycamorefield import events
+from sycamorefield.fleet import comparisons
 from sycamorefield.fleet import demand
 from sycamorefield.fleet import freeing as freeing_mod
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import ordering
+from sycamorefield.fleet import placement_cache
 from sycamorefield.fleet import placing
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import runtimes
@@ -35,9 +38,6 @@
 # no more than this is left to wait.  Rounds start up to 0.25 s apart; with
 # less, the job would be late by the next round.
 LAST_CHANCE_S = 0.3
-# Only this many workers on which victims suffice are compared, so that the
-# cost for each waiting task doesn't grow with the fleet.
-MAX_COMPARED_WORKERS = 256
 # Most preemptions named in one log line.
 MAX_LOGGED = 20
 
@@ -68,6 +68,7 @@
     cost: float
     # Whether it ends as soon as if it were ordered to stop.
     ends_as_soon: bool
+    frees: messages.Resources
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -78,24 +79,55 @@
     victims: list[Candidate]
     cost: float
 
-    def order(self) -> tuple[float, int]:
+    def order(self) -> comparisons.Order:
         """Return the sort key: the least is best."""
         return self.cost, len(self.victims)
 
 
-# Sort key of the choice on a worker, position, worker.
-HeapEntry = tuple[tuple[float, int], int, workerstate.WorkerState]
+@dataclasses.dataclass(frozen=True, slots=True)
+class CheapestStops:
+    """Lower bounds of what it costs to stop runs on a worker."""
+
+    # What runs reserve that end as soon as if they were ordered to stop.
+    ending: messages.Resources
+    least_cost: float
+    # What the other runs reserve and cost, the cheapest for their CPU first,
+    # as running totals that begin with zeros.
+    cpu_totals: list[int]
+    cost_totals: list[float]
+
+    def cost(self, cpu: int) -> float:
+        """Return the cost of freeing CPU if runs could be stopped in part."""
+        if cpu <= 0:
+            return self.least_cost
+        index = bisect.bisect_left(self.cpu_totals, cpu)
+        if index == len(self.cpu_totals):
+            return self.cost_totals[-1]
+        cpu_before = self.cpu_totals[index - 1]
+        cost_before = self.cost_totals[index - 1]
+        share = (cpu - cpu_before) / (self.cpu_totals[index] - cpu_before)
+        return max(self.least_cost, cost_before + share * (
+            self.cost_totals[index] - cost_before))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Waiting:
-    """A task that fits on no worker, and the workers that it may use."""
+    """A task that fits on no worker, and the workers that it may use.
+
+    The scope is that of all tasks that may use the same workers, with the
+    priority.
+    """
 
     job: progress.JobState
     task: progress.TaskState
     priority: int
     service: str
     workers: list[workerstate.WorkerState]
+    scope: placement_cache.SearchScope
+
+    def need(self) -> comparisons.Need:
+        """Return what the task has in common with others."""
+        return comparisons.Need(self.scope, self.task.step.room)
 
 
 class Preemptions:
@@ -181,7 +213,14 @@
 
 
 class VictimFinder:
-    """Choose victims within a round; caches the candidates of each worker."""
+    """Choose victims within a round.
+
+    What a search finds holds for all tasks of equal need: the workers on which
+    victims suffice are compared once, and a failed search is not repeated for
+    requests at least as large.  While runs are only started and stopped for
+    waiting tasks, a request for which no victims suffice never fits later in
+    the round; what else frees capacity is to be recorded.
+    """
 
     def __init__(self, fleet: "state_mod.FleetState", costs: StopCosts,
                  queues: dict[str, messages.Queue],
@@ -193,89 +232,214 @@
         self.freeing = freeing
         self.now = now
         self.wall_ms = wall_ms
-        # The choices for the step that was last asked for.
-        self.step: messages.Step | None = None
-        self.job: progress.JobState | None = None
-        self.heap: list[HeapEntry] = []
-        self.uncompared: typing.Iterator[workerstate.WorkerState] = iter(())
+        self.shares_searches = fleet.policy.remember_shortage
+        self.comparisons: dict[
+            comparisons.Need, comparisons.Comparison] = {}
+        self.positions = {worker_id: position for position, worker_id
+                          in enumerate(fleet.workers)}
+        # The workers that were last sorted, and the result.
+        self.sorted_workers: tuple[list[workerstate.WorkerState],
+                                   list[workerstate.WorkerState]] = ([], [])
+        # Workers on which choices may have become better.
+        self.changed: list[workerstate.WorkerState] = []
+        # IDs of workers on which no other task may start in this round.
+        self.excluded: set[str] = set()
+        self.misses = placement_cache.UnplaceableRequests(
+            self.shares_searches)
+        # Failed searches for long-running victims, by whether those of equal
+        # priority were included.
+        self.long_running_misses = {
+            may_stop_equal: placement_cache.UnplaceableRequests(
+                self.shares_searches) for may_stop_equal in (False, True)}
         # The candidates of a worker, as of a change number.
         self.finite: dict[str, tuple[int, list[Candidate]]] = {}
+        # The choices by worker ID, priority and request, as of a change number
+        # and of what is being freed.
+        self.choices: dict[tuple[str, int, messages.Resources], tuple[
+            tuple[int, messages.Resources], Choice | None]] = {}
+        # By worker ID and priority, as of a change number.
+        self.cheapest: dict[tuple[str, int], tuple[int, CheapestStops]] = {}
         self.long_running: dict[str, list[Candidate]] | None = None
+        # The least urgent priority of long-running tasks that may be missed.
+        self.long_running_priority = 0
         # How many tasks of a long-running step may be stopped.
         self.allowances: dict[messages.StepId, int] = {}
 
     def choose(self, waiting: Waiting) -> Choice | None:
-        """Return the finite runs to stop that lose the least, or None.
+        """Return the finite runs to stop that lose the least, or None."""
+        need = waiting.need()
+        if self.misses.covers(*need):
+            return None
 
-        The workers are compared once for all tasks of a step.  Until the next
-        step, choices on them only become worse, so only the best one is
-        checked again for each task.
-        """
-        if self.step is not waiting.task.step or self.job is not waiting.job:
-            self.step, self.job = waiting.task.step, waiting.job
-            self.heap = []
-            self.uncompared = self._in_order(waiting.workers)
-        while self.heap or self._compare_more(waiting):
-            order, position, worker = self.heap[0]
-            choice = self._choose_on(worker, waiting, self._finite_on)
-            if choice is None:
-                heapq.heappop(self.heap)
-            elif choice.order() <= order:
-                return choice
-            else:
-                heapq.heapreplace(
-                    self.heap, (choice.order(), position, worker))
-        return None
+        def choose_on(worker: workerstate.WorkerState) -> Choice | None:
+            # Headroom may not allow a worker any more that was compared.
+            if waiting.scope.headroom and worker not in waiting.workers:
+                return None
+            return self._finite_choice(worker, waiting)
+        choice = self._compare(waiting, need).best(
+            lambda worker: self._least_order(worker, waiting), choose_on)
+        if choice is None:
+            self.misses.add(*need)
+        return choice
+
+    def _finite_choice(self, worker: workerstate.WorkerState,
+                       waiting: Waiting) -> Choice | None:
+        """Return the finite runs to stop on a worker, computed if need be."""
+        if not self._may_use(worker, waiting):
+            return None
+        key = (worker.entry.worker_id, waiting.priority,
+               waiting.task.step.reserved())
+        state = worker.change_number, self.freeing.on_worker(worker)
+        known = self.choices.get(key)
+        if known is None or known[0] != state or not _all_running(known[1]):
+            known = state, self._choose_on(worker, waiting, self._finite_on)
+            self.choices[key] = known
+        return known[1]
+
+    def _compare(self, waiting: Waiting, need: comparisons.Need
+                 ) -> comparisons.Comparison:
+        """Return the comparison of workers for a need, with all changes."""
+        comparison = (self.comparisons.get(need)
+                      if self.shares_searches else None)
+        if comparison is None:
+            comparison = comparisons.Comparison(
+                iter(self._in_order(waiting.workers)), len(self.changed),
+                self.positions)
+            self.comparisons[need] = comparison
+        changed = self.changed[comparison.changes_seen:]
+        comparison.changes_seen = len(self.changed)
+        for worker in dict.fromkeys(changed):
+            order = self._least_order(worker, waiting)
+            if order is not None:
+                comparison.push(order, worker)
+        return comparison
 
     def _in_order(self, workers: list[workerstate.WorkerState]
-                  ) -> typing.Iterator[workerstate.WorkerState]:
+                  ) -> list[workerstate.WorkerState]:
         """Return the workers in the order in which they are compared.
 
         Fewer runs must be stopped on workers with more free CPU.
         """
-        if len(workers) > MAX_COMPARED_WORKERS:
-            workers = sorted(workers, key=lambda w: -w.free_capacity().cpu)
-        return iter(workers)
-
-    def _compare_more(self, waiting: Waiting) -> bool:
-        """Add the next workers on which victims suffice; False if none."""
-        for worker in self.uncompared:
-            choice = self._choose_on(worker, waiting, self._finite_on)
-            if choice is not None:
-                self.heap.append((choice.order(), len(self.heap), worker))
-                if len(self.heap) >= MAX_COMPARED_WORKERS:
-                    break
-        heapq.heapify(self.heap)
-        return bool(self.heap)
+        if len(workers) <= comparisons.MAX_COMPARED_WORKERS:
+            return list(workers)
+        if self.sorted_workers[0] is not workers:
+            self.sorted_workers = workers, sorted(
+                workers, key=lambda w: -w.free_capacity().cpu)
+        return self.sorted_workers[1]
+
+    def _least_order(self, worker: workerstate.WorkerState,
+                     waiting: Waiting) -> comparisons.Order | None:
+        """Return a lower bound of the sort key of the choice on a worker.
+
+        None if no finite victims suffice there.
+        """
+        freeable = self.fleet.freeable.below(
+            worker, waiting.priority, self.queues)
+        if freeable is None or not self._may_suffice(
+                worker, waiting, freeable):
+            return None
+        stops = self._cheapest_on(worker, waiting.priority)
+        available = worker.free_capacity().plus(
+            self.freeing.on_worker(worker)).plus(stops.ending)
+        short = waiting.task.step.reserved().minus(available)
+        if messages.Resources().holds(short):
+            return 0.0, 0
+        return stops.cost(short.cpu), 1
+
+    def _may_suffice(self, worker: workerstate.WorkerState, waiting: Waiting,
+                     freeable: messages.Resources) -> bool:
+        """Return whether a task fits once what is freeable is free.
+
+        This is asked for each worker and need, so it creates no objects.
+        """
+        request = waiting.task.step.reserved()
+        free = worker.free_capacity()
+        freeing = self.freeing.on_worker(worker)
+        return (request.cpu <= free.cpu + freeing.cpu + freeable.cpu
+                and request.mem_mb <= (free.mem_mb + freeing.mem_mb
+                                       + freeable.mem_mb)
+                and request.gpu <= free.gpu + freeing.gpu + freeable.gpu
+                and self._may_use(worker, waiting))
+
+    def _may_use(self, worker: workerstate.WorkerState,
+                 waiting: Waiting) -> bool:
+        """Return whether runs may be stopped on a worker for a task."""
+        step = waiting.task.step
+        return (worker.entry.worker_id not in self.excluded
+                and not self.fleet.held_workers.is_paused(worker)
+                and worker.entry.capacity.holds(step.reserved())
+                and placing.allowed(worker, waiting.service, waiting.task)
+                and not (step.max_per_worker
+                         and self.fleet.held_workers.holds_for_step(
+                             worker, waiting.task.task.step_id())))
+
+    def _cheapest_on(self, worker: workerstate.WorkerState,
+                     priority: int) -> CheapestStops:
+        """Return lower bounds of the costs of the runs below a priority."""
+        key = worker.entry.worker_id, priority
+        known = self.cheapest.get(key)
+        if known is None or known[0] != worker.change_number:
+            known = worker.change_number, _cheapest_stops(
+                [c for c in self._finite_on(worker) if c.priority > priority])
+            self.cheapest[key] = known
+        return known[1]
 
     def choose_long_running(self, waiting: Waiting) -> Choice | None:
         """Return runs to stop of which some are long-running, or None."""
         if waiting.task.step.gang or waiting.task.step.fills:
             return None
         by_worker = self._stoppable_long_running()
-        if not by_worker:
+        need = waiting.need()
+        if not by_worker or self.long_running_misses[True].covers(*need):
             return None
         may_stop_equal = self._is_last_chance(waiting)
-        if not may_stop_equal and waiting.priority >= max(
-                c.priority for found in by_worker.values() for c in found):
+        if (not may_stop_equal
+                and waiting.priority >= self.long_running_priority):
+            return None
+        misses = self.long_running_misses[may_stop_equal]
+        if misses.covers(*need):
             return None
 
         def candidates_on(worker: workerstate.WorkerState,
                           ) -> list[Candidate]:
             return self._finite_on(worker) + self._allowed_here(
                 by_worker[worker.entry.worker_id], waiting, may_stop_equal)
-        return self._choose(
+        choice = self._choose(
             waiting, [w for w in waiting.workers
-                      if w.entry.worker_id in by_worker],
+                      if w.entry.worker_id in by_worker
+                      and self._long_running_may_suffice(w, waiting)],
             candidates_on, may_stop_equal)
+        if choice is None:
+            misses.add(*need)
+        return choice
+
+    def _long_running_may_suffice(self, worker: workerstate.WorkerState,
+                                  waiting: Waiting) -> bool:
+        """Return whether a task fits without all runs that may be stopped."""
+        freeable = self.fleet.freeable.below(
+            worker, waiting.priority, self.queues) or messages.Resources()
+        for candidate in self._stoppable_long_running()[
+                worker.entry.worker_id]:
+            freeable = freeable.plus(candidate.frees)
+        return self._may_suffice(worker, waiting, freeable)
 
     def record_stops(self, choice: Choice) -> None:
         """Record that the runs of a choice have been ordered to stop."""
         self.finite.pop(choice.worker.entry.worker_id, None)
+        self.changed.append(choice.worker)
         for victim in choice.victims:
             step_id = victim.task.task.step_id()
             if step_id in self.allowances:
                 self.allowances[step_id] -= 1
+        if any(victim.task.step.perpetual for victim in choice.victims):
+            # What they free beyond the request is new to finite searches.
+            self.record_gain(choice.worker)
+
+    def record_gain(self, worker: workerstate.WorkerState) -> None:
+        """Record that victims may suffice on a worker that did not before."""
+        self.changed.append(worker)
+        for misses in (self.misses, *self.long_running_misses.values()):
+            misses.clear()
 
     def _choose(self, waiting: Waiting,
                 workers: list[workerstate.WorkerState],
@@ -297,8 +461,7 @@
                    may_stop_equal: bool = False) -> Choice | None:
         """Return the runs to stop on a worker so that a task fits."""
         request = waiting.task.step.reserved()
-        if (self.fleet.held_workers.is_paused(worker)
-                or not worker.entry.capacity.holds(request)):
+        if not self._may_use(worker, waiting):
             return None
         available = worker.free_capacity().plus(self.freeing.on_worker(worker))
         ending: list[Candidate] = []
@@ -312,13 +475,8 @@
                 (ending if candidate.ends_as_soon else others).append(
                     candidate)
         for candidate in ending:
-            available = available.plus(candidate.task.step.reserved())
-        if not (ending or others) or not placing.allowed(
-                worker, waiting.service, waiting.task):
-            return None
-        if (waiting.task.step.max_per_worker
-                and self.fleet.held_workers.holds_for_step(
-                    worker, waiting.task.task.step_id())):
+            available = available.plus(candidate.frees)
+        if not (ending or others):
             return None
         victims = _cheapest(request.minus(available), others)
         if victims is None:
@@ -372,7 +530,7 @@
                     task.percent)))
         return Candidate(task, ordering.priority(state, self.queues),
                          lost_core_s, lost_core_s * USEFUL_S / gain_s,
-                         self._ends_as_soon(task))
+                         self._ends_as_soon(task), step.reserved())
 
     def _is_last_chance(self, waiting: Waiting) -> bool:
         """Return whether an urgent job meets its objective only if it starts.
@@ -404,8 +562,11 @@
                     continue
                 self.allowances[tasks[0].task.step_id()] = allowance
                 for task in up:
-                    self.long_running[task.worker_id].append(self._candidate(
-                        task, self.fleet.workers[task.worker_id]))
+                    candidate = self._candidate(
+                        task, self.fleet.workers[task.worker_id])
+                    self.long_running[task.worker_id].append(candidate)
+                    self.long_running_priority = max(
+                        self.long_running_priority, candidate.priority)
         return self.long_running
 
     def _is_up(self, task: progress.TaskState) -> bool:
@@ -430,6 +591,32 @@
         return found
 
 
+def _all_running(choice: Choice | None) -> bool:
+    """Return whether no victim was stopped since it was chosen."""
+    return choice is None or all(
+        victim.task.phase == progress.RUNNING for victim in choice.victims)
+
+
+def _cheapest_stops(candidates: list[Candidate]) -> CheapestStops:
+    """Return lower bounds of what it costs to stop some of the runs."""
+    ending = messages.Resources()
+    others = []
+    for candidate in candidates:
+        if candidate.ends_as_soon:
+            ending = ending.plus(candidate.frees)
+        else:
+            others.append((candidate.cost,
+                           candidate.frees.cpu))
+    freeing_cpu = sorted((row for row in others if row[1]),
+                         key=lambda row: row[0] / row[1])
+    return CheapestStops(
+        ending, min((cost for cost, _ in others), default=0.0),
+        list(itertools.accumulate(
+            (cpu for _, cpu in freeing_cpu), initial=0)),
+        list(itertools.accumulate(
+            (cost for cost, _ in freeing_cpu), initial=0.0)))
+
+
 def _cheapest(shortage: messages.Resources,
               candidates: list[Candidate]) -> list[Candidate] | None:
     """Return runs that free a shortage at low cost, or None if none do.
@@ -440,7 +627,7 @@
     if messages.Resources().holds(shortage):
         return []
     useful = [(c, use) for c in candidates
-              if (use := _use(shortage, c.task.step.reserved())) > 0.0]
+              if (use := _use(shortage, c.frees)) > 0.0]
     useful.sort(key=lambda row: row[0].cost / row[1])
     chosen: list[Candidate] = []
     left = shortage
@@ -448,16 +635,16 @@
         if messages.Resources().holds(left):
             break
         chosen.append(candidate)
-        left = left.minus(candidate.task.step.reserved())
+        left = left.minus(candidate.frees)
     if not messages.Resources().holds(left):
         return None
     for candidate in sorted(chosen, key=lambda c: -c.cost):
-        without = left.plus(candidate.task.step.reserved())
+        without = left.plus(candidate.frees)
         if messages.Resources().holds(without):
             chosen.remove(candidate)
             left = without
     single = min((c for c, _ in useful
-                  if c.task.step.reserved().holds(shortage)),
+                  if c.frees.holds(shortage)),
                  key=lambda c: c.cost, default=None)
     if single is not None and single.cost <= sum(c.cost for c in chosen):
         return [single]
@@ -466,6 +653,11 @@
 
 def _use(shortage: messages.Resources, freed: messages.Resources) -> float:
     """Return how much of a shortage is freed, 1 for each resource at most."""
-    return sum(min(1.0, got / short) for short, got in (
-        (shortage.cpu, freed.cpu), (shortage.mem_mb, freed.mem_mb),
-        (shortage.gpu, freed.gpu)) if short > 0)
+    use = 0.0
+    if shortage.cpu > 0:
+        use += min(1.0, freed.cpu / shortage.cpu)
+    if shortage.mem_mb > 0:
+        use += min(1.0, freed.mem_mb / shortage.mem_mb)
+    if shortage.gpu > 0:
+        use += min(1.0, freed.gpu / shortage.gpu)
+    return use
--- a/tests/test_fleet_victims.py
+++ b/tests/test_fleet_victims.py
@@ -4,10 +4,12 @@
 
 import pytest
 
+from sycamorefield.fleet import comparisons
 from sycamorefield.fleet import eligibleworkers
 from sycamorefield.fleet import freeing
 from sycamorefield.fleet import heldworkers
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import placement_cache
 from sycamorefield.fleet import policy as policy_mod
 from sycamorefield.fleet import preemption
 from sycamorefield.fleet import progress
@@ -367,7 +369,7 @@
 
 def test_step_wider_than_the_workers_compared_at_once_preempts_everywhere():
     """Go on with other workers once those compared first are used up."""
-    count = victims.MAX_COMPARED_WORKERS + 20
+    count = comparisons.MAX_COMPARED_WORKERS + 20
     bench = Bench(workers=count)
     bench.add(fleetfakes.job("low", messages.Step(
         count, messages.Resources(4000, 10)), queue="renewals", priority=2))
@@ -417,7 +419,8 @@
         bench.state, COSTS, fleetfakes.configuration().queues_by_name(),
         freeing.FreeingCapacity([]), bench.now, WALL_MS)
     waiting = victims.Waiting(
-        state, bench.task("urgent"), 0, worker.entry.service, [worker])
+        state, bench.task("urgent"), 0, worker.entry.service, [worker],
+        placement_cache.SearchScope(worker.entry.service, priority=0))
     assert finder.choose(waiting) is not None
     bench.state.stop_run(bench.task("low"), "room for another task")
     assert finder.choose(waiting) is None
