--- a/sycamorefield/fleet/comparisons.py
+++ b/sycamorefield/fleet/comparisons.py
@@ -14,6 +14,8 @@
 
 # The sort key of a choice on a worker: its cost and the number of victims.
 Order = tuple[float, int]
+# Returns a lower bound of the sort key, or None if no victims suffice.
+Bound = typing.Callable[[workerstate.WorkerState], Order | None]
 
 
 class Need(typing.NamedTuple):
@@ -57,8 +59,7 @@
             order, self.positions.get(worker.entry.worker_id, 0),
             self.pushed, worker))
 
-    def best(self, bound: typing.Callable[
-                 [workerstate.WorkerState], Order | None],
+    def best(self, bound: Bound,
              choose_on: typing.Callable[
                  [workerstate.WorkerState], ChoiceT | None]
              ) -> ChoiceT | None:
@@ -76,8 +77,7 @@
             computed[worker_id] = choice
         return None
 
-    def _compare_more(self, bound: typing.Callable[
-            [workerstate.WorkerState], Order | None]) -> bool:
+    def _compare_more(self, bound: Bound) -> bool:
         """Add the next workers on which victims may suffice, if any."""
         for worker in self.uncompared:
             order = bound(worker)
--- a/sycamorefield/fleet/victims.py
+++ b/sycamorefield/fleet/victims.py
@@ -339,8 +339,9 @@
                 worker, waiting, freeable):
             return None
         stops = self._cheapest_on(worker, waiting.priority)
-        short = waiting.task.step.reserved().minus(worker.free_capacity(
-            ).plus(self.freeing.on_worker(worker)).plus(stops.ending))
+        available = worker.free_capacity().plus(
+            self.freeing.on_worker(worker)).plus(stops.ending)
+        short = waiting.task.step.reserved().minus(available)
         if messages.Resources().holds(short):
             return 0.0, 0
         return stops.cost(short.cpu), 1
