Wait for the commit thread of the cell under test only

test_outcome_lost_with_owner_and_worker_allows_a_second_run failed when it ran after tests/test_peers.py: it waited until no thread was named commit-0, and cells of other tests leave such threads. It now joins the thread that its own cell started.

--- a/tests/test_recorded_outcomes.py
+++ b/tests/test_recorded_outcomes.py
@@ -74,11 +74,14 @@
     and the worker restarts.  The next owner starts the job again, as nothing
     tells that it has ended.
     """
+    earlier_threads = set(threading.enumerate())
     cell = env.start()
+    commit_thread, = (t for t in threading.enumerate()
+                      if t.name == "commit-0" and t not in earlier_threads)
     finish_while_store_is_down(env, cell)
     cell.stop(flush=False)
-    assert deployment.wait_until(
-        lambda: "commit-0" not in [t.name for t in threading.enumerate()], 3)
+    commit_thread.join(5)
+    assert not commit_thread.is_alive()
     machine = env.machines[0]
     machine.crash()
     assert deployment.wait_until(lambda: not machine.down, 5)
