List the workers that headroom allows once for equal tasks

In a round with thousands of waiting long-running tasks, each of them listed anew the workers that headroom allows: 2.9 s of a round of 4.4 s at 1,500 workers (bench/victim_search.py). The list is kept until a task starts.

--- a/sycamorefield/fleet/headroom.py
+++ b/sycamorefield/fleet/headroom.py
@@ -22,6 +22,9 @@
 REMAINING_TASKS_DELAY_MIN_UTILISATION = 0.3
 
 
+Workers = list[workerstate.WorkerState]
+
+
 class RequiredHeadroom(enum.Enum):
     """The capacity that a long-running task must leave to others."""
 
@@ -96,6 +99,11 @@
         self.slots_cpu_by_worker = {
             w.entry.worker_id: self._slots_cpu(w, 0) for w in workers}
         self.total_slots_cpu = sum(self.slots_cpu_by_worker.values())
+        # The arguments and results of allowed_workers() since the last start.
+        # Thousands of waiting tasks ask for few sizes.
+        self.allowed: dict[
+            tuple[RequiredHeadroom, int, int, int],
+            tuple[Workers, Workers]] = {}
 
     @property
     def utilisation(self) -> float:
@@ -104,6 +112,7 @@
 
     def record_start(self, worker: workerstate.WorkerState, cpu: int) -> None:
         """Update the slots of the worker on which a task starts."""
+        self.allowed.clear()
         worker_id = worker.entry.worker_id
         if worker_id not in self.slots_cpu_by_worker:
             return
@@ -134,14 +143,23 @@
                 and self.utilisation >= REMAINING_TASKS_DELAY_MIN_UTILISATION)
 
     def allowed_workers(self, required: RequiredHeadroom, step: messages.Step,
-                        workers: list[workerstate.WorkerState]
-                        ) -> list[workerstate.WorkerState]:
+                        workers: Workers) -> Workers:
         """Return the workers that a task of a long-running job may use.
 
         Within a round, workers are only ever removed from the result.
         """
         if self.utilisation < MIN_UTILISATION:
             return workers
+        # Rounds remove workers from a list, and add none.  A list that is
+        # kept here shares its id with no other.
+        key = required, step.room.cpu, id(workers), len(workers)
+        if key not in self.allowed:
+            self.allowed[key] = (
+                workers, self._find_allowed(required, step, workers))
+        return self.allowed[key][1]
+
+    def _find_allowed(self, required: RequiredHeadroom, step: messages.Step,
+                      workers: Workers) -> Workers:
         kept_cpu = self.kept_cpu
         if required is RequiredHeadroom.ALL:
             kept_cpu += self.kept_for_new_jobs_cpu
--- a/tests/test_fleet_headroom.py
+++ b/tests/test_fleet_headroom.py
@@ -275,3 +275,27 @@
     now = 29.5 * interval_s if interval_s else 30.0
     assert (least <= estimator.kept_for_new_jobs_cpu(1e9, now) / majority
             <= most)
+
+
+def test_allowed_workers_follow_starts_and_the_list_of_workers():
+    """Guards against starts that take headroom by an outdated list."""
+    bench = test_fleet_state.Bench(*(
+        fleetfakes.entry(n, capacity=CAPACITY) for n in range(5)))
+    workers = list(bench.state.workers.values())
+    for worker in workers[1:]:
+        worker.reserve((messages.TaskId(worker.entry.worker_id, 0, 0, 0), 1),
+                       messages.Step(1, messages.Resources(30_000, 10)), None)
+    headroom_ = headroom.Headroom(
+        workers, demand.DemandEstimator(), 0, bench.now)
+    required = headroom.RequiredHeadroom.FINITE_TASKS
+    allowed = headroom_.allowed_workers(required, LONG_RUNNING_STEP, workers)
+    assert allowed == workers
+    assert headroom_.allowed_workers(
+        required, LONG_RUNNING_STEP, workers[:2]) == workers[:2]
+    workers.pop()
+    assert headroom_.allowed_workers(
+        required, LONG_RUNNING_STEP, workers) == workers
+    headroom_.kept_cpu = headroom_.total_slots_cpu
+    headroom_.record_start(workers[0], 0)
+    assert not headroom_.allowed_workers(
+        required, LONG_RUNNING_STEP, workers)
