Tell a retry to come again while a record is being removed

A retry that had read the record of a try told "not run" was told "outcome unknown" if the record was removed before the retry looked up whether that try still ran.

A record that no live try holds is now read again; if it has changed since, the retry is told "in progress". A record left by a dead process does not change, so it still ends in "outcome unknown".

test_retry_during_the_removal_of_a_record_comes_again removes the record in that window: "outcome unknown" before, "in progress" and a new record now.

--- a/sycamorefield/idempotency.py
+++ b/sycamorefield/idempotency.py
@@ -145,12 +145,24 @@
             # This try's own write, whose reply was lost.
             return result.Success(self._new_record(
                 getattr(item, "mod_revision", 0), attempt))
-        if record.get("state") == STARTED and self._recorder_alive(record):
+        if record.get("state") == STARTED and (
+                self._recorder_alive(record) or self._has_changed(item)):
             return result.Failure(errors.problem(errors.IN_PROGRESS,
                                                  retry_after=RETRY_AFTER_S))
         return result.Failure(errors.problem(errors.OUTCOME_UNKNOWN,
                                              retry_after=RETRY_AFTER_S))
 
+    def _has_changed(self, item: object) -> bool:
+        """Return whether a record was changed or removed since it was read.
+
+        The try that made it may have ended between the read and the look-up
+        of whether it still runs.
+        """
+        revision = getattr(item, "mod_revision", 0)
+        return self.kv.get(getattr(item, "key", "")).map(
+            lambda latest: latest is None or latest.mod_revision != revision
+        ).value_or(False)
+
     def _new_record(self, revision: int, attempt: str) -> RecordedRequest:
         with self.lock:
             self.active_attempts.add(attempt)
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -260,3 +260,26 @@
     retried.set()
     store.pending_writes.join()
     assert kv.client.get("/idem/cert-1").unwrap() is not None
+
+
+def test_retry_during_the_removal_of_a_record_comes_again(kv, monkeypatch):
+    """Guards against "outcome unknown" for a request that was not run.
+
+    The record of the first try is removed after the retry has read it and
+    before the retry looks up whether the first try still runs.
+    """
+    store = idempotency.IdempotencyStore(kv.client, "entry-1")
+    first = store.record_start("cert-1", "a").unwrap()
+    swap = kv.client.cas
+
+    def remove_after_read(*args, **kwargs):
+        outcome = swap(*args, **kwargs)
+        monkeypatch.undo()
+        store.delete_record("cert-1", first)
+        return outcome
+
+    monkeypatch.setattr(kv.client, "cas", remove_after_read)
+    retry = store.record_start("cert-1", "b")
+    assert retry.failure().code == errors.IN_PROGRESS
+    again = store.record_start("cert-1", "b").unwrap()
+    assert again.kind == idempotency.RecordKind.NEW
