--- a/sycamorefield/fleet/placement_cache.py
+++ b/sycamorefield/fleet/placement_cache.py
@@ -94,7 +94,7 @@
     def workers_to_search(self, scope: SearchScope,
                           request: messages.Resources,
                           workers: list[workerstate.WorkerState],
-                          stopping_too: bool = False
+                          include_stopping: bool = False
                           ) -> list[workerstate.WorkerState]:
         """Return the workers on which a request may fit, in their order.
 
@@ -105,7 +105,7 @@
         if since is None:
             return workers
         return [w for w in workers if w.change_number > since
-                or stopping_too and w.stopping]
+                or include_stopping and w.stopping]
 
     def add(self, scope: SearchScope, request: messages.Resources) -> None:
         """Record that a request has just been found to fit on no worker."""
--- a/sycamorefield/fleet/preemption.py
+++ b/sycamorefield/fleet/preemption.py
@@ -79,7 +79,7 @@
         waiting = dataclasses.replace(
             waiting, workers=misses.workers_to_search(
                 waiting.scope, task.step.room, waiting.workers,
-                stopping_too=True))
+                include_stopping=True))
     choice = finder.choose(waiting)
     if choice is None and remember_searches:
         misses.add(waiting.scope, task.step.room)
--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -220,7 +220,7 @@
         self.stored_unstarted: frozenset[messages.TaskId] = frozenset()
         # Whether the progress has changed since it was last written.
         self.dirty = False
-        # Whether further tasks are unstarted, which is written in time.
+        # Whether further tasks are unstarted; the record may wait for others.
         self.unstarted_added = False
         self.tasks: dict[StepIndex, list[TaskState]] = {}
         # Cache of completed steps: a completed step stays so, and every round
--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -24,7 +24,7 @@
 RETRY_DELAY_S = 0.1
 # A flush includes at most this many jobs of which only waiting tasks changed,
 # so that outcomes don't wait for thousands of them.
-MAX_UNHURRIED_WRITES = VALUES_PER_COMMIT
+MAX_DEFERRED_WRITES = VALUES_PER_COMMIT
 # Minimum time between two writes of the numbers of waiting jobs.
 WAITING_JOBS_PERIOD_S = 1.0
 # How often the learned interference weights of images are written.  They take
@@ -138,14 +138,14 @@
     def _job_writes(self) -> list[PendingWrite]:
         """Return changed progress; some of what can wait comes last."""
         changed: list[progress.JobState] = []
-        unhurried: list[progress.JobState] = []
+        deferred: list[progress.JobState] = []
         for job in self.fleet.jobs.values():
             if job.dirty:
                 changed.append(job)
             elif (job.unstarted_added
-                  and len(unhurried) < MAX_UNHURRIED_WRITES):
-                unhurried.append(job)
-        return [self._job_write(job) for job in changed + unhurried]
+                  and len(deferred) < MAX_DEFERRED_WRITES):
+                deferred.append(job)
+        return [self._job_write(job) for job in changed + deferred]
 
     def _job_write(self, job: progress.JobState) -> PendingWrite:
         job.dirty = job.unstarted_added = False
--- a/tests/test_fleet_victim_search.py
+++ b/tests/test_fleet_victim_search.py
@@ -28,7 +28,7 @@
     """Return all workers for each search."""
 
     def workers_to_search(self, scope, request, workers,
-                          stopping_too=False):
+                          include_stopping=False):
         return workers
 
 
