--- a/tests/test_fleet_takeover.py
+++ b/tests/test_fleet_takeover.py
@@ -545,6 +545,7 @@
             fleet.submit(fleetfakes.job(f"j{number}", step))
         wait_for(lambda: len(fleet.running()) == 8)
         fleet.store.drop_progress = not is_stored
+        fleet.owner.note_lease_renewal(clock.now())
         fleet.submit(fleetfakes.job("last", step))
         wait_for(lambda: "last.0.0.0" in fleet.running()
                  and (fleet.state("last") != "") == is_stored)
