Wait for the server's close in the test of reused connections

test_connections_of_workers_are_reused_until_closed slept 50 ms and assumed that the server's thread had closed its connection by then. If it has not, the client rightly takes the connection for open, and the call fails with a CallFailed. The test now waits until the end of the connection is readable by the client. The assertions are unchanged.

--- a/tests/test_platform_adapter.py
+++ b/tests/test_platform_adapter.py
@@ -185,6 +185,8 @@
 
 
 TASK = messages.TaskId(JOB_ID, 0, 1, 17)
+# How long a server may take to close a connection.
+CLOSE_LIMIT_S = 10.0
 
 
 def test_ends_are_acknowledged_only_over_the_connection_of_a_report():
@@ -697,6 +699,18 @@
     server.close()
 
 
+async def wait_until_closed_by_server(connection):
+    """Wait until the end of an idle connection has reached the client."""
+    closed = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    loop.add_reader(connection.descriptor, closed.set)
+    try:
+        async with asyncio.timeout(CLOSE_LIMIT_S):
+            await closed.wait()
+    finally:
+        loop.remove_reader(connection.descriptor)
+
+
 def test_connections_of_workers_are_reused_until_closed():
     """Guards against a call on a connection that the worker has closed."""
     server = worker_server(200, {"clock_ms": 5})
@@ -713,7 +727,7 @@
     async def call():
         for _ in range(3):
             await worker.stop(messages.StopOrder(TASK, 1), 7)
-        await asyncio.sleep(0.05)
+        await wait_until_closed_by_server(worker.orders.connection)
         await worker.stop(messages.StopOrder(TASK, 1), 7)
 
     asyncio.run(call())
