Crash the workers of a failing rack together in its test

test_rack_failures_fail_no_job crashed one worker after another from the test's thread, and assumed that this thread is not interrupted in between. If it is, the owner sees the crash of a single worker that had just started a task, restarts that task on the next worker, which then crashes as well: as for a task that crashes its workers, its job fails, as it should. The test now holds the locks of all workers that fail while it crashes them, so no call is answered between the crashes. The assertions and limits are unchanged.

--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -1,5 +1,6 @@
 """Test how worker crashes are detected and attributed to tasks."""
 
+import contextlib
 import threading
 import time
 import typing
@@ -302,6 +303,15 @@
     assert starts <= 5
 
 
+def crash_together(workers: list[fleetfakes.MemoryWorker]) -> None:
+    """Crash workers without answering any call between the crashes."""
+    with contextlib.ExitStack() as locks:
+        for worker in workers:
+            locks.enter_context(worker.lock)
+        for worker in workers:
+            worker.crash()
+
+
 @pytest.mark.parametrize("racks", [1, 2, 3])
 def test_rack_failures_fail_no_job(fleet, racks):
     """Guards against blaming a task for repeated failures of a rack."""
@@ -311,9 +321,10 @@
     for failure in range(4):
         wait_for(lambda: len(fleet.running()) == 4)
         rack = f"r{failure % min(racks, 2)}"
-        for entry in fleet.worker_list.entries:
-            if racks == 3 or entry.rack() == rack:
-                fleet.workers[entry.worker_id].crash()
+        crash_together([
+            fleet.workers[entry.worker_id]
+            for entry in fleet.worker_list.entries
+            if racks == 3 or entry.rack() == rack])
     wait_for(lambda: len(fleet.running()) == 4)
     assert not any(fleet.state(job_id) in messages.FINAL_STATES
                    for job_id in "abc")
