Test that tasks run on workers that only other processes reach (fails)

Cause: three cuts of 60% of the workers from 60% of the processes each leave every process with about a quarter of the workers, each worker with some process. One owner starts all tasks, over its own paths; a handover finds the process that reaches most (11 of 33 here), and no other helps.

It needs calls relayed by other processes or several owners; both change the design.

--- a/tests/test_fleet_handover.py
+++ b/tests/test_fleet_handover.py
@@ -295,6 +295,19 @@
     assert processes[2].is_owner()
 
 
+def test_tasks_run_on_all_workers_although_no_process_reaches_most(
+        fleet, processes):
+    """Guards against free workers that only processes without a term reach."""
+    processes[1].cut = {"i-0", "i-3"}
+    processes[2].cut = {"i-1", "i-2", "i-3"}
+    for process in processes[1:]:
+        process.start()
+    step = messages.Step(WORKERS, messages.Resources(4000, 10))
+    fleet.submit(fleetfakes.job("j", step))
+    test_fleet_takeover.wait_for(
+        lambda: len(fleet.running()) == WORKERS)
+
+
 def test_owner_stays_if_no_process_reaches_more_workers(fleet, processes):
     """Guards against changes of owner that help no task."""
     processes[1].cut = processes[0].cut
