--- a/review/lib/scenario.py
+++ b/review/lib/scenario.py
@@ -112,8 +112,13 @@
         self.world.jobs[job_id] = job
         self.jobs[job_id] = {"path": row[0] + job_id, "task_s": row[7],
                              "accepted": False}
+        await self.hand_in(job_id, job)
+
+    async def hand_in(self, job_id, job):
+        """Repeat a job until it is accepted, as callers do."""
+        path = self.jobs[job_id]["path"]
         for _ in range(4):
-            status, _ = await self.call("POST", row[0] + job_id, job)
+            status, _ = await self.call("POST", path, job)
             self.say(f"POST {job_id} {status}")
             if status // 100 == 2:
                 self.jobs[job_id]["accepted"] = True
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -97,7 +97,8 @@
     """The platform's store: items, leases, transactions and watches.
 
     fault(method, path, headers) may return a status with which a call is
-    refused, "lost" (done, not answered) or "silent" (neither).
+    refused, "lost" (done, not answered), "silent" (neither) or ("late",
+    seconds): done after that time, not answered.
     """
 
     PAGE = 500
@@ -179,11 +180,19 @@
             return fault, {}
         if isinstance(fault, float):
             await asyncio.sleep(fault)
+        if isinstance(fault, tuple):
+            asyncio.create_task(self._serve_late(
+                fault[1], method, path, query, body))
+            raise NoAnswer
         result = await self._serve(method, path, query, body)
         if fault == "lost":
             raise NoAnswer
         return result
 
+    async def _serve_late(self, seconds, *call):
+        await asyncio.sleep(seconds)
+        await self._serve(*call)
+
     async def _serve(self, method, path, query, body):
         await asyncio.sleep(0.002)
         if path == "/-/kv-key":
