--- a/review/lib/scenario.py
+++ b/review/lib/scenario.py
@@ -25,6 +25,11 @@
     "r-hull": ("/lohu930/", 0, 250, 1.5, 3.24, (1, 2), 6, 0.64, 3100, 6200),
     "r-renewal": ("/pufi791/", 2, 1000, 2.0, 3.4, (2, 2), 8, 2.2, 3500,
                   6400)}
+# A queue of tasks that last, for scripts that need one.
+WATCH_ROUTE = {"name": "r-watch", "host": HOST, "prefix": "/pule252/",
+               "kind": "non_idempotent", "timeout_ms": 3000, "slo_ms": 2500,
+               "priority": 0, "service": SERVICE, "max_attempts": 2,
+               "stretch": 2.2}
 
 
 class Scenario:
@@ -70,7 +75,8 @@
                         "kind": "non_idempotent", "timeout_ms": 3000,
                         "slo_ms": row[2], "priority": row[1],
                         "service": SERVICE, "max_attempts": MAX_ATTEMPTS,
-                        "stretch": row[3]} for name, row in QUEUES.items()],
+                        "stretch": row[3]} for name, row in QUEUES.items()]
+            + [WATCH_ROUTE],
             "services": [{"name": SERVICE, "health_path": "/health",
                           "max_conns": 64, "protocol": "h1", "tls": False,
                           "rejects_overload": False, "spare": False}],
--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import base64
+import bisect
 import json
 import random
 import socket
@@ -105,6 +106,8 @@
 
     def __init__(self, host, port):
         self.items = {}
+        # The keys in order.
+        self.keys = []
         self.history = []
         self.rev = 1
         self.oldest = 0
@@ -136,6 +139,7 @@
 
     def _remove(self, key):
         if self.items.pop(key, None) is not None:
+            del self.keys[bisect.bisect_left(self.keys, key)]
             self.history.append({"key": key, "rev": self.rev,
                                  "deleted": True, "at": now()})
 
@@ -164,6 +168,8 @@
         item = {"key": key, "value": value, "rev": self.rev,
                 "created": old["created"] if old else self.rev,
                 "lease": lease, "at": now()}
+        if old is None:
+            bisect.insort(self.keys, key)
         self.items[key] = item
         self.history.append(item)
 
@@ -201,9 +207,11 @@
                 return 404, {"current_rev": self.rev}
             return 200, {**self._row(item), "current_rev": self.rev}
         if path == "/-/kv-range":
-            keys = sorted(k for k in self.items
-                          if k.startswith(query["prefix"])
-                          and k > query.get("after", ""))
+            prefix, after = query["prefix"], query.get("after", "")
+            first = (bisect.bisect_right(self.keys, after) if after
+                     else bisect.bisect_left(self.keys, prefix))
+            keys = [k for k in self.keys[first:first + self.PAGE + 1]
+                    if k.startswith(prefix)]
             return 200, {"items": [self._row(self.items[k])
                                    for k in keys[:self.PAGE]],
                          "has_more": len(keys) > self.PAGE,
