--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -587,9 +587,6 @@
         rows = []
         for run in self.runs.values():
             step = self.world.step_of(run.task)
-            if step.get("checkpoint") and run.work_began is not None and (
-                    now() - run.work_began > 1.0):
-                pass
             rows.append([run.task, run.run, run.saved, self.percent(run),
                          step.get("cpu", 0)])
         return 200, {"clock_ms": self.clock_ms(), "running": rows,
