--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -243,6 +243,9 @@
             usage_gauges = dataclasses.asdict(self.usage)
             for priority, count in usage_gauges.pop("waiting").items():
                 gauges[f'tasks_waiting{{priority="{priority}"}}'] = count
+            for priority, waited_s in usage_gauges.pop(
+                    "longest_wait_s").items():
+                gauges[f'longest_wait_s{{priority="{priority}"}}'] = waited_s
             gauges.update(usage_gauges)
         return gauges
 
@@ -290,7 +293,8 @@
     def _log_usage(self, previous_times: usage_mod.RoundTimes
                    ) -> usage_mod.RoundTimes:
         """Log the utilisation; return the rounds counted so far."""
-        self.usage = usage_mod.measure(self.fleet, clock.now())
+        self.usage = usage_mod.measure(
+            self.fleet, clock.now(), clock.wall_ms())
         self.waiting_log.update(self.fleet, clock.now(),
                                 clock.now() - self.round_ended_at)
         self.doubtful_runs.update(self.fleet, clock.now())
--- a/sycamorefield/fleet/placing.py
+++ b/sycamorefield/fleet/placing.py
@@ -64,8 +64,7 @@
     if worker.on_trial and step.perpetual:
         # Its run would not end and tells nothing of the worker.
         return False
-    if (step.fills and available_best_effort_cpu(worker)
-            < BEST_EFFORT_CPU_FACTOR * step.room.cpu):
+    if not has_unused_cpu(worker, step):
         return False
     if not worker.free_capacity().holds(step.reserved()):
         return False
@@ -76,6 +75,13 @@
                                    MAX_TAIL_LATENCY_RATIO)
 
 
+def has_unused_cpu(worker: workerstate.WorkerState,
+                   step: messages.Step) -> bool:
+    """Return whether a best-effort task finds the CPU that it needs."""
+    return (not step.fills or available_best_effort_cpu(worker)
+            >= BEST_EFFORT_CPU_FACTOR * step.room.cpu)
+
+
 def has_room_when_slow(worker: workerstate.WorkerState,
                        step: messages.Step) -> bool:
     """Return whether a worker has the capacity, on trial or not."""
--- a/sycamorefield/fleet/usage.py
+++ b/sycamorefield/fleet/usage.py
@@ -48,6 +48,9 @@
     ahead_cores: float
     # Ready tasks without a run, by priority.
     waiting: dict[int, int]
+    # How long ago the finite job that has waited longest without a run was
+    # due, by priority, in seconds.
+    longest_wait_s: dict[int, float]
     # Long-running tasks that have run but have no run now: how many, the
     # longest downtime of a job, and the CPU that the largest needs.
     lasting_down: int
@@ -55,7 +58,8 @@
     lasting_down_cores: float
 
 
-def measure(fleet: "state_mod.FleetState", now: float) -> Usage:
+def measure(fleet: "state_mod.FleetState", now: float,
+            wall_ms: float) -> Usage:
     """Return the use of the fleet and the number of waiting tasks.
 
     The lock is released after each job: with hundreds of jobs, reports and
@@ -64,6 +68,7 @@
     with fleet.lock:
         states = list(fleet.active.values())
     waiting: dict[int, int] = {}
+    longest_wait_s: dict[int, float] = {}
     down_tasks = []
     longest_down_s = 0.0
     for state in states:
@@ -71,6 +76,10 @@
             priority = state.job.priority
             waiting[priority] = (waiting.get(priority, 0)
                                  + sum(map(len, state.ready_tasks())))
+            if _waits_without_run(state):
+                longest_wait_s[priority] = max(
+                    longest_wait_s.get(priority, 0.0),
+                    _waited_s(state, wall_ms))
             if state.long_running:
                 down_tasks += _down_tasks(state)
                 longest_down_s = max(longest_down_s, state.downtime_s(now))
@@ -93,11 +102,25 @@
             len(fleet.awaited_workers), len(fleet.trials.by_worker),
             len(evacuated), sum(len(w.reserved) for w in evacuated),
             sum(w.long_running_cpu for w in workers) / 1000.0,
-            kept_cpu / 1000.0, ahead_cpu / 1000.0, waiting, len(down_tasks),
+            kept_cpu / 1000.0, ahead_cpu / 1000.0, waiting, longest_wait_s,
+            len(down_tasks),
             round(longest_down_s, 3),
             max((t.step.room.cpu for t in down_tasks), default=0) / 1000.0)
 
 
+def _waits_without_run(state: progress.JobState) -> bool:
+    """Return whether a finite job has ready tasks and none that runs."""
+    return (not state.long_running and any(state.ready_tasks())
+            and all(task.phase == progress.IDLE
+                    for task in state.all_tasks()))
+
+
+def _waited_s(state: progress.JobState, wall_ms: float) -> float:
+    """Return the time since a job was accepted or due."""
+    due_ms = max(state.job.accepted_ms, state.job.due_ms(0))
+    return round(max(0.0, wall_ms - due_ms) / 1000.0, 3)
+
+
 def _down_tasks(state: progress.JobState) -> list[progress.TaskState]:
     return [task for task in state.all_tasks()
             if task.phase == progress.IDLE and task.has_run]
--- a/sycamorefield/fleet/waitingreasons.py
+++ b/sycamorefield/fleet/waitingreasons.py
@@ -48,6 +48,8 @@
 UNSENT_STARTS = "too many unsent starts"
 HELD = "resources held for another task"
 FULL = "full"
+NO_UNUSED_CPU = "best-effort tasks use its CPU"
+TAIL_LATENCY = "tail latencies would be too high"
 RESERVED = "reserved for a long-running task that is down"
 WIDE_SLOT = "kept for wide finite tasks"
 # Not excluded: if tasks wait long beside such workers, rounds keep them free.
@@ -140,8 +142,10 @@
         (UNKNOWN_RUN, worker.has_unknown_run),
         (UNSENT_STARTS, not worker.accepts_starts()),
         (HELD, _is_held(fleet, worker, task)),
-        (FULL, not placing.fits(worker, task.step,
-                                fleet.interference_model)),
+        (FULL, not worker.free_capacity().holds(task.step.reserved())),
+        (NO_UNUSED_CPU, not placing.has_unused_cpu(worker, task.step)),
+        (TAIL_LATENCY, not placing.fits(worker, task.step,
+                                        fleet.interference_model)),
         (RESERVED, entry.worker_id in fleet.reserved_workers),
         (WIDE_SLOT, _is_wide_slot(fleet, worker, task)))
     return next((reason for reason, applies in checks if applies), FITS)
--- a/tests/test_fleet_evacuations.py
+++ b/tests/test_fleet_evacuations.py
@@ -8,6 +8,7 @@
 import pytest
 
 from sycamorefield.fleet import answers
+from sycamorefield.fleet import clock
 from sycamorefield.fleet import controlwatcher
 from sycamorefield.fleet import evacuations
 from sycamorefield.fleet import interfaces
@@ -188,7 +189,7 @@
     assert len(stopped) == 2
     assert {worker_id for worker_id, order in bench.orders
             if isinstance(order, messages.StopOrder)} == {"i-0"}
-    found = usage.measure(bench.state, bench.now)
+    found = usage.measure(bench.state, bench.now, clock.wall_ms())
     assert (found.workers_evacuated, found.runs_evacuated) == (1, 4)
     assert found.capacity_cores == 4.0
 
--- a/tests/test_fleet_held_tasks.py
+++ b/tests/test_fleet_held_tasks.py
@@ -7,6 +7,7 @@
 from sycamorefield import events
 from sycamorefield.fleet import doubtfulruns
 from sycamorefield.fleet import headroom
+from sycamorefield.fleet import interference
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import ordering
 from sycamorefield.fleet import policy as policy_mod
@@ -157,6 +158,24 @@
         bench.state, state.tasks[0, 0][0], "desk", bench.now) == {reason: 1}
 
 
+HIGH_TAIL = interference.TailLatency("web", 0.9, 0.3, 0.7, 0.7, 0.7)
+
+
+@pytest.mark.parametrize(("changes", "reason"), [
+    ({"best_effort_cpu": 1000}, waitingreasons.NO_UNUSED_CPU),
+    ({"tail_latencies": [HIGH_TAIL]}, waitingreasons.TAIL_LATENCY),
+    ({}, waitingreasons.FITS)], ids=["no CPU", "tail latency", "fits"])
+def test_best_effort_step_that_waits_tells_for_what(changes, reason):
+    bench = test_fleet_state.Bench(fleetfakes.entry(0))
+    bench.add(fleetfakes.job("j", messages.Step(
+        1, messages.Resources(3000, 1000), fills=True)))
+    state = bench.state.jobs["j"]
+    state.create_tasks(0)
+    exclude_by_state(**changes)(bench, bench.state.workers["i-0"])
+    assert waitingreasons.count_workers(
+        bench.state, state.tasks[0, 0][0], "desk", bench.now) == {reason: 1}
+
+
 @pytest.mark.parametrize(("policy", "has_run", "reason"), [
     (policy_mod.Policy(), False, waitingreasons.HEADROOM),
     (policy_mod.Policy(), True, waitingreasons.NO_WORKER),
--- a/tests/test_fleet_usage.py
+++ b/tests/test_fleet_usage.py
@@ -82,9 +82,9 @@
     fleet = make_fleet(3)
     state = fleet.add_job(fleetfakes.job("j", *steps), 20)
     rounds.place(fleet, 100.0, 1e12)
-    assert not usage.measure(fleet, 100.0).lasting_down
+    assert not usage.measure(fleet, 100.0, clock.wall_ms()).lasting_down
     lose_runs(fleet, state)
-    found = usage.measure(fleet, 107.0)
+    found = usage.measure(fleet, 107.0, clock.wall_ms())
     assert (found.lasting_down, found.lasting_down_s,
             found.lasting_down_cores) == (
                 down, longest_s, widest_cores)
@@ -96,11 +96,26 @@
     fleet = make_fleet(0)
     fleet.add_job(fleetfakes.job("j", LONG_RUNNING_STEP), 20)
     rounds.place(fleet, 100.0, 1e12)
-    found = usage.measure(fleet, 107.0)
+    found = usage.measure(fleet, 107.0, clock.wall_ms())
     assert found.lasting_down == 0
     assert found.lasting_down_s == 0.0
 
 
+@pytest.mark.parametrize(("steps", "workers", "expected"), [
+    ((FINITE_STEP,), 0, {0: 9.0}), ((FINITE_STEP,), 1, {}),
+    ((FINITE_STEP, FINITE_STEP), 0, {0: 9.0}),
+    ((LONG_RUNNING_STEP,), 0, {})],
+    ids=["waiting", "running", "two-steps", "long-running"])
+def test_usage_reports_the_longest_wait_of_a_finite_job(
+        steps, workers, expected):
+    """Guards against jobs that never start while only counts are logged."""
+    fleet = make_fleet(workers)
+    fleet.add_job(fleetfakes.job("j", *steps, accepted_ms=1e12), 20)
+    rounds.place(fleet, 100.0, 1e12)
+    found = usage.measure(fleet, 109.0, 1e12 + 9000.0)
+    assert found.longest_wait_s == expected
+
+
 @pytest.mark.parametrize(("unresponsive_ids", "awaited_ids", "expected"), [
     ((), (), (3, 0, 0)), (("i-0",), (), (3, 1, 0)),
     (("i-0", "i-2"), ("i-1", "i-8"), (3, 2, 2))],
@@ -111,7 +126,7 @@
     fleet.await_workers(awaited_ids, 1e9)
     for worker_id in unresponsive_ids:
         fleet.mark_unresponsive(worker_id, "no answer")
-    found = usage.measure(fleet, 100.0)
+    found = usage.measure(fleet, 100.0, clock.wall_ms())
     assert (found.workers, found.workers_silent,
             found.workers_unheard) == expected
 
@@ -137,7 +152,7 @@
     for number in range(50):
         fleet.add_job(fleetfakes.job(f"j{number}"), 20 + number)
     fleet.lock = CountingLock()
-    usage.measure(fleet, 100.0)
+    usage.measure(fleet, 100.0, clock.wall_ms())
     assert fleet.lock.acquisitions >= 50
 
 
@@ -295,13 +310,13 @@
 def test_gauges_report_waiting_tasks_by_priority():
     fleet = test_fleet_takeover.Fleet(0)
     owner = fleet.take_over()
-    owner.usage = usage.measure(owner.fleet, clock.now())
+    owner.usage = usage.measure(owner.fleet, clock.now(), clock.wall_ms())
     state = progress.JobState(fleetfakes.job("j", priority=2), 1)
     state.create_tasks(0)
     with owner.fleet.lock:
         owner.fleet.active["j"] = state
     try:
-        owner.usage = usage.measure(owner.fleet, clock.now())
+        owner.usage = usage.measure(owner.fleet, clock.now(), clock.wall_ms())
         assert owner.gauges()['tasks_waiting{priority="2"}'] == 1
     finally:
         owner.step_down("test over")
