--- a/tests/admissionload.py
+++ b/tests/admissionload.py
@@ -66,11 +66,14 @@
     """A fleet, an entry process and callers; load maps queue to rate.
 
     load(queue, t) returns the share of the fleet's CPU that callers ask for.
+    The tasks of best_effort queues reserve no CPU.
     """
 
-    def __init__(self, fake_clock, load, with_admission, seed=1) -> None:
+    def __init__(self, fake_clock, load, with_admission, seed=1,
+                 best_effort=()) -> None:
         self.clock = fake_clock
         self.load = load
+        self.best_effort = best_effort
         self.arrivals = random.Random(seed)
         # Run times don't depend on what is admitted.
         self.seed = seed
@@ -132,7 +135,8 @@
         error = 1.0 + self.arrivals.uniform(-1, 1) * MAX_ESTIMATE_ERROR
         job_steps = tuple(messages.Step(
             TASKS, messages.Resources(1000, 10), int(run_s * error * 1000),
-            (number - 1,) if number else ()) for number in range(steps))
+            (number - 1,) if number else (),
+            fills=queue.name in self.best_effort) for number in range(steps))
         caller = Caller(
             fleetfakes.job(f"{len(self.callers):016x}", *job_steps,
                            queue=queue.name, priority=queue.priority,
