Read backlogs that are written at a present time of day

Callers saw: no job was ever rejected under load; the owner logged an overload (SF1863) and all entry processes "backlog cannot be used" (SF1864, unreadable). Cause: the type of all amounts in a backlog ends at 1e12, and the time it is written at has been above that since 2001 (1.8e12 ms). The simulations and tests ran at 1e6 ms after 1970. The test fails on the code before for both times (1.8e12, 4e12) and passes now.

--- a/sycamorefield/fleet/backlog.py
+++ b/sycamorefield/fleet/backlog.py
@@ -35,6 +35,9 @@
 
 Amount = typing.Annotated[
     float, pydantic.Field(ge=0.0, le=1e12, allow_inf_nan=False)]
+# Milliseconds since 1970; the bound is thousands of years from now.
+WallTime = typing.Annotated[
+    float, pydantic.Field(ge=0.0, le=1e14, allow_inf_nan=False)]
 Positive = typing.Annotated[
     float, pydantic.Field(gt=0.0, le=1e9, allow_inf_nan=False)]
 Share = typing.Annotated[
@@ -139,7 +142,7 @@
     """The backlog of an owner; fence names its term."""
 
     version: typing.Literal[1]
-    written_ms: Amount
+    written_ms: WallTime
     fence: typing.Annotated[int, pydantic.Field(ge=1)]
     pools: tuple[Pool, ...] = ()
     queues: dict[str, QueueLoad] = dataclasses.field(default_factory=dict)
--- a/tests/test_fleet_admission.py
+++ b/tests/test_fleet_admission.py
@@ -192,6 +192,13 @@
     assert entry.stored() is not rejected
 
 
+@pytest.mark.parametrize("wall_ms", [1.8e12, 4e12])
+def test_backlog_written_at_a_present_time_is_readable(wall_ms):
+    """Guards against a limit on values that excludes every time of day."""
+    found = overloaded(3, written_ms=wall_ms)
+    assert backlog.decode(backlog.encode(found)) == found
+
+
 def test_time_set_back_does_not_keep_a_backlog_usable(time_now, monkeypatch):
     """Guards against a backlog that stays young as the time of day jumps."""
     entry = Entry()
