Bound the wait of best-effort jobs that are too late

Cause: jobs that are too late go after all others of their priority, for as long as any come. Change: after 30 s such a job goes first in a tenth of the time. Only best-effort jobs: the others wait only while CPU is reserved, and admission already rejects those that could not end in time.

--- a/sycamorefield/fleet/ordering.py
+++ b/sycamorefield/fleet/ordering.py
@@ -20,7 +20,13 @@
 # would be late even if it took just this share of its remaining estimate.
 OPTIMISTIC_ESTIMATE_SHARE = 0.25
 # Ranks of the jobs of one priority, first to last.
-INTERRUPTED, ON_TIME, LATE, TOO_LATE, LONG_RUNNING = range(5)
+INTERRUPTED, OVERDUE, ON_TIME, LATE, TOO_LATE, LONG_RUNNING = range(6)
+# A best-effort job that is too late and has waited this long goes first, among
+# the finite ones, for OVERDUE_TIME_S of each OVERDUE_PERIOD_S.  Jobs on time
+# may come for ever, and would pass it each time, beside workers with capacity.
+OVERDUE_AFTER_S = 30.0
+OVERDUE_PERIOD_S = 5.0
+OVERDUE_TIME_S = 0.5
 # A long-running task that has been down for a shorter time waits for capacity
 # that no finite task needs: restarting it at once would take capacity from
 # urgent finite jobs.  A task that is down for 9 s although capacity for it
@@ -33,7 +39,10 @@
          run_times: runtimes.RunTimeModel | None = None) -> int:
     """Return the rank of a job among those of its priority."""
     if not state.long_running:
-        return lateness(state, queue, wall_ms, run_times)
+        found = lateness(state, queue, wall_ms, run_times)
+        return (OVERDUE if found == TOO_LATE
+                and now % OVERDUE_PERIOD_S < OVERDUE_TIME_S
+                and _is_overdue(state, wall_ms) else found)
     return INTERRUPTED if is_interrupted(state, now) else LONG_RUNNING
 
 
@@ -42,6 +51,13 @@
     return state.downtime_s(now) >= BOOST_AFTER_DOWN_S
 
 
+def _is_overdue(state: progress.JobState, wall_ms: float) -> bool:
+    if not any(step.fills for step in state.job.steps):
+        return False
+    due_since_ms = max(state.job.accepted_ms, state.job.due_ms(0))
+    return wall_ms - due_since_ms >= OVERDUE_AFTER_S * 1000.0
+
+
 def lateness(state: progress.JobState, queue: messages.Queue | None,
              wall_ms: float,
              run_times: runtimes.RunTimeModel | None = None) -> int:
@@ -80,7 +96,7 @@
     def key(state: progress.JobState) -> tuple[int, int, int]:
         queue = queues.get(state.job.queue)
         job_rank = rank(state, queue, wall_ms, now, run_times)
-        if not by_lateness and job_rank in (LATE, TOO_LATE):
+        if not by_lateness and job_rank in (OVERDUE, LATE, TOO_LATE):
             job_rank = ON_TIME
         return priority(state, queues), job_rank, state.created_revision
     return sorted(states, key=key)
--- a/tests/test_fleet_ordering.py
+++ b/tests/test_fleet_ordering.py
@@ -48,6 +48,29 @@
                                              "long-running"]
 
 
+BEST_EFFORT_STEP = messages.Step(1, estimate_ms=2000, fills=True)
+
+
+@pytest.mark.parametrize((
+    "step", "waited_ms", "now", "by_lateness", "first"), [
+    (BEST_EFFORT_STEP, 29_999, 100.2, True, "new"),
+    (BEST_EFFORT_STEP, 30_000, 100.2, True, "old"),
+    (BEST_EFFORT_STEP, 30_000, 100.6, True, "new"),
+    (BEST_EFFORT_STEP, 30_000, 105.4, True, "old"),
+    (BEST_EFFORT_STEP, 30_000, 100.6, False, "old"),
+    (STEPS[0], 30_000, 100.2, True, "new")], ids=[
+        "not long", "overdue", "rest of the time", "next time", "by age",
+        "reserves CPU"])
+def test_overdue_best_effort_job_goes_first_in_a_share_of_the_time(
+        step, waited_ms, now, by_lateness, first):
+    """Guards against a job that others pass for ever."""
+    wall_ms = 100_000.0
+    old = job_state("old", wall_ms - waited_ms, step, created=1)
+    new = job_state("new", wall_ms, step, created=2)
+    order = ordering.sort_jobs([new, old], QUEUES, wall_ms, now, by_lateness)
+    assert order[0].job.job_id == first
+
+
 def test_priority_takes_precedence_over_lateness():
     queues = {**QUEUES, "renewals": messages.Queue(
         "renewals", "h", "/r/", "desk", 2, 2, stretch=2.0, slo_ms=500.0)}
