Accept no more best-effort work than is served in time

Cause: best-effort tasks reserve no CPU, and admission estimated waits for reserved CPU alone, so all best-effort jobs were accepted. What was accepted grew for as long as more came than was served.

Change: the owner publishes, by image, the best-effort work that waits and the CPU that such tasks lately had; entry processes reject jobs whose images have more work ahead than their objective allows, some from half of that on.

--- a/sycamorefield/fleet/admission.py
+++ b/sycamorefield/fleet/admission.py
@@ -40,6 +40,15 @@
 # Least time between two log lines on backlogs that cannot be used.
 LOG_PERIOD_S = 10.0
 
+# Best-effort jobs are rejected from this time on, in which the work ahead is
+# served, however long their objective is.  All jobs must have begun some
+# seconds after the last one was accepted.
+LONGEST_DRAIN_S = 10.0
+# The least limit of that time.  So much may wait for a moment in normal load.
+SHORTEST_DRAIN_LIMIT_S = 1.0
+# From this share of the limit on some jobs are rejected, at the limit all.
+EARLY_REJECTION_SHARE = 0.5
+
 MISSING = "missing"
 UNREADABLE = "unreadable"
 FOREIGN = "not of the present owner"
@@ -161,6 +170,48 @@
            backlog: backlog_mod.Backlog, age_s: float,
            asked: typing.Mapping[str, float]) -> Rejected | None:
     """Return a rejection if a job cannot end in time by a usable backlog."""
+    return (_decide_best_effort(job, queue, backlog, age_s)
+            or _decide_finite(job, queue, backlog, age_s, asked))
+
+
+def _decide_best_effort(job: messages.Job, queue: messages.Queue,
+                        backlog: backlog_mod.Backlog, age_s: float
+                        ) -> Rejected | None:
+    """Return a rejection if more best-effort work waits than can be served.
+
+    All that is accepted runs to its end, so beyond what is served in time, a
+    new job could only be in time at the cost of others.  Jobs are rejected at
+    random with a probability that rises with the work that waits: the backlog
+    is up to two seconds old, in which all processes would accept all jobs or
+    none.
+    """
+    times = backlog_mod.estimate_best_effort_times(backlog, job, queue)
+    if times is None:
+        return None
+    drain_s = backlog.drain_s(job, queue.priority) - age_s
+    limit_s = max(SHORTEST_DRAIN_LIMIT_S, min(
+        LONGEST_DRAIN_S, times.objective_s - times.path_s))
+    excess = drain_s / limit_s - EARLY_REJECTION_SHARE
+    if excess <= (1.0 - EARLY_REJECTION_SHARE) * _draw(
+            job.job_id, backlog.written_ms):
+        return None
+    return Rejected(
+        f"load: accepted best-effort work takes {drain_s:.1f} s to serve, "
+        f"{limit_s:.1f} s allowed",
+        retry_after_s(job.job_id, drain_s - limit_s))
+
+
+def _draw(job_id: str, written_ms: float) -> float:
+    """Return a number between 0 and 1 for a job and a backlog.
+
+    It is the same in all processes, and another one for each backlog.
+    """
+    return zlib.crc32(f"{job_id} {written_ms}".encode()) / 2.0 ** 32
+
+
+def _decide_finite(job: messages.Job, queue: messages.Queue,
+                   backlog: backlog_mod.Backlog, age_s: float,
+                   asked: typing.Mapping[str, float]) -> Rejected | None:
     times = backlog_mod.estimate_times(
         backlog, age_s, job, queue, ordering.LATE_FACTOR)
     if times is None or times.end_s <= times.limit_s:
--- a/sycamorefield/fleet/backlog.py
+++ b/sycamorefield/fleet/backlog.py
@@ -32,6 +32,8 @@
 # Waits that are shorter are not worth publishing: no objective is missed by
 # them.
 MIN_WAIT_S = 0.5
+# Bounds the encoded form.
+MAX_BEST_EFFORT_LOADS = 16
 
 Amount = typing.Annotated[
     float, pydantic.Field(ge=0.0, le=1e12, allow_inf_nan=False)]
@@ -137,6 +139,25 @@
     best_effort: RunBounds | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class BestEffortLoad:
+    """The best-effort work of an image on a service, up to a priority.
+
+    It waits for CPU that other tasks leave unused; served_cores is how much
+    of that it lately got.
+    """
+
+    service: str
+    image: str
+    priority: int
+    waiting_cpu_s: Amount
+    served_cores: Positive
+
+    def drain_s(self) -> float:
+        """Return how long it takes to serve what waits."""
+        return self.waiting_cpu_s / self.served_cores
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Backlog:
     """The backlog of an owner; fence names its term."""
@@ -146,10 +167,19 @@
     fence: typing.Annotated[int, pydantic.Field(ge=1)]
     pools: tuple[Pool, ...] = ()
     queues: dict[str, QueueLoad] = dataclasses.field(default_factory=dict)
+    best_effort: tuple[BestEffortLoad, ...] = ()
 
     def waits(self) -> bool:
         """Return whether any new job would wait."""
-        return any(pool.waits for pool in self.pools)
+        return bool(self.best_effort) or any(
+            pool.waits for pool in self.pools)
+
+    def drain_s(self, job: messages.Job, priority: int) -> float:
+        """Return how long it takes to serve the best-effort work ahead."""
+        images = {step.image for step in job.steps if step.fills}
+        return max((load.drain_s() for load in self.best_effort
+                    if load.service == job.service and load.image in images
+                    and load.priority <= priority), default=0.0)
 
     def wait_s(self, service: str, priority: int,
                step: messages.Step) -> float:
@@ -307,3 +337,32 @@
             (path_s[earlier] for earlier in step.after), default=0.0))
     objective_s = queue.stretch * max(path_s) + queue.slo_ms / 1000.0
     return JobTimes(max(ends_s), late_factor * objective_s)
+
+
+class BestEffortTimes(typing.NamedTuple):
+    """How long a job runs if it never waits, and its objective."""
+
+    path_s: float
+    objective_s: float
+
+
+def estimate_best_effort_times(backlog: Backlog, job: messages.Job,
+                               queue: messages.Queue
+                               ) -> BestEffortTimes | None:
+    """Return the times of a job with best-effort steps.
+
+    None if it has none, or if it is not known when or how long it runs.
+    """
+    if (job.start_at_ms or job.repeat_count > 1
+            or any(step.perpetual for step in job.steps)
+            or not any(step.fills for step in job.steps)):
+        return None
+    path_s: list[float] = []
+    for step in job.steps:
+        bounds = backlog.bounds(queue.name, step)
+        task_s = (bounds.task_s(step, MID) if bounds is not None
+                  else step.estimate_ms / 1000.0)
+        path_s.append(task_s + max(
+            (path_s[earlier] for earlier in step.after), default=0.0))
+    return BestEffortTimes(
+        max(path_s), queue.stretch * max(path_s) + queue.slo_ms / 1000.0)
--- a/sycamorefield/fleet/backlogmeter.py
+++ b/sycamorefield/fleet/backlogmeter.py
@@ -12,11 +12,13 @@
 
 from sycamorefield import events
 from sycamorefield.fleet import backlog as backlog_mod
+from sycamorefield.fleet import besteffortbacklog
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import demand
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import ordering
 from sycamorefield.fleet import progress
+from sycamorefield.fleet import recentrange
 from sycamorefield.fleet import runtimes
 from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import workerstate
@@ -75,26 +77,7 @@
     running_cpu_by_queue: collections.Counter[str]
     # The narrowest finite step of each queue's jobs.
     narrowest: dict[str, int]
-
-
-class RecentRange:
-    """The values of the last seconds."""
-
-    def __init__(self, window_s: float) -> None:
-        self.window_s = window_s
-        self.values: collections.deque[tuple[float, float]] = (
-            collections.deque())
-
-    def add(self, value: float, now: float) -> None:
-        """Add a value and drop old ones."""
-        self.values.append((now, value))
-        while self.values[0][0] < now - self.window_s:
-            self.values.popleft()
-
-    def has_changed(self, max_change: float) -> bool:
-        """Return whether the values differ by more than a share."""
-        values = [value for _, value in self.values]
-        return max(values) - min(values) > max_change * max(values)
+    best_effort: besteffortbacklog.BestEffortWork
 
 
 class BacklogMeter:
@@ -112,9 +95,10 @@
         self.measure_s = 0.0
         self.overloaded = False
         self.last_waits_at = float("-inf")
-        self.listed_cpu: dict[str, RecentRange] = {}
+        self.listed_cpu: dict[str, recentrange.RecentRange] = {}
         self.got_cpu: dict[str, float] = {}
         self.got_at: float | None = None
+        self.best_effort = besteffortbacklog.BestEffortMeter()
 
     def run(self, stopped: threading.Event) -> None:
         """Measure until stopped."""
@@ -149,6 +133,11 @@
         gauges = {"backlog_measure_s": self.measure_s,
                   "backlog_bytes": float(len(self.data or b""))}
         latest = self.latest
+        for load in latest.best_effort if latest is not None else ():
+            label = (f'{{service="{load.service}",image="{load.image}",'
+                     f'priority="{load.priority}"}}')
+            gauges["best_effort_waiting_cpu_s" + label] = load.waiting_cpu_s
+            gauges["best_effort_drain_s" + label] = load.drain_s()
         for pool in latest.pools if latest is not None else ():
             if not pool.requires:
                 label = (f'{{service="{pool.service}",'
@@ -174,20 +163,26 @@
         capacities = self._add_up_workers(
             {work.pool for work in load.works})
         self._update_history(load, capacities, queues, now)
+        best_effort = self.best_effort.measure(load.best_effort, {
+            pool.service: capacity.listed
+            for pool, capacity in capacities.items() if not pool.requires},
+            now)
         if not settled or now - self.started_at < WARM_UP_S:
             return None
         pools = tuple(self._pools(load, capacities, queues))
         return backlog_mod.Backlog(
             backlog_mod.VERSION, round(wall_ms, 1), fleet.fence, pools,
             {name: self._queue_load(queue, load, pools, bounds)
-             for name, queue in queues.items()})
+             for name, queue in queues.items()}, best_effort)
 
     def _add_up_jobs(self, states: list[progress.JobState],
                      queues: dict[str, messages.Queue],
                      bounds: BoundsByQueue, now: float,
                      wall_ms: float) -> Load:
         load = Load([], collections.Counter(),
-                    collections.defaultdict(float), collections.Counter(), {})
+                    collections.defaultdict(float), collections.Counter(),
+                    {},
+                    besteffortbacklog.BestEffortWork())
         by_lateness = self.fleet.policy.rank_by_lateness
         for state in states:
             queue = queues.get(state.job.queue)
@@ -198,6 +193,8 @@
                 for occurrence, number in list(state.tasks):
                     _add_step(load, state, queue, (occurrence, number),
                               bounds, lapse_s, now)
+                load.best_effort.add_job(
+                    queue, state, bounds.get((queue.name, True)))
         return load
 
     def _add_up_workers(self, pools: set[backlog_mod.PoolKey]
@@ -231,7 +228,8 @@
         for pool, capacity in capacities.items():
             if not pool.requires:
                 self.listed_cpu.setdefault(
-                    pool.service, RecentRange(CHANGE_WINDOW_S)).add(
+                    pool.service,
+                    recentrange.RecentRange(CHANGE_WINDOW_S)).add(
                         capacity.listed, now)
         elapsed_s = 0.0 if self.got_at is None else now - self.got_at
         kept = 0.5 ** (elapsed_s / GOT_HALF_LIFE_S)
--- /dev/null
+++ b/sycamorefield/fleet/besteffortbacklog.py
@@ -0,0 +1,113 @@
+"""Measure how much best-effort work waits, and how fast it is served.
+
+Best-effort tasks reserve no CPU, so free capacity does not tell how long they
+wait.  What the fleet lately served them at a time does.  It is followed for
+each image: next to serving tasks, some images can run nearly everywhere and
+others almost nowhere.
+"""
+
+import collections
+import dataclasses
+import typing
+
+from sycamorefield.fleet import backlog as backlog_mod
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import progress
+from sycamorefield.fleet import recentrange
+
+# The CPU served is the most of this time: a moment of little demand, or of
+# high load by other tasks, must not count as a slow fleet.
+SERVED_WINDOW_S = 10.0
+# The least share of a service's CPU that counts as served to an image.
+# Otherwise nothing could be accepted of an image that has not run yet.
+MIN_SERVED_SHARE = 0.02
+
+
+class ImageClass(typing.NamedTuple):
+    """Tasks of one image on a service, by the priority of their queue."""
+
+    service: str
+    image: str
+    priority: int
+
+
+@dataclasses.dataclass(slots=True)
+class BestEffortWork:
+    """Waiting core-seconds, and CPU of runs in thousandths of a core."""
+
+    waiting_cpu_s: collections.defaultdict[ImageClass, float] = (
+        dataclasses.field(
+            default_factory=lambda: collections.defaultdict(float)))
+    running_cpu: collections.Counter[tuple[str, str]] = dataclasses.field(
+        default_factory=collections.Counter)
+
+    def add_job(self, queue: messages.Queue, state: progress.JobState,
+                known: backlog_mod.RunBounds | None) -> None:
+        """Add the best-effort tasks of a job.
+
+        Of a job with a run, only tasks that are ready wait for CPU: the
+        others follow when the run ends.
+        """
+        if not any(step.fills for step in state.job.steps):
+            return
+        has_run = any(task.phase != progress.IDLE
+                      for task in state.all_tasks())
+        for (occurrence, number), tasks in state.tasks.items():
+            step = state.job.steps[number]
+            if step.perpetual or not step.fills:
+                continue
+            self.running_cpu[queue.service, step.image] += step.room.cpu * sum(
+                task.phase == progress.RUNNING for task in tasks)
+            if has_run and not state.step_ready(occurrence, number):
+                continue
+            waiting = sum(task.phase == progress.IDLE and not task.done
+                          for task in tasks)
+            task_s = (known.task_s(step, backlog_mod.MID)
+                      if known is not None else step.estimate_ms / 1000.0)
+            self.waiting_cpu_s[
+                ImageClass(queue.service, step.image, queue.priority)] += (
+                    waiting * step.room.cpu * task_s / 1000.0)
+
+
+class BestEffortMeter:
+    """Follow the CPU that each service gives to the tasks of each image."""
+
+    def __init__(self) -> None:
+        self.served_cpu: dict[tuple[str, str], recentrange.RecentRange] = {}
+
+    def measure(self, work: BestEffortWork, listed_cpu: dict[str, int],
+                now: float) -> tuple[backlog_mod.BestEffortLoad, ...]:
+        """Return the load of each image that waits, the longest first.
+
+        listed_cpu is that of each service's workers, in thousandths of a
+        core.
+        """
+        self._update_served(work, now)
+        found = []
+        for service, image, priority in sorted(work.waiting_cpu_s):
+            if not listed_cpu.get(service):
+                continue
+            served = MIN_SERVED_SHARE * listed_cpu[service]
+            if (service, image) in self.served_cpu:
+                served = max(
+                    served, self.served_cpu[service, image].highest())
+            waiting_cpu_s = sum(
+                cpu_s for other, cpu_s in work.waiting_cpu_s.items()
+                if other[:2] == (service, image)
+                and other.priority <= priority)
+            load = backlog_mod.BestEffortLoad(
+                service, image, priority, round(waiting_cpu_s, 1),
+                round(served / 1000.0, 1))
+            if load.drain_s() >= backlog_mod.MIN_WAIT_S:
+                found.append(load)
+        found.sort(key=lambda load: -load.drain_s())
+        return tuple(found[:backlog_mod.MAX_BEST_EFFORT_LOADS])
+
+    def _update_served(self, work: BestEffortWork, now: float) -> None:
+        for key, cpu in work.running_cpu.items():
+            self.served_cpu.setdefault(
+                key, recentrange.RecentRange(SERVED_WINDOW_S)).add(cpu, now)
+        for key in list(self.served_cpu):
+            if key not in work.running_cpu:
+                # No job of the image is left.
+                del self.served_cpu[key]
--- a/tests/test_fleet_best_effort_overload.py
+++ b/tests/test_fleet_best_effort_overload.py
@@ -1,12 +1,17 @@
 """Test the bounds on best-effort jobs that are accepted under overload."""
 
+import dataclasses
 import math
 
 import pytest
 
+from sycamorefield.fleet import admission
+from sycamorefield.fleet import backlog
+from sycamorefield.fleet import besteffortbacklog
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import progress
 from tests import admissionload
+from tests import fleetfakes
 from tests import test_fleet_admission
 
 # The platform's bound for the end of what was accepted, after the last caller.
@@ -70,3 +75,98 @@
     for _ in range(30):
         simulation.run(5.0)
         assert longest_wait_s(simulation, began_at) <= MAX_WAIT_S
+
+
+QUEUE = messages.Queue("renewals", "h", "/r/", "desk", 2, 9, None, 2.0, 1000.0)
+STEP = messages.Step(2, messages.Resources(1000, 10), 4000, fills=True,
+                     image="a")
+
+
+def is_rejected(drain_s, *steps, image="a", service="desk", priority=2,
+                **fields):
+    """Return whether most of 20 jobs are rejected."""
+    load = backlog.BestEffortLoad(service, image, priority, drain_s, 1.0)
+    found = backlog.Backlog(1, 1e12, 3, best_effort=(load,))
+    rejected = [admission.decide(
+        fleetfakes.job(f"j{number}", *(steps or (STEP,)), queue="renewals",
+                       priority=2, **fields), QUEUE, found, 0.0, {})
+                for number in range(20)]
+    return sum(rejection is not None for rejection in rejected) >= 10
+
+
+@pytest.mark.parametrize(("arguments", "rejected"), [
+    # The limit is an objective of 9 s less a critical path of 4 s.
+    ({"drain_s": 5.0}, True), ({"drain_s": 2.5}, False),
+    ({"drain_s": 5.0, "image": "b"}, False),
+    ({"drain_s": 5.0, "service": "other"}, False),
+    ({"drain_s": 5.0, "priority": 3}, False),
+    ({"drain_s": 5.0, "priority": 1}, True),
+    ({"drain_s": 5.0, "start_at_ms": 1e12}, False),
+    ({"drain_s": 5.0, "repeat_count": 3}, False),
+], ids=["at the limit", "half of it", "other image", "other service",
+        "less urgent", "more urgent", "start time", "repeated"])
+def test_jobs_are_rejected_by_the_work_ahead_of_their_images(
+        arguments, rejected):
+    """Guards against rejecting a job for work that is not ahead of it."""
+    assert is_rejected(**arguments) is rejected
+
+
+@pytest.mark.parametrize(("step", "drain_s", "rejected"), [
+    ({"estimate_ms": 1}, 0.4, False), ({"estimate_ms": 1}, 1.0, True),
+    ({"estimate_ms": 60_000}, 4.9, False),
+    ({"estimate_ms": 60_000}, 10.0, True), ({"fills": False}, 100.0, False),
+    ({"perpetual": True}, 100.0, False)])
+def test_limit_of_the_time_in_which_work_is_served_is_bounded(
+        step, drain_s, rejected):
+    """Guards against limits of zero, and against waits without a bound."""
+    assert is_rejected(
+        drain_s, dataclasses.replace(STEP, **step)) is rejected
+
+
+def test_share_of_rejected_jobs_rises_with_the_work_ahead():
+    """Guards against processes that accept all jobs or none in turn."""
+    shares = []
+    for drain_s in (2.4, 3.0, 4.0, 4.9, 5.1):
+        load = backlog.BestEffortLoad("desk", "a", 2, drain_s, 1.0)
+        found = backlog.Backlog(1, 1e12, 3, best_effort=(load,))
+        shares.append(sum(admission.decide(
+            fleetfakes.job(f"j{number}", STEP, priority=2), QUEUE, found,
+            0.0, {}) is not None for number in range(200)) / 200)
+    assert shares == sorted(shares)
+    assert shares[0] == 0.0 and shares[-1] == 1.0
+    assert 0.1 < shares[1] < 0.3 and 0.5 < shares[2] < 0.7
+
+
+@pytest.mark.parametrize(("phases", "waiting_cpu_s"), [
+    ((progress.IDLE, progress.IDLE), 16.0),
+    ((progress.RUNNING, progress.IDLE), 4.0),
+    ((progress.RUNNING, progress.RUNNING), 0.0)],
+    ids=["waits", "half waits", "runs"])
+def test_steps_that_are_not_ready_wait_only_for_jobs_without_a_run(
+        phases, waiting_cpu_s):
+    """Guards against rejections on an idle fleet by steps of running jobs."""
+    later = dataclasses.replace(STEP, after=(0,))
+    state = progress.JobState(fleetfakes.job("j", STEP, later), 1)
+    state.create_tasks(0)
+    for task, phase in zip(state.tasks[0, 0], phases):
+        task.phase = phase
+    work = besteffortbacklog.BestEffortWork()
+    work.add_job(QUEUE, state, None)
+    assert sum(work.waiting_cpu_s.values()) == waiting_cpu_s
+
+
+def test_what_was_served_lately_counts():
+    """Guards against a slow fleet by a moment without demand."""
+    meter = besteffortbacklog.BestEffortMeter()
+    key = besteffortbacklog.ImageClass("desk", "a", 2)
+
+    def measure(running, now):
+        work = besteffortbacklog.BestEffortWork()
+        work.waiting_cpu_s[key] = 100.0
+        work.running_cpu["desk", "a"] = running
+        loads = meter.measure(work, {"desk": 100_000}, now)
+        return [load.served_cores for load in loads]
+
+    assert measure(20_000, 100.0) == [20.0]
+    assert measure(0, 105.0) == [20.0]
+    assert measure(0, 111.0) == [2.0]
