Remove the records of jobs at their end; forget ended jobs

What callers saw: the time of a takeover grew with every job ever run, as did the memory of the owner.

Cause: in/ID and st/ID of ended jobs were never removed, Recovery.load listed and decoded all of them before the first call to a worker, and FleetState.jobs kept every job.

Change: - Progress of a live job is run/ID. One fenced transaction stores the final state st/ID and removes in/ID, in/ID.c and run/ID (jobwrites.py). The write that creates run/ID expects in/ID, so a late repeat of it can't bring back progress. Groups are bounded by the 32 entries of a transaction instead of by a number of values. - A takeover lists in/ and run/ only. - A submission expects that st/ID is absent. A cancellation expects the revision of in/ID, so none is left behind by an ended job. - A status query reads in/ID, then st/ID. In this order no job is missed, as it moves from one to the other atomically; run/ID isn't read because the state in it is always "pending". - An owner forgets a job 30 s after its final state is stored, once no worker has a run of it (endedjobs.py). Its ID is kept until no answer to a watch or listing can contain the job any more. - The owner removes st/ID after twice status_s (stateremoval.py). The age is judged by store revisions seen on the owner's steady clock.

--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -175,6 +175,8 @@
     "SF1859", WARNING, "runs on a worker are slow, fail or hang")
 WORKER_SPEED_RECOVERED = Event(
     "SF1860", INFO, "worker used as usual again")
+FINAL_STATES_REMOVED = Event(
+    "SF1870", INFO, "final states of jobs removed from the store")
 
 INVARIANT_BROKEN = Event("SF1601", ERROR, "invariant broken")
 
--- a/sycamorefield/fleet/interfaces.py
+++ b/sycamorefield/fleet/interfaces.py
@@ -85,6 +85,13 @@
     def listing(self, prefix: str) -> messages.Listing:
         """Return all items under a prefix; raises CallFailed."""
 
+    @abc.abstractmethod
+    def stale_page(self, prefix: str, after: str) -> messages.Page:
+        """Return the first items under a prefix after a key ("": all).
+
+        The answer may be seconds old.  Raises CallFailed.
+        """
+
     @abc.abstractmethod
     def watch(self, prefix: str, after: int,
               wait_ms: int) -> messages.Changes:
--- a/sycamorefield/fleet/jobrequests.py
+++ b/sycamorefield/fleet/jobrequests.py
@@ -31,10 +31,13 @@
 # Callers give up about 3 s after their first request, so this leaves time for
 # two more attempts through other VMs.
 RETRY_AFTER_S = 1
-# Bounds the memory for known job IDs and uncertain keys.
+# Bounds the memory for revisions of jobs and for uncertain keys.
 MAX_REMEMBERED_NAMES = 20_000
 
 
+Value = typing.TypeVar("Value")
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Accepted:
     """The job or its cancellation is stored."""
@@ -95,8 +98,9 @@
         # Keys with an unanswered write, which may still take effect.
         self.uncertain_keys: collections.OrderedDict[str, None] = (
             collections.OrderedDict())
-        # Jobs known to exist, so that a status query needs a single read.
-        self.existing_jobs: collections.OrderedDict[str, None] = (
+        # The revisions of jobs that were stored, so that a cancellation needs
+        # no read.
+        self.job_revisions: collections.OrderedDict[str, int] = (
             collections.OrderedDict())
 
     def submit(self, job: messages.Job, deadline: float,
@@ -145,31 +149,38 @@
     def _may_be_stored(self, job_id: str) -> bool:
         """Return whether this process has written a job, or may have."""
         with self.lock:
-            known = job_id in self.existing_jobs
+            known = job_id in self.job_revisions
         return known or records.job_key(job_id) in self.uncertain_keys
 
     def _store_job(self, job: messages.Job, deadline: float) -> Outcome:
-        outcome = self._create_key(records.job_key(job.job_id),
-                                   progress.encode_job(job), deadline)
+        """Store a job unless it is stored or has ended."""
+        key = records.job_key(job.job_id)
+        outcome = self._commit(messages.Transaction(
+            (messages.Expect(key, 0),
+             messages.Expect(records.final_key(job.job_id), 0)),
+            (messages.Put(key, progress.encode_job(job)),)), deadline,
+            lambda revision: self._remember_job(job.job_id, revision),
+            lambda conflict: self._accept_stored(job.job_id, conflict))
         event_types = {Accepted: events.JOB_STORED,
                        Refused: events.JOB_REFUSED}
         events.emit(event_types.get(type(outcome), events.JOB_UNCERTAIN),
                     job=job.job_id, queue=job.queue,
                     reason=getattr(outcome, "reason", ""))
-        if isinstance(outcome, Accepted):
-            self._remember_job(job.job_id)
         return outcome
 
+    def _accept_stored(self, job_id: str,
+                       conflict: interfaces.Conflict) -> Outcome:
+        """Return the outcome for a job that is stored or has ended."""
+        item = conflict.item_for(records.job_key(job_id))
+        if item is not None:
+            self._remember_job(job_id, item.revision)
+        return Accepted()
+
     def cancel(self, job_id: str, deadline: float) -> Outcome:
         """Store the cancellation of a job; deadline is on clock.now()."""
-        try:
-            if not self._job_exists(job_id):
-                return UnknownJob()
-        except interfaces.CallFailed as exc:
-            outcome: Outcome = Refused(str(exc))
-        else:
-            outcome = self._create_key(
-                records.cancel_key(job_id), b"1", deadline)
+        outcome = self._store_cancellation(job_id, deadline)
+        if isinstance(outcome, UnknownJob):
+            return outcome
         if isinstance(outcome, Accepted):
             events.emit(events.CANCEL_STORED, job=job_id)
         else:
@@ -177,18 +188,50 @@
                 f"cancellation: {getattr(outcome, 'reason', '')}"))
         return outcome
 
-    def _create_key(self, key: str, value: bytes, deadline: float) -> Outcome:
-        """Create a key; an existing key counts as created.
+    def _store_cancellation(self, job_id: str, deadline: float) -> Outcome:
+        """Store a cancellation; one of a job that has ended stores nothing.
+
+        The record of the job is a condition, as nothing would remove the
+        cancellation once the job has ended.
+        """
+        try:
+            revision = self._find_revision(job_id)
+            if not revision:
+                ended = self._read(records.final_key(job_id)) is not None
+                return Accepted() if ended else UnknownJob()
+        except interfaces.CallFailed as exc:
+            return Refused(str(exc))
+        key = records.cancel_key(job_id)
+        return self._commit(messages.Transaction(
+            (messages.Expect(key, 0),
+             messages.Expect(records.job_key(job_id), revision)),
+            (messages.Put(key, b"1"),)), deadline, lambda _: None,
+            lambda conflict: self._accept_cancelled(job_id, conflict))
+
+    def _accept_cancelled(self, job_id: str,
+                          conflict: interfaces.Conflict) -> Outcome:
+        """Return the outcome for a job that is cancelled or has ended."""
+        item = conflict.item_for(records.job_key(job_id))
+        if (item is None
+                or conflict.item_for(records.cancel_key(job_id)) is not None):
+            return Accepted()
+        self._remember_job(job_id, item.revision)
+        return Refused("the job was stored again")
+
+    def _commit(self, transaction: messages.Transaction, deadline: float,
+                on_stored: typing.Callable[[int], None],
+                on_conflict: typing.Callable[[interfaces.Conflict], Outcome]
+                ) -> Outcome:
+        """Commit a transaction that creates the key of its first condition.
 
         A write without an answer may still take effect, so after one a
         refusal of a later attempt must not be returned as "not stored".
         """
+        key = transaction.expects[0].key
         if self.last_call_unanswered or self.store_unresponsive():
             outcome = self._read_before_write(key)
             if outcome is not None:
                 return outcome
-        transaction = messages.Transaction(
-            (messages.Expect(key, 0),), (messages.Put(key, value),))
         uncertain = False
         reason = "no time left"
         tries = 0
@@ -196,18 +239,18 @@
         while clock.now() < deadline - ANSWER_MARGIN_S:
             tries += 1
             try:
-                self.store.commit(transaction)
+                on_stored(self.store.commit(transaction))
                 self.last_call_unanswered = False
                 return Accepted()
-            except interfaces.Conflict:
-                return Accepted()
+            except interfaces.Conflict as exc:
+                return on_conflict(exc)
             except interfaces.CallRefused as exc:
                 reason = str(exc)
                 if tries >= MAX_REFUSED_TRIES:
                     break
             except interfaces.CallFailed as exc:
                 uncertain = self.last_call_unanswered = True
-                _add_bounded(self.uncertain_keys, key)
+                _add_bounded(self.uncertain_keys, key, None)
                 unanswered += 1
                 reason = str(exc)
                 if unanswered >= MAX_UNANSWERED_TRIES:
@@ -233,13 +276,19 @@
         return None if item is None else Accepted()
 
     def job_status(self, job_id: str) -> JobStatus | None:
-        """Return a job's status, or None if unknown; raises CallFailed."""
-        item = self._read(records.progress_key(job_id))
-        if item is not None:
-            return JobStatus(progress.decode_state(item.value),
-                             progress.decode_failure_reason(item.value))
-        return (JobStatus(messages.PENDING) if self._job_exists(job_id)
-                else None)
+        """Return a job's status, or None if unknown; raises CallFailed.
+
+        The transaction that stores the final state removes the record of the
+        job, so it is found by one of the reads in this order.  The state of a
+        job that has not ended is not stored.
+        """
+        if self._read(records.job_key(job_id)) is not None:
+            return JobStatus(messages.PENDING)
+        item = self._read(records.final_key(job_id))
+        if item is None:
+            return None
+        return JobStatus(progress.decode_state(item.value),
+                         progress.decode_failure_reason(item.value))
 
     def waiting_count(self, queue: str) -> int:
         """Return the number of waiting jobs in a queue; raises CallFailed."""
@@ -256,21 +305,33 @@
         return self.store.get(key)
 
     def _job_exists(self, job_id: str) -> bool:
+        """Return whether a job is stored or has ended."""
+        return bool(self._find_revision(job_id)) or (
+            self._read(records.final_key(job_id)) is not None)
+
+    def _find_revision(self, job_id: str) -> int:
+        """Return the revision of a job's record, 0 if it is not stored.
+
+        The record may have been removed since, at the end of the job.
+        """
         with self.lock:
-            if job_id in self.existing_jobs:
-                return True
-        if self._read(records.job_key(job_id)) is None:
-            return False
-        self._remember_job(job_id)
-        return True
-
-    def _remember_job(self, job_id: str) -> None:
+            revision = self.job_revisions.get(job_id, 0)
+        if revision:
+            return revision
+        item = self._read(records.job_key(job_id))
+        if item is None:
+            return 0
+        self._remember_job(job_id, item.revision)
+        return item.revision
+
+    def _remember_job(self, job_id: str, revision: int) -> None:
         with self.lock:
-            _add_bounded(self.existing_jobs, job_id)
+            _add_bounded(self.job_revisions, job_id, revision)
 
 
-def _add_bounded(names: collections.OrderedDict[str, None], name: str) -> None:
+def _add_bounded(names: collections.OrderedDict[str, Value], name: str,
+                 value: Value) -> None:
     """Add a name; drop the oldest beyond MAX_REMEMBERED_NAMES."""
-    names[name] = None
+    names[name] = value
     while len(names) > MAX_REMEMBERED_NAMES:
         names.popitem(last=False)
--- a/sycamorefield/fleet/jobwatcher.py
+++ b/sycamorefield/fleet/jobwatcher.py
@@ -37,6 +37,8 @@
         change seen returns the missed changes, or fails because the store
         has compacted its history.
         """
+        with self.fleet.lock:
+            self.fleet.ended_jobs.drop_seen(after_revision)
         try:
             response = self.store.watch(records.JOB_PREFIX, after_revision,
                                         WATCH_WAIT_MS)
@@ -81,7 +83,10 @@
                         revision=item.created_revision)
 
     def add_job(self, item: messages.Item) -> messages.Job | None:
-        """Add a stored job; return it if it is new, else None."""
+        """Add a stored job; return it if it is new, else None.
+
+        The item may come from an answer that is older than the job's end.
+        """
         if item.key.endswith(records.CANCEL_SUFFIX):
             return None
         try:
@@ -90,9 +95,13 @@
             events.emit(events.RECORD_UNREADABLE, key=item.key,
                         reason=str(exc))
             return None
-        is_known = job.job_id in self.fleet.jobs
-        self.fleet.add_job(job, item.created_revision)
-        return None if is_known else job
+        with self.fleet.lock:
+            if (job.job_id in self.fleet.jobs
+                    or self.fleet.ended_jobs.covers(
+                        job.job_id, item.created_revision)):
+                return None
+            self.fleet.add_job(job, item.created_revision)
+        return job
 
     def apply_cancellation(self, key: str) -> None:
         """Cancel the job of a cancellation key; ignore other keys."""
--- a/sycamorefield/fleet/messages.py
+++ b/sycamorefield/fleet/messages.py
@@ -306,6 +306,18 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Page:
+    """Some of the items under a prefix, and a revision they are as of.
+
+    The next page begins after the last key.
+    """
+
+    items: tuple[Item, ...]
+    revision: int
+    has_more: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Changes:
     """The changes under a prefix up to a revision."""
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -20,6 +20,7 @@
 from sycamorefield.fleet import recovery as recovery_mod
 from sycamorefield.fleet import rounds
 from sycamorefield.fleet import state as state_mod
+from sycamorefield.fleet import stateremoval
 from sycamorefield.fleet import usage as usage_mod
 from sycamorefield.fleet import victims
 from sycamorefield.fleet import waitinglog
@@ -56,7 +57,8 @@
     """Run one term as owner: watch jobs and workers, place, record.
 
     fence is the fencing token of the term.  hold_max_ms limits the leases
-    that workers get.
+    that workers get.  Final states of jobs are readable for status_s at
+    least.
     """
 
     def __init__(self, store: interfaces.Store,
@@ -66,7 +68,8 @@
                  fence: int, hold_max_ms: float,
                  advice: interfaces.AdviceService | None = None,
                  policy: policy_mod.Policy = policy_mod.Policy(),
-                 stop_costs: victims.StopCosts | None = None) -> None:
+                 stop_costs: victims.StopCosts | None = None,
+                 status_s: float = stateremoval.DEFAULT_STATUS_S) -> None:
         self.worker_list = worker_list
         self.fence = fence
         self.fleet = state_mod.FleetState(
@@ -92,6 +95,8 @@
         self.recorder = recorder_mod.Recorder(
             store, self.fleet, records.OWNER_KEY, self.may_act,
             self.step_down, self._acknowledge_ends)
+        self.state_removal = stateremoval.StateRemoval(
+            store, self.fleet, records.OWNER_KEY, status_s)
         self.backlog_meter = backlogmeter.BacklogMeter(self.fleet)
         self.recorder.backlog_data = lambda: self.backlog_meter.data
         self.worker_links = workerlinks_mod.WorkerLinks(
@@ -195,7 +200,9 @@
         self.recovered = True
         for target in (functools.partial(self.job_watcher.follow, revision),
                        self._follow_worker_list, self.recorder.run,
-                       self._follow_advice, self._follow_backlog):
+                       self._follow_advice, self._follow_backlog,
+                       functools.partial(self.state_removal.run,
+                                         self.stepped_down)):
             threading.Thread(target=self.run_guarded, args=(target,),
                              daemon=True).start()
         self.run_guarded(self._run_rounds)
--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -192,14 +192,19 @@
     """State of a job: its tasks, and which of its state is stored.
 
     Times are in seconds on clock.now().  created_revision is the store's
-    revision at which the job was created, and state_revision that of its
-    stored progress (0: none).
+    revision at which the job was created, state_revision that of its stored
+    progress and final_revision that of its stored final state (0: none).
     """
 
     def __init__(self, job: messages.Job, created_revision: int) -> None:
         self.job = job
         self.created_revision = created_revision
         self.state_revision = 0
+        self.final_revision = 0
+        # Whether the final state is stored.
+        self.final_stored = False
+        # Whether the job's record was found missing or replaced.
+        self.record_missing = False
         self.cancelled = False
         self.state = messages.PENDING
         # Why the job failed, shown to its caller.
--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -8,6 +8,7 @@
 from sycamorefield import events
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import interfaces
+from sycamorefield.fleet import jobwrites
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import recordedends
@@ -16,9 +17,9 @@
 from sycamorefield.fleet import usage
 from sycamorefield import metrics
 
-# A transaction is limited to 32 entries: one condition for the fence, and a
-# condition and a put for each value.
-VALUES_PER_COMMIT = 15
+# The most values in a transaction: one condition for the fence, and at least
+# a condition and a put for each value.
+VALUES_PER_COMMIT = (jobwrites.MAX_ENTRIES - 1) // 2
 # Outcomes that end no job wait this long to share a commit with others.
 BATCH_DELAY_S = 0.04
 RETRY_DELAY_S = 0.1
@@ -43,19 +44,6 @@
     OWNERSHIP_LOST = "deposed"
 
 
-class PendingWrite(typing.NamedTuple):
-    """A value to be written, and the job whose revision it updates."""
-
-    key: str
-    data: bytes
-    expected_revision: int
-    job: progress.JobState | None
-    # The workers reserved for quarantine runs according to the data.
-    quarantine_workers: dict[messages.TaskId, str] = {}
-    # The long-running tasks that wait for their first start by the data.
-    unstarted: frozenset[messages.TaskId] = frozenset()
-
-
 class Recorder:
     """Writes changed state; reports which ends of runs are stored.
 
@@ -76,7 +64,7 @@
         self.may_act = may_act
         self.on_ownership_lost = on_ownership_lost
         self.on_ends_stored = on_ends_stored
-        # The revision of each key as last seen.
+        # The revision of each key that is not of a job, as last seen.
         self.revisions: dict[str, int] = {}
         self.stored_addresses: dict[str, str] | None = None
         # Whether the stored list of workers in use is not the one known here.
@@ -126,8 +114,7 @@
             self._add_weights(writes)
             self._add_backlog(writes)
         outcomes = set()
-        for first in range(0, len(writes), VALUES_PER_COMMIT):
-            group = writes[first:first + VALUES_PER_COMMIT]
+        for group in jobwrites.grouped(writes):
             outcomes.add(self._commit(group))
             if Outcome.OWNERSHIP_LOST in outcomes:
                 return False
@@ -135,11 +122,13 @@
             self.on_ends_stored(stored_ends)
         return self._store_learned_state()
 
-    def _job_writes(self) -> list[PendingWrite]:
+    def _job_writes(self) -> list[jobwrites.PendingWrite]:
         """Return changed progress; some of what can wait comes last."""
         changed: list[progress.JobState] = []
         deferred: list[progress.JobState] = []
         for job in self.fleet.jobs.values():
+            if job.final_stored:
+                continue
             if job.dirty:
                 changed.append(job)
             elif (job.unstarted_added
@@ -147,17 +136,11 @@
                 deferred.append(job)
         return [self._job_write(job) for job in changed + deferred]
 
-    def _job_write(self, job: progress.JobState) -> PendingWrite:
+    def _job_write(self, job: progress.JobState) -> jobwrites.PendingWrite:
         job.dirty = job.unstarted_added = False
-        unstarted = frozenset(job.unstarted)
-        # The write may be applied without an answer.
-        job.stored_unstarted |= unstarted
-        return PendingWrite(
-            records.progress_key(job.job.job_id),
-            progress.encode_progress(job), job.state_revision, job,
-            dict(job.quarantine_workers), unstarted)
+        return jobwrites.job_write(job)
 
-    def _add_workers(self, writes: list[PendingWrite]) -> None:
+    def _add_workers(self, writes: list[jobwrites.PendingWrite]) -> None:
         """Add the list of workers in use if it has changed.
 
         A later owner must ask each worker that may run a task, so a worker
@@ -177,11 +160,12 @@
                     worker_id, self.stored_addresses[worker_id])
         if addresses != self.stored_addresses or self.rewrite_workers:
             self.fleet.add_possible_list(addresses)
-            writes.append(PendingWrite(
+            writes.append(jobwrites.PendingWrite(
                 records.WORKERS_KEY, records.encode_addresses(addresses),
                 self.revisions.get(records.WORKERS_KEY, 0), None))
 
-    def _add_waiting_counts(self, writes: list[PendingWrite]) -> None:
+    def _add_waiting_counts(
+            self, writes: list[jobwrites.PendingWrite]) -> None:
         now = time.monotonic()
         if (now - self.counted_at < WAITING_JOBS_PERIOD_S
                 and self.stored_counts is not None):
@@ -192,18 +176,18 @@
         if counts == self.stored_counts:
             return
         self.stored_counts = counts
-        writes.append(PendingWrite(
+        writes.append(jobwrites.PendingWrite(
             records.WAITING_JOBS_KEY, records.encode_counts(counts),
             self.revisions.get(records.WAITING_JOBS_KEY, 0), None))
 
-    def _add_weights(self, writes: list[PendingWrite]) -> None:
+    def _add_weights(self, writes: list[jobwrites.PendingWrite]) -> None:
         if time.monotonic() - self.weights_encoded_at < WEIGHTS_PERIOD_S:
             return
         self.weights_encoded_at = time.monotonic()
         data = self.fleet.interference_model.encode()
         if data != self.stored_weights:
             self.stored_weights = data
-            writes.append(PendingWrite(
+            writes.append(jobwrites.PendingWrite(
                 records.WEIGHTS_KEY, data,
                 self.revisions.get(records.WEIGHTS_KEY, 0), None))
 
@@ -241,7 +225,7 @@
             events.emit(events.COMMIT_FAILED, key=key, reason=str(exc))
         return True
 
-    def _add_backlog(self, writes: list[PendingWrite]) -> None:
+    def _add_backlog(self, writes: list[jobwrites.PendingWrite]) -> None:
         data = self.backlog_data()
         if (data is None or data == self.taken_backlog
                 or (time.monotonic() - self.backlog_written_at
@@ -249,22 +233,20 @@
             return
         self.backlog_written_at = time.monotonic()
         self.taken_backlog = data
-        writes.append(PendingWrite(
+        writes.append(jobwrites.PendingWrite(
             records.BACKLOG_KEY, data,
             self.revisions.get(records.BACKLOG_KEY, 0), None))
 
-    def _commit(self, writes: list[PendingWrite]) -> Outcome:
+    def _commit(self, writes: list[jobwrites.PendingWrite]) -> Outcome:
         """Commit, and retry until the outcome is known.
 
         If there is no answer, the transaction may have been applied or may
         still be.  The same transaction is then sent again: if the first was
         applied, the conditions fail and the current items have our values.
         """
-        expects = [messages.Expect(self.owner_key, self.fleet.fence)]
-        expects += [messages.Expect(w.key, w.expected_revision)
-                    for w in writes]
-        puts = tuple(messages.Put(w.key, w.data) for w in writes)
-        transaction = messages.Transaction(tuple(expects), puts)
+        transaction = jobwrites.transaction(
+            messages.Expect(self.owner_key, self.fleet.fence), writes)
+        repeated = False
         while self.may_act():
             began = clock.now()
             try:
@@ -274,16 +256,18 @@
                     self._mark_stored(write, revision)
                 return Outcome.STORED
             except interfaces.Conflict as exc:
-                return self._resolve_conflict(writes, exc)
+                return self._resolve_conflict(writes, exc, repeated)
             except (interfaces.CallFailed, interfaces.LeaseEnded) as exc:
                 events.emit(events.COMMIT_FAILED, reason=str(exc),
                             values=len(writes))
+                repeated = True
                 if self.stopped.wait(RETRY_DELAY_S):
                     break
         return Outcome.OWNERSHIP_LOST
 
-    def _resolve_conflict(self, writes: list[PendingWrite],
-                          conflict: interfaces.Conflict) -> Outcome:
+    def _resolve_conflict(self, writes: list[jobwrites.PendingWrite],
+                          conflict: interfaces.Conflict,
+                          repeated: bool) -> Outcome:
         owner = conflict.item_for(self.owner_key)
         if owner is None or owner.revision != self.fleet.fence:
             self.on_ownership_lost("owner's key has changed")
@@ -292,17 +276,17 @@
         for write in writes:
             item = conflict.item_for(write.key)
             revision = item.revision if item is not None else 0
-            if item is not None and item.value == write.data:
+            if jobwrites.is_applied(write, conflict, repeated):
                 self._mark_stored(write, revision)
                 continue
             events.emit(events.COMMIT_FAILED, key=write.key,
                         reason="stored value is not ours")
             outcome = Outcome.RETRY
-            self.revisions[write.key] = revision
             if write.job is not None:
-                write.job.state_revision = revision
-                write.job.dirty = True
-            elif write.key == records.WORKERS_KEY:
+                jobwrites.note_conflict(write, write.job, conflict)
+                continue
+            self.revisions[write.key] = revision
+            if write.key == records.WORKERS_KEY:
                 # The addresses of awaited workers are known from this list.
                 self.rewrite_workers = True
             elif write.key == records.WEIGHTS_KEY:
@@ -313,18 +297,23 @@
                 self.stored_counts = None
         return outcome
 
-    def _mark_stored(self, write: PendingWrite, revision: int) -> None:
-        self.revisions[write.key] = revision
+    def _mark_stored(self, write: jobwrites.PendingWrite,
+                     revision: int) -> None:
+        if write.job is None:
+            self.revisions[write.key] = revision
         if write.key == records.WORKERS_KEY:
             self.rewrite_workers = False
             self.stored_addresses = records.decode_mapping(write.data)
             self.fleet.enrol(self.stored_addresses)
-        if write.job is not None:
+        if write.job is not None and write.is_final():
+            with self.fleet.lock:
+                self.fleet.ended_jobs.note_stored(write.job, clock.now())
+        elif write.job is not None:
             write.job.state_revision = revision
             self._mark_stored_for_rounds(write.job, write)
 
     def _mark_stored_for_rounds(self, job: progress.JobState,
-                                write: PendingWrite) -> None:
+                                write: jobwrites.PendingWrite) -> None:
         """Note what was stored that starts may have waited for."""
         if (write.quarantine_workers == job.stored_quarantine_workers
                 and write.unstarted == job.stored_unstarted):
--- a/sycamorefield/fleet/records.py
+++ b/sycamorefield/fleet/records.py
@@ -6,7 +6,10 @@
 
 JOB_PREFIX = "in/"
 CANCEL_SUFFIX = ".c"
-PROGRESS_PREFIX = "st/"
+# Progress of jobs that have not ended.
+PROGRESS_PREFIX = "run/"
+# Final states of jobs that have ended.
+FINAL_PREFIX = "st/"
 OWNER_KEY = "owner/fleet"
 # An owner that does not reach enough workers asks for offers to take over.
 HANDOVER_REQUEST_KEY = "owner/request"
@@ -32,10 +35,15 @@
 
 
 def progress_key(job_id: str) -> str:
-    """Return the key of a job's progress."""
+    """Return the key of the progress of a job that has not ended."""
     return PROGRESS_PREFIX + job_id
 
 
+def final_key(job_id: str) -> str:
+    """Return the key of the final state of a job that has ended."""
+    return FINAL_PREFIX + job_id
+
+
 def encode_counts(counts: dict[str, int]) -> bytes:
     """Return the stored form of the numbers of waiting jobs by queue."""
     return json.dumps(counts, sort_keys=True).encode()
--- a/sycamorefield/fleet/recovery.py
+++ b/sycamorefield/fleet/recovery.py
@@ -39,6 +39,9 @@
     def load(self) -> int:
         """Load everything; return the revision from which to watch jobs.
 
+        Nothing is read of jobs that have ended: leases of runs are renewed
+        only after this, and there may be any number of such jobs.
+
         Raises CallFailed, after which the call may be repeated.
         """
         workers_item = self.store.get(records.WORKERS_KEY)
@@ -101,6 +104,8 @@
             events.emit(events.RECORD_UNREADABLE, key=item.key,
                         reason=str(exc))
         if state.final():
+            # It was not stored by this program, which removes the progress.
+            state.dirty = True
             self.fleet.deactivate_job(state)
         else:
             self.fleet.trials.restore(state, clock.now())
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -16,6 +16,7 @@
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import copies
 from sycamorefield.fleet import demand
+from sycamorefield.fleet import endedjobs
 from sycamorefield.fleet import endedlives
 from sycamorefield.fleet import failures
 from sycamorefield.fleet import freeable
@@ -73,6 +74,7 @@
         self.round_requested = threading.Condition(self.lock)
         self.jobs: dict[str, progress.JobState] = {}
         self.active: dict[str, progress.JobState] = {}
+        self.ended_jobs = endedjobs.EndedJobs()
         self.workers: dict[str, workerstate.WorkerState] = {}
         # Workers that a previous owner used and that have not reported to
         # this one yet, with the time at which their leases have expired.
@@ -441,6 +443,8 @@
                     self._remove_worker(worker, "neither listed nor answering")
             self.ended_lives.forget_old(now)
             self.failures.forget_old(now)
+            self.ended_jobs.forget_unused(
+                self.jobs, self.workers.values(), now)
             self._shorten_deadlines(now)
             for worker_id, until in list(self.awaited_workers.items()):
                 if now >= until and lease_held:
--- a/sycamorefield/platform/bootsettings.py
+++ b/sycamorefield/platform/bootsettings.py
@@ -5,6 +5,7 @@
 
 import pydantic
 
+from sycamorefield.fleet import stateremoval
 from sycamorefield.fleet import victims
 
 ORDERS_BY_RPC = "rpc"
@@ -41,6 +42,7 @@
 # Longer times are taken for a mistake of the unit.
 MAX_CHECKPOINT_INTERVAL_S = 3600.0
 MAX_STOP_OR_RESTORE_MS = 600_000.0
+MAX_STATUS_S = 86_400.0
 _Millis = typing.Annotated[float | None, pydantic.Field(
     strict=True, ge=0.0, le=MAX_STOP_OR_RESTORE_MS, allow_inf_nan=False)]
 _Interval = typing.Annotated[float | None, pydantic.Field(
@@ -53,7 +55,8 @@
     Workers shorten leases to hold_max_ms; a process that has been told to
     stop is killed after grace_s.  Runs that save checkpoints do so every
     checkpoint_interval_s, take restore_ms to resume, and a stopped run takes
-    up to stop_ms to end.
+    up to stop_ms to end.  The state of a job that has ended is readable for
+    status_s at least.
     """
 
     hold_max_ms: int = 6000
@@ -61,6 +64,9 @@
     checkpoint_interval_s: _Interval = None
     restore_ms: _Millis = None
     stop_ms: _Millis = None
+    status_s: typing.Annotated[float, pydantic.Field(
+        strict=True, ge=0.0, le=MAX_STATUS_S, allow_inf_nan=False)] = (
+            stateremoval.DEFAULT_STATUS_S)
 
     def stop_costs(self) -> victims.StopCosts | None:
         """Return what stopping a run costs, or None if it is not stated."""
--- a/sycamorefield/platform/daemon.py
+++ b/sycamorefield/platform/daemon.py
@@ -86,7 +86,7 @@
             lambda entry: workers_mod.PlatformWorker(entry, idle_clients),
             self.watcher.configuration, fence,
             self.settings.bounds.hold_max_ms, self.advice, self.policy,
-            self.settings.bounds.stop_costs())
+            self.settings.bounds.stop_costs(), self.settings.bounds.status_s)
 
     def _ready(self) -> bool:
         """Return whether the load balancer may send new connections.
--- a/tests/fleetfakes.py
+++ b/tests/fleetfakes.py
@@ -9,6 +9,12 @@
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import policy as policy_mod
+from sycamorefield.fleet import progress
+from sycamorefield.fleet import records
+
+
+# The most items in a page of MemoryStore.
+PAGE_ITEMS = 500
 
 
 class MemoryStore(interfaces.Store):
@@ -48,6 +54,14 @@
                 tuple(item for key, item in sorted(self.items.items())
                       if key.startswith(prefix)), self.revision)
 
+    def stale_page(self, prefix: str, after: str) -> messages.Page:
+        with self.lock:
+            self._check()
+            items = [item for key, item in sorted(self.items.items())
+                     if key.startswith(prefix) and key > after]
+            return messages.Page(tuple(items[:PAGE_ITEMS]), self.revision,
+                                 len(items) > PAGE_ITEMS)
+
     def watch(self, prefix: str, after: int,
               wait_ms: int) -> messages.Changes:
         with self.lock:
@@ -115,6 +129,13 @@
         self.lock.notify_all()
         return self.revision
 
+    def put_job(self, job: messages.Job, revision: int) -> None:
+        """Store a job as created at a revision."""
+        key = records.job_key(job.job_id)
+        with self.lock:
+            self.items[key] = messages.Item(
+                key, progress.encode_job(job), revision, revision)
+
     def _remove(self, key: str) -> None:
         if self.items.pop(key, None) is not None:
             self.changes.append(messages.Change(key, self.revision, None))
--- a/tests/livenessfakes.py
+++ b/tests/livenessfakes.py
@@ -114,6 +114,10 @@
         return self._call("listing", prefix,
                           lambda: self.store.listing(prefix))
 
+    def stale_page(self, prefix: str, after: str) -> messages.Page:
+        return self._call("listing", prefix,
+                          lambda: self.store.stale_page(prefix, after))
+
     def watch(self, prefix: str, after: int,
               wait_ms: int) -> messages.Changes:
         if STALLED in (self.faults.get("watch"),
--- a/tests/test_fleet_ownership.py
+++ b/tests/test_fleet_ownership.py
@@ -241,6 +241,7 @@
     recorder.counted_at = time.monotonic()
     fleet.workers["i-0"].last_processed_end = 7
     fleet.add_job(fleetfakes.job("j"), 5).dirty = True
+    store.put_job(fleetfakes.job("j"), 5)
     store.refuse = True
     threads = [threading.Thread(target=recorder.flush, daemon=True)
                for _ in range(2)]
--- a/tests/test_fleet_unstarted.py
+++ b/tests/test_fleet_unstarted.py
@@ -70,6 +70,7 @@
     bench, job = make_bench()
     store = fleetfakes.MemoryStore()
     recorder = test_fleet_partial_reach.make_recorder(bench, store)
+    store.put_job(job.job, job.created_revision)
     assert not run_rounds(bench)
     assert job.unstarted == {WAITING}
     assert recorder.flush()
