Keep a job from being stored after its cancellation was answered 410

What callers saw: a job ran although its DELETE had been answered with "no such job". A write of the job had got no answer, the caller gave the job up, and the store executed the write seconds later.

Change: before a cancellation is answered with 410, NEVER_STORED is stored under st/ID, on condition that neither in/ID nor another state is stored. The late write expects that st/ID is absent and fails. A status query answers such an ID with 410. If the mark can't be stored, the answer is 503 or 504 as for other requests. A later submission of the job replaces the mark in the transaction that stores the job, so it is accepted and runs; a request that was under way during the cancellation is refused instead, as the cancellation counts for it. A repeated cancellation writes the mark again, so a late write of a submission made in between fails too.

--- a/sycamorefield/fleet/jobrequests.py
+++ b/sycamorefield/fleet/jobrequests.py
@@ -12,6 +12,7 @@
 from sycamorefield.fleet import admission as admission_mod
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import interfaces
+from sycamorefield.fleet import jobcreation
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import records
@@ -73,6 +74,11 @@
 
 Outcome = (Accepted | Refused | Uncertain | UnknownJob
            | admission_mod.Rejected)
+# Receives the revision of a transaction.
+OnStored = typing.Callable[[int], None]
+# Returns the outcome of a conflict, given whether an earlier attempt got no
+# answer.
+OnConflict = typing.Callable[[interfaces.Conflict, bool], Outcome]
 
 
 class JobRequestHandler:
@@ -154,13 +160,11 @@
 
     def _store_job(self, job: messages.Job, deadline: float) -> Outcome:
         """Store a job unless it is stored or has ended."""
-        key = records.job_key(job.job_id)
-        outcome = self._commit(messages.Transaction(
-            (messages.Expect(key, 0),
-             messages.Expect(records.final_key(job.job_id), 0)),
-            (messages.Put(key, progress.encode_job(job)),)), deadline,
+        outcome = self._read_and_commit(
+            jobcreation.transaction(job, 0), deadline,
             lambda revision: self._remember_job(job.job_id, revision),
-            lambda conflict: self._accept_stored(job.job_id, conflict))
+            lambda conflict, uncertain: self._resolve_creation(
+                job, deadline, conflict, uncertain))
         event_types = {Accepted: events.JOB_STORED,
                        Refused: events.JOB_REFUSED}
         events.emit(event_types.get(type(outcome), events.JOB_UNCERTAIN),
@@ -168,13 +172,27 @@
                     reason=getattr(outcome, "reason", ""))
         return outcome
 
-    def _accept_stored(self, job_id: str,
-                       conflict: interfaces.Conflict) -> Outcome:
-        """Return the outcome for a job that is stored or has ended."""
-        item = conflict.item_for(records.job_key(job_id))
+    def _resolve_creation(self, job: messages.Job, deadline: float,
+                          conflict: interfaces.Conflict,
+                          uncertain: bool) -> Outcome:
+        """Return the outcome for a job that is stored, ended or cancelled.
+
+        A job that was cancelled before it was stored may be submitted again.
+        A cancellation during this request counts for it.
+        """
+        item = conflict.item_for(records.job_key(job.job_id))
         if item is not None:
-            self._remember_job(job_id, item.revision)
-        return Accepted()
+            self._remember_job(job.job_id, item.revision)
+        final = conflict.item_for(records.final_key(job.job_id))
+        if item is not None or jobcreation.has_ended(final):
+            return Accepted()
+        if uncertain or final is None:
+            return Refused("the job was cancelled meanwhile")
+        return self._commit(
+            jobcreation.transaction(job, final.revision), deadline,
+            lambda revision: self._remember_job(job.job_id, revision),
+            lambda later, _: self._resolve_creation(
+                job, deadline, later, True))
 
     def cancel(self, job_id: str, deadline: float) -> Outcome:
         """Store the cancellation of a job; deadline is on clock.now()."""
@@ -197,16 +215,35 @@
         try:
             revision = self._find_revision(job_id)
             if not revision:
-                ended = self._read(records.final_key(job_id)) is not None
-                return Accepted() if ended else UnknownJob()
+                final = self._read(records.final_key(job_id))
+                return (Accepted() if jobcreation.has_ended(final) else
+                        self._prevent_creation(job_id, final, deadline))
         except interfaces.CallFailed as exc:
             return Refused(str(exc))
         key = records.cancel_key(job_id)
-        return self._commit(messages.Transaction(
+        return self._read_and_commit(messages.Transaction(
             (messages.Expect(key, 0),
              messages.Expect(records.job_key(job_id), revision)),
             (messages.Put(key, b"1"),)), deadline, lambda _: None,
-            lambda conflict: self._accept_cancelled(job_id, conflict))
+            lambda conflict, _: self._accept_cancelled(job_id, conflict))
+
+    def _prevent_creation(self, job_id: str, final: messages.Item | None,
+                          deadline: float) -> Outcome:
+        """Answer that there is no such job, after making sure of it.
+
+        A write of the job without an answer may be executed seconds later.
+        An earlier NEVER_STORED is written again: a later submission expects
+        its revision.
+        """
+        key = records.final_key(job_id)
+        outcome = self._commit(messages.Transaction(
+            (messages.Expect(key, final.revision if final else 0),
+             messages.Expect(records.job_key(job_id), 0)),
+            (messages.Put(key, records.NEVER_STORED),)), deadline,
+            lambda _: None,
+            lambda conflict, uncertain: _resolve_prevention(
+                conflict.item_for(key), uncertain))
+        return UnknownJob() if isinstance(outcome, Accepted) else outcome
 
     def _accept_cancelled(self, job_id: str,
                           conflict: interfaces.Conflict) -> Outcome:
@@ -218,20 +255,27 @@
         self._remember_job(job_id, item.revision)
         return Refused("the job was stored again")
 
-    def _commit(self, transaction: messages.Transaction, deadline: float,
-                on_stored: typing.Callable[[int], None],
-                on_conflict: typing.Callable[[interfaces.Conflict], Outcome]
-                ) -> Outcome:
+    def _read_and_commit(self, transaction: messages.Transaction,
+                         deadline: float, on_stored: OnStored,
+                         on_conflict: OnConflict) -> Outcome:
         """Commit a transaction that creates the key of its first condition.
 
-        A write without an answer may still take effect, so after one a
-        refusal of a later attempt must not be returned as "not stored".
+        The key is read before, unless the last call was answered.
         """
         key = transaction.expects[0].key
         if self.last_call_unanswered or self.store_unresponsive():
             outcome = self._read_before_write(key)
             if outcome is not None:
                 return outcome
+        return self._commit(transaction, deadline, on_stored, on_conflict)
+
+    def _commit(self, transaction: messages.Transaction, deadline: float,
+                on_stored: OnStored, on_conflict: OnConflict) -> Outcome:
+        """Commit a transaction, with some attempts.
+
+        A write without an answer may still take effect, so after one a
+        refusal of a later attempt must not be returned as "not stored".
+        """
         uncertain = False
         reason = "no time left"
         tries = 0
@@ -243,14 +287,15 @@
                 self.last_call_unanswered = False
                 return Accepted()
             except interfaces.Conflict as exc:
-                return on_conflict(exc)
+                return on_conflict(exc, uncertain)
             except interfaces.CallRefused as exc:
                 reason = str(exc)
                 if tries >= MAX_REFUSED_TRIES:
                     break
             except interfaces.CallFailed as exc:
                 uncertain = self.last_call_unanswered = True
-                _add_bounded(self.uncertain_keys, key, None)
+                _add_bounded(
+                    self.uncertain_keys, transaction.expects[0].key, None)
                 unanswered += 1
                 reason = str(exc)
                 if unanswered >= MAX_UNANSWERED_TRIES:
@@ -285,7 +330,7 @@
         if self._read(records.job_key(job_id)) is not None:
             return JobStatus(messages.PENDING)
         item = self._read(records.final_key(job_id))
-        if item is None:
+        if item is None or not jobcreation.has_ended(item):
             return None
         return JobStatus(progress.decode_state(item.value),
                          progress.decode_failure_reason(item.value))
@@ -306,8 +351,8 @@
 
     def _job_exists(self, job_id: str) -> bool:
         """Return whether a job is stored or has ended."""
-        return bool(self._find_revision(job_id)) or (
-            self._read(records.final_key(job_id)) is not None)
+        return bool(self._find_revision(job_id)) or jobcreation.has_ended(
+            self._read(records.final_key(job_id)))
 
     def _find_revision(self, job_id: str) -> int:
         """Return the revision of a job's record, 0 if it is not stored.
@@ -329,6 +374,15 @@
             _add_bounded(self.job_revisions, job_id, revision)
 
 
+def _resolve_prevention(final: messages.Item | None,
+                        uncertain: bool) -> Outcome:
+    """Return the outcome if the job cannot be prevented from being stored."""
+    if uncertain and final is not None and not jobcreation.has_ended(final):
+        # An earlier attempt was applied.
+        return Accepted()
+    return Refused("the job was changed meanwhile")
+
+
 def _add_bounded(names: collections.OrderedDict[str, Value], name: str,
                  value: Value) -> None:
     """Add a name; drop the oldest beyond MAX_REMEMBERED_NAMES."""
