--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -140,6 +140,13 @@
     "SF1846", WARNING, "owner does not reach workers that are alive")
 HANDOVER_OFFERED = Event(
     "SF1847", INFO, "offered to take over from an owner")
+RELAY_LISTENING = Event("SF1872", INFO, "relay accepts connections")
+RELAY_UNAVAILABLE = Event(
+    "SF1873", WARNING, "relay has no free port to listen on")
+TUNNEL_REFUSED = Event("SF1874", WARNING, "tunnel to a worker refused")
+WORKER_RELAYED = Event("SF1875", INFO, "worker is called over a relay")
+WORKER_DIRECT = Event(
+    "SF1876", INFO, "worker is called directly again")
 UNWANTED_RUNS_STOPPED = Event(
     "SF1866", WARNING, "runs that no open job wants ordered to stop")
 INPUT_REPLACED = Event(
--- a/sycamorefield/fleet/interfaces.py
+++ b/sycamorefield/fleet/interfaces.py
@@ -159,6 +159,32 @@
         """Return those of some addresses of workers that can be reached."""
 
 
+class RelayListener(abc.ABC):
+    """Tunnels connections of other processes to workers.
+
+    The methods may be called by any thread and do not wait.
+    """
+
+    @abc.abstractmethod
+    def listen(self, workers: typing.Collection[str]) -> str:
+        """Tunnel to these addresses and to no others from now on.
+
+        Return the address of the listener, or an empty one if there is none.
+        """
+
+    @abc.abstractmethod
+    def tunnels_open(self) -> int:
+        """Return how many tunnels are open."""
+
+    @abc.abstractmethod
+    def take_failed(self) -> set[str]:
+        """Return the workers that were not reached since the last call."""
+
+    @abc.abstractmethod
+    def close(self) -> None:
+        """Open no more tunnels."""
+
+
 class AdviceService(abc.ABC):
     """Decides which workers a queue's policy lets a step run on.
 
--- a/sycamorefield/platform/bootsettings.py
+++ b/sycamorefield/platform/bootsettings.py
@@ -101,6 +101,14 @@
             port = str(self.port_range[1])
         return f"{self.ip}:{port}"
 
+    def relay_ports(self) -> list[int]:
+        """Return the ports on which a relay may listen."""
+        used_ports = {address.rpartition(":")[2] for address in (
+            self.listen.front, self.listen.ready, self.metrics_address())}
+        first, last = self.port_range
+        return [port for port in range(first, last + 1)
+                if str(port) not in used_ports]
+
 
 def load() -> BootSettings:
     """Return the settings; raises OSError or pydantic.ValidationError."""
--- a/sycamorefield/platform/workerconnections.py
+++ b/sycamorefield/platform/workerconnections.py
@@ -18,6 +18,7 @@
 from sycamorefield.platform import connections
 from sycamorefield.platform import jsonclient
 from sycamorefield.platform import responses
+from sycamorefield.platform import tunnels
 
 READ_SIZE_BYTES = 16384
 
@@ -52,10 +53,14 @@
 
 
 class WorkerConnection:
-    """A connection that carries one request at a time."""
+    """A connection that carries one request at a time.
 
-    def __init__(self, sock: socket.socket) -> None:
+    relay is the address of the relay that it goes through, if any.
+    """
+
+    def __init__(self, sock: socket.socket, relay: str = "") -> None:
         self.sock = sock
+        self.relay = relay
         # The loop takes longer for a socket than for its descriptor.
         self.descriptor = sock.fileno()
         self.poller = select.poll()
@@ -69,6 +74,8 @@
     async def send(self, request: bytes,
                    timeout_s: float) -> responses.Response:
         """Send a request and return the response; raises CallFailed."""
+        if self.relay:
+            timeout_s += tunnels.EXTRA_ANSWER_S
         loop = asyncio.get_running_loop()
         self.parser.begin()
         answered: Answer = loop.create_future()
@@ -113,13 +120,16 @@
     """Calls one worker, one call at a time, over a connection kept open."""
 
     def __init__(self, address: str, headers: dict[str, str],
-                 idle_clients: "IdleClients | None" = None) -> None:
+                 idle_clients: "IdleClients | None" = None,
+                 route: tunnels.WorkerRoute | None = None) -> None:
         host, _, port = address.rpartition(":")
         self.socket_address = (host, int(port))
         self.encoder = jsonclient.RequestEncoder(address, headers)
         self.connection: WorkerConnection | None = None
         # Closes the connection of a client that is not used for long.
         self.idle_clients = idle_clients
+        # Without a route, all connections are direct.
+        self.route = route
 
     async def call(self, path: str, timeout_s: float, body: jsonclient.Body,
                    first_body: jsonclient.Body | None = None
@@ -136,12 +146,21 @@
         if connection is not None and connection.closed_by_server():
             connection.close()
             connection = None
+        known = connection
+        if connection is not None and connection.relay:
+            connection = await self._leave_relay(connection)
         if connection is None:
             connection = await self._connect()
-            body = body if first_body is None else first_body
+        if connection is not known and first_body is not None:
+            body = first_body
         try:
             response = await connection.send(
                 self.encoder.encode("POST", path, body), timeout_s)
+        except interfaces.CallFailed as exc:
+            connection.close()
+            if connection.relay:
+                raise self._relay_failed(connection.relay, exc) from exc
+            raise
         except BaseException:
             connection.close()
             raise
@@ -155,13 +174,79 @@
         return jsonclient.JsonResponse(response.status, response.body)
 
     async def _connect(self) -> WorkerConnection:
+        if self.route is not None and not self.route.direct_due():
+            relay = self.route.next_relay()
+            if relay:
+                return await self._open_tunnel(relay)
         try:
-            sock = await _open_socket(self.socket_address)
+            return await self._connect_directly()
         except ConnectionRefusedError as exc:
             raise interfaces.ConnectionRefused(str(exc)) from exc
         except OSError as exc:
-            raise interfaces.CallRefused(f"no connection: {exc}") from exc
-        return WorkerConnection(sock)
+            relay = self.route.next_relay() if self.route is not None else ""
+            if not relay:
+                raise interfaces.CallRefused(f"no connection: {exc}") from exc
+        return await self._open_tunnel(relay)
+
+    async def _connect_directly(self) -> WorkerConnection:
+        if self.route is not None:
+            self.route.begin_direct()
+        connection = WorkerConnection(await _open_socket(self.socket_address))
+        if self.route is not None:
+            self.route.use_direct()
+        return connection
+
+    async def _open_tunnel(self, relay: str) -> WorkerConnection:
+        assert self.route is not None
+        try:
+            host, _, port = relay.rpartition(":")
+            sock = await _open_socket((host, int(port)))
+            try:
+                await tunnels.request(sock, self.route.worker)
+            except BaseException:
+                sock.close()
+                raise
+        except OSError as exc:
+            raise self._relay_failed(relay, exc) from exc
+        self.route.use_relay(relay)
+        return WorkerConnection(sock, relay)
+
+    def _relay_failed(self, relay: str,
+                      exc: Exception) -> interfaces.CallFailed:
+        """Return the error of a call over a relay.
+
+        It says nothing about the worker: the relay may have ended.
+        """
+        assert self.route is not None
+        self.route.note_failure(relay)
+        if isinstance(exc, interfaces.CallFailed):
+            return interfaces.CallFailed(f"relay {relay}: {exc}")
+        return interfaces.CallRefused(f"relay {relay}: no tunnel: {exc}")
+
+    async def _leave_relay(self, connection: WorkerConnection
+                           ) -> WorkerConnection | None:
+        """Return the connection to use instead of an open tunnel.
+
+        It is the tunnel as long as no direct connection can be opened, or
+        None to open another connection.
+        """
+        assert self.route is not None
+        if not self.route.relayed:
+            connection.close()
+            return None
+        if not self.route.direct_due():
+            return connection
+        try:
+            direct = await self._connect_directly()
+        except OSError:
+            # The worker has answered over the tunnel, so a refusal does not
+            # show that it has ended.
+            return connection
+        except BaseException:
+            connection.close()
+            raise
+        connection.close()
+        return direct
 
     def close(self) -> None:
         """Close the idle connection."""
--- a/sycamorefield/platform/workers.py
+++ b/sycamorefield/platform/workers.py
@@ -10,6 +10,7 @@
 from sycamorefield.fleet import messages
 from sycamorefield.platform import jsonclient
 from sycamorefield.platform import reportrows
+from sycamorefield.platform import tunnels
 from sycamorefield.platform import workerconnections
 
 ENTRY_PREFIX = "servers/"
@@ -51,13 +52,16 @@
     """
 
     def __init__(self, entry: messages.WorkerEntry,
-                 idle_clients: workerconnections.IdleClients | None = None
-                 ) -> None:
+                 idle_clients: workerconnections.IdleClients | None = None,
+                 find_relays: tunnels.FindRelays | None = None) -> None:
         self.worker_id = entry.worker_id
+        route = (tunnels.WorkerRoute(entry.address, find_relays)
+                 if find_relays is not None else None)
         headers = {"Sycamorefield-Expect-Instance": entry.worker_id}
-        self.reports = workerconnections.WorkerClient(entry.address, headers)
+        self.reports = workerconnections.WorkerClient(
+            entry.address, headers, route=route)
         self.orders = workerconnections.WorkerClient(
-            entry.address, headers, idle_clients)
+            entry.address, headers, idle_clients, route)
 
     async def _order(self, path: str, body: Body) -> jsonclient.JsonResponse:
         return _require_ok(
