--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -140,6 +140,10 @@
     "SF1846", WARNING, "owner does not reach workers that are alive")
 HANDOVER_OFFERED = Event(
     "SF1847", INFO, "offered to take over from an owner")
+RELAYS_REQUESTED = Event(
+    "SF1870", WARNING, "owner asks for relays to workers out of its reach")
+RELAY_OFFERED = Event(
+    "SF1871", INFO, "offered to relay calls to workers")
 RELAY_LISTENING = Event("SF1872", INFO, "relay accepts connections")
 RELAY_UNAVAILABLE = Event(
     "SF1873", WARNING, "relay has no free port to listen on")
--- a/sycamorefield/fleet/controlwatcher.py
+++ b/sycamorefield/fleet/controlwatcher.py
@@ -10,6 +10,7 @@
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import records
+from sycamorefield.fleet import relays as relays_mod
 
 # The longest that one watch call waits for changes.  A watch may stop
 # delivering changes before its connection fails.  As each call is this short,
@@ -32,7 +33,7 @@
     def __init__(self, store: interfaces.Store, config_key: str,
                  decode: DecodeConfiguration,
                  decode_evacuation: evacuations_mod.DecodeEvacuation
-                 = no_evacuations) -> None:
+                 = no_evacuations, own_relay_key: str = "") -> None:
         self.store = store
         self.config_key = config_key
         self.decode = decode
@@ -47,6 +48,9 @@
         # The owner's request to take over the fleet, and an offer to do so.
         self.handover_request: messages.Item | None = None
         self.handover_offer: messages.Item | None = None
+        # The owner's request for relays, and the offers of other processes.
+        self.relay_request: messages.Item | None = None
+        self.relays = relays_mod.RelayDirectory(own_relay_key)
         self.last_answer_at = 0.0
         self.store_reachable = True
         self.owner_changed = threading.Condition()
@@ -91,7 +95,9 @@
         for item in listing.items:
             self._apply_configuration(item.key, item)
         self._publish_evacuations()
-        for key in (records.HANDOVER_REQUEST_KEY, records.HANDOVER_OFFER_KEY):
+        self.relays.apply_listing(listing.items)
+        for key in (records.HANDOVER_REQUEST_KEY, records.HANDOVER_OFFER_KEY,
+                    records.RELAY_REQUEST_KEY):
             self._set_handover(key, items_by_key.get(key))
         self._set_owner(items_by_key.get(records.OWNER_KEY), listing.revision)
         return listing.revision
@@ -112,6 +118,7 @@
             self._set_owner(change.item, change.revision)
             return
         self._set_handover(change.key, change.item)
+        self.relays.apply_change(change.key, change.item)
         if change.item is None:
             self.evacuations.apply_removal(change.key, change.revision)
         else:
@@ -160,6 +167,8 @@
                 self.handover_request = item
             elif key == records.HANDOVER_OFFER_KEY:
                 self.handover_offer = item
+            elif key == records.RELAY_REQUEST_KEY:
+                self.relay_request = item
             else:
                 return
             self.owner_changed.notify_all()
--- a/sycamorefield/fleet/handover.py
+++ b/sycamorefield/fleet/handover.py
@@ -35,6 +35,9 @@
 # then after twice as long and so on: each makes every process try to connect.
 REQUEST_PERIOD_S = 5.0
 MAX_REQUEST_PERIOD_S = 60.0
+# An offer on a request counts for this long even if the workers answer over
+# relays by then: longer than any process delays its offer.
+OFFER_WAIT_S = 4.0
 # Where workers accept connections but do not answer, an offer does not help.
 # A process that took over by an offer makes no request for this long if more
 # than this share of the workers in question does not answer it either.
@@ -209,6 +212,7 @@
         self.unreached = unreached_mod.UnreachedWorkers()
         self.needs = unreachedneeds.UnreachedNeeds()
         self.request_revision = 0
+        self.requested_workers: tuple[str, ...] = ()
         self.requested_at = -math.inf
         self.request_period_s = REQUEST_PERIOD_S
 
@@ -222,9 +226,11 @@
                 or not (self.unreached.lost_s(now) >= CHANGE_OF_OWNER_S
                         or self._tasks_wait(now) or self._services(now))
                 or not self.limit.allows(self._silent_addresses(), now)):
+            self.request_period_s = REQUEST_PERIOD_S
+            if self._awaits_offers(now):
+                return self.has_offer()
             # An offer on an earlier request is of no use any more.
             self.request_revision = 0
-            self.request_period_s = REQUEST_PERIOD_S
             return False
         if not self.request_revision and (
                 now - self.requested_at >= REQUEST_PERIOD_S):
@@ -235,6 +241,13 @@
             self._make_request(now)
         return self.has_offer()
 
+    def _awaits_offers(self, now: float) -> bool:
+        """Return whether relays may be why no request is needed any more."""
+        return (self.fleet.policy.hand_over and self.fleet.policy.relay_calls
+                and now - self.requested_at < OFFER_WAIT_S
+                and any(self.watcher.relays.relays_of(address)
+                        for address in self.requested_workers))
+
     def has_offer(self) -> bool:
         """Return whether there is an offer on the present request."""
         return bool(self.request_revision) and is_offer_on(
@@ -261,6 +274,7 @@
     def _make_request(self, now: float) -> None:
         request = self._sample(now)
         self.requested_at = now
+        self.requested_workers = request.unreached_workers()
         try:
             self.request_revision = self.store.commit(messages.Transaction(
                 (messages.Expect(records.OWNER_KEY, self.fleet.fence),),
--- a/sycamorefield/fleet/ownership.py
+++ b/sycamorefield/fleet/ownership.py
@@ -14,6 +14,7 @@
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import owner as owner_mod
 from sycamorefield.fleet import records
+from sycamorefield.fleet import relays
 
 LEASE_TTL_MS = int(owner_mod.OWNER_LEASE_S * 1000)
 RENEW_PERIOD_S = 0.5
@@ -265,15 +266,21 @@
                 owner.stepped_down.wait(RETRY_PAUSE_S)
 
     def _watch_reach(self, owner: owner_mod.Owner) -> None:
-        """Hand over to a process that reaches more workers."""
+        """Hand over to a process that reaches more workers; ask for relays."""
         requests = handover.HandoverRequests(
             self.store, self.watcher, owner.fleet, self.lease_id,
             self.request_limit)
+        relay_requests = relays.RelayRequests(
+            self.store, owner.fleet, self.lease_id, requests.unreached)
         while not owner.stepped_down.wait(handover.CHECK_PERIOD_S):
-            if owner.recovered and requests.update(clock.now()):
+            if not owner.recovered:
+                continue
+            if requests.update(clock.now()):
                 owner.recorder.flush()
                 if requests.has_offer():
                     owner.hand_over()
+                    return
+            relay_requests.update(clock.now())
 
     def _key_seems_lost(self, owner: owner_mod.Owner) -> bool:
         item = self.watcher.owner_item
--- a/sycamorefield/fleet/policy.py
+++ b/sycamorefield/fleet/policy.py
@@ -54,6 +54,9 @@
     speculative_copies: bool = True
     # handover.py: an owner that does not reach enough workers is replaced.
     hand_over: bool = True
+    # relays.py: workers that an owner does not reach are called through
+    # processes that reach them.
+    relay_calls: bool = True
     # runtimes.py: run times are learnt, and declared estimates weighed by
     # their error.
     learn_run_times: bool = True
--- a/sycamorefield/fleet/records.py
+++ b/sycamorefield/fleet/records.py
@@ -11,6 +11,9 @@
 # An owner that does not reach enough workers asks for offers to take over.
 HANDOVER_REQUEST_KEY = "owner/request"
 HANDOVER_OFFER_KEY = "owner/offer"
+# An owner asks for relays to workers; each relay has a key of its own.
+RELAY_REQUEST_KEY = "owner/relay-request"
+RELAY_PREFIX = "owner/relay/"
 # A single watch of this prefix covers the operators' keys (op/...) and the
 # owner's keys, so that only one call waits instead of two.
 WATCHED_PREFIX = "o"
@@ -36,6 +39,11 @@
     return PROGRESS_PREFIX + job_id
 
 
+def relay_key(node: str) -> str:
+    """Return the key of a process's offer to relay calls."""
+    return RELAY_PREFIX + node
+
+
 def encode_counts(counts: dict[str, int]) -> bytes:
     """Return the stored form of the numbers of waiting jobs by queue."""
     return json.dumps(counts, sort_keys=True).encode()
--- a/sycamorefield/platform/daemon.py
+++ b/sycamorefield/platform/daemon.py
@@ -17,6 +17,8 @@
 from sycamorefield.fleet import owner as owner_mod
 from sycamorefield.fleet import ownership as ownership_mod
 from sycamorefield.fleet import policy as policy_mod
+from sycamorefield.fleet import records
+from sycamorefield.fleet import relayoffers
 from sycamorefield.fleet import volunteer as volunteer_mod
 from sycamorefield import metrics
 from sycamorefield.platform import advice as advice_mod
@@ -24,6 +26,7 @@
 from sycamorefield.platform import configuration
 from sycamorefield.platform import front as front_mod
 from sycamorefield.platform import reachprobe
+from sycamorefield.platform import relaylistener
 from sycamorefield.platform import store as store_mod
 from sycamorefield.platform import workers as workers_mod
 from sycamorefield import policysettings
@@ -54,9 +57,10 @@
         self.settings = settings
         self.policy = policy
         self.store = store_mod.PlatformStore(settings.platform.addr)
+        relay_key = records.relay_key(settings.node)
         self.watcher = controlwatcher.ControlWatcher(
             self.store, configuration.KEY, configuration.decode,
-            configuration.EvacuationDecoder(settings.zones))
+            configuration.EvacuationDecoder(settings.zones), relay_key)
         self.job_requests = jobrequests_mod.JobRequestHandler(
             self.store, self._store_unresponsive, self.watcher.owner_claim,
             policy.reject_hopeless_jobs)
@@ -73,6 +77,14 @@
             reachprobe.TcpReachProbe(),
             lambda: self.ownership.owner is not None,
             is_weak_vm=claim_delay_s > 0.0)
+        self.relay = relaylistener.TunnelListener(
+            settings.ip, settings.relay_ports(),
+            relaylistener.max_tunnels(settings.limits.max_fds))
+        self.relay_offers = relayoffers.RelayOffers(
+            self.store, self.watcher, relay_key, reachprobe.TcpReachProbe(),
+            workers_mod.PlatformWorkerList(self.store), self.relay,
+            lambda: self.ownership.owner is not None,
+            is_weak_vm=claim_delay_s > 0.0)
         self.stop_requested = threading.Event()
         self.front_app = front_mod.FrontApp(
             self.job_requests, self.watcher.configuration, self._ready,
@@ -83,7 +95,9 @@
             self.settings.limits.max_fds)
         return owner_mod.Owner(
             self.store, workers_mod.PlatformWorkerList(self.store),
-            lambda entry: workers_mod.PlatformWorker(entry, idle_clients),
+            lambda entry: workers_mod.PlatformWorker(
+                entry, idle_clients, self.watcher.relays.relays_of
+                if self.policy.relay_calls else None),
             self.watcher.configuration, fence,
             self.settings.bounds.hold_max_ms, self.advice, self.policy,
             self.settings.bounds.stop_costs())
@@ -109,7 +123,8 @@
             "config_version": float(self.watcher.latest_configuration.version),
             "store_reachable": float(self.watcher.store_reachable),
             "store_silence_s": clock.now() - self.watcher.last_answer_at,
-            "fleet_owner": float(owner is not None)}
+            "fleet_owner": float(owner is not None),
+            **self.relay.gauges()}
         if self.job_requests.admission is not None:
             gauges.update(self.job_requests.admission.gauges())
         if owner is not None:
@@ -121,8 +136,10 @@
         signal.signal(signal.SIGTERM, lambda *_: self.stop_requested.set())
         signal.signal(signal.SIGHUP, lambda *_: self.reload())
         servers = self._start_servers()
-        for target in (self.watcher.run, self.ownership.run,
-                       self.volunteer.run):
+        targets = [self.watcher.run, self.ownership.run, self.volunteer.run]
+        if self.policy.relay_calls:
+            targets.append(self.relay_offers.run)
+        for target in targets:
             threading.Thread(target=target, daemon=True).start()
         events.emit(events.PROCESS_STARTED, address=self.settings.ip,
                     metrics=self.settings.metrics_address(),
@@ -146,6 +163,7 @@
         deadline = clock.now() + self.settings.bounds.grace_s - STOP_MARGIN_S
         events.emit(events.PROCESS_STOPPING)
         self.volunteer.stop()
+        self.relay_offers.stop()
         handover = _start_thread(self.ownership.stop)
         time.sleep(DRAIN_S)
         server_stops = [_start_thread(server.stop) for server in servers]
--- a/tests/test_fleet_handover.py
+++ b/tests/test_fleet_handover.py
@@ -1,5 +1,6 @@
 """Test that a fleet goes to a process that reaches its workers."""
 
+import asyncio
 import dataclasses
 import random
 import threading
@@ -14,6 +15,8 @@
 from sycamorefield.fleet import owner as owner_mod
 from sycamorefield.fleet import ownership as ownership_mod
 from sycamorefield.fleet import records
+from sycamorefield.fleet import relayoffers as relayoffers_mod
+from sycamorefield.fleet import relays as relays_mod
 from sycamorefield.fleet import unreached as unreached_mod
 from sycamorefield.fleet import volunteer as volunteer_mod
 from tests import fleetfakes
@@ -23,6 +26,7 @@
 WORKERS = 4
 CONFIG_KEY = "op/c"
 ALIVE_S = unreached_mod.UNREACHED_AFTER_S
+RELAY_DELAY_S = 0.3
 
 
 def silence(worker):
@@ -185,14 +189,20 @@
 
 
 class PartlyCutWorker(interfaces.Worker):
-    """A worker that a process can't reach while its ID is in a set."""
+    """A worker that a process reaches itself or over another process."""
 
-    def __init__(self, worker, cut):
+    def __init__(self, worker, address, process):
         self.worker = worker
-        self.cut = cut
+        self.address = address
+        self.process = process
 
     def check(self):
-        if self.worker.worker_id in self.cut:
+        worker_id = self.worker.worker_id
+        if worker_id in self.process.cut and not any(
+                self.process.relays_by_address[relay].relays_to(
+                    self.address, worker_id)
+                for relay in self.process.watcher.relays.relays_of(
+                    self.address)):
             raise interfaces.CallFailed("no answer")
 
     async def renew(self, *args):
@@ -212,25 +222,72 @@
         return await self.worker.pace(*args)
 
 
+class Relay(interfaces.RelayListener):
+    """Relays the calls of other processes to the workers of one process."""
+
+    def __init__(self, process, address):
+        self.process = process
+        self.address = address
+        self.workers = set()
+        self.alive = True
+        # How often a relayed call has reached a worker.
+        self.calls = 0
+
+    def listen(self, workers):
+        self.workers = set(workers)
+        return self.address
+
+    def relays_to(self, worker, worker_id):
+        reached = (self.alive and worker in self.workers
+                   and worker_id not in self.process.cut)
+        self.calls += reached
+        return reached
+
+    def tunnels_open(self):
+        return self.calls
+
+    def take_failed(self):
+        return set()
+
+    def close(self):
+        self.workers = set()
+
+
 class Process(interfaces.ReachProbe):
-    """A process that reaches only some workers of a fleet."""
+    """A process that reaches only some workers of a fleet.
+
+    offers_relay is whether it relays the calls of other processes.
+    """
 
-    def __init__(self, name, fleet, cut=()):
+    # All relays of the processes of a test run, by address.
+    relays_by_address = {}
+
+    def __init__(self, name, fleet, cut=(), offers_relay=False):
         self.fleet = fleet
+        self.offers_relay = offers_relay
         self.cut = set(cut)
+        relay_key = records.relay_key(name)
         self.watcher = controlwatcher.ControlWatcher(
-            fleet.store, CONFIG_KEY, lambda _: fleetfakes.configuration())
+            fleet.store, CONFIG_KEY, lambda _: fleetfakes.configuration(),
+            own_relay_key=relay_key)
+        self.relay = Relay(self, f"10.9.9.9:{len(self.relays_by_address) + 1}")
+        self.relays_by_address[self.relay.address] = self.relay
         self.ownership = ownership_mod.Ownership(
             fleet.store, self.watcher, name, self.make_owner)
         self.volunteer = volunteer_mod.Volunteer(
             fleet.store, self.watcher, self.ownership.identity, self,
             self.is_owner)
+        self.relay_offers = relayoffers_mod.RelayOffers(
+            fleet.store, self.watcher, relay_key, self, fleet.worker_list,
+            self.relay, self.is_owner)
+        # Offers to take over come first.
+        self.relay_offers.delay_s = RELAY_DELAY_S
 
     def make_owner(self, fence):
         return owner_mod.Owner(
             self.fleet.store, self.fleet.worker_list,
             lambda entry: PartlyCutWorker(
-                self.fleet.workers[entry.worker_id], self.cut),
+                self.fleet.workers[entry.worker_id], entry.address, self),
             fleetfakes.configuration, fence, test_fleet_takeover.HOLD_MAX_MS)
 
     def is_owner(self):
@@ -241,13 +298,16 @@
                 if entry.worker_id not in self.cut}.intersection(addresses)
 
     def start(self):
-        for target in (self.watcher.run, self.ownership.run,
-                       self.volunteer.run):
+        targets = [self.watcher.run, self.ownership.run, self.volunteer.run]
+        if self.offers_relay:
+            targets.append(self.relay_offers.run)
+        for target in targets:
             threading.Thread(target=target, daemon=True).start()
 
     def stop(self):
         self.watcher.stopped.set()
         self.volunteer.stop()
+        self.relay_offers.stop()
         self.ownership.stop()
 
 
@@ -257,6 +317,8 @@
     monkeypatch.setattr(handover, "CHECK_PERIOD_S", 0.05)
     monkeypatch.setattr(volunteer_mod, "MAX_DELAY_S", 0.05)
     monkeypatch.setattr(volunteer_mod, "MISSING_WORKERS_DELAY_S", 0.3)
+    monkeypatch.setattr(relayoffers_mod, "MAX_DELAY_S", 0.05)
+    monkeypatch.setattr(relays_mod, "REQUEST_PERIOD_S", 0.5)
 
 
 @pytest.fixture(name="fleet")
@@ -271,9 +333,9 @@
 @pytest.fixture(name="processes")
 def fixture_processes(fleet):
     """Return processes; the first owns the fleet and reaches one worker."""
-    processes = [Process("first", fleet, cut=("i-0", "i-1", "i-2")),
-                 Process("second", fleet, cut=("i-0", "i-1")),
-                 Process("third", fleet)]
+    processes = [Process("first", fleet, ("i-0", "i-1", "i-2"), True),
+                 Process("second", fleet, ("i-0", "i-1"), True),
+                 Process("third", fleet, (), True)]
     processes[0].start()
     test_fleet_takeover.wait_for(
         lambda: processes[0].is_owner()
@@ -308,6 +370,100 @@
         lambda: len(fleet.running()) == WORKERS)
 
 
+def pass_time(seconds):
+    end = clock.now() + seconds
+    test_fleet_takeover.wait_for(lambda: clock.now() > end)
+
+
+def usable(process):
+    """Return the workers that answer an owner."""
+    owner = process.ownership.owner
+    return set() if owner is None else {
+        worker_id for worker_id, worker in owner.fleet.workers.items()
+        if worker.has_reported and not worker.unresponsive}
+
+
+ALL = {f"i-{n}" for n in range(WORKERS)}
+
+
+@pytest.fixture(name="relayed")
+def fixture_relayed(fleet, processes):
+    """Return processes; the first owns the fleet and uses relays.
+
+    Neither of the others reaches more workers than it.
+    """
+    processes[0].cut = {"i-0", "i-1"}
+    processes[1].cut = {"i-1", "i-2", "i-3"}
+    processes[2].cut = {"i-0", "i-2", "i-3"}
+    for process in processes[1:]:
+        process.start()
+    test_fleet_takeover.wait_for(lambda: usable(processes[0]) == ALL)
+    return processes
+
+
+def test_workers_that_answer_over_relays_cause_no_more_requests(
+        fleet, relayed):
+    """Guards against probes by all processes while relays serve."""
+    owner_fence = relayed[0].ownership.owner.fence
+    revisions = [fleet.store.items[key].revision for key in (
+        records.RELAY_REQUEST_KEY, records.HANDOVER_REQUEST_KEY)]
+    pass_time(1.0)
+    assert revisions == [fleet.store.items[key].revision for key in (
+        records.RELAY_REQUEST_KEY, records.HANDOVER_REQUEST_KEY)]
+    assert relayed[0].ownership.owner.fence == owner_fence
+
+
+def end_relay(process):
+    process.relay.alive = False
+
+
+def cut_relay(process):
+    process.cut = set(ALL)
+
+
+@pytest.mark.parametrize("failure", [end_relay, cut_relay])
+def test_relay_that_fails_is_replaced(fleet, relayed, failure):
+    """Guards against workers left unused once their relay has failed."""
+    failure(relayed[1])
+    test_fleet_takeover.wait_for(
+        lambda: usable(relayed[0]) == ALL - {"i-0"})
+    relayed[2].cut = {"i-2", "i-3"}
+    test_fleet_takeover.wait_for(lambda: usable(relayed[0]) == ALL)
+    assert set(fleet.worker_list.entries[n].address for n in (0, 1)) <= (
+        relayed[2].relay_offers.offered)
+
+
+def test_successor_uses_the_relays_of_its_predecessor(
+        fleet, relayed, monkeypatch):
+    """Guards against leases that expire while a successor finds relays."""
+    monkeypatch.setattr(unreached_mod, "UNREACHED_AFTER_S", 1000.0)
+    successor = Process("fourth", fleet, cut=("i-0", "i-1"))
+    for process in relayed:
+        process.ownership.claim_delay_s = test_fleet_takeover.WAIT_S
+    try:
+        successor.start()
+        test_fleet_takeover.wait_for(
+            lambda: successor.watcher.configuration_known)
+        relayed[0].stop()
+        test_fleet_takeover.wait_for(successor.is_owner)
+        test_fleet_takeover.wait_for(lambda: usable(successor) == ALL)
+    finally:
+        successor.stop()
+
+
+def test_owner_without_its_term_is_fenced_over_a_relay(fleet, relayed):
+    """Guards against starts by an owner whose successor relays for it."""
+    old_fence = relayed[0].ownership.owner.fence
+    relayed[1].cut = set()
+    worker = PartlyCutWorker(fleet.workers["i-0"],
+                             fleet.worker_list.entries[0].address, relayed[0])
+    asyncio.run(worker.renew(old_fence + 1, 0, None, 0))
+    with pytest.raises(interfaces.OrderRejected) as caught:
+        asyncio.run(worker.stop(messages.StopOrder(
+            messages.TaskId("j", 0, 0, 0), 1), old_fence))
+    assert caught.value.reason == interfaces.FENCED
+
+
 def test_owner_stays_if_no_process_reaches_more_workers(fleet, processes):
     """Guards against changes of owner that help no task."""
     processes[1].cut = processes[0].cut
--- a/tests/test_platform_relay.py
+++ b/tests/test_platform_relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import json
 import socket
 import threading
 import time
@@ -10,8 +11,14 @@
 
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import policy as policy_mod
+from sycamorefield.fleet import records
+from sycamorefield.fleet import relayoffers
+from sycamorefield.fleet import relays
 from sycamorefield.platform import bootsettings
+from sycamorefield.platform import configuration
 from sycamorefield.platform import connections
+from sycamorefield.platform import daemon as daemon_mod
 from sycamorefield.platform import relaylistener
 from sycamorefield.platform import tunnels
 from sycamorefield.platform import workerconnections
@@ -476,3 +483,64 @@
 def test_relay_has_time_to_connect_to_the_worker():
     """Guards against tunnels given up while the relay still connects."""
     assert tunnels.TUNNEL_ANSWER_S > connections.CONNECT_TIMEOUT_S
+
+
+ENTRY = {"service": "s", "zone": "z", "state": "ready", "born": 1,
+         "capacity": {"cpu": 4000, "mem_mb": 4000, "gpu": 0}, "labels": []}
+
+
+def make_daemon(store, node):
+    """Return an entry process that relays on a port chosen by the kernel."""
+    daemon = daemon_mod.Daemon(bootsettings.BootSettings(
+        node=node, ip="127.0.0.1", platform={"addr": store.address}))
+    daemon.relay.ports = [0]
+    threading.Thread(target=daemon.watcher.run, daemon=True).start()
+    return daemon
+
+
+def test_owner_finds_a_relay_through_the_store(monkeypatch, server):
+    """Guards against a process whose parts don't know of each other."""
+    monkeypatch.setattr(relayoffers, "MAX_DELAY_S", 0.0)
+    store = platformfakes.StoreServer()
+    store.memory.commit(messages.Transaction(puts=(
+        messages.Put(configuration.KEY, b'{"version": 1, "routes": []}'),
+        messages.Put("servers/i-1", json.dumps(
+            {**ENTRY, "addr": server.address}).encode()))))
+    owner, other = make_daemon(store, "n-1"), make_daemon(store, "n-2")
+    threading.Thread(target=other.relay_offers.run, daemon=True).start()
+    try:
+        entries = workers_mod.PlatformWorkerList(owner.store).workers()
+        cut = Cut(monkeypatch, server.address)
+        worker = owner._make_owner(FENCE).worker_links.connect(entries[0])
+        with pytest.raises(interfaces.CallRefused):
+            asyncio.run(stop(worker))
+        store.memory.commit(messages.Transaction(puts=(messages.Put(
+            records.RELAY_REQUEST_KEY,
+            relays.encode_request((server.address,))),)))
+        wait_for(lambda: owner.watcher.relays.relays_of(server.address))
+        # A process does not relay to itself.
+        assert not other.watcher.relays.relays_of(server.address)
+        assert asyncio.run(stop(worker)) == 5.0
+        assert cut.attempts == 2
+        assert "relay_tunnels_opened_total 1" in other._metrics_text()
+        other.relay_offers.stop()
+        wait_for(lambda: not owner.watcher.relays.relays_of(server.address))
+    finally:
+        for daemon in (owner, other):
+            daemon.watcher.stopped.set()
+            daemon.relay_offers.stop()
+            end(daemon.relay)
+        store.close()
+
+
+def test_no_relay_is_used_without_its_policy(server):
+    store = platformfakes.StoreServer()
+    daemon = daemon_mod.Daemon(
+        bootsettings.BootSettings(node="n", ip="127.0.0.1",
+                                  platform={"addr": store.address}),
+        policy_mod.Policy(relay_calls=False))
+    worker = daemon._make_owner(FENCE).worker_links.connect(
+        fleetfakes.entry(1, address=server.address))
+    assert worker.orders.route is None
+    assert worker.reports.route is None
+    store.close()
