--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -140,6 +140,17 @@
     "SF1846", WARNING, "owner does not reach workers that are alive")
 HANDOVER_OFFERED = Event(
     "SF1847", INFO, "offered to take over from an owner")
+RELAYS_REQUESTED = Event(
+    "SF1870", WARNING, "owner asks for relays to workers out of its reach")
+RELAY_OFFERED = Event(
+    "SF1871", INFO, "offered to relay calls to workers")
+RELAY_LISTENING = Event("SF1872", INFO, "relay accepts connections")
+RELAY_UNAVAILABLE = Event(
+    "SF1873", WARNING, "relay has no free port to listen on")
+TUNNEL_REFUSED = Event("SF1874", WARNING, "tunnel to a worker refused")
+WORKER_RELAYED = Event("SF1875", INFO, "worker is called over a relay")
+WORKER_DIRECT = Event(
+    "SF1876", INFO, "worker is called directly again")
 UNWANTED_RUNS_STOPPED = Event(
     "SF1866", WARNING, "runs that no open job wants ordered to stop")
 INPUT_REPLACED = Event(
@@ -176,7 +187,7 @@
 WORKER_SPEED_RECOVERED = Event(
     "SF1860", INFO, "worker used as usual again")
 FINAL_STATES_REMOVED = Event(
-    "SF1870", INFO, "final states of jobs removed from the store")
+    "SF1877", INFO, "final states of jobs removed from the store")
 
 INVARIANT_BROKEN = Event("SF1601", ERROR, "invariant broken")
 
