Accept jobs without a creation revision; tell refused commits from repeats

A job whose item names no creation revision (taken as 0) was treated as one that has ended and is forgotten, so it would never have run. The table of forgotten jobs is now asked for the ID first.

A commit of a final state that the store had refused counted as one that may have been applied. If an equal state of others was stored, the job's record stayed, and a new owner would have run it again.

--- a/sycamorefield/fleet/endedjobs.py
+++ b/sycamorefield/fleet/endedjobs.py
@@ -34,7 +34,8 @@
 
         A job that is created later under the same ID is another one.
         """
-        return created_revision <= self.forgotten.get(job_id, 0)
+        return (job_id in self.forgotten
+                and created_revision <= self.forgotten[job_id])
 
     def drop_seen(self, revision: int) -> None:
         """Drop the IDs of jobs that no answer of the store can contain.
--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -260,7 +260,7 @@
             except (interfaces.CallFailed, interfaces.LeaseEnded) as exc:
                 events.emit(events.COMMIT_FAILED, reason=str(exc),
                             values=len(writes))
-                repeated = True
+                repeated |= not isinstance(exc, interfaces.CallRefused)
                 if self.stopped.wait(RETRY_DELAY_S):
                     break
         return Outcome.OWNERSHIP_LOST
--- a/tests/test_fleet_job_retention.py
+++ b/tests/test_fleet_job_retention.py
@@ -42,11 +42,17 @@
         self.listed = 0
         self.before_get: typing.Callable[[], None] | None = None
         self.gets_before = 0
+        # How many of the next commits are refused.
+        self.refuse_commits = 0
         self.before_answer: typing.Callable[[], None] | None = None
 
     def commit(self, transaction: messages.Transaction) -> int:
         assert (len(transaction.expects) + len(transaction.puts)
                 + len(transaction.removes)) <= MAX_ENTRIES
+        if self.refuse_commits and records.OWNER_KEY in [
+                expect.key for expect in transaction.expects]:
+            self.refuse_commits -= 1
+            raise interfaces.CallRefused("store answers 503")
         return super().commit(transaction)
 
     def get(self, key: str) -> messages.Item | None:
@@ -217,10 +223,12 @@
     assert {"run/a", "run/b"} <= set(store.items)
 
 
-def test_equal_final_state_of_others_does_not_leave_the_job_stored():
+@pytest.mark.parametrize("refused", [False, True])
+def test_equal_final_state_of_others_does_not_leave_the_job_stored(refused):
     """Guards against a job that each new owner runs again."""
     bench, store, recorder = bench_with_recorder()
     bench.state.cancel("a")
+    store.refuse_commits = int(refused)
     store.commit(messages.Transaction(puts=(messages.Put(
         "st/a", progress.encode_progress(bench.state.jobs["a"])),)))
     recorder.flush()
@@ -351,6 +359,16 @@
     assert not bench.state.jobs
 
 
+def test_job_without_a_revision_of_its_creation_is_added():
+    """Guards against a job that is taken for a forgotten one."""
+    bench, _, _ = bench_with_recorder(())
+    watcher = jobwatcher.JobWatcher(
+        CheckingStore(), bench.state, threading.Event())
+    assert watcher.add_job(messages.Item(
+        "in/a", progress.encode_job(fleetfakes.job("a")), 7, 0))
+    assert list(bench.state.active) == ["a"]
+
+
 def test_job_that_is_stored_again_after_its_state_was_removed_runs(
         monkeypatch):
     """Guards against a job that is accepted and not run."""
