A refused connection is no proof that a worker has ended

Cause: after two refused connections the worker counted as dead and its tasks were freed at once, although their leases had not expired.

Change: a refusal marks the worker as unresponsive, which ends starts there. Its tasks are freed once another life answers (another worker at its address, or a report with another birth), or once its leases have expired (FleetState.expire, while this owner holds its lease); for awaited workers of an earlier owner at their deadline. The lock around starts is not needed any more, as no refusal ends a worker.

Evidence of crashes: the verdict and the suspects are still determined at the second refusal, when the state of rack peers, of simultaneous failures and of the worker list is that of the crash, and are stored then, so that a change of owner in the seconds until the leases expire loses none (crashrecords.py). A job is given up only when the crash is certain. A report of the same life, also after the worker has been removed, withdraws the crash. Suspicion.last_life keeps two owners from counting one crash twice. A successor ends the job whose last crash was stored and not yet certain; it can't withdraw crashes that its predecessor recorded.

Cost: without another life at its address, the tasks of a crashed worker wait until leases of 5 s expire by its clock, 5.4 s after the last grant at most (LEASE_EXPIRY_S); by the constants the wait was 0.3 s before. After a change of owner the tasks of earlier jobs wait for a crashed worker until its deadline: 13.5 s, or 7 s once most workers have reported.

Looked into and left as they are: _find_exposed_runs and stop_uncertain_run(refused=True) rely on refused starts, which is sound: ConnectionRefused is raised by connect alone, before a byte is sent. worker_replaced ignores calls to earlier addresses and closed links, and a process that listens at an address has replaced the one before. "Neither listed nor answering" removes only workers without runs that are not awaited. TcpReachProbe and UnreachedWorkers take a refusal for "not reached", never for "ended"; crashed workers now stay known while listed (4.1 s), less than UNREACHED_AFTER_S.

Others call worker_replaced where a removed worker is what they need.

--- a/sycamorefield/fleet/crashes.py
+++ b/sycamorefield/fleet/crashes.py
@@ -6,6 +6,7 @@
 
 from sycamorefield import events
 from sycamorefield.fleet import clock
+from sycamorefield.fleet import crashrecords
 from sycamorefield.fleet import failures as failures_mod
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import progress
@@ -59,44 +60,53 @@
 
 def worker_replaced(fleet: state_mod.FleetState, worker_id: str) -> None:
     """Handle an answer by a worker of another ID at a worker's address."""
-    _handle_worker_end(fleet, worker_id, "reborn", restarted=True)
+    with fleet.lock:
+        worker = fleet.workers.get(worker_id)
+        suspects = [] if worker is None else record_suspects(
+            fleet, worker, restarted=True)
+        fleet.mark_dead(worker_id, "reborn")
+        fleet.end_jobs_of(suspects)
 
 
 def worker_refused_connection(fleet: state_mod.FleetState,
                               worker_id: str) -> None:
-    """Handle a refused connection at a worker's address."""
-    _handle_worker_end(fleet, worker_id, "connection refused",
-                       restarted=False)
+    """Handle refused connections at a worker's address.
 
-
-def _handle_worker_end(fleet: state_mod.FleetState, worker_id: str,
-                       reason: str, restarted: bool) -> None:
+    The worker may have crashed or be cut off.  The crash is recorded now, as
+    what else failed at that moment is known now, and is certain once the
+    worker is removed.
+    """
     with fleet.lock:
         worker = fleet.workers.get(worker_id)
-        suspects = [] if worker is None else record_suspects(
-            fleet, worker, restarted)
-        fleet.mark_dead(worker_id, reason)
-        end_jobs_of(fleet, suspects)
-
-
-def end_jobs_of(fleet: state_mod.FleetState,
-                suspects: list[ExposedRun]) -> None:
-    """Store the suspicions; end the jobs of tasks that are confirmed."""
-    for suspect in suspects:
-        if suspect.task.job is not None:
-            suspect.task.job.dirty = True
-            fleet.commit_requested = True
-            fleet.update_job_state(suspect.task.job)
+        if worker is None or fleet.crash_records.is_unproven(worker_id):
+            return
+        fleet.mark_unresponsive(worker_id, "connection refused")
+        suspects = _record_end(fleet, worker, restarted=False)
+        fleet.crash_records.add_unproven(crashrecords.CrashRecord(
+            worker_id, worker.born_ms, clock.now(), suspects))
+        fleet.end_jobs_of([suspect.task for suspect in suspects])
 
 
 def record_suspects(fleet: state_mod.FleetState,
                     worker: workerstate.WorkerState, restarted: bool,
                     excluded: typing.Container[workerstate.RunId] = ()
-                    ) -> list[ExposedRun]:
-    """Record a crash with each suspected task and return these tasks.
+                    ) -> list[progress.TaskState]:
+    """Record the certain end of a worker's life; return suspected tasks.
 
     The excluded runs certainly began after the crash.
     """
+    worker_id = worker.entry.worker_id
+    if fleet.crash_records.is_unproven(worker_id):
+        return fleet.crash_records.confirm(worker_id)
+    return [suspect.task for suspect in _record_end(
+        fleet, worker, restarted, excluded)]
+
+
+def _record_end(fleet: state_mod.FleetState,
+                worker: workerstate.WorkerState, restarted: bool,
+                excluded: typing.Container[workerstate.RunId] = ()
+                ) -> list[crashrecords.Suspect]:
+    """Record a crash with each suspected task."""
     now = clock.now()
     ended_at = worker.unresponsive_since if worker.unresponsive else now
     quarantined_tasks = fleet.trials.tasks_on(worker.entry.worker_id)
@@ -108,42 +118,60 @@
     if not exposed_runs:
         return []
     verdict = _classify_end(fleet, worker, ended_at, now, restarted)
-    suspects = []
+    exposed_suspects: list[ExposedRun] = []
+    recorded: list[crashrecords.Suspect] = []
     if verdict is Verdict.CRASH:
-        suspects = [exposed for exposed
-                    in quarantined_runs or _possible_causes(exposed_runs)
-                    if not _rack_failed(fleet, worker.entry, ended_at,
-                                        exposed)]
-        if not suspects:
+        exposed_suspects = [
+            exposed for exposed
+            in quarantined_runs or _possible_causes(exposed_runs)
+            if not _rack_failed(fleet, worker.entry, ended_at, exposed)]
+        if not exposed_suspects:
             verdict = Verdict.NO_SUSPECT
         failures = _simultaneous_failures(fleet, worker, ended_at)
-        suspects = [exposed for exposed in suspects if not _has_common_cause(
-            fleet, failures, exposed.task.task.job_id)]
-        if not suspects and verdict is Verdict.CRASH:
+        exposed_suspects = [
+            exposed for exposed in exposed_suspects
+            if not _has_common_cause(
+                fleet, failures, exposed.task.task.job_id)]
+        if not exposed_suspects and verdict is Verdict.CRASH:
             verdict = Verdict.COMMON_CAUSE
-        _record_crash(suspects, worker.entry.worker_id, bool(quarantined_runs))
+        recorded = _record_crash(
+            exposed_suspects, worker, bool(quarantined_runs))
     events.emit(events.WORKER_CRASHED, worker=worker.entry.worker_id,
                 verdict=verdict.value, rack=worker.entry.rack(),
                 trial=bool(quarantined_runs), runs=[
                     (str(exposed.task.task), exposed.run,
                      round(exposed.age_s, 3))
-                    for exposed in suspects])
-    return suspects
+                    for exposed in exposed_suspects])
+    return recorded
 
 
-def _record_crash(suspects: list[ExposedRun], worker_id: str,
-                  in_quarantine: bool) -> None:
-    """Record a crash with each task that may be its cause."""
+def _record_crash(suspects: list[ExposedRun],
+                  worker: workerstate.WorkerState,
+                  in_quarantine: bool) -> list[crashrecords.Suspect]:
+    """Record a crash with each task that may be its cause.
+
+    A previous owner may have recorded the same crash in quarantine.
+    """
+    worker_id, born_ms = worker.entry.worker_id, worker.born_ms
+    life = f"{worker_id}/{born_ms}" if born_ms else ""
     just_started = [exposed for exposed in suspects
                     if exposed.age_s < suspicion.STARTUP_WINDOW_S]
+    recorded = []
     for suspect in suspects:
         task = suspect.task
         if task.suspicion is None:
             task.suspicion = suspicion.Suspicion()
+        record = task.suspicion
+        if life and record.last_life == life:
+            continue
         likely = (suspect in just_started
                   and len(just_started) <= MAX_LIKELY_CAUSES)
-        task.suspicion.add_crash(worker_id, suspect.age_s, likely,
-                                 in_quarantine)
+        was_likely, earlier_life = record.likely, record.last_life
+        counts = record.add_crash(worker_id, suspect.age_s, likely,
+                                  in_quarantine, life)
+        recorded.append(crashrecords.Suspect(
+            task, record, suspect.age_s, counts, was_likely, earlier_life))
+    return recorded
 
 
 def _possible_causes(exposed_runs: list[ExposedRun]) -> list[ExposedRun]:
--- /dev/null
+++ b/sycamorefield/fleet/crashrecords.py
@@ -0,0 +1,119 @@
+"""Remember the crashes that workers have been recorded with until now.
+
+A worker that refuses connections may have crashed, or its link may be cut
+while it runs on.  The crash is recorded at once, so that a succeeding owner
+knows of it.  It is certain once the worker has been removed or another life
+answers, and is retracted if the same life answers.
+"""
+
+import dataclasses
+
+from sycamorefield.fleet import progress
+from sycamorefield.fleet import suspicion
+
+# How long the crash of a removed worker can be retracted, in seconds.  Cuts
+# that last longer are rare, and the record only costs memory.
+RETENTION_S = 600.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suspect:
+    """A crash that was recorded with a task, and what it changed there."""
+
+    task: progress.TaskState
+    suspicion: suspicion.Suspicion
+    age_s: float
+    counts_in_quarantine: bool
+    was_likely: bool
+    earlier_life: str
+
+
+@dataclasses.dataclass(slots=True)
+class CrashRecord:
+    """The recorded end of one life of a worker; it may have no suspects."""
+
+    worker_id: str
+    born_ms: int
+    at: float
+    suspects: list[Suspect]
+    is_certain: bool = False
+
+    def mark_unproven(self) -> None:
+        """Note that the worker may not have ended."""
+        for suspect in self.suspects:
+            suspect.suspicion.unproven_trials += suspect.counts_in_quarantine
+
+    def confirm(self) -> None:
+        """Note that the worker has ended."""
+        if self.is_certain:
+            return
+        self.is_certain = True
+        for suspect in self.suspects:
+            suspect.suspicion.unproven_trials -= suspect.counts_in_quarantine
+
+    def retract(self) -> None:
+        """Remove the crash from the suspicions of its tasks."""
+        self.confirm()
+        for suspect in self.suspects:
+            record = suspect.suspicion
+            is_last = record.workers[-1:] == [self.worker_id]
+            record.remove_crash(self.worker_id, suspect.age_s)
+            record.in_trials -= suspect.counts_in_quarantine
+            if is_last:
+                record.likely = suspect.was_likely
+                record.last_life = suspect.earlier_life
+            if not record.workers and suspect.task.suspicion is record:
+                suspect.task.suspicion = None
+
+    def tasks(self) -> list[progress.TaskState]:
+        """Return the suspected tasks."""
+        return [suspect.task for suspect in self.suspects]
+
+
+class CrashRecords:
+    """Hold the last record of each worker that refused connections."""
+
+    def __init__(self) -> None:
+        self.by_worker: dict[str, CrashRecord] = {}
+
+    def add_unproven(self, record: CrashRecord) -> None:
+        """Add the record of a worker that may have crashed."""
+        record.mark_unproven()
+        self.by_worker[record.worker_id] = record
+
+    def is_unproven(self, worker_id: str) -> bool:
+        """Return whether a worker may have crashed and is still awaited."""
+        record = self.by_worker.get(worker_id)
+        return record is not None and not record.is_certain
+
+    def confirm(self, worker_id: str) -> list[progress.TaskState]:
+        """Note that a worker has ended; return the suspected tasks."""
+        if not self.is_unproven(worker_id):
+            return []
+        record = self.by_worker[worker_id]
+        record.confirm()
+        return record.tasks()
+
+    def answered(self, worker_id: str,
+                 born_ms: int) -> list[progress.TaskState]:
+        """Handle a report of a life; return the tasks that are concerned.
+
+        A record that does not name its life is of the present one, unless the
+        worker has been removed since.
+        """
+        record = self.by_worker.pop(worker_id, None)
+        if record is None:
+            return []
+        if record.born_ms == born_ms and (born_ms or not record.is_certain):
+            record.retract()
+            return record.tasks()
+        if record.is_certain:
+            return []
+        record.confirm()
+        return record.tasks()
+
+    def forget_old(self, now: float) -> None:
+        """Forget removed workers that will hardly answer again."""
+        for worker_id, record in list(self.by_worker.items()):
+            if record.is_certain and now - record.at > RETENTION_S:
+                del self.by_worker[worker_id]
--- a/sycamorefield/fleet/interfaces.py
+++ b/sycamorefield/fleet/interfaces.py
@@ -19,9 +19,10 @@
 
 
 class ConnectionRefused(NotConnected):
-    """The address refuses connections: its process has ended.
+    """The address refused the connection; no byte of the call was sent.
 
-    A process that is cut off or has lost power does not answer at all.
+    The process has ended, or something on the way refuses connections while
+    it runs on.  So the call had no effect, but runs there may go on.
     """
 
 
--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -52,9 +52,9 @@
 # stored, or after this many seconds.
 RECORD_WAIT_S = 0.4
 START_ATTEMPTS = 2
-# After this many refused connections in a row, RETRY_DELAY_S apart, no process
-# is left at a worker's address.
-REFUSALS_UNTIL_DEAD = 2
+# After this many refused connections in a row, RETRY_DELAY_S apart, a worker
+# may have crashed: a single one may be due to a restart of the link.
+REFUSALS_OF_CRASH = 2
 NO_LEASE = "no lease may be given"
 # Why an owner steps down after an error that its code doesn't expect.
 UNEXPECTED_ERROR = "unexpected error"
@@ -122,8 +122,6 @@
         self.first_calls_lost = 0
         # Refused connections since the last answered call.
         self.refusals = 0
-        # Held while a start is sent, and while the worker is declared dead.
-        self.start_lock = asyncio.Lock()
         self.recorded = asyncio.Event()
         self.ends = recordedends.RecordedEnds()
         self.orders = OrderQueue()
@@ -280,7 +278,9 @@
             await self._handle_failure(exc)
             return False
         except interfaces.ConnectionRefused as exc:
-            return called is self.worker and await self._handle_refusal(exc)
+            if called is self.worker:
+                await self._handle_refusal(exc)
+            return False
         except interfaces.CallRefused as exc:
             await self._handle_failure(exc)
             return False
@@ -327,26 +327,21 @@
             # The worker lists the ends that are not stored yet once more.
             return
 
-    async def _handle_refusal(self, exc: interfaces.ConnectionRefused) -> bool:
-        """Handle a refused connection; return whether the worker has ended.
+    async def _handle_refusal(self, exc: interfaces.ConnectionRefused
+                              ) -> None:
+        """Handle a refused connection: a crash, or a cut of the link.
 
-        If so, its tasks run elsewhere within half a second instead of some
-        seconds later, when its leases have expired.  A start that is being
-        sent is waited for: the worker may just have started again under its
-        ID, and would run the task a second time.
+        The worker's runs may go on until another life answers or the leases
+        have expired, so its tasks are not started elsewhere before.
         """
-        called = self.worker
         self.refusals += 1
-        if (self.refusals >= REFUSALS_UNTIL_DEAD
+        if (self.refusals >= REFUSALS_OF_CRASH
                 and self.fleet.has_listened(self.worker_id)):
-            async with self.start_lock:
-                if (self.refusals >= REFUSALS_UNTIL_DEAD
-                        and self._report_end(
-                            called, crashes.worker_refused_connection)):
-                    self.closed = True
-                    return True
+            with self.fleet.lock:
+                if not self.closed:
+                    crashes.worker_refused_connection(
+                        self.fleet, self.worker_id)
         await self._handle_failure(exc)
-        return False
 
     def _check_fenced(self, exc: interfaces.OrderRejected) -> bool:
         """Step down if a rejection shows that there is a successor.
@@ -432,13 +427,12 @@
                 # The first attempt may still be carried out.
                 break
             try:
-                async with self.start_lock:
-                    if self.closed:
-                        # The worker was declared dead in the meantime.
-                        return
-                    await self.worker.start(order, self.fleet.fence,
-                                            lease_end_ms)
-                    self.refusals = 0
+                if self.closed:
+                    # The worker was declared dead in the meantime.
+                    return
+                await self.worker.start(order, self.fleet.fence,
+                                        lease_end_ms)
+                self.refusals = 0
                 answers.record_started(self.fleet, self.worker_id, order,
                                        clock.now())
                 return
--- a/sycamorefield/fleet/recovery.py
+++ b/sycamorefield/fleet/recovery.py
@@ -104,6 +104,9 @@
             self.fleet.deactivate_job(state)
         else:
             self.fleet.trials.restore(state, clock.now())
+            if state.quarantine_workers:
+                # The last crash was stored before it was certain.
+                self.fleet.update_job_state(state)
 
     def _load_weights(self, item: messages.Item) -> None:
         self.recorder.revisions[records.WEIGHTS_KEY] = item.revision
--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -50,6 +50,9 @@
         # the next periodic round takes them in.  With a few hundred reports
         # per second, a round for each would leave no time for anything else.
         needs_round = worker.unresponsive or not worker.has_reported
+        if needs_round:
+            fleet.end_jobs_of(
+                fleet.crash_records.answered(worker_id, report.born_ms))
         if worker.unresponsive:
             events.emit(events.WORKER_RESPONSIVE, worker=worker_id)
             worker.unresponsive = worker.connection_closed = False
--- a/sycamorefield/fleet/restarts.py
+++ b/sycamorefield/fleet/restarts.py
@@ -36,7 +36,7 @@
     # of the life before, and shortened them to the longest lease.
     worker.granted_end_ms = report.clock_ms + fleet.hold_max_ms
     _repeat_stops(fleet, worker)
-    crashes.end_jobs_of(fleet, suspects)
+    fleet.end_jobs_of(suspects)
     fleet.request_round()
 
 
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -15,6 +15,7 @@
 from sycamorefield.fleet import advice
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import copies
+from sycamorefield.fleet import crashrecords
 from sycamorefield.fleet import demand
 from sycamorefield.fleet import endedlives
 from sycamorefield.fleet import failures
@@ -90,6 +91,7 @@
         self.drains_visible_since = -math.inf
         self.trials = quarantines.Quarantines()
         self.failures = failures.Failures(self.trials)
+        self.crash_records = crashrecords.CrashRecords()
         # Whether the store has been unreachable for longer than the owner's
         # lease, so that a successor may exist.
         self.store_unreachable = False
@@ -200,6 +202,14 @@
         for task in state.all_tasks():
             self.stop_runs(task, "job " + state.state)
 
+    def end_jobs_of(self, suspects: list[progress.TaskState]) -> None:
+        """Store the suspicions; end the jobs of tasks that are confirmed."""
+        for task in suspects:
+            if task.job is not None:
+                task.job.dirty = True
+                self.commit_requested = True
+                self.update_job_state(task.job)
+
     def stop_runs(self, task: progress.TaskState, reason: str) -> None:
         """Order the current run of a task and its copy to stop."""
         for run in task.runs():
@@ -401,6 +411,7 @@
                        reason: str) -> None:
         worker_id = worker.entry.worker_id
         now = clock.now()
+        suspects = self.crash_records.confirm(worker_id)
         failures.log_lost_runs(
             worker, reason, worker.entry.draining, len(worker.reserved),
             ((task, run) for (_, run), task in worker.tasks.items()), now)
@@ -415,6 +426,7 @@
                 task.reset_run()
         worker.reserved.clear()
         self.round_needed = True
+        self.end_jobs_of(suspects)
 
     def expire(self, now: float) -> None:
         """Remove workers that have left or whose leases have expired.
@@ -441,10 +453,12 @@
                     self._remove_worker(worker, "neither listed nor answering")
             self.ended_lives.forget_old(now)
             self.failures.forget_old(now)
+            self.crash_records.forget_old(now)
             self._shorten_deadlines(now)
             for worker_id, until in list(self.awaited_workers.items()):
                 if now >= until and lease_held:
                     del self.awaited_workers[worker_id]
+                    self.end_jobs_of(self.crash_records.confirm(worker_id))
                     events.emit(events.WORKER_RUNS_LOST, worker=worker_id,
                                 reason="leases of previous owner expired")
                     self.round_needed = True
--- a/sycamorefield/fleet/suspicion.py
+++ b/sycamorefield/fleet/suspicion.py
@@ -39,20 +39,35 @@
     in_trials: int = 0
     # Whether at the last crash this run and few others had just started.
     likely: bool = False
+    # The life of the worker that crashed last, or empty if it is not known.
+    last_life: str = ""
+    # How many of the crashes in quarantine are not certain yet: the worker
+    # may only be cut off.  Not stored.
+    unproven_trials: int = 0
 
     def add_crash(self, worker_id: str, age_s: float, likely: bool,
-                  in_quarantine: bool) -> None:
+                  in_quarantine: bool, life: str = "") -> bool:
         """Record a crash and the age of the task's run at that time.
 
-        A crash in quarantine at a run age unlike all earlier ones has another
-        cause and doesn't count as one in quarantine.
+        Return whether it counts as one in quarantine.  A crash in quarantine
+        at a run age unlike all earlier ones has another cause and does not.
         """
-        if in_quarantine and any(_is_similar_age(age_s, earlier_age_s)
-                                 for earlier_age_s in self.ages_s):
-            self.in_trials += 1
+        counts = in_quarantine and any(
+            _is_similar_age(age_s, earlier_age_s)
+            for earlier_age_s in self.ages_s)
+        self.in_trials += counts
         self.workers.append(worker_id)
         self.ages_s.append(age_s)
         self.likely = likely
+        self.last_life = life
+        return counts
+
+    def remove_crash(self, worker_id: str, age_s: float) -> None:
+        """Remove a recorded crash of a worker that has not crashed."""
+        for index, crash in enumerate(zip(self.workers, self.ages_s)):
+            if crash == (worker_id, age_s):
+                del self.workers[index], self.ages_s[index]
+                return
 
     def needs_quarantine_run(self) -> bool:
         """Return whether the next run must be in quarantine."""
@@ -62,7 +77,8 @@
 
     def is_confirmed(self) -> bool:
         """Return whether the task is confirmed as the cause of crashes."""
-        return self.in_trials >= MAX_QUARANTINE_CRASHES
+        return (self.in_trials - self.unproven_trials
+                >= MAX_QUARANTINE_CRASHES)
 
     def quarantine_s(self) -> float:
         """Return the run age in seconds at which the task is cleared."""
@@ -72,12 +88,16 @@
 
     def encode(self) -> dict[str, typing.Any]:
         """Return the stored form of this record."""
-        return dataclasses.asdict(self)
+        row = dataclasses.asdict(self)
+        del row["unproven_trials"]
+        return row
 
 
 def decode(row: dict[str, typing.Any]) -> Suspicion:
     """Decode a stored record; raise MsgspecError if it is malformed."""
-    return msgspec.convert(row, Suspicion)
+    suspicion = msgspec.convert(row, Suspicion)
+    suspicion.unproven_trials = 0
+    return suspicion
 
 
 def _is_similar_age(first_s: float, second_s: float) -> bool:
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -273,6 +273,7 @@
     """Let a worker crash; add another one in its rack."""
     rack = bench.state.workers[worker_id].entry.rack()
     crashes.worker_refused_connection(bench.state, worker_id)
+    crashes.worker_replaced(bench.state, worker_id)
     bench.state.add_worker(fleetfakes.entry(number, labels=("a", rack)))
     bench.report(f"i-{number}")
     bench.state.enrol(list(bench.state.workers))
@@ -347,6 +348,9 @@
     fake_now[0] = bench.now
     crashes.worker_refused_connection(bench.state, worker_id)
     assert not bench.place()
+    assert not bench.state.jobs["j"].quarantine_workers
+    crashes.worker_replaced(bench.state, worker_id)
+    assert not bench.place()
     job = bench.state.jobs["j"]
     [quarantined_on] = job.quarantine_workers.values()
     bench.add(fleetfakes.job("k", messages.Step(40, SMALL_RESOURCES)), 21)
--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -367,6 +367,7 @@
             self.fleet.deactivate_job(state)
         else:
             self.fleet.trials.restore(state, self.now)
+            self.fleet.update_job_state(state)
 
     def _expect_workers(self) -> None:
         stored_addresses: dict[str, str] = {}
@@ -911,6 +912,28 @@
             crashes.worker_refused_connection(self.fleet, worker_id)
             del self.undetected_crashes[worker_id]
 
+    @stateful.precondition(lambda self: self.has_owner)
+    @stateful.rule(data=strategies.data(), applies=RARELY)
+    def link_refuses_connections(self, data: strategies.DataObject,
+                                 applies: bool) -> None:
+        """Let the links of some workers be cut; the workers run on."""
+        if not applies:
+            return
+        for worker in data.draw(strategies.sets(
+                strategies.sampled_from(self._alive()), min_size=1)):
+            worker_id = worker.entry.worker_id
+            self.fleet.mark_unresponsive(worker_id, "reset")
+            crashes.worker_refused_connection(self.fleet, worker_id)
+
+    @stateful.precondition(lambda self: self.has_owner)
+    @stateful.rule()
+    def successors_of_crashed_workers_answer(self) -> None:
+        """Let the workers answer that have started at others' addresses."""
+        for worker_id, worker in list(self.fleet.workers.items()):
+            if worker.unresponsive and not self.workers[worker_id].alive:
+                crashes.worker_replaced(self.fleet, worker_id)
+                self.undetected_crashes.pop(worker_id, None)
+
     @stateful.precondition(
         lambda self: self.has_owner and not self.store_down
         and any(job.spec == CRASHING_SPEC for job in self.jobs))
