Simulated crashes: look up ended jobs in the store

The check covers all crashing jobs that were submitted now, by the owner or by the stored final state, so it is stricter.

--- a/tests/test_fleet_crash_days.py
+++ b/tests/test_fleet_crash_days.py
@@ -6,6 +6,8 @@
 
 from sycamorefield.fleet import crashes
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import progress
+from sycamorefield.fleet import records
 from tests import fleetfakes
 from tests import test_fleet_machine
 
@@ -93,6 +95,14 @@
             crashes.worker_refused_connection(self.machine.fleet,
                                               worker.entry.worker_id)
 
+    def final_state(self, job: messages.Job) -> str:
+        """Return the state of a job, which its owner may have forgotten."""
+        known = self.machine.fleet.jobs.get(job.job_id)
+        if known is not None:
+            return known.state
+        return progress.decode_state(self.machine.store.items[
+            records.final_key(job.job_id)].value)
+
     def finish_some_runs(self) -> None:
         """Complete some runs of finite tasks."""
         for worker in self.machine._alive():
@@ -114,9 +124,10 @@
     simulation = CrashSimulation(seed, is_replaced)
     try:
         simulation.run()
-        states = [state for state in simulation.machine.fleet.jobs.values()
-                  if state.job.spec == test_fleet_machine.CRASHING_SPEC]
-        assert states and all(state.state == messages.JOB_FAILED
+        states = [simulation.final_state(job)
+                  for job in simulation.machine.jobs
+                  if job.spec == test_fleet_machine.CRASHING_SPEC]
+        assert states and all(state == messages.JOB_FAILED
                               for state in states)
     finally:
         simulation.machine.teardown()
