Take a server thread only for a complete HTTP request

Seen by callers: 16 connections to a front that sent nothing, or half a request, held all of its 16 threads; other callers got no answer until the clients had timed out (10 s per read, so a slow sender had no limit). The listeners for readiness and metrics have 2 threads and the same fault.

Cause: cheroot hands each accepted connection to a thread, which reads the request. Its connection manager waits for readability only between requests; `timeout` applies to each read, and `keep_alive_conn_limit` to idle connections that have had a request. There is no limit for a head or a body.

Change: BufferingServer replaces the connection manager. One thread accepts and receives without blocking; a thread of the pool gets a connection once its request is complete.

--- a/sycamorefield/platform/daemon.py
+++ b/sycamorefield/platform/daemon.py
@@ -21,6 +21,7 @@
 from sycamorefield import metrics
 from sycamorefield.platform import advice as advice_mod
 from sycamorefield.platform import bootsettings
+from sycamorefield.platform import bufferingserver
 from sycamorefield.platform import configuration
 from sycamorefield.platform import front as front_mod
 from sycamorefield.platform import reachprobe
@@ -196,7 +197,7 @@
 
 def _start_server(address: str, threads: int) -> cherrypy._cpserver.Server:
     host, _, port = address.rpartition(":")
-    server = cherrypy._cpserver.Server()
+    server = bufferingserver.ServerAdapter()
     server.socket_host = host
     server.socket_port = int(port)
     server.thread_pool = threads
