Start a suspected task again only once its crashes are stored

Cause: an owner recorded the crashes but could not store them, as the store was down from 56.5 s on (SF1829), and went on starting the task.

Change: a task with recorded crashes starts only once the store has them (JobState.stored_crashes, storedcrashes.py), as quarantine runs already wait for the stored quarantine. A change of the owner can so lose the last crash of a task only. Innocent tasks whose worker crashed wait as well; the waiting reason says so. The new owner starts them if the store stays down for so long.

Tests changed: four tests in test_fleet_crashes.py and one in test_fleet_partial_reach.py play the part of the store by setting stored_quarantine_workers; they now set stored_crashes beside it. Their assertions are as before.

--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -9,6 +9,7 @@
 from sycamorefield.fleet import jobbounds
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import runtimes
+from sycamorefield.fleet import storedcrashes
 from sycamorefield.fleet import suspicion
 
 IDLE = "idle"
@@ -210,6 +211,8 @@
         self.stored_quarantine_workers: dict[messages.TaskId, str] = {}
         # When the lives of these workers began, in ms since 1970.
         self.quarantine_births: dict[str, int] = {}
+        # The workers that suspected tasks crashed, by the stored record.
+        self.stored_crashes: storedcrashes.CrashedWorkers = {}
         # Whether the job is older than the term of this owner.
         self.taken_over = False
         # Until when an earlier owner may have started tasks, in ms since 1970.
@@ -563,6 +566,7 @@
         found = _find_by_short_name(state, name)
         if found is not None:
             found.suspicion = suspicion.decode(suspected)
+    state.stored_crashes = storedcrashes.recorded(state)
     for name, worker_id in row.trials.items():
         found = _find_by_short_name(state, name)
         if found is not None:
--- a/sycamorefield/fleet/quarantines.py
+++ b/sycamorefield/fleet/quarantines.py
@@ -7,6 +7,7 @@
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import placing
 from sycamorefield.fleet import progress
+from sycamorefield.fleet import storedcrashes
 from sycamorefield.fleet import suspicion
 from sycamorefield.fleet import workerstate
 
@@ -120,8 +121,9 @@
 def is_ready(quarantine: Quarantine, workers: Workers, now: float) -> bool:
     """Return whether only the quarantined tasks could cause a crash from now.
 
-    Their assignments must be stored, so that a succeeding owner knows which
-    tasks to suspect, and no other run on the workers may have just started.
+    Their assignments and crashes must be stored, so that a succeeding owner
+    knows which tasks to suspect, and no other run on the workers may have just
+    started.
     A worker that has not reported since such a start may have crashed
     unnoticed: the crash would be attributed to the quarantined tasks.
     """
@@ -130,6 +132,9 @@
            for task_id, worker_id in assignments.items()):
         return False
     members = {task for task, _ in quarantine.members}
+    if not all(storedcrashes.are_stored(quarantine.job, task)
+               for task in members):
+        return False
     return not any(
         has_recent_start(workers[worker_id],
                          min(now, workers[worker_id].reported_at), members)
--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -13,6 +13,7 @@
 from sycamorefield.fleet import recordedends
 from sycamorefield.fleet import records
 from sycamorefield.fleet import state as state_mod
+from sycamorefield.fleet import storedcrashes
 from sycamorefield.fleet import usage
 from sycamorefield import metrics
 
@@ -54,6 +55,8 @@
     quarantine_workers: dict[messages.TaskId, str] = {}
     # The long-running tasks that wait for their first start by the data.
     unstarted: frozenset[messages.TaskId] = frozenset()
+    # The workers that suspected tasks crashed according to the data.
+    crashes: storedcrashes.CrashedWorkers = {}
 
 
 class Recorder:
@@ -155,7 +158,8 @@
         return PendingWrite(
             records.progress_key(job.job.job_id),
             progress.encode_progress(job), job.state_revision, job,
-            dict(job.quarantine_workers), unstarted)
+            dict(job.quarantine_workers), unstarted,
+            storedcrashes.recorded(job))
 
     def _add_workers(self, writes: list[PendingWrite]) -> None:
         """Add the list of workers in use if it has changed.
@@ -327,9 +331,11 @@
                                 write: PendingWrite) -> None:
         """Note what was stored that starts may have waited for."""
         if (write.quarantine_workers == job.stored_quarantine_workers
-                and write.unstarted == job.stored_unstarted):
+                and write.unstarted == job.stored_unstarted
+                and write.crashes == job.stored_crashes):
             return
         with self.fleet.lock:
             job.stored_quarantine_workers = write.quarantine_workers
             job.stored_unstarted = write.unstarted
+            job.stored_crashes = write.crashes
             self.fleet.request_round()
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -19,6 +19,7 @@
 from sycamorefield.fleet import reservations
 from sycamorefield.fleet import slowplacing
 from sycamorefield.fleet import state as state_mod
+from sycamorefield.fleet import storedcrashes
 from sycamorefield.fleet import victims
 from sycamorefield.fleet import workerstate
 
@@ -93,7 +94,9 @@
         tasks = state.tasks[occurrence, number]
         waiting = [t for t in tasks if t.phase == progress.IDLE
                    and not t.done]
-        startable = [t for t in waiting if t.not_before <= self.now]
+        # A quarantine run is stored before it starts, with the crashes.
+        startable = [t for t in waiting if t.not_before <= self.now and (
+            storedcrashes.are_stored(state, t) or t.needs_quarantine_run())]
         if not startable:
             return bool(waiting)
         step = state.job.steps[number]
--- a/sycamorefield/fleet/waitingreasons.py
+++ b/sycamorefield/fleet/waitingreasons.py
@@ -8,6 +8,7 @@
 from sycamorefield.fleet import placing
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import quarantines
+from sycamorefield.fleet import storedcrashes
 from sycamorefield.fleet import widetasks
 from sycamorefield.fleet import workerstate
 
@@ -17,6 +18,7 @@
 # Reasons that concern a step as a whole.  The first that holds is given.
 AWAITED_WORKERS = "workers of an earlier owner have not reported"
 OWN_LEASE = "the owner's lease had expired when it learned of the job"
+CRASHES_NOT_STORED = "crash of its worker is not stored yet"
 GANG_INCOMPLETE = "other members of the gang have not ended"
 DELAYED = "delayed after a failure or rejection"
 SKIPPED = "rounds skip the job"
@@ -71,6 +73,8 @@
     if suspected:
         return _quarantine_reason(
             fleet.trials.by_task.get(suspected[0].task))
+    if not all(storedcrashes.are_stored(state, task) for task in tasks):
+        return CRASHES_NOT_STORED
     if tasks[0].step.gang and len(tasks) < tasks[0].step.count:
         return GANG_INCOMPLETE
     if all(task.not_before > now for task in tasks):
--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -16,6 +16,7 @@
 from sycamorefield.fleet import records
 from sycamorefield.fleet import rounds
 from sycamorefield.fleet import state as state_mod
+from sycamorefield.fleet import storedcrashes
 from sycamorefield.fleet import suspicion
 from tests import fleetfakes
 from tests import test_fleet_state
@@ -269,6 +270,12 @@
         end.verdict is crashes.Verdict.CRASH)
 
 
+def note_stored(state):
+    """Let the present progress of a job be stored."""
+    state.stored_quarantine_workers = dict(state.quarantine_workers)
+    state.stored_crashes = storedcrashes.recorded(state)
+
+
 def replace_crashed(bench, worker_id, number):
     """Let a worker crash; add another one in its rack."""
     rack = bench.state.workers[worker_id].entry.rack()
@@ -294,7 +301,7 @@
         bench.now = fake_now[0]
         bench.state.update_listed(set(bench.state.workers), bench.now)
         placed = bench.place()
-        state.stored_quarantine_workers = dict(state.quarantine_workers)
+        note_stored(state)
         fake_now[0] += 0.1
         for worker_id in [text.partition("@")[2] for text in placed]:
             starts += 1
@@ -353,7 +360,7 @@
     assert not any(placement.startswith("j.")
                    or placement.endswith("@" + quarantined_on)
                    for placement in bench.place())
-    job.stored_quarantine_workers = dict(job.quarantine_workers)
+    note_stored(job)
     placed = bench.place()
     assert f"j.0.0.0@{quarantined_on}" in placed
     assert sum(placement.endswith("@" + quarantined_on)
@@ -380,7 +387,7 @@
         2, SMALL_RESOURCES, max_per_worker=1)), 15)
     assert len(bench.place()) == 2
     [worker_id] = job.quarantine_workers.values()
-    job.stored_quarantine_workers = dict(job.quarantine_workers)
+    note_stored(job)
     bench.now += 1.0
     assert not bench.place()
     report_all(bench)
@@ -453,13 +460,13 @@
         [task] = job.tasks[0, 0]
         task.suspicion = suspicion.Suspicion(["i-9"], [0.01], likely=True)
         job.quarantine_workers = {task.task: "i-5"}
-        job.stored_quarantine_workers = dict(job.quarantine_workers)
+        note_stored(job)
         bench.state.trials.restore(job, bench.now)
     for _ in range(30):
         bench.place()
         report_all(bench)
         for job in bench.state.jobs.values():
-            job.stored_quarantine_workers = dict(job.quarantine_workers)
+            note_stored(job)
     assert all(task.phase == progress.RUNNING
                for job in bench.state.jobs.values()
                for task in job.all_tasks())
--- a/tests/test_fleet_partial_reach.py
+++ b/tests/test_fleet_partial_reach.py
@@ -13,6 +13,7 @@
 from sycamorefield.fleet import records
 from sycamorefield.fleet import recovery
 from sycamorefield.fleet import rounds
+from sycamorefield.fleet import storedcrashes
 from sycamorefield.fleet import suspicion
 from sycamorefield.fleet import workerstate
 from tests import fleetfakes
@@ -62,6 +63,7 @@
     task.suspicion = suspicion.Suspicion(["i-9"], [0.1], likely=True)
     job.quarantine_workers = {task.task: "i-0"}
     job.stored_quarantine_workers = dict(job.quarantine_workers)
+    job.stored_crashes = storedcrashes.recorded(job)
     successor.state.trials.restore(job, successor.now)
     assert not successor.run(AWAITED_S - 1.0)
     assert successor.run(3.0) == ["j.0.0.0@i-1"]
