--- a/sycamorefield/fleet/jobwrites.py
+++ b/sycamorefield/fleet/jobwrites.py
@@ -6,6 +6,7 @@
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import records
+from sycamorefield.fleet import storedcrashes
 
 # The most conditions, puts and removals in a transaction.
 MAX_ENTRIES = 32
@@ -25,6 +26,8 @@
     # Further conditions, and keys that are removed with the write.
     conditions: tuple[messages.Expect, ...] = ()
     removes: tuple[str, ...] = ()
+    # The workers that suspected tasks crashed according to the data.
+    crashes: storedcrashes.CrashedWorkers = {}
 
     def is_final(self) -> bool:
         """Return whether the write stores the final state of a job."""
@@ -72,7 +75,7 @@
     return PendingWrite(
         records.progress_key(job_id), progress.encode_progress(job),
         job.state_revision, job, dict(job.quarantine_workers), unstarted,
-        conditions)
+        conditions, crashes=storedcrashes.recorded(job))
 
 
 def grouped(writes: typing.Iterable[PendingWrite]
--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -316,9 +316,11 @@
                                 write: jobwrites.PendingWrite) -> None:
         """Note what was stored that starts may have waited for."""
         if (write.quarantine_workers == job.stored_quarantine_workers
-                and write.unstarted == job.stored_unstarted):
+                and write.unstarted == job.stored_unstarted
+                and write.crashes == job.stored_crashes):
             return
         with self.fleet.lock:
             job.stored_quarantine_workers = write.quarantine_workers
             job.stored_unstarted = write.unstarted
+            job.stored_crashes = write.crashes
             self.fleet.request_round()
--- a/tests/test_fleet_crash_days.py
+++ b/tests/test_fleet_crash_days.py
@@ -28,6 +28,16 @@
 CRASHING_JOBS = 4
 
 
+def state_of(machine: test_fleet_machine.FleetMachine,
+             job: messages.Job) -> str:
+    """Return the state of a job, which its owner may have forgotten."""
+    known = machine.fleet.jobs.get(job.job_id)
+    if known is not None:
+        return known.state
+    return progress.decode_state(
+        machine.store.items[records.final_key(job.job_id)].value)
+
+
 class CrashSimulation:
     """A seeded run in which tasks, workers and racks crash.
 
@@ -95,14 +105,6 @@
             crashes.worker_refused_connection(self.machine.fleet,
                                               worker.entry.worker_id)
 
-    def final_state(self, job: messages.Job) -> str:
-        """Return the state of a job, which its owner may have forgotten."""
-        known = self.machine.fleet.jobs.get(job.job_id)
-        if known is not None:
-            return known.state
-        return progress.decode_state(self.machine.store.items[
-            records.final_key(job.job_id)].value)
-
     def finish_some_runs(self) -> None:
         """Complete some runs of finite tasks."""
         for worker in self.machine._alive():
@@ -124,7 +126,7 @@
     simulation = CrashSimulation(seed, is_replaced)
     try:
         simulation.run()
-        states = [simulation.final_state(job)
+        states = [state_of(simulation.machine, job)
                   for job in simulation.machine.jobs
                   if job.spec == test_fleet_machine.CRASHING_SPEC]
         assert states and all(state == messages.JOB_FAILED
--- a/tests/test_fleet_refused_connections.py
+++ b/tests/test_fleet_refused_connections.py
@@ -15,6 +15,7 @@
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import reports
+from sycamorefield.fleet import storedcrashes
 from sycamorefield.fleet import workerstate
 from tests import fleetfakes
 from tests import test_fleet_state
@@ -212,6 +213,7 @@
         for _ in range(3):
             bench.place()
             job.stored_quarantine_workers = dict(job.quarantine_workers)
+            job.stored_crashes = storedcrashes.recorded(job)
         assert bench.task.phase == progress.RUNNING
         bench.worker_id = bench.task.worker_id
         bench.worker.grant_lease(workerstate.LEASE_MS, bench.now)
