A draining worker that closed its connections may still run on

FleetState.expire freed the tasks of a draining worker at once when it had closed a connection and was not listed any more ("left as announced"). Both can be due to cuts: an entry expires after three silent heartbeats, which is less than a lease, and something on the way may close a connection.

Change: its tasks wait for its leases, like those of any silent worker, or for another life. connection_closed had no other use and is removed.

Cost: tasks that run to the end of a drain restart up to 5.4 s after the last lease instead of when the entry is removed. A cheaper proof would be an entry that vanishes earlier than three heartbeats after its seq last changed: then the worker removed it itself. Entries don't hold seq yet.

test_tasks_of_a_worker_that_drained_and_left_restart_at_once stated the wrong promise; test_tasks_of_a_worker_that_drained_wait_for_its_leases replaces it: no start before the leases are over, and one afterwards.

--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -356,9 +356,7 @@
     async def _handle_failure(self, exc: Exception) -> None:
         with self.fleet.lock:
             if not self.closed:
-                self.fleet.mark_unresponsive(
-                    self.worker_id, str(exc),
-                    isinstance(exc, interfaces.ConnectionClosed))
+                self.fleet.mark_unresponsive(self.worker_id, str(exc))
         await asyncio.sleep(RETRY_DELAY_S)
 
     async def _send_orders(self) -> None:
--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -55,7 +55,7 @@
                 fleet.crash_records.answered(worker_id, report.born_ms))
         if worker.unresponsive:
             events.emit(events.WORKER_RESPONSIVE, worker=worker_id)
-            worker.unresponsive = worker.connection_closed = False
+            worker.unresponsive = False
         if not worker.has_reported:
             # A previous owner may have granted leases of maximum length.
             worker.granted_end_ms = max(
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -368,16 +368,11 @@
         """
         return worker.restart_seen_at <= self.owner_lease_until
 
-    def mark_unresponsive(self, worker_id: str, reason: str,
-                          connection_closed: bool = False) -> None:
+    def mark_unresponsive(self, worker_id: str, reason: str) -> None:
         """Record that a worker did not respond or closed the connection."""
         with self.lock:
             worker = self.workers.get(worker_id)
-            if worker is None:
-                return
-            worker.connection_closed |= (connection_closed
-                                         and worker.entry.draining)
-            if worker.unresponsive:
+            if worker is None or worker.unresponsive:
                 return
             worker.unresponsive = True
             worker.unresponsive_since = clock.now()
@@ -429,8 +424,10 @@
         self.end_jobs_of(suspects)
 
     def expire(self, now: float) -> None:
-        """Remove workers that have left or whose leases have expired.
+        """Remove workers whose leases have expired or that have no runs.
 
+        A draining worker that closed its connections and is not listed any
+        more may still run on: cuts of its links have the same effects.
         Leases count as expired only while this owner holds its own lease: a
         successor may have renewed the leases of runs on workers that it can
         reach.
@@ -441,11 +438,6 @@
                 if (worker.unresponsive and lease_held
                         and worker.leases_expired(now)):
                     self._remove_worker(worker, "lease expired")
-                elif (worker.unresponsive and worker.connection_closed
-                        and not worker.listed):
-                    # It was draining, closed its connections and removed
-                    # its entry from the worker list: it has exited.
-                    self._remove_worker(worker, "left as announced")
                 elif (worker.unresponsive and not worker.listed
                         and not worker.reserved
                         and (worker.entry.worker_id
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -82,8 +82,6 @@
         self.unresponsive_since = 0.0
         # Tasks of which runs had just started when it became unresponsive.
         self.recent_tasks: frozenset[messages.TaskId] = frozenset()
-        # Whether it closed a connection while it was draining.
-        self.connection_closed = False
         # When its last report arrived.
         self.reported_at = 0.0
         # When the last call that it accepted was sent.
@@ -204,7 +202,6 @@
         self.failures = self.over_reports = self.unanswered_starts = 0
         self.avoid_until = self.unused_cpu = 0.0
         self.tail_latencies = []
-        self.connection_closed = False
         self.refused_starts.clear()
         self.uncertain_paces.clear()
         self.slow = self.on_trial = False
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -268,13 +268,10 @@
     assert bench.place() == ["old.0.0.0@i-0"]
 
 
-def test_tasks_of_a_worker_that_drained_and_left_restart_at_once():
-    """Treating a worker that left as unresponsive would delay its tasks.
+def test_tasks_of_a_worker_that_drained_wait_for_its_leases():
+    """Guards against a second run while a draining worker is cut off.
 
-    A worker that was draining, closed its connections and is no longer listed
-    has exited, so its leases need not expire first.  Waiting for them, and
-    after a change of owner for its report, kept long-running tasks down for
-    20 s.
+    Its closed connections and its missing entry may both be due to cuts.
     """
     bench = Bench(fleetfakes.entry(0), fleetfakes.entry(1))
     bench.add(fleetfakes.job("j"))
@@ -282,10 +279,13 @@
     holder = placed.split("@")[1]
     bench.state.add_worker(fleetfakes.entry(int(holder[2:]), draining=True))
     bench.state.workers[holder].grant_lease(5000.0, bench.now)
-    bench.state.mark_unresponsive(
-        holder, "closed", connection_closed=True)
-    bench.state.expire(bench.now)
-    assert not bench.place()
+    bench.state.mark_unresponsive(holder, "closed before an answer")
+    bench.state.update_listed({"i-0", "i-1"} - {holder}, bench.now)
+    for passed_s in (0.1, 2.0, 2.5):
+        bench.now += passed_s
+        bench.state.expire(bench.now)
+        assert not bench.place()
+    bench.now += 1.0
     bench.state.update_listed({"i-0", "i-1"} - {holder}, bench.now)
     bench.state.expire(bench.now)
     (again,) = bench.place()
