Grant short leases to draining workers

Since tasks of a worker that has left wait for its leases, callers wait up to 5.4 s for them. A lease on a worker that drains is 2.5 s now, which two reports renew, so that it ends about as long before.

--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -23,7 +23,6 @@
 from sycamorefield.fleet import reports
 from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import usage
-from sycamorefield.fleet import workerstate
 from sycamorefield import metrics
 
 # How long a worker may delay its report while no run ends.  It bounds the time
@@ -203,7 +202,7 @@
             if worker is None or worker.unresponsive:
                 return None
             return worker.grant_lease(
-                min(longest_ms, workerstate.LEASE_MS,
+                min(longest_ms, worker.longest_lease_ms(),
                     self.fleet.hold_max_ms), now)
 
     def _report_wait_ms(self) -> int:
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -17,6 +17,9 @@
 # stop and 2.5 s after a crash.  With a longer lease, tasks of an unresponsive
 # worker would wait longer for their next run.
 LEASE_MS = 5000.0
+# A lease on a draining worker: its runs are awaited until their leases have
+# expired after it has left.  Two reports fit into it.
+DRAINING_LEASE_MS = 2500.0
 # Margin for clock rounding and for the time that a worker takes to kill runs.
 LEASE_END_SLACK_MS = 300.0
 # Seconds by the owner's clock after which a lease granted now has certainly
@@ -231,6 +234,10 @@
         self.granted_end_ms = max(self.granted_end_ms, end_ms)
         return end_ms
 
+    def longest_lease_ms(self) -> float:
+        """Return how long a lease may be granted for."""
+        return DRAINING_LEASE_MS if self.entry.draining else LEASE_MS
+
     def leases_expired(self, now: float) -> bool:
         """Return whether each lease granted here has certainly expired."""
         if not self.clock_read_at:
--- a/tests/test_fleet_link.py
+++ b/tests/test_fleet_link.py
@@ -1,6 +1,7 @@
 """Test what a worker's link sends when the worker does not respond."""
 
 import asyncio
+import dataclasses
 import threading
 import time
 
@@ -205,3 +206,15 @@
     link.close()
     loop_thread.stop()
     assert worker.pace_orders
+
+
+@pytest.mark.parametrize(("draining", "lease_ms"), [
+    (False, workerstate.LEASE_MS), (True, workerstate.DRAINING_LEASE_MS)])
+def test_leases_of_draining_workers_are_short(bench, draining, lease_ms):
+    """Guards against tasks that wait for seconds after a planned leave."""
+    worker = bench.state.workers["i-0"]
+    worker.entry = dataclasses.replace(worker.entry, draining=draining)
+    link = make_link(bench, fleetfakes.MemoryWorker("i-0"))
+    began_ms = worker.clock_ms + (
+        clock.now() - worker.clock_read_at) * 1000.0
+    assert link._lease_end_ms() - began_ms == pytest.approx(lease_ms, abs=200)
