Bound best-effort work in sum; publish loads of any size

The sum over all images is published and has a limit of 10 s. - Names of images could make the backlog too long, and work of 1e12 core-seconds made it unreadable: rows are dropped, values are limited. - Steps without an estimate counted as no work.

--- a/sycamorefield/fleet/admission.py
+++ b/sycamorefield/fleet/admission.py
@@ -188,9 +188,15 @@
     times = backlog_mod.estimate_best_effort_times(backlog, job, queue)
     if times is None:
         return None
-    drain_s = backlog.drain_s(job, queue.priority) - age_s
     limit_s = max(SHORTEST_DRAIN_LIMIT_S, min(
         LONGEST_DRAIN_S, times.objective_s - times.path_s))
+    images = {step.image for step in job.steps if step.fills}
+    # The sum over all images may take longer, as none waits for all others.
+    drain_s, limit_s = max(
+        ((backlog.drain_s(job.service, queue.priority, images), limit_s),
+         (backlog.drain_s(job.service, queue.priority, (None,)),
+          LONGEST_DRAIN_S)), key=lambda pair: pair[0] / pair[1])
+    drain_s -= age_s
     excess = drain_s / limit_s - EARLY_REJECTION_SHARE
     if excess <= (1.0 - EARLY_REJECTION_SHARE) * _draw(
             job.job_id, backlog.written_ms):
--- a/sycamorefield/fleet/backlog.py
+++ b/sycamorefield/fleet/backlog.py
@@ -35,8 +35,9 @@
 # Bounds the encoded form.
 MAX_BEST_EFFORT_LOADS = 16
 
+MAX_AMOUNT = 1e12
 Amount = typing.Annotated[
-    float, pydantic.Field(ge=0.0, le=1e12, allow_inf_nan=False)]
+    float, pydantic.Field(ge=0.0, le=MAX_AMOUNT, allow_inf_nan=False)]
 # Milliseconds since 1970; the bound is thousands of years from now.
 WallTime = typing.Annotated[
     float, pydantic.Field(ge=0.0, le=1e14, allow_inf_nan=False)]
@@ -141,14 +142,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BestEffortLoad:
-    """The best-effort work of an image on a service, up to a priority.
+    """The best-effort work of a service up to a priority.
 
+    It is that of an image, or of all images if image is None.
     It waits for CPU that other tasks leave unused; served_cores is how much
     of that it lately got.
     """
 
     service: str
-    image: str
+    image: str | None
     priority: int
     waiting_cpu_s: Amount
     served_cores: Positive
@@ -174,11 +176,11 @@
         return bool(self.best_effort) or any(
             pool.waits for pool in self.pools)
 
-    def drain_s(self, job: messages.Job, priority: int) -> float:
+    def drain_s(self, service: str, priority: int,
+                images: typing.Container[str | None]) -> float:
         """Return how long it takes to serve the best-effort work ahead."""
-        images = {step.image for step in job.steps if step.fills}
         return max((load.drain_s() for load in self.best_effort
-                    if load.service == job.service and load.image in images
+                    if load.service == service and load.image in images
                     and load.priority <= priority), default=0.0)
 
     def wait_s(self, service: str, priority: int,
@@ -212,15 +214,19 @@
     pools = sorted(backlog.pools, key=lambda pool: -pool.waiting_cpu_s)
     queues = sorted(backlog.queues.items(), key=lambda row: (
         -row[1].first_s, -row[1].got_cores, row[0]))
-    while len(data) > MAX_BYTES and (pools or queues):
-        if len(queues) >= len(pools):
+    loads = backlog.best_effort
+    while len(data) > MAX_BYTES and (pools or queues or loads):
+        if len(loads) > max(len(pools), len(queues)):
+            loads = loads[:-1]
+        elif len(queues) >= len(pools):
             # A share of one queue alone would be unfair to its peers.
             priority = queues[-1][1].priority
             queues = [row for row in queues if row[1].priority != priority]
         else:
             pools.pop()
         data = _ADAPTER.dump_json(dataclasses.replace(
-            backlog, pools=tuple(pools), queues=dict(queues)),
+            backlog, pools=tuple(pools), queues=dict(queues),
+            best_effort=loads),
             exclude_defaults=True)
     return data
 
--- a/sycamorefield/fleet/backlogmeter.py
+++ b/sycamorefield/fleet/backlogmeter.py
@@ -134,7 +134,7 @@
                   "backlog_bytes": float(len(self.data or b""))}
         latest = self.latest
         for load in latest.best_effort if latest is not None else ():
-            label = (f'{{service="{load.service}",image="{load.image}",'
+            label = (f'{{service="{load.service}",image="{load.image or ""}",'
                      f'priority="{load.priority}"}}')
             gauges["best_effort_waiting_cpu_s" + label] = load.waiting_cpu_s
             gauges["best_effort_drain_s" + label] = load.drain_s()
--- a/sycamorefield/fleet/besteffortbacklog.py
+++ b/sycamorefield/fleet/besteffortbacklog.py
@@ -21,6 +21,10 @@
 # The least share of a service's CPU that counts as served to an image.
 # Otherwise nothing could be accepted of an image that has not run yet.
 MIN_SERVED_SHARE = 0.02
+# The least CPU that is published as served, in thousandths of a core.
+MIN_SERVED_CPU = 100.0
+# The run time of a task whose estimate is missing, in seconds.
+DEFAULT_TASK_S = 1.0
 
 
 class ImageClass(typing.NamedTuple):
@@ -62,8 +66,8 @@
                 continue
             waiting = sum(task.phase == progress.IDLE and not task.done
                           for task in tasks)
-            task_s = (known.task_s(step, backlog_mod.MID)
-                      if known is not None else step.estimate_ms / 1000.0)
+            task_s = (known.task_s(step, backlog_mod.MID) if known is not None
+                      else step.estimate_ms / 1000.0 or DEFAULT_TASK_S)
             self.waiting_cpu_s[
                 ImageClass(queue.service, step.image, queue.priority)] += (
                     waiting * step.room.cpu * task_s / 1000.0)
@@ -77,32 +81,42 @@
 
     def measure(self, work: BestEffortWork, listed_cpu: dict[str, int],
                 now: float) -> tuple[backlog_mod.BestEffortLoad, ...]:
-        """Return the load of each image that waits, the longest first.
+        """Return the loads of services and of images that wait.
 
         listed_cpu is that of each service's workers, in thousandths of a
-        core.
+        core.  The loads of services come first, then the longest ones.
         """
         self._update_served(work, now)
         found = []
-        for service, image, priority in sorted(work.waiting_cpu_s):
+        for service, priority in sorted(
+                {(key.service, key.priority) for key in work.waiting_cpu_s}):
             if not listed_cpu.get(service):
                 continue
-            served = MIN_SERVED_SHARE * listed_cpu[service]
-            if (service, image) in self.served_cpu:
-                served = max(
-                    served, self.served_cpu[service, image].highest())
-            waiting_cpu_s = sum(
-                cpu_s for other, cpu_s in work.waiting_cpu_s.items()
-                if other[:2] == (service, image)
-                and other.priority <= priority)
-            load = backlog_mod.BestEffortLoad(
-                service, image, priority, round(waiting_cpu_s, 1),
-                round(served / 1000.0, 1))
-            if load.drain_s() >= backlog_mod.MIN_WAIT_S:
-                found.append(load)
-        found.sort(key=lambda load: -load.drain_s())
+            images = {key.image for key in work.waiting_cpu_s
+                      if key.service == service}
+            for of in (None, *sorted(images)):
+                load = self._load(work, service, of, priority,
+                                  MIN_SERVED_SHARE * listed_cpu[service])
+                if load.drain_s() >= backlog_mod.MIN_WAIT_S:
+                    found.append(load)
+        found.sort(key=lambda load: (load.image is not None, -load.drain_s()))
         return tuple(found[:backlog_mod.MAX_BEST_EFFORT_LOADS])
 
+    def _load(self, work: BestEffortWork, service: str, image: str | None,
+              priority: int, min_served: float) -> backlog_mod.BestEffortLoad:
+        """Return the load of an image, or of all if image is None."""
+        waiting_cpu_s = sum(
+            cpu_s for key, cpu_s in work.waiting_cpu_s.items()
+            if key.service == service and key.priority <= priority
+            and image in (None, key.image))
+        served = sum(
+            recent.highest() for key, recent in self.served_cpu.items()
+            if key[0] == service and image in (None, key[1]))
+        return backlog_mod.BestEffortLoad(
+            service, image, priority,
+            round(min(waiting_cpu_s, backlog_mod.MAX_AMOUNT), 1),
+            round(max(served, min_served, MIN_SERVED_CPU) / 1000.0, 1))
+
     def _update_served(self, work: BestEffortWork, now: float) -> None:
         for key, cpu in work.running_cpu.items():
             self.served_cpu.setdefault(
--- a/tests/test_fleet_best_effort_overload.py
+++ b/tests/test_fleet_best_effort_overload.py
@@ -165,8 +165,46 @@
         work.waiting_cpu_s[key] = 100.0
         work.running_cpu["desk", "a"] = running
         loads = meter.measure(work, {"desk": 100_000}, now)
-        return [load.served_cores for load in loads]
+        return [load.served_cores for load in loads if load.image == "a"]
 
     assert measure(20_000, 100.0) == [20.0]
     assert measure(0, 105.0) == [20.0]
     assert measure(0, 111.0) == [2.0]
+
+
+@pytest.mark.parametrize(("drain_s", "rejected"), [(5.0, False), (10.0, True)])
+def test_sum_over_all_images_is_bounded(drain_s, rejected):
+    """Guards against many images that each wait for less than the limit."""
+    assert is_rejected(drain_s, image=None) is rejected
+
+
+@pytest.mark.parametrize(("listed_cpu", "waiting_cpu_s"), [
+    (1, 5.0), (100_000, 1e300)], ids=["hardly any CPU", "endless work"])
+def test_load_of_any_size_can_be_published(listed_cpu, waiting_cpu_s):
+    """Guards against values that disable admission for all jobs."""
+    work = besteffortbacklog.BestEffortWork()
+    work.waiting_cpu_s[besteffortbacklog.ImageClass("desk", "a", 2)] = (
+        waiting_cpu_s)
+    loads = besteffortbacklog.BestEffortMeter().measure(
+        work, {"desk": listed_cpu}, 100.0)
+    found = backlog.Backlog(1, 1e12, 3, best_effort=loads)
+    assert loads and backlog.decode(backlog.encode(found)) == found
+
+
+def test_backlog_with_long_names_of_images_is_readable():
+    """Guards against names that make the backlog too long to be used."""
+    loads = tuple(backlog.BestEffortLoad("desk", "x" * 400 + str(number), 2,
+                                         50.0, 1.0) for number in range(16))
+    found = backlog.decode(backlog.encode(
+        backlog.Backlog(1, 1e12, 3, best_effort=loads)))
+    assert 0 < len(found.best_effort) < 16
+
+
+def test_work_without_an_estimate_counts():
+    """Guards against accepting any number of jobs that state no run time."""
+    state = progress.JobState(fleetfakes.job(
+        "j", dataclasses.replace(STEP, estimate_ms=0)), 1)
+    state.create_tasks(0)
+    work = besteffortbacklog.BestEffortWork()
+    work.add_job(QUEUE, state, None)
+    assert sum(work.waiting_cpu_s.values()) == 2.0
