--- a/sycamorefield/platform/requestbuffer.py
+++ b/sycamorefield/platform/requestbuffer.py
@@ -2,8 +2,9 @@
 
 import re
 
-# Larger bodies are read by the thread that handles the request.
-MAX_BUFFERED_BODY_BYTES = 512 * 1024
+# Larger bodies are read by the thread that handles the request.  Hundreds of
+# connections may have as much received at a time.
+MAX_BUFFERED_BODY_BYTES = 64 * 1024
 # The HTTP parser rejects larger heads.
 MAX_BUFFERED_HEAD_BYTES = 64 * 1024
 
@@ -15,8 +16,7 @@
 TRANSFER_ENCODING = re.compile(
     rb"^transfer-encoding[ \t]*:", re.IGNORECASE | re.MULTILINE)
 EXPECT = re.compile(rb"^expect[ \t]*:", re.IGNORECASE | re.MULTILINE)
-LAST_CHUNK = re.compile(rb"\n0+\r?\n\r?\n")
-TRAILERS_END = b"\r\n\r\n"
+TRAILERS_END = re.compile(rb"(\A|\n)\r?\n")
 
 
 def request_length(data: bytes | bytearray) -> int | None:
@@ -43,11 +43,26 @@
 
 
 def _chunked_length(data: bytes | bytearray, body_begin: int) -> int | None:
-    last_chunk = LAST_CHUNK.search(data, body_begin - 1)
-    if last_chunk is not None:
-        return last_chunk.end()
-    body_bytes = len(data) - body_begin
-    if body_bytes > MAX_BUFFERED_BODY_BYTES or (
-            body_bytes and data.endswith(TRAILERS_END)):
+    """Return the end of a body in chunks, or None if it is incomplete.
+
+    The HTTP parser handles what is not valid, or too large to buffer.
+    """
+    if len(data) - body_begin > MAX_BUFFERED_BODY_BYTES:
         return len(data)
-    return None
+    at = body_begin
+    while True:
+        line_end = data.find(b"\n", at)
+        if line_end < 0:
+            return None
+        try:
+            size = int(data[at:line_end].partition(b";")[0], 16)
+        except ValueError:
+            return len(data)
+        at = line_end + 1
+        if size == 0:
+            trailers_end = TRAILERS_END.search(data[at:])
+            return None if trailers_end is None else at + trailers_end.end()
+        # Each chunk ends with a line end.
+        at = data.find(b"\n", at + size) + 1
+        if at == 0:
+            return None
--- a/tests/test_platform_connections.py
+++ b/tests/test_platform_connections.py
@@ -145,6 +145,15 @@
             assert receive_response(client) == (200, BODY)
 
 
+def test_data_that_looks_like_a_last_chunk_is_read(address):
+    """Guards against a body that is cut where its data holds an empty line."""
+    body = b"[1,\n0\n\n]"
+    with connect(address) as client:
+        client.sendall(CHUNKED_HEAD + b"%x\r\n" % len(body) + body
+                       + b"\r\n0\r\n\r\n")
+        assert receive_response(client) == (200, body)
+
+
 def test_pipelined_requests_are_answered_in_turn(address):
     """Guards against requests lost behind the one being processed."""
     with connect(address) as client:
