--- a/sycamorefield/fleet/backlog.py
+++ b/sycamorefield/fleet/backlog.py
@@ -38,7 +38,7 @@
 MAX_AMOUNT = 1e12
 Amount = typing.Annotated[
     float, pydantic.Field(ge=0.0, le=MAX_AMOUNT, allow_inf_nan=False)]
-# Milliseconds since 1970; the bound is thousands of years from now.
+# Milliseconds since 1970.
 WallTime = typing.Annotated[
     float, pydantic.Field(ge=0.0, le=1e14, allow_inf_nan=False)]
 Positive = typing.Annotated[
--- a/sycamorefield/fleet/crashrecords.py
+++ b/sycamorefield/fleet/crashrecords.py
@@ -2,8 +2,8 @@
 
 A worker that refuses connections may have crashed, or its link may be cut
 while it runs on.  The crash is recorded at once, so that a succeeding owner
-knows of it.  It is certain once the worker has been removed or another life
-answers, and is retracted if the same life answers.
+knows of it.  It counts as certain once the worker has been removed or another
+life answers.  It is retracted if the same life answers, also after a removal.
 """
 
 import dataclasses
@@ -11,8 +11,8 @@
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import suspicion
 
-# How long the crash of a removed worker can be retracted, in seconds.  Cuts
-# that last longer are rare, and the record only costs memory.
+# How long the crash of a removed worker can be retracted, in seconds.  This
+# bounds the memory.
 RETENTION_S = 600.0
 
 
--- a/sycamorefield/fleet/relayoffers.py
+++ b/sycamorefield/fleet/relayoffers.py
@@ -12,7 +12,7 @@
 from sycamorefield.fleet import relays
 
 # All processes see a request at the same moment.  The first offers are
-# enough, so a random delay spares the workers most of the connections.
+# enough, so a random delay avoids most of the connections to the workers.
 MAX_DELAY_S = 0.5
 # A weak VM offers after the others.
 WEAK_VM_DELAY_S = 0.5
@@ -114,7 +114,7 @@
         if not reached:
             return
         reached &= self._listed()
-        # Addresses of earlier requests give way first.
+        # Addresses of earlier requests are dropped first.
         kept = sorted(self.offered - reached)[
             :max(0, relays.MAX_ADDRESSES - len(reached))]
         if reached:
