Random machine: refuse connections of workers in a reproducible order

The rule for refused connections iterated over a set of workers, which are hashed by their address in memory, and the verdict on a worker depends on those marked before it. It draws a list of unique IDs now, so the order is part of the example.

--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -922,9 +922,10 @@
         """Let the links of some workers be cut; the workers run on."""
         if not applies:
             return
-        for worker in data.draw(strategies.sets(
-                strategies.sampled_from(self._alive()), min_size=1)):
-            worker_id = worker.entry.worker_id
+        for worker_id in data.draw(strategies.lists(
+                strategies.sampled_from([
+                    worker.entry.worker_id for worker in self._alive()]),
+                min_size=1, unique=True)):
             self.fleet.mark_unresponsive(worker_id, "reset")
             crashes.worker_refused_connection(self.fleet, worker_id)
 
