--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -877,8 +877,9 @@
         """Let workers start again; the owner may find nobody there first."""
         if not applies:
             return
-        for worker in data.draw(strategies.sets(
-                strategies.sampled_from(self._alive()), min_size=1)):
+        workers = data.draw(strategies.sets(
+            strategies.sampled_from(self._alive()), min_size=1))
+        for worker in sorted(workers, key=lambda w: w.entry.worker_id):
             self._end_worker(worker, keeps_id=True)
             if is_refused and self.has_owner:
                 self.fleet.mark_unresponsive(worker.entry.worker_id, "closed")
