Start a suspected task in quarantine if changes of owner may have lost crashes

Cause: the crashes under runs 1 and 1113001 were known to no owner, as the owner changed within 0.1 to 0.2 s of each. The third owner counted anew: two crashes beside other tasks that had just started, then two in quarantine.

Change: the fences of the last terms are stored (fleet/terms). A job has as many possibly lost crashes as changes of the owner since its creation. From two on, one recorded crash is enough for a quarantine run, so that with the two crashes in quarantine at most five workers crash. More than two lost crashes of one task can still exceed the bound.

--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -93,7 +93,8 @@
     def needs_quarantine_run(self) -> bool:
         """Return whether the next run must be a quarantine run."""
         return (self.suspicion is not None
-                and self.suspicion.needs_quarantine_run())
+                and self.suspicion.needs_quarantine_run(
+                    0 if self.job is None else self.job.owner_changes))
 
     def may_have_run(self) -> bool:
         """Return whether a run of a long-running task may have been started.
@@ -220,6 +221,8 @@
         self.stored_crashes: storedcrashes.CrashedWorkers = {}
         # Whether the job is older than the term of this owner.
         self.taken_over = False
+        # How often the owner has changed since the creation of the job.
+        self.owner_changes = 0
         # Until when an earlier owner may have started tasks, in ms since 1970.
         self.earlier_starts_ms = 0.0
         # Long-running tasks that wait and have never been started, and those
--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -110,6 +110,7 @@
                 for w in self.fleet.workers.values() if w.last_processed_end}
             writes = self._job_writes()
             self._add_workers(writes)
+            self._add_terms(writes)
             self._add_waiting_counts(writes)
             self._add_weights(writes)
             self._add_backlog(writes)
@@ -164,6 +165,16 @@
                 records.WORKERS_KEY, records.encode_addresses(addresses),
                 self.revisions.get(records.WORKERS_KEY, 0), None))
 
+    def _add_terms(self, writes: list[jobwrites.PendingWrite]) -> None:
+        """Add the terms of owners unless they are stored."""
+        terms = self.fleet.terms
+        data = terms.encode()
+        if data != terms.stored:
+            terms.stored = data
+            writes.append(jobwrites.PendingWrite(
+                records.TERMS_KEY, data,
+                self.revisions.get(records.TERMS_KEY, 0), None))
+
     def _add_waiting_counts(
             self, writes: list[jobwrites.PendingWrite]) -> None:
         now = time.monotonic()
@@ -291,6 +302,8 @@
                 self.rewrite_workers = True
             elif write.key == records.WEIGHTS_KEY:
                 self.stored_weights = b"{}"
+            elif write.key == records.TERMS_KEY:
+                self.fleet.terms.stored = None
             elif write.key == records.BACKLOG_KEY:
                 self.taken_backlog = None
             else:
--- a/sycamorefield/fleet/records.py
+++ b/sycamorefield/fleet/records.py
@@ -28,6 +28,8 @@
 WEIGHTS_KEY = "fleet/learnt"
 LEARNED_STATE_KEY = "fleet/learned-state"
 BACKLOG_KEY = "fleet/backlog"
+# The fences of the last terms of owners.
+TERMS_KEY = "fleet/terms"
 
 
 def job_key(job_id: str) -> str:
--- a/sycamorefield/fleet/recovery.py
+++ b/sycamorefield/fleet/recovery.py
@@ -45,6 +45,7 @@
         Raises CallFailed, after which the call may be repeated.
         """
         workers_item = self.store.get(records.WORKERS_KEY)
+        terms_item = self.store.get(records.TERMS_KEY)
         waiting_item = self.store.get(records.WAITING_JOBS_KEY)
         weights_item = self.store.get(records.WEIGHTS_KEY)
         learned_item = (self.store.get(records.LEARNED_STATE_KEY)
@@ -56,6 +57,10 @@
         listed_at = clock.now()
         entries = self.worker_list.workers()
         with self.fleet.lock:
+            self.fleet.terms.load(terms_item)
+            if terms_item is not None:
+                self.recorder.revisions[records.TERMS_KEY] = (
+                    terms_item.revision)
             for item in jobs.items:
                 self.job_watcher.add_job(item)
             for item in progress_items.items:
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -26,6 +26,7 @@
 from sycamorefield.fleet import interference
 from sycamorefield.fleet import learnedstate
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import ownerterms
 from sycamorefield.fleet import pacer
 from sycamorefield.fleet import placement_cache
 from sycamorefield.fleet import policy as policy_mod
@@ -68,6 +69,7 @@
         # None if settings don't state them.
         self.stop_costs = stop_costs
         self.fence = fence
+        self.terms = ownerterms.OwnerTerms(fence)
         self.hold_max_ms = hold_max_ms
         self.send = send
         self.configuration = configuration
@@ -157,6 +159,8 @@
             if created_revision <= self.fence:
                 state.run_base = self.fence * progress.RUNS_PER_TERM
                 state.taken_over = True
+                state.owner_changes = self.terms.changes_since(
+                    created_revision)
                 state.earlier_starts_ms = (
                     clock.wall_ms() + EARLIER_STARTS_S * 1000.0)
             self.jobs[job.job_id] = state
--- a/sycamorefield/fleet/suspicion.py
+++ b/sycamorefield/fleet/suspicion.py
@@ -19,6 +19,9 @@
 MAX_SUSPECT_AGE_S = 3.0
 # A task fails after this many crashes in quarantine.
 MAX_QUARANTINE_CRASHES = 2
+# A task with one recorded crash, this many lost ones and two in quarantine has
+# crashed five workers, after which no further start is allowed.
+MAX_LOST_CRASHES = 2
 # A task that crashes its workers does so at similar run ages: they differ by
 # at most this many seconds or this share of the higher age, if that is more.
 SIMILAR_AGE_S = 0.4
@@ -69,9 +72,14 @@
                 del self.workers[index], self.ages_s[index]
                 return
 
-    def needs_quarantine_run(self) -> bool:
-        """Return whether the next run must be in quarantine."""
+    def needs_quarantine_run(self, owner_changes: int = 0) -> bool:
+        """Return whether the next run must be in quarantine.
+
+        Each change of the owner may have lost a crash.
+        """
         return (self.likely or self.in_trials > 0
+                or (bool(self.ages_s)
+                    and owner_changes >= MAX_LOST_CRASHES)
                 or any(_is_similar_age(*pair) for pair
                        in itertools.combinations(self.ages_s, 2)))
 
--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -326,12 +326,16 @@
         self.has_owner = True
         self.ends = {}
         self.fleet = self._new_fleet(fence)
+        self.fleet.terms.load(self.store.items.get(records.TERMS_KEY))
         self._renew_owner_lease()
         self.recorder = recorder_mod.Recorder(
             self.store, self.fleet, records.OWNER_KEY, lambda: True,
             self._step_down, lambda _: None)
         # Makes each call of the recorder a single attempt.
         self.recorder.stopped.set()
+        if records.TERMS_KEY in self.store.items:
+            self.recorder.revisions[records.TERMS_KEY] = (
+                self.store.items[records.TERMS_KEY].revision)
         for job in self.jobs:
             item = self.store.items.get(records.job_key(job.job_id))
             if item is None:
@@ -812,6 +816,7 @@
             for worker_id, worker in self.fleet.workers.items()}
         values = self.recorder._job_writes()
         self.recorder._add_workers(values)
+        self.recorder._add_terms(values)
         return PendingCommit(values, stored_ends)
 
     def _acknowledge_ends(
--- a/tests/test_fleet_owner_terms.py
+++ b/tests/test_fleet_owner_terms.py
@@ -1,5 +1,6 @@
 """Test that terms of owners start and end without leaving anything behind."""
 
+import json
 import threading
 
 import pytest
@@ -9,9 +10,11 @@
 from sycamorefield.fleet import link as link_mod
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import owner as owner_mod
+from sycamorefield.fleet import ownerterms
 from sycamorefield.fleet import ownership as ownership_mod
 from sycamorefield.fleet import records
 from sycamorefield.fleet import reports
+from sycamorefield.fleet import suspicion
 from sycamorefield.fleet import workerstate
 from tests import fleetfakes
 from tests import test_fleet_state
@@ -308,3 +311,56 @@
         assert fleet.starts().count("a.0.0.0") == 1
     finally:
         fleet.owner.step_down("test over")
+
+
+def store_terms(owner):
+    """Wait until the owner's terms are stored; return the stored fences."""
+    wait_for(lambda: records.TERMS_KEY in owner.recorder.store.items
+             and owner.fence in json.loads(
+                 owner.recorder.store.items[records.TERMS_KEY].value))
+    return json.loads(owner.recorder.store.items[records.TERMS_KEY].value)
+
+
+def test_job_knows_how_often_its_owner_has_changed(fleet):
+    """Guards against an owner that doesn't know of crashes lost before."""
+    fences = []
+    for changes in range(3):
+        owner = fleet.take_over()
+        fences.append(owner.fence)
+        assert store_terms(owner) == fences
+        wait_for(lambda owner=owner: owner.recovered)
+        assert [job.owner_changes for job in owner.fleet.jobs.values()] == (
+            list(range(changes, 0, -1)))
+        fleet.submit(fleetfakes.job(f"j{changes}", test_fleet_takeover.STEP))
+        wait_for(lambda owner=owner, count=changes + 1:
+                 len(owner.fleet.jobs) == count)
+        owner.step_down("killed")
+
+
+@pytest.mark.parametrize("value", [
+    b"", b"{", b"5", b'{"1": 2}', b'["1"]', b"[1.5]", b"[" * 100_000])
+def test_unreadable_terms_count_as_none(value):
+    """Guards against a term that one record of another program ends."""
+    terms = ownerterms.OwnerTerms(7)
+    terms.load(messages.Item(records.TERMS_KEY, value, 1, 1))
+    assert terms.fences == [7]
+
+
+def test_terms_hold_the_last_earlier_fences():
+    """Guards against a record that grows with each change of the owner."""
+    terms = ownerterms.OwnerTerms(100)
+    terms.load(messages.Item(
+        records.TERMS_KEY, json.dumps([200, 5, 5, *range(90)]).encode(), 1, 1))
+    assert terms.fences == [*range(75, 90), 100]
+    assert [terms.changes_since(revision) for revision in (101, 100, 89, 0)
+            ] == [0, 1, 2, ownerterms.MAX_TERMS]
+
+
+@pytest.mark.parametrize("owner_changes, quarantined", [
+    (0, False), (1, False), (2, True), (5, True)])
+def test_one_crash_is_enough_if_others_may_be_lost(owner_changes, quarantined):
+    """Guards against a sixth start after changes of the owner."""
+    record = suspicion.Suspicion()
+    assert not record.needs_quarantine_run(owner_changes)
+    record.add_crash("i-0", 0.01, likely=False, in_quarantine=False)
+    assert record.needs_quarantine_run(owner_changes) is quarantined
