Take no crash for proven because leases have expired

Cause: a worker that refuses connections may be cut off. The expiry of its leases frees its tasks, but CrashRecords.confirm also charged them with a crash. Two quarantine runs whose workers were cut off gave an innocent job up. A new owner took every stored suspicion for proven, and without births in reports two owners could count one crash twice.

Change: expired leases, and the deadline of an awaited worker, only end the wait for the worker. A crash is proven by another life: a call answered by another incarnation, a report of another birth, or a report of another worker at the address, also after the removal. The same life retracts it. A life of which the birth is not known does neither. Crashes without proof confirm a task only where one more start could be a sixth one, with the crashes that changes of the owner may have lost. What is unproven is stored with the suspicion; a later owner proves or retracts the crash of a worker that was quarantined when it took over. Workers without births are named by ID, which is another one in each life.

test_job_ends_only_once_its_last_crash_is_certain stated that expired leases are proof. test_job_fails_only_if_crashes_in_quarantine_are_proven replaces it: its two cases, proof by another life, and four more.

--- a/sycamorefield/fleet/crashes.py
+++ b/sycamorefield/fleet/crashes.py
@@ -73,8 +73,7 @@
     """Handle refused connections at a worker's address.
 
     The worker may have crashed or be cut off.  The crash is recorded now, as
-    what else failed at that moment is known now, and is certain once the
-    worker is removed.
+    what else failed at that moment is known now.
     """
     with fleet.lock:
         worker = fleet.workers.get(worker_id)
@@ -83,10 +82,31 @@
         fleet.mark_unresponsive(worker_id, "connection refused")
         suspects = _record_end(fleet, worker, restarted=False)
         fleet.crash_records.add_unproven(crashrecords.CrashRecord(
-            worker_id, worker.born_ms, clock.now(), suspects))
+            worker_id, worker.entry.address, worker.born_ms, clock.now(),
+            suspects))
         fleet.end_jobs_of([suspect.task for suspect in suspects])
 
 
+def retract_earlier(fleet: state_mod.FleetState,
+                    worker: workerstate.WorkerState
+                    ) -> list[progress.TaskState]:
+    """Retract crashes of a life that answers, as an earlier owner stored them.
+
+    Return the tasks that are concerned.
+    """
+    suspects = [_find_recorded(task, worker)
+                for task in fleet.trials.tasks_on(worker.entry.worker_id)
+                if _is_unproven(task, worker)]
+    if not suspects:
+        return []
+    record = crashrecords.CrashRecord(
+        worker.entry.worker_id, worker.entry.address, worker.born_ms,
+        clock.now(), suspects)
+    record.mark_unproven()
+    record.retract()
+    return record.tasks()
+
+
 def record_suspects(fleet: state_mod.FleetState,
                     worker: workerstate.WorkerState, restarted: bool,
                     excluded: typing.Container[workerstate.RunId] = ()
@@ -110,13 +130,18 @@
     now = clock.now()
     ended_at = worker.unresponsive_since if worker.unresponsive else now
     quarantined_tasks = fleet.trials.tasks_on(worker.entry.worker_id)
-    exposed_runs = [
+    found_runs = [
         exposed for exposed in _find_exposed_runs(fleet, worker, ended_at)
         if (exposed.task.task, exposed.run) not in excluded]
+    exposed_runs = [exposed for exposed in found_runs
+                    if not _is_recorded(exposed.task, worker)]
+    recorded_before = [_find_recorded(exposed.task, worker)
+                       for exposed in found_runs
+                       if _is_unproven(exposed.task, worker)]
     quarantined_runs = [exposed for exposed in exposed_runs
                         if exposed.task in quarantined_tasks]
     if not exposed_runs:
-        return []
+        return recorded_before
     verdict = _classify_end(fleet, worker, ended_at, now, restarted)
     exposed_suspects: list[ExposedRun] = []
     recorded: list[crashrecords.Suspect] = []
@@ -142,18 +167,47 @@
                     (str(exposed.task.task), exposed.run,
                      round(exposed.age_s, 3))
                     for exposed in exposed_suspects])
-    return recorded
+    return recorded_before + recorded
 
 
-def _record_crash(suspects: list[ExposedRun],
-                  worker: workerstate.WorkerState,
-                  in_quarantine: bool) -> list[crashrecords.Suspect]:
-    """Record a crash with each task that may be its cause.
+def _life(worker: workerstate.WorkerState) -> str:
+    """Return a name of a worker's life.
 
-    A previous owner may have recorded the same crash in quarantine.
+    Workers whose reports don't tell their births have another ID in each life.
     """
     worker_id, born_ms = worker.entry.worker_id, worker.born_ms
-    life = f"{worker_id}/{born_ms}" if born_ms else ""
+    return f"{worker_id}/{born_ms}" if born_ms else worker_id
+
+
+def _is_recorded(task: progress.TaskState,
+                 worker: workerstate.WorkerState) -> bool:
+    """Return whether the last crash of a task is that of this life."""
+    return (task.suspicion is not None
+            and task.suspicion.last_life == _life(worker))
+
+
+def _is_unproven(task: progress.TaskState,
+                 worker: workerstate.WorkerState) -> bool:
+    """Return whether the crash was recorded, by another owner or before."""
+    return (_is_recorded(task, worker) and task.suspicion is not None
+            and task.suspicion.unproven_trials > 0)
+
+
+def _find_recorded(task: progress.TaskState, worker: workerstate.WorkerState
+                   ) -> crashrecords.Suspect:
+    """Return the recorded crash of a task, to be proven or retracted now."""
+    record = task.suspicion
+    assert record is not None
+    record.unproven_trials -= 1
+    return crashrecords.Suspect(
+        task, record, record.ages_s[-1], True, record.likely, "")
+
+
+def _record_crash(suspects: list[ExposedRun],
+                  worker: workerstate.WorkerState,
+                  in_quarantine: bool) -> list[crashrecords.Suspect]:
+    """Record a crash with each task that may be its cause."""
+    worker_id, life = worker.entry.worker_id, _life(worker)
     just_started = [exposed for exposed in suspects
                     if exposed.age_s < suspicion.STARTUP_WINDOW_S]
     recorded = []
@@ -162,8 +216,6 @@
         if task.suspicion is None:
             task.suspicion = suspicion.Suspicion()
         record = task.suspicion
-        if life and record.last_life == life:
-            continue
         likely = (suspect in just_started
                   and len(just_started) <= MAX_LIKELY_CAUSES)
         was_likely, earlier_life = record.likely, record.last_life
--- a/sycamorefield/fleet/crashrecords.py
+++ b/sycamorefield/fleet/crashrecords.py
@@ -2,8 +2,9 @@
 
 A worker that refuses connections may have crashed, or its link may be cut
 while it runs on.  The crash is recorded at once, so that a succeeding owner
-knows of it.  It counts as certain once the worker has been removed or another
-life answers.  It is retracted if the same life answers, also after a removal.
+knows of it.  It is proven once another life answers at the worker's address.
+The expiry of the worker's leases frees its tasks but proves no crash.  A crash
+is retracted if the same life answers, also after the worker's removal.
 """
 
 import dataclasses
@@ -33,21 +34,33 @@
     """The recorded end of one life of a worker; it may have no suspects."""
 
     worker_id: str
+    address: str
     born_ms: int
     at: float
     suspects: list[Suspect]
-    is_certain: bool = False
+    is_proven: bool = False
+    leases_expired: bool = False
 
     def mark_unproven(self) -> None:
         """Note that the worker may not have ended."""
         for suspect in self.suspects:
             suspect.suspicion.unproven_trials += suspect.counts_in_quarantine
+            suspect.suspicion.leased_trials += suspect.counts_in_quarantine
+
+    def expire_leases(self) -> None:
+        """Note that the worker's runs are over, whether it crashed or not."""
+        if self.leases_expired:
+            return
+        self.leases_expired = True
+        for suspect in self.suspects:
+            suspect.suspicion.leased_trials -= suspect.counts_in_quarantine
 
     def confirm(self) -> None:
-        """Note that the worker has ended."""
-        if self.is_certain:
+        """Note that the life of the worker has ended."""
+        if self.is_proven:
             return
-        self.is_certain = True
+        self.expire_leases()
+        self.is_proven = True
         for suspect in self.suspects:
             suspect.suspicion.unproven_trials -= suspect.counts_in_quarantine
 
@@ -82,38 +95,56 @@
         self.by_worker[record.worker_id] = record
 
     def is_unproven(self, worker_id: str) -> bool:
-        """Return whether a worker may have crashed and is still awaited."""
+        """Return whether a worker may have crashed, without proof so far."""
         record = self.by_worker.get(worker_id)
-        return record is not None and not record.is_certain
+        return record is not None and not record.is_proven
+
+    def expire_leases(self, worker_id: str) -> list[progress.TaskState]:
+        """Note that a worker's leases have expired; return the suspects."""
+        if not self.is_unproven(worker_id):
+            return []
+        record = self.by_worker[worker_id]
+        record.expire_leases()
+        return record.tasks()
 
     def confirm(self, worker_id: str) -> list[progress.TaskState]:
-        """Note that a worker has ended; return the suspected tasks."""
+        """Note that a worker's life has ended; return the suspected tasks."""
         if not self.is_unproven(worker_id):
             return []
         record = self.by_worker[worker_id]
         record.confirm()
         return record.tasks()
 
-    def answered(self, worker_id: str,
+    def answered(self, worker_id: str, address: str,
                  born_ms: int) -> list[progress.TaskState]:
         """Handle a report of a life; return the tasks that are concerned.
 
-        A record that does not name its life is of the present one, unless the
-        worker has been removed since.
+        Workers whose reports don't name a life have another ID in each life.
         """
+        tasks = self._confirm_replaced(worker_id, address)
         record = self.by_worker.pop(worker_id, None)
         if record is None:
-            return []
-        if record.born_ms == born_ms and (born_ms or not record.is_certain):
+            return tasks
+        if record.born_ms == born_ms and (born_ms or not record.is_proven):
             record.retract()
-            return record.tasks()
-        if record.is_certain:
-            return []
-        record.confirm()
-        return record.tasks()
+        elif record.born_ms and born_ms:
+            record.confirm()
+        return tasks + record.tasks()
+
+    def _confirm_replaced(self, worker_id: str,
+                          address: str) -> list[progress.TaskState]:
+        """Confirm the crashes of others at the address of a worker."""
+        tasks = []
+        for record in self.by_worker.values():
+            if (record.address == address and record.worker_id != worker_id
+                    and not record.is_proven):
+                record.confirm()
+                tasks += record.tasks()
+        return tasks
 
     def forget_old(self, now: float) -> None:
-        """Forget removed workers that will hardly answer again."""
+        """Forget workers that will hardly answer again."""
         for worker_id, record in list(self.by_worker.items()):
-            if record.is_certain and now - record.at > RETENTION_S:
+            if ((record.is_proven or record.leases_expired)
+                    and now - record.at > RETENTION_S):
                 del self.by_worker[worker_id]
--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -419,7 +419,8 @@
         for task in self.all_tasks():
             if task.done:
                 continue
-            if task.suspicion is not None and task.suspicion.is_confirmed():
+            if task.suspicion is not None and task.suspicion.is_confirmed(
+                    self.owner_changes):
                 workers = ", ".join(task.suspicion.workers)
                 return (f"task {_short_name(task.task)} crashed the workers "
                         f"that started it: {workers}")
--- a/sycamorefield/fleet/recovery.py
+++ b/sycamorefield/fleet/recovery.py
@@ -115,7 +115,7 @@
         else:
             self.fleet.trials.restore(state, clock.now())
             if state.quarantine_workers:
-                # The last crash was stored before it was certain.
+                # The last crash may be stored without the end of the job.
                 self.fleet.update_job_state(state)
 
     def _load_weights(self, item: messages.Item) -> None:
--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -2,6 +2,7 @@
 
 from sycamorefield import events
 from sycamorefield.fleet import copies
+from sycamorefield.fleet import crashes
 from sycamorefield.fleet import demand
 from sycamorefield.fleet import inputlog
 from sycamorefield.fleet import messages
@@ -51,8 +52,10 @@
         # per second, a round for each would leave no time for anything else.
         needs_round = worker.unresponsive or not worker.has_reported
         if needs_round:
-            fleet.end_jobs_of(
-                fleet.crash_records.answered(worker_id, report.born_ms))
+            fleet.end_jobs_of(fleet.crash_records.answered(
+                worker_id, worker.entry.address, report.born_ms))
+        if not worker.has_reported:
+            fleet.end_jobs_of(crashes.retract_earlier(fleet, worker))
         if worker.unresponsive:
             events.emit(events.WORKER_RESPONSIVE, worker=worker_id)
             worker.unresponsive = False
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -393,9 +393,11 @@
         with self.lock:
             self.awaited_workers.pop(worker_id, None)
             worker = self.workers.get(worker_id)
+            suspects = self.crash_records.confirm(worker_id)
             self.ended_lives.add_ended(worker_id, worker, clock.now())
             if worker is not None:
                 self._remove_worker(worker, reason)
+            self.end_jobs_of(suspects)
             self.request_round()
 
     def has_listened(self, worker_id: str) -> bool:
@@ -412,7 +414,7 @@
                        reason: str) -> None:
         worker_id = worker.entry.worker_id
         now = clock.now()
-        suspects = self.crash_records.confirm(worker_id)
+        suspects = self.crash_records.expire_leases(worker_id)
         failures.log_lost_runs(
             worker, reason, worker.entry.draining, len(worker.reserved),
             ((task, run) for (_, run), task in worker.tasks.items()), now)
@@ -458,7 +460,8 @@
             for worker_id, until in list(self.awaited_workers.items()):
                 if now >= until and lease_held:
                     del self.awaited_workers[worker_id]
-                    self.end_jobs_of(self.crash_records.confirm(worker_id))
+                    self.end_jobs_of(
+                        self.crash_records.expire_leases(worker_id))
                     events.emit(events.WORKER_RUNS_LOST, worker=worker_id,
                                 reason="leases of previous owner expired")
                     self.round_needed = True
--- a/sycamorefield/fleet/suspicion.py
+++ b/sycamorefield/fleet/suspicion.py
@@ -19,8 +19,10 @@
 MAX_SUSPECT_AGE_S = 3.0
 # A task fails after this many crashes in quarantine.
 MAX_QUARANTINE_CRASHES = 2
+# A task may be started this many times if each start crashes its worker.
+MAX_CRASHES = 5
 # A task with one recorded crash, this many lost ones and two in quarantine has
-# crashed five workers, after which no further start is allowed.
+# crashed MAX_CRASHES workers.
 MAX_LOST_CRASHES = 2
 # A task that crashes its workers does so at similar run ages: they differ by
 # at most this many seconds or this share of the higher age, if that is more.
@@ -44,9 +46,11 @@
     likely: bool = False
     # The life of the worker that crashed last, or empty if it is not known.
     last_life: str = ""
-    # How many of the crashes in quarantine are not certain yet: the worker
-    # may only be cut off.  Not stored.
+    # How many of the crashes in quarantine are not proven: the worker may only
+    # be cut off.
     unproven_trials: int = 0
+    # How many of these workers have leases that have not expired.  Not stored.
+    leased_trials: int = 0
 
     def add_crash(self, worker_id: str, age_s: float, likely: bool,
                   in_quarantine: bool, life: str = "") -> bool:
@@ -83,10 +87,18 @@
                 or any(_is_similar_age(*pair) for pair
                        in itertools.combinations(self.ages_s, 2)))
 
-    def is_confirmed(self) -> bool:
-        """Return whether the task is confirmed as the cause of crashes."""
-        return (self.in_trials - self.unproven_trials
-                >= MAX_QUARANTINE_CRASHES)
+    def is_confirmed(self, owner_changes: int = 0) -> bool:
+        """Return whether the task is confirmed as the cause of crashes.
+
+        Crashes without proof confirm it only if another start might be one too
+        many, with the crashes that changes of the owner may have lost.
+        """
+        if self.in_trials - self.unproven_trials >= MAX_QUARANTINE_CRASHES:
+            return True
+        ended = len(self.workers) - self.leased_trials
+        lost = min(owner_changes, MAX_LOST_CRASHES)
+        return (self.in_trials - self.leased_trials >= MAX_QUARANTINE_CRASHES
+                and ended + lost >= MAX_CRASHES)
 
     def quarantine_s(self) -> float:
         """Return the run age in seconds at which the task is cleared."""
@@ -97,14 +109,14 @@
     def encode(self) -> dict[str, typing.Any]:
         """Return the stored form of this record."""
         row = dataclasses.asdict(self)
-        del row["unproven_trials"]
+        del row["leased_trials"]
         return row
 
 
 def decode(row: dict[str, typing.Any]) -> Suspicion:
     """Decode a stored record; raise MsgspecError if it is malformed."""
     suspicion = msgspec.convert(row, Suspicion)
-    suspicion.unproven_trials = 0
+    suspicion.leased_trials = 0
     return suspicion
 
 
--- a/tests/test_fleet_refused_connections.py
+++ b/tests/test_fleet_refused_connections.py
@@ -15,6 +15,7 @@
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import reports
+from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import storedcrashes
 from sycamorefield.fleet import workerstate
 from tests import fleetfakes
@@ -50,6 +51,24 @@
         return dataclasses.replace(
             fleetfakes.entry(number), born_ms=BORN_MS)
 
+    def take_over(self):
+        """Let the next owner load the job and wait for all workers."""
+        stored = progress.encode_progress(self.state.jobs["j"])
+        workers = self.state.workers
+        self.state = state_mod.FleetState(
+            30, 6000.0, lambda worker, order: self.orders.append(
+                (worker, order)), fleetfakes.configuration)
+        job = self.state.add_job(fleetfakes.job("j"), 20)
+        progress.apply_progress(job, stored)
+        self.state.trials.restore(job, self.now)
+        self.state.await_workers(workers, self.now + AWAITED_S)
+        for worker in workers.values():
+            self.state.add_worker(worker.entry)
+        self.read_list()
+        for worker_id in workers:
+            if worker_id != self.worker_id:
+                self.report(worker_id)
+
     @property
     def worker(self):
         return self.state.workers[self.worker_id]
@@ -203,29 +222,119 @@
     assert record.needs_quarantine_run()
 
 
-@pytest.mark.parametrize("answers_again", [True, False])
-def test_job_ends_only_once_its_last_crash_is_certain(bench, answers_again):
+def start_again(bench):
+    """Start the suspected task in quarantine; its crashes are stored."""
+    job = bench.state.jobs["j"]
+    for _ in range(3):
+        bench.place()
+        job.stored_quarantine_workers = dict(job.quarantine_workers)
+        job.stored_crashes = storedcrashes.recorded(job)
+    assert bench.task.phase == progress.RUNNING
+    bench.worker_id = bench.task.worker_id
+    bench.worker.grant_lease(workerstate.LEASE_MS, bench.now)
+
+
+def replace(bench):
+    """Let a worker with another ID answer at the worker's address."""
+    crashes.worker_replaced(bench.state, bench.worker_id)
+
+
+def expire(bench):
+    """Let the leases of the worker expire while it refuses connections."""
+    bench.pass_time(AWAITED_S if bench.state.awaited_workers
+                    else workerstate.LEASE_EXPIRY_S + 0.2)
+    assert bench.task.phase == progress.IDLE
+
+
+def expire_and_report_successor(bench):
+    """Let another worker report from the address once leases expired."""
+    address = bench.worker.entry.address
+    expire(bench)
+    bench.state.add_worker(dataclasses.replace(
+        fleetfakes.entry(99), address=address, born_ms=BORN_MS))
+    bench.report("i-99")
+
+
+def expire_and_report_later_life(bench):
+    """Let a later life of the worker report once leases expired."""
+    expire(bench)
+    bench.state.add_worker(bench.entry(int(bench.worker_id[2:])))
+    bench.report(bench.worker_id, born_ms=BORN_MS + 1)
+
+
+def expire_and_report(bench):
+    """Let the same life of the worker report once leases expired."""
+    expire(bench)
+    bench.state.add_worker(bench.entry(int(bench.worker_id[2:])))
+    bench.report(bench.worker_id)
+
+
+@pytest.mark.parametrize("end, suspected, fails", [
+    (RefusedBench.report_run, 2, False),
+    (expire, 3, False),
+    (expire_and_report, 2, False),
+    (replace, 3, True),
+    (expire_and_report_successor, 3, True),
+    (expire_and_report_later_life, 3, True)])
+def test_job_fails_only_if_crashes_in_quarantine_are_proven(
+        bench, end, suspected, fails):
     """Guards against giving up a task whose worker was cut off."""
     job = bench.state.jobs["j"]
     for _ in range(2):
         bench.refuse()
-        crashes.worker_replaced(bench.state, bench.worker_id)
-        for _ in range(3):
-            bench.place()
-            job.stored_quarantine_workers = dict(job.quarantine_workers)
-            job.stored_crashes = storedcrashes.recorded(job)
-        assert bench.task.phase == progress.RUNNING
-        bench.worker_id = bench.task.worker_id
-        bench.worker.grant_lease(workerstate.LEASE_MS, bench.now)
+        replace(bench)
+        start_again(bench)
     bench.refuse()
     assert len(bench.suspected()) == 3
     assert not job.final()
-    if answers_again:
-        bench.report_run()
-        assert len(bench.suspected()) == 2
-    else:
-        bench.pass_time(workerstate.LEASE_EXPIRY_S + 0.2)
-    assert job.final() is not answers_again
+    end(bench)
+    assert len(bench.suspected()) == suspected
+    assert job.final() is fails
+
+
+@pytest.mark.parametrize("owner_changes, starts", [(0, 5), (1, 4), (2, 3)])
+def test_task_without_proven_crashes_is_not_started_too_often(
+        bench, owner_changes, starts):
+    """Guards against starts without end if no crashed worker comes back."""
+    job = bench.state.jobs["j"]
+    job.owner_changes = owner_changes
+    for _ in range(starts - 1):
+        bench.refuse()
+        expire(bench)
+        assert not job.final()
+        number = WORKERS + len(bench.suspected())
+        bench.state.add_worker(bench.entry(number))
+        bench.report(f"i-{number}")
+        bench.state.enrol(list(bench.state.workers))
+        bench.read_list()
+        start_again(bench)
+    bench.refuse()
+    assert not job.final()
+    expire(bench)
+    assert job.final()
+    assert len(bench.suspected()) == starts
+
+
+@pytest.mark.parametrize("end, suspected, fails", [
+    (replace, 3, True), (expire, 3, False), (RefusedBench.report_run, 2, False)
+])
+def test_crash_of_an_earlier_owner_is_proven_by_a_later_one(
+        bench, end, suspected, fails):
+    """Guards against a new owner that takes a suspected crash for proven."""
+    for _ in range(2):
+        bench.refuse()
+        replace(bench)
+        start_again(bench)
+    bench.refuse()
+    run = bench.task.run
+    bench.take_over()
+    assert len(bench.suspected()) == 3
+    assert not bench.state.jobs["j"].settle()
+    bench.refuse()
+    bench.task.run = run
+    end(bench)
+    assert len(bench.suspected()) == suspected
+    assert bench.state.jobs["j"].final() is fails
 
 
 def test_awaited_worker_that_refuses_is_waited_for(bench):
