--- a/tests/test_fleet_owner_terms.py
+++ b/tests/test_fleet_owner_terms.py
@@ -10,8 +10,8 @@
 from sycamorefield.fleet import link as link_mod
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import owner as owner_mod
-from sycamorefield.fleet import ownerterms
 from sycamorefield.fleet import ownership as ownership_mod
+from sycamorefield.fleet import ownerterms
 from sycamorefield.fleet import records
 from sycamorefield.fleet import reports
 from sycamorefield.fleet import suspicion
