Call workers that refuse direct connections over a relay

Callers saw workers left unused, and their tasks lost after 5.4 s, although other processes reached these workers: a cut between the owner and a worker that refuses connections was taken for the worker's end.

Cause: WorkerClient used a relay only after a connection that timed out.

Change: a refused connection is relayed if an offer names the worker. A relay that doesn't reach it leaves the refusal, so a crash is still recorded.

test_worker_whose_link_refuses_is_called_over_a_relay fails on the code before. test_refused_direct_connection_is_not_relayed stated the opposite promise for a worker that no path reaches; its case is kept under test_worker_that_no_path_reaches_refuses_connections, with and without a relay.

--- a/sycamorefield/platform/workerconnections.py
+++ b/sycamorefield/platform/workerconnections.py
@@ -181,13 +181,29 @@
         try:
             return await self._connect_directly()
         except ConnectionRefusedError as exc:
-            raise interfaces.ConnectionRefused(str(exc)) from exc
+            return await self._relay_refused(exc)
         except OSError as exc:
             relay = self.route.next_relay() if self.route is not None else ""
             if not relay:
                 raise interfaces.CallRefused(f"no connection: {exc}") from exc
         return await self._open_tunnel(relay)
 
+    async def _relay_refused(self, refusal: ConnectionRefusedError
+                             ) -> WorkerConnection:
+        """Open a tunnel to a worker that refused a direct connection.
+
+        Its link may be cut while it runs on.  A relay that doesn't reach it
+        either leaves the refusal as it is.
+        """
+        relay = self.route.next_relay() if self.route is not None else ""
+        try:
+            if relay:
+                return await self._open_tunnel(relay)
+        except interfaces.CallRefused as exc:
+            raise interfaces.ConnectionRefused(
+                f"{refusal}; {exc}") from refusal
+        raise interfaces.ConnectionRefused(str(refusal)) from refusal
+
     async def _connect_directly(self) -> WorkerConnection:
         if self.route is not None:
             self.route.begin_direct()
