--- a/tests/test_fleet_refused_connections.py
+++ b/tests/test_fleet_refused_connections.py
@@ -292,6 +292,19 @@
     assert job.final() is fails
 
 
+def test_answer_of_a_life_that_is_not_known_proves_no_crash(bench):
+    """Guards against giving up a task whose first report was not seen."""
+    for _ in range(2):
+        bench.refuse()
+        replace(bench)
+        start_again(bench)
+    bench.worker.born_ms = 0
+    bench.refuse()
+    bench.report_run()
+    assert len(bench.suspected()) == 3
+    assert not bench.state.jobs["j"].final()
+
+
 @pytest.mark.parametrize("owner_changes, starts", [(0, 5), (1, 4), (2, 3)])
 def test_task_without_proven_crashes_is_not_started_too_often(
         bench, owner_changes, starts):
@@ -350,8 +363,10 @@
     assert not bench.state.awaited_workers
 
 
-def test_crash_that_an_earlier_owner_recorded_counts_once(bench):
+@pytest.mark.parametrize("born_ms", [BORN_MS, 0])
+def test_crash_that_an_earlier_owner_recorded_counts_once(bench, born_ms):
     """Guards against giving up a task for one crash that two owners see."""
+    bench.worker.born_ms = born_ms
     bench.refuse()
     bench.state.crash_records.by_worker.clear()
     bench.refuse()
--- a/tests/test_platform_connections.py
+++ b/tests/test_platform_connections.py
@@ -237,3 +237,18 @@
         began = time.monotonic()
         assert client.recv(1) == b""
         assert time.monotonic() - began < 0.2 + 2 * MAX_DELAY_S
+
+
+def test_complete_request_is_carried_out_although_its_caller_leaves():
+    """Guards against taking a closed connection for a cancelled request."""
+    done = threading.Event()
+
+    def note(environ, start_response):
+        assert environ["wsgi.input"].read(len(BODY)) == BODY
+        done.set()
+        return echo(environ, start_response)
+    with running_listener(daemon.FRONT_THREADS) as (_, address):
+        cherrypy.tree.graft(note, "/echo")
+        with connect(address) as connection:
+            connection.sendall(HEAD + BODY)
+        assert done.wait(5.0)
