Hold a worker for an overdue wide best-effort task

Cause: best-effort tasks reserve no CPU, so whatever became unused went to the first task that it was enough for. Overdue jobs go first in a tenth of the time, which does not help a task that no single worker has the CPU for.

Change: if an overdue job has gone first for 0.3 s and a task of it fits nowhere, one worker starts no other best-effort task until that one fits, for 8 s at most, then another worker is tried. One in eight workers may be held.

Evidence: test_wide_overdue_task_is_not_passed_by_narrow_ones fails on the code before (both cases). A first form held workers for any overdue task that fit nowhere, also if it merely waited for its turn: it failed test_accepted_best_effort_jobs_begin_soon_after_an_overload[2.6-2] and was dropped.

--- a/sycamorefield/fleet/ordering.py
+++ b/sycamorefield/fleet/ordering.py
@@ -27,6 +27,9 @@
 OVERDUE_AFTER_S = 30.0
 OVERDUE_PERIOD_S = 5.0
 OVERDUE_TIME_S = 0.5
+# If a task of such a job has found no worker after this much of that time,
+# what becomes free is too little for it.
+OVERDUE_SEARCH_S = 0.3
 # A long-running task that has been down for a shorter time waits for capacity
 # that no finite task needs: restarting it at once would take capacity from
 # urgent finite jobs.  A task that is down for 9 s although capacity for it
@@ -42,7 +45,7 @@
         found = lateness(state, queue, wall_ms, run_times)
         return (OVERDUE if found == TOO_LATE
                 and now % OVERDUE_PERIOD_S < OVERDUE_TIME_S
-                and _is_overdue(state, wall_ms) else found)
+                and _has_waited_long(state, wall_ms) else found)
     return INTERRUPTED if is_interrupted(state, now) else LONG_RUNNING
 
 
@@ -51,7 +54,15 @@
     return state.downtime_s(now) >= BOOST_AFTER_DOWN_S
 
 
-def _is_overdue(state: progress.JobState, wall_ms: float) -> bool:
+def needs_hold(state: progress.JobState, queue: messages.Queue | None,
+               wall_ms: float, now: float,
+               run_times: runtimes.RunTimeModel | None = None) -> bool:
+    """Return whether an overdue job has gone first for a while in vain."""
+    return (now % OVERDUE_PERIOD_S >= OVERDUE_SEARCH_S
+            and rank(state, queue, wall_ms, now, run_times) == OVERDUE)
+
+
+def _has_waited_long(state: progress.JobState, wall_ms: float) -> bool:
     if not any(step.fills for step in state.job.steps):
         return False
     due_since_ms = max(state.job.accepted_ms, state.job.due_ms(0))
--- a/sycamorefield/fleet/placing.py
+++ b/sycamorefield/fleet/placing.py
@@ -79,7 +79,12 @@
                    step: messages.Step) -> bool:
     """Return whether a best-effort task finds the CPU that it needs."""
     return (not step.fills or available_best_effort_cpu(worker)
-            >= BEST_EFFORT_CPU_FACTOR * step.room.cpu)
+            >= required_best_effort_cpu(step))
+
+
+def required_best_effort_cpu(step: messages.Step) -> float:
+    """Return the unused CPU that a best-effort task needs."""
+    return BEST_EFFORT_CPU_FACTOR * step.room.cpu
 
 
 def has_room_when_slow(worker: workerstate.WorkerState,
@@ -117,6 +122,8 @@
     step = task.step
     if not allowed(worker, service, task) or not fits(worker, step, model):
         return None
+    if step.fills and worker.best_effort_hold not in (None, task.task):
+        return None
     has_data_nearby = not step.affinity or step.affinity in worker.entry.labels
     not_failed_here = worker.entry.worker_id not in task.avoided_workers
     return (not_failed_here, has_data_nearby, not worker.slow,
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -10,6 +10,7 @@
 from sycamorefield.fleet import headroom
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import ordering
+from sycamorefield.fleet import overdueholds
 from sycamorefield.fleet import pacer
 from sycamorefield.fleet import placement_cache
 from sycamorefield.fleet import placing
@@ -45,6 +46,7 @@
         # Usable workers, including those quarantined for suspected tasks.
         self.worker_count = len(usable_workers) + len(fleet.trials.by_worker)
         self.now = now
+        self.wall_ms = wall_ms
         self.policy = fleet.policy
         # Requests that fit on no worker now, and those of them for which no
         # capacity is being freed or can be freed by preemption.
@@ -84,6 +86,8 @@
         self.slow_workers = slowplacing.SlowWorkers(self, slow_workers)
         # What tasks request that this round leaves waiting.
         self.waiting = copies.Waiting()
+        # Overdue best-effort tasks that this round leaves waiting.
+        self.overdue: list[overdueholds.OverdueTask] = []
 
     def place_step(self, state: progress.JobState, occurrence: int,
                    number: int) -> bool:
@@ -187,6 +191,10 @@
             # A task that fits nowhere ends the search for all that follow.
             startable = sorted(
                 startable, key=lambda t: held_workers.find(t) is None)
+        if holds := self.fleet.overdue_holds.by_task:
+            startable = [
+                task for task in startable if task.task not in holds
+                or not self._start_overdue(state, task, eligible)]
         for task in startable:
             if preemption.start_where_held(self, state, task, eligible):
                 placed_count += 1
@@ -208,8 +216,32 @@
                     state.mark_unstarted(task)
             elif not self._place_task(state, task, eligible):
                 # The other tasks request as much in the same scope.
+                self._note_overdue(state, task, eligible)
                 break
 
+    def _start_overdue(self, state: progress.JobState,
+                       task: progress.TaskState,
+                       eligible: eligibleworkers.EligibleWorkers) -> bool:
+        """Start a task on the worker that is held for it, if it fits now."""
+        worker = self.fleet.overdue_holds.worker_for(task)
+        if worker not in eligible.workers or placing.choose(
+                task, eligible.service, [worker],
+                self.fleet.interference_model) is None:
+            return False
+        self.start(state, task, worker, eligible)
+        return True
+
+    def _note_overdue(self, state: progress.JobState,
+                      task: progress.TaskState,
+                      eligible: eligibleworkers.EligibleWorkers) -> None:
+        """Note a best-effort task that fits nowhere if it is overdue."""
+        if task.step.fills and ordering.needs_hold(
+                state, self.queues.get(state.job.queue), self.wall_ms,
+                self.now, self.fleet.run_times):
+            self.overdue.append(overdueholds.OverdueTask(
+                task, state.created_revision, eligible.workers,
+                eligible.service))
+
     def _place_task(self, state: progress.JobState,
                     task: progress.TaskState,
                     eligible: eligibleworkers.EligibleWorkers) -> bool:
@@ -346,6 +378,8 @@
             if headroom_.utilisation >= headroom.MIN_UTILISATION]
         for worker in self.excluded:
             worker.record_change()
+        self.fleet.overdue_holds.add(
+            self.overdue, len(self.usable_workers), self.now)
 
     def _place_long_running(self, state: progress.JobState,
                             task: progress.TaskState,
@@ -598,6 +632,7 @@
         usable_workers, slow_workers = _usable_workers(
             fleet, configuration.evacuated, now)
         expired = fleet.held_workers.drop_finished(fleet.workers, now)
+        fleet.overdue_holds.drop_finished(usable_workers, now)
         round_ = Round(fleet, queues, usable_workers, now, wall_ms,
                        slow_workers)
         for state in ranked:
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -26,6 +26,7 @@
 from sycamorefield.fleet import interference
 from sycamorefield.fleet import learnedstate
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import overdueholds
 from sycamorefield.fleet import ownerterms
 from sycamorefield.fleet import pacer
 from sycamorefield.fleet import placement_cache
@@ -135,6 +136,7 @@
         self.preemption_misses = placement_cache.SearchCache()
         self.freeable = freeable.FreeableCapacity(self.jobs)
         self.held_workers = heldworkers.HeldWorkers()
+        self.overdue_holds = overdueholds.OverdueHolds()
         # The workers that the last round reserved for long-running tasks, and
         # the headroom that it required.
         self.reserved_workers: frozenset[str] = frozenset()
--- a/sycamorefield/fleet/waitingreasons.py
+++ b/sycamorefield/fleet/waitingreasons.py
@@ -54,6 +54,7 @@
 TAIL_LATENCY = "tail latencies would be too high"
 RESERVED = "reserved for a long-running task that is down"
 WIDE_SLOT = "kept for wide finite tasks"
+OVERDUE_HOLD = "kept for an overdue best-effort task"
 # Not excluded: if tasks wait long beside such workers, rounds keep them free.
 FITS = "fits"
 
@@ -147,6 +148,8 @@
         (UNSENT_STARTS, not worker.accepts_starts()),
         (HELD, _is_held(fleet, worker, task)),
         (FULL, not worker.free_capacity().holds(task.step.reserved())),
+        (OVERDUE_HOLD, task.step.fills
+         and worker.best_effort_hold not in (None, task.task)),
         (NO_UNUSED_CPU, not placing.has_unused_cpu(worker, task.step)),
         (TAIL_LATENCY, not placing.fits(worker, task.step,
                                         fleet.interference_model)),
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -150,6 +150,8 @@
         self.slow = False
         self.on_trial = False
         self.trial_run: RunId | None = None
+        # The only best-effort task that is started here, if any.
+        self.best_effort_hold: messages.TaskId | None = None
 
     def update_entry(self, entry: messages.WorkerEntry) -> None:
         """Replace the entry by one that was read later."""
--- a/tests/test_fleet_best_effort_overload.py
+++ b/tests/test_fleet_best_effort_overload.py
@@ -1,5 +1,6 @@
 """Test the bounds on best-effort jobs that are accepted under overload."""
 
+import collections
 import dataclasses
 import math
 
@@ -9,10 +10,13 @@
 from sycamorefield.fleet import backlog
 from sycamorefield.fleet import besteffortbacklog
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import ordering
+from sycamorefield.fleet import overdueholds
 from sycamorefield.fleet import progress
 from tests import admissionload
 from tests import fleetfakes
 from tests import test_fleet_admission
+from tests import test_fleet_state
 
 # The platform's bound for the end of what was accepted, after the last caller.
 FINISH_S = 14.0
@@ -208,3 +212,125 @@
     work = besteffortbacklog.BestEffortWork()
     work.add_job(QUEUE, state, None)
     assert sum(work.waiting_cpu_s.values()) == 2.0
+
+
+WALL_MS = 1e12
+NARROW = messages.Step(400, messages.Resources(1000, 10), 4000, fills=True,
+                       image="a")
+# How long a wide task may wait until its worker is held and free.
+MAX_HELD_S = 10.0
+
+
+class StaggeredLoad:
+    """A fleet full of narrow best-effort tasks of about 3 s.
+
+    They end one after another.
+    """
+
+    def __init__(self, workers):
+        self.ends_per_step = max(1, workers // 4)
+        self.bench = test_fleet_state.Bench(
+            *(fleetfakes.entry(n) for n in range(workers)))
+        self.bench.add(fleetfakes.job("narrow", NARROW, accepted_ms=WALL_MS))
+        self.runs = []
+        self.ends = collections.Counter()
+        self.place()
+
+    def place(self):
+        """Run a round; return what has been started."""
+        placed = self.bench.place(WALL_MS)
+        self.runs += placed
+        return placed
+
+    def step(self):
+        """End the runs that began first, then run a round."""
+        now = self.bench.now
+        for _ in range(min(self.ends_per_step, len(self.runs))):
+            task, worker_id = self.runs.pop(0).split("@")
+            self.ends[worker_id] += 1
+            self.bench.end(
+                worker_id, task, self.ends[worker_id], messages.DONE)
+        self.bench.now = now + 0.1
+        return self.place()
+
+    def add_wide(self, name, cpu=3500, waited_s=40.0):
+        """Add a job of one wide task that was accepted long ago."""
+        self.bench.add(fleetfakes.job(
+            name, messages.Step(1, messages.Resources(cpu, 10), 4000,
+                                fills=True, image="b"),
+            accepted_ms=WALL_MS - waited_s * 1000.0))
+
+    def pass_period(self):
+        """Run rounds until overdue tasks have gone first once."""
+        for _ in range(int(10 * ordering.OVERDUE_PERIOD_S)):
+            self.step()
+
+    def wait_for(self, job_id):
+        """Return how long it takes until a task of a job starts."""
+        began = self.bench.now
+        while self.runs:
+            if any(name.startswith(job_id) for name in self.step()):
+                return self.bench.now - began
+        return math.inf
+
+
+@pytest.mark.parametrize("workers", [4, 17])
+def test_wide_overdue_task_is_not_passed_by_narrow_ones(workers):
+    """Guards against a wide task that waits while CPU becomes free in parts.
+
+    Narrower tasks took each part of it.
+    """
+    load = StaggeredLoad(workers)
+    load.add_wide("wide")
+    assert load.wait_for("wide") <= MAX_HELD_S
+
+
+def test_other_workers_serve_narrow_tasks_beside_a_hold():
+    """Guards against holds that leave too many workers unused."""
+    load = StaggeredLoad(16)
+    for number in range(8):
+        load.add_wide(f"wide{number}", cpu=3700)
+    while not load.bench.state.overdue_holds.by_task:
+        load.step()
+    holds = load.bench.state.overdue_holds
+    assert len(holds.by_task) == 16 // overdueholds.WORKERS_PER_HOLD
+    held = {hold.worker.entry.worker_id for hold in holds.by_task.values()}
+    started = [name for _ in range(5) for name in load.step()]
+    assert {name.split("@")[1] for name in started
+            if name.startswith("narrow")}.isdisjoint(held)
+    assert len(started) >= 10
+
+
+@pytest.mark.parametrize("waited_s, cpu, held", [
+    (40.0, 3500, True), (20.0, 3500, False), (40.0, 3900, False)],
+    ids=["overdue", "not overdue", "too wide for any worker"])
+def test_workers_are_held_only_for_overdue_tasks_that_can_fit(
+        waited_s, cpu, held):
+    """Guards against workers that are held in vain."""
+    load = StaggeredLoad(4)
+    load.add_wide("wide", cpu, waited_s)
+    load.pass_period()
+    [task] = load.bench.state.jobs["wide"].tasks[0, 0]
+    assert (task.done or task.phase != progress.IDLE) is held
+    assert not load.bench.state.overdue_holds.by_task
+
+
+def test_worker_that_stays_full_is_given_up_for_another_one():
+    """Guards against a task that waits for one worker for ever."""
+    load = StaggeredLoad(4)
+    load.add_wide("wide")
+    holds = load.bench.state.overdue_holds
+    while not holds.by_task:
+        load.place()
+    first = holds.worker_for(load.bench.state.jobs["wide"].tasks[0, 0][0])
+    load.bench.now += overdueholds.HOLD_S
+    load.place()
+    assert not holds.by_task
+    while not holds.by_task:
+        load.place()
+    second = holds.worker_for(load.bench.state.jobs["wide"].tasks[0, 0][0])
+    assert first.best_effort_hold is None
+    assert second is not None and second is not first
+    load.bench.state.cancel("wide")
+    load.place()
+    assert not holds.by_task and second.best_effort_hold is None
