--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -126,6 +126,8 @@
     "SF1837", ERROR, "setting ignored: its target does not exist")
 WORKER_CRASHED = Event(
     "SF1838", WARNING, "tasks suspected of crashing a worker")
+CRASH_RESOLVED = Event(
+    "SF1878", INFO, "suspected crash of a worker resolved")
 QUARANTINE_STARTED = Event(
     "SF1839", INFO, "quarantine runs of suspected tasks started")
 QUARANTINE_ENDED = Event(
--- a/sycamorefield/fleet/crashrecords.py
+++ b/sycamorefield/fleet/crashrecords.py
@@ -9,12 +9,15 @@
 
 import dataclasses
 
+from sycamorefield import events
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import suspicion
 
 # How long the crash of a removed worker can be retracted, in seconds.  This
 # bounds the memory.
 RETENTION_S = 600.0
+# Keeps a log line under 4 KB.
+MAX_LOGGED_TASKS = 40
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,6 +52,11 @@
 
     def expire_leases(self) -> None:
         """Note that the worker's runs are over, whether it crashed or not."""
+        if not self.leases_expired:
+            self._log("leases expired, unproven")
+            self._end_leases()
+
+    def _end_leases(self) -> None:
         if self.leases_expired:
             return
         self.leases_expired = True
@@ -59,14 +67,22 @@
         """Note that the life of the worker has ended."""
         if self.is_proven:
             return
-        self.expire_leases()
+        self._log("proven")
+        self._end_leases()
+        self._count_as_proven()
+
+    def _count_as_proven(self) -> None:
+        if self.is_proven:
+            return
         self.is_proven = True
         for suspect in self.suspects:
             suspect.suspicion.unproven_trials -= suspect.counts_in_quarantine
 
     def retract(self) -> None:
         """Remove the crash from the suspicions of its tasks."""
-        self.confirm()
+        self._log("retracted")
+        self._end_leases()
+        self._count_as_proven()
         for suspect in self.suspects:
             record = suspect.suspicion
             is_last = record.workers[-1:] == [self.worker_id]
@@ -78,6 +94,13 @@
             if not record.workers and suspect.task.suspicion is record:
                 suspect.task.suspicion = None
 
+    def _log(self, outcome: str) -> None:
+        if self.suspects:
+            events.emit(events.CRASH_RESOLVED, worker=self.worker_id,
+                        born_ms=self.born_ms, outcome=outcome,
+                        tasks=[str(suspect.task.task) for suspect
+                               in self.suspects[:MAX_LOGGED_TASKS]])
+
     def tasks(self) -> list[progress.TaskState]:
         """Return the suspected tasks."""
         return [suspect.task for suspect in self.suspects]
