Record a proven crash once; suspect only tasks that had just started

Cause 1: a report of another worker at the address proved the crash while the crashed worker was still known. As only unproven records kept a crash from being recorded, its next refused connection was judged anew, 0.3 s later, when its rack had recovered: a failure of the rack was charged after all. Now a life is judged once, and a worker whose address another one reports from is removed at once, which frees its tasks sooner. An entry of another life proves nothing of its address.

Cause 2: after two changes of the owner one crash of any run under 3 s was enough for a quarantine run, and many runs are that young. Now the run must have just started (0.25 s).

--- a/sycamorefield/fleet/crashes.py
+++ b/sycamorefield/fleet/crashes.py
@@ -59,7 +59,7 @@
 
 
 def worker_replaced(fleet: state_mod.FleetState, worker_id: str) -> None:
-    """Handle an answer by a worker of another ID at a worker's address."""
+    """Handle that another life answers at a worker's address."""
     with fleet.lock:
         worker = fleet.workers.get(worker_id)
         suspects = [] if worker is None else record_suspects(
@@ -77,7 +77,7 @@
     """
     with fleet.lock:
         worker = fleet.workers.get(worker_id)
-        if worker is None or fleet.crash_records.is_unproven(worker_id):
+        if worker is None or fleet.crash_records.has_record(worker_id):
             return
         fleet.mark_unresponsive(worker_id, "connection refused")
         suspects = _record_end(fleet, worker, restarted=False)
@@ -116,7 +116,7 @@
     The excluded runs certainly began after the crash.
     """
     worker_id = worker.entry.worker_id
-    if fleet.crash_records.is_unproven(worker_id):
+    if fleet.crash_records.has_record(worker_id):
         return fleet.crash_records.confirm(worker_id)
     return [suspect.task for suspect in _record_end(
         fleet, worker, restarted, excluded)]
@@ -161,6 +161,8 @@
             verdict = Verdict.COMMON_CAUSE
         recorded = _record_crash(
             exposed_suspects, worker, bool(quarantined_runs))
+    if not recorded and verdict is not Verdict.DRAINED:
+        _note_uncharged(fleet, quarantined_runs)
     events.emit(events.WORKER_CRASHED, worker=worker.entry.worker_id,
                 verdict=verdict.value, rack=worker.entry.rack(),
                 trial=bool(quarantined_runs), runs=[
@@ -170,6 +172,17 @@
     return recorded_before + recorded
 
 
+def _note_uncharged(fleet: state_mod.FleetState,
+                    quarantined_runs: list[ExposedRun]) -> None:
+    """Note that quarantined tasks may have caused a crash after all."""
+    for exposed in quarantined_runs:
+        task = exposed.task
+        if task.suspicion is not None and task.job is not None:
+            task.suspicion.uncharged_trials += 1
+            task.job.dirty = True
+            fleet.commit_requested = True
+
+
 def _life(worker: workerstate.WorkerState) -> str:
     """Return a name of a worker's life.
 
--- a/sycamorefield/fleet/crashrecords.py
+++ b/sycamorefield/fleet/crashrecords.py
@@ -122,6 +122,16 @@
         record = self.by_worker.get(worker_id)
         return record is not None and not record.is_proven
 
+    def has_record(self, worker_id: str) -> bool:
+        """Return whether the crash of a worker's last life is recorded."""
+        return worker_id in self.by_worker
+
+    def replaced_by(self, worker_id: str, address: str) -> list[str]:
+        """Return workers without proof of a crash at another's address."""
+        return [record.worker_id for record in self.by_worker.values()
+                if record.address == address
+                and record.worker_id != worker_id and not record.is_proven]
+
     def expire_leases(self, worker_id: str) -> list[progress.TaskState]:
         """Note that a worker's leases have expired; return the suspects."""
         if not self.is_unproven(worker_id):
@@ -138,32 +148,20 @@
         record.confirm()
         return record.tasks()
 
-    def answered(self, worker_id: str, address: str,
+    def answered(self, worker_id: str,
                  born_ms: int) -> list[progress.TaskState]:
         """Handle a report of a life; return the tasks that are concerned.
 
         Workers whose reports don't name a life have another ID in each life.
         """
-        tasks = self._confirm_replaced(worker_id, address)
         record = self.by_worker.pop(worker_id, None)
         if record is None:
-            return tasks
+            return []
         if record.born_ms == born_ms and (born_ms or not record.is_proven):
             record.retract()
         elif record.born_ms and born_ms:
             record.confirm()
-        return tasks + record.tasks()
-
-    def _confirm_replaced(self, worker_id: str,
-                          address: str) -> list[progress.TaskState]:
-        """Confirm the crashes of others at the address of a worker."""
-        tasks = []
-        for record in self.by_worker.values():
-            if (record.address == address and record.worker_id != worker_id
-                    and not record.is_proven):
-                record.confirm()
-                tasks += record.tasks()
-        return tasks
+        return record.tasks()
 
     def forget_old(self, now: float) -> None:
         """Forget workers that will hardly answer again."""
--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -52,8 +52,9 @@
         # per second, a round for each would leave no time for anything else.
         needs_round = worker.unresponsive or not worker.has_reported
         if needs_round:
-            fleet.end_jobs_of(fleet.crash_records.answered(
-                worker_id, worker.entry.address, report.born_ms))
+            fleet.end_jobs_of(
+                fleet.crash_records.answered(worker_id, report.born_ms))
+            _note_replaced(fleet, worker)
         if not worker.has_reported:
             fleet.end_jobs_of(crashes.retract_earlier(fleet, worker))
         if worker.unresponsive:
@@ -89,6 +90,19 @@
         return new_ends
 
 
+def _note_replaced(fleet: state_mod.FleetState,
+                   worker: workerstate.WorkerState) -> None:
+    """Handle the proof that a worker gives of the end of others.
+
+    One process listens at an address.  The entry of another life may name an
+    address that this report did not come from.
+    """
+    if worker.entry_is_of_current_life():
+        for replaced_id in fleet.crash_records.replaced_by(
+                worker.entry.worker_id, worker.entry.address):
+            crashes.worker_replaced(fleet, replaced_id)
+
+
 def _record_end(fleet: state_mod.FleetState, worker: workerstate.WorkerState,
                 ended: messages.EndedTask, now: float) -> None:
     found = fleet.find(ended.task)
--- a/sycamorefield/fleet/suspicion.py
+++ b/sycamorefield/fleet/suspicion.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 import itertools
+import math
 import typing
 
 import msgspec
@@ -49,7 +50,10 @@
     # How many of the crashes in quarantine are not proven: the worker may only
     # be cut off.
     unproven_trials: int = 0
-    # How many of these workers have leases that have not expired.  Not stored.
+    # How many quarantine runs ended with their worker as others failed too.
+    uncharged_trials: int = 0
+    # How many of the unproven workers have leases that have not expired.  Not
+    # stored.
     leased_trials: int = 0
 
     def add_crash(self, worker_id: str, age_s: float, likely: bool,
@@ -79,11 +83,12 @@
     def needs_quarantine_run(self, owner_changes: int = 0) -> bool:
         """Return whether the next run must be in quarantine.
 
-        Each change of the owner may have lost a crash.
+        Each change of the owner may have lost a crash.  A run that had not
+        just started is suspected of too many crashes of others.
         """
         return (self.likely or self.in_trials > 0
-                or (bool(self.ages_s)
-                    and owner_changes >= MAX_LOST_CRASHES)
+                or (owner_changes >= MAX_LOST_CRASHES
+                    and min(self.ages_s, default=math.inf) < STARTUP_WINDOW_S)
                 or any(_is_similar_age(*pair) for pair
                        in itertools.combinations(self.ages_s, 2)))
 
@@ -91,12 +96,12 @@
         """Return whether the task is confirmed as the cause of crashes.
 
         Crashes without proof confirm it only if another start might be one too
-        many, with the crashes that changes of the owner may have lost.
+        many, with the crashes that may have been lost or were not charged.
         """
         if self.in_trials - self.unproven_trials >= MAX_QUARANTINE_CRASHES:
             return True
         ended = len(self.workers) - self.leased_trials
-        lost = min(owner_changes, MAX_LOST_CRASHES)
+        lost = min(owner_changes + self.uncharged_trials, MAX_LOST_CRASHES)
         return (self.in_trials - self.leased_trials >= MAX_QUARANTINE_CRASHES
                 and ended + lost >= MAX_CRASHES)
 
