Load tool: send each attempt of a request to another entry process

A job had been given up by the load tool, and nothing told why.

Cause, suspected: all requests share one counter of entry processes, and about 40 are sent between two attempts of a job, so that the next attempt often goes to the same process, which may be stopped.

SF1702 now names the statuses of a job that was given up.

--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -84,6 +84,8 @@
     "SF1502", INFO, "injected faults of the stand-in changed")
 CALLER_TOLD_NOT_RUN = Event("SF1701", INFO, "caller told its request was "
                                             "not run")
+JOB_GIVEN_UP = Event(
+    "SF1702", WARNING, "submission of a job given up, it was not accepted")
 
 ENTRY_UNREADABLE = Event(
     "SF1801", WARNING, "unreadable entry of another writer skipped")
--- a/sycamorefield/load.py
+++ b/sycamorefield/load.py
@@ -8,10 +8,12 @@
 
 import concurrent.futures
 import dataclasses
+import itertools
 import json
 import random
 import threading
 import time
+import typing
 import uuid
 
 import urllib3
@@ -51,26 +53,37 @@
             self.request_count += 1
             return self.urls[self.request_count % len(self.urls)]
 
-    def post(self, path: str, body: dict[str, object]
+    def attempt_urls(self) -> typing.Iterator[str]:
+        """Return the URL for each attempt of one request.
+
+        Each attempt goes to another entry process than the one before,
+        whatever other requests are sent meanwhile.
+        """
+        first = self.urls.index(self.next_url())
+        return itertools.islice(
+            itertools.cycle(self.urls[first:] + self.urls[:first]),
+            MAX_ATTEMPTS)
+
+    def post(self, url: str, body: dict[str, object]
              ) -> tuple[int, dict[str, object]]:
-        """POST JSON to the next entry process; return the status and body.
+        """POST JSON to a URL; return the status and body.
 
         The status is 0 if the connection failed.
         """
         try:
             reply = self.http.request(
-                "POST", self.next_url() + path, body=json.dumps(body),
+                "POST", url, body=json.dumps(body),
                 headers={"Content-Type": "application/json"},
                 timeout=5.0, retries=False)
         except urllib3.exceptions.HTTPError as exc:
             return 0, {"error": type(exc).__name__}
         return reply.status, json.loads(reply.data or b"{}")
 
-    def delete(self, path: str) -> int:
-        """DELETE a path at the next entry process; return the status or 0."""
+    def delete(self, url: str) -> int:
+        """DELETE a URL; return the status, or 0 if the connection failed."""
         try:
-            reply = self.http.request("DELETE", self.next_url() + path,
-                                      timeout=5.0, retries=False)
+            reply = self.http.request("DELETE", url, timeout=5.0,
+                                      retries=False)
         except urllib3.exceptions.HTTPError:
             return 0
         return reply.status
@@ -110,7 +123,7 @@
             int=rng.getrandbits(128)).hex
     started = time.monotonic()
     request_id = uuid.uuid4().hex
-    status, body = client.post("/v1/requests", {
+    status, body = client.post(client.next_url() + "/v1/requests", {
         "customer": customer, "work": work.name, "request_id": request_id,
         "payload": {"note": request_id}, "idempotency_key": key})
     elapsed_s = time.monotonic() - started
@@ -123,14 +136,17 @@
 
 def _submit_with_retries(client: EntryClient, body: dict[str, object]) -> bool:
     """Submit a job, retrying as told; return whether it was accepted."""
-    for _ in range(MAX_ATTEMPTS):
-        status, answer = client.post("/v1/jobs", body)
+    statuses = []
+    for url in client.attempt_urls():
+        status, answer = client.post(url + "/v1/jobs", body)
         if status == 202:
             return True
+        statuses.append(status)
         if status not in RETRY_STATUSES:
-            return False
+            break
         delay_s = answer.get("retry_after_seconds", 1.0)
         time.sleep(float(delay_s) if isinstance(delay_s, int | float) else 1.0)
+    events.emit(events.JOB_GIVEN_UP, job=body["job_id"], statuses=statuses)
     return False
 
 
@@ -141,8 +157,8 @@
     If it counted as a failure, the load tool would wait in vain for a
     cancelled job to finish.
     """
-    for _ in range(MAX_ATTEMPTS):
-        status = client.delete(f"/v1/jobs/{job_id}")
+    for url in client.attempt_urls():
+        status = client.delete(f"{url}/v1/jobs/{job_id}")
         if status not in RETRY_STATUSES:
             return status == 200
         time.sleep(1.0)
