Forward callers' requests while the store does not answer this process

Cause: a process without the store refused all requests, although it reaches processes that the store answers.

Each process listens on a control address. While the store does not answer for 1.6 s, or no configuration is known, requests go to the first ready one of the control addresses in the settings, which survive a loss of power. Unanswered requests are not reported as refused, none is handled by an older configuration than an answer before, and none is forwarded twice. Jobs are idempotent by ID, so that a forwarded request is one more attempt.

--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -193,6 +193,11 @@
 FINAL_STATES_REMOVED = Event(
     "SF1877", INFO, "final states of jobs removed from the store")
 
+FORWARDING_CHANGED = Event(
+    "SF1879", INFO, "requests are forwarded to other entry processes, or no "
+                    "more")
+FORWARDING_FAILED = Event(
+    "SF1880", WARNING, "other entry process did not serve a request")
 INVARIANT_BROKEN = Event("SF1601", ERROR, "invariant broken")
 
 CATALOGUE = tuple(value for value in list(globals().values())
--- a/sycamorefield/fleet/interfaces.py
+++ b/sycamorefield/fleet/interfaces.py
@@ -167,6 +167,24 @@
         """Return those of some addresses of workers that can be reached."""
 
 
+class EntryPeer(abc.ABC):
+    """Another entry process."""
+
+    address = ""
+
+    @abc.abstractmethod
+    def is_ready(self) -> bool:
+        """Return whether it serves callers' requests."""
+
+    @abc.abstractmethod
+    def send(self, request: messages.CallerRequest
+             ) -> messages.ForwardedReply:
+        """Return its answer to a request.
+
+        Raises CallRefused (nothing was done) or CallFailed.
+        """
+
+
 class RelayListener(abc.ABC):
     """Tunnels connections of other processes to workers.
 
--- a/sycamorefield/fleet/messages.py
+++ b/sycamorefield/fleet/messages.py
@@ -352,6 +352,35 @@
     removes: tuple[str, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerRequest:
+    """A caller's HTTP request, to be forwarded to another entry process.
+
+    deadline is on clock.now().  A process with an older configuration than
+    config_version does not serve it.
+    """
+
+    method: str
+    path: str
+    host: str
+    body: bytes
+    deadline: float
+    config_version: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForwardedReply:
+    """The answer of another entry process to a caller's request.
+
+    config_version is the configuration that it is based on.
+    """
+
+    status: int
+    body: dict[str, typing.Any]
+    retry_after_s: int = 0
+    config_version: int = 0
+
+
 PENDING = "pending"
 RUNNING = "running"
 COMPLETED = "completed"
--- a/sycamorefield/fleet/policy.py
+++ b/sycamorefield/fleet/policy.py
@@ -57,6 +57,9 @@
     # relays.py: workers that an owner does not reach are called through
     # processes that reach them.
     relay_calls: bool = True
+    # forwarding.py: requests are forwarded to other entry processes while the
+    # store does not answer.
+    forward_requests: bool = True
     # runtimes.py: run times are learnt, and declared estimates weighed by
     # their error.
     learn_run_times: bool = True
--- a/sycamorefield/platform/bootsettings.py
+++ b/sycamorefield/platform/bootsettings.py
@@ -20,6 +20,13 @@
 
     front: str = ""
     ready: str = ""
+    # For other entry processes.
+    control: str = ""
+
+    def ports(self) -> set[str]:
+        """Return the ports in use."""
+        return {address.rpartition(":")[2]
+                for address in (self.front, self.ready, self.control)}
 
 
 class StoreModel(pydantic.BaseModel):
@@ -92,25 +99,30 @@
     bounds: BoundsModel = BoundsModel()
     orders: str = ORDERS_BY_RPC
     advice: str | None = None
+    # The control addresses of some entry processes.
+    seeds: tuple[str, ...] = ()
+
+    def other_seeds(self) -> list[str]:
+        """Return the control addresses of other entry processes."""
+        return [address for address in self.seeds
+                if address != self.listen.control]
 
     def metrics_address(self) -> str:
         """Return the metrics address, with the deploy file's port if free.
 
-        The ports drawn for a day may include it.  If the front or ready
-        address uses it, callers take precedence, and metrics are served on
-        the last port of port_range, which is free for the process.
+        The ports drawn for a day may include it.  If another address uses
+        it, callers take precedence, and metrics are served on the last port
+        of port_range, which is free for the process.
         """
         port = os.environ.get(METRICS_PORT_VARIABLE, "")
-        used_ports = {address.rpartition(":")[2]
-                      for address in (self.listen.front, self.listen.ready)}
-        if not port.isdecimal() or port in used_ports:
+        if not port.isdecimal() or port in self.listen.ports():
             port = str(self.port_range[1])
         return f"{self.ip}:{port}"
 
     def relay_ports(self) -> list[int]:
         """Return the ports on which a relay may listen."""
-        used_ports = {address.rpartition(":")[2] for address in (
-            self.listen.front, self.listen.ready, self.metrics_address())}
+        used_ports = self.listen.ports() | {
+            self.metrics_address().rpartition(":")[2]}
         first, last = self.port_range
         return [port for port in range(first, last + 1)
                 if str(port) not in used_ports]
--- a/sycamorefield/platform/daemon.py
+++ b/sycamorefield/platform/daemon.py
@@ -1,6 +1,7 @@
 """Run the entry process on the users' platform."""
 
 import os
+import random
 import signal
 import sys
 import threading
@@ -13,6 +14,7 @@
 from sycamorefield import events
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import controlwatcher
+from sycamorefield.fleet import forwarding
 from sycamorefield.fleet import jobrequests as jobrequests_mod
 from sycamorefield.fleet import owner as owner_mod
 from sycamorefield.fleet import ownership as ownership_mod
@@ -25,6 +27,7 @@
 from sycamorefield.platform import bootsettings
 from sycamorefield.platform import bufferingserver
 from sycamorefield.platform import configuration
+from sycamorefield.platform import entrypeers
 from sycamorefield.platform import front as front_mod
 from sycamorefield.platform import reachprobe
 from sycamorefield.platform import relaylistener
@@ -39,6 +42,7 @@
 LISTEN_BACKLOG = 256
 FRONT_THREADS = 16
 ADMIN_THREADS = 2
+PEER_THREADS = 4
 # The load balancer sends no new connections after two failed readiness checks,
 # 1 s apart.  Requests sent until then are answered before the listener closes.
 DRAIN_S = 3.2
@@ -87,9 +91,20 @@
             lambda: self.ownership.owner is not None,
             is_weak_vm=claim_delay_s > 0.0)
         self.stop_requested = threading.Event()
+        self.forwarder = self._make_forwarder()
         self.front_app = front_mod.FrontApp(
             self.job_requests, self.watcher.configuration, self._ready,
-            self.stop_requested.is_set, self._metrics_text)
+            self.stop_requested.is_set, self._metrics_text, self.forwarder,
+            settings.listen.control.rpartition(":")[2])
+
+    def _make_forwarder(self) -> forwarding.Forwarder:
+        addresses = (self.settings.other_seeds()
+                     if self.policy.forward_requests else [])
+        # The processes that are turned away choose different peers.
+        random.shuffle(addresses)
+        return forwarding.Forwarder(
+            [entrypeers.HttpEntryPeer(address) for address in addresses],
+            self._serves)
 
     def _make_owner(self, fence: int) -> owner_mod.Owner:
         idle_clients = workers_mod.idle_order_clients(
@@ -114,6 +129,13 @@
                 and not self.stop_requested.is_set()
                 and not self._store_unresponsive())
 
+    def _serves(self) -> bool:
+        """Return whether this process can serve requests itself."""
+        config = self.watcher.latest_configuration
+        return (self.watcher.configuration_known
+                and not self._store_unresponsive()
+                and config.version >= self.forwarder.config_version)
+
     def _store_unresponsive(self) -> bool:
         return (clock.now() - self.watcher.last_answer_at
                 >= STORE_UNRESPONSIVE_S)
@@ -125,7 +147,7 @@
             "store_reachable": float(self.watcher.store_reachable),
             "store_silence_s": clock.now() - self.watcher.last_answer_at,
             "fleet_owner": float(owner is not None),
-            **self.relay.gauges()}
+            **self.relay.gauges(), **self.forwarder.gauges()}
         if self.job_requests.admission is not None:
             gauges.update(self.job_requests.admission.gauges())
         if owner is not None:
@@ -140,6 +162,8 @@
         targets = [self.watcher.run, self.ownership.run, self.volunteer.run]
         if self.policy.relay_calls:
             targets.append(self.relay_offers.run)
+        if self.forwarder.peers:
+            targets.append(self.forwarder.run)
         for target in targets:
             threading.Thread(target=target, daemon=True).start()
         events.emit(events.PROCESS_STARTED, address=self.settings.ip,
@@ -195,9 +219,11 @@
         servers = []
         for address, threads in ((listen.front, FRONT_THREADS),
                                  (listen.ready, ADMIN_THREADS),
+                                 (listen.control, PEER_THREADS),
                                  (self.settings.metrics_address(),
                                   ADMIN_THREADS)):
-            servers.append(_start_server(address, threads))
+            if address:
+                servers.append(_start_server(address, threads))
         return servers
 
 
--- a/sycamorefield/platform/front.py
+++ b/sycamorefield/platform/front.py
@@ -9,14 +9,15 @@
 from sycamorefield import events
 from sycamorefield.fleet import admission
 from sycamorefield.fleet import clock
+from sycamorefield.fleet import forwarding
 from sycamorefield.fleet import inputlog
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import jobrequests as jobrequests_mod
 from sycamorefield.fleet import messages
+from sycamorefield.platform import entrypeers
 from sycamorefield.platform import jobbody
 
 JOB_ID_PATTERN = re.compile("[0-9a-fA-F]{16}")
-DEADLINE_HEADER = "HTTP_SYCAMOREFIELD_DEADLINE"
 REASON_PHRASES = {200: "OK", 400: "Bad Request", 404: "Not Found",
                   405: "Method Not Allowed", 410: "Gone", 413: "Too Large",
                   500: "Internal Server Error", 503: "Service Unavailable",
@@ -46,12 +47,17 @@
                  configuration: typing.Callable[[], messages.Configuration],
                  ready: typing.Callable[[], bool],
                  stopping: typing.Callable[[], bool],
-                 metrics: typing.Callable[[], str]) -> None:
+                 metrics: typing.Callable[[], str],
+                 forwarder: forwarding.Forwarder | None = None,
+                 peer_port: str = "") -> None:
         self.job_requests = job_requests
         self.configuration = configuration
         self.ready = ready
         self.stopping = stopping
         self.metrics = metrics
+        self.forwarder = forwarder
+        # The port on which other entry processes forward requests.
+        self.peer_port = peer_port
 
     def __call__(self, environ: Environ,
                  start_response: StartResponse) -> list[bytes]:
@@ -62,7 +68,7 @@
                                       ("Content-Length", str(len(text)))])
             return [text]
         try:
-            reply = self._handle(path, environ)
+            reply = self._reply_to(path, environ)
         except Exception as exc:
             events.emit(events.THREAD_FAILED, path=path, reason=repr(exc),
                         where=events.error_location(exc))
@@ -84,12 +90,63 @@
             f"{reply.status} {REASON_PHRASES[reply.status]}", headers)
         return [data]
 
-    def _handle(self, path: str, environ: Environ) -> Reply:
+    def _reply_to(self, path: str, environ: Environ) -> Reply:
+        """Return the reply to a caller, a probe or another entry process."""
         body = _read_body(environ)
-        if path == "/-/ready":
+        if path == entrypeers.READY_PATH:
             return Reply(200 if self.ready() else 503)
+        if self.peer_port and environ.get("SERVER_PORT") == self.peer_port:
+            return self._serve_peer(path, body)
+        if self.forwarder is not None and not self.forwarder.serves():
+            reply = self._forward(self.forwarder, path, body, environ)
+            if reply is not None:
+                return reply
+        return self._handle(path, body, environ)
+
+    def _forward(self, forwarder: forwarding.Forwarder, path: str,
+                 body: bytes, environ: Environ) -> Reply | None:
+        """Return another process's reply, or None if there is none."""
+        method = environ["REQUEST_METHOD"]
+        config_version = max(self.configuration().version,
+                             forwarder.config_version)
+        try:
+            reply = forwarder.forward(messages.CallerRequest(
+                method, path, environ.get("HTTP_HOST", ""), body,
+                _deadline(environ), config_version))
+        except interfaces.CallFailed:
+            # Only a read can be answered as if nothing had been done.
+            return (None if method == "GET"
+                    else Reply(504, {"error": OUTCOME_UNKNOWN}))
+        return None if reply is None else Reply(
+            reply.status, reply.body, reply.retry_after_s)
+
+    def _serve_peer(self, path: str, data: bytes) -> Reply:
+        """Return the reply to a request forwarded by another process."""
+        if path != entrypeers.PATH:
+            return Reply(404, {"error": "no such path"})
+        try:
+            request = entrypeers.decode(data)
+        except pydantic.ValidationError:
+            return Reply(400, {"error": "not a forwarded request"})
+        version = self.configuration().version
+        if not self.ready() or version < request.config_version:
+            reply = Reply(forwarding.MISDIRECTED)
+        else:
+            reply = self._handle(request.path, request.body,
+                                 entrypeers.environ_of(request))
+        return Reply(200, {"status": reply.status, "body": reply.body,
+                           "retry_after_s": reply.retry_after_s,
+                           "config_version": version})
+
+    def _knows_configuration(self, config: messages.Configuration) -> bool:
+        """Return whether no answer was based on a newer configuration."""
+        return bool(config.queues) and (
+            self.forwarder is None
+            or config.version >= self.forwarder.config_version)
+
+    def _handle(self, path: str, body: bytes, environ: Environ) -> Reply:
         config = self.configuration()
-        if not config.queues:
+        if not self._knows_configuration(config):
             return Reply(503, {"error": "no configuration yet"}, 1)
         if len(body) > config.max_body_bytes:
             return Reply(413, {"error": "body too large"})
@@ -172,7 +229,7 @@
 
 def _deadline(environ: Environ) -> float:
     """Return the caller's deadline on clock.now()."""
-    header = environ.get(DEADLINE_HEADER, "")
+    header = environ.get(entrypeers.DEADLINE_HEADER, "")
     try:
         timeout_s = float(header) / 1000.0
     except ValueError:
