--- a/tests/test_platform_forwarding.py
+++ b/tests/test_platform_forwarding.py
@@ -33,6 +33,7 @@
     def __init__(self, store, config_version=7):
         self.config = decode_config(config_version)
         self.is_ready = True
+        self.front = None
         self.requests = jobrequests_mod.JobRequestHandler(
             store, lambda: not self.is_ready, lambda: None)
 
@@ -41,6 +42,20 @@
             self.requests, lambda: self.config, lambda: self.is_ready,
             lambda: False, lambda: "", forwarder, peer_port)
 
+    def call(self, method, path, body=b""):
+        response = {}
+
+        def start_response(status, headers):
+            response.update(status=int(status.split()[0]),
+                            headers=dict(headers))
+
+        data = self.front({
+            "REQUEST_METHOD": method, "PATH_INFO": path, "HTTP_HOST": "h",
+            "HTTP_SYCAMOREFIELD_DEADLINE": "2000", "SERVER_PORT": "1",
+            "CONTENT_LENGTH": str(len(body)),
+            "wsgi.input": io.BytesIO(body)}, start_response)
+        return {**response, "body": json.loads(b"".join(data))}
+
 
 @pytest.fixture(name="store")
 def fixture_store():
@@ -74,20 +89,6 @@
         self.front = self.app(self.forwarder)
         self.forwarder.probe()
 
-    def call(self, method, path, body=b""):
-        response = {}
-
-        def start_response(status, headers):
-            response.update(status=int(status.split()[0]),
-                            headers=dict(headers))
-
-        data = self.front({
-            "REQUEST_METHOD": method, "PATH_INFO": path, "HTTP_HOST": "h",
-            "HTTP_SYCAMOREFIELD_DEADLINE": "2000", "SERVER_PORT": "1",
-            "CONTENT_LENGTH": str(len(body)),
-            "wsgi.input": io.BytesIO(body)}, start_response)
-        return {**response, "body": json.loads(b"".join(data))}
-
 
 @pytest.mark.parametrize("config_version", [0, 7])
 def test_job_is_served_by_a_process_that_the_store_turns_away(
