Start without usable addresses of peers; follow changed ones

A settings file with "seeds" or "control" set to null, or with an address without a port, would have ended each process at its start: found by reading, as no deployment here has such a file. Addresses of peers that change while a process runs (SIGHUP) are used from the next probe on.

The soak closes its connections: their parsers were counted by test_calls_leave_no_parsers_in_reference_cycles if that ran after it.

--- a/sycamorefield/fleet/forwarding.py
+++ b/sycamorefield/fleet/forwarding.py
@@ -40,6 +40,13 @@
         self.forwarded_total = 0
         self.stopped = threading.Event()
 
+    def replace_peers(self, peers: typing.Iterable[interfaces.EntryPeer]
+                      ) -> None:
+        """Forward to other processes from the next probe on."""
+        earlier, self.peers = self.peers, tuple(peers)
+        for peer in earlier:
+            peer.close()
+
     def run(self) -> None:
         """Probe the other processes until stopped."""
         while not self.stopped.wait(PROBE_PERIOD_S):
--- a/sycamorefield/fleet/interfaces.py
+++ b/sycamorefield/fleet/interfaces.py
@@ -184,6 +184,9 @@
         Raises CallRefused (nothing was done) or CallFailed.
         """
 
+    def close(self) -> None:
+        """Release idle connections."""
+
 
 class RelayListener(abc.ABC):
     """Tunnels connections of other processes to workers.
--- a/sycamorefield/platform/bootsettings.py
+++ b/sycamorefield/platform/bootsettings.py
@@ -21,12 +21,12 @@
     front: str = ""
     ready: str = ""
     # For other entry processes.
-    control: str = ""
+    control: str | None = ""
 
     def ports(self) -> set[str]:
         """Return the ports in use."""
-        return {address.rpartition(":")[2]
-                for address in (self.front, self.ready, self.control)}
+        return {address.rpartition(":")[2] for address in (
+            self.front, self.ready, self.control) if address}
 
 
 class StoreModel(pydantic.BaseModel):
@@ -100,12 +100,13 @@
     orders: str = ORDERS_BY_RPC
     advice: str | None = None
     # The control addresses of some entry processes.
-    seeds: tuple[str, ...] = ()
+    seeds: tuple[str, ...] | None = ()
 
     def other_seeds(self) -> list[str]:
-        """Return the control addresses of other entry processes."""
-        return [address for address in self.seeds
-                if address != self.listen.control]
+        """Return the usable control addresses of other entry processes."""
+        return [address for address in self.seeds or ()
+                if address != self.listen.control
+                and address.rpartition(":")[2].isdecimal()]
 
     def metrics_address(self) -> str:
         """Return the metrics address, with the deploy file's port if free.
--- a/sycamorefield/platform/daemon.py
+++ b/sycamorefield/platform/daemon.py
@@ -91,20 +91,22 @@
             lambda: self.ownership.owner is not None,
             is_weak_vm=claim_delay_s > 0.0)
         self.stop_requested = threading.Event()
-        self.forwarder = self._make_forwarder()
+        self.forwarder = forwarding.Forwarder(
+            self._find_peers(settings), self._serves)
         self.front_app = front_mod.FrontApp(
             self.job_requests, self.watcher.configuration, self._ready,
             self.stop_requested.is_set, self._metrics_text, self.forwarder,
-            settings.listen.control.rpartition(":")[2])
+            (settings.listen.control or "").rpartition(":")[2])
 
-    def _make_forwarder(self) -> forwarding.Forwarder:
-        addresses = (self.settings.other_seeds()
+    def _find_peers(self, settings: bootsettings.BootSettings
+                    ) -> tuple[entrypeers.HttpEntryPeer, ...]:
+        """Return the entry processes to which requests may be forwarded."""
+        addresses = (settings.other_seeds()
                      if self.policy.forward_requests else [])
         # The processes that are turned away choose different peers.
         random.shuffle(addresses)
-        return forwarding.Forwarder(
-            [entrypeers.HttpEntryPeer(address) for address in addresses],
-            self._serves)
+        return tuple(entrypeers.HttpEntryPeer(address)
+                     for address in addresses)
 
     def _make_owner(self, fence: int) -> owner_mod.Owner:
         idle_clients = workers_mod.idle_order_clients(
@@ -162,7 +164,7 @@
         targets = [self.watcher.run, self.ownership.run, self.volunteer.run]
         if self.policy.relay_calls:
             targets.append(self.relay_offers.run)
-        if self.forwarder.peers:
+        if self.policy.forward_requests:
             targets.append(self.forwarder.run)
         for target in targets:
             threading.Thread(target=target, daemon=True).start()
@@ -197,7 +199,10 @@
         events.emit(events.PROCESS_STOPPED, unfinished=len(unfinished))
 
     def reload(self) -> None:
-        """Log changed settings; addresses in use stay until a restart."""
+        """Log changed settings and use the addresses of other processes.
+
+        The process's own addresses stay until a restart.
+        """
         try:
             settings = bootsettings.load()
         except (OSError, ValueError) as exc:
@@ -207,6 +212,8 @@
                    if getattr(settings, name) != getattr(self.settings,
                                                          name)]
         events.emit(events.SETTINGS_RELOADED, changed=changed)
+        if "seeds" in changed:
+            self.forwarder.replace_peers(self._find_peers(settings))
         if self.ownership.owner is None:
             self.settings = settings
 
--- a/sycamorefield/platform/entrypeers.py
+++ b/sycamorefield/platform/entrypeers.py
@@ -74,6 +74,10 @@
             reply.status, reply.body, reply.retry_after_s,
             reply.config_version)
 
+    def close(self) -> None:
+        """Close idle connections."""
+        self.client.close()
+
 
 def decode(data: bytes) -> RequestModel:
     """Return a forwarded request; raises ValidationError."""
--- a/tests/test_platform_forwarding.py
+++ b/tests/test_platform_forwarding.py
@@ -10,8 +10,11 @@
 from sycamorefield.fleet import forwarding
 from sycamorefield.fleet import jobrequests as jobrequests_mod
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import policy as policy_mod
 from sycamorefield.fleet import records
+from sycamorefield.platform import bootsettings
 from sycamorefield.platform import configuration
+from sycamorefield.platform import daemon as daemon_mod
 from sycamorefield.platform import entrypeers
 from sycamorefield.platform import front as front_mod
 from tests import fleetfakes
@@ -158,3 +161,41 @@
     entry = TurnedAwayEntry(store, "127.0.0.1:9", 7)
     entry.front.peer_port = "1"
     assert entry.call("POST", entrypeers.PATH, body)["status"] == 400
+
+
+def make_daemon(policy=policy_mod.Policy(), **settings):
+    return daemon_mod.Daemon(bootsettings.BootSettings.model_validate({
+        "node": "n", "ip": "127.0.0.1", "platform": {"addr": "127.0.0.1:9"},
+        **settings}), policy)
+
+
+@pytest.mark.parametrize(("settings", "peers"), [
+    ({}, 0), ({"seeds": None}, 0), ({"seeds": []}, 0),
+    ({"seeds": ["10.0.0.1:80", "10.0.0.2:80"]}, 2),
+    ({"seeds": ["10.0.0.1:80", "", "10.0.0.2", "10.0.0.3:x"]}, 1),
+    ({"seeds": ["10.0.0.1:80", "10.0.0.2:80"],
+      "listen": {"control": "10.0.0.1:80"}}, 1),
+    ({"listen": {"front": "10.0.0.1:8", "control": None}}, 0)])
+def test_process_starts_without_usable_addresses_of_peers(settings, peers):
+    """Guards against processes that end at once on some deployment."""
+    daemon = make_daemon(**settings)
+    assert len(daemon.forwarder.peers) == peers
+    assert not daemon._serves()
+
+
+def test_nothing_is_forwarded_if_the_policy_says_so():
+    daemon = make_daemon(policy_mod.Policy(forward_requests=False),
+                         seeds=["10.0.0.1:80"])
+    assert not daemon.forwarder.peers
+
+
+def test_changed_addresses_of_peers_are_used(tmp_path, monkeypatch):
+    """Guards against peers that have all been replaced since the start."""
+    daemon = make_daemon(seeds=["10.0.0.1:80"])
+    path = tmp_path / "boot.json"
+    path.write_text(json.dumps({
+        "node": "n", "ip": "127.0.0.1", "platform": {"addr": "127.0.0.1:9"},
+        "seeds": ["10.0.0.2:80"]}))
+    monkeypatch.setenv(bootsettings.PATH_VARIABLE, str(path))
+    daemon.reload()
+    assert [peer.address for peer in daemon.forwarder.peers] == ["10.0.0.2:80"]
--- a/tests/test_platform_forwarding_soak.py
+++ b/tests/test_platform_forwarding_soak.py
@@ -236,6 +236,7 @@
     def close(self):
         for node in self.nodes:
             node.server.stop()
+            node.forwarder.replace_peers(())
 
 
 @pytest.mark.parametrize("seed", seeds())
