--- /dev/null
+++ b/tests/test_fleet_owner_chains.py
@@ -0,0 +1,124 @@
+"""Test that waits of an owner go on, and do not begin anew, under the next."""
+
+import threading
+import time
+import typing
+
+import pytest
+
+from sycamorefield.fleet import clock
+from sycamorefield.fleet import controlwatcher
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import ownership as ownership_mod
+from sycamorefield.fleet import records
+from sycamorefield.fleet import recovery
+from sycamorefield.fleet import workerstate
+from tests import fleetfakes
+from tests import test_fleet_takeover as takeover
+
+# Shorter than in use, so that a chain of owners takes seconds.
+LEASE_MS = 1000.0
+LEASE_EXPIRY_S = ((LEASE_MS + workerstate.LEASE_END_SLACK_MS) / 1000.0
+                  / workerstate.MIN_CLOCK_RATE)
+STORE_OUTAGE_S = 2.0
+# The longest wait of a single takeover.
+TAKEOVER_WAIT_S = STORE_OUTAGE_S + LEASE_EXPIRY_S
+# Time to detect silence, store it, take over and place.
+MARGIN_S = 1.0
+
+
+@pytest.fixture(autouse=True)
+def fixture_short_leases(monkeypatch):
+    monkeypatch.setattr(workerstate, "LEASE_MS", LEASE_MS)
+    monkeypatch.setattr(workerstate, "LEASE_EXPIRY_S", LEASE_EXPIRY_S)
+    monkeypatch.setattr(recovery, "MAX_STORE_OUTAGE_S", STORE_OUTAGE_S)
+
+
+class Process:
+    """An entry process that owns the fleet until it stops."""
+
+    def __init__(self, fleet: takeover.Fleet) -> None:
+        self.fleet = fleet
+        self.watcher = controlwatcher.ControlWatcher(
+            fleet.store, takeover.CONFIG_KEY,
+            lambda _: fleetfakes.configuration())
+        self.ownership = ownership_mod.Ownership(
+            fleet.store, self.watcher, "p", self.make_owner)
+        for target in (self.watcher.run, self.ownership.run):
+            threading.Thread(target=target, daemon=True).start()
+
+    def make_owner(self, fence: int) -> typing.Any:
+        owner = takeover.owner_mod.Owner(
+            self.fleet.store, self.fleet.worker_list,
+            lambda entry: self.fleet.workers[entry.worker_id],
+            fleetfakes.configuration, fence, takeover.HOLD_MAX_MS)
+        self.fleet.owner = owner
+        return owner
+
+    def stop_as_planned(self) -> None:
+        self.watcher.stopped.set()
+        self.ownership.stop()
+
+    def kill(self) -> None:
+        """End without a word; the lease in the store expires at once."""
+        self.watcher.stopped.set()
+        self.ownership.stopped.set()
+        owner = self.ownership.owner
+        if owner is not None:
+            owner.step_down("killed")
+            self.fleet.store.end_lease(self.ownership.lease_id)
+
+
+@pytest.fixture(name="fleet")
+def fixture_fleet() -> typing.Iterator[takeover.Fleet]:
+    fleet = takeover.Fleet(workers=5)
+    fleet.store.commit(messages.Transaction(
+        puts=(messages.Put(takeover.CONFIG_KEY, b"any"),)))
+    yield fleet
+    if fleet.owner is not None:
+        fleet.owner.step_down("test over")
+
+
+def start_process(fleet: takeover.Fleet) -> Process:
+    """Start a process and wait until it schedules the fleet."""
+    before = fleet.owner
+    process = Process(fleet)
+    takeover.wait_for(lambda: fleet.owner is not before
+                      and fleet.owner.recovered)
+    return process
+
+
+def silence_worker_of(fleet: takeover.Fleet, name: str
+                      ) -> fleetfakes.MemoryWorker:
+    """Let the worker that runs a task answer no calls; return it."""
+    worker = next(w for w in fleet.workers.values()
+                  if any(str(task) == name for task, _ in w.runs))
+    worker.unresponsive = True
+    return worker
+
+
+class Chain(typing.NamedTuple):
+    """How the owners of a chain end, and how long each one lasts."""
+
+    end: typing.Callable[[Process], None]
+    term_s: float
+
+
+@pytest.mark.parametrize("chain", [
+    Chain(Process.stop_as_planned, 0.4), Chain(Process.stop_as_planned, 0.8),
+    Chain(Process.kill, 0.8), Chain(Process.kill, 1.2)])
+def test_chain_of_owners_delays_a_task_by_one_takeover_at_most(fleet, chain):
+    """Guards against a wait for a silent worker that each owner begins anew."""
+    process = start_process(fleet)
+    fleet.submit(fleetfakes.job("a"))
+    takeover.wait_for(lambda: fleet.running() == ["a.0.0.0"])
+    silenced_at = clock.now()
+    worker = silence_worker_of(fleet, "a.0.0.0")
+    while fleet.starts().count("a.0.0.0") == 1:
+        assert clock.now() - silenced_at < TAKEOVER_WAIT_S + MARGIN_S
+        time.sleep(chain.term_s)
+        chain.end(process)
+        process = start_process(fleet)
+    assert worker.clock() > worker.lease_end_ms
+    process.stop_as_planned()
+    assert records.OWNER_KEY not in fleet.store.items
