Store how long leases of silent workers last, for the next owner

Cause: an owner waits for the workers of earlier owners that do not report until leases that these granted have expired, by its own clock, from its own beginning (13.4 s, 6.9 s once most workers report), and places no task of an older job meanwhile. Owners that change more often never end the wait. Class: a bound that begins anew when its holder changes.

Change: owners store which workers are silent, how long their leases may still last, as a measured duration, and which tasks they may run; at a planned stop also draining ones. The next owner goes on with the rest of the wait, and holds back only these tasks. No owner leases a worker that the stored record names: it is removed from the record first, so an entry holds whoever owns the fleet. A key with a lease in the store would prove nothing, as leases may end early while the store is down.

The test failed before in 4 of 4 cases (5.1 s down, bound 4.3 s) and passes.

--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -38,6 +38,9 @@
 # The end of a quarantine run is learned from a report, and until then no other
 # task may use the worker.
 QUARANTINE_WAIT_MS = 150
+# A worker that is still recorded as silent gets no lease until the record has
+# been written, which takes this long.
+RECORDED_WAIT_MS = 50
 RETRY_DELAY_S = 0.15
 # The pause after an error that the code doesn't expect, which is logged.
 ERROR_PAUSE_S = 1.0
@@ -199,7 +202,8 @@
             return None
         with self.fleet.lock:
             worker = self.fleet.workers.get(self.worker_id)
-            if worker is None or worker.unresponsive:
+            if (worker is None or worker.unresponsive
+                    or self.fleet.silent_workers.is_recorded(self.worker_id)):
                 return None
             return worker.grant_lease(
                 min(longest_ms, worker.longest_lease_ms(),
@@ -211,6 +215,8 @@
             if (worker is None or not worker.has_reported
                     or worker.unresponsive):
                 return 0
+            if self.fleet.silent_workers.is_recorded(self.worker_id):
+                return RECORDED_WAIT_MS
             if self.fleet.store_unreachable:
                 return NEAR_TARGET_WAIT_MS
             if self.fleet.trials.tasks_on(self.worker_id):
--- a/sycamorefield/fleet/messages.py
+++ b/sycamorefield/fleet/messages.py
@@ -115,6 +115,12 @@
     def __str__(self) -> str:
         return f"{self.job_id}.{self.occurrence}.{self.step}.{self.number}"
 
+    @classmethod
+    def parse(cls, name: str) -> "TaskId":
+        """Return the task with a name; raises ValueError if it is none."""
+        job_id, occurrence, step, number = name.rsplit(".", 3)
+        return cls(job_id, int(occurrence), int(step), int(number))
+
     def step_id(self) -> StepId:
         """Return the ID of the step that the task belongs to."""
         return StepId(self.job_id, self.occurrence, self.step)
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -177,6 +177,12 @@
             self.handed_over = True
             self.step_down("another process reaches more workers")
 
+    def store_for_successor(self) -> None:
+        """Store all changes, and what a successor needs at a planned stop."""
+        with self.fleet.lock:
+            self.fleet.silent_workers.term_ends = True
+        self.recorder.flush()
+
     def run(self) -> None:
         """Recover the stored state, then schedule until stepping down."""
         self.run_guarded(self._run)
--- a/sycamorefield/fleet/ownership.py
+++ b/sycamorefield/fleet/ownership.py
@@ -340,6 +340,6 @@
         if owner is None:
             return
         if owner.recovered:
-            owner.run_guarded(owner.recorder.flush)
+            owner.run_guarded(owner.store_for_successor)
         owner.step_down("planned stop")
         self.release(owner.fence)
--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -110,6 +110,7 @@
                 for w in self.fleet.workers.values() if w.last_processed_end}
             writes = self._job_writes()
             self._add_workers(writes)
+            self._add_silent_workers(writes)
             self._add_terms(writes)
             self._add_waiting_counts(writes)
             self._add_weights(writes)
@@ -165,6 +166,15 @@
                 records.WORKERS_KEY, records.encode_addresses(addresses),
                 self.revisions.get(records.WORKERS_KEY, 0), None))
 
+    def _add_silent_workers(
+            self, writes: list[jobwrites.PendingWrite]) -> None:
+        data = self.fleet.silent_workers.data_when_due(
+            self.fleet, clock.now())
+        if data is not None:
+            writes.append(jobwrites.PendingWrite(
+                records.SILENT_WORKERS_KEY, data,
+                self.revisions.get(records.SILENT_WORKERS_KEY, 0), None))
+
     def _add_terms(self, writes: list[jobwrites.PendingWrite]) -> None:
         """Add the terms of owners unless they are stored."""
         terms = self.fleet.terms
@@ -300,6 +310,9 @@
             if write.key == records.WORKERS_KEY:
                 # The addresses of awaited workers are known from this list.
                 self.rewrite_workers = True
+            elif write.key == records.SILENT_WORKERS_KEY:
+                with self.fleet.lock:
+                    self.fleet.silent_workers.rewrite()
             elif write.key == records.WEIGHTS_KEY:
                 self.stored_weights = b"{}"
             elif write.key == records.TERMS_KEY:
@@ -318,6 +331,10 @@
             self.rewrite_workers = False
             self.stored_addresses = records.decode_mapping(write.data)
             self.fleet.enrol(self.stored_addresses)
+        elif write.key == records.SILENT_WORKERS_KEY:
+            with self.fleet.lock:
+                self.fleet.silent_workers.note_stored(write.data)
+                self.fleet.request_round()
         if write.job is not None and write.is_final():
             with self.fleet.lock:
                 self.fleet.ended_jobs.note_stored(write.job, clock.now())
--- a/sycamorefield/fleet/records.py
+++ b/sycamorefield/fleet/records.py
@@ -24,6 +24,9 @@
 # owner's keys, so that only one call waits instead of two.
 WATCHED_PREFIX = "o"
 WORKERS_KEY = "fleet/workers"
+# Workers that do not answer the owner, how long their leases may last, and
+# the tasks that they may run.
+SILENT_WORKERS_KEY = "fleet/silent-workers"
 WAITING_JOBS_KEY = "fleet/waiting"
 WEIGHTS_KEY = "fleet/learnt"
 LEARNED_STATE_KEY = "fleet/learned-state"
--- a/sycamorefield/fleet/recovery.py
+++ b/sycamorefield/fleet/recovery.py
@@ -45,6 +45,7 @@
         Raises CallFailed, after which the call may be repeated.
         """
         workers_item = self.store.get(records.WORKERS_KEY)
+        silent_item = self.store.get(records.SILENT_WORKERS_KEY)
         terms_item = self.store.get(records.TERMS_KEY)
         waiting_item = self.store.get(records.WAITING_JOBS_KEY)
         weights_item = self.store.get(records.WEIGHTS_KEY)
@@ -76,6 +77,10 @@
             if backlog_item is not None:
                 self.recorder.revisions[records.BACKLOG_KEY] = (
                     backlog_item.revision)
+            if silent_item is not None:
+                self.recorder.revisions[records.SILENT_WORKERS_KEY] = (
+                    silent_item.revision)
+            self.fleet.silent_workers.load(silent_item)
             self._expect_workers(workers_item, entries)
         self._log_resumed_jobs()
         self.worker_links.update_workers(entries, listed_at)
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -86,6 +86,8 @@
         self.slow_workers = slowplacing.SlowWorkers(self, slow_workers)
         # What tasks request that this round leaves waiting.
         self.waiting = copies.Waiting()
+        # Tasks that workers of earlier owners may run.
+        self.unproven_tasks: frozenset[messages.TaskId] = frozenset()
         # Overdue best-effort tasks that this round leaves waiting.
         self.overdue: list[overdueholds.OverdueTask] = []
 
@@ -99,8 +101,11 @@
         waiting = [t for t in tasks if t.phase == progress.IDLE
                    and not t.done]
         # A quarantine run is stored before it starts, with the crashes.
-        startable = [t for t in waiting if t.not_before <= self.now and (
-            storedcrashes.are_stored(state, t) or t.needs_quarantine_run())]
+        startable = [
+            t for t in waiting
+            if t.not_before <= self.now and t.task not in self.unproven_tasks
+            and (storedcrashes.are_stored(state, t)
+                 or t.needs_quarantine_run())]
         if not startable:
             return bool(waiting)
         step = state.job.steps[number]
@@ -635,8 +640,11 @@
         fleet.overdue_holds.drop_finished(usable_workers, now)
         round_ = Round(fleet, queues, usable_workers, now, wall_ms,
                        slow_workers)
+        unproven_tasks = fleet.unproven_tasks()
+        round_.unproven_tasks = unproven_tasks or frozenset()
         for state in ranked:
-            if state.created_revision <= fleet.fence and fleet.awaited_workers:
+            if (unproven_tasks is None
+                    and state.created_revision <= fleet.fence):
                 continue
             if not fleet.may_start(state):
                 continue
@@ -665,6 +673,7 @@
     list_is_new = fleet.has_current_list(now)
     for worker_id, worker in fleet.workers.items():
         is_usable = (list_is_new and worker.usable(now)
+                     and not fleet.silent_workers.is_recorded(worker_id)
                      and worker.entry.data_centre not in evacuated
                      and fleet.leased_since_restart(worker)
                      and worker_id not in fleet.trials.by_worker)
--- /dev/null
+++ b/sycamorefield/fleet/silentworkers.py
@@ -0,0 +1,200 @@
+"""Store what an owner knows of silent workers, for its successors.
+
+A worker that does not answer may run its tasks on until its leases have
+expired.  If each owner waited for that from its own beginning, owners that
+change often would never end the wait.  So an owner stores how long its leases
+may still last, and which tasks the worker may run.
+
+No owner grants a lease to a worker while the record names it: the worker is
+removed from the record first.  So an entry stays true whoever owns the fleet
+later.  The remaining time is a duration that its writer has measured, because
+processes share no clock, and keys with a lease may vanish early during an
+outage of the store.
+"""
+
+import dataclasses
+import json
+import math
+import typing
+
+import msgspec
+
+from sycamorefield import events
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import records
+from sycamorefield.fleet import workerstate
+
+if typing.TYPE_CHECKING:
+    from sycamorefield.fleet import state as state_mod
+
+# A worker is recorded once it has been silent for this long.  After a shorter
+# silence its leases are renewed without waiting for a write to the store.
+MIN_SILENCE_S = 0.5
+# How often the remaining times are stored anew.
+UPDATE_PERIOD_S = 0.5
+# Bounds the size of the record.  Workers with more tasks than are left of it
+# are recorded without their tasks.
+MAX_RECORDED_TASKS = 4000
+
+
+class StoredWorker(msgspec.Struct, frozen=True):
+    """The stored form of what is known of a silent worker."""
+
+    remaining_ms: float
+    tasks: list[str] | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SilentWorker:
+    """How long leases of a worker may last, and the tasks it may run.
+
+    tasks is None if it may run any task.
+    """
+
+    remaining_s: float
+    tasks: frozenset[messages.TaskId] | None
+
+
+def encode(silent: dict[str, SilentWorker]) -> bytes:
+    """Return the stored form of silent workers by ID."""
+    return json.dumps({
+        worker_id: {
+            "remaining_ms": math.ceil(worker.remaining_s * 1000.0),
+            "tasks": (None if worker.tasks is None
+                      else sorted(str(task) for task in worker.tasks))}
+        for worker_id, worker in sorted(silent.items())}).encode()
+
+
+def decode(value: bytes) -> dict[str, SilentWorker]:
+    """Return the silent workers by ID; raises ValueError if unreadable."""
+    try:
+        stored = msgspec.convert(json.loads(value), dict[str, StoredWorker])
+    except (msgspec.MsgspecError, RecursionError) as exc:
+        raise ValueError(repr(exc)[:200]) from exc
+    if not all(math.isfinite(worker.remaining_ms)
+               for worker in stored.values()):
+        raise ValueError("remaining time is not finite")
+    return {
+        worker_id: SilentWorker(
+            max(0.0, worker.remaining_ms / 1000.0),
+            None if worker.tasks is None else frozenset(
+                messages.TaskId.parse(name) for name in worker.tasks))
+        for worker_id, worker in stored.items()}
+
+
+class SilentWorkers:
+    """Hold the record of silent workers, as it is and may be stored.
+
+    Callers hold the lock of the fleet or run before other threads start.
+    """
+
+    def __init__(self) -> None:
+        # As an earlier owner stored it.
+        self.loaded: dict[str, SilentWorker] = {}
+        # The workers named by the record: several sets while the outcome of
+        # a write is unknown.
+        self.possible_ids: list[frozenset[str]] = [frozenset()]
+        # What was last written, without the remaining times, and when.
+        self.written: dict[str, frozenset[messages.TaskId] | None] | None = {}
+        self.written_at = -math.inf
+        # Whether the term is about to end as planned.
+        self.term_ends = False
+
+    def load(self, item: messages.Item | None) -> None:
+        """Load the stored record; log an unreadable one."""
+        if item is None:
+            return
+        # Written once by each owner: the entries that it keeps are its own.
+        self.written = None
+        try:
+            self.loaded = decode(item.value)
+        except ValueError as exc:
+            events.emit(events.RECORD_UNREADABLE,
+                        key=records.SILENT_WORKERS_KEY, reason=str(exc)[:200],
+                        default="any worker may run any task")
+        self.possible_ids = [frozenset(self.loaded)]
+
+    def is_recorded(self, worker_id: str) -> bool:
+        """Return whether the stored record may name a worker."""
+        return any(worker_id in ids for ids in self.possible_ids)
+
+    def wait_until(self, worker_id: str, loaded_at: float,
+                   latest: float) -> float:
+        """Return when leases have expired that earlier owners granted."""
+        worker = self.loaded.get(worker_id)
+        return latest if worker is None else min(
+            latest, loaded_at + worker.remaining_s)
+
+    def unproven_tasks(self, awaited: typing.Iterable[str]
+                       ) -> frozenset[messages.TaskId] | None:
+        """Return the tasks that awaited workers may run; None means any."""
+        tasks: set[messages.TaskId] = set()
+        for worker_id in awaited:
+            worker = self.loaded.get(worker_id)
+            if worker is None or worker.tasks is None:
+                return None
+            tasks |= worker.tasks
+        return frozenset(tasks)
+
+    def data_when_due(self, fleet: "state_mod.FleetState",
+                      now: float) -> bytes | None:
+        """Return the record if it is to be written, otherwise None.
+
+        Its workers get no leases from now on.
+        """
+        silent = self._find(fleet, now)
+        named = {worker_id: worker.tasks
+                 for worker_id, worker in silent.items()}
+        is_fresh = (not self.term_ends
+                    and now - self.written_at < UPDATE_PERIOD_S)
+        if named == self.written and (not named or is_fresh):
+            return None
+        self.written, self.written_at = named, now
+        self.possible_ids.append(frozenset(silent))
+        return encode(silent)
+
+    def note_stored(self, value: bytes) -> None:
+        """Note that a value is stored and that no other one may be."""
+        self.possible_ids = [frozenset(decode(value))]
+
+    def rewrite(self) -> None:
+        """Write the record again: another value than the last is stored."""
+        self.written = None
+
+    def _find(self, fleet: "state_mod.FleetState",
+              now: float) -> dict[str, SilentWorker]:
+        """Return the silent workers, with bounds of their leases."""
+        silent: dict[str, SilentWorker] = {}
+        recorded_tasks = 0
+        for worker_id, until in fleet.awaited_workers.items():
+            if self._is_due(worker_id, now - fleet.awaited_since):
+                known = self.loaded.get(worker_id)
+                silent[worker_id] = SilentWorker(
+                    max(0.0, until - now), known.tasks if known else None)
+        for worker_id, worker in fleet.workers.items():
+            ends_at = worker.leases_end_at()
+            if (worker_id in silent or not worker.has_reported
+                    or ends_at is None or not self._is_silent(worker, now)):
+                continue
+            tasks = (None if worker.has_unknown_run
+                     else frozenset(task for task, _ in worker.reserved))
+            recorded_tasks += len(tasks or ())
+            if recorded_tasks > MAX_RECORDED_TASKS:
+                tasks = None
+            silent[worker_id] = SilentWorker(max(0.0, ends_at - now), tasks)
+        return silent
+
+    def _is_silent(self, worker: workerstate.WorkerState, now: float) -> bool:
+        """Return whether a worker is to be recorded.
+
+        At a planned end of the term, so are those that drain: they may leave
+        before the next owner calls them.
+        """
+        if self.term_ends and worker.entry.draining:
+            return True
+        return worker.unresponsive and self._is_due(
+            worker.entry.worker_id, now - worker.unresponsive_since)
+
+    def _is_due(self, worker_id: str, silent_s: float) -> bool:
+        return (silent_s >= MIN_SILENCE_S or self.term_ends
+                or self.is_recorded(worker_id))
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -36,6 +36,7 @@
 from sycamorefield.fleet import recentpeak
 from sycamorefield.fleet import runlog
 from sycamorefield.fleet import runtimes
+from sycamorefield.fleet import silentworkers
 from sycamorefield.fleet import suspicion
 from sycamorefield.fleet import unwantedruns
 from sycamorefield.fleet import victims
@@ -86,6 +87,7 @@
         self.awaited_total = 0
         # When this owner began to wait for them, or 0.
         self.awaited_since = 0.0
+        self.silent_workers = silentworkers.SilentWorkers()
         # The lists of workers in use that a successor may read from the
         # store: several while the outcome of a write is unknown.
         self.possible_worker_lists: list[frozenset[str]] = [frozenset()]
@@ -340,13 +342,24 @@
                       until: float) -> None:
         """Wait for reports of the workers that a previous owner stored.
 
-        Their leases have expired by the given time.
+        Their leases have expired by the given time, or earlier by the record
+        of silent workers.
         """
-        self.awaited_workers = {worker_id: until for worker_id in worker_ids}
-        self.awaited_total = len(self.awaited_workers)
         self.awaited_since = clock.now()
+        self.awaited_workers = {
+            worker_id: self.silent_workers.wait_until(
+                worker_id, self.awaited_since, until)
+            for worker_id in worker_ids}
+        self.awaited_total = len(self.awaited_workers)
         self.possible_worker_lists = [frozenset(self.awaited_workers)]
 
+    def unproven_tasks(self) -> frozenset[messages.TaskId] | None:
+        """Return tasks that workers of earlier owners may run; None: any.
+
+        Of jobs that were created in this owner's term, they run none.
+        """
+        return self.silent_workers.unproven_tasks(self.awaited_workers)
+
     def has_quorum(self, now: float) -> bool:
         """Return whether most workers recently accepted calls of this owner.
 
--- a/sycamorefield/fleet/waitingreasons.py
+++ b/sycamorefield/fleet/waitingreasons.py
@@ -39,6 +39,7 @@
 SILENT = "silent"
 NOT_REPORTED = "not reported"
 NOT_ENROLLED = "not enrolled"
+RECORDED_AS_SILENT = "recorded as silent"
 OTHER_LIFE = "entry of another life"
 RESTARTED_WITHOUT_LEASE = "restarted while the owner had no lease"
 QUARANTINED = "quarantined"
@@ -65,7 +66,9 @@
 
     The caller holds the fleet's lock.
     """
-    if state.created_revision <= fleet.fence and fleet.awaited_workers:
+    unproven_tasks = fleet.unproven_tasks()
+    if (state.created_revision <= fleet.fence if unproven_tasks is None
+            else all(task.task in unproven_tasks for task in tasks)):
         return AWAITED_WORKERS
     if not fleet.may_start(state):
         return OWN_LEASE
@@ -136,6 +139,8 @@
         (SILENT, worker.unresponsive),
         (NOT_REPORTED, not worker.has_reported),
         (NOT_ENROLLED, not worker.enrolled),
+        (RECORDED_AS_SILENT,
+         fleet.silent_workers.is_recorded(entry.worker_id)),
         (OTHER_LIFE, not worker.entry_is_of_current_life()),
         (RESTARTED_WITHOUT_LEASE, not fleet.leased_since_restart(worker)),
         (QUARANTINED, entry.worker_id in fleet.trials.by_worker),
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -242,11 +242,18 @@
 
     def leases_expired(self, now: float) -> bool:
         """Return whether each lease granted here has certainly expired."""
+        ends_at = self.leases_end_at()
+        return ends_at is not None and now > ends_at
+
+    def leases_end_at(self) -> float | None:
+        """Return when the leases granted here have certainly expired.
+
+        None before any report.  Further leases may be granted meanwhile.
+        """
         if not self.clock_read_at:
-            return False
-        earliest_ms = (self.clock_ms
-                       + (now - self.clock_read_at) * 1000.0 * MIN_CLOCK_RATE)
-        return earliest_ms > self.granted_end_ms + LEASE_END_SLACK_MS
+            return None
+        lasts_ms = self.granted_end_ms + LEASE_END_SLACK_MS - self.clock_ms
+        return self.clock_read_at + lasts_ms / 1000.0 / MIN_CLOCK_RATE
 
     def reserve(self, run: RunId, step: messages.Step,
                 task: progress.TaskState | None) -> None:
--- a/sycamorefield/platform/reportrows.py
+++ b/sycamorefield/platform/reportrows.py
@@ -111,8 +111,7 @@
 
 @functools.lru_cache(maxsize=TASK_ID_CACHE_SIZE)
 def _parse_task_id(name: str) -> messages.TaskId:
-    job_id, occurrence, step, index = name.rsplit(".", 3)
-    return messages.TaskId(job_id, int(occurrence), int(step), int(index))
+    return messages.TaskId.parse(name)
 
 
 def _running_task(row: RunningRow) -> messages.RunningTask:
--- a/tests/test_fleet_owner_chains.py
+++ b/tests/test_fleet_owner_chains.py
@@ -108,7 +108,7 @@
     Chain(Process.stop_as_planned, 0.4), Chain(Process.stop_as_planned, 0.8),
     Chain(Process.kill, 0.8), Chain(Process.kill, 1.2)])
 def test_chain_of_owners_delays_a_task_by_one_takeover_at_most(fleet, chain):
-    """Guards against a wait for a silent worker that each owner begins anew."""
+    """Guards against waits for a silent worker that each owner begins anew."""
     process = start_process(fleet)
     fleet.submit(fleetfakes.job("a"))
     takeover.wait_for(lambda: fleet.running() == ["a.0.0.0"])
