Claim a free fleet as soon as the first configuration is known

Cause: a process claims the fleet only with a configuration, but the thread that claims was not woken by one; it looked again every 0.5 s.

The configuration now notifies the condition. The test fails without it: the thread that claims still waits after 5 s if its waits have no timeout.

--- a/sycamorefield/fleet/controlwatcher.py
+++ b/sycamorefield/fleet/controlwatcher.py
@@ -151,7 +151,10 @@
         self.latest_configuration = dataclasses.replace(
             decoded, evacuated=self.evacuations.data_centres)
         self.config_revision = item.revision
-        self.configuration_known = True
+        with self.owner_changed:
+            # The fleet is claimed only by processes with a configuration.
+            self.configuration_known = True
+            self.owner_changed.notify_all()
         events.emit(events.CONFIG_APPLIED, version=decoded.version,
                     queues=len(decoded.queues), revision=item.revision)
 
--- a/tests/test_fleet_ownership.py
+++ b/tests/test_fleet_ownership.py
@@ -121,6 +121,41 @@
     assert weak_vm._claim() == 0
 
 
+class UntimedCondition(threading.Condition):
+    """Condition whose waits end only when it is notified."""
+
+    def __init__(self):
+        super().__init__()
+        self.waited_on = threading.Event()
+
+    def wait(self, timeout=None):
+        self.waited_on.set()
+        return super().wait()
+
+
+def test_free_fleet_is_claimable_once_the_first_configuration_is_known():
+    """Guards against processes that notice a new configuration late.
+
+    Those that ran when the first configuration was stored claimed the fleet
+    up to 0.5 s later, after others that started in the meantime.
+    """
+    store = fleetfakes.MemoryStore()
+    ownership = make_ownership(store, "a")
+    watcher = ownership.watcher
+    watcher.owner_changed = UntimedCondition()
+    threading.Thread(target=watcher.run, daemon=True).start()
+    while not watcher.owner_known:
+        time.sleep(0.01)
+    waiting_thread = threading.Thread(
+        target=ownership._wait_until_claimable, daemon=True)
+    waiting_thread.start()
+    assert watcher.owner_changed.waited_on.wait(5.0)
+    store.commit(messages.Transaction(puts=(messages.Put("op/c", b"{}"),)))
+    waiting_thread.join(5.0)
+    watcher.stopped.set()
+    assert not waiting_thread.is_alive()
+
+
 def test_stale_read_does_not_restore_a_removed_owner_key():
     """Ignore an outdated read of the key after the key was removed.
 
