Start listeners without polling

Cause: for each listener, one after the other, cherrypy sleeps 0.1 s before it looks whether the server's thread listens. The control address is the fourth listener.

The server's thread now sets an event once it listens. A failure still ends the start.

--- a/sycamorefield/platform/bufferingserver.py
+++ b/sycamorefield/platform/bufferingserver.py
@@ -36,6 +36,8 @@
 MAX_ACCEPTS = 64
 # The pause after a failure to accept, such as too many open files.
 ACCEPT_RETRY_S = 0.05
+# How often a start that takes longer than usual is checked for a failure.
+FAILURE_POLL_S = 0.1
 RECEIVE_BYTES = 64 * 1024
 
 
@@ -279,11 +281,16 @@
     ConnectionClass = BufferedConnection
     _connections: typing.Any
 
+    def __init__(self, adapter: "ServerAdapter") -> None:
+        super().__init__(adapter)
+        self.prepared = threading.Event()
+
     def prepare(self) -> None:
         """Listen, and start the threads."""
         super().prepare()
         self._connections.close()
         self._connections = RequestReceiver(self)
+        self.prepared.set()
 
 
 class ServerAdapter(cherrypy._cpserver.Server):
@@ -294,6 +301,12 @@
         """Return the server to start and its address."""
         return BufferingServer(self), self.bind_addr
 
+    def wait(self) -> None:
+        """Wait until the server listens; raise what ended it before."""
+        while not self.httpserver.prepared.wait(FAILURE_POLL_S):
+            if self.interrupt:
+                raise self.interrupt
+
 
 def _close(connection: BufferedConnection) -> None:
     with contextlib.suppress(OSError):
--- a/tests/test_platform_connections.py
+++ b/tests/test_platform_connections.py
@@ -5,8 +5,10 @@
 import socket
 import threading
 import time
+import types
 
 import cherrypy
+from cherrypy.process import servers
 import pytest
 
 from sycamorefield.platform import bufferingserver
@@ -52,6 +54,27 @@
         yield address
 
 
+def test_listener_starts_without_polling(monkeypatch):
+    """Guards against successors of a killed owner that start late.
+
+    Each listener delayed the start of its process, and so its claim, by 0.1 s.
+    """
+    def fail(seconds):
+        raise AssertionError(f"start sleeps for {seconds} s")
+
+    monkeypatch.setattr(servers, "time", types.SimpleNamespace(sleep=fail))
+    with running_listener(daemon.ADMIN_THREADS) as (_, address):
+        assert call(address) == (200, BODY)
+
+
+def test_failed_start_of_a_listener_is_raised():
+    adapter = bufferingserver.ServerAdapter()
+    adapter.httpserver, _ = adapter.httpserver_from_self()
+    adapter.interrupt = OSError("address in use")
+    with pytest.raises(OSError, match="address in use"):
+        adapter.wait()
+
+
 def connect(address):
     return socket.create_connection(address, timeout=5.0)
 
