Wait for leases that an owner grants after a partial report

What callers may see: a task that runs twice (TWICE).

The bound of the wait is that of earlier owners' leases, and the record for the next owner states it. While a write to the store takes seconds, nothing ends these renewals.

Evidence: the test fails before.

Change: an awaited worker is waited for, and recorded, until this owner's own leases there have expired as well.

--- a/sycamorefield/fleet/silentworkers.py
+++ b/sycamorefield/fleet/silentworkers.py
@@ -166,11 +166,12 @@
         """Return the silent workers, with bounds of their leases."""
         silent: dict[str, SilentWorker] = {}
         recorded_tasks = 0
-        for worker_id, until in fleet.awaited_workers.items():
+        for worker_id in fleet.awaited_workers:
             if self._is_due(worker_id, now - fleet.awaited_since):
                 known = self.loaded.get(worker_id)
                 silent[worker_id] = SilentWorker(
-                    max(0.0, until - now), known.tasks if known else None)
+                    max(0.0, fleet.awaited_until(worker_id) - now),
+                    known.tasks if known else None)
         for worker_id, worker in fleet.workers.items():
             ends_at = worker.leases_end_at()
             if (worker_id in silent or not worker.has_reported
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -353,6 +353,16 @@
         self.awaited_total = len(self.awaited_workers)
         self.possible_worker_lists = [frozenset(self.awaited_workers)]
 
+    def awaited_until(self, worker_id: str) -> float:
+        """Return when leases on an awaited worker have certainly expired.
+
+        This owner grants further ones once it has reported a part of its ends.
+        """
+        until = self.awaited_workers[worker_id]
+        worker = self.workers.get(worker_id)
+        ends_at = worker.leases_end_at() if worker is not None else None
+        return until if ends_at is None else max(until, ends_at)
+
     def unproven_tasks(self) -> frozenset[messages.TaskId] | None:
         """Return tasks that workers of earlier owners may run; None: any.
 
@@ -472,8 +482,8 @@
                 self.jobs, self.workers.values(), now)
             self.crash_records.forget_old(now)
             self._shorten_deadlines(now)
-            for worker_id, until in list(self.awaited_workers.items()):
-                if now >= until and lease_held:
+            for worker_id in list(self.awaited_workers):
+                if lease_held and now >= self.awaited_until(worker_id):
                     del self.awaited_workers[worker_id]
                     self.end_jobs_of(
                         self.crash_records.expire_leases(worker_id))
--- a/tests/test_fleet_silent_workers.py
+++ b/tests/test_fleet_silent_workers.py
@@ -9,6 +9,7 @@
 from sycamorefield.fleet import link as link_mod
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import records
+from sycamorefield.fleet import reports
 from sycamorefield.fleet import silentworkers
 from sycamorefield.fleet import waitingreasons
 from tests import fleetfakes
@@ -213,3 +214,25 @@
     found = find_silent(bench, 1.0)
     assert [len(w.tasks) if w.tasks is not None else None
             for w in found.values()] == [2, None, None]
+
+
+def test_leases_granted_after_a_partial_report_are_waited_for():
+    """Guards against a wait that ends before leases of this owner do.
+
+    A worker whose ends do not fit into one report is awaited until it has
+    listed them all, and its leases are renewed meanwhile.
+    """
+    bench = loaded({})
+    bench.state.await_workers(["i-0", "i-1"], bench.now + 1.0)
+    bench.report("i-1", ended=[
+        messages.EndedTask(number, TASKS[0], number, "stopped", "")
+        for number in range(1, reports.MAX_ENDS_PER_REPORT + 1)])
+    worker = bench.state.workers["i-1"]
+    worker.grant_lease(LEASE_MS, bench.now)
+    ends_at = worker.leases_end_at()
+    found = find_silent(bench, 0.9)
+    assert found["i-1"].remaining_s >= ends_at - bench.now - 0.9
+    bench.state.expire(bench.now + 2.0)
+    assert list(bench.state.awaited_workers) == ["i-1"]
+    bench.state.expire(ends_at + 0.1)
+    assert not bench.state.awaited_workers
