Store the record of silent workers only after the ends it relies on

What callers may see: a task that starts again after it has ended (TWICE).

Cause: the record names the tasks that a silent worker may run, without those that the owner has seen end there. It may go into a later transaction of a flush than these ends. If the transaction with the ends fails with a conflict and the owner's term ends before the next flush, a successor reads a record without the task and a progress without its end, and starts it at once.

Evidence: the test fails before: the record is stored in the first flush, the progress of the jobs of a failed transaction is not.

Change: after a transaction that must be repeated, the record is left for the next flush.

--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -117,6 +117,8 @@
             self._add_backlog(writes)
         outcomes = set()
         for group in jobwrites.grouped(writes):
+            if Outcome.RETRY in outcomes:
+                group = self._without_silent_workers(group)
             outcomes.add(self._commit(group))
             if Outcome.OWNERSHIP_LOST in outcomes:
                 return False
@@ -168,6 +170,7 @@
 
     def _add_silent_workers(
             self, writes: list[jobwrites.PendingWrite]) -> None:
+        """Add the record of silent workers, behind the writes of jobs."""
         data = self.fleet.silent_workers.data_when_due(
             self.fleet, clock.now())
         if data is not None:
@@ -175,6 +178,20 @@
                 records.SILENT_WORKERS_KEY, data,
                 self.revisions.get(records.SILENT_WORKERS_KEY, 0), None))
 
+    def _without_silent_workers(
+            self, group: list[jobwrites.PendingWrite]
+            ) -> list[jobwrites.PendingWrite]:
+        """Leave the record of silent workers for the next flush.
+
+        It lacks tasks that have ended on them, and a write with such an end
+        has not been stored.
+        """
+        kept = [w for w in group if w.key != records.SILENT_WORKERS_KEY]
+        if len(kept) < len(group):
+            with self.fleet.lock:
+                self.fleet.silent_workers.rewrite()
+        return kept
+
     def _add_terms(self, writes: list[jobwrites.PendingWrite]) -> None:
         """Add the terms of owners unless they are stored."""
         terms = self.fleet.terms
@@ -265,6 +282,8 @@
         still be.  The same transaction is then sent again: if the first was
         applied, the conditions fail and the current items have our values.
         """
+        if not writes:
+            return Outcome.STORED
         transaction = jobwrites.transaction(
             messages.Expect(self.owner_key, self.fleet.fence), writes)
         repeated = False
--- a/tests/test_fleet_silent_workers.py
+++ b/tests/test_fleet_silent_workers.py
@@ -8,6 +8,7 @@
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import link as link_mod
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import recorder as recorder_mod
 from sycamorefield.fleet import records
 from sycamorefield.fleet import reports
 from sycamorefield.fleet import silentworkers
@@ -236,3 +237,36 @@
     assert list(bench.state.awaited_workers) == ["i-1"]
     bench.state.expire(ends_at + 0.1)
     assert not bench.state.awaited_workers
+
+
+def test_record_is_not_stored_before_ends_that_it_relies_on():
+    """Guards against a second start of a task whose end was not stored.
+
+    The record lacks tasks that have ended on a silent worker.  A successor
+    that reads it, but not their ends, would start them at once.
+    """
+    bench = make_bench()
+    store = fleetfakes.MemoryStore()
+    bench.state.fence = store.commit(messages.Transaction(
+        puts=(messages.Put(records.OWNER_KEY, b"me"),)))
+    recorder = recorder_mod.Recorder(
+        store, bench.state, records.OWNER_KEY, lambda: True,
+        lambda reason: None, lambda stored_ends: None)
+    names = [f"j{number}" for number in
+             range(2 * recorder_mod.VALUES_PER_COMMIT)]
+    for name in names:
+        bench.add(fleetfakes.job(name, messages.Step(
+            2, messages.Resources(10, 10))), created=5)
+        bench.state.jobs[name].dirty = True
+    # A commit whose outcome was not known has been applied.
+    store.commit(messages.Transaction(puts=(messages.Put(
+        records.progress_key(names[0]), b"{}"),)))
+    bench.state.mark_unresponsive("i-1", "cut")
+    bench.state.silent_workers.term_ends = True
+    for _ in range(2):
+        assert recorder.flush()
+        assert (records.SILENT_WORKERS_KEY not in store.items
+                or all(records.progress_key(name) in store.items
+                       for name in names))
+    assert bench.state.silent_workers.is_recorded("i-1")
+    assert records.SILENT_WORKERS_KEY in store.items
