--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -180,7 +180,7 @@
 
     def _without_silent_workers(
             self, group: list[jobwrites.PendingWrite]
-            ) -> list[jobwrites.PendingWrite]:
+    ) -> list[jobwrites.PendingWrite]:
         """Leave the record of silent workers for the next flush.
 
         It lacks tasks that have ended on them, and a write with such an end
