--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -346,6 +346,7 @@
             if item.key.endswith(records.CANCEL_SUFFIX):
                 self.fleet.cancel(item.key[len(records.JOB_PREFIX):
                                            -len(records.CANCEL_SUFFIX)])
+        self._load_silent_workers()
         self._expect_workers()
 
     def _new_fleet(self, fence: int) -> state_mod.FleetState:
@@ -388,6 +389,12 @@
         self._read_worker_list()
         self.fleet.enrol(stored_addresses)
 
+    def _load_silent_workers(self) -> None:
+        item = self.store.items.get(records.SILENT_WORKERS_KEY)
+        if item is not None:
+            self.recorder.revisions[records.SILENT_WORKERS_KEY] = item.revision
+        self.fleet.silent_workers.load(item)
+
     def _read_worker_list(self) -> None:
         """Read the list of workers; crashed ones stay listed for a while."""
         entries = [w.listed_entry for w in self.workers.values()
@@ -421,11 +428,13 @@
     def _grant_lease(self, worker_id: str,
                      started: messages.TaskId | None = None) -> float | None:
         state = self.fleet.workers.get(worker_id)
-        if state is None or state.unresponsive or not self._may_lease():
+        if (state is None or state.unresponsive or not self._may_lease()
+                or self.fleet.silent_workers.is_recorded(worker_id)):
             return None
+        longest_ms = (workerstate.LEASE_MS if started is None
+                      else copies.start_lease_ms(self.fleet, started))
         return state.grant_lease(
-            workerstate.LEASE_MS if started is None
-            else copies.start_lease_ms(self.fleet, started), self.now)
+            min(longest_ms, state.longest_lease_ms()), self.now)
 
     # Checks made by the workers
 
@@ -816,6 +825,7 @@
             for worker_id, worker in self.fleet.workers.items()}
         values = self.recorder._job_writes()
         self.recorder._add_workers(values)
+        self.recorder._add_silent_workers(values)
         self.recorder._add_terms(values)
         return PendingCommit(values, stored_ends)
 
