Hold workers where tail latencies allow the overdue task

Cause: a worker was held for an overdue task by its unused CPU alone. High tail latencies keep other best-effort runs from the same workers, so the one with the most unused CPU is often one that the held task may not use either. It then stayed idle for the 8 s of the hold, was given up, and the next one was chosen in the same way.

Change: workers come first on which tail latencies are expected to allow the task once other best-effort runs have ended. The exclusion by tail latencies ends for the held task after 3 s of its hold, whatever they are by then. Such a run has an unknown pace for the pacer, which sets the lowest one with the first report and raises it as far as tail latencies allow. A worker without the memory for the task is not held. One worker is held for a job at a time.

Tests, failing before: test_worker_is_held_where_tail_latencies_allow_the_task (8 and 17 workers), test_exclusion_by_tail_latencies_ends_in_time.

--- a/sycamorefield/fleet/overdueholds.py
+++ b/sycamorefield/fleet/overdueholds.py
@@ -2,12 +2,15 @@
 
 Best-effort tasks reserve no CPU, and what becomes unused is taken by the first
 task that it is enough for.  Without a hold, narrower tasks could pass a wide
-one for ever.
+one for ever.  A worker is held where tail latencies are expected to allow the
+task once other best-effort runs have ended.  If there is none, or they rise
+meanwhile, the task starts after a time in spite of them, at a low pace.
 """
 
 import dataclasses
 import typing
 
+from sycamorefield.fleet import interference
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import placing
 from sycamorefield.fleet import progress
@@ -16,6 +19,8 @@
 # Best-effort runs take some seconds.  A worker whose other load leaves a task
 # no CPU in this time is given up for another one.
 HOLD_S = 8.0
+# From this time on, tail latencies keep a task from its worker no longer.
+TAIL_LIMIT_S = 3.0
 # One in this many workers may be held: the others serve the tasks on time.
 WORKERS_PER_HOLD = 8
 
@@ -31,11 +36,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OverdueHold:
-    """A worker on which no other best-effort task is started until a time."""
+    """A worker on which no other best-effort task is started for a time."""
 
     task: progress.TaskState
     worker: workerstate.WorkerState
-    until: float
+    since: float
+
+    def has_expired(self, now: float) -> bool:
+        """Return whether the worker is to be given up."""
+        return now >= self.since + HOLD_S
+
+    def ignores_tails(self, now: float) -> bool:
+        """Return whether the task may start in spite of tail latencies."""
+        return now >= self.since + TAIL_LIMIT_S
 
 
 class OverdueHolds:
@@ -55,11 +68,15 @@
         hold = self.by_task.get(task.task)
         return None if hold is None else hold.worker
 
+    def is_full(self, worker_count: int) -> bool:
+        """Return whether no further worker may be held."""
+        return len(self.by_task) >= _max_holds(worker_count)
+
     def drop_finished(self, usable: typing.Container[workerstate.WorkerState],
                       now: float) -> None:
         """End the holds of tasks that don't wait, or that are of no use."""
         for task_id, hold in list(self.by_task.items()):
-            if now >= hold.until:
+            if hold.has_expired(now):
                 self.given_up[task_id] = hold
             elif _is_waiting(hold.task) and hold.worker in usable:
                 continue
@@ -71,36 +88,48 @@
             if _is_waiting(hold.task)}
 
     def add(self, overdue: list[OverdueTask], worker_count: int,
-            now: float) -> None:
-        """Hold workers for the oldest overdue tasks."""
-        free_holds = max(1, worker_count // WORKERS_PER_HOLD)
-        free_holds -= len(self.by_task)
+            model: interference.InterferenceModel, now: float) -> None:
+        """Hold workers for overdue tasks, one for each job.
+
+        The oldest tasks come first.
+        """
+        jobs = {task.job_id for task in self.by_task}
         for row in sorted(overdue, key=lambda row: row.created_revision):
-            if free_holds <= 0:
+            if self.is_full(worker_count):
                 return
-            if row.task.task in self.by_task:
+            if row.task.task.job_id in jobs:
                 continue
-            worker = self._choose_worker(row)
+            worker = self._choose_worker(row, model)
             if worker is not None:
-                free_holds -= 1
+                jobs.add(row.task.task.job_id)
                 worker.best_effort_hold = row.task.task
                 self.by_task[row.task.task] = OverdueHold(
-                    row.task, worker, now + HOLD_S)
+                    row.task, worker, now)
 
-    def _choose_worker(self, row: OverdueTask
+    def _choose_worker(self, row: OverdueTask,
+                       model: interference.InterferenceModel
                        ) -> workerstate.WorkerState | None:
         """Return the worker with the most CPU for a task, or None.
 
-        The task fits there once other best-effort runs have ended.
+        The task fits there once other best-effort runs have ended.  Workers
+        where tail latencies then allow it come first.
         """
         given_up = self.given_up.get(row.task.task)
+        step = row.task.step
         return max((worker for worker in row.workers
                     if worker.best_effort_hold is None
                     and (given_up is None or worker is not given_up.worker)
                     and placing.allowed(worker, row.service, row.task)
-                    and _cpu_without_best_effort(worker)
-                    >= placing.required_best_effort_cpu(row.task.step)),
-                   key=placing.available_best_effort_cpu, default=None)
+                    and _fits_without_best_effort(worker, step)),
+                   key=lambda worker: (
+                       placing.keeps_tails_low(
+                           _tails_without_best_effort(worker), step, model),
+                       placing.available_best_effort_cpu(worker)),
+                   default=None)
+
+
+def _max_holds(worker_count: int) -> int:
+    return max(1, worker_count // WORKERS_PER_HOLD)
 
 
 def _is_waiting(task: progress.TaskState) -> bool:
@@ -108,6 +137,21 @@
             and task.job is not None and not task.job.final())
 
 
-def _cpu_without_best_effort(worker: workerstate.WorkerState) -> float:
-    """Return the unused CPU once all best-effort runs have ended."""
-    return placing.available_best_effort_cpu(worker) + worker.best_effort_cpu
+def _fits_without_best_effort(worker: workerstate.WorkerState,
+                              step: messages.Step) -> bool:
+    """Return whether a task fits once all best-effort runs have ended."""
+    cpu = placing.available_best_effort_cpu(worker) + worker.best_effort_cpu
+    free = worker.free_capacity()
+    for task in worker.tasks.values():
+        if task.step.fills:
+            free = free.plus(task.step.reserved())
+    return (cpu >= placing.required_best_effort_cpu(step)
+            and free.holds(step.reserved()))
+
+
+def _tails_without_best_effort(worker: workerstate.WorkerState
+                               ) -> list[interference.TailLatency]:
+    """Return the tail latencies expected by the load of the tasks alone."""
+    return [dataclasses.replace(
+        tail, utilisation=min(tail.utilisation, tail.load))
+        for tail in worker.tail_latencies]
--- a/sycamorefield/fleet/pacer.py
+++ b/sycamorefield/fleet/pacer.py
@@ -15,6 +15,10 @@
 # it is not expected to disturb any task, if there is one.
 STALLED_PACE_PERCENT = 10
 
+# The pace of a run that is not known.  The first report of the run sets it to
+# the lowest one; later ones raise it as far as tail latencies allow.
+UNKNOWN_PACE = -1
+
 # A pace without an answer may be lost, or be carried out up to this much
 # later, even after newer ones.
 LATE_ORDER_S = 13.0
--- a/sycamorefield/fleet/placing.py
+++ b/sycamorefield/fleet/placing.py
@@ -59,20 +59,30 @@
 def fits(worker: workerstate.WorkerState, step: messages.Step,
          model: interference.InterferenceModel) -> bool:
     """Return whether a worker has the capacity and accepts starts now."""
+    return (has_capacity(worker, step)
+            and keeps_tails_low(worker.tail_latencies, step, model))
+
+
+def has_capacity(worker: workerstate.WorkerState,
+                 step: messages.Step) -> bool:
+    """Return whether a task fits on a worker, tail latencies aside."""
     if not worker.accepts_starts():
         return False
     if worker.on_trial and step.perpetual:
         # Its run would not end and tells nothing of the worker.
         return False
-    if not has_unused_cpu(worker, step):
-        return False
-    if not worker.free_capacity().holds(step.reserved()):
-        return False
-    if not step.fills or not model.limit_tails:
-        return True
-    cores = step.room.cpu / 1000.0
-    return model.keeps_tails_below(worker.tail_latencies, step.image, cores,
-                                   MAX_TAIL_LATENCY_RATIO)
+    return (has_unused_cpu(worker, step)
+            and worker.free_capacity().holds(step.reserved()))
+
+
+def keeps_tails_low(tails: typing.Iterable[interference.TailLatency],
+                    step: messages.Step,
+                    model: interference.InterferenceModel) -> bool:
+    """Return whether tail latencies allow a task beside them."""
+    return (not step.fills or not model.limit_tails
+            or model.keeps_tails_below(
+                tails, step.image, step.room.cpu / 1000.0,
+                MAX_TAIL_LATENCY_RATIO))
 
 
 def has_unused_cpu(worker: workerstate.WorkerState,
--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -22,8 +22,6 @@
 # Why runs that no open job wants are stopped.
 NO_SUCH_JOB = "no such job"
 ALREADY_ENDED = "already ended"
-# Pace of a best-effort run that a previous owner started: it is not known.
-UNKNOWN_PACE = -1
 
 
 def apply_report(fleet: state_mod.FleetState, worker_id: str,
@@ -250,7 +248,7 @@
     task.percent = row.percent
     task.started_at = task.confirmed_at = now
     if task.step.fills:
-        task.pace_percent = UNKNOWN_PACE
+        task.pace_percent = pacer.UNKNOWN_PACE
 
 
 def _stop_unexpected(fleet: state_mod.FleetState,
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -228,12 +228,21 @@
                        task: progress.TaskState,
                        eligible: eligibleworkers.EligibleWorkers) -> bool:
         """Start a task on the worker that is held for it, if it fits now."""
-        worker = self.fleet.overdue_holds.worker_for(task)
-        if worker not in eligible.workers or placing.choose(
-                task, eligible.service, [worker],
-                self.fleet.interference_model) is None:
+        hold = self.fleet.overdue_holds.by_task[task.task]
+        worker = hold.worker
+        if worker not in eligible.workers:
+            return False
+        if placing.choose(task, eligible.service, [worker],
+                          self.fleet.interference_model) is not None:
+            self.start(state, task, worker, eligible)
+            return True
+        if not (hold.ignores_tails(self.now)
+                and placing.allowed(worker, eligible.service, task)
+                and placing.has_capacity(worker, task.step)):
             return False
         self.start(state, task, worker, eligible)
+        # The pacer then begins with the lowest pace.
+        task.pace_percent = pacer.UNKNOWN_PACE
         return True
 
     def _note_overdue(self, state: progress.JobState,
@@ -384,7 +393,8 @@
         for worker in self.excluded:
             worker.record_change()
         self.fleet.overdue_holds.add(
-            self.overdue, len(self.usable_workers), self.now)
+            self.overdue, len(self.usable_workers),
+            self.fleet.interference_model, self.now)
 
     def _place_long_running(self, state: progress.JobState,
                             task: progress.TaskState,
--- a/tests/test_fleet_best_effort_overload.py
+++ b/tests/test_fleet_best_effort_overload.py
@@ -9,10 +9,13 @@
 from sycamorefield.fleet import admission
 from sycamorefield.fleet import backlog
 from sycamorefield.fleet import besteffortbacklog
+from sycamorefield.fleet import interference
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import ordering
 from sycamorefield.fleet import overdueholds
+from sycamorefield.fleet import pacing
 from sycamorefield.fleet import progress
+from sycamorefield.fleet import weights
 from tests import admissionload
 from tests import fleetfakes
 from tests import test_fleet_admission
@@ -234,10 +237,23 @@
         self.bench.add(fleetfakes.job("narrow", NARROW, accepted_ms=WALL_MS))
         self.runs = []
         self.ends = collections.Counter()
+        # Workers where tasks of image "b" raise the tail latency of a serving
+        # task with a high load.
+        self.high_tails = set()
         self.place()
 
+    def disturb(self, worker_ids):
+        """Have tail latencies exclude tasks of image "b" from workers."""
+        self.high_tails = set(worker_ids)
+        self.bench.state.interference_model.fits["serving"] = (
+            weights.WeightFit({"a": 0.0, "b": 0.05}))
+
     def place(self):
         """Run a round; return what has been started."""
+        for worker_id in self.high_tails:
+            self.bench.state.workers[worker_id].tail_latencies = [
+                interference.TailLatency(
+                    "serving", 0.67, 0.2, 0.7, 0.7, 0.7)]
         placed = self.bench.place(WALL_MS)
         self.runs += placed
         return placed
@@ -334,3 +350,33 @@
     load.bench.state.cancel("wide")
     load.place()
     assert not holds.by_task and second.best_effort_hold is None
+
+
+@pytest.mark.parametrize("workers", [8, 17, 33])
+def test_worker_is_held_where_tail_latencies_allow_the_task(workers):
+    """Guards against holds of workers that the task may not use."""
+    load = StaggeredLoad(workers)
+    load.disturb(f"i-{number}" for number in range(workers - 1))
+    load.add_wide("wide")
+    assert load.wait_for("wide") <= MAX_HELD_S
+
+
+@pytest.mark.parametrize("workers", [4, 17])
+def test_exclusion_by_tail_latencies_ends_in_time(workers):
+    """Guards against a task that high tail latencies keep from all workers.
+
+    It starts at the lowest pace, so that the serving tasks are safe.
+    """
+    load = StaggeredLoad(workers)
+    load.disturb(f"i-{number}" for number in range(workers))
+    load.add_wide("wide")
+    assert load.wait_for("wide") <= MAX_HELD_S
+    [task] = load.bench.state.jobs["wide"].tasks[0, 0]
+    load.bench.now += pacing.RAISE_INTERVAL_S
+    load.bench.report(task.worker_id, [
+        messages.RunningTask(*run, "", 0)
+        for run in load.bench.state.workers[task.worker_id].tasks])
+    paces = [order.percent for _, order in load.bench.orders
+             if isinstance(order, messages.PaceOrder)
+             and order.task == task.task]
+    assert paces and max(paces) <= pacing.MIN_PACE_PERCENT
