Set an unknown pace to the lowest one with each report

Cause: a run whose pace is unknown kept it, and so its full pace, if another run of its worker had been given a higher pace within the last 0.5 s.

Change: an unknown pace is set to the lowest one in any case.

Test, failing before for one of its two cases: test_unknown_pace_is_set_to_the_lowest_one_at_once.

--- a/sycamorefield/fleet/pacing.py
+++ b/sycamorefield/fleet/pacing.py
@@ -62,7 +62,12 @@
         return _throttle(over_ratio, runs, model)
     if may_raise:
         return _raise_paces(tails, runs, model)
-    return [run.pace_percent for run in runs]
+    return [_known_pace(run.pace_percent) for run in runs]
+
+
+def _known_pace(pace_percent: int) -> int:
+    """Return a pace, or the lowest one if it is unknown."""
+    return pace_percent if pace_percent >= 0 else MIN_PACE_PERCENT
 
 
 def _throttle(tails: list[interference.TailLatency], runs: list[PacedRun],
@@ -111,5 +116,5 @@
                 pace_percent += raise_percent
                 model.add_expected_utilisation(expected_tails, run.image,
                                                cores)
-        paces.append(pace_percent if pace_percent >= 0 else MIN_PACE_PERCENT)
+        paces.append(_known_pace(pace_percent))
     return paces
--- a/tests/test_fleet_interference.py
+++ b/tests/test_fleet_interference.py
@@ -253,6 +253,15 @@
     assert pacing.next_paces(low, run, 0, False, model) == [0]
 
 
+@pytest.mark.parametrize("may_raise", [False, True])
+def test_unknown_pace_is_set_to_the_lowest_one_at_once(may_raise):
+    """Guards against a run at full pace beside a high tail latency."""
+    run = [pacing.PacedRun("heavy", 3.0, 3.0, -1)]
+    assert pacing.next_paces(
+        [tail("s", 0.7, 0.7, 0.7)], run, 0, may_raise,
+        trained_model(1, 800)) == [pacing.MIN_PACE_PERCENT]
+
+
 @pytest.mark.parametrize(("image", "utilisation", "load", "peak", "allowed"), [
     ("heavy", 0.4, 0.4, 0.4, True),
     ("heavy", 0.65, 0.65, 0.65, False),
