Hold workers in turn for best-effort jobs without a run

Cause: only jobs that are too late and have waited 30 s got a hold, and only in 0.2 s of each 5 s, oldest first. Jobs accepted in the last 16 s before the check could not get one at all, and the others at most 0.8 a second, the same old jobs again and again while they have tasks. 14 s after the last job was accepted, each one that could run must have begun.

Change: a best-effort job that has waited 10 s and has no run, late or not, gets a hold at any time. Jobs that no worker was held for lately come first.

--- a/sycamorefield/fleet/ordering.py
+++ b/sycamorefield/fleet/ordering.py
@@ -30,6 +30,9 @@
 # If a task of such a job has found no worker after this much of that time,
 # what becomes free is too little for it.
 OVERDUE_SEARCH_S = 0.3
+# A worker is held for a best-effort job that has waited this long and has no
+# run.  14 s after the last job was accepted, all must have begun.
+UNSERVED_AFTER_S = 10.0
 # A long-running task that has been down for a shorter time waits for capacity
 # that no finite task needs: restarting it at once would take capacity from
 # urgent finite jobs.  A task that is down for 9 s although capacity for it
@@ -45,7 +48,7 @@
         found = lateness(state, queue, wall_ms, run_times)
         return (OVERDUE if found == TOO_LATE
                 and now % OVERDUE_PERIOD_S < OVERDUE_TIME_S
-                and _has_waited_long(state, wall_ms) else found)
+                and _has_waited(state, wall_ms, OVERDUE_AFTER_S) else found)
     return INTERRUPTED if is_interrupted(state, now) else LONG_RUNNING
 
 
@@ -57,16 +60,27 @@
 def needs_hold(state: progress.JobState, queue: messages.Queue | None,
                wall_ms: float, now: float,
                run_times: runtimes.RunTimeModel | None = None) -> bool:
-    """Return whether an overdue job has gone first for a while in vain."""
-    return (now % OVERDUE_PERIOD_S >= OVERDUE_SEARCH_S
-            and rank(state, queue, wall_ms, now, run_times) == OVERDUE)
+    """Return whether a job is unserved or has gone first in vain."""
+    return is_unserved(state, wall_ms) or (
+        now % OVERDUE_PERIOD_S >= OVERDUE_SEARCH_S
+        and rank(state, queue, wall_ms, now, run_times) == OVERDUE)
 
 
-def _has_waited_long(state: progress.JobState, wall_ms: float) -> bool:
+def is_unserved(state: progress.JobState, wall_ms: float) -> bool:
+    """Return whether a finite best-effort job has waited without a run."""
+    return (not state.long_running
+            and _has_waited(state, wall_ms, UNSERVED_AFTER_S)
+            and all(task.phase == progress.IDLE
+                    for task in state.all_tasks()))
+
+
+def _has_waited(state: progress.JobState, wall_ms: float,
+                least_s: float) -> bool:
+    """Return whether a job with best-effort steps has waited for a time."""
     if not any(step.fills for step in state.job.steps):
         return False
     due_since_ms = max(state.job.accepted_ms, state.job.due_ms(0))
-    return wall_ms - due_since_ms >= OVERDUE_AFTER_S * 1000.0
+    return wall_ms - due_since_ms >= least_s * 1000.0
 
 
 def lateness(state: progress.JobState, queue: messages.Queue | None,
--- a/sycamorefield/fleet/overdueholds.py
+++ b/sycamorefield/fleet/overdueholds.py
@@ -8,6 +8,7 @@
 """
 
 import dataclasses
+import math
 import typing
 
 from sycamorefield.fleet import interference
@@ -19,8 +20,11 @@
 # Best-effort runs take some seconds.  A worker whose other load leaves a task
 # no CPU in this time is given up for another one.
 HOLD_S = 8.0
-# From this time on, tail latencies keep a task from its worker no longer.
+# From this time on, tail latencies keep a task from its worker no longer.  A
+# task is held for after ordering.UNSERVED_AFTER_S, and must begin within 14 s.
 TAIL_LIMIT_S = 3.0
+# How long the last hold of a job counts: jobs take turns within this time.
+REMEMBERED_S = 60.0
 # One in this many workers may be held: the others serve the tasks on time.
 WORKERS_PER_HOLD = 8
 
@@ -32,6 +36,8 @@
     created_revision: int
     workers: list[workerstate.WorkerState]
     service: str
+    # Whether its job has no run.
+    unserved: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,6 +65,8 @@
 
     def __init__(self) -> None:
         self.by_task: dict[messages.TaskId, OverdueHold] = {}
+        # When a worker was last held for a job, by job ID, of recent holds.
+        self.last_held_at: dict[str, float] = {}
         # The last hold of each waiting task that ran out of time.
         self.given_up: dict[messages.TaskId, OverdueHold] = {}
 
@@ -91,10 +99,17 @@
             model: interference.InterferenceModel, now: float) -> None:
         """Hold workers for overdue tasks, one for each job.
 
-        The oldest tasks come first.
+        Jobs without a run come first, then those that no worker was held for
+        lately, then the oldest ones.
         """
+        self.last_held_at = {
+            job_id: at for job_id, at in self.last_held_at.items()
+            if now - at < REMEMBERED_S}
         jobs = {task.job_id for task in self.by_task}
-        for row in sorted(overdue, key=lambda row: row.created_revision):
+        for row in sorted(overdue, key=lambda row: (
+                not row.unserved,
+                self.last_held_at.get(row.task.task.job_id, -math.inf),
+                row.created_revision)):
             if self.is_full(worker_count):
                 return
             if row.task.task.job_id in jobs:
@@ -102,6 +117,7 @@
             worker = self._choose_worker(row, model)
             if worker is not None:
                 jobs.add(row.task.task.job_id)
+                self.last_held_at[row.task.task.job_id] = now
                 worker.best_effort_hold = row.task.task
                 self.by_task[row.task.task] = OverdueHold(
                     row.task, worker, now)
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -249,12 +249,16 @@
                       task: progress.TaskState,
                       eligible: eligibleworkers.EligibleWorkers) -> None:
         """Note a best-effort task that fits nowhere if it is overdue."""
-        if task.step.fills and ordering.needs_hold(
-                state, self.queues.get(state.job.queue), self.wall_ms,
-                self.now, self.fleet.run_times):
+        if (task.step.fills
+                and not self.fleet.overdue_holds.is_full(
+                    len(self.usable_workers))
+                and ordering.needs_hold(
+                    state, self.queues.get(state.job.queue), self.wall_ms,
+                    self.now, self.fleet.run_times)):
             self.overdue.append(overdueholds.OverdueTask(
                 task, state.created_revision, eligible.workers,
-                eligible.service))
+                eligible.service,
+                ordering.is_unserved(state, self.wall_ms)))
 
     def _place_task(self, state: progress.JobState,
                     task: progress.TaskState,
