Log why a worker is no longer held for an overdue task

SF1885 gives task, worker, reason and time of each hold, and whether its task started in spite of high tail latencies.

Test: test_end_of_a_hold_is_logged.

--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -173,6 +173,8 @@
     "SF1851", WARNING, "learned state ignored or not stored")
 JOB_REJECTED = Event(
     "SF1862", INFO, "job rejected: it could not end in time under load")
+WORKER_HOLD_ENDED = Event(
+    "SF1885", INFO, "worker no longer held for an overdue best-effort task")
 OVERLOAD_CHANGED = Event(
     "SF1863", INFO, "overload of the fleet began or ended")
 BACKLOG_UNUSABLE = Event(
--- a/sycamorefield/fleet/overdueholds.py
+++ b/sycamorefield/fleet/overdueholds.py
@@ -11,6 +11,7 @@
 import math
 import typing
 
+from sycamorefield import events
 from sycamorefield.fleet import interference
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import placing
@@ -28,6 +29,12 @@
 # One in this many workers may be held: the others serve the tasks on time.
 WORKERS_PER_HOLD = 8
 
+# Why a hold ended.
+STARTED = "task started there"
+GIVEN_UP = "no CPU for the task in time"
+NOT_NEEDED = "task started elsewhere or ended"
+UNUSABLE = "worker cannot be used"
+
 
 class OverdueTask(typing.NamedTuple):
     """An overdue task that a round could not place."""
@@ -48,9 +55,15 @@
     worker: workerstate.WorkerState
     since: float
 
-    def has_expired(self, now: float) -> bool:
-        """Return whether the worker is to be given up."""
-        return now >= self.since + HOLD_S
+    def end_reason(self, usable: typing.Container[workerstate.WorkerState],
+                   now: float) -> str:
+        """Return why the hold is to end, or "" if it goes on."""
+        if not _is_waiting(self.task):
+            return (STARTED if self.task.worker_id
+                    == self.worker.entry.worker_id else NOT_NEEDED)
+        if self.worker not in usable:
+            return UNUSABLE
+        return GIVEN_UP if now >= self.since + HOLD_S else ""
 
     def ignores_tails(self, now: float) -> bool:
         """Return whether the task may start in spite of tail latencies."""
@@ -67,6 +80,8 @@
         self.by_task: dict[messages.TaskId, OverdueHold] = {}
         # When a worker was last held for a job, by job ID, of recent holds.
         self.last_held_at: dict[str, float] = {}
+        # Held tasks that started in spite of tail latencies, for the log.
+        self.beside_high_tails: set[messages.TaskId] = set()
         # The last hold of each waiting task that ran out of time.
         self.given_up: dict[messages.TaskId, OverdueHold] = {}
 
@@ -84,10 +99,16 @@
                       now: float) -> None:
         """End the holds of tasks that don't wait, or that are of no use."""
         for task_id, hold in list(self.by_task.items()):
-            if hold.has_expired(now):
-                self.given_up[task_id] = hold
-            elif _is_waiting(hold.task) and hold.worker in usable:
+            reason = hold.end_reason(usable, now)
+            if not reason:
                 continue
+            if reason == GIVEN_UP:
+                self.given_up[task_id] = hold
+            events.emit(events.WORKER_HOLD_ENDED, task=str(task_id),
+                        worker=hold.worker.entry.worker_id, reason=reason,
+                        held_s=round(now - hold.since, 2),
+                        beside_high_tails=task_id in self.beside_high_tails)
+            self.beside_high_tails.discard(task_id)
             del self.by_task[task_id]
             hold.worker.best_effort_hold = None
             hold.worker.record_change()
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -243,6 +243,7 @@
         self.start(state, task, worker, eligible)
         # The pacer then begins with the lowest pace.
         task.pace_percent = pacer.UNKNOWN_PACE
+        self.fleet.overdue_holds.beside_high_tails.add(task.task)
         return True
 
     def _note_overdue(self, state: progress.JobState,
--- a/tests/test_fleet_best_effort_overload.py
+++ b/tests/test_fleet_best_effort_overload.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from sycamorefield import events
 from sycamorefield.fleet import admission
 from sycamorefield.fleet import backlog
 from sycamorefield.fleet import besteffortbacklog
@@ -441,3 +442,26 @@
             holds.by_task) <= most
     assert [task.job_id for task in held] == [
         f"wide{number}" for number in range(6)]
+
+
+@pytest.mark.parametrize(("disturbed", "cancelled", "expected"), [
+    ((), False, [(overdueholds.STARTED, False)]),
+    (("i-0", "i-1", "i-2", "i-3"), False, [(overdueholds.STARTED, True)]),
+    ((), True, [(overdueholds.NOT_NEEDED, False)])],
+    ids=["started", "started beside high tails", "cancelled"])
+def test_end_of_a_hold_is_logged(monkeypatch, disturbed, cancelled, expected):
+    """Guards against holds of which a log does not tell what they gave."""
+    emitted = []
+    load = StaggeredLoad(4)
+    monkeypatch.setattr(events, "emit", lambda event, **fields: (
+        event is events.WORKER_HOLD_ENDED and emitted.append(
+            (fields["reason"], fields["beside_high_tails"]))))
+    load.disturb(disturbed)
+    load.add_wide("wide")
+    while not load.bench.state.overdue_holds.by_task:
+        load.place()
+    if cancelled:
+        load.bench.state.cancel("wide")
+    while load.bench.state.overdue_holds.by_task:
+        load.step()
+    assert emitted == expected
