Bound the searches of workers for overdue tasks

Cause: since a job without a run may get a hold at any time, a task that fits on no worker was searched one in each round, 50 to 100 a second, over all workers and their runs.

Change: workers are searched for a job at most each 0.5 s, and a search counts as its turn.

Test, failing before: test_workers_are_not_searched_in_each_round_for_a_task_too_wide.

--- a/sycamorefield/fleet/ordering.py
+++ b/sycamorefield/fleet/ordering.py
@@ -60,10 +60,9 @@
 def needs_hold(state: progress.JobState, queue: messages.Queue | None,
                wall_ms: float, now: float,
                run_times: runtimes.RunTimeModel | None = None) -> bool:
-    """Return whether a job is unserved or has gone first in vain."""
-    return is_unserved(state, wall_ms) or (
-        now % OVERDUE_PERIOD_S >= OVERDUE_SEARCH_S
-        and rank(state, queue, wall_ms, now, run_times) == OVERDUE)
+    """Return whether an overdue job has gone first for a while in vain."""
+    return (now % OVERDUE_PERIOD_S >= OVERDUE_SEARCH_S
+            and rank(state, queue, wall_ms, now, run_times) == OVERDUE)
 
 
 def is_unserved(state: progress.JobState, wall_ms: float) -> bool:
--- a/sycamorefield/fleet/overdueholds.py
+++ b/sycamorefield/fleet/overdueholds.py
@@ -24,7 +24,10 @@
 # From this time on, tail latencies keep a task from its worker no longer.  A
 # task is held for after ordering.UNSERVED_AFTER_S, and must begin within 14 s.
 TAIL_LIMIT_S = 3.0
-# How long the last hold of a job counts: jobs take turns within this time.
+# Least time between two searches of a worker for the tasks of a job: a task
+# may fit on none, and each search looks at all workers.
+SEARCH_GAP_S = 0.5
+# How long a search counts: jobs take turns within this time.
 REMEMBERED_S = 60.0
 # One in this many workers may be held: the others serve the tasks on time.
 WORKERS_PER_HOLD = 8
@@ -78,8 +81,8 @@
 
     def __init__(self) -> None:
         self.by_task: dict[messages.TaskId, OverdueHold] = {}
-        # When a worker was last held for a job, by job ID, of recent holds.
-        self.last_held_at: dict[str, float] = {}
+        # When a worker was last searched for a job, by its ID.
+        self.searched_at: dict[str, float] = {}
         # Held tasks that started in spite of tail latencies, for the log.
         self.beside_high_tails: set[messages.TaskId] = set()
         # The last hold of each waiting task that ran out of time.
@@ -95,6 +98,13 @@
         """Return whether no further worker may be held."""
         return len(self.by_task) >= _max_holds(worker_count)
 
+    def may_search(self, task: progress.TaskState, worker_count: int,
+                   now: float) -> bool:
+        """Return whether a worker may be searched for a task's job now."""
+        searched_at = self.searched_at.get(task.task.job_id, -math.inf)
+        return (now - searched_at >= SEARCH_GAP_S
+                and not self.is_full(worker_count))
+
     def drop_finished(self, usable: typing.Container[workerstate.WorkerState],
                       now: float) -> None:
         """End the holds of tasks that don't wait, or that are of no use."""
@@ -120,25 +130,25 @@
             model: interference.InterferenceModel, now: float) -> None:
         """Hold workers for overdue tasks, one for each job.
 
-        Jobs without a run come first, then those that no worker was held for
-        lately, then the oldest ones.
+        Jobs without a run come first, then those that no worker was searched
+        for lately, then the oldest ones.
         """
-        self.last_held_at = {
-            job_id: at for job_id, at in self.last_held_at.items()
+        self.searched_at = {
+            job_id: at for job_id, at in self.searched_at.items()
             if now - at < REMEMBERED_S}
         jobs = {task.job_id for task in self.by_task}
         for row in sorted(overdue, key=lambda row: (
                 not row.unserved,
-                self.last_held_at.get(row.task.task.job_id, -math.inf),
+                self.searched_at.get(row.task.task.job_id, -math.inf),
                 row.created_revision)):
             if self.is_full(worker_count):
                 return
             if row.task.task.job_id in jobs:
                 continue
+            self.searched_at[row.task.task.job_id] = now
             worker = self._choose_worker(row, model)
             if worker is not None:
                 jobs.add(row.task.task.job_id)
-                self.last_held_at[row.task.task.job_id] = now
                 worker.best_effort_hold = row.task.task
                 self.by_task[row.task.task] = OverdueHold(
                     row.task, worker, now)
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -250,16 +250,16 @@
                       task: progress.TaskState,
                       eligible: eligibleworkers.EligibleWorkers) -> None:
         """Note a best-effort task that fits nowhere if it is overdue."""
-        if (task.step.fills
-                and not self.fleet.overdue_holds.is_full(
-                    len(self.usable_workers))
-                and ordering.needs_hold(
-                    state, self.queues.get(state.job.queue), self.wall_ms,
-                    self.now, self.fleet.run_times)):
+        if not (task.step.fills and self.fleet.overdue_holds.may_search(
+                task, len(self.usable_workers), self.now)):
+            return
+        unserved = ordering.is_unserved(state, self.wall_ms)
+        if unserved or ordering.needs_hold(
+                state, self.queues.get(state.job.queue), self.wall_ms,
+                self.now, self.fleet.run_times):
             self.overdue.append(overdueholds.OverdueTask(
                 task, state.created_revision, eligible.workers,
-                eligible.service,
-                ordering.is_unserved(state, self.wall_ms)))
+                eligible.service, unserved))
 
     def _place_task(self, state: progress.JobState,
                     task: progress.TaskState,
--- a/tests/test_fleet_best_effort_overload.py
+++ b/tests/test_fleet_best_effort_overload.py
@@ -465,3 +465,19 @@
     while load.bench.state.overdue_holds.by_task:
         load.step()
     assert emitted == expected
+
+
+def test_workers_are_not_searched_in_each_round_for_a_task_too_wide(
+        monkeypatch):
+    """Guards against an owner that is busy with searches in vain."""
+    load = StaggeredLoad(4)
+    load.add_wide("wide", cpu=3900)
+    searches = []
+    monkeypatch.setattr(
+        overdueholds.OverdueHolds, "_choose_worker",
+        lambda self, row, model: searches.append(load.bench.now))
+    began = load.bench.now
+    for _ in range(40):
+        load.place()
+    assert 1 <= len(searches) <= (
+        (load.bench.now - began) / overdueholds.SEARCH_GAP_S + 1)
