Move runs off workers that are about to leave

Cause: rounds started nothing on a draining worker but left what ran there.

Change: drains.py follows the workers that are about to leave. At the end of each round it stops runs there that cannot end in the time left (lasting ones first, then those that save checkpoints, finite ones, best-effort ones; by priority), four a round, if find_move_target finds another worker now. The capacity there is held for the task as preemption holds it, so it is not promised twice, and a hold now also outlives the stop of its task's own run. Gangs, tasks with copies, suspected tasks, runs on silent workers and tasks that no round may start after a takeover stay. A run of a step with may_miss waits while another of its step stops on a worker that stays. SF1881 names what has stayed by the end of the notice, or when the worker is gone, once a run. Option move_from_draining_workers.

The tests of state, victims, held tasks, headroom, regressions, round cost and the random machine pass (239).

--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -186,6 +186,8 @@
     "SF1854", INFO, "copies already use as much CPU as they may")
 RUNS_PREEMPTED = Event(
     "SF1856", INFO, "runs stopped by the work lost for waiting tasks")
+RUNS_NOT_MOVED = Event(
+    "SF1881", INFO, "runs stay on a worker that is about to leave")
 RECENT_PEAK = Event(
     "SF1857", INFO, "headroom follows waves of finite tasks, or no more")
 WORKER_SLOW = Event(
--- a/sycamorefield/fleet/heldworkers.py
+++ b/sycamorefield/fleet/heldworkers.py
@@ -1,4 +1,4 @@
-"""Hold what preempted runs free for the task for which they are stopped.
+"""Hold resources for the task for which runs are stopped.
 
 Runs end one after the other.  If what they free is not held, narrower tasks
 use each part of it before the wide task fits, and runs are preempted for the
@@ -137,11 +137,15 @@
         """End holds of no use; return those that have run out of time.
 
         A hold is of no use if its task is no longer waiting, if its worker
-        can't be used, or if the task will not fit there.
+        can't be used, or if the task will not fit there.  One for a task whose
+        run is still stopping, on another worker, ends silently: nothing is
+        wrong with the worker that is held.
         """
         expired = []
         for hold in list(self.by_task.values()):
-            if now >= hold.until:
+            if now >= hold.until and hold.task.phase == progress.STOPPING:
+                self.drop(hold.task)
+            elif now >= hold.until:
                 expired.append(hold)
                 self.pauses[hold.worker.entry.worker_id] = Pause(
                     now + PAUSE_AFTER_EXPIRY_S,
@@ -166,8 +170,9 @@
 
 
 def _is_waiting(hold: Hold) -> bool:
+    """Return whether a task waits, if only for the end of its run."""
     task = hold.task
-    return (task.phase == progress.IDLE and not task.done
+    return (task.phase in (progress.IDLE, progress.STOPPING) and not task.done
             and not hold.job.final() and not hold.job.cancelled)
 
 
--- a/sycamorefield/fleet/policy.py
+++ b/sycamorefield/fleet/policy.py
@@ -39,6 +39,9 @@
     forecast_recent_swing: bool = False
     # rounds.py: runs that make little progress are moved to other workers.
     move_stalled_runs: bool = True
+    # drains.py: runs that cannot end before their worker leaves are moved to
+    # other workers.
+    move_from_draining_workers: bool = True
     # ordering.py: jobs that can still finish on time go before late ones.
     rank_by_lateness: bool = True
     # workerstate.py: the number of unsent starts per worker is limited.
--- a/sycamorefield/fleet/preemption.py
+++ b/sycamorefield/fleet/preemption.py
@@ -147,13 +147,13 @@
     if round_.fleet.held_workers.any_on(worker):
         # With what is freed beyond the request, another hold may suffice.
         round_.no_holds.clear()
-    _hold(round_, waiting.job, waiting.task, worker, waiting.priority)
+    add_hold(round_, waiting.job, waiting.task, worker, waiting.priority)
     return True
 
 
-def _hold(round_: "rounds.Round", state: progress.JobState,
-          task: progress.TaskState, worker: workerstate.WorkerState,
-          priority: int) -> None:
+def add_hold(round_: "rounds.Round", state: progress.JobState,
+             task: progress.TaskState, worker: workerstate.WorkerState,
+             priority: int) -> None:
     """Hold what a task requests on a worker until it starts there."""
     earlier = round_.fleet.held_workers.find(task)
     stop_costs = round_.fleet.stop_costs
@@ -172,8 +172,8 @@
     """Hold what a task requests until its record allows its start."""
     hold = round_.fleet.held_workers.find(task)
     if hold is None or hold.worker is not worker:
-        _hold(round_, state, task, worker,
-              ordering.priority(state, round_.queues))
+        add_hold(round_, state, task, worker,
+                 ordering.priority(state, round_.queues))
 
 
 def _take_over_hold(round_: "rounds.Round", state: progress.JobState,
@@ -191,7 +191,7 @@
         round_.no_holds.add(scope, task.step.room)
         return False
     round_.fleet.held_workers.drop(hold.task)
-    _hold(round_, state, task, hold.worker, priority)
+    add_hold(round_, state, task, hold.worker, priority)
     round_.record_gain(hold.worker)
     return True
 
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -4,6 +4,7 @@
 import typing
 
 from sycamorefield.fleet import copies
+from sycamorefield.fleet import drains
 from sycamorefield.fleet import eligibleworkers
 from sycamorefield.fleet import freeing
 from sycamorefield.fleet import gangs
@@ -543,7 +544,7 @@
                          if worker.has_stalled_run else ()):
                 if not self._is_stalled(task):
                     continue
-                target = self._find_move_target(worker, task)
+                target = self.find_move_target(worker, task)
                 if target is not None:
                     self.fleet.stop_run(task, "little progress here")
                     # No other task may use this capacity before the run is
@@ -595,9 +596,9 @@
                      reason, self.now)
         return True
 
-    def _find_move_target(self, worker: workerstate.WorkerState,
-                          task: progress.TaskState
-                          ) -> workerstate.WorkerState | None:
+    def find_move_target(self, worker: workerstate.WorkerState,
+                         task: progress.TaskState
+                         ) -> workerstate.WorkerState | None:
         """Return another worker on which a run fits, or None."""
         eligible = self._eligible_workers(
             self.fleet.jobs[task.task.job_id], task)
@@ -610,8 +611,9 @@
                                 self.fleet.interference_model)
         if target is None:
             self.unplaceable.add(scope, task.step.room)
-            if eligible.tickets is None and not placing.fits(
-                    worker, task.step, self.fleet.interference_model):
+            if eligible.tickets is None and (
+                    worker.entry.draining or not placing.fits(
+                        worker, task.step, self.fleet.interference_model)):
                 # The current worker would not take another such run either,
                 # so the request fits on no worker at all.
                 self.fleet.placement_misses.add(scope, task.step.room)
@@ -664,6 +666,8 @@
             if not fleet.may_start(state):
                 continue
             _place_job(round_, state, wall_ms)
+        if fleet.policy.move_from_draining_workers:
+            drains.move_runs(round_)
         if fleet.policy.move_stalled_runs:
             round_.move_one_stalled_run()
         round_.start_copies()
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -17,6 +17,7 @@
 from sycamorefield.fleet import copies
 from sycamorefield.fleet import crashrecords
 from sycamorefield.fleet import demand
+from sycamorefield.fleet import drains
 from sycamorefield.fleet import endedjobs
 from sycamorefield.fleet import endedlives
 from sycamorefield.fleet import failures
@@ -96,6 +97,7 @@
         # often enough not to miss a draining worker.
         self.list_read_at = math.inf
         self.drains_visible_since = -math.inf
+        self.drains = drains.Drains(DRAIN_NOTICE_S)
         self.trials = quarantines.Quarantines()
         self.failures = failures.Failures(self.trials)
         self.crash_records = crashrecords.CrashRecords()
