Request advice for runs that are to move off a leaving worker

What callers saw: nothing yet. Read in the code: the tickets of a run that began long ago have expired, so a run of a queue with advice found no worker to move to and stayed until its worker left.

Change: the mover requests advice on the workers on which the run fits now and on which none is cached, one request a step at a time; with none that fits it asks nothing.

--- a/sycamorefield/fleet/drains.py
+++ b/sycamorefield/fleet/drains.py
@@ -13,6 +13,7 @@
 from sycamorefield import events
 from sycamorefield.fleet import copies
 from sycamorefield.fleet import ordering
+from sycamorefield.fleet import placing
 from sycamorefield.fleet import preemption
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import victims
@@ -43,6 +44,7 @@
 HELD_BACK = "start is held back"
 STEP_STOPPING = "another run of its step is stopping"
 NO_CAPACITY = "no capacity elsewhere"
+NO_ADVICE = "waits for advice"
 LATER = "other runs go first"
 
 
@@ -152,7 +154,8 @@
                 self.fleet.request_round()
                 reason = LATER
             if not reason and not self._move(candidate):
-                reason = NO_CAPACITY
+                reason = (NO_ADVICE if self._requests_advice(candidate)
+                          else NO_CAPACITY)
             if reason:
                 reasons[candidate.run_id()] = reason
             else:
@@ -259,6 +262,26 @@
                             ordering.priority(job, self.round.queues))
         return True
 
+    def _requests_advice(self, candidate: Candidate) -> bool:
+        """Request advice on other workers if the step needs it.
+
+        Return whether advice is pending.  Tickets of runs that began long ago
+        have expired.  Only workers on which the run fits now are named.
+        """
+        task = candidate.task
+        queue = self.round.queues.get(candidate.job.job.queue)
+        if queue is None or queue.advice is None:
+            return False
+        step_id, advice = task.task.step_id(), self.fleet.advice
+        if not advice.is_pending(step_id):
+            known_workers = advice.known_workers(step_id, self.now)
+            advice.request_advice(step_id, self.round.fitting_workers(task, [
+                worker for worker in self.round.usable_workers
+                if worker.entry.worker_id not in known_workers
+                and placing.allowed(worker, queue.service, task)
+            ]), queue.advice, self.now)
+        return advice.is_pending(step_id)
+
 
 def move_runs(round_: "rounds.Round") -> None:
     """Move runs off the workers that are about to leave."""
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -148,8 +148,8 @@
         if not possible:
             return
         possible.sort(key=lambda w: -w.free_capacity().cpu)
-        fitting = self._fitting_workers(task, possible)
-        advice.pass_over(step_id, self._fitting_workers(
+        fitting = self.fitting_workers(task, possible)
+        advice.pass_over(step_id, self.fitting_workers(
             task, [w for w in eligible.workers
                    if placing.allowed(w, eligible.service, task)]))
         advice.request_advice(
@@ -157,9 +157,9 @@
             [w.entry.worker_id for w in possible
              if w.entry.worker_id not in fitting])
 
-    def _fitting_workers(self, task: progress.TaskState,
-                         workers: list[workerstate.WorkerState]
-                         ) -> dict[str, None]:
+    def fitting_workers(self, task: progress.TaskState,
+                        workers: list[workerstate.WorkerState]
+                        ) -> dict[str, None]:
         """Return the IDs of those workers on which a task fits now."""
         return {w.entry.worker_id: None for w in workers if placing.fits(
             w, task.step, self.fleet.interference_model)}
--- a/tests/test_fleet_drains.py
+++ b/tests/test_fleet_drains.py
@@ -3,12 +3,14 @@
 import pytest
 
 from sycamorefield import events
+from sycamorefield.fleet import clock
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import policy as policy_mod
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import quarantines
 from sycamorefield.fleet import suspicion
 from tests import fleetfakes
+from tests import test_fleet_advice
 from tests import test_fleet_state
 
 ROOM = messages.Resources(2000, 100)
@@ -295,6 +297,36 @@
     assert bench.stops() == ["j.0.0.0"]
 
 
+@pytest.mark.parametrize(("advised", "full", "requests", "reason"), [
+    ({"i-1"}, False, [("j.0.0", ("i-1",))], None),
+    ((), False, [("j.0.0", ("i-1",))], "no capacity elsewhere"),
+    ({"i-1"}, True, [], "no capacity elsewhere"),
+], ids=["advised", "rejected", "full"])
+def test_run_whose_step_needs_advice_moves_once_it_is_given(
+        advised, full, requests, reason, logged):
+    """Guards against runs that stay as their tickets have long expired."""
+    bench = DrainBench(LASTING)
+    bench.state.configuration = test_fleet_advice.configuration
+    bench.now = clock.now()
+    service = test_fleet_advice.StubAdviceService(advised)
+    bench.state.advice.service = service
+    if full:
+        fill_other(bench)
+    bench.announce()
+    for _ in range(3):
+        bench.place()
+        test_fleet_advice.fetch_all(bench)
+    assert service.requests == requests
+    assert bench.stops() == ["j.0.0.0"] * (reason is None)
+    if reason is None:
+        bench.end("i-0", "j.0.0.0", 1, "stopped")
+        assert bench.place() == ["j.0.0.0@i-1"]
+        assert bench.orders[-1][1].ticket == "j.0.0/i-1"
+        return
+    bench.place_for(5.0)
+    assert kept(logged) == [("j.0.0.0", reason)]
+
+
 def test_hold_ends_with_the_worker_that_is_to_take_the_run():
     bench = DrainBench(LASTING, others=2)
     bench.announce()
