Move best-effort runs one at a time; log runs that end with their worker

- A hold keeps no unused CPU, and a task with a hold starts without a look at tail latencies.
So several best-effort runs could have been moved to the same unused CPU, or have started where they disturb others.
They now move one at a time, last, without a hold, and are placed as usual.
- Runs on a worker that left before the end of its notice were not logged, as their reservations had been cleared; a run that had ended could be.
- The first time left that is announced after a drain replaces the default.

--- a/sycamorefield/fleet/drains.py
+++ b/sycamorefield/fleet/drains.py
@@ -30,7 +30,7 @@
 # Runs named in one log line.
 MAX_LOGGED_RUNS = 20
 # The kinds of runs in the order in which they move: first those that lose most
-# if they stay.
+# if they stay.  Best-effort runs of any kind move last.
 MOVE_ORDER = (victims.LONG_RUNNING, victims.SAVING, victims.LOSING,
               victims.BEST_EFFORT)
 
@@ -58,11 +58,20 @@
     # The time left that was last announced, and when it will be over.
     remaining_ms: float | None
     ends_at: float
-    # Why runs stay, and those of them that have been logged.
+    # Why runs stayed in the last round, and the runs that have been logged.
     reasons: dict[workerstate.RunId, str] = dataclasses.field(
         default_factory=dict)
     logged: set[workerstate.RunId] = dataclasses.field(default_factory=set)
 
+    def announce(self, remaining_ms: float, now: float) -> None:
+        """Take over the time left; repeating it does not extend the notice."""
+        if remaining_ms == self.remaining_ms:
+            return
+        ends_at = now + remaining_ms / 1000.0
+        self.ends_at = (ends_at if self.remaining_ms is None
+                        else min(self.ends_at, ends_at))
+        self.remaining_ms = remaining_ms
+
 
 class Drains:
     """The workers that are about to leave, by ID."""
@@ -71,10 +80,12 @@
         # Time left to a worker that does not announce it.
         self.default_notice_s = default_notice_s
         self.by_worker: dict[str, Drain] = {}
+        # The task of the best-effort run that was moved last.
+        self.moved_best_effort: progress.TaskState | None = None
 
     def update(self, workers: typing.Mapping[str, workerstate.WorkerState],
                now: float) -> None:
-        """Follow the entries of the workers; log runs that have stayed."""
+        """Follow the entries of the workers; log runs that ended with one."""
         draining = {worker_id: worker for worker_id, worker in workers.items()
                     if worker.entry.draining
                     and worker.entry_is_of_current_life()}
@@ -93,23 +104,26 @@
         remaining_ms = worker.entry.remaining_ms
         drain = self.by_worker.get(worker_id)
         if drain is None:
-            left_s = (self.default_notice_s if remaining_ms is None
-                      else remaining_ms / 1000.0)
             drain = self.by_worker[worker_id] = Drain(
-                worker, worker.last_known_born_ms(), now, remaining_ms,
-                now + left_s)
-        elif remaining_ms not in (None, drain.remaining_ms):
-            drain.remaining_ms = remaining_ms
-            drain.ends_at = min(drain.ends_at, now + remaining_ms / 1000.0)
-        # Capacity may be found after a short or missing notice, too.
-        if now >= max(drain.ends_at, drain.began_at + self.default_notice_s):
-            self._log(drain)
+                worker, worker.last_known_born_ms(), now, None,
+                now + self.default_notice_s)
+        if remaining_ms is not None:
+            drain.announce(remaining_ms, now)
+
+    def log_stayed(self, now: float) -> None:
+        """Log the runs that have stayed to the end of the notice.
+
+        After a short or missing notice, runs may move later.
+        """
+        for drain in self.by_worker.values():
+            if now >= max(drain.ends_at,
+                          drain.began_at + self.default_notice_s):
+                self._log(drain)
 
     @staticmethod
     def _log(drain: Drain) -> None:
         """Log the runs on a worker that have stayed, each once."""
-        stayed = [run for run in drain.reasons
-                  if run in drain.worker.reserved and run not in drain.logged]
+        stayed = [run for run in drain.reasons if run not in drain.logged]
         if not stayed:
             return
         drain.logged.update(stayed)
@@ -147,8 +161,9 @@
     def move(self) -> None:
         """Stop runs that cannot end in time, if they can run elsewhere."""
         moves = 0
+        for drain in self.fleet.drains.by_worker.values():
+            drain.reasons.clear()
         for candidate in sorted(self._candidates(), key=self._order):
-            reasons = candidate.drain.reasons
             reason = self._reason_to_stay(candidate)
             if not reason and moves == MAX_MOVES_PER_ROUND:
                 self.fleet.request_round()
@@ -157,9 +172,8 @@
                 reason = (NO_ADVICE if self._requests_advice(candidate)
                           else NO_CAPACITY)
             if reason:
-                reasons[candidate.run_id()] = reason
+                candidate.drain.reasons[candidate.run_id()] = reason
             else:
-                reasons.pop(candidate.run_id(), None)
                 moves += 1
 
     def _candidates(self) -> typing.Iterator[Candidate]:
@@ -171,8 +185,9 @@
                         and self.fleet.is_current(drain.worker, task, run)):
                     yield Candidate(drain, job, task)
 
-    def _order(self, candidate: Candidate) -> tuple[int, int, float]:
-        return (MOVE_ORDER.index(victims.kind_of(candidate.task.step)),
+    def _order(self, candidate: Candidate) -> tuple[bool, int, int, float]:
+        step = candidate.task.step
+        return (step.fills, MOVE_ORDER.index(victims.kind_of(step)),
                 ordering.priority(candidate.job, self.round.queues),
                 candidate.drain.ends_at)
 
@@ -196,6 +211,10 @@
             return HELD_BACK
         if self._step_stops_elsewhere(candidate):
             return STEP_STOPPING
+        moved = self.fleet.drains.moved_best_effort
+        if (task.step.fills and moved is not None
+                and moved.phase == progress.STOPPING):
+            return LATER
         return ""
 
     def _ends_in_time(self, candidate: Candidate) -> bool:
@@ -258,8 +277,14 @@
                     target, task.task.step_id())):
             return False
         self.fleet.stop_run(task, STOP_REASON)
-        preemption.add_hold(self.round, job, task, target,
-                            ordering.priority(job, self.round.queues))
+        if task.step.fills:
+            # A hold keeps no unused CPU, and tail latencies may have changed
+            # once the run has ended: the task is placed as usual then.
+            self.fleet.drains.moved_best_effort = task
+            self.round.exclude_worker(target, self.round.usable_workers)
+        else:
+            preemption.add_hold(self.round, job, task, target,
+                                ordering.priority(job, self.round.queues))
         return True
 
     def _requests_advice(self, candidate: Candidate) -> bool:
@@ -289,3 +314,4 @@
     drains.update(round_.fleet.workers, round_.now)
     if drains.by_worker:
         Mover(round_).move()
+        drains.log_stayed(round_.now)
--- a/tests/test_fleet_drains.py
+++ b/tests/test_fleet_drains.py
@@ -4,6 +4,7 @@
 
 from sycamorefield import events
 from sycamorefield.fleet import clock
+from sycamorefield.fleet import drains
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import policy as policy_mod
 from sycamorefield.fleet import progress
@@ -163,6 +164,26 @@
     assert len(kept(logged)) == (step.count if reason else 0)
 
 
+def test_run_is_logged_that_ends_with_a_worker_before_its_notice_is_over(
+        logged):
+    bench = DrainBench(LASTING, SHORT)
+    fill_other(bench)
+    bench.announce()
+    bench.place()
+    bench.end("i-0", "j.0.1.0", 1, messages.DONE)
+    bench.place()
+    bench.state.mark_dead("i-0", "another life answered")
+    bench.place_for(5.0)
+    assert kept(logged) == [("j.0.0.0", "no capacity elsewhere")]
+
+
+def test_no_runs_are_looked_at_while_no_worker_is_about_to_leave(monkeypatch):
+    """Guards against the cost of looking at all runs in each round."""
+    bench = DrainBench(LASTING)
+    monkeypatch.setattr(drains.Mover, "move", lambda mover: pytest.fail())
+    bench.place_for(1.0)
+
+
 def test_run_in_quarantine_stays_until_its_task_is_cleared():
     bench = DrainBench(LASTING)
     task = bench.task()
@@ -220,6 +241,24 @@
     assert bench.place() == [f"j.0.{first}.0@i-1"]
 
 
+@pytest.mark.parametrize("perpetual", [False, True])
+def test_best_effort_runs_move_one_at_a_time(perpetual):
+    """Guards against several runs that count on the same unused CPU."""
+    step = messages.Step(2, messages.Resources(1500, 100), 9000, fills=True,
+                         image="fill", perpetual=perpetual)
+    bench = DrainBench(step, others=0)
+    bench.place_for(2.0)
+    bench.state.add_worker(fleetfakes.entry(1))
+    bench.report("i-1")
+    bench.state.enrol(bench.state.workers)
+    bench.announce()
+    for moved in range(2):
+        bench.place_for(1.0)
+        assert len(bench.stops()) == moved + 1
+        bench.end("i-0", bench.stops()[-1], moved + 1, "stopped")
+        assert bench.place() == [f"{bench.stops()[moved]}@i-1"]
+
+
 def test_runs_move_a_few_in_each_round():
     bench = DrainBench(messages.Step(8, messages.Resources(500, 100), 9000))
     bench.announce()
@@ -286,6 +325,21 @@
     assert not kept(logged)
 
 
+@pytest.mark.parametrize(("announced", "stops"), [
+    ((None, 7000.0), False), ((7000.0, None), False), ((7000.0, 2000.0), True),
+    ((None, 2000.0), True)])
+def test_notice_may_be_announced_after_the_drain(announced, stops):
+    bench = DrainBench(messages.Step(1, ROOM, 6000))
+    for remaining_ms in announced:
+        fill_other(bench)
+        bench.announce(remaining_ms=remaining_ms)
+        bench.place()
+    bench.state.workers["i-1"].release(
+        (messages.TaskId("k", 0, 0, 0), 1), messages.Step(1))
+    bench.place()
+    assert bool(bench.stops()) == stops
+
+
 def test_entry_that_is_read_again_does_not_extend_the_notice():
     """Guards against a notice that is counted from each reading of it."""
     bench = DrainBench(messages.Step(1, ROOM, 3000))
