Keep the reported end of a task when its start is answered late

Cause: two threads of a worker link write its task list. The thread that sends starts processed the answer "running" to a start after the other had applied a report with the end of that task, and TaskList.note_started() replaced "failed" with "running". The worker reports only changes later than the last report, so the link never saw the end again; the task kept its capacity reserved, and nothing bounds the wait. Any task may be hit that ends before its start's answer is processed; load makes that delay long.

An accepted start now adds a task only if it is not listed. What a listed task lacks is in the next report, as its sequence is later.

--- a/sycamorefield/tasklist.py
+++ b/sycamorefield/tasklist.py
@@ -102,9 +102,11 @@
         return task_id in self.tasks
 
     def note_started(self, status: pb.TaskStatus) -> None:
-        """Add a task that the worker has just accepted."""
+        """Add a task that the worker has accepted, unless already listed."""
+        # A report that the worker sent later, even one with the task's end,
+        # may have been applied already.  The worker does not repeat it.
         with self.lock:
-            self.tasks[status.task_id] = status
+            self.tasks.setdefault(status.task_id, status)
 
     def note_stopped(self, task_id: str, answer: pb.TaskReply) -> bool:
         """Apply the answer to a stop; return whether it changed a task."""
--- a/tests/test_workerlink.py
+++ b/tests/test_workerlink.py
@@ -17,6 +17,7 @@
 from hypothesis import strategies as st
 import pytest
 
+from sycamorefield import options
 from sycamorefield import sycamorefield_pb2 as pb
 from sycamorefield import tasklist
 from sycamorefield import worker
@@ -34,6 +35,7 @@
         self.machine = machine
         self.request_arrives = True
         self.reply_arrives = True
+        self.after_start = lambda: None
 
     def Report(self, request, timeout):
         request.wait_ms = 0
@@ -43,6 +45,11 @@
                 return reply
         raise grpc.RpcError()
 
+    def StartTask(self, request, timeout):
+        answer = self.machine.StartTask(request, None)
+        self.after_start()
+        return answer
+
 
 class RecordingCell:
     """A cell that durably records every ended task at once."""
@@ -53,6 +60,9 @@
     def placements(self, name):
         return {}
 
+    def note_started(self, placed):
+        pass
+
     def has_unplaced_jobs(self):
         return False
 
@@ -70,18 +80,39 @@
         return tasks_changed
 
 
+def _placed(work, number):
+    return workerlink.PlacedTask(f"j{number}", f"j{number}.1", work, 0.0,
+                                 may_start=True, unwanted=False)
+
+
 def _start(machine, number):
     machine.StartTask(pb.StartTaskRequest(
         task_id=f"j{number}.1", job_id=f"j{number}", fence=1,
         lease_ms=60_000, run_seconds=60.0), None)
 
 
+def _end(machine, task_id):
+    machine.StopTask(pb.StopTaskRequest(task_id=task_id, fence=1), None)
+
+
+# What happens between a start on the worker and its answer at the owner.
+BEFORE_ANSWER = [
+    (),
+    ("report",),
+    ("end",),
+    ("end", "report"),
+    ("report", "end"),
+    ("report", "end", "report"),
+]
+
+
 class IncrementalReports(stateful.RuleBasedStateMachine):
     """Reports of changes with lost calls, lost replies and restarts.
 
     Guards against ended tasks that stay on their worker forever, and tasks
     that an owner lists as running although their worker does not have them,
-    because a report was treated as received that was lost.  Tasks start and
+    because a report was treated as received that was lost, or because the
+    answer to a start was processed after a later report.  Tasks start and
     end between lost reports and replies, and the worker restarts.
     """
 
@@ -91,6 +122,8 @@
         super().__init__()
         opts = standins.sample_options(1)
         spec = dataclasses.replace(opts.machines[0], slots=100)
+        self.work = dataclasses.replace(opts.work["class-renewal"],
+                                        demand=options.ZERO_CAPACITY)
         self.machine = worker.WorkerServer(spec)
         self.link = workerlink.WorkerLink(opts, spec, "entry-1", 1,
                                           RecordingCell(), lambda: True)
@@ -104,12 +137,26 @@
         self.started += 1
         _start(self.machine, self.started)
 
+    @stateful.rule(before_answer=st.sampled_from(BEFORE_ANSWER))
+    def start_answered_late(self, before_answer):
+        self.started += 1
+        placed = _placed(self.work, self.started)
+        self.stub.after_start = lambda: self._run_steps(
+            before_answer, placed.task_id)
+        self.link._send_starts({placed.task_id: placed})
+
+    def _run_steps(self, steps, task_id):
+        for step in steps:
+            if step == "end":
+                _end(self.machine, task_id)
+            else:
+                self._exchange_report(True, True)
+
     @stateful.rule(index=st.integers(0, 9))
     def end(self, index):
         ids = sorted(self.machine.tasks)
         if ids:
-            self.machine.StopTask(pb.StopTaskRequest(
-                task_id=ids[index % len(ids)], fence=1), None)
+            _end(self.machine, ids[index % len(ids)])
 
     @stateful.rule()
     def restart(self):
@@ -118,6 +165,13 @@
 
     @stateful.rule(request_arrives=st.booleans(), reply_arrives=st.booleans())
     def report(self, request_arrives, reply_arrives):
+        self._exchange_report(request_arrives, reply_arrives)
+        if not self.link.missed_reports:
+            self.link._record_ended()
+            self.link._reconcile({})
+            self.link.pending_stops.clear()
+
+    def _exchange_report(self, request_arrives, reply_arrives):
         self.stub.request_arrives, self.stub.reply_arrives = (
             request_arrives, reply_arrives)
         reply = self.link._report()
@@ -129,10 +183,6 @@
             assert {t: s.state for t, s
                     in self.link.task_list.tasks.items()} == {
                 t: s.state for t, s in self.machine.tasks.items()}
-        if not self.link.missed_reports:
-            self.link._record_ended()
-            self.link._reconcile({})
-            self.link.pending_stops.clear()
 
     @stateful.rule()
     def quiesce(self):
@@ -169,6 +219,25 @@
                                            settings=SETTINGS)
 
 
+@pytest.mark.parametrize("before_answer", BEFORE_ANSWER,
+                         ids=["-".join(row) or "nothing"
+                              for row in BEFORE_ANSWER])
+def test_late_answer_to_a_start_hides_no_later_change(before_answer):
+    """Guards against a job that stays placed after its task has ended.
+
+    The answer to a start is processed after reports that the worker sent
+    later.  If the answer replaced what they say, the owner would list an ended
+    task as running, and the worker does not report the end again.
+    """
+    reports = IncrementalReports()
+    try:
+        reports.report(True, True)
+        reports.start_answered_late(before_answer)
+        reports.report(True, True)
+    finally:
+        reports.teardown()
+
+
 HELD_REPORTS = [
     # event while the worker delays its answer, whether it answers early
     ("a task ends", True),
@@ -213,16 +282,11 @@
 
     def __init__(self, work):
         self.lost_at = None
-        self.starts = {f"j{n}.1": workerlink.PlacedTask(
-            f"j{n}", f"j{n}.1", work, 0.0, may_start=True, unwanted=False)
-            for n in (1, 2)}
+        self.starts = {f"j{n}.1": _placed(work, n) for n in (1, 2)}
 
     def placements(self, name):
         return {} if self.lost_at else dict(self.starts)
 
-    def note_started(self, placed):
-        pass
-
     def worker_lost(self, link):
         self.lost_at = time.monotonic()
 
