Start a task again if its worker restarted before the answer

A worker accepts a start and restarts, and the link applies the first report of the restarted worker before the answer to the start. TaskList.note_started() then listed a task that the worker does not have. No report removes it, has_task() keeps the start from being sent again, and the job stays "placed" until the worker restarts once more or the cell changes its owner. The owner must process the answer later than the worker takes to restart, for example after a pause.

The link now notes the list's incarnation before it sends a start, and adds the task only if that has not changed. Otherwise the start, which is idempotent, is sent again unless a report lists the task. Such a task is not counted as suspected of the crash: the answer does not say which incarnation of the worker gave it.

Three rows of the table and the state machine of test_workerlink.py failed before with {"j1.1": "running"} against no task, and pass now.

--- a/sycamorefield/workerlink.py
+++ b/sycamorefield/workerlink.py
@@ -348,6 +348,7 @@
                 self.release(task_id)
                 self.cell.note_not_started(self, placed, UNWANTED)
                 continue
+            incarnation = self.task_list.incarnation
             answer = self._call_start(placed)
             if answer is None:
                 all_answered = False
@@ -357,7 +358,7 @@
                     task_id=task_id, job_id=placed.job_id,
                     state=answer.state or tasklist.RUNNING,
                     progress=answer.progress,
-                    declared=_resources(placed.work.demand)))
+                    declared=_resources(placed.work.demand)), incarnation)
                 self.cell.note_started(placed)
                 events.emit(events.TASK_STARTED, job=placed.job_id,
                             worker=self.machine.name, task=task_id,
