Chains of owners in tests: count the time in which the fleet has an owner

The test failed beside load twice (4.7 and 4.8 s, bound 4.3 s; chains of 0.4 and 0.8 s, load average about 20). What is stored for the next owner is the rest of the wait as its writer has measured it, so the time without an owner is not counted (docs/design/owner-changes.md), and beside load each change of the owner takes some tenths of a second. Nothing can start in that time either. The bound stays.

--- a/tests/test_fleet_owner_chains.py
+++ b/tests/test_fleet_owner_chains.py
@@ -23,7 +23,7 @@
 STORE_OUTAGE_S = 2.0
 # The longest wait of a single takeover.
 TAKEOVER_WAIT_S = STORE_OUTAGE_S + LEASE_EXPIRY_S
-# Time to detect silence, store it, take over and place.
+# Time to detect silence, store it and place.
 MARGIN_S = 1.0
 
 
@@ -112,13 +112,17 @@
     process = start_process(fleet)
     fleet.submit(fleetfakes.job("a"))
     takeover.wait_for(lambda: fleet.running() == ["a.0.0.0"])
-    silenced_at = clock.now()
     worker = silence_worker_of(fleet, "a.0.0.0")
+    # Nothing can start while there is no owner.
+    owned_s = 0.0
+    owned_since = clock.now()
     while fleet.starts().count("a.0.0.0") == 1:
-        assert clock.now() - silenced_at < TAKEOVER_WAIT_S + MARGIN_S
+        assert owned_s < TAKEOVER_WAIT_S + MARGIN_S
         time.sleep(chain.term_s)
+        owned_s += clock.now() - owned_since
         chain.end(process)
         process = start_process(fleet)
+        owned_since = clock.now()
     assert worker.clock() > worker.lease_end_ms
     process.stop_as_planned()
     assert records.OWNER_KEY not in fleet.store.items
