Store how long a long-running task has been down, for the next owner

What callers may see: on a full fleet, a long-running task that is down does not go before others while owners change more often than every 4 s.

Cause: each owner counts the downtime from its own first look at the task. Class: a bound that begins anew when its holder changes.

Evidence: the test fails before: after four owners of 0.9 s each, the task of a silent worker counts as down for 0.01 s.

Change: the progress of a job holds the downtime, as a duration. It is written every 0.5 s while a task is down, up to 10 s, and only once the owner knows what all workers run, apart from recorded ones.

--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -21,6 +21,10 @@
 # runs of jobs that it takes over from its fence times this, which is above the
 # run numbers of all earlier owners, because their fences are lower.
 RUNS_PER_TERM = 1000
+# How often the downtime of a long-running task is stored, from how long and
+# up to how long: whether it was down for longer makes no difference.
+DOWNTIME_PERIOD_S = 0.5
+MAX_STORED_DOWNTIME_S = 10.0
 
 StepIndex = tuple[int, int]
 
@@ -245,6 +249,10 @@
         self.first_ready_at = 0.0
         # Since when a long-running task that has run is down, or 0.
         self.down_since = 0.0
+        # For how long it was when the progress was last written, and when
+        # that was.
+        self.stored_down_ms = 0
+        self.down_written_at = 0.0
         # How many tasks have succeeded, and how many had when
         # cached_remaining_ms was computed.
         self.done_tasks = 0
@@ -334,6 +342,26 @@
             self.down_since = now
         return now - self.down_since if down else 0.0
 
+    def note_downtime(self, now: float) -> None:
+        """Keep the downtime that is stored for later owners up to date.
+
+        It is a duration, as owners share no clock, without the time for which
+        the fleet has no owner.
+        """
+        down_s = now - self.down_since if self.down_since else 0.0
+        down_ms = (round(min(down_s, MAX_STORED_DOWNTIME_S) * 1000.0)
+                   if down_s >= DOWNTIME_PERIOD_S else 0)
+        if (down_ms != self.stored_down_ms
+                and now - self.down_written_at >= DOWNTIME_PERIOD_S):
+            self.stored_down_ms = down_ms
+            self.down_written_at = now
+            self.dirty = True
+
+    def resume_downtime(self, now: float) -> None:
+        """Go on with the downtime that an earlier owner stored."""
+        if self.stored_down_ms:
+            self.down_since = now - self.stored_down_ms / 1000.0
+
     def all_tasks(self) -> typing.Iterator[TaskState]:
         """Yield every task created so far."""
         for states in self.tasks.values():
@@ -477,6 +505,7 @@
     trials: dict[str, str] = {}
     trial_births: dict[str, int] = {}
     unstarted: dict[str, str] = {}
+    down_ms: int = 0
 
 
 def encode_progress(state: JobState) -> bytes:
@@ -489,7 +518,8 @@
     "rest" holds [last run, failed runs, saved] of unfinished tasks that failed
     or saved something; "suspected" and "trials" hold what is known of tasks
     that are suspected of crashing workers, "trial_births" which lives of the
-    workers they are tried on.
+    workers they are tried on.  "down_ms" is for how long a long-running task
+    that has run was down.
     """
     row: dict[str, typing.Any] = {"state": state.state}
     if state.reason:
@@ -510,6 +540,8 @@
             if task.suspicion is not None:
                 suspected[_short_name(task.task)] = task.suspicion.encode()
         row["rest"] = rest
+        if state.stored_down_ms:
+            row["down_ms"] = state.stored_down_ms
         if suspected:
             row["suspected"] = suspected
         if state.quarantine_workers:
@@ -581,6 +613,7 @@
         if found is not None:
             state.quarantine_workers[found.task] = worker_id
     state.quarantine_births = dict(row.trial_births)
+    state.stored_down_ms = max(0, row.down_ms)
     state.stored_quarantine_workers = dict(state.quarantine_workers)
 
 
--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -130,9 +130,14 @@
         """Return changed progress; some of what can wait comes last."""
         changed: list[progress.JobState] = []
         deferred: list[progress.JobState] = []
+        now = clock.now()
+        # Before, tasks seem to be down that workers have not reported yet.
+        knows_runs = self.fleet.unproven_tasks() is not None
         for job in self.fleet.jobs.values():
             if job.final_stored:
                 continue
+            if knows_runs and job.long_running and not job.final():
+                job.note_downtime(now)
             if job.dirty:
                 changed.append(job)
             elif (job.unstarted_added
--- a/sycamorefield/fleet/recovery.py
+++ b/sycamorefield/fleet/recovery.py
@@ -118,6 +118,7 @@
             state.dirty = True
             self.fleet.deactivate_job(state)
         else:
+            state.resume_downtime(clock.now())
             self.fleet.trials.restore(state, clock.now())
             if state.quarantine_workers:
                 # The last crash may be stored without the end of the job.
--- a/tests/test_fleet_owner_chains.py
+++ b/tests/test_fleet_owner_chains.py
@@ -126,3 +126,28 @@
     assert worker.clock() > worker.lease_end_ms
     process.stop_as_planned()
     assert records.OWNER_KEY not in fleet.store.items
+
+
+def test_downtime_of_a_task_goes_on_under_the_next_owner(fleet):
+    """Guards against a task that is down and never goes before others.
+
+    Owners that change often would each count its downtime from zero.
+    """
+    process = start_process(fleet)
+    fleet.submit(fleetfakes.job("a", messages.Step(
+        1, messages.Resources(4000, 1000), perpetual=True)))
+    takeover.wait_for(lambda: fleet.running() == ["a.0.0.0"])
+    fleet.submit(fleetfakes.job("b", messages.Step(
+        4, messages.Resources(4000, 1000))))
+    takeover.wait_for(lambda: len(fleet.running()) == 5)
+    silence_worker_of(fleet, "a.0.0.0")
+    terms, term_s = 4, 0.9
+    for _ in range(terms):
+        time.sleep(term_s)
+        process.stop_as_planned()
+        process = start_process(fleet)
+    job = fleet.owner.fleet.jobs["a"]
+    takeover.wait_for(lambda: job.down_since)
+    # The first owner sees the task run; the others store it every 0.5 s.
+    assert job.downtime_s(clock.now()) > (terms - 1) * term_s / 2
+    process.stop_as_planned()
