Hold the owner's lease in the test of a worker that came back

The test never renewed the lease of its owner, which ended 2 s after the owner's start. An owner without its lease starts no job that it sees first after that, so on a loaded machine

- the first wait failed ("condition did not hold in time") if the job "fill" was seen later: reproduced each time by a pause of 2.5 s before its submission;
- the test passed without testing anything if the job "a" was seen later: with the removal from use in add_possible_list() taken out, it failed without a pause, but passed with a pause of 2.5 s before "a".

The test now renews the lease while it waits and the store answers, as the owner's process does. With the same pauses it passes, and with the change to add_possible_list() it fails in all three cases (no pause, before "fill", before "a").

The trace of the failures seen on is lost, so it isn't shown that they had this cause.

--- a/tests/test_fleet_partial_reach.py
+++ b/tests/test_fleet_partial_reach.py
@@ -182,7 +182,15 @@
     fleet = test_fleet_takeover.Fleet()
     fleet.store = store = OutageAtAdditionStore()
     fleet.take_over()
-    wait_for = test_fleet_takeover.wait_for
+
+    def wait_for(condition):
+        def renew_lease_and_check():
+            if not store.refuse:
+                fleet.owner.note_lease_renewal(clock.now())
+            return condition()
+
+        test_fleet_takeover.wait_for(renew_lease_and_check)
+
     try:
         wait_for(lambda: all(w.usable(clock.now())
                              for w in fleet.owner.fleet.workers.values())
