--- a/sycamorefield/fleet/silentworkers.py
+++ b/sycamorefield/fleet/silentworkers.py
@@ -104,7 +104,7 @@
         """Load the stored record; log an unreadable one."""
         if item is None:
             return
-        # Written once by each owner: the entries that it keeps are its own.
+        # The first write replaces the record, even if no worker is silent.
         self.written = None
         try:
             self.loaded = decode(item.value)
