--- a/sycamorefield/tasklist.py
+++ b/sycamorefield/tasklist.py
@@ -72,8 +72,7 @@
             for task_id in self.acknowledging:
                 self.tasks.pop(task_id, None)
             for task in reply.tasks:
-                if not self._has_ended(task.task_id):
-                    self.tasks[task.task_id] = task
+                self.tasks[task.task_id] = task
                 self.progress[task.task_id] = Progress(task.progress, now)
             self.progress = {t: p for t, p in self.progress.items()
                              if t in self.tasks}
@@ -81,11 +80,6 @@
             self.incarnation = reply.incarnation
         return bool(reply.tasks or reply.full)
 
-    def _has_ended(self, task_id: str) -> bool:
-        """Return whether a task is listed as ended, which is final."""
-        task = self.tasks.get(task_id)
-        return task is not None and task.state != RUNNING
-
     def take_lost_tasks(self) -> list[str]:
         """Return and clear the ids of tasks lost in a restart."""
         with self.lock:
