Take back the changes of starts that straddle a restart of a worker

A start whose worker restarted before the answer is sent again without a suspicion, so a job that crashes its workers may crash one more often before it is suspected: read from the code, not traced.

--- a/sycamorefield/tasklist.py
+++ b/sycamorefield/tasklist.py
@@ -76,8 +76,8 @@
                 self.progress[task.task_id] = Progress(task.progress, now)
             self.progress = {t: p for t, p in self.progress.items()
                              if t in self.tasks}
-            self.last_sequence = reply.sequence
-            self.incarnation = reply.incarnation
+        self.last_sequence = reply.sequence
+        self.incarnation = reply.incarnation
         return bool(reply.tasks or reply.full)
 
     def take_lost_tasks(self) -> list[str]:
@@ -101,17 +101,12 @@
         """Return whether the worker lists a task, running or ended."""
         return task_id in self.tasks
 
-    def note_started(self, status: pb.TaskStatus, incarnation: int) -> None:
-        """Add a task that the worker has accepted, unless already listed.
-
-        incarnation is the one of the list when the start was sent.
-        """
+    def note_started(self, status: pb.TaskStatus) -> None:
+        """Add a task that the worker has accepted, unless already listed."""
         # A report that the worker sent later, even one with the task's end,
-        # may have been applied already.  The worker does not repeat it.  If
-        # the worker restarted, the task is lost unless a report lists it.
+        # may have been applied already.  The worker does not repeat it.
         with self.lock:
-            if incarnation == self.incarnation:
-                self.tasks.setdefault(status.task_id, status)
+            self.tasks.setdefault(status.task_id, status)
 
     def note_stopped(self, task_id: str, answer: pb.TaskReply) -> bool:
         """Apply the answer to a stop; return whether it changed a task."""
--- a/sycamorefield/workerlink.py
+++ b/sycamorefield/workerlink.py
@@ -348,7 +348,6 @@
                 self.release(task_id)
                 self.cell.note_not_started(self, placed, UNWANTED)
                 continue
-            incarnation = self.task_list.incarnation
             answer = self._call_start(placed)
             if answer is None:
                 all_answered = False
@@ -358,7 +357,7 @@
                     task_id=task_id, job_id=placed.job_id,
                     state=answer.state or tasklist.RUNNING,
                     progress=answer.progress,
-                    declared=_resources(placed.work.demand)), incarnation)
+                    declared=_resources(placed.work.demand)))
                 self.cell.note_started(placed)
                 events.emit(events.TASK_STARTED, job=placed.job_id,
                             worker=self.machine.name, task=task_id,
