Start overdue best-effort jobs at the lowest pace

Cause: what is accepted gets CPU that others leave unused, and a wide task finds too little of it at a time. The only way out were holds: at most one worker in eight, for one task of one job at a time. So the turn of a job came after (jobs without a run) x 1.7 s / 4, whatever their number: a queue with turns whose length nobody bounds, beside a stream that overtakes it.

Change: memory is the only thing that a best-effort task can't share. A job that has waited 10 s and had no run for 2 s gets one at the lowest pace, where memory is free and a tenth of its CPU is. It requests more CPU than is left, so nothing else starts there before it has what the others leave; paces rise by CPU that is left, no further. The number of jobs that wait does not matter any more up to one for each worker. Holds remain for what finds no such worker.

The new test (40 jobs of 9 wide tasks on 32 full workers, at most 3 s without a run each) fails before, in 2 of 2 cases. Tests of holds run with the option off, as without it; those of waits run with it on and off.

--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -175,6 +175,8 @@
     "SF1862", INFO, "job rejected: it could not end in time under load")
 WORKER_HOLD_ENDED = Event(
     "SF1885", INFO, "worker no longer held for an overdue best-effort task")
+STARTED_AT_LOW_PACE = Event(
+    "SF1886", INFO, "task of an overdue best-effort job starts at low pace")
 OVERLOAD_CHANGED = Event(
     "SF1863", INFO, "overload of the fleet began or ended")
 BACKLOG_UNUSABLE = Event(
--- a/sycamorefield/fleet/answers.py
+++ b/sycamorefield/fleet/answers.py
@@ -106,6 +106,9 @@
                 worker.record_change()
                 task.phase = progress.RUNNING
                 task.started_at = now
+            if 0 <= task.pace_percent < 100:
+                fleet.send(worker_id, messages.PaceOrder(
+                    order.task, order.run, task.pace_percent))
 
 
 def record_rejected(fleet: state_mod.FleetState, worker_id: str,
--- a/sycamorefield/fleet/ordering.py
+++ b/sycamorefield/fleet/ordering.py
@@ -69,8 +69,7 @@
     """Return whether a finite best-effort job has waited without a run."""
     return (not state.long_running
             and _has_waited(state, wall_ms, UNSERVED_AFTER_S)
-            and all(task.phase == progress.IDLE
-                    for task in state.all_tasks()))
+            and not state.has_run())
 
 
 def _has_waited(state: progress.JobState, wall_ms: float,
--- a/sycamorefield/fleet/overdueholds.py
+++ b/sycamorefield/fleet/overdueholds.py
@@ -167,7 +167,7 @@
                     if worker.best_effort_hold is None
                     and (given_up is None or worker is not given_up.worker)
                     and placing.allowed(worker, row.service, row.task)
-                    and _fits_without_best_effort(worker, step)),
+                    and _has_cpu_without_best_effort(worker, step)),
                    key=lambda worker: (
                        placing.keeps_tails_low(
                            _tails_without_best_effort(worker), step, model),
@@ -184,9 +184,18 @@
             and task.job is not None and not task.job.final())
 
 
-def _fits_without_best_effort(worker: workerstate.WorkerState,
-                              step: messages.Step) -> bool:
+def fits_without_best_effort(worker: workerstate.WorkerState,
+                             step: messages.Step,
+                             model: interference.InterferenceModel) -> bool:
     """Return whether a task fits once all best-effort runs have ended."""
+    return (_has_cpu_without_best_effort(worker, step)
+            and placing.keeps_tails_low(
+                _tails_without_best_effort(worker), step, model))
+
+
+def _has_cpu_without_best_effort(worker: workerstate.WorkerState,
+                                 step: messages.Step) -> bool:
+    """Return whether a task has capacity once best-effort runs have ended."""
     cpu = placing.available_best_effort_cpu(worker) + worker.best_effort_cpu
     free = worker.free_capacity()
     for task in worker.tasks.values():
--- a/sycamorefield/fleet/pacer.py
+++ b/sycamorefield/fleet/pacer.py
@@ -74,7 +74,7 @@
             if (task.step.target_ms and row.percent >= 100
                     and row.figure > 0):
                 self._record_tail(worker, row, task, best_effort_usage, now)
-        if not placing.is_saturated(worker):
+        if placing.cpu_left_by_paces(worker) >= 0:
             for tail in worker.tail_latencies:
                 self.model.observe(tail, best_effort_usage)
         worker.over_reports = pacing.reports_over_target(worker.over_reports,
@@ -87,7 +87,8 @@
             [pacing.PacedRun(task.step.image, task.step.room.cpu / 1000.0,
                              row.figure / 1000.0, task.pace_percent)
              for row, task in best_effort_runs],
-            worker.over_reports, may_raise, self.model)
+            worker.over_reports, may_raise, self.model,
+            placing.cpu_left_by_paces(worker) / 1000.0)
         tasks = [task for _, task in best_effort_runs]
         self._send_paces(worker, tasks, next_paces, now)
         self._repeat_uncertain(worker, tasks, now)
--- a/sycamorefield/fleet/pacing.py
+++ b/sycamorefield/fleet/pacing.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+import math
 
 from sycamorefield.fleet import interference
 
@@ -48,10 +49,12 @@
                runs: list[PacedRun],
                reports_over: int,
                may_raise: bool,
-               model: interference.InterferenceModel) -> list[int]:
+               model: interference.InterferenceModel,
+               unused_cores: float = math.inf) -> list[int]:
     """Return the next pace of each run, in percent (0 to 100).
 
-    The current pace of a run is negative if it is unknown.
+    The current pace of a run is negative if it is unknown.  Raises use at
+    most the unused cores.
     """
     over_ratio = [tail for tail in tails if tail.ratio >= THROTTLE_AT_RATIO
                   and tail.disturbance() >= interference.MIN_DISTURBANCE]
@@ -61,7 +64,7 @@
     if over_ratio:
         return _throttle(over_ratio, runs, model)
     if may_raise:
-        return _raise_paces(tails, runs, model)
+        return _raise_paces(tails, runs, model, unused_cores)
     return [_known_pace(run.pace_percent) for run in runs]
 
 
@@ -101,19 +104,29 @@
             for percent in paces]
 
 
+def _possible_raise(run: PacedRun, unused_cores: float) -> int:
+    """Return by how much unused cores allow to raise a pace, in percent."""
+    most = min(MAX_RAISE_PERCENT, 100 - run.pace_percent)
+    if run.demand_cores * most <= 100.0 * unused_cores:
+        return most
+    return max(0, int(100.0 * unused_cores / run.demand_cores))
+
+
 def _raise_paces(tails: list[interference.TailLatency], runs: list[PacedRun],
-                 model: interference.InterferenceModel) -> list[int]:
-    """Raise paces as far as all expected tail latencies allow."""
+                 model: interference.InterferenceModel,
+                 unused_cores: float) -> list[int]:
+    """Raise paces as far as tail latencies and unused cores allow."""
     paces = []
     expected_tails = [dataclasses.replace(tail) for tail in tails]
     for run in runs:
         pace_percent = run.pace_percent
         if 0 <= pace_percent < 100:
-            raise_percent = min(MAX_RAISE_PERCENT, 100 - pace_percent)
+            raise_percent = _possible_raise(run, unused_cores)
             cores = run.demand_cores * raise_percent / 100.0
-            if model.keeps_tails_below(expected_tails, run.image, cores,
-                                       TARGET_RATIO):
+            if raise_percent and model.keeps_tails_below(
+                    expected_tails, run.image, cores, TARGET_RATIO):
                 pace_percent += raise_percent
+                unused_cores -= cores
                 model.add_expected_utilisation(expected_tails, run.image,
                                                cores)
         paces.append(_known_pace(pace_percent))
--- a/sycamorefield/fleet/placing.py
+++ b/sycamorefield/fleet/placing.py
@@ -31,9 +31,15 @@
             - worker.best_effort_cpu)
 
 
-def is_saturated(worker: workerstate.WorkerState) -> bool:
-    """Return whether best-effort tasks request more CPU than is unused."""
-    return available_best_effort_cpu(worker) < 0
+def cpu_left_by_paces(worker: workerstate.WorkerState) -> float:
+    """Return the CPU that best-effort runs leave unused at their paces.
+
+    In thousandths of a core; negative if they request more than is unused.
+    """
+    return available_best_effort_cpu(worker) + sum(
+        task.step.room.cpu * (100 - task.pace_percent) / 100.0
+        for task in worker.tasks.values()
+        if task.step.fills and task.pace_percent >= 0)
 
 
 def allowed(worker: workerstate.WorkerState, service: str,
@@ -77,11 +83,12 @@
 
 def keeps_tails_low(tails: typing.Iterable[interference.TailLatency],
                     step: messages.Step,
-                    model: interference.InterferenceModel) -> bool:
-    """Return whether tail latencies allow a task beside them."""
+                    model: interference.InterferenceModel,
+                    pace_share: float = 1.0) -> bool:
+    """Return whether tail latencies allow a task beside them at a pace."""
     return (not step.fills or not model.limit_tails
             or model.keeps_tails_below(
-                tails, step.image, step.room.cpu / 1000.0,
+                tails, step.image, pace_share * step.room.cpu / 1000.0,
                 MAX_TAIL_LATENCY_RATIO))
 
 
--- a/sycamorefield/fleet/policy.py
+++ b/sycamorefield/fleet/policy.py
@@ -42,6 +42,9 @@
     # drains.py: runs that cannot end before their worker leaves are moved to
     # other workers.  Fewer runs are lost, but urgent tasks find less capacity.
     move_from_draining_workers: bool = False
+    # lowpacestarts.py: best-effort jobs that are overdue and have no run get
+    # one at the lowest pace.
+    start_overdue_at_low_pace: bool = True
     # ordering.py: jobs that can still finish on time go before late ones.
     rank_by_lateness: bool = True
     # workerstate.py: the number of unsent starts per worker is limited.
--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import json
+import math
 import typing
 
 import msgspec
@@ -247,6 +248,8 @@
         self.known_at = 0.0
         # When a round first found a step that was due, or 0.
         self.first_ready_at = 0.0
+        # When a round last found a run beside a waiting best-effort task.
+        self.had_run_at = -math.inf
         # Since when a long-running task that has run is down, or 0.
         self.down_since = 0.0
         # For how long it was when the progress was last written, and when
@@ -367,6 +370,10 @@
         for states in self.tasks.values():
             yield from states
 
+    def has_run(self) -> bool:
+        """Return whether a task of the job has a run, begun or ordered."""
+        return any(task.phase != IDLE for task in self.all_tasks())
+
     def step_done(self, occurrence: int, step: int) -> bool:
         """Return whether all tasks of a step have succeeded."""
         step_index = (occurrence, step)
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -9,10 +9,12 @@
 from sycamorefield.fleet import freeing
 from sycamorefield.fleet import gangs
 from sycamorefield.fleet import headroom
+from sycamorefield.fleet import lowpacestarts
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import ordering
 from sycamorefield.fleet import overdueholds
 from sycamorefield.fleet import pacer
+from sycamorefield.fleet import pacing
 from sycamorefield.fleet import placement_cache
 from sycamorefield.fleet import placing
 from sycamorefield.fleet import preemption
@@ -91,6 +93,8 @@
         self.unproven_tasks: frozenset[messages.TaskId] = frozenset()
         # Overdue best-effort tasks that this round leaves waiting.
         self.overdue: list[overdueholds.OverdueTask] = []
+        self.low_pace_starts = lowpacestarts.LowPaceStarts(
+            fleet.interference_model)
 
     def place_step(self, state: progress.JobState, occurrence: int,
                    number: int) -> bool:
@@ -247,14 +251,35 @@
         self.fleet.overdue_holds.beside_high_tails.add(task.task)
         return True
 
+    def _start_at_low_pace(self, state: progress.JobState,
+                           task: progress.TaskState,
+                           eligible: eligibleworkers.EligibleWorkers) -> bool:
+        """Start a task of an overdue job without a run at the lowest pace."""
+        worker = self.low_pace_starts.choose(
+            task, eligible.service, eligible.workers)
+        if worker is None:
+            return False
+        lowpacestarts.log_start(task.task, worker, task.step)
+        self.start(state, task, worker, eligible)
+        task.pace_percent = pacing.MIN_PACE_PERCENT
+        task.slowed_at = self.now
+        return True
+
     def _note_overdue(self, state: progress.JobState,
                       task: progress.TaskState,
                       eligible: eligibleworkers.EligibleWorkers) -> None:
         """Note a best-effort task that fits nowhere if it is overdue."""
-        if not (task.step.fills and self.fleet.overdue_holds.may_search(
-                task, len(self.usable_workers), self.now)):
+        if not task.step.fills:
             return
+        if state.has_run():
+            state.had_run_at = self.now
         unserved = ordering.is_unserved(state, self.wall_ms)
+        if (unserved and lowpacestarts.is_due(state, self.policy, self.now)
+                and self._start_at_low_pace(state, task, eligible)):
+            return
+        if not self.fleet.overdue_holds.may_search(
+                task, len(self.usable_workers), self.now):
+            return
         if unserved or ordering.needs_hold(
                 state, self.queues.get(state.job.queue), self.wall_ms,
                 self.now, self.fleet.run_times):
--- a/tests/test_fleet_best_effort_overload.py
+++ b/tests/test_fleet_best_effort_overload.py
@@ -15,6 +15,7 @@
 from sycamorefield.fleet import ordering
 from sycamorefield.fleet import overdueholds
 from sycamorefield.fleet import pacing
+from sycamorefield.fleet import policy as policy_mod
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import weights
 from tests import admissionload
@@ -225,16 +226,20 @@
 MAX_HELD_S = 10.0
 
 
+# Overdue jobs wait for a held worker.
+HOLDS_ONLY = policy_mod.Policy(start_overdue_at_low_pace=False)
+
+
 class StaggeredLoad:
     """A fleet full of narrow best-effort tasks of about 3 s.
 
     They end one after another.
     """
 
-    def __init__(self, workers):
+    def __init__(self, workers, policy=policy_mod.Policy()):
         self.ends_per_step = max(1, workers // 4)
         self.bench = test_fleet_state.Bench(
-            *(fleetfakes.entry(n) for n in range(workers)))
+            *(fleetfakes.entry(n) for n in range(workers)), policy=policy)
         self.bench.add(fleetfakes.job("narrow", NARROW, accepted_ms=WALL_MS))
         self.runs = []
         self.ends = collections.Counter()
@@ -300,20 +305,22 @@
         return math.inf
 
 
+@pytest.mark.parametrize("policy", [policy_mod.Policy(), HOLDS_ONLY],
+                         ids=["low pace", "holds only"])
 @pytest.mark.parametrize("workers", [4, 17])
-def test_wide_overdue_task_is_not_passed_by_narrow_ones(workers):
+def test_wide_overdue_task_is_not_passed_by_narrow_ones(workers, policy):
     """Guards against a wide task that waits while CPU becomes free in parts.
 
     Narrower tasks took each part of it.
     """
-    load = StaggeredLoad(workers)
+    load = StaggeredLoad(workers, policy)
     load.add_wide("wide")
     assert load.wait_for("wide") <= MAX_HELD_S
 
 
 def test_other_workers_serve_narrow_tasks_beside_a_hold():
     """Guards against holds that leave too many workers unused."""
-    load = StaggeredLoad(16)
+    load = StaggeredLoad(16, HOLDS_ONLY)
     for number in range(8):
         load.add_wide(f"wide{number}", cpu=3700)
     while not load.bench.state.overdue_holds.by_task:
@@ -333,7 +340,7 @@
 def test_workers_are_held_only_for_overdue_tasks_that_can_fit(
         waited_s, cpu, held):
     """Guards against workers that are held in vain."""
-    load = StaggeredLoad(4)
+    load = StaggeredLoad(4, HOLDS_ONLY)
     load.add_wide("wide", cpu, waited_s)
     load.pass_period()
     [task] = load.bench.state.jobs["wide"].tasks[0, 0]
@@ -343,7 +350,7 @@
 
 def test_worker_that_stays_full_is_given_up_for_another_one():
     """Guards against a task that waits for one worker for ever."""
-    load = StaggeredLoad(4)
+    load = StaggeredLoad(4, HOLDS_ONLY)
     load.add_wide("wide")
     holds = load.bench.state.overdue_holds
     while not holds.by_task:
@@ -365,7 +372,7 @@
 @pytest.mark.parametrize("workers", [8, 17, 33])
 def test_worker_is_held_where_tail_latencies_allow_the_task(workers):
     """Guards against holds of workers that the task may not use."""
-    load = StaggeredLoad(workers)
+    load = StaggeredLoad(workers, HOLDS_ONLY)
     load.disturb(f"i-{number}" for number in range(workers - 1))
     load.add_wide("wide")
     assert load.wait_for("wide") <= MAX_HELD_S
@@ -382,7 +389,7 @@
 
     It starts at the lowest pace, so that the serving tasks are safe.
     """
-    load = StaggeredLoad(workers)
+    load = StaggeredLoad(workers, HOLDS_ONLY)
     load.disturb(f"i-{number}" for number in range(workers))
     load.add_wide("wide", waited_s=UNSERVED_S)
     assert load.wait_for("wide") <= FINISH_S - UNSERVED_S
@@ -397,9 +404,11 @@
     assert paces and max(paces) <= pacing.MIN_PACE_PERCENT
 
 
-def test_each_job_without_a_run_begins_beside_older_ones():
+@pytest.mark.parametrize("policy", [policy_mod.Policy(), HOLDS_ONLY],
+                         ids=["low pace", "holds only"])
+def test_each_job_without_a_run_begins_beside_older_ones(policy):
     """Guards against jobs that wait for all tasks of older jobs."""
-    load = StaggeredLoad(32)
+    load = StaggeredLoad(32, policy)
     load.add_jobs(1, 400, 60.0)
     load.add_jobs(12, 8, UNSERVED_S)
     waited_s = {f"{UNSERVED_S:.0f}-{number}": math.inf
@@ -413,9 +422,11 @@
     assert max(waited_s.values()) <= FINISH_S - UNSERVED_S
 
 
-def test_job_without_a_run_is_served_one_task_at_a_time():
+@pytest.mark.parametrize("policy", [policy_mod.Policy(), HOLDS_ONLY],
+                         ids=["low pace", "holds only"])
+def test_job_without_a_run_is_served_one_task_at_a_time(policy):
     """Guards against jobs on time that wait for all tasks of late ones."""
-    load = StaggeredLoad(32)
+    load = StaggeredLoad(32, policy)
     load.add_jobs(1, 400, UNSERVED_S)
     started = []
     for _ in range(30):
@@ -427,7 +438,7 @@
 @pytest.mark.parametrize(("workers", "most"), [(8, 1), (32, 4)])
 def test_workers_are_held_for_jobs_in_turn(workers, most):
     """Guards against a job whose tasks are held for before other jobs."""
-    load = StaggeredLoad(workers)
+    load = StaggeredLoad(workers, HOLDS_ONLY)
     for number in range(6):
         load.bench.add(fleetfakes.job(
             f"wide{number}", messages.Step(
@@ -452,7 +463,7 @@
 def test_end_of_a_hold_is_logged(monkeypatch, disturbed, cancelled, expected):
     """Guards against holds of which a log does not tell what they gave."""
     emitted = []
-    load = StaggeredLoad(4)
+    load = StaggeredLoad(4, HOLDS_ONLY)
     monkeypatch.setattr(events, "emit", lambda event, **fields: (
         event is events.WORKER_HOLD_ENDED and emitted.append(
             (fields["reason"], fields["beside_high_tails"]))))
@@ -470,7 +481,7 @@
 def test_workers_are_not_searched_in_each_round_for_a_task_too_wide(
         monkeypatch):
     """Guards against an owner that is busy with searches in vain."""
-    load = StaggeredLoad(4)
+    load = StaggeredLoad(4, HOLDS_ONLY)
     load.add_wide("wide", cpu=3900)
     searches = []
     monkeypatch.setattr(
--- /dev/null
+++ b/tests/test_fleet_low_pace_starts.py
@@ -0,0 +1,196 @@
+"""Test starts of overdue best-effort jobs at the lowest pace."""
+
+import math
+
+import pytest
+
+from sycamorefield.fleet import answers
+from sycamorefield.fleet import besteffortbacklog
+from sycamorefield.fleet import interference
+from sycamorefield.fleet import messages
+from sycamorefield.fleet import pacing
+from sycamorefield.fleet import placing
+from sycamorefield.fleet import policy as policy_mod
+from sycamorefield.fleet import progress
+from sycamorefield.fleet import rounds
+from tests import fleetfakes
+from tests import test_fleet_best_effort_overload as overload
+from tests import test_fleet_state
+
+WALL_MS = overload.WALL_MS
+# The platform's bound for a job with nothing running while a task could run.
+MAX_IDLE_S = 3.0
+OBSERVED_S = 30.0
+WIDE_CPU = 3500
+
+
+def add_overdue(bench, name, tasks=1, cpu=WIDE_CPU, mem_mb=10,
+                waited_s=overload.UNSERVED_S):
+    """Add a best-effort job that was accepted some time ago."""
+    bench.add(fleetfakes.job(
+        name, messages.Step(tasks, messages.Resources(cpu, mem_mb), 4000,
+                            fills=True, image="b"),
+        accepted_ms=WALL_MS - waited_s * 1000.0), 30)
+
+
+def has_run(job):
+    return any(task.phase != progress.IDLE for task in job.all_tasks())
+
+
+@pytest.mark.parametrize("count", [12, 40])
+def test_overdue_jobs_are_not_without_a_run_for_long(count):
+    """Guards against wide jobs that wait in turn for a few held workers."""
+    load = overload.StaggeredLoad(32)
+    names = [f"wide{number}" for number in range(count)]
+    for name in names:
+        add_overdue(load.bench, name, tasks=9)
+    began_at = load.bench.now
+    ran_at = dict.fromkeys(names, began_at)
+    while load.bench.now < began_at + OBSERVED_S:
+        load.step()
+        now = load.bench.now
+        for name in names:
+            job = load.bench.state.jobs[name]
+            if job.final() or has_run(job):
+                ran_at[name] = now
+        assert now - min(ran_at.values()) <= MAX_IDLE_S
+
+
+class BusyWorker:
+    """A worker of 4 cores of which narrow best-effort runs use all but 0.8."""
+
+    def __init__(self, unused=800, policy=policy_mod.Policy()):
+        self.bench = test_fleet_state.Bench(
+            fleetfakes.entry(0, 4000), policy=policy)
+        self.bench.add(fleetfakes.job("narrow", messages.Step(
+            4, messages.Resources((4000 - unused) // 4, 10), 4000,
+            fills=True, image="a"), accepted_ms=WALL_MS))
+        assert len(self.bench.place(WALL_MS)) == 4
+        self.ends = 0
+
+    @property
+    def worker(self):
+        return self.bench.state.workers["i-0"]
+
+    def paces(self, name):
+        """Return the paces that a job's runs have been ordered."""
+        return [order.percent for _, order in self.bench.orders
+                if isinstance(order, messages.PaceOrder)
+                and order.task.job_id == name]
+
+    def end_narrow(self):
+        """End a narrow run."""
+        name = next(str(task) for task, _ in self.worker.tasks
+                    if task.job_id == "narrow")
+        self.ends += 1
+        self.bench.end("i-0", name, self.ends, messages.DONE)
+
+    def report(self):
+        self.bench.now += pacing.RAISE_INTERVAL_S
+        self.bench.report("i-0", [
+            messages.RunningTask(*run, "", 0) for run in self.worker.tasks])
+
+
+@pytest.mark.parametrize(("fields", "starts"), [
+    ({}, True), ({"waited_s": 9.9}, False), ({"mem_mb": 10**6}, False),
+    ({"cpu": 4100}, False)],
+    ids=["overdue", "not overdue", "no memory", "wider than the worker"])
+def test_only_overdue_jobs_that_have_memory_start_at_low_pace(fields, starts):
+    """Guards against starts that make a worker serve its other runs late."""
+    busy = BusyWorker()
+    add_overdue(busy.bench, "wide", **fields)
+    assert bool(busy.bench.place(WALL_MS)) is starts
+    assert busy.paces("wide") == [pacing.MIN_PACE_PERCENT] * starts
+
+
+def test_jobs_with_a_run_start_nothing_at_low_pace():
+    """Guards against overdue jobs that keep all workers from others."""
+    busy = BusyWorker()
+    add_overdue(busy.bench, "wide", tasks=9)
+    assert len(busy.bench.place(WALL_MS)) == 1
+    assert not busy.bench.place(WALL_MS)
+
+
+def test_each_worker_gets_one_run_at_low_pace_at_a_time():
+    """Guards against runs at low pace that keep each other from CPU."""
+    busy = BusyWorker()
+    for number in range(3):
+        add_overdue(busy.bench, f"wide{number}", cpu=2000)
+    assert len(busy.bench.place(WALL_MS)) == 1
+    assert not busy.bench.place(WALL_MS)
+
+
+def test_pace_rises_only_with_the_cpu_that_others_leave():
+    """Guards against runs that take CPU from serving and best-effort ones."""
+    busy = BusyWorker()
+    add_overdue(busy.bench, "wide")
+    busy.bench.place(WALL_MS)
+    [task] = busy.bench.state.jobs["wide"].tasks[0, 0]
+    while task.pace_percent < 100:
+        busy.report()
+        assert placing.cpu_left_by_paces(busy.worker) >= 0.0
+        if any(name.job_id == "narrow" for name, _ in busy.worker.tasks):
+            busy.end_narrow()
+        assert not busy.bench.place(WALL_MS)
+    assert len(set(busy.paces("wide"))) > 2
+
+
+def test_pace_is_ordered_if_a_report_comes_before_the_answer_of_the_start():
+    """Guards against a run at full pace that counts as one at low pace."""
+    busy = BusyWorker(unused=380)
+    add_overdue(busy.bench, "wide")
+    before = len(busy.bench.orders)
+    rounds.place(busy.bench.state, busy.bench.now, WALL_MS)
+    [(_, order)] = busy.bench.orders[before:]
+    busy.bench.report("i-0", [
+        messages.RunningTask(*run, "", 0) for run in busy.worker.tasks])
+    answers.record_started(busy.bench.state, "i-0", order, busy.bench.now)
+    assert busy.paces("wide")[:1] == [pacing.MIN_PACE_PERCENT]
+
+
+@pytest.mark.parametrize(("load", "starts"), [(0.7, True), (0.78, False)])
+def test_tail_latencies_must_allow_the_lowest_pace(load, starts):
+    """Guards against starts beside serving tasks that suffer at any pace."""
+    busy = BusyWorker()
+    model = busy.bench.state.interference_model
+    model.fits["serving"] = overload.weights.WeightFit({"b": 0.2})
+    busy.worker.tail_latencies = [interference.TailLatency(
+        "serving", 0.67, 0.12, load, load, load)]
+    add_overdue(busy.bench, "wide")
+    assert bool(busy.bench.place(WALL_MS)) is starts
+
+
+@pytest.mark.parametrize(("demands", "paces", "unused", "expected"), [
+    ((4.0,), (10,), math.inf, [60]), ((4.0,), (10,), 1.0, [35]),
+    ((4.0,), (10,), 0.0, [10]), ((4.0,), (10,), -1.0, [10]),
+    ((4.0, 2.0), (10, 10), 2.5, [60, 35])],
+    ids=["no limit", "in part", "none", "overcommitted", "shared"])
+def test_raised_paces_use_at_most_the_unused_cores(
+        demands, paces, unused, expected):
+    """Guards against best-effort runs that request more CPU than is left."""
+    runs = [pacing.PacedRun("b", demand, 0.0, pace)
+            for demand, pace in zip(demands, paces)]
+    assert pacing.next_paces([], runs, 0, True,
+                             interference.InterferenceModel(),
+                             unused) == expected
+
+
+@pytest.mark.parametrize(("pace", "served"), [
+    (100, 2000.0), (10, 200.0), (0, 0.0), (-1, 2000.0)])
+def test_cpu_served_follows_the_paces_of_runs(pace, served):
+    """Guards against accepting jobs by runs that make no progress."""
+    state = progress.JobState(fleetfakes.job("j", overload.STEP), 1)
+    state.create_tasks(0)
+    for task in state.tasks[0, 0]:
+        task.phase, task.pace_percent = progress.RUNNING, pace
+    work = besteffortbacklog.BestEffortWork()
+    work.add_job(overload.QUEUE, state, None)
+    assert work.running_cpu == {("desk", "a"): served}
+
+
+@pytest.mark.parametrize("name", ["pace_filling", "start_overdue_at_low_pace"])
+def test_nothing_starts_at_low_pace_if_paces_do_not_rise(name):
+    """Guards against runs that stay at the lowest pace."""
+    busy = BusyWorker(policy=policy_mod.Policy(**{name: False}))
+    add_overdue(busy.bench, "wide")
+    assert not busy.bench.place(WALL_MS)
