Count best-effort CPU as served only as far as paces let runs work

What callers saw: none reported; runs that are paused or paced down counted as CPU served, so admission promised more than the fleet gave.

Cause: BestEffortWork added the requested CPU of each run.

--- a/sycamorefield/fleet/besteffortbacklog.py
+++ b/sycamorefield/fleet/besteffortbacklog.py
@@ -42,8 +42,9 @@
     waiting_cpu_s: collections.defaultdict[ImageClass, float] = (
         dataclasses.field(
             default_factory=lambda: collections.defaultdict(float)))
-    running_cpu: collections.Counter[tuple[str, str]] = dataclasses.field(
-        default_factory=collections.Counter)
+    running_cpu: collections.defaultdict[tuple[str, str], float] = (
+        dataclasses.field(
+            default_factory=lambda: collections.defaultdict(float)))
 
     def add_job(self, queue: messages.Queue, state: progress.JobState,
                 known: backlog_mod.RunBounds | None) -> None:
@@ -54,14 +55,13 @@
         """
         if not any(step.fills for step in state.job.steps):
             return
-        has_run = any(task.phase != progress.IDLE
-                      for task in state.all_tasks())
+        has_run = state.has_run()
         for (occurrence, number), tasks in state.tasks.items():
             step = state.job.steps[number]
             if step.perpetual or not step.fills:
                 continue
-            self.running_cpu[queue.service, step.image] += step.room.cpu * sum(
-                task.phase == progress.RUNNING for task in tasks)
+            self.running_cpu[queue.service, step.image] += (
+                step.room.cpu * _paced_runs(tasks))
             if has_run and not state.step_ready(occurrence, number):
                 continue
             waiting = sum(task.phase == progress.IDLE and not task.done
@@ -73,6 +73,12 @@
                     waiting * step.room.cpu * task_s / 1000.0)
 
 
+def _paced_runs(tasks: list[progress.TaskState]) -> float:
+    """Return the number of runs, each as far as its pace lets it work."""
+    return sum((task.pace_percent if task.pace_percent >= 0 else 100)
+               for task in tasks if task.phase == progress.RUNNING) / 100.0
+
+
 class BestEffortMeter:
     """Follow the CPU that each service gives to the tasks of each image."""
 
