Estimate what is served to waiting best-effort work by the mean

Of the jobs that were accepted, a tenth was never shown as completed in time.

Cause: admission took the most CPU of the last 10 s, by image, as what will be served, and the sum of these maxima, reached one after another, as what all images get together. A fleet on which work waits all the time gives what it can: the mean is its rate.

Change: the mean where work of the image waited in each sample, otherwise the most at a time as before (a moment without demand must not count as a slow fleet); all images together are measured as a sum at a time.

The test of what was served lately let work wait all the time, and so stated the fault; its case (a moment without demand) now has one. It is as strict: 20 cores after the moment, 2 once the window has passed. Two new tests fail before: the mean, and the sum of two images.

--- a/sycamorefield/fleet/besteffortbacklog.py
+++ b/sycamorefield/fleet/besteffortbacklog.py
@@ -8,15 +8,15 @@
 
 import collections
 import dataclasses
+import statistics
 import typing
 
 from sycamorefield.fleet import backlog as backlog_mod
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import progress
-from sycamorefield.fleet import recentrange
 
-# The CPU served is the most of this time: a moment of little demand, or of
-# high load by other tasks, must not count as a slow fleet.
+# The CPU served is that of this time: a moment of little demand, or of high
+# load by other tasks, must not count as a slow fleet.
 SERVED_WINDOW_S = 10.0
 # The least share of a service's CPU that counts as served to an image.
 # Otherwise nothing could be accepted of an image that has not run yet.
@@ -79,11 +79,40 @@
                for task in tasks if task.phase == progress.RUNNING) / 100.0
 
 
+class ServedCpu:
+    """The CPU of runs in the last seconds."""
+
+    def __init__(self) -> None:
+        self.values: collections.deque[tuple[float, float, bool]] = (
+            collections.deque())
+
+    def add(self, cpu: float, has_waiting: bool, now: float) -> None:
+        """Add the CPU of runs at a time, and whether work waited then."""
+        self.values.append((now, cpu, has_waiting))
+        while self.values[0][0] < now - SERVED_WINDOW_S:
+            self.values.popleft()
+
+    def rate(self) -> float:
+        """Return what the fleet serves while work waits.
+
+        If none waited at some time, more may be possible than was served: the
+        most at a time counts.
+        """
+        if not self.values:
+            return 0.0
+        if all(has_waiting for _, _, has_waiting in self.values):
+            return statistics.fmean(cpu for _, cpu, _ in self.values)
+        return max(cpu for _, cpu, _ in self.values)
+
+
 class BestEffortMeter:
     """Follow the CPU that each service gives to the tasks of each image."""
 
     def __init__(self) -> None:
-        self.served_cpu: dict[tuple[str, str], recentrange.RecentRange] = {}
+        # By service and image, and by service alone (None).
+        self.served: collections.defaultdict[
+            tuple[str, str | None], ServedCpu] = collections.defaultdict(
+                ServedCpu)
 
     def measure(self, work: BestEffortWork, listed_cpu: dict[str, int],
                 now: float) -> tuple[backlog_mod.BestEffortLoad, ...]:
@@ -115,19 +144,25 @@
             cpu_s for key, cpu_s in work.waiting_cpu_s.items()
             if key.service == service and key.priority <= priority
             and image in (None, key.image))
-        served = sum(
-            recent.highest() for key, recent in self.served_cpu.items()
-            if key[0] == service and image in (None, key[1]))
+        served = self.served[service, image].rate()
         return backlog_mod.BestEffortLoad(
             service, image, priority,
             round(min(waiting_cpu_s, backlog_mod.MAX_AMOUNT), 1),
             round(max(served, min_served, MIN_SERVED_CPU) / 1000.0, 1))
 
     def _update_served(self, work: BestEffortWork, now: float) -> None:
-        for key, cpu in work.running_cpu.items():
-            self.served_cpu.setdefault(
-                key, recentrange.RecentRange(SERVED_WINDOW_S)).add(cpu, now)
-        for key in list(self.served_cpu):
-            if key not in work.running_cpu:
+        running: collections.defaultdict[
+            tuple[str, str | None], float] = collections.defaultdict(float)
+        waiting: set[tuple[str, str | None]] = set()
+        for (service, image), cpu in work.running_cpu.items():
+            running[service, image] += cpu
+            running[service, None] += cpu
+        for key, cpu_s in work.waiting_cpu_s.items():
+            if cpu_s > 0.0:
+                waiting |= {(key.service, key.image), (key.service, None)}
+        for scope in running:
+            self.served[scope].add(running[scope], scope in waiting, now)
+        for scope in list(self.served):
+            if scope not in running:
                 # No job of the image is left.
-                del self.served_cpu[key]
+                del self.served[scope]
--- a/tests/test_fleet_best_effort_overload.py
+++ b/tests/test_fleet_best_effort_overload.py
@@ -164,21 +164,51 @@
     assert sum(work.waiting_cpu_s.values()) == waiting_cpu_s
 
 
-def test_what_was_served_lately_counts():
-    """Guards against a slow fleet by a moment without demand."""
-    meter = besteffortbacklog.BestEffortMeter()
-    key = besteffortbacklog.ImageClass("desk", "a", 2)
+class Meter:
+    """A meter of best-effort work of a service with 100 cores."""
+
+    def __init__(self):
+        self.meter = besteffortbacklog.BestEffortMeter()
+
+    def served(self, running, waiting, now):
+        """Measure CPU of runs and waiting core-seconds, each by image.
 
-    def measure(running, now):
+        Return the cores served, by image; that of all of them as None.
+        """
         work = besteffortbacklog.BestEffortWork()
-        work.waiting_cpu_s[key] = 100.0
-        work.running_cpu["desk", "a"] = running
-        loads = meter.measure(work, {"desk": 100_000}, now)
-        return [load.served_cores for load in loads if load.image == "a"]
-
-    assert measure(20_000, 100.0) == [20.0]
-    assert measure(0, 105.0) == [20.0]
-    assert measure(0, 111.0) == [2.0]
+        for image, cpu in running.items():
+            work.running_cpu["desk", image] = cpu
+        for image, cpu_s in waiting.items():
+            work.waiting_cpu_s[
+                besteffortbacklog.ImageClass("desk", image, 2)] = cpu_s
+        loads = self.meter.measure(work, {"desk": 100_000}, now)
+        return {load.image: load.served_cores for load in loads}
+
+
+def test_what_was_served_lately_counts():
+    """Guards against a slow fleet by a moment without demand."""
+    meter = Meter()
+    assert meter.served({"a": 20_000}, {"a": 100.0}, 100.0)["a"] == 20.0
+    assert not meter.served({"a": 0}, {}, 104.0)
+    assert meter.served({"a": 0}, {"a": 100.0}, 105.0)["a"] == 20.0
+    assert meter.served({"a": 0}, {"a": 100.0}, 115.0)["a"] == 2.0
+
+
+def test_what_was_served_for_a_moment_is_not_promised_while_work_waits():
+    """Guards against accepting by the best moment of a full fleet."""
+    meter = Meter()
+    for second, running in enumerate((20_000, 10_000, 10_000, 0)):
+        served = meter.served({"a": running}, {"a": 100.0}, 100.0 + second)
+    assert served["a"] == 10.0
+
+
+def test_images_are_not_served_at_their_highest_rates_together():
+    """Guards against a sum of rates that were reached one after another."""
+    meter = Meter()
+    waiting = {"a": 100.0, "b": 100.0}
+    meter.served({"a": 20_000, "b": 0}, {}, 100.0)
+    served = meter.served({"a": 0, "b": 20_000}, waiting, 101.0)
+    assert served == {"a": 20.0, "b": 20.0, None: 20.0}
 
 
 @pytest.mark.parametrize(("drain_s", "rejected"), [(5.0, False), (10.0, True)])
