Let the process that started last succeed an owner that stops

Callers saw pauses without starts one after another in a rolling restart: the next owner was often the next process to stop.

Cause: any process may win the free key, after a random delay of 0.08 s at most, so nothing distinguishes a process that has its restart behind it.

Change: a process stores a leased notice (owner/start/NODE, 60 s, not renewed) once it can claim. The revisions of the notices order the starts. After a planned release, recorded in the release's own transaction (owner/released), the process that started last claims at once and the others leave it the claim for 0.15 s. Nothing changes after an expired lease, a failed term or for offers to take over; a weak VM delays its claim as before and strong ones don't wait for it. The claim is still a compare-and-swap. The policy option prefer_recent_starts switches the notices off.

--- a/sycamorefield/fleet/controlwatcher.py
+++ b/sycamorefield/fleet/controlwatcher.py
@@ -9,6 +9,7 @@
 from sycamorefield.fleet import evacuations as evacuations_mod
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import recentstarts
 from sycamorefield.fleet import records
 from sycamorefield.fleet import relays as relays_mod
 
@@ -33,7 +34,8 @@
     def __init__(self, store: interfaces.Store, config_key: str,
                  decode: DecodeConfiguration,
                  decode_evacuation: evacuations_mod.DecodeEvacuation
-                 = no_evacuations, own_relay_key: str = "") -> None:
+                 = no_evacuations, own_relay_key: str = "",
+                 own_start_key: str = "") -> None:
         self.store = store
         self.config_key = config_key
         self.decode = decode
@@ -51,6 +53,9 @@
         # The owner's request for relays, and the offers of other processes.
         self.relay_request: messages.Item | None = None
         self.relays = relays_mod.RelayDirectory(own_relay_key)
+        self.recent_starts = recentstarts.RecentStarts(own_start_key)
+        # The last release of the owner's key at a planned stop.
+        self.planned_release: messages.Item | None = None
         self.last_answer_at = 0.0
         self.store_reachable = True
         self.owner_changed = threading.Condition()
@@ -65,6 +70,18 @@
         item = self.owner_item
         return None if item is None else item.revision
 
+    def stopped_owner(self) -> bytes:
+        """Return the process whose planned stop left the key free, if any.
+
+        The key and the record of the release change at one revision, unlike
+        when the key expires with its lease.
+        """
+        release = self.planned_release
+        if (self.owner_item is None and release is not None
+                and release.revision == self.owner_revision):
+            return release.value
+        return b""
+
     def run(self) -> None:
         """List and watch the keys until stopped.
 
@@ -96,6 +113,8 @@
             self._apply_configuration(item.key, item)
         self._publish_evacuations()
         self.relays.apply_listing(listing.items)
+        self.recent_starts.apply_listing(listing.items)
+        self.planned_release = items_by_key.get(records.PLANNED_RELEASE_KEY)
         for key in (records.HANDOVER_REQUEST_KEY, records.HANDOVER_OFFER_KEY,
                     records.RELAY_REQUEST_KEY):
             self._set_handover(key, items_by_key.get(key))
@@ -111,7 +130,17 @@
                 # Only a change may advance the revision: a stalled watch
                 # returns empty answers although keys have changed.
                 revision = max(revision, change.revision)
-                self._apply_change(change)
+            self._apply_changes(response.changes)
+
+    def _apply_changes(self, changes: typing.Iterable[messages.Change]
+                       ) -> None:
+        """Apply changes, those of a transaction with the owner's key last.
+
+        Whoever sees the key free must know whether its release was planned.
+        """
+        for change in sorted(changes, key=lambda change: (
+                change.revision, change.key == records.OWNER_KEY)):
+            self._apply_change(change)
 
     def _apply_change(self, change: messages.Change) -> None:
         if change.key == records.OWNER_KEY:
@@ -119,6 +148,9 @@
             return
         self._set_handover(change.key, change.item)
         self.relays.apply_change(change.key, change.item)
+        self.recent_starts.apply_change(change.key, change.item)
+        if change.key == records.PLANNED_RELEASE_KEY:
+            self.planned_release = change.item
         if change.item is None:
             self.evacuations.apply_removal(change.key, change.revision)
         else:
--- a/sycamorefield/fleet/ownership.py
+++ b/sycamorefield/fleet/ownership.py
@@ -13,6 +13,7 @@
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import owner as owner_mod
+from sycamorefield.fleet import recentstarts
 from sycamorefield.fleet import records
 from sycamorefield.fleet import relays
 
@@ -128,13 +129,27 @@
 
     def _claim_wait_s(self) -> float:
         """Return how long to wait before claiming a free key."""
-        wait_s = self.claim_delay_s + random.uniform(0, CLAIM_JITTER_S)
+        jitter_s = random.uniform(0, CLAIM_JITTER_S)
         offer = self.watcher.handover_offer
         if offer is None:
-            return wait_s
+            return self.claim_delay_s + self._recent_start_wait_s(jitter_s)
         if handover.is_offer_by(offer, self.identity):
             return 0.0
-        return wait_s + OFFER_PRIORITY_S
+        return self.claim_delay_s + jitter_s + OFFER_PRIORITY_S
+
+    def _recent_start_wait_s(self, jitter_s: float) -> float:
+        """Return how long to leave the claim to a process started later.
+
+        Only the jitter is left if the key has expired with its lease.  The
+        process that started last claims at once.
+        """
+        stopped = self.watcher.stopped_owner()
+        starts = self.watcher.recent_starts
+        if not stopped:
+            return jitter_s
+        if starts.has_later(self.claim_delay_s, stopped):
+            return jitter_s + recentstarts.RECENT_START_PRIORITY_S
+        return 0.0 if starts.is_announced() else jitter_s
 
     def _claim(self) -> int:
         """Return the fence (the key's new revision), or 0 if another won.
@@ -313,8 +328,8 @@
         """
         try:
             self.store.commit(messages.Transaction(
-                (messages.Expect(records.OWNER_KEY, fence),), (),
-                (records.OWNER_KEY,)))
+                (messages.Expect(records.OWNER_KEY, fence),),
+                self._release_record(), (records.OWNER_KEY,)))
             events.emit(events.OWNERSHIP_RELEASED, fence=fence)
             return True
         except interfaces.Conflict:
@@ -331,6 +346,12 @@
                         where=events.error_location(exc))
         return False
 
+    def _release_record(self) -> tuple[messages.Put, ...]:
+        """Return a record of the release if it is for a planned stop."""
+        if not self.stopped.is_set():
+            return ()
+        return (messages.Put(records.PLANNED_RELEASE_KEY, self.identity),)
+
     def stop(self) -> None:
         """Stop claiming; flush and release the fleet if owned here."""
         self.stopped.set()
--- a/sycamorefield/fleet/policy.py
+++ b/sycamorefield/fleet/policy.py
@@ -50,6 +50,9 @@
     weak_vms_wait: bool = True
     # ownership.py: a process replaces the owner that ran on its VM before.
     replace_predecessor: bool = True
+    # recentstarts.py: the process that started last succeeds an owner that
+    # stops as planned.
+    prefer_recent_starts: bool = True
     # link.py: calls for the first report of a worker that a successor waits
     # for are repeated early.
     repeat_first_calls: bool = True
--- a/sycamorefield/fleet/records.py
+++ b/sycamorefield/fleet/records.py
@@ -20,6 +20,10 @@
 # An owner asks for relays to workers; each relay has a key of its own.
 RELAY_REQUEST_KEY = "owner/relay-request"
 RELAY_PREFIX = "owner/relay/"
+# Each process that has started recently has a key of its own.
+START_PREFIX = "owner/start/"
+# The process that released the owner's key last at a planned stop.
+PLANNED_RELEASE_KEY = "owner/released"
 # A single watch of this prefix covers the operators' keys (op/...) and the
 # owner's keys, so that only one call waits instead of two.
 WATCHED_PREFIX = "o"
@@ -60,6 +64,11 @@
     return RELAY_PREFIX + node
 
 
+def start_key(node: str) -> str:
+    """Return the key of a process's notice that it has started."""
+    return START_PREFIX + node
+
+
 def encode_counts(counts: dict[str, int]) -> bytes:
     """Return the stored form of the numbers of waiting jobs by queue."""
     return json.dumps(counts, sort_keys=True).encode()
--- a/sycamorefield/platform/daemon.py
+++ b/sycamorefield/platform/daemon.py
@@ -19,6 +19,7 @@
 from sycamorefield.fleet import owner as owner_mod
 from sycamorefield.fleet import ownership as ownership_mod
 from sycamorefield.fleet import policy as policy_mod
+from sycamorefield.fleet import recentstarts
 from sycamorefield.fleet import records
 from sycamorefield.fleet import relayoffers
 from sycamorefield.fleet import volunteer as volunteer_mod
@@ -65,7 +66,8 @@
         relay_key = records.relay_key(settings.node)
         self.watcher = controlwatcher.ControlWatcher(
             self.store, configuration.KEY, configuration.decode,
-            configuration.EvacuationDecoder(settings.zones), relay_key)
+            configuration.EvacuationDecoder(settings.zones), relay_key,
+            records.start_key(settings.node))
         self.job_requests = jobrequests_mod.JobRequestHandler(
             self.store, self._store_unresponsive, self.watcher.owner_claim,
             policy.reject_hopeless_jobs)
@@ -77,6 +79,8 @@
         self.ownership = ownership_mod.Ownership(
             self.store, self.watcher, settings.node, self._make_owner,
             claim_delay_s, settings.ip if policy.replace_predecessor else "")
+        self.start_announcement = recentstarts.StartAnnouncement(
+            self.store, self.watcher, self.ownership.identity, claim_delay_s)
         self.volunteer = volunteer_mod.Volunteer(
             self.store, self.watcher, self.ownership.identity,
             reachprobe.TcpReachProbe(),
@@ -162,6 +166,8 @@
         signal.signal(signal.SIGHUP, lambda *_: self.reload())
         servers = self._start_servers()
         targets = [self.watcher.run, self.ownership.run, self.volunteer.run]
+        if self.policy.prefer_recent_starts:
+            targets.append(self.start_announcement.run)
         if self.policy.relay_calls:
             targets.append(self.relay_offers.run)
         if self.policy.forward_requests:
@@ -191,6 +197,7 @@
         events.emit(events.PROCESS_STOPPING)
         self.volunteer.stop()
         self.relay_offers.stop()
+        self.start_announcement.stop()
         handover = _start_thread(self.ownership.stop)
         time.sleep(DRAIN_S)
         server_stops = [_start_thread(server.stop) for server in servers]
