Log by which rule a process waited before its claim

The logs did not show whether a late claim came from the order of starts, an offer to take over, a weak VM or the store.

Change: SF1806 has waited_s, the planned wait, and wait_rule. The details for docs/EVENTS.md are in tools/events_doc.py.

--- a/sycamorefield/fleet/ownership.py
+++ b/sycamorefield/fleet/ownership.py
@@ -1,5 +1,6 @@
 """Elect the owner of the fleet through a leased key in the store."""
 
+import dataclasses
 import functools
 import random
 import threading
@@ -41,6 +42,14 @@
 # answers slowly.
 FAILED_TERM_PAUSE_S = 1.0
 
+# The rules by which a process waits before it claims the key.
+REPLACES_KEY = "key replaced"
+ANY_ORDER = "any order"
+STARTED_LAST = "started last"
+OTHER_STARTED_LATER = "other started later"
+HAS_OFFERED = "has offered"
+OTHER_HAS_OFFERED = "other has offered"
+
 OwnerFactory = typing.Callable[[int], owner_mod.Owner]
 
 
@@ -51,6 +60,14 @@
     return WEAK_VM_CLAIM_DELAY_S
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClaimWait:
+    """How long a process waits before it claims a free key, and why."""
+
+    seconds: float
+    rule: str
+
+
 class Ownership:
     """Claim the owner's key when it is free, then run an Owner.
 
@@ -74,6 +91,8 @@
         self.lease_id = 0
         # When the last call that granted or renewed the lease was sent.
         self.lease_requested_at = 0.0
+        # The wait before the last claim.
+        self.claim_wait = ClaimWait(0.0, REPLACES_KEY)
         self.request_limit = handover.RequestLimit()
         # The fence of the last term that was ended by a handover.
         self.handed_over_fence = 0
@@ -113,8 +132,10 @@
                             and item.revision != self.handed_over_fence):
                         break
                 self.watcher.owner_changed.wait(0.5)
+        self.claim_wait = ClaimWait(0.0, REPLACES_KEY)
         if self.watcher.owner_item is None:
-            self.stopped.wait(self._claim_wait_s())
+            self.claim_wait = self._plan_claim_wait()
+            self.stopped.wait(self.claim_wait.seconds)
 
     def _may_replace(self, item: messages.Item) -> bool:
         """Return whether the holder of the key is known not to act any more.
@@ -129,27 +150,33 @@
 
     def _claim_wait_s(self) -> float:
         """Return how long to wait before claiming a free key."""
+        return self._plan_claim_wait().seconds
+
+    def _plan_claim_wait(self) -> ClaimWait:
         jitter_s = random.uniform(0, CLAIM_JITTER_S)
         offer = self.watcher.handover_offer
         if offer is None:
-            return self.claim_delay_s + self._recent_start_wait_s(jitter_s)
+            return self._plan_wait_by_start(jitter_s)
         if handover.is_offer_by(offer, self.identity):
-            return 0.0
-        return self.claim_delay_s + jitter_s + OFFER_PRIORITY_S
+            return ClaimWait(0.0, HAS_OFFERED)
+        return ClaimWait(self.claim_delay_s + jitter_s + OFFER_PRIORITY_S,
+                         OTHER_HAS_OFFERED)
 
-    def _recent_start_wait_s(self, jitter_s: float) -> float:
-        """Return how long to leave the claim to a process started later.
+    def _plan_wait_by_start(self, jitter_s: float) -> ClaimWait:
+        """Leave the claim to a process started later.
 
         Only the jitter is left if the key has expired with its lease.  The
         process that started last claims at once.
         """
         stopped = self.watcher.stopped_owner()
         starts = self.watcher.recent_starts
-        if not stopped:
-            return jitter_s
-        if starts.has_later(self.claim_delay_s, stopped):
-            return jitter_s + recentstarts.RECENT_START_PRIORITY_S
-        return 0.0 if starts.is_announced() else jitter_s
+        if stopped and starts.has_later(self.claim_delay_s, stopped):
+            return ClaimWait(
+                self.claim_delay_s + jitter_s
+                + recentstarts.RECENT_START_PRIORITY_S, OTHER_STARTED_LATER)
+        if stopped and starts.is_announced():
+            return ClaimWait(self.claim_delay_s, STARTED_LAST)
+        return ClaimWait(self.claim_delay_s + jitter_s, ANY_ORDER)
 
     def _claim(self) -> int:
         """Return the fence (the key's new revision), or 0 if another won.
@@ -178,7 +205,9 @@
             # The call for the lease took longer than its TTL.  The next
             # attempt requests a new lease.
             return 0
-        events.emit(events.OWNERSHIP_CLAIMED, fence=fence, replaced=revision)
+        events.emit(events.OWNERSHIP_CLAIMED, fence=fence, replaced=revision,
+                    waited_s=round(self.claim_wait.seconds, 3),
+                    wait_rule=self.claim_wait.rule)
         self._note_offer()
         return fence
 
--- a/tests/test_fleet_recent_starts.py
+++ b/tests/test_fleet_recent_starts.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from sycamorefield import events
 from sycamorefield.fleet import controlwatcher
 from sycamorefield.fleet import handover
 from sycamorefield.fleet import interfaces
@@ -194,6 +195,46 @@
             >= ownership_mod.OFFER_PRIORITY_S)
 
 
+class LoggedClaim(typing.NamedTuple):
+    """Which process claims after which end of a term, and by which rule."""
+
+    by: str
+    end: typing.Callable[[Process], None]
+    rule: str
+    shortest_s: float
+
+
+@pytest.mark.parametrize("claim", [
+    LoggedClaim("c", release_as_planned, ownership_mod.STARTED_LAST, 0.0),
+    LoggedClaim("a", release_as_planned, ownership_mod.OTHER_STARTED_LATER,
+                PRIORITY_S),
+    LoggedClaim("a", kill, ownership_mod.ANY_ORDER, 0.0),
+    LoggedClaim("c", kill, ownership_mod.ANY_ORDER, 0.0),
+], ids=["started-last", "other-started-later", "expired",
+        "expired-started-last"])
+def test_claim_logs_by_which_rule_it_waited(store, monkeypatch, claim):
+    """Guards against late claims that the logs do not explain."""
+    processes = {name: Process(store, name) for name in "aco"}
+    processes["c"].announcement._announce()
+    owner, successor = processes["o"], processes[claim.by]
+    owner.read_store()
+    owner.ownership._claim()
+    for process in processes.values():
+        process.read_store()
+    revision = store.revision
+    claim.end(owner)
+    successor.see_changes(revision)
+    logged = []
+    monkeypatch.setattr(
+        events, "emit", lambda event, **fields: logged.append(
+            (event, fields.get("wait_rule"), fields.get("waited_s"))))
+    successor.ownership._wait_until_claimable()
+    assert successor.ownership._claim()
+    ((event, rule, waited_s),) = logged
+    assert (event, rule) == (events.OWNERSHIP_CLAIMED, claim.rule)
+    assert waited_s >= claim.shortest_s
+
+
 def test_earlier_planned_release_does_not_delay_claims(store):
     """Guards against waits after a lease that expired in a later term."""
     first, second, recent, other = (Process(store, n) for n in "abcd")
--- a/tools/events_doc.py
+++ b/tools/events_doc.py
@@ -20,7 +20,10 @@
 # What the catalogue does not say of an event.
 DETAILS = {
     "SF1003": "; `unfinished` counts steps of the stop that were cut short",
-    "SF1601": "; an owner that refuses a start"}
+    "SF1601": "; an owner that refuses a start",
+    "SF1806": "; `waited_s` is the wait before the claim, by `wait_rule`: "
+              "`key replaced`, `any order`, `started last`, "
+              "`other started later`, `has offered`, `other has offered`"}
 HEAD = """# Event catalogue
 
 Every process logs one JSON line per event to `<log_dir>/<process>.jsonl`.
