Learn no run time from runs that start at the lowest pace

What callers saw: none reported; found by review.

Cause: a start at the lowest pace left the run measurable. Only a change of the pace ends that, and a run may keep the lowest pace to its end. Its time, up to ten times too long, went into the run times of the queue and into the speed of the worker.

The test fails before.

--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -263,6 +263,7 @@
         self.start(state, task, worker, eligible)
         task.pace_percent = pacing.MIN_PACE_PERCENT
         task.slowed_at = self.now
+        task.measurable = False
         return True
 
     def _note_overdue(self, state: progress.JobState,
--- a/tests/test_fleet_low_pace_starts.py
+++ b/tests/test_fleet_low_pace_starts.py
@@ -148,6 +148,23 @@
     assert busy.paces("wide")[:1] == [pacing.MIN_PACE_PERCENT]
 
 
+def test_run_that_ends_at_low_pace_tells_no_run_time():
+    """Guards against run times, and speeds of workers, learnt ten times off.
+
+    The pace of such a run may never change.
+    """
+    busy = BusyWorker(unused=380)
+    add_overdue(busy.bench, "wide")
+    busy.bench.place(WALL_MS)
+    busy.report()
+    [task] = busy.bench.state.jobs["wide"].tasks[0, 0]
+    assert task.pace_percent == pacing.MIN_PACE_PERCENT
+    busy.bench.now += 39.0
+    busy.bench.end("i-0", "wide.0.0.0", 1, messages.DONE)
+    assert task.done
+    assert not busy.bench.state.run_times.queues
+
+
 @pytest.mark.parametrize(("load", "starts"), [(0.7, True), (0.78, False)])
 def test_tail_latencies_must_allow_the_lowest_pace(load, starts):
     """Guards against starts beside serving tasks that suffer at any pace."""
