Start overdue jobs at the lowest pace where a task has failed, too

What callers saw: none reported; found by review.

Cause: workers on which the task had failed, or had been stuck, were left out. For other starts they come last. Where few workers can run a task, a job that failed on each of them waited without a bound again.

The test of a task that failed on each worker fails before.

--- a/sycamorefield/fleet/lowpacestarts.py
+++ b/sycamorefield/fleet/lowpacestarts.py
@@ -52,8 +52,9 @@
                ) -> workerstate.WorkerState | None:
         """Return the best worker for a task, or None.
 
-        Workers where it fits at its full pace once other best-effort runs
-        have ended come first, then those with the most unused CPU.
+        Workers on which it has not failed come first, then those where it
+        fits at its full pace once other best-effort runs have ended, then
+        those with the most unused CPU.
         """
         if self.searches >= MAX_SEARCHES:
             return None
@@ -62,6 +63,7 @@
             (worker for worker in workers
              if self._fits(worker, task, service)),
             key=lambda worker: (
+                worker.entry.worker_id not in task.avoided_workers,
                 overdueholds.fits_without_best_effort(
                     worker, task.step, self.model),
                 placing.available_best_effort_cpu(worker)),
@@ -72,7 +74,6 @@
         """Return whether a task may start on a worker at the lowest pace."""
         step = task.step
         return (worker.best_effort_hold in (None, task.task)
-                and worker.entry.worker_id not in task.avoided_workers
                 and not worker.on_trial
                 and worker.accepts_starts()
                 and worker.entry.capacity.cpu >= step.room.cpu
--- a/tests/test_fleet_low_pace_starts.py
+++ b/tests/test_fleet_low_pace_starts.py
@@ -7,6 +7,7 @@
 from sycamorefield.fleet import answers
 from sycamorefield.fleet import besteffortbacklog
 from sycamorefield.fleet import interference
+from sycamorefield.fleet import lowpacestarts
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import pacing
 from sycamorefield.fleet import placing
@@ -148,6 +149,33 @@
     assert busy.paces("wide")[:1] == [pacing.MIN_PACE_PERCENT]
 
 
+def test_task_that_failed_on_each_worker_starts_at_low_pace():
+    """Guards against a job that waits because few workers can run it."""
+    busy = BusyWorker()
+    add_overdue(busy.bench, "wide")
+    busy.bench.state.jobs["wide"].create_tasks(0)
+    [task] = busy.bench.state.jobs["wide"].tasks[0, 0]
+    task.avoided_workers.add("i-0")
+    assert busy.bench.place(WALL_MS) == ["wide.0.0.0@i-0"]
+
+
+@pytest.mark.parametrize("avoided", ["i-0", "i-1"])
+def test_start_at_low_pace_prefers_workers_on_which_the_task_has_not_failed(
+        avoided):
+    """Guards against a task that fails on one worker again and again."""
+    load = overload.StaggeredLoad(2)
+    add_overdue(load.bench, "wide", cpu=100)
+    load.bench.state.jobs["wide"].create_tasks(0)
+    [task] = load.bench.state.jobs["wide"].tasks[0, 0]
+    task.avoided_workers.add(avoided)
+    starts = lowpacestarts.LowPaceStarts(load.bench.state.interference_model)
+    workers = list(load.bench.state.workers.values())
+    for worker in workers:
+        worker.unused_cpu = 200.0
+    worker = starts.choose(task, "desk", workers)
+    assert worker is not None and worker.entry.worker_id != avoided
+
+
 def test_run_that_ends_at_low_pace_tells_no_run_time():
     """Guards against run times, and speeds of workers, learnt ten times off.
 
