Keep jobs that fit nowhere from taking all searches for low pace

What callers saw: none reported; found by review.

Cause: a round searches a worker for a start at the lowest pace 16 times, for the jobs in their order, which stays the same. If the first 16 needed a label or memory that no worker had left, no job behind them was ever searched for: again a wait whose length nobody bounds. And each round searched all workers for them again.

A search that failed in a round now counts for larger requests in its scope, and a job waits 0.25 s after one of its own.

--- a/sycamorefield/fleet/lowpacestarts.py
+++ b/sycamorefield/fleet/lowpacestarts.py
@@ -13,10 +13,12 @@
 import typing
 
 from sycamorefield import events
+from sycamorefield.fleet import eligibleworkers
 from sycamorefield.fleet import interference
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import overdueholds
 from sycamorefield.fleet import pacing
+from sycamorefield.fleet import placement_cache
 from sycamorefield.fleet import placing
 from sycamorefield.fleet import policy as policy_mod
 from sycamorefield.fleet import progress
@@ -27,6 +29,9 @@
 MAX_PAUSE_S = 2.0
 # Bounds the time of a round: each search looks at all workers.
 MAX_SEARCHES = 16
+# How long a job waits after a search in vain.  Otherwise the first jobs, if
+# they fit nowhere, would take all searches of each round from the others.
+SEARCH_GAP_S = 0.25
 LOWEST_PACE_SHARE = pacing.MIN_PACE_PERCENT / 100.0
 
 
@@ -37,15 +42,40 @@
     Without pacing, its pace would never rise.
     """
     return (policy.start_overdue_at_low_pace and policy.pace_filling
-            and now - state.had_run_at >= MAX_PAUSE_S)
+            and now - state.had_run_at >= MAX_PAUSE_S
+            and now - state.low_pace_missed_at >= SEARCH_GAP_S)
 
 
 class LowPaceStarts:
     """Choose workers for the starts of one round."""
 
-    def __init__(self, model: interference.InterferenceModel) -> None:
+    def __init__(self, model: interference.InterferenceModel,
+                 holds: overdueholds.OverdueHolds) -> None:
         self.model = model
+        self.holds = holds
         self.searches = 0
+        self.unplaceable = placement_cache.UnplaceableRequests()
+
+    def search(self, state: progress.JobState, task: progress.TaskState,
+               eligible: eligibleworkers.EligibleWorkers, now: float
+               ) -> workerstate.WorkerState | None:
+        """Return the best worker for a task of a job, or None.
+
+        A search that would be in vain, or one too many, is left out.
+        """
+        scope, request = eligible.scope(task), task.step.room
+        # A task may use one more worker than others if that is held for it.
+        is_held = self.holds.worker_for(task) is not None
+        if (self.searches >= MAX_SEARCHES
+                or not is_held and self.unplaceable.covers(scope, request)):
+            return None
+        self.searches += 1
+        worker = self.choose(task, eligible.service, eligible.workers)
+        if worker is None:
+            state.low_pace_missed_at = now
+            if not is_held:
+                self.unplaceable.add(scope, request)
+        return worker
 
     def choose(self, task: progress.TaskState, service: str,
                workers: typing.Iterable[workerstate.WorkerState]
@@ -56,9 +86,6 @@
         fits at its full pace once other best-effort runs have ended, then
         those with the most unused CPU.
         """
-        if self.searches >= MAX_SEARCHES:
-            return None
-        self.searches += 1
         return max(
             (worker for worker in workers
              if self._fits(worker, task, service)),
--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -250,6 +250,8 @@
         self.first_ready_at = 0.0
         # When a round last found a run beside a waiting best-effort task.
         self.had_run_at = -math.inf
+        # When a worker for a run at the lowest pace was last searched in vain.
+        self.low_pace_missed_at = -math.inf
         # Since when a long-running task that has run is down, or 0.
         self.down_since = 0.0
         # For how long it was when the progress was last written, and when
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -94,7 +94,7 @@
         # Overdue best-effort tasks that this round leaves waiting.
         self.overdue: list[overdueholds.OverdueTask] = []
         self.low_pace_starts = lowpacestarts.LowPaceStarts(
-            fleet.interference_model)
+            fleet.interference_model, fleet.overdue_holds)
 
     def place_step(self, state: progress.JobState, occurrence: int,
                    number: int) -> bool:
@@ -255,8 +255,7 @@
                            task: progress.TaskState,
                            eligible: eligibleworkers.EligibleWorkers) -> bool:
         """Start a task of an overdue job without a run at the lowest pace."""
-        worker = self.low_pace_starts.choose(
-            task, eligible.service, eligible.workers)
+        worker = self.low_pace_starts.search(state, task, eligible, self.now)
         if worker is None:
             return False
         lowpacestarts.log_start(task.task, worker, task.step)
--- a/tests/test_fleet_low_pace_starts.py
+++ b/tests/test_fleet_low_pace_starts.py
@@ -26,11 +26,11 @@
 
 
 def add_overdue(bench, name, tasks=1, cpu=WIDE_CPU, mem_mb=10,
-                waited_s=overload.UNSERVED_S):
+                waited_s=overload.UNSERVED_S, **fields):
     """Add a best-effort job that was accepted some time ago."""
     bench.add(fleetfakes.job(
         name, messages.Step(tasks, messages.Resources(cpu, mem_mb), 4000,
-                            fills=True, image="b"),
+                            fills=True, image="b", **fields),
         accepted_ms=WALL_MS - waited_s * 1000.0), 30)
 
 
@@ -149,6 +149,44 @@
     assert busy.paces("wide")[:1] == [pacing.MIN_PACE_PERCENT]
 
 
+@pytest.mark.parametrize("fields", [
+    {"mem_mb": 15_990}, {"requires": "missing"},
+    {"requires": "missing", "max_per_worker": 1}],
+    ids=["memory", "label", "label, each step searched"])
+def test_jobs_that_fit_nowhere_keep_no_other_from_starting(fields):
+    """Guards against jobs in front that take the searches of each round."""
+    busy = BusyWorker()
+    for number in range(2 * lowpacestarts.MAX_SEARCHES):
+        add_overdue(busy.bench, f"front{number}", **fields)
+    add_overdue(busy.bench, "behind")
+    began_at = busy.bench.now
+    started = []
+    while not started and busy.bench.now - began_at < 5.0:
+        started = busy.bench.place(WALL_MS)
+    assert started == ["behind.0.0.0@i-0"]
+    assert (busy.bench.now - began_at
+            < MAX_IDLE_S - lowpacestarts.MAX_PAUSE_S)
+
+
+@pytest.mark.parametrize("fields", [{}, {"max_per_worker": 1}],
+                         ids=["one search for all", "one for each"])
+def test_searches_for_low_pace_are_few(monkeypatch, fields):
+    """Guards against an owner that is busy with searches in vain."""
+    load = overload.StaggeredLoad(4)
+    jobs = 8
+    for number in range(jobs):
+        add_overdue(load.bench, f"wide{number}", mem_mb=15_990, **fields)
+    searches = []
+    monkeypatch.setattr(
+        lowpacestarts.LowPaceStarts, "choose",
+        lambda *_: searches.append(load.bench.now))
+    began_at = load.bench.now
+    while load.bench.now - began_at < 5.0:
+        load.bench.place(WALL_MS)
+    gaps = 5.0 / lowpacestarts.SEARCH_GAP_S
+    assert len(searches) <= jobs * (gaps + 1)
+
+
 def test_task_that_failed_on_each_worker_starts_at_low_pace():
     """Guards against a job that waits because few workers can run it."""
     busy = BusyWorker()
@@ -168,7 +206,8 @@
     load.bench.state.jobs["wide"].create_tasks(0)
     [task] = load.bench.state.jobs["wide"].tasks[0, 0]
     task.avoided_workers.add(avoided)
-    starts = lowpacestarts.LowPaceStarts(load.bench.state.interference_model)
+    starts = lowpacestarts.LowPaceStarts(
+        load.bench.state.interference_model, load.bench.state.overdue_holds)
     workers = list(load.bench.state.workers.values())
     for worker in workers:
         worker.unused_cpu = 200.0
