Tests: accept best-effort jobs now where they are not to be overdue

They were accepted in 1970 by default, so they are overdue, and start at the lowest pace since: 3 cases failed from there on. What they assert of a task that fits nowhere is unchanged.

--- a/tests/test_fleet_regressions.py
+++ b/tests/test_fleet_regressions.py
@@ -119,10 +119,11 @@
     """
     bench = test_fleet_state.Bench(fleetfakes.entry(0))
     bench.add(fleetfakes.job("best-effort", messages.Step(
-        1, messages.Resources(best_effort_cpu, 10), fills=True)))
+        1, messages.Resources(best_effort_cpu, 10), fills=True),
+        accepted_ms=1e12))
     bench.add(fleetfakes.job("other", messages.Step(
         1, messages.Resources(other_cpu, 10))), 21)
-    assert bench.place() == ["other.0.0.0@i-0"]
+    assert bench.place(1e12) == ["other.0.0.0@i-0"]
 
 
 @pytest.mark.parametrize("outcome", [
--- a/tests/test_fleet_state.py
+++ b/tests/test_fleet_state.py
@@ -444,8 +444,9 @@
     for figure in (10.0, second_tail_ms):
         bench.report("i-0", [messages.RunningTask(name, 1, "", 100, figure)])
     bench.add(fleetfakes.job("best-effort", messages.Step(
-        1, messages.Resources(2000, 10), fills=True, image="f")))
-    assert len(bench.place()) == placed
+        1, messages.Resources(2000, 10), fills=True, image="f"),
+        accepted_ms=1e12))
+    assert len(bench.place(1e12)) == placed
 
 
 @pytest.mark.parametrize("order", [("i-0", "i-9"), ("i-9", "i-0")],
