--- a/tests/test_fleet_low_pace_starts.py
+++ b/tests/test_fleet_low_pace_starts.py
@@ -7,6 +7,7 @@
 from sycamorefield.fleet import answers
 from sycamorefield.fleet import besteffortbacklog
 from sycamorefield.fleet import interference
+from sycamorefield.fleet import lowpacestarts
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import pacing
 from sycamorefield.fleet import placing
@@ -25,11 +26,11 @@
 
 
 def add_overdue(bench, name, tasks=1, cpu=WIDE_CPU, mem_mb=10,
-                waited_s=overload.UNSERVED_S):
+                waited_s=overload.UNSERVED_S, **fields):
     """Add a best-effort job that was accepted some time ago."""
     bench.add(fleetfakes.job(
         name, messages.Step(tasks, messages.Resources(cpu, mem_mb), 4000,
-                            fills=True, image="b"),
+                            fills=True, image="b", **fields),
         accepted_ms=WALL_MS - waited_s * 1000.0), 30)
 
 
@@ -148,6 +149,89 @@
     assert busy.paces("wide")[:1] == [pacing.MIN_PACE_PERCENT]
 
 
+@pytest.mark.parametrize("fields", [
+    {"mem_mb": 15_990}, {"requires": "missing"},
+    {"requires": "missing", "max_per_worker": 1}],
+    ids=["memory", "label", "label, each step searched"])
+def test_jobs_that_fit_nowhere_keep_no_other_from_starting(fields):
+    """Guards against jobs in front that take the searches of each round."""
+    busy = BusyWorker()
+    for number in range(2 * lowpacestarts.MAX_SEARCHES):
+        add_overdue(busy.bench, f"front{number}", **fields)
+    add_overdue(busy.bench, "behind")
+    began_at = busy.bench.now
+    started = []
+    while not started and busy.bench.now - began_at < 5.0:
+        started = busy.bench.place(WALL_MS)
+    assert started == ["behind.0.0.0@i-0"]
+    assert (busy.bench.now - began_at
+            < MAX_IDLE_S - lowpacestarts.MAX_PAUSE_S)
+
+
+@pytest.mark.parametrize("fields", [{}, {"max_per_worker": 1}],
+                         ids=["one search for all", "one for each"])
+def test_searches_for_low_pace_are_few(monkeypatch, fields):
+    """Guards against an owner that is busy with searches in vain."""
+    load = overload.StaggeredLoad(4)
+    jobs = 8
+    for number in range(jobs):
+        add_overdue(load.bench, f"wide{number}", mem_mb=15_990, **fields)
+    searches = []
+    monkeypatch.setattr(
+        lowpacestarts.LowPaceStarts, "choose",
+        lambda *_: searches.append(load.bench.now))
+    began_at = load.bench.now
+    while load.bench.now - began_at < 5.0:
+        load.bench.place(WALL_MS)
+    gaps = 5.0 / lowpacestarts.SEARCH_GAP_S
+    assert len(searches) <= jobs * (gaps + 1)
+
+
+def test_task_that_failed_on_each_worker_starts_at_low_pace():
+    """Guards against a job that waits because few workers can run it."""
+    busy = BusyWorker()
+    add_overdue(busy.bench, "wide")
+    busy.bench.state.jobs["wide"].create_tasks(0)
+    [task] = busy.bench.state.jobs["wide"].tasks[0, 0]
+    task.avoided_workers.add("i-0")
+    assert busy.bench.place(WALL_MS) == ["wide.0.0.0@i-0"]
+
+
+@pytest.mark.parametrize("avoided", ["i-0", "i-1"])
+def test_start_at_low_pace_prefers_workers_on_which_the_task_has_not_failed(
+        avoided):
+    """Guards against a task that fails on one worker again and again."""
+    load = overload.StaggeredLoad(2)
+    add_overdue(load.bench, "wide", cpu=100)
+    load.bench.state.jobs["wide"].create_tasks(0)
+    [task] = load.bench.state.jobs["wide"].tasks[0, 0]
+    task.avoided_workers.add(avoided)
+    starts = lowpacestarts.LowPaceStarts(
+        load.bench.state.interference_model, load.bench.state.overdue_holds)
+    workers = list(load.bench.state.workers.values())
+    for worker in workers:
+        worker.unused_cpu = 200.0
+    worker = starts.choose(task, "desk", workers)
+    assert worker is not None and worker.entry.worker_id != avoided
+
+
+def test_run_that_ends_at_low_pace_tells_no_run_time():
+    """Guards against run times, and speeds of workers, learnt ten times off.
+
+    The pace of such a run may never change.
+    """
+    busy = BusyWorker(unused=380)
+    add_overdue(busy.bench, "wide")
+    busy.bench.place(WALL_MS)
+    busy.report()
+    [task] = busy.bench.state.jobs["wide"].tasks[0, 0]
+    assert task.pace_percent == pacing.MIN_PACE_PERCENT
+    busy.bench.now += 39.0
+    busy.bench.end("i-0", "wide.0.0.0", 1, messages.DONE)
+    assert task.done
+    assert not busy.bench.state.run_times.queues
+
+
 @pytest.mark.parametrize(("load", "starts"), [(0.7, True), (0.78, False)])
 def test_tail_latencies_must_allow_the_lowest_pace(load, starts):
     """Guards against starts beside serving tasks that suffer at any pace."""
