Let several overdue jobs run at the lowest pace on one worker

Cause: a worker got one run at the lowest pace, as the CPU that its runs request at full pace was compared with what is unused.

--- a/sycamorefield/fleet/lowpacestarts.py
+++ b/sycamorefield/fleet/lowpacestarts.py
@@ -5,9 +5,10 @@
 bound although it was accepted.  A job that is overdue and has no run therefore
 gets one on a worker with memory for it and with CPU for the lowest pace.
 
-The run requests more best-effort CPU than its worker has left, so nothing else
-starts there until other best-effort runs have ended, and what these leave
-raises its pace.  Each worker gets one such run at a time.
+The run requests more best-effort CPU than its worker has left, so nothing
+starts there at full pace until other best-effort runs have ended, and what
+these leave raises its pace.  At their paces, the runs of a worker request no
+more than is unused, so it may get several of them.
 """
 
 import typing
@@ -104,7 +105,7 @@
                 and not worker.on_trial
                 and worker.accepts_starts()
                 and worker.entry.capacity.cpu >= step.room.cpu
-                and placing.available_best_effort_cpu(worker)
+                and placing.cpu_left_by_paces(worker)
                 >= LOWEST_PACE_SHARE * placing.required_best_effort_cpu(step)
                 and worker.free_capacity().holds(step.reserved())
                 and placing.allowed(worker, service, task)
--- a/sycamorefield/fleet/ordering.py
+++ b/sycamorefield/fleet/ordering.py
@@ -65,11 +65,10 @@
             and rank(state, queue, wall_ms, now, run_times) == OVERDUE)
 
 
-def is_unserved(state: progress.JobState, wall_ms: float) -> bool:
-    """Return whether a finite best-effort job has waited without a run."""
+def is_overdue(state: progress.JobState, wall_ms: float) -> bool:
+    """Return whether a finite best-effort job must have a run by now."""
     return (not state.long_running
-            and _has_waited(state, wall_ms, UNSERVED_AFTER_S)
-            and not state.has_run())
+            and _has_waited(state, wall_ms, UNSERVED_AFTER_S))
 
 
 def _has_waited(state: progress.JobState, wall_ms: float,
--- a/sycamorefield/fleet/pacing.py
+++ b/sycamorefield/fleet/pacing.py
@@ -109,7 +109,8 @@
     most = min(MAX_RAISE_PERCENT, 100 - run.pace_percent)
     if run.demand_cores * most <= 100.0 * unused_cores:
         return most
-    return max(0, int(100.0 * unused_cores / run.demand_cores))
+    possible = int(100.0 * unused_cores / run.demand_cores)
+    return possible if possible >= MIN_PACE_PERCENT else 0
 
 
 def _raise_paces(tails: list[interference.TailLatency], runs: list[PacedRun],
--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -248,7 +248,8 @@
         self.known_at = 0.0
         # When a round first found a step that was due, or 0.
         self.first_ready_at = 0.0
-        # When a round last found a run beside a waiting best-effort task.
+        # When a run last ended, or a round last found one beside a best-effort
+        # task that waits.
         self.had_run_at = -math.inf
         # When a worker for a run at the lowest pace was last searched in vain.
         self.low_pace_missed_at = -math.inf
--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -118,6 +118,7 @@
     task.start_confirmed = True
     if current:
         run_state.reset_run()
+        job.had_run_at = now
         fleet.worker_speeds.note_end(
             worker, job.job.queue, task, ended.run, ended.how,
             started_at if measurable else 0.0, now)
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -271,9 +271,10 @@
         """Note a best-effort task that fits nowhere if it is overdue."""
         if not task.step.fills:
             return
-        if state.has_run():
+        is_overdue = ordering.is_overdue(state, self.wall_ms)
+        unserved = is_overdue and not state.has_run()
+        if is_overdue and not unserved:
             state.had_run_at = self.now
-        unserved = ordering.is_unserved(state, self.wall_ms)
         if (unserved and lowpacestarts.is_due(state, self.policy, self.now)
                 and self._start_at_low_pace(state, task, eligible)):
             return
