--- a/sycamorefield/fleet/ownership.py
+++ b/sycamorefield/fleet/ownership.py
@@ -26,9 +26,9 @@
 # although workers have free cores.  Such a VM delays its claim so that a
 # stronger one can win.
 MIN_OWNER_CORES = 1.0
-# How long a weak VM delays its claim.  A claim takes two calls to the store,
-# 0.5 s in total when it answers 60 times more slowly than usual.  If there is
-# no stronger VM, each takeover is delayed by this much.
+# How long a weak VM delays its claim.  A claim takes three calls to the store,
+# one after another.  If there is no stronger VM, each takeover is delayed by
+# this much.
 WEAK_VM_CLAIM_DELAY_S = 0.4
 RETRY_PAUSE_S = 0.2
 # How long a process leaves the claim to one that has offered to take over,
