Test the limit of starts by how late crashes are noticed

test_crash_records_survive_a_change_of_owner[stored-2] saw 4 starts instead of 3 in 2 of 44 runs beside a load of about 20. The test demanded 3 starts whatever the machine did, but it runs in real time, and 3 hold only if the owner notices each crash at once.

Trace: the age of a run at a crash is taken when the owner notices the closed connection. With the owner's event loop, or its lock, stalled for 0.3 s at the first crash, the first crash of a run of 0.05 s was recorded at 0.30 to 0.35 s, over STARTUP_WINDOW_S (0.25 s). So the second start was not in quarantine, two quarantine runs followed, and the task was given up after 4 starts. This holds without regard to the change of the owner: 4 starts in each of stored-1, stored-2 and stored-3 with that stall, and 3 in all 60 runs without one in which the owner changed 0 to 1.5 s after the second or third start or after the second crash was stored. Stalls of the store (0.3 s, at 55 offsets) changed nothing.

So the limit is now 3 (4 with a lost crash) as before if all crashes of the run were noticed within STARTUP_WINDOW_S, by the ages in the log, and MAX_STARTS if not; the number was not checked from below before, and is now. Seven cases delay the notice of one crash, which does not depend on the load.

--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -1,5 +1,6 @@
 """Test how worker crashes are detected and attributed to tasks."""
 
+import asyncio
 import contextlib
 import threading
 import time
@@ -7,9 +8,11 @@
 
 import pytest
 
+from sycamorefield import events
 from sycamorefield.fleet import answers
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import crashes
+from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import owner as owner_mod
 from sycamorefield.fleet import progress
@@ -29,9 +32,33 @@
 # A task that crashes its workers is started at most twice after the third
 # crash.
 MAX_STARTS = 5
+# The starts of a task that crashes its workers at once, if each crash is
+# noticed at once and none is lost.
+MIN_STARTS = 3
+# A crash that is noticed this late seems to have happened at another run age
+# than the others, and to a run that had not just started.
+LATE_NOTICE_S = 0.7
 WAIT_TIMEOUT_S = 25.0
 
 
+class LateClosingWorker(fleetfakes.MemoryWorker):
+    """A worker whose connection is closed some time after its crash."""
+
+    def __init__(self, worker_id: str,
+                 close_delay_s: typing.Callable[[], float]) -> None:
+        super().__init__(worker_id)
+        self.close_delay_s = close_delay_s
+
+    async def renew(self, fence, recorded_upto, lease_end_ms, wait_ms,
+                    answer_s=interfaces.REPORT_ANSWER_S):
+        try:
+            return await super().renew(fence, recorded_upto, lease_end_ms,
+                                       wait_ms, answer_s)
+        except interfaces.ConnectionClosed:
+            await asyncio.sleep(self.close_delay_s())
+            raise
+
+
 class CrashingFleet(test_fleet_takeover.Fleet):
     """Workers that some jobs crash and that restart under new ids."""
 
@@ -39,6 +66,8 @@
         super().__init__(0)
         # Job ids whose tasks crash every worker, and the run age in seconds.
         self.crashing: dict[str, float] = {}
+        # How late the crash after each start of the job "bad" is noticed.
+        self.notice_delays_s: dict[int, float] = {}
         self.lock = threading.Lock()
         self.restarts_workers = True
         for number in range(WORKERS):
@@ -61,7 +90,9 @@
         address = fleetfakes.entry(number).address
         entry = fleetfakes.entry(100 * generation + number, address=address,
                                  labels=("a", f"r{number % 2}"))
-        worker = fleetfakes.MemoryWorker(entry.worker_id)
+        worker = LateClosingWorker(
+            entry.worker_id, lambda: self.notice_delays_s.get(
+                self.count_starts("bad"), 0.0))
         worker.crashing = self.crashing
         worker.on_crash = lambda: self.crashed(number, generation)
         with self.lock:
@@ -153,11 +184,39 @@
         2 * MAX_STARTS)
 
 
-@pytest.mark.parametrize("crash_count", [1, 2, 3])
-@pytest.mark.parametrize("changed_at", ["running", "crashed", "stored"])
-def test_crash_records_survive_a_change_of_owner(
-        fleet, changed_at, crash_count):
-    """Guards against a new owner that starts counting crashes from zero."""
+@pytest.fixture(name="run_ages_s")
+def fixture_run_ages_s(monkeypatch) -> list[float]:
+    """Return the run ages at which tasks are suspected of crashes."""
+    run_ages_s: list[float] = []
+    emit = events.emit
+
+    def note_and_emit(event: events.Event, **fields: typing.Any) -> None:
+        if event is events.WORKER_CRASHED:
+            run_ages_s.extend(age_s for _, _, age_s in fields["runs"])
+        emit(event, **fields)
+
+    monkeypatch.setattr(events, "emit", note_and_emit)
+    return run_ages_s
+
+
+def check_starts(fleet: CrashingFleet, run_ages_s: list[float],
+                 max_starts: int, late_crashes: int = 0) -> None:
+    """Check how often a task was started that crashes its workers at once.
+
+    The limit is for a number of crashes that are noticed late.  Such a crash
+    is not taken for one at the start of a run, nor for a further one of the
+    same cause; with more of them, only MAX_STARTS holds.
+    """
+    noticed_late = sum(age_s >= suspicion.STARTUP_WINDOW_S
+                       for age_s in run_ages_s)
+    if noticed_late > late_crashes:
+        max_starts = MAX_STARTS
+    assert MIN_STARTS <= fleet.count_starts("bad") <= max_starts, run_ages_s
+
+
+def change_owner(fleet: CrashingFleet, changed_at: str,
+                 crash_count: int) -> None:
+    """Change the owner in a crash of a task; wait until its job fails."""
     wait_for(lambda owner=fleet.take_over(): is_ready(owner))
     fleet.crashing["bad"] = 0.05
     fleet.submit(fleetfakes.job("bad", FINITE))
@@ -169,11 +228,43 @@
     fleet.owner.step_down("killed")
     fleet.take_over()
     wait_for(lambda: fleet.state("bad") == messages.JOB_FAILED)
-    assert fleet.count_starts("bad") <= (
-        MAX_STARTS - 1 if crash_count == 1 and changed_at != "stored" else 3)
 
 
-def test_crash_count_survives_repeated_owner_changes(fleet):
+@pytest.mark.parametrize("crash_count", [1, 2, 3])
+@pytest.mark.parametrize("changed_at", ["running", "crashed", "stored"])
+def test_crash_records_survive_a_change_of_owner(
+        fleet, run_ages_s, changed_at, crash_count):
+    """Guards against a new owner that starts counting crashes from zero."""
+    change_owner(fleet, changed_at, crash_count)
+    loses_crash = crash_count == 1 and changed_at != "stored"
+    check_starts(fleet, run_ages_s, MIN_STARTS + loses_crash)
+
+
+class LateNotice(typing.NamedTuple):
+    """A crash that is noticed late, and when the owner changes."""
+
+    late_crash: int
+    changed_at: str
+    crash_count: int
+    max_starts: int
+
+
+@pytest.mark.parametrize("case", [
+    LateNotice(1, "stored", 1, 4), LateNotice(1, "stored", 2, 4),
+    LateNotice(1, "stored", 3, 4), LateNotice(2, "stored", 1, 5),
+    LateNotice(3, "stored", 2, 4), LateNotice(2, "crashed", 1, 5),
+    LateNotice(1, "crashed", 2, 5)],
+    ids=lambda case: f"{case.late_crash}-{case.changed_at}{case.crash_count}")
+def test_limit_of_starts_holds_if_a_crash_is_noticed_late(
+        fleet, run_ages_s, case):
+    """Guards against starts beyond the limit while an owner is slow."""
+    fleet.notice_delays_s[case.late_crash] = LATE_NOTICE_S
+    change_owner(fleet, case.changed_at, case.crash_count)
+    assert max(run_ages_s) >= LATE_NOTICE_S
+    check_starts(fleet, run_ages_s, case.max_starts, late_crashes=1)
+
+
+def test_crash_count_survives_repeated_owner_changes(fleet, run_ages_s):
     """Guards against crash counts that survive only one owner change."""
     wait_for(lambda owner=fleet.take_over(): is_ready(owner))
     fleet.crashing["bad"] = 0.05
@@ -184,7 +275,7 @@
         fleet.owner.step_down("killed")
         fleet.take_over()
     wait_for(lambda: fleet.state("bad") == messages.JOB_FAILED)
-    assert fleet.count_starts("bad") == 3
+    check_starts(fleet, run_ages_s, MIN_STARTS)
 
 
 def _count_crashed(fleet: CrashingFleet) -> int:
