Avoid for a task only the life of a worker in which its run failed

A task was kept away from a worker that had started again under its ID: it went to a worker far from its data, or one that packs worse, and a copy of its run was never started there.

Cause: TaskState.avoided_workers held worker IDs, which say nothing of the life. Now avoided_lives holds the ID with the birth that the life reports. Workers whose reports name no birth have another ID in each life, so nothing changes for them.

--- a/sycamorefield/fleet/copies.py
+++ b/sycamorefield/fleet/copies.py
@@ -383,7 +383,7 @@
         worker for worker in workers
         if worker.free_capacity().holds(reserved)
         and worker.entry.worker_id != task.worker_id
-        and worker.entry.worker_id not in task.avoided_workers
+        and not worker.is_avoided_by(task)
         and not waiting.needs(worker, priority)),
         model, MAX_CANDIDATES).best()
 
--- a/sycamorefield/fleet/placing.py
+++ b/sycamorefield/fleet/placing.py
@@ -135,7 +135,7 @@
     if step.fills and worker.best_effort_hold not in (None, task.task):
         return None
     has_data_nearby = not step.affinity or step.affinity in worker.entry.labels
-    not_failed_here = worker.entry.worker_id not in task.avoided_workers
+    not_failed_here = not worker.is_avoided_by(task)
     return (not_failed_here, has_data_nearby, not worker.slow,
             *_packing_rank(worker, step, model))
 
--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -36,7 +36,7 @@
     """
 
     __slots__ = ("task", "step", "done", "failed_runs", "last_run", "saved",
-                 "phase", "run", "worker_id", "not_before", "avoided_workers",
+                 "phase", "run", "worker_id", "not_before", "avoided_lives",
                  "started_at", "percent", "confirmed_at", "pace_percent",
                  "slowed_at", "stop_sent_at", "stuck", "has_run",
                  "start_confirmed", "job", "projected_run_s",
@@ -57,7 +57,9 @@
         self.run = 0
         self.worker_id = ""
         self.not_before = 0.0
-        self.avoided_workers: set[str] = set()
+        # Lives of workers in which runs failed or got stuck: the worker's ID
+        # and its birth.
+        self.avoided_lives: set[tuple[str, int]] = set()
         self.started_at = 0.0
         self.percent = 0
         # When the worker confirmed the start or the stop of the run.
@@ -168,7 +170,7 @@
         self.task_state = task
         self.worker_tasks = worker_tasks
         self.saved = task.saved
-        self.avoided_workers = task.avoided_workers
+        self.avoided_lives = task.avoided_lives
 
     def original(self) -> TaskState:
         """Return the state of the task itself."""
--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -159,7 +159,7 @@
 def _record_failure(fleet: state_mod.FleetState, job: progress.JobState,
                     task: progress.TaskState, worker: workerstate.WorkerState,
                     run: int, now: float) -> None:
-    task.avoided_workers.add(worker.entry.worker_id)
+    task.avoided_lives.add(worker.life())
     if worker.record_failure(now):
         events.emit(events.WORKER_AVOIDED, failures=worker.failures,
                     worker=worker.entry.worker_id)
@@ -229,7 +229,7 @@
 def _mark_stuck(fleet: state_mod.FleetState, worker: workerstate.WorkerState,
                 task: progress.TaskState, now: float) -> None:
     """Avoid a worker for a stuck task, and for all if several are stuck."""
-    task.avoided_workers.add(worker.entry.worker_id)
+    task.avoided_lives.add(worker.life())
     stuck = sum(1 for other in worker.tasks.values() if other.stuck)
     if stuck >= stragglers.MIN_STUCK_TASKS and worker.avoid_until <= now:
         worker.avoid_until = now + workerstate.AVOID_S
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -337,7 +337,7 @@
                        eligible: eligibleworkers.EligibleWorkers
                        ) -> workerstate.WorkerState | None:
         """Return the best worker for a task of the step being placed."""
-        if task.avoided_workers or not self.policy.remember_shortage:
+        if task.avoided_lives or not self.policy.remember_shortage:
             self.ranking = None
             return placing.choose(
                 task, eligible.service,
--- a/sycamorefield/fleet/slowplacing.py
+++ b/sycamorefield/fleet/slowplacing.py
@@ -48,7 +48,7 @@
             (w for w in self.usable_for(task, eligible)
              if placing.allowed(w, eligible.service, task)
              and placing.has_room_when_slow(w, step)),
-            key=lambda w: (w.entry.worker_id not in task.avoided_workers,
+            key=lambda w: (not w.is_avoided_by(task),
                            -self._factor(w), -w.free_capacity().cpu),
             default=None)
         if best is None:
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -184,6 +184,14 @@
             task.task for (_, run), task in self.tasks.items()
             if task.run == run and not 0.0 < task.started_at < since)
 
+    def life(self) -> tuple[str, int]:
+        """Return the ID and the birth of the life that last reported."""
+        return self.entry.worker_id, self.born_ms
+
+    def is_avoided_by(self, task: progress.TaskState) -> bool:
+        """Return whether runs of a task failed or got stuck in this life."""
+        return bool(task.avoided_lives) and self.life() in task.avoided_lives
+
     def last_known_born_ms(self) -> int:
         """Return when the last life that reported or was listed began."""
         return self.born_ms or self.entry.born_ms
--- a/tests/test_fleet_restarts.py
+++ b/tests/test_fleet_restarts.py
@@ -19,6 +19,7 @@
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import reports
 from sycamorefield.fleet import rounds
+from sycamorefield.fleet import stragglers
 from sycamorefield.fleet import suspicion
 from sycamorefield.fleet import workerlinks
 from sycamorefield.fleet import workerstate
@@ -312,6 +313,33 @@
     assert len(bench.place()) == placed
 
 
+@pytest.mark.parametrize("cause", ["failed", "stuck"])
+@pytest.mark.parametrize(("born_ms", "is_removed", "placed_on"), [
+    (1_000, False, "i-1"), (2_000, False, "i-0"), (500, False, "i-0"),
+    (2_000, True, "i-0"),
+], ids=["same-life", "restarted", "clock-set-back", "removed"])
+def test_task_avoids_only_the_life_in_which_its_run_failed(
+        cause, born_ms, is_removed, placed_on, monkeypatch):
+    """Guards against avoiding a worker for a fault of an earlier life."""
+    bench = RestartBench(entry(0), entry(1))
+    bench.add(fleetfakes.job("j", messages.Step(
+        1, messages.Resources(1000, 1000), affinity="r0")))
+    assert bench.place() == ["j.0.0.0@i-0"]
+    bench.now += 0.1
+    if cause == "stuck":
+        monkeypatch.setattr(stragglers, "is_stuck", lambda *_: True)
+        bench.report("i-0", [messages.RunningTask(TASK, 1, "", 0)])
+    how = messages.FAILED if cause == "failed" else "stopped"
+    bench.report("i-0", ended=[messages.EndedTask(1, TASK, 1, how, "")])
+    if is_removed:
+        crashes.worker_replaced(bench.state, "i-0")
+    bench.state.add_worker(entry(0, born_ms))
+    bench.now += 0.1
+    bench.report("i-0", born_ms=born_ms)
+    bench.state.enrol(["i-0", "i-1"])
+    assert bench.place() == [f"j.0.0.0@{placed_on}"]
+
+
 @pytest.mark.parametrize(("born_ms", "suspected"), [(1_000, 0), (2_000, 1)],
                          ids=["same-life", "restarted"])
 def test_successor_counts_the_crash_of_a_quarantined_worker(
