--- a/sycamorefield/fleet/lowpacestarts.py
+++ b/sycamorefield/fleet/lowpacestarts.py
@@ -91,7 +91,7 @@
             (worker for worker in workers
              if self._fits(worker, task, service)),
             key=lambda worker: (
-                worker.entry.worker_id not in task.avoided_workers,
+                not worker.is_avoided_by(task),
                 overdueholds.fits_without_best_effort(
                     worker, task.step, self.model),
                 placing.available_best_effort_cpu(worker)),
--- a/tests/test_fleet_low_pace_starts.py
+++ b/tests/test_fleet_low_pace_starts.py
@@ -195,7 +195,7 @@
     add_overdue(busy.bench, "wide")
     busy.bench.state.jobs["wide"].create_tasks(0)
     [task] = busy.bench.state.jobs["wide"].tasks[0, 0]
-    task.avoided_workers.add("i-0")
+    task.avoided_lives.add(busy.worker.life())
     assert busy.bench.place(WALL_MS) == ["wide.0.0.0@i-0"]
 
 
@@ -207,7 +207,7 @@
     add_overdue(load.bench, "wide", cpu=100)
     load.bench.state.jobs["wide"].create_tasks(0)
     [task] = load.bench.state.jobs["wide"].tasks[0, 0]
-    task.avoided_workers.add(avoided)
+    task.avoided_lives.add(load.bench.state.workers[avoided].life())
     starts = lowpacestarts.LowPaceStarts(
         load.bench.state.interference_model, load.bench.state.overdue_holds)
     workers = list(load.bench.state.workers.values())
