Limit by unused CPU only the paces of runs that started without it

Cause (suspected): paces of all best-effort runs were raised only by unused CPU, which is known roughly, and weights were learnt beside throttled runs.

Change: only runs that an owner has started at the lowest pace count at their pace, and only their raises are limited.

--- a/sycamorefield/fleet/pacer.py
+++ b/sycamorefield/fleet/pacer.py
@@ -85,7 +85,8 @@
         next_paces = pacing.next_paces(
             worker.tail_latencies,
             [pacing.PacedRun(task.step.image, task.step.room.cpu / 1000.0,
-                             row.figure / 1000.0, task.pace_percent)
+                             row.figure / 1000.0, task.pace_percent,
+                             task.is_low_pace_start)
              for row, task in best_effort_runs],
             worker.over_reports, may_raise, self.model,
             placing.cpu_left_by_paces(worker) / 1000.0)
--- a/sycamorefield/fleet/pacing.py
+++ b/sycamorefield/fleet/pacing.py
@@ -36,6 +36,8 @@
     demand_cores: float
     used_cores: float
     pace_percent: int
+    # Whether it started without CPU for its full pace.
+    needs_unused_cores: bool = False
 
 
 def reports_over_target(previous_count: int,
@@ -53,8 +55,8 @@
                unused_cores: float = math.inf) -> list[int]:
     """Return the next pace of each run, in percent (0 to 100).
 
-    The current pace of a run is negative if it is unknown.  Raises use at
-    most the unused cores.
+    The current pace of a run is negative if it is unknown.  Runs that started
+    without CPU for their full pace are raised by at most the unused cores.
     """
     over_ratio = [tail for tail in tails if tail.ratio >= THROTTLE_AT_RATIO
                   and tail.disturbance() >= interference.MIN_DISTURBANCE]
@@ -107,7 +109,8 @@
 def _possible_raise(run: PacedRun, unused_cores: float) -> int:
     """Return by how much unused cores allow to raise a pace, in percent."""
     most = min(MAX_RAISE_PERCENT, 100 - run.pace_percent)
-    if run.demand_cores * most <= 100.0 * unused_cores:
+    if (not run.needs_unused_cores
+            or run.demand_cores * most <= 100.0 * unused_cores):
         return most
     possible = int(100.0 * unused_cores / run.demand_cores)
     return possible if possible >= MIN_PACE_PERCENT else 0
@@ -127,7 +130,8 @@
             if raise_percent and model.keeps_tails_below(
                     expected_tails, run.image, cores, TARGET_RATIO):
                 pace_percent += raise_percent
-                unused_cores -= cores
+                if run.needs_unused_cores:
+                    unused_cores -= cores
                 model.add_expected_utilisation(expected_tails, run.image,
                                                cores)
         paces.append(_known_pace(pace_percent))
--- a/sycamorefield/fleet/placing.py
+++ b/sycamorefield/fleet/placing.py
@@ -32,14 +32,14 @@
 
 
 def cpu_left_by_paces(worker: workerstate.WorkerState) -> float:
-    """Return the CPU that best-effort runs leave unused at their paces.
+    """Return the CPU that best-effort runs leave unused.
 
     In thousandths of a core; negative if they request more than is unused.
+    Those started at the lowest pace request what their pace lets them use.
     """
     return available_best_effort_cpu(worker) + sum(
         task.step.room.cpu * (100 - task.pace_percent) / 100.0
-        for task in worker.tasks.values()
-        if task.step.fills and task.pace_percent >= 0)
+        for task in worker.tasks.values() if task.is_low_pace_start)
 
 
 def allowed(worker: workerstate.WorkerState, service: str,
--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -42,7 +42,7 @@
                  "slowed_at", "stop_sent_at", "stuck", "has_run",
                  "start_confirmed", "job", "projected_run_s",
                  "previous_run_s", "suspicion", "measurable", "copy",
-                 "copy_not_before")
+                 "copy_not_before", "is_low_pace_start")
 
     def __init__(self, task: messages.TaskId, step: messages.Step,
                  job: "JobState | None" = None) -> None:
@@ -67,6 +67,8 @@
         self.confirmed_at = 0.0
         self.pace_percent = 100
         self.slowed_at = 0.0
+        # Whether this owner started the run without CPU for its full pace.
+        self.is_low_pace_start = False
         self.stop_sent_at = 0.0
         self.stuck = False
         # Whether a long-running task was ever started.
@@ -131,6 +133,7 @@
         self.worker_id = ""
         self.percent = 0
         self.pace_percent = 100
+        self.is_low_pace_start = False
         self.stuck = False
         self.measurable = False
         self.previous_run_s = self.projected_run_s or self.previous_run_s
@@ -152,8 +155,9 @@
 
 # What a task takes over from its copy when that becomes its current run.
 RUN_FIELDS = ("phase", "run", "worker_id", "started_at", "percent",
-              "confirmed_at", "pace_percent", "slowed_at", "stop_sent_at",
-              "stuck", "projected_run_s", "measurable")
+              "confirmed_at", "pace_percent", "is_low_pace_start",
+              "slowed_at", "stop_sent_at", "stuck", "projected_run_s",
+              "measurable")
 
 
 class Copy(TaskState):
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -260,6 +260,7 @@
             return False
         lowpacestarts.log_start(task.task, worker, task.step)
         self.start(state, task, worker, eligible)
+        task.is_low_pace_start = True
         task.pace_percent = pacing.MIN_PACE_PERCENT
         task.slowed_at = self.now
         task.measurable = False
--- a/tests/test_fleet_low_pace_starts.py
+++ b/tests/test_fleet_low_pace_starts.py
@@ -256,7 +256,7 @@
 def test_raised_paces_use_at_most_the_unused_cores(
         demands, paces, unused, expected):
     """Guards against best-effort runs that request more CPU than is left."""
-    runs = [pacing.PacedRun("b", demand, 0.0, pace)
+    runs = [pacing.PacedRun("b", demand, 0.0, pace, True)
             for demand, pace in zip(demands, paces)]
     assert pacing.next_paces([], runs, 0, True,
                              interference.InterferenceModel(),
