--- a/sycamorefield/fleet/besteffortbacklog.py
+++ b/sycamorefield/fleet/besteffortbacklog.py
@@ -14,6 +14,7 @@
 from sycamorefield.fleet import backlog as backlog_mod
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import progress
+from sycamorefield.fleet import recentrange
 
 # The CPU served is that of this time: a moment of little demand, or of high
 # load by other tasks, must not count as a slow fleet.
@@ -83,14 +84,14 @@
     """The CPU of runs in the last seconds."""
 
     def __init__(self) -> None:
-        self.values: collections.deque[tuple[float, float, bool]] = (
-            collections.deque())
+        self.cpu = recentrange.RecentRange(SERVED_WINDOW_S)
+        # Whether work waited, at the same times.
+        self.waiting = recentrange.RecentRange(SERVED_WINDOW_S)
 
     def add(self, cpu: float, has_waiting: bool, now: float) -> None:
         """Add the CPU of runs at a time, and whether work waited then."""
-        self.values.append((now, cpu, has_waiting))
-        while self.values[0][0] < now - SERVED_WINDOW_S:
-            self.values.popleft()
+        self.cpu.add(cpu, now)
+        self.waiting.add(has_waiting, now)
 
     def rate(self) -> float:
         """Return what the fleet serves while work waits.
@@ -98,11 +99,11 @@
         If none waited at some time, more may be possible than was served: the
         most at a time counts.
         """
-        if not self.values:
+        if not self.cpu.values:
             return 0.0
-        if all(has_waiting for _, _, has_waiting in self.values):
-            return statistics.fmean(cpu for _, cpu, _ in self.values)
-        return max(cpu for _, cpu, _ in self.values)
+        if all(has_waiting for _, has_waiting in self.waiting.values):
+            return statistics.fmean(cpu for _, cpu in self.cpu.values)
+        return self.cpu.highest()
 
 
 class BestEffortMeter:
