--- a/review/lib2/deployment.py
+++ b/review/lib2/deployment.py
@@ -89,6 +89,7 @@
         self.seen: list[dict[str, typing.Any]] = []
         self.daemon_count = daemons
         self.operator = f"{self.net}.200:{STORE_PORT}"
+        self.advice: str | None = None
 
     @staticmethod
     def _find_free_net() -> str:
@@ -143,14 +144,28 @@
             for n in range(1, self.daemon_count + 1)])
         self.wait_for("the store", 10.0, lambda: self.standin(
             {"items": "op/"}).status == 200)
+        self.configure(3, routes)
+
+    def configure(self, version: int,
+                  routes: list[dict[str, typing.Any]]) -> None:
+        """Write a configuration."""
         self.standin({"put": {"key": "op/config", "value": json.dumps({
-            "version": 3, "routes": routes, "services": [{
+            "version": version, "routes": routes, "services": [{
                 "name": SERVICE, "health_path": "/health", "max_conns": 64,
                 "protocol": "h1", "tls": False, "rejects_overload": False,
                 "spare": False}],
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 262144,
                        "header_timeout_ms": 3000,
                        "idle_timeout_ms": 15000}})}})
+        self.note("configuration", version=version,
+                  routes=[route["name"] for route in routes])
+
+    def start_advice(self, decide_ms: int, period_ms: int,
+                     valid_ms: int) -> None:
+        """Start the advice service; daemons started later use it."""
+        self.advice = f"{self.net}.202:{STORE_PORT}"
+        self._spawn("advice", [sys.executable, "advice.py", self.advice, str(
+            decide_ms), str(period_ms), str(valid_ms)])
 
     def standin(self, body: dict[str, typing.Any]) -> Answer:
         """Call the store as operator."""
@@ -178,7 +193,8 @@
                           "sched", "platform", "advice", "upkeep",
                           "sharing"],
             "tolerate": {"machines": 1, "zones": 0, "regions": 0},
-            "bounds": BOUNDS, "orders": "rpc", "advice": None,
+            "bounds": BOUNDS, "orders": "rpc",
+            "advice": self.advice,
             "platform": {"addr": self.store_address(number), "form": "kv",
                          "writes_per_s": 400, "reads_per_s": 2000,
                          "history_s": 20, "value_bytes": 1048576,
--- a/review/lib2/httpserver.py
+++ b/review/lib2/httpserver.py
@@ -4,6 +4,7 @@
 import json
 import typing
 import urllib.parse
+import zlib
 
 Body = dict[str, typing.Any]
 
@@ -24,6 +25,11 @@
     [Request], typing.Awaitable[tuple[int, Body] | None]]
 
 
+def ticket(step: str, worker: str) -> str:
+    """Return the ticket of a worker for a step."""
+    return f"{zlib.crc32(f'{step} {worker}'.encode()):08x}"
+
+
 async def _read(reader: asyncio.StreamReader,
                 listener: str) -> Request | None:
     try:
--- a/review/lib2/worker.py
+++ b/review/lib2/worker.py
@@ -4,6 +4,7 @@
 
 A task takes as long as its spec says (a JSON object with `ms`; a task that
 lasts has none), and saves `saved_chars` characters after each second of work.
+A spec with `ticket` is that of a job whose queue has an advice policy.
 What happens is written to standard output as JSON lines.
 """
 
@@ -122,6 +123,11 @@
         present = self.runs.get(task)
         if present is not None and present.run == number:
             return 200, {}
+        if '"ticket"' in body["spec"] and body.get("ticket") != (
+                httpserver.ticket(task.rsplit(".", 1)[0], self.id)):
+            log("rejected", worker=self.id, task=task, run=number,
+                reason="ticket", ticket=body.get("ticket"))
+            return 409, {"reason": "ticket"}
         if number <= self.over.get(task, 0) or present is not None:
             return 409, {"reason": "old"}
         self.runs[task] = Run(task, number, body["spec"],
