--- a/review/4/case.py
+++ b/review/4/case.py
@@ -18,9 +18,9 @@
 DAEMONS = 3
 WORKERS = 8
 # `burst`, large jobs: the largest and the mean job of class-renewal.
-LARGE_STEPS, LARGE_COUNT = 5, 160
-MEAN_STEPS, MEAN_COUNT = 2, 39
-SAVED_CHARS = 1_500
+LARGE_STEPS, LARGE_COUNT = 5, 32
+MEAN_STEPS, MEAN_COUNT = 2, 8
+SAVED_CHARS = 7_000
 SMALL_JOBS = 20
 ACK_MS = deployment.BOUNDS["ack_ms"]
 HULL, RENEWAL = "/hull/", "/renewal/"
