Never store a job after its cancellation was answered

What callers saw: a client handed a job in at a process that stood still, left, and cancelled the job at another process, which answered 410.

Cause: the cancellation leaves NEVER_STORED under st/ID, so that a late write of the job fails. But a request that found it at its first attempt was taken for a new submission and replaced it, although it may have been sent before the cancellation. Neither the request nor the time at which it is read tells the two apart: the process may have stood still, or the request may have been forwarded by one that did.

It is answered 503 at once, without Retry-After, as a further attempt under the same ID would be refused too; the body says that the job was cancelled. A submission never expects a revision of the record, so jobcreation.transaction needs none.

Related: of two cancellations of an unknown job at the same time, the second was answered 503, as its write met the record of the first. Both are answered 410 now.

The refusal of a job that is stored is guarded as before, without the earlier cancellation.

--- a/sycamorefield/fleet/jobcreation.py
+++ b/sycamorefield/fleet/jobcreation.py
@@ -5,18 +5,16 @@
 from sycamorefield.fleet import records
 
 
-def transaction(job: messages.Job, final_revision: int
-                ) -> messages.Transaction:
+def transaction(job: messages.Job) -> messages.Transaction:
     """Return the transaction that stores a job.
 
-    final_revision is that of NEVER_STORED if it is stored, else 0.
+    It stores nothing if the job is stored, has ended or was cancelled.
     """
     key = records.job_key(job.job_id)
-    final_key = records.final_key(job.job_id)
     return messages.Transaction(
-        (messages.Expect(key, 0), messages.Expect(final_key, final_revision)),
-        (messages.Put(key, progress.encode_job(job)),),
-        (final_key,) if final_revision else ())
+        (messages.Expect(key, 0),
+         messages.Expect(records.final_key(job.job_id), 0)),
+        (messages.Put(key, progress.encode_job(job)),))
 
 
 def has_ended(final: messages.Item | None) -> bool:
--- a/sycamorefield/fleet/jobrequests.py
+++ b/sycamorefield/fleet/jobrequests.py
@@ -52,6 +52,14 @@
     retry_after_s: int = RETRY_AFTER_S
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancelled(Refused):
+    """The job was cancelled, so a further attempt would be refused too."""
+
+    reason: str = "the job was cancelled"
+    retry_after_s: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Uncertain:
     """The outcome is unknown; the same request may be repeated."""
@@ -76,9 +84,8 @@
            | admission_mod.Rejected)
 # Receives the revision of a transaction.
 OnStored = typing.Callable[[int], None]
-# Returns the outcome of a conflict, given whether an earlier attempt got no
-# answer.
-OnConflict = typing.Callable[[interfaces.Conflict, bool], Outcome]
+# Returns the outcome of a conflict.
+OnConflict = typing.Callable[[interfaces.Conflict], Outcome]
 
 
 class JobRequestHandler:
@@ -159,40 +166,34 @@
         return known or records.job_key(job_id) in self.uncertain_keys
 
     def _store_job(self, job: messages.Job, deadline: float) -> Outcome:
-        """Store a job unless it is stored or has ended."""
+        """Store a job unless it is stored, has ended or was cancelled."""
         outcome = self._read_and_commit(
-            jobcreation.transaction(job, 0), deadline,
+            jobcreation.transaction(job), deadline,
             lambda revision: self._remember_job(job.job_id, revision),
-            lambda conflict, uncertain: self._resolve_creation(
-                job, deadline, conflict, uncertain))
+            lambda conflict: self._resolve_creation(job.job_id, conflict))
         event_types = {Accepted: events.JOB_STORED,
-                       Refused: events.JOB_REFUSED}
+                       Refused: events.JOB_REFUSED,
+                       Cancelled: events.JOB_REFUSED}
         events.emit(event_types.get(type(outcome), events.JOB_UNCERTAIN),
                     job=job.job_id, queue=job.queue,
                     reason=getattr(outcome, "reason", ""))
         return outcome
 
-    def _resolve_creation(self, job: messages.Job, deadline: float,
-                          conflict: interfaces.Conflict,
-                          uncertain: bool) -> Outcome:
+    def _resolve_creation(self, job_id: str,
+                          conflict: interfaces.Conflict) -> Outcome:
         """Return the outcome for a job that is stored, ended or cancelled.
 
-        A job that was cancelled before it was stored may be submitted again.
-        A cancellation during this request counts for it.
+        A request that was sent before the cancellation cannot be told from
+        one that was sent after it, so a cancelled job is never stored.
         """
-        item = conflict.item_for(records.job_key(job.job_id))
+        item = conflict.item_for(records.job_key(job_id))
         if item is not None:
-            self._remember_job(job.job_id, item.revision)
-        final = conflict.item_for(records.final_key(job.job_id))
-        if item is not None or jobcreation.has_ended(final):
+            self._remember_job(job_id, item.revision)
             return Accepted()
-        if uncertain or final is None:
-            return Refused("the job was cancelled meanwhile")
-        return self._commit(
-            jobcreation.transaction(job, final.revision), deadline,
-            lambda revision: self._remember_job(job.job_id, revision),
-            lambda later, _: self._resolve_creation(
-                job, deadline, later, True))
+        if jobcreation.has_ended(
+                conflict.item_for(records.final_key(job_id))):
+            return Accepted()
+        return Cancelled()
 
     def cancel(self, job_id: str, deadline: float) -> Outcome:
         """Store the cancellation of a job; deadline is on clock.now()."""
@@ -225,15 +226,15 @@
             (messages.Expect(key, 0),
              messages.Expect(records.job_key(job_id), revision)),
             (messages.Put(key, b"1"),)), deadline, lambda _: None,
-            lambda conflict, _: self._accept_cancelled(job_id, conflict))
+            lambda conflict: self._accept_cancelled(job_id, conflict))
 
     def _prevent_creation(self, job_id: str, final: messages.Item | None,
                           deadline: float) -> Outcome:
         """Answer that there is no such job, after making sure of it.
 
-        A write of the job without an answer may be executed seconds later.
-        An earlier NEVER_STORED is written again: a later submission expects
-        its revision.
+        A write of the job without an answer may be executed seconds later,
+        and a request for the job may be handled as late.  An earlier
+        NEVER_STORED is written again, so that it is kept for longer.
         """
         key = records.final_key(job_id)
         outcome = self._commit(messages.Transaction(
@@ -241,8 +242,8 @@
              messages.Expect(records.job_key(job_id), 0)),
             (messages.Put(key, records.NEVER_STORED),)), deadline,
             lambda _: None,
-            lambda conflict, uncertain: _resolve_prevention(
-                conflict.item_for(key), uncertain))
+            lambda conflict: _resolve_prevention(
+                conflict.item_for(key)))
         return UnknownJob() if isinstance(outcome, Accepted) else outcome
 
     def _accept_cancelled(self, job_id: str,
@@ -287,7 +288,7 @@
                 self.last_call_unanswered = False
                 return Accepted()
             except interfaces.Conflict as exc:
-                return on_conflict(exc, uncertain)
+                return on_conflict(exc)
             except interfaces.CallRefused as exc:
                 reason = str(exc)
                 if tries >= MAX_REFUSED_TRIES:
@@ -374,11 +375,10 @@
             _add_bounded(self.job_revisions, job_id, revision)
 
 
-def _resolve_prevention(final: messages.Item | None,
-                        uncertain: bool) -> Outcome:
-    """Return the outcome if the job cannot be prevented from being stored."""
-    if uncertain and final is not None and not jobcreation.has_ended(final):
-        # An earlier attempt was applied.
+def _resolve_prevention(final: messages.Item | None) -> Outcome:
+    """Return the outcome of a write of NEVER_STORED that had a conflict."""
+    if final is not None and not jobcreation.has_ended(final):
+        # An earlier attempt or another cancellation was applied.
         return Accepted()
     return Refused("the job was changed meanwhile")
 
--- a/sycamorefield/fleet/records.py
+++ b/sycamorefield/fleet/records.py
@@ -11,7 +11,8 @@
 # Final states of jobs that have ended.
 FINAL_PREFIX = "st/"
 # Stored as the final state of a job that was cancelled while no record of it
-# was stored: a write of the job that is executed later then fails.
+# was stored: a write of the job that is executed later then fails, and so
+# does a request for the job that is handled later.
 NEVER_STORED = b'{"state":"never-stored"}'
 OWNER_KEY = "owner/fleet"
 # An owner that does not reach enough workers asks for offers to take over.
--- a/sycamorefield/platform/front.py
+++ b/sycamorefield/platform/front.py
@@ -26,6 +26,7 @@
 STORE_UNAVAILABLE = "the store is unavailable"
 OVERLOADED = ("the fleet is overloaded: the job could not end in time; it was "
               "not stored and will not run")
+JOB_CANCELLED = "the job was cancelled; it was not stored and will not run"
 OUTCOME_UNKNOWN = "the store has not confirmed the request"
 
 Environ = dict[str, typing.Any]
@@ -211,6 +212,8 @@
         return Reply(200)
     if isinstance(outcome, jobrequests_mod.UnknownJob):
         return Reply(410, {"error": "no such job"})
+    if isinstance(outcome, jobrequests_mod.Cancelled):
+        return Reply(503, {"error": JOB_CANCELLED})
     if isinstance(outcome, jobrequests_mod.Refused):
         return Reply(503, {"error": STORE_UNAVAILABLE}, outcome.retry_after_s)
     if isinstance(outcome, admission.Rejected):
