Keep a record that the store refuses from delaying other writes

Cause: the progress of a job holds the saved texts of all unfinished tasks in one value, which the store refuses above value_bytes with 400. The recorder took this for a call without an answer and repeated the same transaction until the end of the term, while all other writes waited.

Change: a record is reduced until it fits into a value (settings: platform.value_bytes). Saved texts of running tasks are left out first, as their workers report them again; which tasks are done is always stored. Statuses 400, 403 and 413 of a transaction are CallInvalid: the recorder then commits each write singly, and the refused one in a shorter form. A transaction of several values is no longer than the longest value may be. A job whose own record is refused is rejected at once (413), where its caller was answered 504 and tried again.

--- a/sycamorefield/events.py
+++ b/sycamorefield/events.py
@@ -118,6 +118,8 @@
 WORKER_AVOIDED = Event("SF1827", WARNING, "worker avoided temporarily")
 PACE_CHANGED = Event("SF1828", INFO, "paces of best-effort runs changed")
 COMMIT_FAILED = Event("SF1829", WARNING, "commit of task outcomes failed")
+PROGRESS_REDUCED = Event(
+    "SF1889", WARNING, "stored progress of a job lacks what does not fit")
 RECORD_UNREADABLE = Event("SF1830", ERROR, "stored record cannot be read")
 THREAD_FAILED = Event("SF1831", ERROR, "unexpected error")
 LINES_DROPPED = Event("SF1833", WARNING, "log lines dropped")
--- a/sycamorefield/fleet/interfaces.py
+++ b/sycamorefield/fleet/interfaces.py
@@ -6,6 +6,10 @@
 from sycamorefield.fleet import messages
 
 
+# The limit on a value of the store where settings don't state it.
+DEFAULT_MAX_VALUE_BYTES = 1_048_576
+
+
 class CallFailed(Exception):
     """A call got no answer; it may have been carried out."""
 
@@ -14,6 +18,13 @@
     """A call was refused; it had no effect."""
 
 
+class CallInvalid(CallRefused):
+    """A call was refused for what it contains; it had no effect.
+
+    The same call would be refused again.
+    """
+
+
 class NotConnected(CallRefused):
     """No connection could be opened."""
 
@@ -76,7 +87,12 @@
 
 
 class Store(abc.ABC):
-    """A durable key-value store with leases and watches."""
+    """A durable key-value store with leases and watches.
+
+    A value has at most max_value_bytes.
+    """
+
+    max_value_bytes = DEFAULT_MAX_VALUE_BYTES
 
     @abc.abstractmethod
     def get(self, key: str) -> messages.Item | None:
@@ -105,8 +121,9 @@
     def commit(self, transaction: messages.Transaction) -> int:
         """Commit a transaction and return its revision.
 
-        Raises Conflict, LeaseEnded, CallRefused (not applied) or CallFailed
-        (may have been applied, or may still be).
+        Raises Conflict, LeaseEnded, CallRefused (not applied), CallInvalid
+        (nor would a repeat be) or CallFailed (may have been applied, or may
+        still be).
         """
 
     @abc.abstractmethod
--- a/sycamorefield/fleet/jobrequests.py
+++ b/sycamorefield/fleet/jobrequests.py
@@ -60,6 +60,13 @@
     retry_after_s: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unstorable:
+    """The store does not accept the record of the job: it never runs."""
+
+    reason: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Uncertain:
     """The outcome is unknown; the same request may be repeated."""
@@ -80,7 +87,7 @@
     reason: str = ""
 
 
-Outcome = (Accepted | Refused | Uncertain | UnknownJob
+Outcome = (Accepted | Refused | Unstorable | Uncertain | UnknownJob
            | admission_mod.Rejected)
 # Receives the revision of a transaction.
 OnStored = typing.Callable[[int], None]
@@ -173,7 +180,8 @@
             lambda conflict: self._resolve_creation(job.job_id, conflict))
         event_types = {Accepted: events.JOB_STORED,
                        Refused: events.JOB_REFUSED,
-                       Cancelled: events.JOB_REFUSED}
+                       Cancelled: events.JOB_REFUSED,
+                       Unstorable: events.JOB_REFUSED}
         events.emit(event_types.get(type(outcome), events.JOB_UNCERTAIN),
                     job=job.job_id, queue=job.queue,
                     reason=getattr(outcome, "reason", ""))
@@ -289,6 +297,8 @@
                 return Accepted()
             except interfaces.Conflict as exc:
                 return on_conflict(exc)
+            except interfaces.CallInvalid as exc:
+                return Unstorable(str(exc))
             except interfaces.CallRefused as exc:
                 reason = str(exc)
                 if tries >= MAX_REFUSED_TRIES:
--- a/sycamorefield/fleet/jobwrites.py
+++ b/sycamorefield/fleet/jobwrites.py
@@ -38,9 +38,11 @@
         return 2 + len(self.conditions) + len(self.removes)
 
 
-def job_write(job: progress.JobState) -> PendingWrite:
+def job_write(job: progress.JobState, max_bytes: float) -> PendingWrite:
     """Return the write of a job's progress or of its final state."""
-    return _final_write(job) if job.final() else _progress_write(job)
+    if job.final():
+        return _final_write(job)
+    return _progress_write(job, min(max_bytes, job.max_record_bytes))
 
 
 def _final_write(job: progress.JobState) -> PendingWrite:
@@ -57,7 +59,8 @@
         job.final_revision, job, removes=tuple(removes))
 
 
-def _progress_write(job: progress.JobState) -> PendingWrite:
+def _progress_write(job: progress.JobState,
+                    max_bytes: float) -> PendingWrite:
     """Return the write of the progress of a job that has not ended.
 
     A repeated transaction may be executed seconds later.  One that creates
@@ -73,22 +76,28 @@
         conditions = (messages.Expect(
             records.job_key(job_id), job.created_revision),)
     return PendingWrite(
-        records.progress_key(job_id), progress.encode_progress(job),
+        records.progress_key(job_id),
+        progress.encode_progress(job, max_bytes),
         job.state_revision, job, dict(job.quarantine_workers), unstarted,
         conditions, crashes=storedcrashes.recorded(job))
 
 
-def grouped(writes: typing.Iterable[PendingWrite]
+def grouped(writes: typing.Iterable[PendingWrite], max_bytes: int
             ) -> typing.Iterator[list[PendingWrite]]:
-    """Yield groups of writes that fit into one transaction with the fence."""
+    """Yield groups of writes that fit into one transaction with the fence.
+
+    The values of a group have at most max_bytes, unless it is a single one.
+    """
     group: list[PendingWrite] = []
-    entries = 1
+    entries, size = 1, 0
     for write in writes:
-        if entries + write.entry_count() > MAX_ENTRIES:
+        if group and (entries + write.entry_count() > MAX_ENTRIES
+                      or size + len(write.data) > max_bytes):
             yield group
-            group, entries = [], 1
+            group, entries, size = [], 1, 0
         group.append(write)
         entries += write.entry_count()
+        size += len(write.data)
     if group:
         yield group
 
@@ -105,6 +114,12 @@
         tuple(key for w in writes for key in w.removes))
 
 
+def note_invalid(write: PendingWrite, job: progress.JobState) -> None:
+    """Let a job be written again with a shorter record than was refused."""
+    job.max_record_bytes = len(write.data) // 2
+    job.dirty = True
+
+
 def is_applied(write: PendingWrite, conflict: interfaces.Conflict,
                repeated: bool) -> bool:
     """Return whether a conflict shows that a write was applied before.
--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from sycamorefield import events
 from sycamorefield.fleet import jobbounds
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import runtimes
@@ -242,6 +243,10 @@
         self.stored_unstarted: frozenset[messages.TaskId] = frozenset()
         # Whether the progress has changed since it was last written.
         self.dirty = False
+        # The most bytes that the store has not refused of its record.
+        self.max_record_bytes = math.inf
+        # Whether it was logged that the record lacks what does not fit.
+        self.reduction_logged = False
         # Whether further tasks are unstarted; the record may wait for others.
         self.unstarted_added = False
         self.tasks: dict[StepIndex, list[TaskState]] = {}
@@ -524,9 +529,12 @@
     down_ms: int = 0
 
 
-def encode_progress(state: JobState) -> bytes:
+def encode_progress(state: JobState, max_bytes: float = math.inf) -> bytes:
     """Return the stored form of a job's progress, for later owners.
 
+    A record above max_bytes lacks what tasks saved, or what is known of tasks
+    that failed; what keeps a task from a second run is always part.
+
     A job in a final state has only its state and the reason of a failure.
     Otherwise "done" and "ran" hold, for each step, a bit mask of the tasks
     that succeeded and of the long-running tasks that have run; "unstarted"
@@ -537,6 +545,18 @@
     workers they are tried on.  "down_ms" is for how long a long-running task
     that has run was down.
     """
+    row = _progress_row(state)
+    data = _encode_row(row)
+    if len(data) > max_bytes:
+        data = _encode_row(_reduced_row(state, row, max_bytes))
+    return data
+
+
+def _encode_row(row: dict[str, typing.Any]) -> bytes:
+    return json.dumps(row, separators=(",", ":")).encode()
+
+
+def _progress_row(state: JobState) -> dict[str, typing.Any]:
     row: dict[str, typing.Any] = {"state": state.state}
     if state.reason:
         row["reason"] = state.reason
@@ -564,7 +584,47 @@
             row["trials"] = {_short_name(task): worker_id for task, worker_id
                              in state.quarantine_workers.items()}
             row["trial_births"] = state.quarantine_births
-    return json.dumps(row, separators=(",", ":")).encode()
+    return row
+
+
+def _reduced_row(state: JobState, row: dict[str, typing.Any],
+                 max_bytes: float) -> dict[str, typing.Any]:
+    """Return a row of at most max_bytes, if that can be.
+
+    A worker reports what its runs have saved, so the texts of tasks without a
+    run come first.  A task whose text is left out begins anew if its worker
+    is lost together with the owner.
+    """
+    rest = {name: (run, failed, "")
+            for name, (run, failed, _) in row["rest"].items()}
+    left_bytes = max_bytes - len(_encode_row({**row, "rest": rest}))
+    if left_bytes < 0:
+        _log_reduction(state, max_bytes, len(rest),
+                       "failed runs and saved texts")
+        return {**row, "rest": {}}
+    tasks = [task for task in state.all_tasks()
+             if task.saved and _short_name(task.task) in rest]
+    tasks.sort(key=lambda task: task.phase != IDLE)
+    left_out = 0
+    for task in tasks:
+        name = _short_name(task.task)
+        text_bytes = len(json.dumps(task.saved)) - len('""')
+        if text_bytes > left_bytes:
+            left_out += 1
+            continue
+        left_bytes -= text_bytes
+        rest[name] = row["rest"][name]
+    _log_reduction(state, max_bytes, left_out, "saved texts")
+    return {**row, "rest": rest}
+
+
+def _log_reduction(state: JobState, max_bytes: float, tasks: int,
+                   left_out: str) -> None:
+    """Log once what the record of a job lacks."""
+    if not state.reduction_logged:
+        state.reduction_logged = True
+        events.emit(events.PROGRESS_REDUCED, job=state.job.job_id,
+                    max_bytes=max_bytes, tasks=tasks, left_out=left_out)
 
 
 def _encode_masks(state: JobState,
--- a/sycamorefield/fleet/recorder.py
+++ b/sycamorefield/fleet/recorder.py
@@ -118,7 +118,7 @@
             self._add_weights(writes)
             self._add_backlog(writes)
         outcomes = set()
-        for group in jobwrites.grouped(writes):
+        for group in jobwrites.grouped(writes, self.store.max_value_bytes):
             if Outcome.RETRY in outcomes:
                 group = self._without_silent_workers(group)
             outcomes.add(self._commit(group))
@@ -150,7 +150,7 @@
 
     def _job_write(self, job: progress.JobState) -> jobwrites.PendingWrite:
         job.dirty = job.unstarted_added = False
-        return jobwrites.job_write(job)
+        return jobwrites.job_write(job, self.store.max_value_bytes)
 
     def _add_workers(self, writes: list[jobwrites.PendingWrite]) -> None:
         """Add the list of workers in use if it has changed.
@@ -305,6 +305,8 @@
                 return Outcome.STORED
             except interfaces.Conflict as exc:
                 return self._resolve_conflict(writes, exc, repeated)
+            except interfaces.CallInvalid as exc:
+                return self._commit_singly(writes, exc)
             except (interfaces.CallFailed, interfaces.LeaseEnded) as exc:
                 events.emit(events.COMMIT_FAILED, reason=str(exc),
                             values=len(writes))
@@ -334,22 +336,55 @@
                 jobwrites.note_conflict(write, write.job, conflict)
                 continue
             self.revisions[write.key] = revision
-            if write.key == records.WORKERS_KEY:
-                # The addresses of awaited workers are known from this list.
-                self.rewrite_workers = True
-            elif write.key == records.SILENT_WORKERS_KEY:
-                with self.fleet.lock:
-                    self.fleet.silent_workers.rewrite()
-            elif write.key == records.WEIGHTS_KEY:
-                self.stored_weights = b"{}"
-            elif write.key == records.TERMS_KEY:
-                self.fleet.terms.stored = None
-            elif write.key == records.BACKLOG_KEY:
-                self.taken_backlog = None
-            else:
-                self.stored_counts = None
+            self._write_again(write.key)
         return outcome
 
+    def _commit_singly(self, writes: list[jobwrites.PendingWrite],
+                       refusal: interfaces.CallInvalid) -> Outcome:
+        """Commit the writes of a refused transaction each by itself.
+
+        A write that the store does not accept must not delay others.
+        """
+        if len(writes) == 1:
+            self._handle_invalid(writes[0], refusal)
+            return Outcome.RETRY
+        outcomes = set()
+        for write in writes:
+            group = [write]
+            if Outcome.RETRY in outcomes:
+                group = self._without_silent_workers(group)
+            outcomes.add(self._commit(group))
+            if Outcome.OWNERSHIP_LOST in outcomes:
+                return Outcome.OWNERSHIP_LOST
+        return Outcome.RETRY if Outcome.RETRY in outcomes else Outcome.STORED
+
+    def _handle_invalid(self, write: jobwrites.PendingWrite,
+                        refusal: interfaces.CallInvalid) -> None:
+        events.emit(events.COMMIT_FAILED, key=write.key, reason=str(refusal),
+                    bytes=len(write.data))
+        if write.job is not None:
+            jobwrites.note_invalid(write, write.job)
+        else:
+            self._write_again(write.key)
+        self.stopped.wait(RETRY_DELAY_S)
+
+    def _write_again(self, key: str) -> None:
+        """Let a record that is not of a job be written by the next flush."""
+        if key == records.WORKERS_KEY:
+            # The addresses of awaited workers are known from this list.
+            self.rewrite_workers = True
+        elif key == records.SILENT_WORKERS_KEY:
+            with self.fleet.lock:
+                self.fleet.silent_workers.rewrite()
+        elif key == records.WEIGHTS_KEY:
+            self.stored_weights = b"{}"
+        elif key == records.TERMS_KEY:
+            self.fleet.terms.stored = None
+        elif key == records.BACKLOG_KEY:
+            self.taken_backlog = None
+        else:
+            self.stored_counts = None
+
     def _mark_stored(self, write: jobwrites.PendingWrite,
                      revision: int) -> None:
         if write.job is None:
--- a/sycamorefield/platform/bootsettings.py
+++ b/sycamorefield/platform/bootsettings.py
@@ -5,6 +5,7 @@
 
 import pydantic
 
+from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import stateremoval
 from sycamorefield.fleet import victims
 
@@ -30,9 +31,11 @@
 
 
 class StoreModel(pydantic.BaseModel):
-    """Address of the platform's store (host:port)."""
+    """Address of the platform's store (host:port), and its limit on values."""
 
     addr: str
+    value_bytes: typing.Annotated[int, pydantic.Field(gt=0)] = (
+        interfaces.DEFAULT_MAX_VALUE_BYTES)
 
 
 class LimitsModel(pydantic.BaseModel):
--- a/sycamorefield/platform/daemon.py
+++ b/sycamorefield/platform/daemon.py
@@ -62,7 +62,8 @@
                  policy: policy_mod.Policy = policy_mod.Policy()) -> None:
         self.settings = settings
         self.policy = policy
-        self.store = store_mod.PlatformStore(settings.platform.addr)
+        self.store = store_mod.PlatformStore(
+            settings.platform.addr, settings.platform.value_bytes)
         relay_key = records.relay_key(settings.node)
         self.watcher = controlwatcher.ControlWatcher(
             self.store, configuration.KEY, configuration.decode,
--- a/sycamorefield/platform/front.py
+++ b/sycamorefield/platform/front.py
@@ -27,6 +27,7 @@
 OVERLOADED = ("the fleet is overloaded: the job could not end in time; it was "
               "not stored and will not run")
 JOB_CANCELLED = "the job was cancelled; it was not stored and will not run"
+JOB_TOO_LARGE = "the job is too large to be stored; it will not run"
 OUTCOME_UNKNOWN = "the store has not confirmed the request"
 
 Environ = dict[str, typing.Any]
@@ -212,6 +213,8 @@
         return Reply(200)
     if isinstance(outcome, jobrequests_mod.UnknownJob):
         return Reply(410, {"error": "no such job"})
+    if isinstance(outcome, jobrequests_mod.Unstorable):
+        return Reply(413, {"error": JOB_TOO_LARGE})
     if isinstance(outcome, jobrequests_mod.Cancelled):
         return Reply(503, {"error": JOB_CANCELLED})
     if isinstance(outcome, jobrequests_mod.Refused):
--- a/sycamorefield/platform/reportrows.py
+++ b/sycamorefield/platform/reportrows.py
@@ -13,8 +13,8 @@
 # Numbers up to this are exact as floating-point numbers.
 MAX_NUMBER = 2 ** 53
 MAX_FIGURE = 1e9
-# The saved texts of all unfinished tasks of a job are stored as one value of
-# at most a megabyte; steps have up to 20 tasks.
+# The saved texts of all unfinished tasks of a job share one value of the
+# store, of about a megabyte.
 MAX_SAVED_CHARS = 32_768
 # Every report repeats the IDs of all tasks that run on the worker.
 TASK_ID_CACHE_SIZE = 16384
--- a/sycamorefield/platform/store.py
+++ b/sycamorefield/platform/store.py
@@ -16,12 +16,16 @@
 WATCH_SLACK_S = 0.5
 MAX_IDLE_CONNECTIONS = 12
 REFUSED_STATUSES = (429, 503)
+# Responses to a transaction that would be the same to a repeat of it.
+INVALID_STATUSES = (400, 403, 413)
 
 
 class PlatformStore(interfaces.Store):
     """Calls the store over HTTP."""
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, max_value_bytes: int =
+                 interfaces.DEFAULT_MAX_VALUE_BYTES) -> None:
+        self.max_value_bytes = max_value_bytes
         self.client = jsonclient.JsonClient(address, MAX_IDLE_CONNECTIONS)
 
     def _call(self, method: str, path: str,
@@ -92,6 +96,8 @@
                 _decode_existing_items, response.body))
         if response.status == 404:
             raise interfaces.LeaseEnded("lease of a put has ended")
+        if response.status in INVALID_STATUSES:
+            raise interfaces.CallInvalid(f"store answers {response.status}")
         _require_ok(response)
         return jsonclient.decode_or_fail(
             lambda body: int(body["rev"]), response.body)
--- a/tests/test_fleet_cancel_before_store.py
+++ b/tests/test_fleet_cancel_before_store.py
@@ -8,7 +8,6 @@
 
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import jobrequests
-from sycamorefield.fleet import messages
 from tests import fleetfakes
 from tests import test_fleet_job_retention
 from tests import test_fleet_takeover
--- a/tests/test_platform_answers.py
+++ b/tests/test_platform_answers.py
@@ -44,6 +44,14 @@
         CALLS[call](store_mod.PlatformStore(server.address))
 
 
+@pytest.mark.parametrize("status", [400, 403, 413])
+def test_transaction_that_the_store_does_not_accept_had_no_effect(status):
+    """Guards against a transaction that is repeated for ever."""
+    server = platformfakes.FaultyServer(lambda *_: (status, {}))
+    with pytest.raises(interfaces.CallInvalid):
+        store_mod.PlatformStore(server.address).commit(TRANSACTION)
+
+
 @pytest.mark.parametrize("body", [
     {"good": 7}, {"good": [[]]}, {"good": [7]}, {"good": {"a": 1}},
     {"valid_ms": "long"}, {"valid_ms": []}])
