Give each call to a worker a fence of its own

What callers saw: a task that was done ran once more (TWICE). A call for a report that was meant for the life before of a worker was carried out by the next life, seconds later. Its seen_upto made the next life forget an end that nobody had read; the owner then started the task again. In the same way a late call extended leases in a life whose clock starts anew.

Cause: all calls of a term carry one fence, so a worker cannot tell a call that was held up from a new one, and a life that has just begun has nothing else to tell them by: its ID and address are the same.

Once a life has carried out a call, it refuses all calls that were sent before. A call that a later one overtakes on another connection is refused in the same way; it had no effect and is made again, and is not taken for a sign of a successor. A refusal of the newest call still ends the term.

Two tests of refused owners set a fence of the successor on a worker; it is now that of its first call. They check what they did before.

--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -62,6 +62,7 @@
 UNEXPECTED_ERROR = "unexpected error"
 
 Permission = typing.Callable[[], bool]
+Answer = typing.TypeVar("Answer")
 
 
 class OrderQueue:
@@ -126,6 +127,7 @@
         self.refusals = 0
         self.recorded = asyncio.Event()
         self.ends = recordedends.RecordedEnds()
+        self.fences = fleet.fences_of(self.worker_id)
         self.orders = OrderQueue()
         self.order_added = asyncio.Event()
 
@@ -266,16 +268,34 @@
                 await self._handle_failure(exc)
                 await asyncio.sleep(ERROR_PAUSE_S)
 
+    async def _call(self, call: typing.Callable[
+            [int], typing.Coroutine[typing.Any, typing.Any, Answer]]
+            ) -> Answer:
+        """Make a call with a higher fence than all earlier ones.
+
+        If a later call arrives before it, it is refused without an effect
+        and made again.
+        """
+        while True:
+            fence = self.fences.take()
+            try:
+                return await call(fence)
+            except interfaces.OrderRejected as exc:
+                if (exc.reason != interfaces.FENCED
+                        or self.fences.is_newest(fence)
+                        or not self.may_act()):
+                    raise
+
     async def _renew_once(self) -> bool:
         """Make one call and apply the report; return whether the link ends."""
         sent_at = clock.now()
         self.recorded.clear()
         called = self.worker
         try:
-            report = await called.renew(
-                self.fleet.fence, self.ends.acknowledged_number(),
+            report = await self._call(lambda fence: called.renew(
+                fence, self.ends.acknowledged_number(),
                 self._lease_end_ms(), self._report_wait_ms(),
-                self._answer_s())
+                self._answer_s()))
         except interfaces.IncarnationMismatch:
             return self._report_end(called, crashes.worker_replaced)
         except interfaces.OrderRejected as exc:
@@ -434,8 +454,7 @@
                 if self.closed:
                     # The worker was declared dead in the meantime.
                     return
-                await self.worker.start(order, self.fleet.fence,
-                                        lease_end_ms)
+                await self._start(order, lease_end_ms)
                 self.refusals = 0
                 answers.record_started(self.fleet, self.worker_id, order,
                                        clock.now())
@@ -451,6 +470,11 @@
                             reason=str(exc))
         answers.stop_uncertain_run(self.fleet, self.worker_id, order, refused)
 
+    async def _start(self, order: messages.StartOrder,
+                     lease_end_ms: float) -> None:
+        await self._call(lambda fence: self.worker.start(
+            order, fence, lease_end_ms))
+
     def _handle_rejection(self, order: messages.StartOrder, reason: str,
                           attempt: int) -> None:
         if attempt:
@@ -470,7 +494,7 @@
         if not self.may_act():
             return
         try:
-            await self.worker.stop(order, self.fleet.fence)
+            await self._call(lambda fence: self.worker.stop(order, fence))
             answers.record_stopped(
                 self.fleet, self.worker_id, order, clock.now())
         except interfaces.OrderRejected as exc:
@@ -485,7 +509,7 @@
         if not self.may_act():
             return
         try:
-            await self.worker.pace(order, self.fleet.fence)
+            await self._call(lambda fence: self.worker.pace(order, fence))
         except interfaces.OrderRejected as exc:
             if not self._check_fenced(exc):
                 answers.record_uncertain_pace(
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -13,6 +13,7 @@
 
 from sycamorefield import events
 from sycamorefield.fleet import advice
+from sycamorefield.fleet import callfences
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import copies
 from sycamorefield.fleet import crashrecords
@@ -96,6 +97,9 @@
         # store: several while the outcome of a write is unknown.
         self.possible_worker_lists: list[frozenset[str]] = [frozenset()]
         self.ended_lives = endedlives.EndedLives()
+        # The fences of calls to each worker, also after it was removed: the
+        # same life may be added again.
+        self.call_fences: dict[str, callfences.CallFences] = {}
         # When the worker list was last read, and since when it has been read
         # often enough not to miss a draining worker.
         self.list_read_at = math.inf
@@ -407,6 +411,12 @@
         """
         return worker.restart_seen_at <= self.owner_lease_until
 
+    def fences_of(self, worker_id: str) -> callfences.CallFences:
+        """Return the fences of the calls to a worker in this term."""
+        with self.lock:
+            return self.call_fences.setdefault(
+                worker_id, callfences.CallFences(self.fence))
+
     def mark_unresponsive(self, worker_id: str, reason: str) -> None:
         """Record that a worker did not respond or closed the connection."""
         with self.lock:
--- a/tests/test_fleet_handover.py
+++ b/tests/test_fleet_handover.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from sycamorefield.fleet import callfences
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import controlwatcher
 from sycamorefield.fleet import handover
@@ -457,10 +458,12 @@
     relayed[1].cut = set()
     worker = PartlyCutWorker(fleet.workers["i-0"],
                              fleet.worker_list.entries[0].address, relayed[0])
-    asyncio.run(worker.renew(old_fence + 1, 0, None, 0))
+    asyncio.run(worker.renew(
+        callfences.CallFences(old_fence + 1).take(), 0, None, 0))
     with pytest.raises(interfaces.OrderRejected) as caught:
         asyncio.run(worker.stop(messages.StopOrder(
-            messages.TaskId("j", 0, 0, 0), 1), old_fence))
+            messages.TaskId("j", 0, 0, 0), 1),
+            callfences.CallFences(old_fence).take()))
     assert caught.value.reason == interfaces.FENCED
 
 
--- a/tests/test_fleet_takeover.py
+++ b/tests/test_fleet_takeover.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from sycamorefield.fleet import callfences
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import controlwatcher
 from sycamorefield.fleet import interfaces
@@ -234,7 +235,7 @@
     """Step down when a worker refuses an order because of a higher fence."""
     first_owner = fleet.take_over()
     for worker in fleet.workers.values():
-        worker.fence = first_owner.fence + 100
+        worker.fence = callfences.CallFences(first_owner.fence + 100).take()
     wait_for(first_owner.stepped_down.is_set)
 
 
