Bound leases in a life of a worker that has not reported

What callers saw: two runs of a task at once (TWICE), as workers started again under their IDs and were cut off soon after, while long tasks ran.

Cause: the end of a lease is a time on the worker's clock. A life that has begun since the last report has another clock, by which that time is far ahead; it shortens the lease to hold_max_ms (6.0 s) from when it carries the call out. The owner reckoned with LEASE_MS (5.0 s) by the clock of the life before, and started the task elsewhere beside the first run.

Change: the clock in the answer to a start shows whether the reporting life has answered. A run that another one has begun is held for the longest lease from the answer, and that life gets neither a lease nor an acknowledgement of ends before it reports. Records for successors hold the same bounds, and a successor reckons with hold_max_ms in a life of under 30 s.

--- a/sycamorefield/fleet/answers.py
+++ b/sycamorefield/fleet/answers.py
@@ -1,5 +1,7 @@
 """Apply the outcomes of orders sent to workers."""
 
+import typing
+
 from sycamorefield import events
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import interfaces
@@ -84,13 +86,21 @@
         return True
 
 
-def record_started(fleet: state_mod.FleetState, worker_id: str,
-                   order: messages.StartOrder, now: float) -> None:
-    """Record that a worker carried out a start order.
+class StartAnswer(typing.NamedTuple):
+    """The answer to a start: the worker's clock, and the lease that it has.
 
-    The answer's reading of the clock is not used: it does not say which life
-    of the worker answered, and each has a clock of its own.
+    The call was sent at sent_at, in seconds on clock.now().
     """
+
+    clock_ms: float
+    lease_end_ms: float
+    sent_at: float
+
+
+def record_started(fleet: state_mod.FleetState, worker_id: str,
+                   order: messages.StartOrder, now: float,
+                   answer: StartAnswer | None = None) -> None:
+    """Record that a worker carried out a start order."""
     with fleet.lock:
         found = fleet.find_worker_and_task(
             worker_id, order.task, order.run)
@@ -100,6 +110,10 @@
         worker.mark_start_sent((order.task, order.run))
         worker.unanswered_starts = 0
         task.original().start_confirmed = True
+        if answer is not None:
+            worker.record_start_lease(
+                (order.task, order.run), answer.clock_ms, answer.lease_end_ms,
+                fleet.hold_max_ms, answer.sent_at, now)
         if fleet.is_current(worker, task, order.run):
             task.confirmed_at = now
             if task.phase == progress.STARTING:
@@ -165,6 +179,26 @@
             fleet.stop_run(task, "start got no answer")
 
 
+def record_unanswered_start(fleet: state_mod.FleetState, worker_id: str,
+                            order: messages.StartOrder,
+                            sent_at: float) -> None:
+    """Record that an attempt to start a run may still be carried out."""
+    with fleet.lock:
+        worker = fleet.workers.get(worker_id)
+        run = (order.task, order.run)
+        if worker is not None and run in worker.tasks:
+            worker.unreported_life.add_unanswered(run, sent_at)
+
+
+def record_unanswered_lease(fleet: state_mod.FleetState, worker_id: str,
+                            sent_at: float) -> None:
+    """Record that a call that extends leases may still be carried out."""
+    with fleet.lock:
+        worker = fleet.workers.get(worker_id)
+        if worker is not None:
+            worker.unreported_life.add_unanswered_lease(sent_at)
+
+
 def record_uncertain_pace(fleet: state_mod.FleetState, worker_id: str,
                           order: messages.PaceOrder, now: float) -> None:
     """Record that a pace order may be lost or be carried out late."""
--- a/sycamorefield/fleet/handoverrecord.py
+++ b/sycamorefield/fleet/handoverrecord.py
@@ -92,7 +92,7 @@
     # their tasks have precedence.
     for worker_id, worker in sorted(
             fleet.workers.items(), key=lambda pair: pair[1].reported_at):
-        ends_at = worker.leases_end_at()
+        ends_at = worker.runs_end_at(fleet.hold_max_ms)
         if worker_id in found or not worker.has_reported or ends_at is None:
             continue
         tasks = worker.possible_tasks()
--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -205,6 +205,7 @@
         with self.fleet.lock:
             worker = self.fleet.workers.get(self.worker_id)
             if (worker is None or worker.unresponsive
+                    or worker.unreported_life.has_answered()
                     or self.fleet.leases_closed
                     or self.fleet.silent_workers.is_recorded(self.worker_id)):
                 return None
@@ -286,16 +287,38 @@
                         or not self.may_act()):
                     raise
 
+    async def _renew(self, called: interfaces.Worker,
+                     fence: int) -> messages.WorkerReport:
+        sent_at = clock.now()
+        lease_end_ms = self._lease_end_ms()
+        try:
+            return await called.renew(
+                fence, self._acknowledged_number(), lease_end_ms,
+                self._report_wait_ms(), self._answer_s())
+        except interfaces.CallRefused:
+            raise
+        except interfaces.CallFailed:
+            if lease_end_ms is not None:
+                answers.record_unanswered_lease(
+                    self.fleet, self.worker_id, sent_at)
+            raise
+
+    def _acknowledged_number(self) -> int:
+        """Return the number up to which the called life may forget ends."""
+        with self.fleet.lock:
+            worker = self.fleet.workers.get(self.worker_id)
+            if worker is not None and worker.unreported_life.has_answered():
+                return 0
+        return self.ends.acknowledged_number()
+
     async def _renew_once(self) -> bool:
         """Make one call and apply the report; return whether the link ends."""
         sent_at = clock.now()
         self.recorded.clear()
         called = self.worker
         try:
-            report = await self._call(lambda fence: called.renew(
-                fence, self.ends.acknowledged_number(),
-                self._lease_end_ms(), self._report_wait_ms(),
-                self._answer_s()))
+            report = await self._call(
+                lambda fence: self._renew(called, fence))
         except interfaces.IncarnationMismatch:
             return self._report_end(called, crashes.worker_replaced)
         except interfaces.OrderRejected as exc:
@@ -450,14 +473,15 @@
             if lease_end_ms is None:
                 # The first attempt may still be carried out.
                 break
+            sent_at = clock.now()
             try:
                 if self.closed:
                     # The worker was declared dead in the meantime.
                     return
-                await self._start(order, lease_end_ms)
+                answer = await self._start(order, lease_end_ms)
                 self.refusals = 0
                 answers.record_started(self.fleet, self.worker_id, order,
-                                       clock.now())
+                                       clock.now(), answer)
                 return
             except interfaces.OrderRejected as exc:
                 if not self._check_fenced(exc):
@@ -465,15 +489,20 @@
                 return
             except interfaces.CallFailed as exc:
                 refused &= isinstance(exc, interfaces.ConnectionRefused)
+                if not isinstance(exc, interfaces.CallRefused):
+                    answers.record_unanswered_start(
+                        self.fleet, self.worker_id, order, sent_at)
                 events.emit(events.RUN_UNCERTAIN, task=str(order.task),
                             run=order.run, worker=self.worker_id,
                             reason=str(exc))
         answers.stop_uncertain_run(self.fleet, self.worker_id, order, refused)
 
     async def _start(self, order: messages.StartOrder,
-                     lease_end_ms: float) -> None:
-        await self._call(lambda fence: self.worker.start(
+                     lease_end_ms: float) -> answers.StartAnswer:
+        sent_at = clock.now()
+        clock_ms = await self._call(lambda fence: self.worker.start(
             order, fence, lease_end_ms))
+        return answers.StartAnswer(clock_ms, lease_end_ms, sent_at)
 
     def _handle_rejection(self, order: messages.StartOrder, reason: str,
                           attempt: int) -> None:
--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -1,6 +1,7 @@
 """Apply workers' reports of running and ended tasks to the fleet state."""
 
 from sycamorefield import events
+from sycamorefield.fleet import clock
 from sycamorefield.fleet import copies
 from sycamorefield.fleet import crashes
 from sycamorefield.fleet import demand
@@ -19,6 +20,8 @@
 RESTART_DELAY_S = 0.2
 # Maximum number of ended runs in one report; the worker lists others later.
 MAX_ENDS_PER_REPORT = 500
+# A life that began longer ago has no lease left by an earlier clock.
+NEW_LIFE_S = 30.0
 # Why runs that no open job wants are stopped.
 NO_SUCH_JOB = "no such job"
 ALREADY_ENDED = "already ended"
@@ -58,11 +61,11 @@
         if worker.unresponsive:
             events.emit(events.WORKER_RESPONSIVE, worker=worker_id)
             worker.unresponsive = False
+        worker.unreported_life.note_report(sent_at)
         if not worker.has_reported:
-            # A previous owner may have granted leases of maximum length.
             worker.granted_end_ms = max(
-                worker.granted_end_ms, report.clock_ms + min(
-                    workerstate.LEASE_MS, fleet.hold_max_ms))
+                worker.granted_end_ms,
+                report.clock_ms + _longest_earlier_lease_ms(fleet, report))
         new_ends = False
         for ended in report.ended:
             if ended.number > worker.last_processed_end:
@@ -88,6 +91,19 @@
         return new_ends
 
 
+def _longest_earlier_lease_ms(fleet: state_mod.FleetState,
+                              report: messages.WorkerReport) -> float:
+    """Return the longest lease that an earlier owner may have granted.
+
+    In a life that has just begun, it may be by the clock of the life before,
+    and then lasts as long as a worker allows.
+    """
+    age_ms = clock.wall_ms() - report.born_ms
+    if report.born_ms and age_ms < NEW_LIFE_S * 1000.0:
+        return fleet.hold_max_ms
+    return min(workerstate.LEASE_MS, fleet.hold_max_ms)
+
+
 def _note_replaced(fleet: state_mod.FleetState,
                    worker: workerstate.WorkerState) -> None:
     """Handle the proof that a worker gives of the end of others.
--- a/sycamorefield/fleet/silentworkers.py
+++ b/sycamorefield/fleet/silentworkers.py
@@ -192,7 +192,7 @@
                 silent[worker_id] = self.awaited_worker(
                     fleet, worker_id, now)
         for worker_id, worker in fleet.workers.items():
-            ends_at = worker.leases_end_at()
+            ends_at = worker.runs_end_at(fleet.hold_max_ms)
             if (worker_id in silent or not worker.has_reported
                     or ends_at is None or not self._is_silent(worker, now)):
                 continue
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -372,7 +372,8 @@
         """
         until = self.awaited_workers[worker_id]
         worker = self.workers.get(worker_id)
-        ends_at = worker.leases_end_at() if worker is not None else None
+        ends_at = (worker.runs_end_at(self.hold_max_ms)
+                   if worker is not None else None)
         return until if ends_at is None else max(until, ends_at)
 
     def unproven_tasks(self) -> frozenset[messages.TaskId] | None:
@@ -488,7 +489,7 @@
             for worker in list(self.workers.values()):
                 if (worker.unresponsive and lease_held
                         and worker.leases_expired(now)):
-                    self._remove_worker(worker, "lease expired")
+                    self._expire_worker(worker, now)
                 elif (worker.unresponsive and not worker.listed
                         and not worker.reserved
                         and (worker.entry.worker_id
@@ -512,6 +513,32 @@
             if self.round_needed:
                 self.request_round()
 
+    def _expire_worker(self, worker: workerstate.WorkerState,
+                       now: float) -> None:
+        """Remove a worker whose leases have expired by the known clock.
+
+        Runs that may be in a life with another clock keep it until these
+        cannot go on either; all others are over.
+        """
+        ends_at = worker.runs_end_at(self.hold_max_ms)
+        if ends_at is None or now > ends_at:
+            self._remove_worker(worker, "lease expired")
+            return
+        kept = worker.unreported_life.runs()
+        lost = [(run, task) for run, task in worker.tasks.items()
+                if run not in kept]
+        if not lost:
+            return
+        failures.log_lost_runs(
+            worker, "lease expired, later life may run others",
+            worker.entry.draining, len(lost),
+            [(task, run) for (_, run), task in lost], now)
+        for run, task in lost:
+            if self.is_current(worker, task, run[1]):
+                task.reset_run()
+            worker.release(run, task.step)
+        self.round_needed = True
+
     def _note_takeover_end(self, now: float) -> None:
         """Log once that no worker of a previous owner is awaited any more."""
         if not self.awaited_since or self.awaited_workers:
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -6,6 +6,7 @@
 from sycamorefield.fleet import interference
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import progress
+from sycamorefield.fleet import unreportedlife
 
 RunId = tuple[messages.TaskId, int]
 
@@ -26,6 +27,9 @@
 # expired.
 LEASE_EXPIRY_S = (LEASE_MS + LEASE_END_SLACK_MS) / 1000.0 / MIN_CLOCK_RATE
 
+# An answer shows another clock than that of the reports if it differs by more.
+CLOCK_TOLERANCE_MS = 200.0
+
 # Maximum number of start orders queued for one worker.  They are sent one at a
 # time, in about 5 ms each.  Without a limit an owner that sends slowly would
 # keep placing tasks that reserve resources for seconds before they begin, so
@@ -74,6 +78,8 @@
         # When the first report arrived of a life that began in this owner's
         # term, or 0.
         self.restart_seen_at = 0.0
+        # What may run in a life that has not reported.
+        self.unreported_life = unreportedlife.UnreportedLife()
         self.listed = True
         # Whether it was on any worker list that this owner has read.
         self.ever_listed = False
@@ -171,6 +177,12 @@
         return (not self.entry.born_ms or not self.born_ms
                 or self.entry.born_ms == self.born_ms)
 
+    def later_life_is_listed(self) -> bool:
+        """Return whether the entry is of a life after the one that reports."""
+        return (self.earlier_entry is not None
+                and self.earlier_entry.born_ms == self.born_ms
+                and not self.entry_is_of_current_life())
+
     def was_draining(self) -> bool:
         """Return whether the life that last reported was draining."""
         if (self.earlier_entry is not None
@@ -219,6 +231,7 @@
         self.uncertain_paces.clear()
         self.slow = self.on_trial = False
         self.trial_run = None
+        self.unreported_life.answered_at = 0.0
 
     def record_change(self) -> None:
         """Record a change after which runs may fit that did not before."""
@@ -244,6 +257,23 @@
         self.granted_end_ms = max(self.granted_end_ms, end_ms)
         return end_ms
 
+    def record_start_lease(self, run: RunId, clock_ms: float,
+                           lease_end_ms: float, hold_max_ms: float,
+                           sent_at: float, now: float) -> None:
+        """Record the lease of a run whose start was answered.
+
+        The worker's clock in the answer tells whether the life that reports
+        has answered.  Another one has a clock that starts anew.
+        """
+        elapsed_ms = (sent_at - self.clock_read_at) * 1000.0
+        known_ms = self.clock_ms + min(
+            elapsed_ms, elapsed_ms * MIN_CLOCK_RATE)
+        if clock_ms < known_ms - CLOCK_TOLERANCE_MS:
+            self.unreported_life.add_answered(run, now)
+        else:
+            self.granted_end_ms = max(self.granted_end_ms, min(
+                lease_end_ms, clock_ms + hold_max_ms))
+
     def longest_lease_ms(self) -> float:
         """Return how long a lease may be granted for."""
         return DRAINING_LEASE_MS if self.entry.draining else LEASE_MS
@@ -263,6 +293,18 @@
         lasts_ms = self.granted_end_ms + LEASE_END_SLACK_MS - self.clock_ms
         return self.clock_read_at + lasts_ms / 1000.0 / MIN_CLOCK_RATE
 
+    def runs_end_at(self, hold_max_ms: float) -> float | None:
+        """Return when no run can be left, also in a life not known yet.
+
+        None before any report.
+        """
+        ends_at = self.leases_end_at()
+        if ends_at is None:
+            return None
+        lease_s = (hold_max_ms + LEASE_END_SLACK_MS) / 1000.0 / MIN_CLOCK_RATE
+        return max(ends_at, self.unreported_life.ends_at(
+            lease_s, self.report_requested_at, self.later_life_is_listed()))
+
     def possible_tasks(self) -> frozenset[messages.TaskId] | None:
         """Return the tasks of which runs may be here; None means any."""
         if self.has_unknown_run:
@@ -296,6 +338,7 @@
         self.stopping.discard(run)
         self.refused_starts.discard(run)
         self.uncertain_paces.pop(run, None)
+        self.unreported_life.remove(run)
         resources = self.reserved.pop(run, None)
         self.tasks.pop(run, None)
         if resources is None:
