--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -63,6 +63,9 @@
 
 Permission = typing.Callable[[], bool]
 Answer = typing.TypeVar("Answer")
+# Makes a call with a fence.
+FencedCall = typing.Callable[
+    [int], typing.Coroutine[typing.Any, typing.Any, Answer]]
 
 
 class OrderQueue:
@@ -269,9 +272,7 @@
                 await self._handle_failure(exc)
                 await asyncio.sleep(ERROR_PAUSE_S)
 
-    async def _call(self, call: typing.Callable[
-            [int], typing.Coroutine[typing.Any, typing.Any, Answer]]
-            ) -> Answer:
+    async def _call(self, call: FencedCall[Answer]) -> Answer:
         """Make a call with a higher fence than all earlier ones.
 
         If a later call arrives before it, it is refused without an effect
