Keep the advice policy of a job whose queue is removed

The owner sent some 350 starts a second without a ticket, and the worker rejected them.

Cause: the policy was read from the configuration alone, and a queue that is not configured counted as one without a policy. A start that was rejected for its ticket is repeated without a pause, as a new ticket is expected.

Change: a job's record holds the policy of its queue, which counts once the queue is not configured.

--- a/sycamorefield/fleet/advice.py
+++ b/sycamorefield/fleet/advice.py
@@ -54,6 +54,12 @@
     ended_workers: set[str] = dataclasses.field(default_factory=set)
 
 
+def policy_of(job: messages.Job, queue: messages.Queue | None
+              ) -> messages.AdvicePolicy | None:
+    """Return the policy for a job, also if its queue was removed."""
+    return job.advice if queue is None else queue.advice
+
+
 class AdviceCache:
     """Cache advice, and request what placement needs."""
 
--- a/sycamorefield/fleet/answers.py
+++ b/sycamorefield/fleet/answers.py
@@ -142,6 +142,9 @@
             worker.avoid_until = now + NO_CAPACITY_PAUSE_S
         elif reason == interfaces.INVALID_TICKET:
             fleet.advice.discard_ticket(task.task.step_id(), worker_id)
+            if not order.ticket:
+                # There is no policy by which to request one.
+                task.not_before = now + UNHEALTHY_PAUSE_S
         elif reason == interfaces.UNHEALTHY:
             worker.avoid_until = now + UNHEALTHY_PAUSE_S
         elif reason == interfaces.STALE_RUN:
--- a/sycamorefield/fleet/drains.py
+++ b/sycamorefield/fleet/drains.py
@@ -11,6 +11,7 @@
 import typing
 
 from sycamorefield import events
+from sycamorefield.fleet import advice as advice_mod
 from sycamorefield.fleet import copies
 from sycamorefield.fleet import ordering
 from sycamorefield.fleet import placing
@@ -295,16 +296,18 @@
         """
         task = candidate.task
         queue = self.round.queues.get(candidate.job.job.queue)
-        if queue is None or queue.advice is None:
+        policy = advice_mod.policy_of(candidate.job.job, queue)
+        if policy is None:
             return False
+        service = queue.service if queue else candidate.job.job.service
         step_id, advice = task.task.step_id(), self.fleet.advice
         if not advice.is_pending(step_id):
             known_workers = advice.known_workers(step_id, self.now)
             advice.request_advice(step_id, self.round.fitting_workers(task, [
                 worker for worker in self.round.usable_workers
                 if worker.entry.worker_id not in known_workers
-                and placing.allowed(worker, queue.service, task)
-            ]), queue.advice, self.now)
+                and placing.allowed(worker, service, task)
+            ]), policy, self.now)
         return advice.is_pending(step_id)
 
 
--- a/sycamorefield/fleet/messages.py
+++ b/sycamorefield/fleet/messages.py
@@ -63,6 +63,18 @@
         return self.room
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdvicePolicy:
+    """How long advice takes and how long it stays valid.
+
+    A call takes decide_ms plus per_worker_ms for each worker.
+    """
+
+    decide_ms: float = 0.0
+    per_worker_ms: float = 0.0
+    valid_ms: float = 0.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Job:
     """A job as submitted by its caller, and the queue that accepted it.
@@ -81,6 +93,8 @@
     start_at_ms: float = 0.0
     repeat_count: int = 0
     interval_ms: float = 0.0
+    # The policy of the queue, for when the queue is removed.
+    advice: AdvicePolicy | None = None
 
     def occurrences(self) -> int:
         """Return how many times the job runs all of its steps."""
@@ -221,18 +235,6 @@
     percent: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AdvicePolicy:
-    """How long advice takes and how long it stays valid.
-
-    A call takes decide_ms plus per_worker_ms for each worker.
-    """
-
-    decide_ms: float = 0.0
-    per_worker_ms: float = 0.0
-    valid_ms: float = 0.0
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Advice:
     """Tickets of the workers that may run a step, and their lifetime."""
--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -489,6 +489,8 @@
     """Return the stored form of a job, without defaults of its steps."""
     row = dataclasses.asdict(job)
     row["steps"] = [_encode_step(step) for step in job.steps]
+    if job.advice is None:
+        del row["advice"]
     return json.dumps(row, separators=(",", ":")).encode()
 
 
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -3,6 +3,7 @@
 import dataclasses
 import typing
 
+from sycamorefield.fleet import advice as advice_mod
 from sycamorefield.fleet import copies
 from sycamorefield.fleet import drains
 from sycamorefield.fleet import eligibleworkers
@@ -136,9 +137,10 @@
                         tasks: list[progress.TaskState],
                         eligible: eligibleworkers.EligibleWorkers) -> None:
         """Request advice on more workers if tasks of a step are unplaced."""
-        queue = self.queues[state.job.queue]
+        policy = advice_mod.policy_of(
+            state.job, self.queues.get(state.job.queue))
         task = next((t for t in tasks if t.phase == progress.IDLE), None)
-        if task is None or queue.advice is None:
+        if task is None or policy is None:
             return
         advice = self.fleet.advice
         step_id = task.task.step_id()
@@ -157,7 +159,7 @@
             task, [w for w in eligible.workers
                    if placing.allowed(w, eligible.service, task)]))
         advice.request_advice(
-            step_id, fitting, queue.advice, self.now,
+            step_id, fitting, policy, self.now,
             [w.entry.worker_id for w in possible
              if w.entry.worker_id not in fitting])
 
@@ -174,7 +176,7 @@
         """Return the workers that configuration and advice allow a step."""
         queue = self.queues.get(state.job.queue)
         service = queue.service if queue else state.job.service
-        if queue is None or queue.advice is None:
+        if advice_mod.policy_of(state.job, queue) is None:
             return eligibleworkers.EligibleWorkers(
                 service, self.usable_workers)
         tickets = self.fleet.advice.valid_tickets(
--- a/sycamorefield/fleet/waitingreasons.py
+++ b/sycamorefield/fleet/waitingreasons.py
@@ -3,6 +3,7 @@
 import collections
 import typing
 
+from sycamorefield.fleet import advice as advice_mod
 from sycamorefield.fleet import headroom
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import placing
@@ -100,7 +101,7 @@
     """Return whether a step waits for advice; empty if it does not."""
     queue = fleet.configuration().find_queue(state.job.queue)
     step_id = task.task.step_id()
-    if (queue is None or queue.advice is None
+    if (advice_mod.policy_of(state.job, queue) is None
             or fleet.advice.valid_tickets(step_id, now)):
         return ""
     if fleet.advice.failing:
--- a/sycamorefield/platform/jobbody.py
+++ b/sycamorefield/platform/jobbody.py
@@ -65,7 +65,7 @@
         job_id, queue.name, queue.service, queue.priority,
         queue.max_attempts, accepted_ms, model.spec,
         tuple(_step(step) for step in model.steps), model.start_at_ms,
-        model.repeat_count, model.interval_ms))
+        model.repeat_count, model.interval_ms, queue.advice))
 
 
 def _whole_ms(value: float) -> int:
--- a/tests/test_fleet_advice.py
+++ b/tests/test_fleet_advice.py
@@ -9,6 +9,7 @@
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import progress
 from sycamorefield.fleet import reports
 from sycamorefield.fleet import rounds
 from sycamorefield.fleet import waitingreasons
@@ -364,3 +365,38 @@
     if reason:
         assert waitingreasons.step_reason(
             bench.state, job, job.tasks[0, 0], bench.now) == reason
+
+
+@pytest.mark.parametrize("taken_over", [False, True])
+def test_steps_of_a_removed_queue_start_by_its_policy(bench, taken_over):
+    """Guards against accepted jobs that stand still once a queue is gone."""
+    job = fleetfakes.job("j", STEP, advice=POLICY)
+    if taken_over:
+        job = progress.decode_job(progress.encode_job(job))
+    bench.add(job)
+    bench.state.advice.service = StubAdviceService(["i-1"])
+    bench.state.configuration = messages.Configuration
+    assert not bench.place()
+    fetch_all(bench)
+    assert bench.place() == ["j.0.0.0@i-1", "j.0.0.1@i-1"]
+    assert {order.ticket for _, order in bench.orders} == {"j.0.0/i-1"}
+
+
+def test_configured_policy_is_used_in_place_of_the_stored_one(bench):
+    """Guards against jobs that wait for advice nobody asks for any more."""
+    bench.add(fleetfakes.job("j", STEP, advice=POLICY))
+    bench.state.configuration = fleetfakes.configuration
+    assert len(bench.place()) == 2
+
+
+def test_start_without_a_ticket_is_not_repeated_at_once(bench):
+    """Guards against hundreds of rejected starts a second."""
+    bench.add(fleetfakes.job("j"))
+    bench.state.configuration = fleetfakes.configuration
+    rounds.place(bench.state, bench.now, 1e12)
+    (worker_id, order), = bench.orders
+    answers.record_rejected(bench.state, worker_id, order,
+                            interfaces.INVALID_TICKET, bench.now)
+    assert not bench.place()
+    bench.now += answers.UNHEALTHY_PAUSE_S
+    assert bench.place()
