Measure the age of counts of waiting jobs without requests

Cause: a process measured for how long no present owner had written the counts from the first request that noticed it.

Change: the watcher records when it learned of changes of the owner's key. Counts are stale since the first change after their revision; what a first listing shows may be of any age, so the jobs are counted then.

--- a/sycamorefield/fleet/controlwatcher.py
+++ b/sycamorefield/fleet/controlwatcher.py
@@ -9,6 +9,7 @@
 from sycamorefield.fleet import evacuations as evacuations_mod
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import ownerchanges
 from sycamorefield.fleet import recentstarts
 from sycamorefield.fleet import records
 from sycamorefield.fleet import relays as relays_mod
@@ -47,6 +48,7 @@
         self.owner_known = False
         # The store's revision as of which the owner's key is known.
         self.owner_revision = 0
+        self.owner_changes = ownerchanges.OwnerChanges()
         # The owner's request to take over the fleet, and an offer to do so.
         self.handover_request: messages.Item | None = None
         self.handover_offer: messages.Item | None = None
@@ -105,6 +107,8 @@
 
     def _list_keys(self) -> int:
         listing = self.store.listing(records.WATCHED_PREFIX)
+        # What a listing shows first may have changed at any time since.
+        known_at = self.last_answer_at
         self._note_store_answered()
         items_by_key = {item.key: item for item in listing.items}
         # Whoever claims the fleet must know the evacuations first.
@@ -118,7 +122,13 @@
         for key in (records.HANDOVER_REQUEST_KEY, records.HANDOVER_OFFER_KEY,
                     records.RELAY_REQUEST_KEY):
             self._set_handover(key, items_by_key.get(key))
-        self._set_owner(items_by_key.get(records.OWNER_KEY), listing.revision)
+        owner_item = items_by_key.get(records.OWNER_KEY)
+        if owner_item is not None:
+            self.owner_changes.add(owner_item.revision, known_at)
+        elif self.owner_item is not None or not self.owner_revision:
+            # There is no owner any more for what is stored by now.
+            self.owner_changes.add(listing.revision + 1, known_at)
+        self._set_owner(owner_item, listing.revision)
         return listing.revision
 
     def _watch_changes(self, revision: int) -> None:
@@ -144,6 +154,7 @@
 
     def _apply_change(self, change: messages.Change) -> None:
         if change.key == records.OWNER_KEY:
+            self.owner_changes.add(change.revision, clock.now())
             self._set_owner(change.item, change.revision)
             return
         self._set_handover(change.key, change.item)
--- a/sycamorefield/fleet/jobrequests.py
+++ b/sycamorefield/fleet/jobrequests.py
@@ -14,6 +14,7 @@
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import jobcreation
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import ownerchanges
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import records
 from sycamorefield.fleet import waitingcounts
@@ -101,7 +102,9 @@
     def __init__(self, store: interfaces.Store,
                  store_unresponsive: typing.Callable[[], bool],
                  owner_claim: waitingcounts.OwnerClaim,
-                 reject_hopeless_jobs: bool = False) -> None:
+                 reject_hopeless_jobs: bool = False,
+                 owner_changes: ownerchanges.OwnerChanges | None = None
+                 ) -> None:
         self.store = store
         # Rejects jobs that cannot end in time, if enabled.
         self.admission = (
@@ -109,7 +112,8 @@
             if reject_hopeless_jobs else None)
         self.in_progress = admission_mod.JobsInProgress()
         self.waiting_counts = waitingcounts.WaitingCounts(
-            store, self._read, owner_claim)
+            store, self._read, owner_claim,
+            owner_changes or ownerchanges.OwnerChanges())
         # Returns whether the store has been unresponsive for some time.
         self.store_unresponsive = store_unresponsive
         # Set by a write without an answer, cleared by an answered call.
--- a/sycamorefield/fleet/waitingcounts.py
+++ b/sycamorefield/fleet/waitingcounts.py
@@ -7,6 +7,7 @@
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import ownerchanges
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import records
 
@@ -29,11 +30,14 @@
 
     def __init__(self, store: interfaces.Store,
                  read: typing.Callable[[str], messages.Item | None],
-                 owner_claim: OwnerClaim) -> None:
+                 owner_claim: OwnerClaim,
+                 owner_changes: ownerchanges.OwnerChanges) -> None:
         self.store = store
         self.read = read
         self.owner_claim = owner_claim
-        # Since when no present owner has written the counts, or None.
+        self.owner_changes = owner_changes
+        # When a request first found that no present owner has written the
+        # counts, or None.
         self.stale_since: float | None = None
         self.lock = threading.Lock()
         self.counted_at = 0.0
@@ -57,7 +61,10 @@
         now = clock.now()
         if self.stale_since is None:
             self.stale_since = now
-        return now - self.stale_since
+        # The owner that wrote them ended at the first change after it.
+        ended_at = self.owner_changes.first_after(
+            item.revision if item is not None else 0)
+        return now - min(self.stale_since, ended_at)
 
     def _recount(self) -> dict[str, int]:
         with self.lock:
--- a/sycamorefield/platform/daemon.py
+++ b/sycamorefield/platform/daemon.py
@@ -71,7 +71,7 @@
             records.start_key(settings.node))
         self.job_requests = jobrequests_mod.JobRequestHandler(
             self.store, self._store_unresponsive, self.watcher.owner_claim,
-            policy.reject_hopeless_jobs)
+            policy.reject_hopeless_jobs, self.watcher.owner_changes)
         self.advice = (advice_mod.PlatformAdvice(settings.advice)
                        if settings.advice else None)
         claim_delay_s = ownership_mod.claim_delay_s(
