Give up a body whose chunk size is malformed

What callers would see: one request with a negative chunk size (-6) keeps the thread that receives for all connections of a front in a loop without end; nobody is answered by that process any more.

Cause: _chunked_length reads a size by int(text, 16), which accepts a sign. A negative one leads back to the same line.

Change: a size is 1 to 16 hexadecimal digits. Any other is left to the HTTP parser, as other malformed bodies are.

Evidence: on the code before, the first of the new cases (-6) fails on a running listener, and the listener does not stop afterwards; with the change all 71 tests of the file pass.

--- a/sycamorefield/platform/requestbuffer.py
+++ b/sycamorefield/platform/requestbuffer.py
@@ -16,6 +16,7 @@
 TRANSFER_ENCODING = re.compile(
     rb"^transfer-encoding[ \t]*:", re.IGNORECASE | re.MULTILINE)
 EXPECT = re.compile(rb"^expect[ \t]*:", re.IGNORECASE | re.MULTILINE)
+CHUNK_SIZE = re.compile(rb"[0-9a-fA-F]{1,16}")
 TRAILERS_END = re.compile(rb"(\A|\n)\r?\n")
 
 
@@ -54,10 +55,10 @@
         line_end = data.find(b"\n", at)
         if line_end < 0:
             return None
-        try:
-            size = int(data[at:line_end].partition(b";")[0], 16)
-        except ValueError:
+        size_text = data[at:line_end].partition(b";")[0].strip()
+        if not CHUNK_SIZE.fullmatch(size_text):
             return len(data)
+        size = int(size_text, 16)
         at = line_end + 1
         if size == 0:
             trailers_end = TRAILERS_END.search(data[at:])
--- a/tests/test_platform_connections.py
+++ b/tests/test_platform_connections.py
@@ -128,6 +128,19 @@
     assert longest_s < MAX_DELAY_S
 
 
+@pytest.mark.parametrize("size", [
+    b"-6", b"-1", b"-10000", b"+5", b"0x5", b"1_0", b"", b"x", b"9" * 40])
+def test_malformed_chunk_does_not_delay_other_callers(address, size):
+    """Guards against a request that a listener looks through for ever."""
+    with contextlib.ExitStack() as stack:
+        client = stack.enter_context(connect(address))
+        client.sendall(CHUNKED_HEAD + size + b"\r\n")
+        time.sleep(0.1)
+        results, longest_s = timed_calls(address)
+    assert results == [(200, BODY)] * OTHER_CALLERS
+    assert longest_s < MAX_DELAY_S
+
+
 def test_slow_senders_do_not_delay_other_callers(address):
     """Guards against a time limit that each received byte extends."""
     stopped = threading.Event()
