Ignore quarantined workers when a rack seems to have failed

Cause: four tasks of one job were on trial on workers of one rack and crashed them within 0.6 s. _rack_failed took that for the failure of the rack, so nobody was charged. Quarantined workers were already left out where many workers fail at once, but not here.

--- a/sycamorefield/fleet/crashes.py
+++ b/sycamorefield/fleet/crashes.py
@@ -326,7 +326,8 @@
 
     A task can crash one worker after another, but not most of a rack at
     once.  A task that started after the others were lost, or that had just
-    started on them as well, stays suspect.
+    started on them as well, stays suspect.  The tasks on trial on quarantined
+    workers explain their ends.
     """
     rack = entry.rack()
     if not rack:
@@ -338,9 +339,11 @@
                   if w.entry.rack() == rack and not w.entry.draining
                   and w.entry.worker_id != entry.worker_id]
     lost_count = sum(w.unresponsive and w.unresponsive_since >= window_start
+                     and w.entry.worker_id not in fleet.trials.by_worker
                      for w in rack_peers)
     lost_count += sum(
         ended_worker.rack == rack and ended_worker.at >= window_start
+        and not ended_worker.quarantined
         and exposed.task.task not in ended_worker.recent_tasks
         for ended_worker in fleet.failures.recent)
     responsive_count = sum(
--- a/sycamorefield/fleet/failures.py
+++ b/sycamorefield/fleet/failures.py
@@ -19,14 +19,20 @@
 
     recent_tasks had started runs on it in its last seconds.  They are not
     known if the worker never reported to this owner, and explain nothing if
-    it was quarantined: then is_evidence is False.
+    it was quarantined.
     """
 
     rack: str
     at: float
-    is_evidence: bool
+    has_reported: bool
+    quarantined: bool
     recent_tasks: frozenset[messages.TaskId]
 
+    @property
+    def is_evidence(self) -> bool:
+        """Return whether the recent tasks may explain the failure."""
+        return self.has_reported and not self.quarantined
+
     def has_recent_run_of_job(self, job_id: str) -> bool:
         """Return whether a task of a job had just started on it."""
         return any(task.job_id == job_id for task in self.recent_tasks)
@@ -52,10 +58,9 @@
             at = now
             recent_tasks = worker.find_recent_tasks(
                 now - suspicion.MAX_SUSPECT_AGE_S)
-        is_evidence = (worker.has_reported and worker.entry.worker_id
-                       not in self.trials.by_worker)
         return FailedWorker(
-            worker.entry.rack(), at, is_evidence, recent_tasks)
+            worker.entry.rack(), at, worker.has_reported,
+            worker.entry.worker_id in self.trials.by_worker, recent_tasks)
 
     def forget_old(self, now: float) -> None:
         """Forget failures that are too old to explain others."""
--- a/tests/test_fleet_crash_days.py
+++ b/tests/test_fleet_crash_days.py
@@ -119,7 +119,8 @@
 
 @pytest.mark.parametrize("is_replaced", [True, False],
                          ids=["replaced", "leases-expire"])
-@pytest.mark.parametrize("seed", [*range(6), 114, 118, 132, 141, 144, 2011])
+@pytest.mark.parametrize("seed", [*range(6), 114, 118, 132, 141, 144, 2011,
+                                  3022])
 def test_simulated_crashes_fail_only_the_jobs_that_cause_them(
         seed, is_replaced):
     """Guards against failing other jobs and against endless restarts."""
