Let a new connection of the stand-in acknowledge no ends

The soak of workers that start again let the first call over a connection acknowledge ends of the life before.

--- a/tests/rebornworkers.py
+++ b/tests/rebornworkers.py
@@ -88,6 +88,8 @@
         # When the present life ends, if that is planned.
         self.next_crash_at = float("inf")
         self.unreachable_until = 0.0
+        # The life that gave the last report, over a connection to it.
+        self.reported_life = 0
         self._begin_life(clock.now())
 
     def _begin_life(self, now: float) -> None:
@@ -200,6 +202,9 @@
                     ) -> messages.WorkerReport:
         """Extend the leases and return a report."""
         times_out_at = clock.now() + wait_ms / 1000.0 + answer_s
+        if self.reported_life != self.life:
+            # The first call over a connection acknowledges nothing.
+            recorded_upto = 0
 
         def hold(now: float) -> int:
             for number in [n for n in self.ends if n <= recorded_upto]:
@@ -221,6 +226,7 @@
         with self.lock:
             now = clock.now()
             self._advance(now)
+            self.reported_life = life
             return messages.WorkerReport(
                 self.clock_ms(now),
                 tuple(messages.RunningTask(task, run.run, "", 10)
