--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -243,7 +243,7 @@
         self.stored_unstarted: frozenset[messages.TaskId] = frozenset()
         # Whether the progress has changed since it was last written.
         self.dirty = False
-        # The most bytes that the store has not refused of its record.
+        # The record is reduced to this length: the store refused a longer one.
         self.max_record_bytes = math.inf
         # Whether it was logged that the record lacks what does not fit.
         self.reduction_logged = False
