Plan the wait before a claim again after another release

What callers saw: nothing by itself; in a rolling restart one more change of owner, if the owner's key was released twice within the wait of a process (0.08 s, up to 1.5 s on a weak VM or beside an offer).

Cause: a process that waits to claim a free key planned the wait for one release. If another process claimed and released the key in the meantime, it claimed by the old plan, before the process that had started last.

Ruled out: a notice that was not stored or not seen yet.

Change: the claim of a free key expects the revision of the planned release that its wait was planned for. If there is a newer one, the watch gets 0.2 s to deliver it, and the wait is planned again.

--- a/sycamorefield/fleet/controlwatcher.py
+++ b/sycamorefield/fleet/controlwatcher.py
@@ -20,6 +20,9 @@
 # change is seen at most this long after it was made.
 WATCH_WAIT_MS = 1000
 RETRY_PAUSE_S = 0.1
+# How long the watch may take to deliver a change while the store answers as
+# usual.
+WATCH_DELAY_S = 0.2
 
 DecodeConfiguration = typing.Callable[[bytes], messages.Configuration]
 
@@ -84,6 +87,11 @@
             return release.value
         return b""
 
+    def planned_release_revision(self) -> int:
+        """Return the revision of the last planned release, or 0."""
+        release = self.planned_release
+        return 0 if release is None else release.revision
+
     def run(self) -> None:
         """List and watch the keys until stopped.
 
@@ -233,3 +241,19 @@
                 return
             self.owner_item = item
             self.owner_changed.notify_all()
+
+    def apply_release_read(self, item: messages.Item | None) -> None:
+        """Apply a read of the last planned release, made with the key's.
+
+        The watch gets a while to deliver it first, together with the notices
+        of starts before it.
+        """
+        with self.owner_changed:
+            if item is None or self.owner_changed.wait_for(
+                    lambda: item.revision <= self.planned_release_revision(),
+                    WATCH_DELAY_S):
+                return
+            self.planned_release = item
+            if self.owner_item is None:
+                self.owner_revision = max(self.owner_revision, item.revision)
+            self.owner_changed.notify_all()
--- a/sycamorefield/fleet/ownership.py
+++ b/sycamorefield/fleet/ownership.py
@@ -62,10 +62,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimWait:
-    """How long a process waits before it claims a free key, and why."""
+    """How long a process waits before it claims a free key, and why.
+
+    release is the revision of the last planned release at the start of the
+    wait, 0 if there was none; None if the claim does not depend on it.
+    """
 
     seconds: float
     rule: str
+    release: int | None = None
+
+
+def _expect_release(revision: int | None) -> tuple[messages.Expect, ...]:
+    if revision is None:
+        return ()
+    return (messages.Expect(records.PLANNED_RELEASE_KEY, revision),)
 
 
 class Ownership:
@@ -155,6 +166,13 @@
         return self._plan_claim_wait().seconds
 
     def _plan_claim_wait(self) -> ClaimWait:
+        # Read first: a release that is seen during the planning must not count
+        # as the one that was planned for.
+        release = self.watcher.planned_release_revision()
+        return dataclasses.replace(self._plan_wait_by_offer(),
+                                   release=release)
+
+    def _plan_wait_by_offer(self) -> ClaimWait:
         jitter_s = random.uniform(0, CLAIM_JITTER_S)
         offer = self.watcher.handover_offer
         if offer is None:
@@ -190,11 +208,17 @@
 
         The claim removes the record of the last owner's planned stop, so that
         no later owner relies on it.
+
+        The claim of a free key fails if the key was claimed and released as
+        planned during the wait: another process may have to go first now.
         """
         item = self.watcher.owner_item
         if item is not None and not self._may_replace(item):
             # Another process claimed the key during the wait.
             return 0
+        release = self.claim_wait.release
+        if release not in (None, self.watcher.planned_release_revision()):
+            return 0
         revision = item.revision if item is not None else 0
         self.handover_item = None
         handover_item = self.store.get(records.HANDOVER_KEY)
@@ -205,12 +229,15 @@
                 (messages.Expect(records.OWNER_KEY, revision),
                  messages.Expect(
                      records.HANDOVER_KEY,
-                     handover_item.revision if handover_item else 0)),
+                     handover_item.revision if handover_item else 0),
+                 *_expect_release(release)),
                 (messages.Put(records.OWNER_KEY, self.identity,
                               self.lease_id),),
                 (records.HANDOVER_KEY,) if handover_item else ()))
         except interfaces.Conflict as exc:
             self.watcher.apply_owner_read(exc.item_for(records.OWNER_KEY))
+            self.watcher.apply_release_read(
+                exc.item_for(records.PLANNED_RELEASE_KEY))
             return 0
         except interfaces.LeaseEnded:
             # The call for the lease took longer than its TTL.  The next
--- a/tests/test_fleet_recent_starts.py
+++ b/tests/test_fleet_recent_starts.py
@@ -252,6 +252,36 @@
     assert other.ownership._claim_wait_s() <= JITTER_S
 
 
+@pytest.mark.parametrize("seen", [False, True])
+def test_wait_for_one_release_is_not_used_for_the_next(store, seen):
+    """Guards against a successor that is the next to be restarted.
+
+    The key is claimed and released again while process "a" waits to claim it.
+    """
+    first, second, other, recent = (Process(store, n) for n in "obac")
+    first.read_store()
+    first.ownership._claim()
+    for process in (first, second, other):
+        process.read_store()
+    revision = store.revision
+    release_as_planned(first)
+    other.see_changes(revision)
+    other.ownership._wait_until_claimable()
+    recent.announcement._announce()
+    second.read_store()
+    assert second.ownership._claim()
+    second.read_store()
+    release_as_planned(second)
+    if seen:
+        other.see_changes(revision)
+    assert not other.ownership._claim()
+    assert other.watcher.stopped_owner() == second.ownership.identity
+    assert not seen or other.ownership._claim_wait_s() >= PRIORITY_S
+    recent.read_store()
+    recent.ownership._wait_until_claimable()
+    assert recent.ownership._claim()
+
+
 @pytest.mark.parametrize("key_first", [False, True])
 def test_key_seen_free_is_known_to_be_released_as_planned(
         store, monkeypatch, key_first):
