Let overlapping test runs use different ports

Cause: both files used a fixed base port.

Change: a test run reserves a range of ports while its deployment is up.

--- a/tests/test_endtoend.py
+++ b/tests/test_endtoend.py
@@ -10,18 +10,24 @@
 
 from tests import deployment
 
-BASE_PORT = 21400
+
+def test_test_runs_that_overlap_use_different_ports():
+    """Guards against a test run that reaches the processes of another one."""
+    with deployment.reserve_ports() as first:
+        with deployment.reserve_ports() as second:
+            assert abs(first - second) >= deployment.PORTS
 
 
 @pytest.fixture(scope="module")
 def cluster(tmp_path_factory):
-    deploy = deployment.start(str(tmp_path_factory.mktemp("e2e")),
-                              BASE_PORT)
-    try:
-        deploy.up()
-        yield deploy
-    finally:
-        deploy.down()
+    with deployment.reserve_ports() as base_port:
+        deploy = deployment.start(str(tmp_path_factory.mktemp("e2e")),
+                                  base_port)
+        try:
+            deploy.up()
+            yield deploy
+        finally:
+            deploy.down()
 
 
 def test_every_entry_process_serves_requests(cluster):
--- a/tests/test_faults.py
+++ b/tests/test_faults.py
@@ -11,7 +11,6 @@
 from tests import deployment
 from tools import faults
 
-BASE_PORT = 22400
 
 PLANS = [
     # seed, number of faults, seconds, kinds.  Seed 3 has a store outage while
@@ -26,8 +25,14 @@
 ]
 
 
+@pytest.fixture(name="base_port")
+def fixture_base_port():
+    with deployment.reserve_ports() as base_port:
+        yield base_port
+
+
 @pytest.mark.parametrize("seed,count,seconds,kinds", PLANS)
-def test_invariants_hold_under_seeded_faults(tmp_path, seed, count,
+def test_invariants_hold_under_seeded_faults(tmp_path, base_port, seed, count,
                                              seconds, kinds):
     """Find no violated invariant in the logs of a run with faults.
 
@@ -37,7 +42,7 @@
     owner has acknowledged it, the owner finds no task and queues the job
     again, which then runs from the start.
     """
-    deploy = deployment.start(str(tmp_path), BASE_PORT)
+    deploy = deployment.start(str(tmp_path), base_port)
     try:
         deploy.up()
         plan = faults.Plan(deploy, seed, count, seconds, kinds)
