--- a/tests/test_fleet_crashes.py
+++ b/tests/test_fleet_crashes.py
@@ -59,7 +59,7 @@
             raise
 
 
-class CrashingFleet(test_fleet_takeover.Fleet):
+class CrashingFleet(test_fleet_takeover.LeasedFleet):
     """Workers that some jobs crash and that restart under new ids."""
 
     def __init__(self) -> None:
@@ -73,18 +73,6 @@
         for number in range(WORKERS):
             self.join(number, 0)
 
-    def take_over(self) -> owner_mod.Owner:
-        """Make a new owner claim the fleet and keep renewing its lease."""
-        owner = super().take_over()
-        threading.Thread(target=self._renew, args=(owner,),
-                         daemon=True).start()
-        return owner
-
-    @staticmethod
-    def _renew(owner: owner_mod.Owner) -> None:
-        while not owner.stepped_down.wait(0.3):
-            owner.note_lease_renewal(clock.now())
-
     def join(self, number: int, generation: int) -> None:
         """Start a worker and add it to the worker list."""
         address = fleetfakes.entry(number).address
--- a/tests/test_fleet_reborn_soak.py
+++ b/tests/test_fleet_reborn_soak.py
@@ -6,14 +6,12 @@
 import dataclasses
 import os
 import random
-import threading
 import time
 
 import pytest
 
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import messages
-from sycamorefield.fleet import owner as owner_mod
 from sycamorefield.fleet import records
 from tests import fleetfakes
 from tests import rebornworkers
@@ -27,7 +25,6 @@
 LENGTH_S = 30.0
 JOB_GAP_S = 0.25
 STEP_S = 0.02
-LEASE_RENEWAL_PERIOD_S = 0.3
 CUT_S = 9.0
 
 
@@ -38,7 +35,7 @@
     return range(int(first), int(last or first) + 1)
 
 
-class RebornFleet(test_fleet_takeover.Fleet):
+class RebornFleet(test_fleet_takeover.LeasedFleet):
     """A fleet whose workers crash and are cut off by a plan."""
 
     def __init__(self, seed: int, late_share: float) -> None:
@@ -82,18 +79,6 @@
             if entry.worker_id == worker.worker_id else entry
             for entry in self.worker_list.entries)
 
-    def take_over(self) -> owner_mod.Owner:
-        """Start a new owner and keep renewing its lease."""
-        owner = super().take_over()
-        threading.Thread(target=self._renew, args=(owner,),
-                         daemon=True).start()
-        return owner
-
-    @staticmethod
-    def _renew(owner: owner_mod.Owner) -> None:
-        while not owner.stepped_down.wait(LEASE_RENEWAL_PERIOD_S):
-            owner.note_lease_renewal(clock.now())
-
     def submit_job(self) -> None:
         """Submit a job of some short or long tasks."""
         self.jobs += 1
--- a/tests/test_fleet_restarts.py
+++ b/tests/test_fleet_restarts.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import threading
 
 import pytest
 
@@ -15,7 +14,6 @@
 from sycamorefield.fleet import interfaces
 from sycamorefield.fleet import link as link_mod
 from sycamorefield.fleet import messages
-from sycamorefield.fleet import owner as owner_mod
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import reports
 from sycamorefield.fleet import rounds
@@ -33,37 +31,13 @@
 FIRST_OFFSET_MS = 2e6
 # Jobs that complete in the first life of a worker.
 EARLIER_JOBS = ("a", "b", "c")
-LEASE_RENEWAL_PERIOD_S = 0.3
 # The longest lease that a worker takes on has certainly expired after this.
 LEASES_OVER_S = 10.0
 
 
-class LeasedFleet(test_fleet_takeover.Fleet):
-    """A fleet of one worker whose owner keeps its lease however long it runs.
-
-    An owner without its lease starts neither new jobs nor tasks on workers
-    that have restarted since.
-    """
-
-    def __init__(self) -> None:
-        super().__init__(workers=1)
-
-    def take_over(self) -> owner_mod.Owner:
-        """Start a new owner and keep renewing its lease."""
-        owner = super().take_over()
-        threading.Thread(target=self._renew, args=(owner,),
-                         daemon=True).start()
-        return owner
-
-    @staticmethod
-    def _renew(owner: owner_mod.Owner) -> None:
-        while not owner.stepped_down.wait(LEASE_RENEWAL_PERIOD_S):
-            owner.note_lease_renewal(clock.now())
-
-
 @pytest.fixture(name="fleet")
 def fixture_fleet():
-    fleet = LeasedFleet()
+    fleet = test_fleet_takeover.LeasedFleet(workers=1)
     yield fleet
     fleet.owner.step_down("test over")
 
--- a/tests/test_fleet_takeover.py
+++ b/tests/test_fleet_takeover.py
@@ -26,6 +26,7 @@
 CONFIG_KEY = "op/c"
 WAIT_S = 5.0
 STEP = messages.Step(1, messages.Resources(1000, 1000))
+LEASE_RENEWAL_PERIOD_S = 0.3
 
 
 class Fleet:
@@ -88,6 +89,26 @@
         return progress.decode_state(item.value) if item else ""
 
 
+class LeasedFleet(Fleet):
+    """A fleet whose owner keeps its lease however long it runs.
+
+    An owner without its lease starts neither new jobs nor tasks on workers
+    that have restarted since.
+    """
+
+    def take_over(self) -> owner_mod.Owner:
+        """Start a new owner and keep renewing its lease."""
+        owner = super().take_over()
+        threading.Thread(target=self._renew, args=(owner,),
+                         daemon=True).start()
+        return owner
+
+    @staticmethod
+    def _renew(owner: owner_mod.Owner) -> None:
+        while not owner.stepped_down.wait(LEASE_RENEWAL_PERIOD_S):
+            owner.note_lease_renewal(clock.now())
+
+
 def wait_for(condition: typing.Callable[[], bool]) -> None:
     """Wait until a condition holds; fail after WAIT_S."""
     end = time.monotonic() + WAIT_S
