--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -503,11 +503,10 @@
             self._shorten_deadlines(now)
             for worker_id in list(self.awaited_workers):
                 if lease_held and now >= self.awaited_until(worker_id):
+                    self._log_awaited_end(worker_id, now)
                     del self.awaited_workers[worker_id]
                     self.end_jobs_of(
                         self.crash_records.expire_leases(worker_id))
-                    events.emit(events.WORKER_RUNS_LOST, worker=worker_id,
-                                reason="leases of previous owner expired")
                     self.round_needed = True
             self._note_takeover_end(now)
             if self.round_needed:
@@ -539,6 +538,19 @@
             worker.release(run, task.step)
         self.round_needed = True
 
+    def _log_awaited_end(self, worker_id: str, now: float) -> None:
+        """Log that an awaited worker is waited for no longer, and why."""
+        worker = self.workers.get(worker_id)
+        tasks = self.silent_workers.unproven_tasks([worker_id])
+        events.emit(
+            events.WORKER_RUNS_LOST, worker=worker_id,
+            reason="leases of previous owner expired",
+            listed_born_ms=worker.entry.born_ms if worker else 0,
+            recorded=worker_id in self.silent_workers.loaded,
+            waited_s=round(now - self.awaited_since, 3),
+            tasks=None if tasks is None
+            else sorted(map(str, tasks))[:runlog.RUNS_PER_LINE])
+
     def _note_takeover_end(self, now: float) -> None:
         """Log once that no worker of a previous owner is awaited any more."""
         if not self.awaited_since or self.awaited_workers:
