Hand uncertain starts over to successors, for both cases of a later life

Cause: a start without an answer may be carried out by a life that begins later: 1 s after it was sent at most if no such life is known, and 12 s if one is. The first owner stored the time that followed from what it knew. A successor that learned of the later life had no start to apply it to, and freed the task 7.4 s after the attempts. In the same record, starts under way at a planned stop were missing: they counted as unanswered only once the time for their answers was over.

Change: both records hold the tasks of such starts, the life that the owner knew, and how long each case lasts; a successor applies the one that holds by what is listed, and passes both on. An attempt counts from when it is sent until it is answered. Other tasks of the worker wait for their leases alone: before, they waited as long as the uncertain ones.

test_successor_waits_for_runs_of_an_unreported_life reads the bound where it is now stored; it requires the task to be named as well.

--- a/sycamorefield/fleet/answers.py
+++ b/sycamorefield/fleet/answers.py
@@ -182,24 +182,36 @@
             fleet.stop_run(task, "start got no answer")
 
 
-def record_unanswered_start(fleet: state_mod.FleetState, worker_id: str,
-                            order: messages.StartOrder,
-                            sent_at: float) -> None:
-    """Record that an attempt to start a run may still be carried out."""
+def record_attempt(fleet: state_mod.FleetState, worker_id: str,
+                   order: messages.StartOrder, sent_at: float) -> None:
+    """Record that an attempt to start a run is sent.
+
+    It may be carried out from now on, also once this owner has stopped.
+    """
     with fleet.lock:
         worker = fleet.workers.get(worker_id)
         run = (order.task, order.run)
         if worker is not None and run in worker.tasks:
-            worker.unreported_life.add_unanswered(run, sent_at)
+            worker.unreported_life.add_attempt(run, sent_at)
+
+
+def record_attempt_over(fleet: state_mod.FleetState, worker_id: str,
+                        order: messages.StartOrder, sent_at: float) -> None:
+    """Record that an attempt was answered or was never carried out."""
+    with fleet.lock:
+        worker = fleet.workers.get(worker_id)
+        if worker is not None:
+            worker.unreported_life.remove_attempt(
+                (order.task, order.run), sent_at)
 
 
-def record_unanswered_lease(fleet: state_mod.FleetState, worker_id: str,
-                            sent_at: float) -> None:
-    """Record that a call that extends leases may still be carried out."""
+def record_lease_answered(fleet: state_mod.FleetState,
+                          worker_id: str) -> None:
+    """Record that a call that extends leases extends them no further."""
     with fleet.lock:
         worker = fleet.workers.get(worker_id)
         if worker is not None:
-            worker.unreported_life.add_unanswered_lease(sent_at)
+            worker.unreported_life.remove_lease()
 
 
 def record_uncertain_pace(fleet: state_mod.FleetState, worker_id: str,
--- a/sycamorefield/fleet/handoverrecord.py
+++ b/sycamorefield/fleet/handoverrecord.py
@@ -87,22 +87,24 @@
     silent = fleet.silent_workers
     found = {worker_id: silent.awaited_worker(fleet, worker_id, now)
              for worker_id in fleet.awaited_workers}
-    recorded_tasks = sum(len(w.tasks or ()) for w in found.values())
+    recorded_tasks = sum(w.task_count() for w in found.values())
     # Workers that have been silent for longest may not report again, so
     # their tasks have precedence.
     for worker_id, worker in sorted(
             fleet.workers.items(), key=lambda pair: pair[1].reported_at):
-        ends_at = worker.runs_end_at(fleet.hold_max_ms)
-        if worker_id in found or not worker.has_reported or ends_at is None:
+        if worker_id in found or not worker.has_reported:
             continue
         tasks = worker.possible_tasks()
         if not _ends_are_stored(worker, stored_ends.get(worker_id)):
             tasks = None
-        recorded_tasks += len(tasks or ())
-        if recorded_tasks > silentworkers.MAX_RECORDED_TASKS:
-            tasks = None
-        found[worker_id] = silentworkers.SilentWorker(
-            max(0.0, ends_at - now), tasks)
+        described = silentworkers.describe(
+            worker, fleet.hold_max_ms, tasks, now)
+        if described is None:
+            continue
+        recorded_tasks += described.task_count()
+        found[worker_id] = (
+            described if recorded_tasks <= silentworkers.MAX_RECORDED_TASKS
+            else described.without_tasks())
     return found
 
 
--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -193,9 +193,12 @@
         if self.ends.store(ends):
             self._wake(self.recorded)
 
-    def _lease_end_ms(self, longest_ms: float = math.inf) -> float | None:
+    def _lease_end_ms(self, longest_ms: float = math.inf,
+                      renews: bool = False) -> float | None:
         """Return the end of a lease granted now, or None to grant none.
 
+        renews is whether it is granted by a call that starts no run.
+
         An unresponsive worker is queried without a lease: a call without a
         response may still be carried out, and if each attempt granted a
         lease, the runs there could never be considered ended.
@@ -214,9 +217,12 @@
                     or self.fleet.leases_closed
                     or self.fleet.silent_workers.is_recorded(self.worker_id)):
                 return None
-            return worker.grant_lease(
+            lease_end_ms = worker.grant_lease(
                 min(longest_ms, worker.longest_lease_ms(),
                     self.fleet.hold_max_ms), now)
+            if renews and lease_end_ms is not None:
+                worker.unreported_life.add_lease(now)
+            return lease_end_ms
 
     def _report_wait_ms(self) -> int:
         return self.lost_answers.report_wait_ms(
@@ -312,19 +318,20 @@
 
     async def _renew(self, called: interfaces.Worker,
                      fence: int) -> messages.WorkerReport:
-        sent_at = clock.now()
-        lease_end_ms = self._lease_end_ms()
+        lease_end_ms = self._lease_end_ms(renews=True)
         try:
-            return await called.renew(
+            report = await called.renew(
                 fence, self._acknowledged_number(), lease_end_ms,
                 self._report_wait_ms(), self._answer_s())
-        except interfaces.CallRefused:
-            raise
-        except interfaces.CallFailed:
-            if lease_end_ms is not None:
-                answers.record_unanswered_lease(
-                    self.fleet, self.worker_id, sent_at)
+        except (interfaces.CallRefused, interfaces.OrderRejected):
+            self._record_renewed(lease_end_ms)
             raise
+        self._record_renewed(lease_end_ms)
+        return report
+
+    def _record_renewed(self, lease_end_ms: float | None) -> None:
+        if lease_end_ms is not None:
+            answers.record_lease_answered(self.fleet, self.worker_id)
 
     def _acknowledged_number(self) -> int:
         """Return the number up to which the called life may forget ends."""
@@ -503,19 +510,25 @@
                 if self.closed:
                     # The worker was declared dead in the meantime.
                     return
+                answers.record_attempt(
+                    self.fleet, self.worker_id, order, sent_at)
                 answer = await self._start(order, lease_end_ms)
+                answers.record_attempt_over(
+                    self.fleet, self.worker_id, order, sent_at)
                 self.refusals = 0
                 answers.record_started(self.fleet, self.worker_id, order,
                                        clock.now(), answer)
                 return
             except interfaces.OrderRejected as exc:
+                answers.record_attempt_over(
+                    self.fleet, self.worker_id, order, sent_at)
                 if not self._check_fenced(exc):
                     self._handle_rejection(order, exc.reason, attempt)
                 return
             except interfaces.CallFailed as exc:
                 refused &= isinstance(exc, interfaces.ConnectionRefused)
-                if not isinstance(exc, interfaces.CallRefused):
-                    answers.record_unanswered_start(
+                if isinstance(exc, interfaces.CallRefused):
+                    answers.record_attempt_over(
                         self.fleet, self.worker_id, order, sent_at)
                 events.emit(events.RUN_UNCERTAIN, task=str(order.task),
                             run=order.run, worker=self.worker_id,
--- a/sycamorefield/fleet/silentworkers.py
+++ b/sycamorefield/fleet/silentworkers.py
@@ -5,6 +5,10 @@
 change often would never end the wait.  So an owner stores how long its leases
 may still last, and which tasks the worker may run.
 
+A start without an answer may be carried out late by a life that begins after
+the one that the owner knows.  Whether there is one may be learned by a later
+owner alone, so such starts are stored with the waits for both cases.
+
 No owner grants a lease to a worker while the record names it: the worker is
 removed from the record first.  So an entry stays true whoever owns the fleet
 later.  The remaining time is a duration that its writer has measured, because
@@ -37,32 +41,108 @@
 MAX_RECORDED_TASKS = 4000
 
 
+class StoredStarts(msgspec.Struct, frozen=True):
+    """The stored form of uncertain starts."""
+
+    tasks: list[str]
+    born_ms: int
+    remaining_ms: float
+    late_remaining_ms: float
+
+
 class StoredWorker(msgspec.Struct, frozen=True):
     """The stored form of what is known of a silent worker."""
 
     remaining_ms: float
     tasks: list[str] | None = None
+    uncertain: StoredStarts | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UncertainStarts:
+    """Tasks that a life of a worker may run which has not reported.
+
+    remaining_s is how long if there is no life after the one of born_ms, and
+    late_remaining_s if there is one.
+    """
+
+    tasks: frozenset[messages.TaskId]
+    born_ms: int
+    remaining_s: float
+    late_remaining_s: float
+
+    def remaining_by(self, listed_born_ms: int) -> float:
+        """Return how long, by the life that is listed (0: not known)."""
+        if self.born_ms and listed_born_ms not in (0, self.born_ms):
+            return self.late_remaining_s
+        return self.remaining_s
+
+    def after(self, elapsed_s: float) -> "UncertainStarts | None":
+        """Return what is left of this some time later."""
+        if self.late_remaining_s <= elapsed_s:
+            return None
+        return dataclasses.replace(
+            self, remaining_s=max(0.0, self.remaining_s - elapsed_s),
+            late_remaining_s=self.late_remaining_s - elapsed_s)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SilentWorker:
     """How long leases of a worker may last, and the tasks it may run.
 
-    tasks is None if it may run any task.
+    tasks is None if it may run any task.  The uncertain ones may last longer.
     """
 
     remaining_s: float
     tasks: frozenset[messages.TaskId] | None
+    uncertain: UncertainStarts | None = None
+
+    def task_count(self) -> int:
+        """Return how many tasks it names."""
+        uncertain = self.uncertain.tasks if self.uncertain else ()
+        return len(self.tasks or ()) + len(uncertain)
+
+    def without_tasks(self) -> "SilentWorker":
+        """Return the same if any task may last as long as any other."""
+        late_s = self.uncertain.late_remaining_s if self.uncertain else 0.0
+        return SilentWorker(max(self.remaining_s, late_s), None)
+
+
+def describe(worker: workerstate.WorkerState, hold_max_ms: float,
+             tasks: frozenset[messages.TaskId] | None,
+             now: float) -> SilentWorker | None:
+    """Return how long a worker may run which tasks; None before any report."""
+    leases_end_at = worker.leases_end_at()
+    if leases_end_at is None:
+        return None
+    uncertain = UncertainStarts(
+        frozenset(task for task, _ in worker.unreported_life.runs()),
+        worker.born_ms, *(
+            worker.uncertain_runs_end_at(hold_max_ms, later_life) - now
+            for later_life in (worker.later_life_is_listed(), True)))
+    return SilentWorker(
+        max(0.0, leases_end_at - now), tasks, uncertain.after(0.0))
 
 
 def stored_form(silent: dict[str, SilentWorker]) -> dict[str, object]:
     """Return silent workers by ID as values of JSON."""
-    return {
-        worker_id: {
-            "remaining_ms": math.ceil(worker.remaining_s * 1000.0),
-            "tasks": (None if worker.tasks is None
-                      else sorted(str(task) for task in worker.tasks))}
-        for worker_id, worker in sorted(silent.items())}
+    return {worker_id: _stored_worker(worker)
+            for worker_id, worker in sorted(silent.items())}
+
+
+def _stored_worker(worker: SilentWorker) -> dict[str, object]:
+    stored: dict[str, object] = {
+        "remaining_ms": math.ceil(worker.remaining_s * 1000.0),
+        "tasks": (None if worker.tasks is None
+                  else sorted(str(task) for task in worker.tasks))}
+    starts = worker.uncertain
+    if starts is not None:
+        stored["uncertain"] = {
+            "tasks": sorted(str(task) for task in starts.tasks),
+            "born_ms": starts.born_ms,
+            "remaining_ms": math.ceil(starts.remaining_s * 1000.0),
+            "late_remaining_ms": math.ceil(starts.late_remaining_s * 1000.0)}
+    return stored
 
 
 def encode(silent: dict[str, SilentWorker]) -> bytes:
@@ -81,17 +161,33 @@
 
 def parse(stored: dict[str, StoredWorker]) -> dict[str, SilentWorker]:
     """Return the silent workers by ID; raises ValueError if unreadable."""
-    if not all(math.isfinite(worker.remaining_ms)
-               for worker in stored.values()):
+    times_ms = [worker.remaining_ms for worker in stored.values()]
+    for worker in stored.values():
+        if worker.uncertain is not None:
+            times_ms += [worker.uncertain.remaining_ms,
+                         worker.uncertain.late_remaining_ms]
+    if not all(map(math.isfinite, times_ms)):
         raise ValueError("remaining time is not finite")
     return {
         worker_id: SilentWorker(
             max(0.0, worker.remaining_ms / 1000.0),
-            None if worker.tasks is None else frozenset(
-                messages.TaskId.parse(name) for name in worker.tasks))
+            None if worker.tasks is None else _parse_tasks(worker.tasks),
+            _parse_starts(worker.uncertain))
         for worker_id, worker in stored.items()}
 
 
+def _parse_tasks(names: list[str]) -> frozenset[messages.TaskId]:
+    return frozenset(messages.TaskId.parse(name) for name in names)
+
+
+def _parse_starts(stored: StoredStarts | None) -> UncertainStarts | None:
+    if stored is None:
+        return None
+    return UncertainStarts(
+        _parse_tasks(stored.tasks), stored.born_ms,
+        stored.remaining_ms / 1000.0, stored.late_remaining_ms / 1000.0)
+
+
 class SilentWorkers:
     """Hold the record of silent workers, as it is and may be stored.
 
@@ -105,7 +201,7 @@
         # a write is unknown.
         self.possible_ids: list[frozenset[str]] = [frozenset()]
         # What was last written, without the remaining times, and when.
-        self.written: dict[str, frozenset[messages.TaskId] | None] | None = {}
+        self.written: dict[str, object] | None = {}
         self.written_at = -math.inf
         # Whether the term is about to end as planned.
         self.term_ends = False
@@ -133,7 +229,25 @@
             known = self.loaded.get(worker_id, worker)
             self.loaded[worker_id] = SilentWorker(
                 min(worker.remaining_s, known.remaining_s),
-                known.tasks if worker.tasks is None else worker.tasks)
+                known.tasks if worker.tasks is None else worker.tasks,
+                worker.uncertain or known.uncertain)
+
+    def uncertain_starts(self, worker_id: str) -> UncertainStarts | None:
+        """Return the starts of earlier owners that a worker may carry out."""
+        worker = self.loaded.get(worker_id)
+        return worker.uncertain if worker is not None else None
+
+    def note_leases_expired(self, worker_id: str) -> bool:
+        """Note that a worker may run its uncertain starts alone.
+
+        Return whether it might run others before.
+        """
+        worker = self.loaded[worker_id]
+        uncertain = worker.uncertain.tasks if worker.uncertain else None
+        if worker.tasks == uncertain:
+            return False
+        self.loaded[worker_id] = dataclasses.replace(worker, tasks=uncertain)
+        return True
 
     def is_recorded(self, worker_id: str) -> bool:
         """Return whether the stored record may name a worker."""
@@ -164,8 +278,10 @@
         Its workers get no leases from now on.
         """
         silent = self._find(fleet, now)
-        named = {worker_id: worker.tasks
-                 for worker_id, worker in silent.items()}
+        named: dict[str, object] = {
+            worker_id: (worker.tasks, worker.uncertain.tasks
+                        if worker.uncertain else None)
+            for worker_id, worker in silent.items()}
         is_fresh = (not self.term_ends
                     and now - self.written_at < UPDATE_PERIOD_S)
         if named == self.written and (not named or is_fresh):
@@ -192,24 +308,29 @@
                 silent[worker_id] = self.awaited_worker(
                     fleet, worker_id, now)
         for worker_id, worker in fleet.workers.items():
-            ends_at = worker.runs_end_at(fleet.hold_max_ms)
             if (worker_id in silent or not worker.has_reported
-                    or ends_at is None or not self._is_silent(worker, now)):
+                    or not self._is_silent(worker, now)):
+                continue
+            found = describe(
+                worker, fleet.hold_max_ms, worker.possible_tasks(), now)
+            if found is None:
                 continue
-            tasks = worker.possible_tasks()
-            recorded_tasks += len(tasks or ())
-            if recorded_tasks > MAX_RECORDED_TASKS:
-                tasks = None
-            silent[worker_id] = SilentWorker(max(0.0, ends_at - now), tasks)
+            recorded_tasks += found.task_count()
+            silent[worker_id] = (
+                found if recorded_tasks <= MAX_RECORDED_TASKS
+                else found.without_tasks())
         return silent
 
     def awaited_worker(self, fleet: "state_mod.FleetState", worker_id: str,
                        now: float) -> SilentWorker:
         """Return how long an awaited worker may run which tasks."""
+        remaining_s = max(0.0, fleet.awaited_until(worker_id) - now)
         known = self.loaded.get(worker_id)
+        if known is None:
+            return SilentWorker(remaining_s, None)
         return SilentWorker(
-            max(0.0, fleet.awaited_until(worker_id) - now),
-            known.tasks if known else None)
+            remaining_s, known.tasks, known.uncertain.after(
+                now - fleet.awaited_since) if known.uncertain else None)
 
     def _is_silent(self, worker: workerstate.WorkerState, now: float) -> bool:
         """Return whether a worker is to be recorded.
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -503,11 +503,7 @@
             self._shorten_deadlines(now)
             for worker_id in list(self.awaited_workers):
                 if lease_held and now >= self.awaited_until(worker_id):
-                    self._log_awaited_end(worker_id, now)
-                    del self.awaited_workers[worker_id]
-                    self.end_jobs_of(
-                        self.crash_records.expire_leases(worker_id))
-                    self.round_needed = True
+                    self._expire_awaited(worker_id, now)
             self._note_takeover_end(now)
             if self.round_needed:
                 self.request_round()
@@ -538,14 +534,41 @@
             worker.release(run, task.step)
         self.round_needed = True
 
-    def _log_awaited_end(self, worker_id: str, now: float) -> None:
-        """Log that an awaited worker is waited for no longer, and why."""
+    def _expire_awaited(self, worker_id: str, now: float) -> None:
+        """Handle that the known leases on an awaited worker have expired.
+
+        It is awaited further while a later life of it may run a start that an
+        earlier owner sent.
+        """
+        uncertain = self.silent_workers.uncertain_starts(worker_id)
         worker = self.workers.get(worker_id)
-        tasks = self.silent_workers.unproven_tasks([worker_id])
+        born_ms = worker.entry.born_ms if worker is not None else 0
+        if (uncertain is not None and now - self.awaited_since
+                < uncertain.remaining_by(born_ms)):
+            before = self.silent_workers.unproven_tasks([worker_id])
+            if self.silent_workers.note_leases_expired(worker_id):
+                self._log_awaited_end(
+                    worker_id, born_ms, before,
+                    "leases of previous owner expired, later life may run "
+                    "others", now)
+                self.round_needed = True
+            return
+        self._log_awaited_end(
+            worker_id, born_ms,
+            self.silent_workers.unproven_tasks([worker_id]),
+            "leases of previous owner expired", now)
+        del self.awaited_workers[worker_id]
+        self.end_jobs_of(self.crash_records.expire_leases(worker_id))
+        self.round_needed = True
+
+    def _log_awaited_end(
+            self, worker_id: str, born_ms: int,
+            tasks: frozenset[messages.TaskId] | None, reason: str,
+            now: float) -> None:
+        """Log that tasks wait for an awaited worker no longer, and why."""
         events.emit(
-            events.WORKER_RUNS_LOST, worker=worker_id,
-            reason="leases of previous owner expired",
-            listed_born_ms=worker.entry.born_ms if worker else 0,
+            events.WORKER_RUNS_LOST, worker=worker_id, reason=reason,
+            listed_born_ms=born_ms,
             recorded=worker_id in self.silent_workers.loaded,
             waited_s=round(now - self.awaited_since, 3),
             tasks=None if tasks is None
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -301,9 +301,15 @@
         ends_at = self.leases_end_at()
         if ends_at is None:
             return None
+        return max(ends_at, self.uncertain_runs_end_at(
+            hold_max_ms, self.later_life_is_listed()))
+
+    def uncertain_runs_end_at(self, hold_max_ms: float,
+                              later_life_exists: bool) -> float:
+        """Return when no run can be left that a later life may have begun."""
         lease_s = (hold_max_ms + LEASE_END_SLACK_MS) / 1000.0 / MIN_CLOCK_RATE
-        return max(ends_at, self.unreported_life.ends_at(
-            lease_s, self.report_requested_at, self.later_life_is_listed()))
+        return self.unreported_life.ends_at(
+            lease_s, self.report_requested_at, later_life_exists)
 
     def possible_tasks(self) -> frozenset[messages.TaskId] | None:
         """Return the tasks of which runs may be here; None means any."""
--- a/tests/test_fleet_unreported_life.py
+++ b/tests/test_fleet_unreported_life.py
@@ -58,7 +58,7 @@
 
     def leave_start_unanswered(self):
         """Let an attempt to start the run get no answer."""
-        answers.record_unanswered_start(
+        answers.record_attempt(
             self.state, "i-0", self.order, self.sent_at)
 
     def silence(self):
@@ -150,7 +150,8 @@
     bench.worker.unresponsive_since = bench.now
     silent = bench.state.silent_workers._find(
         bench.state, bench.now + 1.0)["i-0"]
-    assert silent.remaining_s >= LONGEST_LEASE_S - 1.0
+    assert bench.order.task in silent.uncertain.tasks
+    assert silent.uncertain.remaining_s >= LONGEST_LEASE_S - 1.0
 
 
 @pytest.mark.parametrize(("born_ago_s", "lease_ms"), [
