Acknowledge no ends in a call that follows an unanswered start

Cause: the numbers of ends count within one life of a worker. A call that acknowledged ends up to 5 of one life was held up and carried out by the next one, which had run a late start of the same worker meanwhile: it forgot the end of that run before anybody had read it. The fences order such calls, but both were of this owner and in order.

Change: a call acknowledges ends only if the worker answers, if no start to it is without an answer (for 1.5 s at most, as a worker that loses many answers would list ever more ends), and if the life has not forgotten them already. Before such a call the link waits for a start under way, 50 ms at most.

--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import heapq
 import itertools
 import math
@@ -55,6 +56,12 @@
 # stored, or after this many seconds.
 RECORD_WAIT_S = 0.4
 START_ATTEMPTS = 2
+# How long an acknowledgement of ends waits for the answer to a start, which
+# takes some milliseconds.
+START_WAIT_S = 0.05
+# Ends are acknowledged at most this late while starts have no answer.
+# Otherwise a worker that loses many answers would list ever more ends.
+MAX_ACKNOWLEDGEMENT_DELAY_S = 1.5
 # After this many refused connections in a row, RETRY_DELAY_S apart, a worker
 # may have crashed: a single one may be due to a restart of the link.
 REFUSALS_OF_CRASH = 2
@@ -132,6 +139,10 @@
         self.lost_answers = lostanswers.LostAnswers()
         self.recorded = asyncio.Event()
         self.ends = recordedends.RecordedEnds()
+        # When ends are acknowledged although starts have no answer yet.
+        self.acknowledgement_due_at = 0.0
+        # Held while a start is under way.
+        self.starting = asyncio.Lock()
         self.fences = fleet.fences_of(self.worker_id)
         self.orders = OrderQueue()
         self.order_added = asyncio.Event()
@@ -319,14 +330,18 @@
     async def _renew(self, called: interfaces.Worker,
                      fence: int) -> messages.WorkerReport:
         lease_end_ms = self._lease_end_ms(renews=True)
+        acknowledged = self._acknowledged_number()
         try:
             report = await called.renew(
-                fence, self._acknowledged_number(), lease_end_ms,
+                fence, acknowledged, lease_end_ms,
                 self._report_wait_ms(), self._answer_s())
         except (interfaces.CallRefused, interfaces.OrderRejected):
             self._record_renewed(lease_end_ms)
             raise
         self._record_renewed(lease_end_ms)
+        if all(ended.number > acknowledged for ended in report.ended):
+            self.ends.note_forgotten(
+                recordedends.LifeEnds(report.born_ms, acknowledged))
         return report
 
     def _record_renewed(self, lease_end_ms: float | None) -> None:
@@ -334,17 +349,40 @@
             answers.record_lease_answered(self.fleet, self.worker_id)
 
     def _acknowledged_number(self) -> int:
-        """Return the number up to which the called life may forget ends."""
+        """Return the number up to which the called life may forget ends.
+
+        A later life numbers its ends anew.  If it carried out a start that was
+        sent before and then this call, late, it would forget the end of that
+        run.  So a call that follows an unanswered one acknowledges nothing.
+        """
+        number = self.ends.acknowledged_number()
+        now = clock.now()
+        if not number:
+            self.acknowledgement_due_at = now + MAX_ACKNOWLEDGEMENT_DELAY_S
+            return 0
         with self.fleet.lock:
             worker = self.fleet.workers.get(self.worker_id)
-            if worker is not None and worker.unreported_life.has_answered():
+            if worker is not None and (
+                    worker.unresponsive
+                    or worker.unreported_life.has_answered()
+                    or (worker.uncertain_runs()
+                        and now < self.acknowledgement_due_at)):
                 return 0
-        return self.ends.acknowledged_number()
+        return number
+
+    async def _await_start(self) -> None:
+        """Wait briefly for the answer to a start before an acknowledgement."""
+        if self.ends.acknowledged_number():
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(START_WAIT_S):
+                    async with self.starting:
+                        return
 
     async def _renew_once(self) -> bool:
         """Make one call and apply the report; return whether the link ends."""
         sent_at = clock.now()
         self.recorded.clear()
+        await self._await_start()
         called = self.worker
         try:
             report = await self._call(
@@ -510,14 +548,8 @@
                 if self.closed:
                     # The worker was declared dead in the meantime.
                     return
-                answers.record_attempt(
-                    self.fleet, self.worker_id, order, sent_at)
-                answer = await self._start(order, lease_end_ms)
-                answers.record_attempt_over(
-                    self.fleet, self.worker_id, order, sent_at)
-                self.refusals = 0
-                answers.record_started(self.fleet, self.worker_id, order,
-                                       clock.now(), answer)
+                async with self.starting:
+                    await self._start(order, lease_end_ms, sent_at)
                 return
             except interfaces.OrderRejected as exc:
                 answers.record_attempt_over(
@@ -535,12 +567,16 @@
                             reason=str(exc))
         answers.stop_uncertain_run(self.fleet, self.worker_id, order, refused)
 
-    async def _start(self, order: messages.StartOrder,
-                     lease_end_ms: float) -> answers.StartAnswer:
-        sent_at = clock.now()
+    async def _start(self, order: messages.StartOrder, lease_end_ms: float,
+                     sent_at: float) -> None:
+        answers.record_attempt(self.fleet, self.worker_id, order, sent_at)
         clock_ms = await self._call_order(lambda fence: self.worker.start(
             order, fence, lease_end_ms))
-        return answers.StartAnswer(clock_ms, lease_end_ms, sent_at)
+        answers.record_attempt_over(self.fleet, self.worker_id, order, sent_at)
+        self.refusals = 0
+        answers.record_started(
+            self.fleet, self.worker_id, order, clock.now(),
+            answers.StartAnswer(clock_ms, lease_end_ms, sent_at))
 
     def _handle_rejection(self, order: messages.StartOrder, reason: str,
                           attempt: int) -> None:
--- a/sycamorefield/fleet/recordedends.py
+++ b/sycamorefield/fleet/recordedends.py
@@ -27,6 +27,8 @@
 
     def __init__(self) -> None:
         self.stored = NO_ENDS
+        # What a life has forgotten for certain, as it answered a call.
+        self.forgotten = NO_ENDS
         # The life that gave the last report.
         self.reporting_born_ms = 0
 
@@ -42,9 +44,19 @@
         """Note which life of the worker reports."""
         self.reporting_born_ms = born_ms
 
+    def note_forgotten(self, ends: LifeEnds) -> None:
+        """Note that a life has answered a call to forget ends."""
+        if ends.number:
+            self.forgotten = ends
+
     def acknowledged_number(self) -> int:
-        """Return the number up to which the reporting life may forget ends."""
+        """Return the number up to which the reporting life may forget ends.
+
+        It is 0 if there are none that it has not forgotten: a later life that
+        carries the call out would forget ends of its own.
+        """
         stored = self.stored
-        if stored.born_ms != self.reporting_born_ms:
+        if (stored.born_ms != self.reporting_born_ms
+                or stored == self.forgotten):
             return 0
         return stored.number
