Wait for a life that has just begun if its worker is not recorded

Cause: the successor waits until leases by the clock that the earlier owner knew have expired, 6.9 s or 13.4 s. A life that began meanwhile may carry out a start that was meant for the one before, up to 12 s after it was sent.

Change: a worker that no record names is awaited as long as its listed life is younger than a late call and the longest lease. An older life, one that is not listed and one that a record names are waited for as before.

--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -40,6 +40,7 @@
 from sycamorefield.fleet import runtimes
 from sycamorefield.fleet import silentworkers
 from sycamorefield.fleet import suspicion
+from sycamorefield.fleet import unreportedlife
 from sycamorefield.fleet import unwantedruns
 from sycamorefield.fleet import victims
 from sycamorefield.fleet import workerspeed
@@ -553,6 +554,9 @@
                     "others", now)
                 self.round_needed = True
             return
+        if (worker_id not in self.silent_workers.loaded
+                and worker is not None and self._has_just_begun(worker)):
+            return
         self._log_awaited_end(
             worker_id, born_ms,
             self.silent_workers.unproven_tasks([worker_id]),
@@ -561,6 +565,16 @@
         self.end_jobs_of(self.crash_records.expire_leases(worker_id))
         self.round_needed = True
 
+    def _has_just_begun(self, worker: workerstate.WorkerState) -> bool:
+        """Return whether a listed life may run starts meant for another.
+
+        They were sent before it began.  Its birth is a time of day.
+        """
+        age_s = (clock.wall_ms() - worker.entry.born_ms) / 1000.0
+        return bool(worker.listed and worker.entry.born_ms) and (
+            age_s < unreportedlife.LATE_CALL_S + learnedstate.MAX_CLOCK_ERROR_S
+            + workerstate.longest_lease_s(self.hold_max_ms))
+
     def _log_awaited_end(
             self, worker_id: str, born_ms: int,
             tasks: frozenset[messages.TaskId] | None, reason: str,
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -48,6 +48,11 @@
 CHANGE_NUMBERS = itertools.count(1)
 
 
+def longest_lease_s(hold_max_ms: float) -> float:
+    """Return how long a lease can last that a worker takes on."""
+    return (hold_max_ms + LEASE_END_SLACK_MS) / 1000.0 / MIN_CLOCK_RATE
+
+
 class UncertainPace(typing.NamedTuple):
     """Until when a pace may be carried out, and when to send the present one.
 
@@ -307,9 +312,9 @@
     def uncertain_runs_end_at(self, hold_max_ms: float,
                               later_life_exists: bool) -> float:
         """Return when no run can be left that a later life may have begun."""
-        lease_s = (hold_max_ms + LEASE_END_SLACK_MS) / 1000.0 / MIN_CLOCK_RATE
         return self.unreported_life.ends_at(
-            lease_s, self.report_requested_at, later_life_exists)
+            longest_lease_s(hold_max_ms), self.report_requested_at,
+            later_life_exists)
 
     def possible_tasks(self) -> frozenset[messages.TaskId] | None:
         """Return the tasks of which runs may be here; None means any."""
--- a/tests/test_fleet_unanswered_start_records.py
+++ b/tests/test_fleet_unanswered_start_records.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import sys
 import typing
 
 import pytest
@@ -13,6 +14,7 @@
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import handoverrecord
 from sycamorefield.fleet import interfaces
+from sycamorefield.fleet import learnedstate
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import records
 from sycamorefield.fleet import rounds
@@ -36,7 +38,11 @@
 SLACK_S = 0.5
 STORED_SLACK_S = silentworkers.UPDATE_PERIOD_S
 STEP_S = 0.05
+# Before an owner stores that a worker is silent.
+KILLED_AT_S = 0.3
 FIRST_BORN_MS, NEXT_BORN_MS = 1_000, 2_000
+# The time of day when the clock of the owners shows 0.
+WALL_MS = 1_000_000_000
 OLD = messages.TaskId("old", 0, 0, 0)
 NEW = messages.TaskId("new", 0, 0, 0)
 
@@ -55,8 +61,8 @@
         self.state.add_worker(test_fleet_restarts.entry(0, self.born_ms))
         self.state.add_worker(test_fleet_restarts.entry(1))
 
-    def list_next_life(self) -> None:
-        self.born_ms = NEXT_BORN_MS
+    def list_next_life(self, born_ms: int = NEXT_BORN_MS) -> None:
+        self.born_ms = born_ms
         self.add_workers()
 
     def is_in_use(self, worker_id: str) -> bool:
@@ -81,6 +87,8 @@
 
     def __init__(self, monkeypatch) -> None:
         monkeypatch.setattr(clock, "now", lambda: self.owner.now)
+        monkeypatch.setattr(
+            clock, "wall_ms", lambda: WALL_MS + self.owner.now * 1000.0)
         self.sent_at = 100.0
         self.stored = silentworkers.encode({})
         self.owner = Owner(self.sent_at, 10, FIRST_BORN_MS)
@@ -156,9 +164,10 @@
         self.owner.add_workers()
         self.owner.report("i-1")
 
-    def freed_after(self, task: messages.TaskId) -> float:
+    def freed_after(self, task: messages.TaskId,
+                    limit_s: float = AWAITED_S) -> float:
         """Return how long after the start a task is free."""
-        while self.owner.is_held(task) and self.elapsed_s() < AWAITED_S:
+        while self.owner.is_held(task) and self.elapsed_s() < limit_s:
             self.wait_until(self.elapsed_s() + STEP_S)
         return self.elapsed_s()
 
@@ -230,6 +239,28 @@
     assert waited_s <= max(LEASE_S, changes[-1].at) + slack_s(changes)
 
 
+@pytest.mark.parametrize("is_listed", [True, False])
+def test_successor_without_a_record_waits_for_a_life_that_has_just_begun(
+        chain, is_listed, monkeypatch):
+    """Guards against a start of an owner that was killed before it stored.
+
+    A life that began long ago, or is not listed, is not waited for.
+    """
+    monkeypatch.setattr(sys.modules[__name__], "AWAITED_S", 6.0)
+    chain.leave_start_unanswered()
+    chain.wait_until(KILLED_AT_S)
+    chain.owner.list_next_life(int(clock.wall_ms()))
+    chain.change_owner("killed")
+    if not is_listed:
+        chain.owner.state.update_listed({"i-1"}, chain.owner.now)
+    waited_s = chain.freed_after(NEW, 40.0)
+    if is_listed:
+        assert LATE_S <= waited_s <= (
+            KILLED_AT_S + LATE_S + learnedstate.MAX_CLOCK_ERROR_S + SLACK_S)
+    else:
+        assert waited_s <= KILLED_AT_S + AWAITED_S + SLACK_S
+
+
 class CollectingWorker(fleetfakes.MemoryWorker):
     """Make the record of a planned stop while a start is under way."""
 
