--- a/tests/rebornworkers.py
+++ b/tests/rebornworkers.py
@@ -94,7 +94,7 @@
 
     def _begin_life(self, now: float) -> None:
         self.life += 1
-        self.born_ms = 1_000 * self.life
+        self.born_ms = self.birth_ms(now)
         self.began_at = now
         self.fence = 0
         self.until_ms = 0.0
@@ -103,6 +103,10 @@
         self.ends: dict[int, tuple[messages.TaskId, Run]] = {}
         self.end_count = 0
 
+    def birth_ms(self, now: float) -> int:
+        """Return what a life states as its birth that begins now."""
+        return 1_000 * self.life
+
     def clock_ms(self, now: float) -> float:
         """Return the time by the clock of the present life."""
         return (now - self.began_at) * 1000.0 + FIRST_CLOCK_MS
--- a/tests/test_fleet_reborn_soak.py
+++ b/tests/test_fleet_reborn_soak.py
@@ -38,6 +38,8 @@
 class RebornFleet(test_fleet_takeover.LeasedFleet):
     """A fleet whose workers crash and are cut off by a plan."""
 
+    make_worker = rebornworkers.RebornWorker
+
     def __init__(self, seed: int, late_share: float) -> None:
         super().__init__(workers=WORKERS)
         self.rng = random.Random(seed)
@@ -46,7 +48,7 @@
             dataclasses.replace(entry, capacity=messages.Resources(
                 16_000, 64_000)) for entry in self.worker_list.entries)
         self.workers = {
-            entry.worker_id: rebornworkers.RebornWorker(
+            entry.worker_id: self.make_worker(
                 entry.worker_id, self.history,
                 random.Random(f"{seed}/{entry.worker_id}"), late_share)
             for entry in self.worker_list.entries}
@@ -90,6 +92,11 @@
     def run(self) -> None:
         """Run the whole plan."""
         self.take_over()
+        self.follow_plan()
+        self.owner.step_down("test over")
+
+    def follow_plan(self) -> None:
+        """Submit jobs and let workers crash until the end."""
         next_job_s = 0.0
         while (now := clock.now()) < self.began_at + LENGTH_S:
             while self.plan and self.plan[0][0] <= now:
@@ -101,7 +108,6 @@
             for worker in self.workers.values():
                 worker.advance()
             time.sleep(STEP_S)
-        self.owner.step_down("test over")
 
 
 @pytest.mark.parametrize("late_share", [0.0, 0.5])
