Hold a start that a worker has left unanswered for as long as it may be late

Cause: a start without an answer was taken to be carried out within a second, unless a later life was listed or had answered. Behind a cut that keeps it from the store too, a later life is neither.

Change: if the worker has answered a call that was sent after such an attempt, then it was not dead or cut off at that moment and the attempt is held up somewhere: it may be late, whether or not a later life is known. Workers that crash or are cut off answer nothing after it, so their tasks wait no longer than before. An attempt that a life after the last answer cannot carry out any more is not waited for. A call that extends leases while such a run lasts is taken into account to the end of that lease.

What is left: a single attempt that is the last call to a life.

--- a/sycamorefield/fleet/answers.py
+++ b/sycamorefield/fleet/answers.py
@@ -205,6 +205,15 @@
                 (order.task, order.run), sent_at)
 
 
+def record_answer(fleet: state_mod.FleetState, worker_id: str,
+                  sent_at: float) -> None:
+    """Record that a worker answered an order that was sent at a time."""
+    with fleet.lock:
+        worker = fleet.workers.get(worker_id)
+        if worker is not None:
+            worker.unreported_life.note_answer(sent_at)
+
+
 def record_lease_answered(fleet: state_mod.FleetState,
                           worker_id: str) -> None:
     """Record that a call that extends leases extends them no further."""
--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -325,6 +325,7 @@
             self.lost_answers.note_lost()
             raise
         self.lost_answers.note_order_answered(sent_at, clock.now())
+        answers.record_answer(self.fleet, self.worker_id, sent_at)
         return answer
 
     async def _renew(self, called: interfaces.Worker,
--- a/sycamorefield/fleet/unreportedlife.py
+++ b/sycamorefield/fleet/unreportedlife.py
@@ -6,6 +6,7 @@
 from when the call is carried out.
 """
 
+import math
 import typing
 
 from sycamorefield.fleet import messages
@@ -32,10 +33,12 @@
         self.answered_starts: dict[RunId, float] = {}
         # When the last call was sent that grants leases and got no answer,
         # and when the present one was sent.
-        self.lease_sent_at = 0.0
-        self.pending_lease_at = 0.0
+        self.lease_sent_at = -math.inf
+        self.pending_lease_at = -math.inf
         # When a life with another clock last answered, unless it has reported.
         self.answered_at = 0.0
+        # When the last call was sent that has been answered.
+        self.answered_sent_at = 0.0
 
     def add_attempt(self, run: RunId, sent_at: float) -> None:
         """Record that an attempt to start a run is sent."""
@@ -49,6 +52,10 @@
         if not attempts:
             self.unanswered_starts.pop(run, None)
 
+    def note_answer(self, sent_at: float) -> None:
+        """Note the answer to a call; earlier ones without one are late."""
+        self.answered_sent_at = max(self.answered_sent_at, sent_at)
+
     def add_lease(self, sent_at: float) -> None:
         """Record that a call that grants leases is sent, one at a time."""
         self.lease_sent_at = max(self.lease_sent_at, self.pending_lease_at)
@@ -56,7 +63,7 @@
 
     def remove_lease(self) -> None:
         """Record that the present call is not carried out any more."""
-        self.pending_lease_at = 0.0
+        self.pending_lease_at = -math.inf
 
     def add_answered(self, run: RunId, now: float) -> None:
         """Record that a life with another clock has started a run."""
@@ -70,6 +77,7 @@
 
     def note_report(self, sent_at: float) -> None:
         """Note a report that was requested at a time."""
+        self.note_answer(sent_at)
         if sent_at >= self.answered_at:
             self.answered_at = 0.0
 
@@ -81,26 +89,30 @@
         """Return the runs that may be in the life."""
         return (self.unanswered_starts | self.answered_starts).keys()
 
-    def ends_at(self, lease_s: float, reported_at: float,
-                exists: bool) -> float:
+    def ends_at(self, lease_s: float, exists: bool) -> float:
         """Return when no such run can be left.
 
-        A lease lasts for lease_s at most.  The last report was requested at
-        reported_at; its life refuses calls that were sent before.  exists is
-        whether there certainly is a later life.
+        A lease lasts for lease_s at most.  exists is whether there certainly
+        is a later life than the one that has answered.
         """
-        longest_delay_s = (LATE_CALL_S if exists or self.has_answered()
-                           else PROMPT_CALL_S)
-        begins = [attempts[-1] + longest_delay_s
-                  for attempts in self.unanswered_starts.values()
-                  if attempts[-1] >= reported_at
-                  or longest_delay_s > PROMPT_CALL_S]
+        exists = exists or self.has_answered()
+        begins = [begins_at for attempts in self.unanswered_starts.values()
+                  for sent_at in attempts
+                  if (begins_at := self._carried_out_at(sent_at, exists))
+                  >= self.answered_sent_at]
         begins += self.answered_starts.values()
         if not begins:
             return 0.0
         last = max(begins)
-        extended_at = longest_delay_s + max(
-            self.lease_sent_at, self.pending_lease_at)
-        if extended_at <= last + lease_s:
-            last = max(last, extended_at)
-        return last + lease_s
+        extended_at = self._carried_out_at(
+            max(self.lease_sent_at, self.pending_lease_at), exists)
+        return max(last, min(extended_at, last + lease_s)) + lease_s
+
+    def _carried_out_at(self, sent_at: float, exists: bool) -> float:
+        """Return when a call without an answer is carried out at the latest.
+
+        If the worker has answered a later one, the call is held up.
+        """
+        if exists or sent_at < self.answered_sent_at:
+            return sent_at + LATE_CALL_S
+        return sent_at + PROMPT_CALL_S
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -313,8 +313,7 @@
                               later_life_exists: bool) -> float:
         """Return when no run can be left that a later life may have begun."""
         return self.unreported_life.ends_at(
-            longest_lease_s(hold_max_ms), self.report_requested_at,
-            later_life_exists)
+            longest_lease_s(hold_max_ms), later_life_exists)
 
     def possible_tasks(self) -> frozenset[messages.TaskId] | None:
         """Return the tasks of which runs may be here; None means any."""
--- a/tests/test_fleet_unreported_life.py
+++ b/tests/test_fleet_unreported_life.py
@@ -116,6 +116,31 @@
     assert_waits_for(bench.free_after("new"), needed_s)
 
 
+@pytest.mark.parametrize(("answered_after_s", "needed_s"), [
+    (-0.1, unreportedlife.PROMPT_CALL_S + LONGEST_LEASE_S),
+    (0.5, LATE_S + LONGEST_LEASE_S)], ids=["earlier-call", "later-call"])
+def test_start_that_is_held_up_may_begin_in_a_life_that_is_not_known(
+        bench, answered_after_s, needed_s):
+    """Guards against a late start on a worker that answers other calls."""
+    bench.leave_start_unanswered()
+    answers.record_answer(bench.state, "i-0", bench.sent_at + answered_after_s)
+    bench.silence()
+    assert_waits_for(bench.free_after("new"), needed_s)
+
+
+def test_start_that_a_later_life_cannot_carry_out_is_not_waited_for(bench):
+    """Guards against tasks that are down for calls of long ago."""
+    bench.leave_start_unanswered()
+    bench.now += LATE_S + 1.0
+    bench.report("i-0", [
+        messages.RunningTask(messages.TaskId(job_id, 0, 0, 0), 1, "", 10)
+        for job_id in ("old", "new")])
+    bench.worker.grant_lease(workerstate.LEASE_MS, bench.now)
+    bench.silence()
+    assert_waits_for(bench.free_after("new"), LATE_S + 1.0 + (
+        workerstate.LEASE_MS / 1000.0 / workerstate.MIN_CLOCK_RATE))
+
+
 def test_repeated_start_may_begin_in_the_next_life(bench):
     """Guards against a first attempt that the next life carries out."""
     bench.leave_start_unanswered()
