Publish the backlog while only uncertain starts of a worker are waited for

A worker that may only carry out starts of an earlier owner is awaited for up to 18.4 s. The backlog was not published meanwhile, so entry processes would have accepted every job for that long, and later as long as before (13.4 s at most). By reading; the test checks that no other runs are unknown by then.

--- a/sycamorefield/fleet/backlogmeter.py
+++ b/sycamorefield/fleet/backlogmeter.py
@@ -156,7 +156,7 @@
             states = list(fleet.active.values())
             queues = fleet.configuration().queues_by_name()
             bounds = _copy_bounds(fleet.run_times)
-            settled = (not fleet.awaited_workers
+            settled = (not fleet.awaits_reports(now)
                        and fleet.has_current_list(now)
                        and not fleet.store_unreachable)
         load = self._add_up_jobs(states, queues, bounds, now, wall_ms)
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -377,6 +377,15 @@
                    if worker is not None else None)
         return until if ends_at is None else max(until, ends_at)
 
+    def awaits_reports(self, now: float) -> bool:
+        """Return whether workers may have runs by leases of earlier owners.
+
+        Those that may only carry out starts without an answer don't count.
+        """
+        return any(now < self.awaited_until(worker_id)
+                   or worker_id not in self.silent_workers.loaded
+                   for worker_id in self.awaited_workers)
+
     def unproven_tasks(self) -> frozenset[messages.TaskId] | None:
         """Return tasks that workers of earlier owners may run; None: any.
 
--- a/tests/test_fleet_unanswered_start_records.py
+++ b/tests/test_fleet_unanswered_start_records.py
@@ -237,6 +237,8 @@
         chain.change_owner(change.end)
     waited_s = chain.freed_after(OLD)
     assert waited_s <= max(LEASE_S, changes[-1].at) + slack_s(changes)
+    assert chain.owner.is_held(NEW)
+    assert not chain.owner.state.awaits_reports(chain.owner.now)
 
 
 @pytest.mark.parametrize("is_listed", [True, False])
