--- a/tests/test_fleet_reborn_soak.py
+++ b/tests/test_fleet_reborn_soak.py
@@ -25,13 +25,17 @@
 LENGTH_S = 30.0
 JOB_GAP_S = 0.25
 STEP_S = 0.02
+# Of these, 122 and 7901 once showed late calls that the next life carried out.
+SEEDS = (2, 122, 7901)
 CUT_S = 9.0
 
 
 def seeds():
     """Return the seeds to run, as stated in the environment."""
-    first, _, last = os.environ.get(
-        "SYCAMOREFIELD_REBORN_SEEDS", "2").partition("-")
+    stated = os.environ.get("SYCAMOREFIELD_REBORN_SEEDS")
+    if not stated:
+        return SEEDS
+    first, _, last = stated.partition("-")
     return range(int(first), int(last or first) + 1)
 
 
