Keep waiting for a young life when the record names no tasks of its worker

Cause: the owner that waits for a worker without a record records it itself, without tasks. The next one took that for the knowledge that no start is without an answer.

Change: such a record counts as one that does not know the starts.

--- a/sycamorefield/fleet/silentworkers.py
+++ b/sycamorefield/fleet/silentworkers.py
@@ -237,6 +237,15 @@
         worker = self.loaded.get(worker_id)
         return worker.uncertain if worker is not None else None
 
+    def knows_starts(self, worker_id: str) -> bool:
+        """Return whether it is known which starts a worker may carry out.
+
+        An owner that waits for a worker without a record records no tasks.
+        """
+        worker = self.loaded.get(worker_id)
+        return worker is not None and (
+            worker.tasks is not None or worker.uncertain is not None)
+
     def note_leases_expired(self, worker_id: str) -> bool:
         """Note that a worker may run its uncertain starts alone.
 
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -383,7 +383,7 @@
         Those that may only carry out starts without an answer don't count.
         """
         return any(now < self.awaited_until(worker_id)
-                   or worker_id not in self.silent_workers.loaded
+                   or not self.silent_workers.knows_starts(worker_id)
                    for worker_id in self.awaited_workers)
 
     def unproven_tasks(self) -> frozenset[messages.TaskId] | None:
@@ -563,7 +563,7 @@
                     "others", now)
                 self.round_needed = True
             return
-        if (worker_id not in self.silent_workers.loaded
+        if (not self.silent_workers.knows_starts(worker_id)
                 and worker is not None and self._has_just_begun(worker)):
             return
         self._log_awaited_end(
--- a/tests/test_fleet_unanswered_start_records.py
+++ b/tests/test_fleet_unanswered_start_records.py
@@ -241,9 +241,11 @@
     assert not chain.owner.state.awaits_reports(chain.owner.now)
 
 
+@pytest.mark.parametrize("later_ends", [(), ("killed",), ("stopped",),
+                                        ("killed", "stopped")], ids=str)
 @pytest.mark.parametrize("is_listed", [True, False])
 def test_successor_without_a_record_waits_for_a_life_that_has_just_begun(
-        chain, is_listed, monkeypatch):
+        chain, is_listed, later_ends, monkeypatch):
     """Guards against a start of an owner that was killed before it stored.
 
     A life that began long ago, or is not listed, is not waited for.
@@ -252,15 +254,18 @@
     chain.leave_start_unanswered()
     chain.wait_until(KILLED_AT_S)
     chain.owner.list_next_life(int(clock.wall_ms()))
-    chain.change_owner("killed")
-    if not is_listed:
-        chain.owner.state.update_listed({"i-1"}, chain.owner.now)
+    for end in ("killed", *later_ends):
+        chain.change_owner(end)
+        if not is_listed:
+            chain.owner.state.update_listed({"i-1"}, chain.owner.now)
+        chain.wait_until(chain.elapsed_s() + 1.0)
     waited_s = chain.freed_after(NEW, 40.0)
     if is_listed:
         assert LATE_S <= waited_s <= (
             KILLED_AT_S + LATE_S + learnedstate.MAX_CLOCK_ERROR_S + SLACK_S)
     else:
-        assert waited_s <= KILLED_AT_S + AWAITED_S + SLACK_S
+        assert waited_s <= KILLED_AT_S + AWAITED_S + SLACK_S + (
+            STORED_SLACK_S * len(later_ends))
 
 
 class CollectingWorker(fleetfakes.MemoryWorker):
