--- a/tests/test_fleet_reborn_owners_soak.py
+++ b/tests/test_fleet_reborn_owners_soak.py
@@ -25,12 +25,16 @@
 TERMS_S = (0.7, 3.5)
 # The share of owners that are stopped as planned; others are killed.
 STOPPED_SHARE = 0.6
+# Of these, 122 once showed a start that a chain of killed owners forgot.
+SEEDS = (3, 122)
 
 
 def seeds():
     """Return the seeds to run, as stated in the environment."""
-    first, _, last = os.environ.get(
-        "SYCAMOREFIELD_REBORN_OWNERS_SEEDS", "3").partition("-")
+    stated = os.environ.get("SYCAMOREFIELD_REBORN_OWNERS_SEEDS")
+    if not stated:
+        return SEEDS
+    first, _, last = stated.partition("-")
     return range(int(first), int(last or first) + 1)
 
 
