--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -215,10 +215,11 @@
 
     def uncertain_runs(self) -> tuple[RunId, ...]:
         """Return runs that were ordered to start, without an answer."""
+        not_sent = self.unsent_starts | self.refused_starts
         return tuple(
             run for run, task in self.tasks.items()
             if task.run == run[1] and not task.started_at
-            and run not in self.unsent_starts | self.refused_starts)
+            and run not in not_sent)
 
     def begin_life(self, born_ms: int, now: float) -> None:
         """Start the next life of a worker; reset what counts within one.
