--- a/tests/test_fleet_unanswered_start_records.py
+++ b/tests/test_fleet_unanswered_start_records.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import random
 import sys
 import typing
 
@@ -268,6 +269,30 @@
             STORED_SLACK_S * len(later_ends))
 
 
+@pytest.mark.parametrize("seed", range(200))
+def test_no_chain_of_owners_frees_a_task_that_a_listed_life_runs(
+        chain, seed, monkeypatch):
+    """Guards against orders of events that no other test has."""
+    monkeypatch.setattr(sys.modules[__name__], "AWAITED_S", LEASE_S + 1.5)
+    chances = random.Random(seed)
+    chain.leave_start_unanswered()
+    listed_at = chances.uniform(0.1, PROMPT_S - 0.1)
+    carried_out_at = chances.uniform(listed_at, unreportedlife.LATE_CALL_S)
+    events = [(listed_at, lambda: chain.owner.list_next_life(
+        int(clock.wall_ms())))]
+    at = 0.0
+    for _ in range(chances.randint(1, 5)):
+        at += chances.choice((0.2, 0.8, 2.0, 5.0)) * chances.uniform(0.5, 1.5)
+        end = chances.choice(("stopped", "killed"))
+        events.append((at, lambda end=end: chain.change_owner(end)))
+    for at, event in sorted(events, key=lambda row: row[0]):
+        chain.wait_until(at)
+        event()
+    while chain.elapsed_s() < carried_out_at + LONGEST_LEASE_S:
+        assert chain.owner.is_held(NEW) or chain.elapsed_s() < carried_out_at
+        chain.wait_until(chain.elapsed_s() + STEP_S)
+
+
 class CollectingWorker(fleetfakes.MemoryWorker):
     """Make the record of a planned stop while a start is under way."""
 
