Hold the task of a start that has outlived a life of its worker

Cause: a life that reports refuses starts that were sent before, so their tasks became free. The next life of the same worker has seen no fence and may carry such a start out.

Change: a task whose start has no answer does not start again until the call is carried out at the latest, 12 s after it was sent, if a life of its worker has begun since; over planned changes of the owner as well, as the record of the handover names such tasks. Workers that start again with another ID are not concerned. Tasks that last are left out: they would be down for 12 s each time a worker starts again once.

--- a/sycamorefield/fleet/handoverrecord.py
+++ b/sycamorefield/fleet/handoverrecord.py
@@ -8,15 +8,19 @@
 """
 
 import json
+import math
+import typing
 
 import msgspec
 
 from sycamorefield import events
+from sycamorefield.fleet import clock
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import recordedends
 from sycamorefield.fleet import records
 from sycamorefield.fleet import silentworkers
 from sycamorefield.fleet import state as state_mod
+from sycamorefield.fleet import unreportedlife
 from sycamorefield.fleet import workerstate
 
 
@@ -25,18 +29,30 @@
 
     fence: int
     workers: dict[str, silentworkers.StoredWorker]
+    # For how many ms tasks must not start, as a start of them may be late.
+    late_starts: dict[str, float] = {}
 
 
-def encode(fence: int, workers: dict[str, silentworkers.SilentWorker]
+class Record(typing.NamedTuple):
+    """What workers may run, and for how long which tasks must not start."""
+
+    workers: dict[str, silentworkers.SilentWorker]
+    late_starts_s: dict[messages.TaskId, float]
+
+
+def encode(fence: int, workers: dict[str, silentworkers.SilentWorker],
+           late_starts_s: dict[messages.TaskId, float] | None = None
            ) -> bytes:
     """Return the stored form of what workers may run, by worker ID."""
     return json.dumps({
         "fence": fence,
-        "workers": silentworkers.stored_form(workers)}).encode()
+        "workers": silentworkers.stored_form(workers),
+        "late_starts": {
+            str(task): math.ceil(seconds * 1000.0)
+            for task, seconds in (late_starts_s or {}).items()}}).encode()
 
 
-def decode(value: bytes, last_fence: int
-           ) -> dict[str, silentworkers.SilentWorker]:
+def decode(value: bytes, last_fence: int) -> Record:
     """Return what workers may run; raises ValueError if it is not usable.
 
     last_fence is the last one that an earlier owner has stored.
@@ -49,7 +65,12 @@
         # Versions without this record do not remove it.
         raise ValueError(f"outdated: an owner with fence {last_fence} "
                          f"followed {stored.fence}")
-    return silentworkers.parse(stored.workers)
+    if not all(map(math.isfinite, stored.late_starts.values())):
+        raise ValueError("remaining time is not finite")
+    return Record(silentworkers.parse(stored.workers), {
+        messages.TaskId.parse(name): min(
+            remaining_ms / 1000.0, unreportedlife.LATE_CALL_S)
+        for name, remaining_ms in stored.late_starts.items()})
 
 
 def load(fleet: state_mod.FleetState, item: messages.Item | None) -> None:
@@ -60,15 +81,21 @@
     if item is None:
         return
     try:
-        workers = decode(item.value, max(fleet.terms.fences[:-1], default=0))
+        record = decode(item.value, max(fleet.terms.fences[:-1], default=0))
     except ValueError as exc:
         events.emit(events.RECORD_UNREADABLE, key=records.HANDOVER_KEY,
                     reason=str(exc)[:200],
                     default="any worker may run any task")
         return
+    workers = record.workers
     fleet.silent_workers.add_handover(workers)
+    now = clock.now()
+    for task_id, remaining_s in record.late_starts_s.items():
+        found = fleet.find(task_id)
+        if found is not None:
+            fleet.late_starts.add(found[1], now + remaining_s)
     events.emit(events.HANDOVER_RECORD_LOADED, fence=fleet.fence,
-                workers=len(workers),
+                workers=len(workers), late_starts=len(record.late_starts_s),
                 tasks_unknown=sum(worker.tasks is None
                                   for worker in workers.values()))
 
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -198,8 +198,12 @@
             if not self.recovery.loaded:
                 item = self.handover_item
                 return item.value if item is not None else None
-            return handoverrecord.encode(self.fence, handoverrecord.collect(
-                self.fleet, self.recorder.stored_ends, clock.now()))
+            now = clock.now()
+            return handoverrecord.encode(
+                self.fence, handoverrecord.collect(
+                    self.fleet, self.recorder.stored_ends, now),
+                self.fleet.late_starts.for_successor(
+                    self.fleet.workers.values(), now))
 
     def run(self) -> None:
         """Recover the stored state, then schedule until stepping down."""
--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -81,7 +81,7 @@
             # A full list may omit ends of tasks that seem not to have started.
             needs_round |= _release_missing(fleet, worker, report, sent_at)
             worker.has_reported = True
-            fleet.awaited_workers.pop(worker_id, None)
+            fleet.note_reported(worker, {row.task for row in report.running})
         fleet.pacer.process_report(worker, report, now)
         worker.has_stalled_run = any(pacer.is_stalled(task)
                                      for task in worker.tasks.values())
@@ -305,6 +305,7 @@
             if (task.phase == progress.STARTING
                     or not 0 < task.confirmed_at < sent_at):
                 continue
+            fleet.late_starts.add_outlived(worker, run, task, sent_at)
             task.reset_run()
             events.emit(events.RUN_VANISHED, task=str(run[0]),
                         run=run[1], worker=worker.entry.worker_id,
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -26,6 +26,7 @@
 from sycamorefield.fleet import headroom
 from sycamorefield.fleet import heldworkers
 from sycamorefield.fleet import interference
+from sycamorefield.fleet import latestarts
 from sycamorefield.fleet import learnedstate
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import overdueholds
@@ -91,6 +92,7 @@
         # When this owner began to wait for them, or 0.
         self.awaited_since = 0.0
         self.silent_workers = silentworkers.SilentWorkers()
+        self.late_starts = latestarts.LateStarts()
         # Whether it is recorded for a successor how long leases may last, so
         # that no more are granted.
         self.leases_closed = False
@@ -387,11 +389,15 @@
                    for worker_id in self.awaited_workers)
 
     def unproven_tasks(self) -> frozenset[messages.TaskId] | None:
-        """Return tasks that workers of earlier owners may run; None: any.
+        """Return tasks that may run or begin to run unknown; None: any.
 
-        Of jobs that were created in this owner's term, they run none.
+        Workers of earlier owners run none of jobs that were created in this
+        owner's term.
         """
-        return self.silent_workers.unproven_tasks(self.awaited_workers)
+        tasks = self.silent_workers.unproven_tasks(self.awaited_workers)
+        if tasks is None or not self.late_starts.until:
+            return tasks
+        return tasks.union(self.late_starts.until)
 
     def has_quorum(self, now: float) -> bool:
         """Return whether most workers recently accepted calls of this owner.
@@ -515,6 +521,8 @@
                 if lease_held and now >= self.awaited_until(worker_id):
                     self._expire_awaited(worker_id, now)
             self._note_takeover_end(now)
+            if self.late_starts.forget_old(now):
+                self.round_needed = True
             if self.round_needed:
                 self.request_round()
 
@@ -574,6 +582,26 @@
         self.end_jobs_of(self.crash_records.expire_leases(worker_id))
         self.round_needed = True
 
+    def note_reported(self, worker: workerstate.WorkerState,
+                      reported: typing.Container[messages.TaskId]) -> None:
+        """Handle the first whole report of a worker to this owner.
+
+        Starts of earlier owners that were meant for a life before are refused
+        by this one, but not by the next.
+        """
+        worker_id = worker.entry.worker_id
+        uncertain = self.silent_workers.uncertain_starts(worker_id)
+        if (self.awaited_workers.pop(worker_id, None) is None
+                or uncertain is None or not uncertain.born_ms
+                or worker.born_ms == uncertain.born_ms):
+            return
+        until = (self.awaited_since + uncertain.late_remaining_s
+                 - workerstate.longest_lease_s(self.hold_max_ms))
+        for task_id in uncertain.tasks:
+            found = self.find(task_id)
+            if found is not None and task_id not in reported:
+                self.late_starts.add(found[1], until)
+
     def _has_just_begun(self, worker: workerstate.WorkerState) -> bool:
         """Return whether a listed life may run starts meant for another.
 
--- a/tests/test_fleet_unanswered_start_records.py
+++ b/tests/test_fleet_unanswered_start_records.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import dataclasses
 import random
 import sys
 import typing
@@ -15,8 +16,10 @@
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import handoverrecord
 from sycamorefield.fleet import interfaces
+from sycamorefield.fleet import latestarts
 from sycamorefield.fleet import learnedstate
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import progress
 from sycamorefield.fleet import records
 from sycamorefield.fleet import rounds
 from sycamorefield.fleet import silentworkers
@@ -140,9 +143,10 @@
 
     def handover_data(self) -> bytes:
         """Return the record of a planned stop now."""
+        state, now = self.owner.state, self.owner.now
         return handoverrecord.encode(
-            self.owner.state.fence, handoverrecord.collect(
-                self.owner.state, {}, self.owner.now))
+            state.fence, handoverrecord.collect(state, {}, now),
+            state.late_starts.for_successor(state.workers.values(), now))
 
     def change_owner(self, end: str) -> None:
         """Let the owner be stopped as planned, or be killed."""
@@ -154,6 +158,7 @@
         self.owner = Owner(
             before.now, before.state.fence + 1, before.born_ms)
         state = self.owner.state
+        self._add_jobs()
         state.silent_workers.load(messages.Item(
             records.SILENT_WORKERS_KEY, self.stored, 19, 19))
         if handover_data is not None:
@@ -161,7 +166,6 @@
                 records.HANDOVER_KEY, handover_data, 19, 19))
         awaited = ["i-0"] if before.is_in_use("i-0") else []
         state.await_workers(awaited, self.owner.now + AWAITED_S)
-        self._add_jobs()
         self.owner.add_workers()
         self.owner.report("i-1")
 
@@ -293,6 +297,71 @@
         chain.wait_until(chain.elapsed_s() + STEP_S)
 
 
+def report_next_life(chain: Chain, running=()) -> None:
+    """Let the next life of i-0 report and acknowledge a stop."""
+    owner = chain.owner
+    clock_ms = 5_100.0 + owner.now
+    owner.report("i-0", running, born_ms=NEXT_BORN_MS, clock_ms=clock_ms)
+    answers.record_stopped(owner.state, "i-0", messages.StopOrder(
+        NEW, chain.order.run), owner.now)
+    owner.now += STEP_S
+    owner.report("i-0", running, born_ms=NEXT_BORN_MS, clock_ms=clock_ms)
+
+
+OUTLIVED = [
+    [], [Change("stopped", 2.0)], [Change("stopped", 0.5)],
+    [Change("stopped", 0.5), Change("stopped", 2.0)],
+    [Change("stopped", 2.0), Change("stopped", 5.0)]]
+
+
+@pytest.mark.parametrize("changes", OUTLIVED, ids=str)
+@pytest.mark.parametrize("is_confirmed", [False, True])
+def test_start_that_outlived_a_life_is_waited_for(
+        chain, changes, is_confirmed):
+    """Guards against a start that the life after the next one carries out."""
+    if is_confirmed:
+        answers.record_attempt(
+            chain.owner.state, "i-0", chain.order, chain.sent_at)
+        answers.record_started(
+            chain.owner.state, "i-0", chain.order, chain.owner.now)
+    else:
+        chain.leave_start_unanswered()
+        answers.stop_uncertain_run(chain.owner.state, "i-0", chain.order)
+    events = [(change.at, lambda end=change.end: chain.change_owner(end))
+              for change in changes]
+    events.append((1.0, lambda: chain.owner.list_next_life()))
+    events.append((1.1, lambda: report_next_life(chain)))
+    for at, event in sorted(events, key=lambda row: row[0]):
+        chain.wait_until(at)
+        event()
+        if at > 1.1:
+            report_next_life(chain)
+    late_s = unreportedlife.LATE_CALL_S
+    assert late_s <= chain.freed_after(NEW) <= late_s + SLACK_S
+    assert not chain.owner.is_held(OLD)
+
+
+def test_run_that_the_next_life_reports_is_no_late_start(chain):
+    """Guards against a task that is held back although it runs."""
+    chain.leave_start_unanswered()
+    chain.wait_until(1.0)
+    chain.owner.list_next_life()
+    chain.change_owner("stopped")
+    report_next_life(chain, [messages.RunningTask(
+        NEW, chain.order.run, "", 10)])
+    assert not chain.owner.state.late_starts.until
+
+
+@pytest.mark.parametrize("field", ["perpetual", "speculative"])
+def test_tasks_that_last_or_may_run_twice_wait_for_no_late_start(field):
+    """Guards against tasks that are down for a life that may never begin."""
+    late_starts = latestarts.LateStarts()
+    step = dataclasses.replace(
+        messages.Step(1, messages.Resources(10, 10)), **{field: True})
+    late_starts.add(progress.TaskState(NEW, step), 10.0)
+    assert not late_starts.until
+
+
 class CollectingWorker(fleetfakes.MemoryWorker):
     """Make the record of a planned stop while a start is under way."""
 
