Pass on that a later life of an awaited worker has been listed

Cause: an owner that awaits a worker applies the wait for a known later life by the entry that is listed, but hands both waits over unchanged. If that life is cut off from the store, its entry expires; the next owner sees no entry and frees the task after the wait for a prompt call.

Change: once another life has been listed, the stored wait for the case without one is the longer one too. The test holds with it.

--- a/sycamorefield/fleet/silentworkers.py
+++ b/sycamorefield/fleet/silentworkers.py
@@ -71,11 +71,12 @@
     remaining_s: float
     late_remaining_s: float
 
-    def remaining_by(self, listed_born_ms: int) -> float:
-        """Return how long, by the life that is listed (0: not known)."""
+    def by_listed(self, listed_born_ms: int) -> "UncertainStarts":
+        """Return what is known once a life is listed (0: not known)."""
         if self.born_ms and listed_born_ms not in (0, self.born_ms):
-            return self.late_remaining_s
-        return self.remaining_s
+            return dataclasses.replace(
+                self, remaining_s=self.late_remaining_s)
+        return self
 
     def after(self, elapsed_s: float) -> "UncertainStarts | None":
         """Return what is left of this some time later."""
@@ -237,6 +238,16 @@
         worker = self.loaded.get(worker_id)
         return worker.uncertain if worker is not None else None
 
+    def note_listed(self, worker_id: str, born_ms: int) -> None:
+        """Note which life of a worker is listed (0: not known).
+
+        Its entry may expire before a successor reads the list.
+        """
+        worker = self.loaded.get(worker_id)
+        if worker is not None and worker.uncertain is not None:
+            self.loaded[worker_id] = dataclasses.replace(
+                worker, uncertain=worker.uncertain.by_listed(born_ms))
+
     def note_leases_expired(self, worker_id: str) -> bool:
         """Note that a worker may run its uncertain starts alone.
 
@@ -325,6 +336,9 @@
                        now: float) -> SilentWorker:
         """Return how long an awaited worker may run which tasks."""
         remaining_s = max(0.0, fleet.awaited_until(worker_id) - now)
+        worker = fleet.workers.get(worker_id)
+        if worker is not None:
+            self.note_listed(worker_id, worker.entry.born_ms)
         known = self.loaded.get(worker_id)
         if known is None:
             return SilentWorker(remaining_s, None)
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -541,11 +541,12 @@
         It is awaited further while a later life of it may run a start that an
         earlier owner sent.
         """
-        uncertain = self.silent_workers.uncertain_starts(worker_id)
         worker = self.workers.get(worker_id)
         born_ms = worker.entry.born_ms if worker is not None else 0
-        if (uncertain is not None and now - self.awaited_since
-                < uncertain.remaining_by(born_ms)):
+        self.silent_workers.note_listed(worker_id, born_ms)
+        uncertain = self.silent_workers.uncertain_starts(worker_id)
+        if (uncertain is not None
+                and now - self.awaited_since < uncertain.remaining_s):
             before = self.silent_workers.unproven_tasks([worker_id])
             if self.silent_workers.note_leases_expired(worker_id):
                 self._log_awaited_end(
