Keep starts of earlier owners that are held up beyond the first report

Cause: an owner sends a start twice, and the worker answers the second attempt alone. The owner then holds the task for as long as the first attempt may be late. Its successor forgets that attempt as soon as the worker has reported to it: if the worker starts again and is cut off, the task is free once the known leases have expired, while the next life may carry out the first attempt.

Change: at the first report, the runs there of tasks with a recorded uncertain start keep the time at which that is carried out at the latest. The records of further owners contain it. The test holds with it.

--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -81,7 +81,7 @@
             # A full list may omit ends of tasks that seem not to have started.
             needs_round |= _release_missing(fleet, worker, report, sent_at)
             worker.has_reported = True
-            fleet.awaited_workers.pop(worker_id, None)
+            fleet.note_first_report(worker)
         fleet.pacer.process_report(worker, report, now)
         worker.has_stalled_run = any(pacer.is_stalled(task)
                                      for task in worker.tasks.values())
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -377,6 +377,23 @@
                    if worker is not None else None)
         return until if ends_at is None else max(until, ends_at)
 
+    def note_first_report(self, worker: workerstate.WorkerState) -> None:
+        """Wait for an awaited worker no longer, but keep its earlier starts.
+
+        The life that reports refuses them; one that begins after it does not.
+        """
+        worker_id = worker.entry.worker_id
+        if self.awaited_workers.pop(worker_id, None) is None:
+            return
+        uncertain = self.silent_workers.uncertain_starts(worker_id)
+        if uncertain is None:
+            return
+        latest = (self.awaited_since + uncertain.late_remaining_s
+                  - workerstate.longest_lease_s(self.hold_max_ms))
+        for run in worker.tasks:
+            if run[0] in uncertain.tasks:
+                worker.unreported_life.add_earlier_start(run, latest)
+
     def unproven_tasks(self) -> frozenset[messages.TaskId] | None:
         """Return tasks that workers of earlier owners may run; None: any.
 
--- a/sycamorefield/fleet/unreportedlife.py
+++ b/sycamorefield/fleet/unreportedlife.py
@@ -31,6 +31,8 @@
         # Runs that a life with another clock has started, and when it
         # answered.
         self.answered_starts: dict[RunId, float] = {}
+        # When starts that an earlier owner sent are carried out at the latest.
+        self.earlier_starts: dict[RunId, float] = {}
         # When the last call was sent that grants leases and got no answer,
         # and when the present one was sent.
         self.lease_sent_at = -math.inf
@@ -52,6 +54,10 @@
         if not attempts:
             self.unanswered_starts.pop(run, None)
 
+    def add_earlier_start(self, run: RunId, latest: float) -> None:
+        """Record a start of an earlier owner, carried out by then or never."""
+        self.earlier_starts[run] = latest
+
     def note_answer(self, sent_at: float) -> None:
         """Note the answer to a call; earlier ones without one are late."""
         self.answered_sent_at = max(self.answered_sent_at, sent_at)
@@ -74,6 +80,7 @@
         for sent_at in self.unanswered_starts.pop(run, ()):
             self.lease_sent_at = max(self.lease_sent_at, sent_at)
         self.answered_starts.pop(run, None)
+        self.earlier_starts.pop(run, None)
 
     def note_report(self, sent_at: float) -> None:
         """Note a report that was requested at a time."""
@@ -87,7 +94,8 @@
 
     def runs(self) -> typing.KeysView[RunId]:
         """Return the runs that may be in the life."""
-        return (self.unanswered_starts | self.answered_starts).keys()
+        return (self.unanswered_starts | self.answered_starts
+                | self.earlier_starts).keys()
 
     def ends_at(self, lease_s: float, exists: bool) -> float:
         """Return when no such run can be left.
@@ -100,6 +108,8 @@
                   for sent_at in attempts
                   if (begins_at := self._carried_out_at(sent_at, exists))
                   >= self.answered_sent_at]
+        begins += [begins_at for begins_at in self.earlier_starts.values()
+                   if begins_at >= self.answered_sent_at]
         begins += self.answered_starts.values()
         if not begins:
             return 0.0
--- a/tests/test_fleet_review_findings.py
+++ b/tests/test_fleet_review_findings.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from sycamorefield.fleet import answers
+from sycamorefield.fleet import messages
 from tests import test_fleet_unanswered_start_records as chains
 
 fixture_chain = chains.fixture_chain
@@ -21,3 +23,23 @@
     chain.owner.state.update_listed({"i-1"}, chain.owner.now)
     assert chains.LATE_S <= chain.freed_after(chains.NEW) <= (
         chains.LATE_S + 2 * chains.STORED_SLACK_S + chains.SLACK_S)
+
+
+def test_start_that_is_held_up_is_known_after_the_first_report(chain):
+    """Guards against a first attempt of an earlier owner to start a run."""
+    chain.leave_start_unanswered()
+    chain.worker.unresponsive = False
+    answers.record_started(
+        chain.owner.state, "i-0", chain.order, chain.owner.now)
+    answers.record_answer(chain.owner.state, "i-0", chain.sent_at + 0.6)
+    chain.wait_until(1.0)
+    chain.change_owner("stopped")
+    chain.owner.now += 0.1
+    chain.owner.report("i-0", [
+        messages.RunningTask(task, 1, "", 10)
+        for task in (chains.OLD, chains.NEW)], born_ms=chains.FIRST_BORN_MS)
+    chain.owner.state.workers["i-0"].grant_lease(5000.0, chain.owner.now)
+    chain.owner.state.mark_unresponsive("i-0", "no answer")
+    assert chain.freed_after(chains.OLD) <= 8.0
+    assert chains.LATE_S <= chain.freed_after(chains.NEW) <= (
+        chains.LATE_S + 1.0)
