Record uncertain starts of workers that are recorded without their tasks

Cause: a worker beyond the bound of the record was recorded for any task, with the wait for a later life as that of its leases. Its successor cuts such a wait to its own bound, 13.4 s or 6.9 s, and knows no uncertain start.

Change: the uncertain starts of such a worker, which are few, are recorded; the wait for its other tasks is that of its leases. The test holds with it.

--- a/sycamorefield/fleet/silentworkers.py
+++ b/sycamorefield/fleet/silentworkers.py
@@ -104,9 +104,8 @@
         return len(self.tasks or ()) + len(uncertain)
 
     def without_tasks(self) -> "SilentWorker":
-        """Return the same if any task may last as long as any other."""
-        late_s = self.uncertain.late_remaining_s if self.uncertain else 0.0
-        return SilentWorker(max(self.remaining_s, late_s), None)
+        """Return the same for any task, but for the uncertain ones."""
+        return dataclasses.replace(self, tasks=None)
 
 
 def describe(worker: workerstate.WorkerState, hold_max_ms: float,
--- a/tests/test_fleet_review_findings.py
+++ b/tests/test_fleet_review_findings.py
@@ -4,6 +4,7 @@
 
 from sycamorefield.fleet import answers
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import silentworkers
 from tests import test_fleet_unanswered_start_records as chains
 
 fixture_chain = chains.fixture_chain
@@ -43,3 +44,16 @@
     assert chain.freed_after(chains.OLD) <= 8.0
     assert chains.LATE_S <= chain.freed_after(chains.NEW) <= (
         chains.LATE_S + 1.0)
+
+
+def test_uncertain_starts_are_recorded_without_other_tasks(
+        chain, monkeypatch):
+    """Guards against starts that a large fleet leaves out of its record."""
+    monkeypatch.setattr(silentworkers, "MAX_RECORDED_TASKS", 0)
+    monkeypatch.setattr(chains, "AWAITED_S", 13.4)
+    chain.leave_start_unanswered()
+    chain.wait_until(1.0)
+    chain.owner.list_next_life()
+    chain.change_owner("stopped")
+    assert chains.LATE_S <= chain.freed_after(chains.NEW, 30.0) <= (
+        chains.LATE_S + chains.SLACK_S)
