Wait for late starts although a worker has answered an order since

Cause: an attempt is not waited for if the worker has answered a call that was sent more than 12 s after it. That life is known, and so are its leases, if the call was for a report. The answer to a stop names no life: the next one may have given it, and runs the task by a lease that the owner does not know.

Change: only a report ends the wait for attempts that were sent before. The test holds with it.

--- a/sycamorefield/fleet/unreportedlife.py
+++ b/sycamorefield/fleet/unreportedlife.py
@@ -39,8 +39,11 @@
         self.pending_lease_at = -math.inf
         # When a life with another clock last answered, unless it has reported.
         self.answered_at = 0.0
-        # When the last call was sent that has been answered.
+        # When the last call was sent that has been answered, and the last one
+        # that was answered by a report.  An answer to an order does not tell
+        # which life gave it.
         self.answered_sent_at = 0.0
+        self.reported_sent_at = 0.0
 
     def add_attempt(self, run: RunId, sent_at: float) -> None:
         """Record that an attempt to start a run is sent."""
@@ -85,6 +88,7 @@
     def note_report(self, sent_at: float) -> None:
         """Note a report that was requested at a time."""
         self.note_answer(sent_at)
+        self.reported_sent_at = max(self.reported_sent_at, sent_at)
         if sent_at >= self.answered_at:
             self.answered_at = 0.0
 
@@ -107,9 +111,9 @@
         begins = [begins_at for attempts in self.unanswered_starts.values()
                   for sent_at in attempts
                   if (begins_at := self._carried_out_at(sent_at, exists))
-                  >= self.answered_sent_at]
+                  >= self.reported_sent_at]
         begins += [begins_at for begins_at in self.earlier_starts.values()
-                   if begins_at >= self.answered_sent_at]
+                   if begins_at >= self.reported_sent_at]
         begins += self.answered_starts.values()
         if not begins:
             return 0.0
--- a/tests/test_fleet_review_findings.py
+++ b/tests/test_fleet_review_findings.py
@@ -6,8 +6,10 @@
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import silentworkers
 from tests import test_fleet_unanswered_start_records as chains
+from tests import test_fleet_unreported_life as lives
 
 fixture_chain = chains.fixture_chain
+fixture_bench = lives.fixture_bench
 
 
 @pytest.mark.parametrize("end", ["stopped", "killed"])
@@ -57,3 +59,18 @@
     chain.change_owner("stopped")
     assert chains.LATE_S <= chain.freed_after(chains.NEW, 30.0) <= (
         chains.LATE_S + chains.SLACK_S)
+
+
+def test_order_answered_by_a_later_life_ends_no_wait(bench):
+    """Guards against an answer that does not tell which life gave it."""
+    bench.leave_start_unanswered()
+    bench.list_next_life()
+    bench.silence()
+    answered_after_s = lives.LATE_S + 0.1
+    assert bench.free_after("new", answered_after_s) >= answered_after_s
+    answers.record_answer(
+        bench.state, "i-0", bench.sent_at + answered_after_s)
+    bench.sent_at += answered_after_s
+    lives.assert_waits_for(
+        bench.free_after("new") + answered_after_s,
+        lives.LATE_S + lives.LONGEST_LEASE_S)
