Take into account each unanswered call that may extend a late start

Cause: of all calls that grant leases, the last one alone counted. A call before it may be carried out later: if the worker has answered since, the earlier one is held up for up to 12 s, while the last one takes 1 s at most.

Change: the calls without an answer are kept, and the latest bound of them counts. The test holds with it.

--- a/sycamorefield/fleet/unreportedlife.py
+++ b/sycamorefield/fleet/unreportedlife.py
@@ -17,6 +17,9 @@
 # somewhere for up to the second one.
 PROMPT_CALL_S = 1.0
 LATE_CALL_S = 12.0
+# After this time, a lease by such a call has expired, and so has each run that
+# began before it.
+KEEP_LEASES_S = 30.0
 
 
 class UnreportedLife:
@@ -33,9 +36,10 @@
         self.answered_starts: dict[RunId, float] = {}
         # When starts that an earlier owner sent are carried out at the latest.
         self.earlier_starts: dict[RunId, float] = {}
-        # When the last call was sent that grants leases and got no answer,
-        # and when the present one was sent.
-        self.lease_sent_at = -math.inf
+        # When each call was sent that grants leases and got no answer, and
+        # when the present one was sent.  Older ones may be carried out later
+        # than newer ones, as only they are held up.
+        self.unanswered_leases: list[float] = []
         self.pending_lease_at = -math.inf
         # When a life with another clock last answered, unless it has reported.
         self.answered_at = 0.0
@@ -67,7 +71,10 @@
 
     def add_lease(self, sent_at: float) -> None:
         """Record that a call that grants leases is sent, one at a time."""
-        self.lease_sent_at = max(self.lease_sent_at, self.pending_lease_at)
+        self.unanswered_leases = [
+            earlier for earlier in (
+                *self.unanswered_leases, self.pending_lease_at)
+            if earlier > sent_at - KEEP_LEASES_S]
         self.pending_lease_at = sent_at
 
     def remove_lease(self) -> None:
@@ -80,8 +87,7 @@
 
     def remove(self, run: RunId) -> None:
         """Forget a run that is over; calls for it may still grant leases."""
-        for sent_at in self.unanswered_starts.pop(run, ()):
-            self.lease_sent_at = max(self.lease_sent_at, sent_at)
+        self.unanswered_leases += self.unanswered_starts.pop(run, ())
         self.answered_starts.pop(run, None)
         self.earlier_starts.pop(run, None)
 
@@ -118,8 +124,9 @@
         if not begins:
             return 0.0
         last = max(begins)
-        extended_at = self._carried_out_at(
-            max(self.lease_sent_at, self.pending_lease_at), exists)
+        extended_at = max(
+            self._carried_out_at(sent_at, exists)
+            for sent_at in (*self.unanswered_leases, self.pending_lease_at))
         return max(last, min(extended_at, last + lease_s)) + lease_s
 
     def _carried_out_at(self, sent_at: float, exists: bool) -> float:
--- a/tests/test_fleet_review_findings.py
+++ b/tests/test_fleet_review_findings.py
@@ -5,6 +5,7 @@
 from sycamorefield.fleet import answers
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import silentworkers
+from sycamorefield.fleet import unreportedlife
 from tests import test_fleet_unanswered_start_records as chains
 from tests import test_fleet_unreported_life as lives
 
@@ -74,3 +75,14 @@
     lives.assert_waits_for(
         bench.free_after("new") + answered_after_s,
         lives.LATE_S + lives.LONGEST_LEASE_S)
+
+
+def test_lease_that_is_held_up_extends_a_start_that_is_held_up():
+    """Guards against a late lease that a later call for one hides."""
+    life = unreportedlife.UnreportedLife()
+    life.add_attempt((chains.NEW, 1), 100.0)
+    life.note_answer(100.6)
+    life.add_lease(105.0)
+    life.note_report(107.0)
+    life.add_lease(108.0)
+    assert life.ends_at(6.0, False) >= 105.0 + lives.LATE_S + 6.0
