Take no answer of a later life for one that has forgotten ends

What callers may see: ends of runs that are listed again every 0.4 s and are not acknowledged until the worker has ended another run.

Cause: if a call that acknowledges ends up to n of one life is answered by the next one, that life was noted to have forgotten its own ends up to n. Once it has ended exactly n runs, their acknowledgement is left out.

Evidence: by a test alone, which failed: 0 is acknowledged instead of 31.

Change: only the life that reported before is noted to have forgotten its ends. The test holds with it.

--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -340,7 +340,9 @@
             self._record_renewed(lease_end_ms)
             raise
         self._record_renewed(lease_end_ms)
-        if all(ended.number > acknowledged for ended in report.ended):
+        if (report.born_ms == self.ends.reporting_born_ms
+                and all(ended.number > acknowledged
+                        for ended in report.ended)):
             self.ends.note_forgotten(
                 recordedends.LifeEnds(report.born_ms, acknowledged))
         return report
--- a/tests/test_fleet_review_findings.py
+++ b/tests/test_fleet_review_findings.py
@@ -1,16 +1,21 @@
 """Test what is known of starts without an answer after an owner or a life."""
 
+import asyncio
+
 import pytest
 
 from sycamorefield.fleet import answers
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import recordedends
 from sycamorefield.fleet import silentworkers
 from sycamorefield.fleet import unreportedlife
+from tests import test_fleet_acknowledgements
 from tests import test_fleet_unanswered_start_records as chains
 from tests import test_fleet_unreported_life as lives
 
 fixture_chain = chains.fixture_chain
 fixture_bench = lives.fixture_bench
+fixture_link = test_fleet_acknowledgements.fixture_link
 
 
 @pytest.mark.parametrize("end", ["stopped", "killed"])
@@ -86,3 +91,18 @@
     life.note_report(107.0)
     life.add_lease(108.0)
     assert life.ends_at(6.0, False) >= 105.0 + lives.LATE_S + 6.0
+
+
+def test_ends_of_a_later_life_are_acknowledged(fixture, monkeypatch):
+    """Guards against an end that is taken for one of the life before."""
+    fixture.answer_start()
+    number = test_fleet_acknowledgements.STORED
+
+    async def renew(fence, recorded_upto, lease_end_ms, wait_ms, answer_s):
+        return messages.WorkerReport(100.0, (), (), 2_000)
+
+    monkeypatch.setattr(fixture.link.worker, "renew", renew)
+    asyncio.run(fixture.link._renew(fixture.link.worker, 1))
+    fixture.link.ends.note_report(2_000)
+    fixture.link.ends.store(recordedends.LifeEnds(2_000, number))
+    assert fixture.next_number() == number
