Hold acknowledgements behind unanswered starts on busy workers too

Cause: the delay of 1.5 s was counted from when no end was left to acknowledge. A worker of which each report lists another end has no such moment, so after the first 1.5 s ends were acknowledged behind unanswered starts. A start was taken for an unanswered one while it waited for its turn, and no longer once its second attempt was answered, although the first may still be carried out.

Change: the delay counts from the first call that leaves an acknowledgement out, and attempts count that were sent in the last 12 s and have no answer. In the tests, a start under way is now recorded as the link does it.

--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -25,6 +25,7 @@
 from sycamorefield.fleet import reports
 from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import usage
+from sycamorefield.fleet import workerstate
 from sycamorefield import metrics
 
 # How long a worker may delay its report while no run ends.  It bounds the time
@@ -139,8 +140,8 @@
         self.lost_answers = lostanswers.LostAnswers()
         self.recorded = asyncio.Event()
         self.ends = recordedends.RecordedEnds()
-        # When ends are acknowledged although starts have no answer yet.
-        self.acknowledgement_due_at = 0.0
+        # Since when ends are not acknowledged as starts have no answer yet.
+        self.acknowledgement_held_since: float | None = None
         # Held while a start is under way.
         self.starting = asyncio.Lock()
         self.fences = fleet.fences_of(self.worker_id)
@@ -360,19 +361,26 @@
         """
         number = self.ends.acknowledged_number()
         now = clock.now()
-        if not number:
-            self.acknowledgement_due_at = now + MAX_ACKNOWLEDGEMENT_DELAY_S
-            return 0
         with self.fleet.lock:
             worker = self.fleet.workers.get(self.worker_id)
             if worker is not None and (
                     worker.unresponsive
                     or worker.unreported_life.has_answered()
-                    or (worker.uncertain_runs()
-                        and now < self.acknowledgement_due_at)):
+                    or (number and self._holds_acknowledgement(worker, now))):
                 return 0
+        self.acknowledgement_held_since = None
         return number
 
+    def _holds_acknowledgement(self, worker: workerstate.WorkerState,
+                               now: float) -> bool:
+        """Return whether starts without an answer delay an acknowledgement."""
+        if not worker.unreported_life.has_attempt(now):
+            return False
+        if self.acknowledgement_held_since is None:
+            self.acknowledgement_held_since = now
+        return (now - self.acknowledgement_held_since
+                < MAX_ACKNOWLEDGEMENT_DELAY_S)
+
     async def _await_start(self) -> None:
         """Wait briefly for the answer to a start before an acknowledgement."""
         if self.ends.acknowledged_number():
--- a/sycamorefield/fleet/unreportedlife.py
+++ b/sycamorefield/fleet/unreportedlife.py
@@ -65,6 +65,13 @@
         """Record a start of an earlier owner, carried out by then or never."""
         self.earlier_starts[run] = latest
 
+    def has_attempt(self, now: float) -> bool:
+        """Return whether an attempt to start a run may be carried out yet."""
+        return any(now - sent_at < LATE_CALL_S
+                   for attempts in self.unanswered_starts.values()
+                   for sent_at in attempts) or any(
+            latest > now for latest in self.earlier_starts.values())
+
     def note_answer(self, sent_at: float) -> None:
         """Note the answer to a call; earlier ones without one are late."""
         self.answered_sent_at = max(self.answered_sent_at, sent_at)
--- a/tests/test_fleet_acknowledgements.py
+++ b/tests/test_fleet_acknowledgements.py
@@ -29,6 +29,7 @@
         self.bench = test_fleet_unreported_life.SilentBench()
         monkeypatch.setattr(clock, "now", lambda: self.bench.now)
         self.order = self.bench.order
+        self.bench.leave_start_unanswered()
         self.link = test_fleet_link.make_link(
             self.bench, fleetfakes.MemoryWorker("i-0"))
         self.link.ends.note_report(BORN_MS)
@@ -40,6 +41,8 @@
         return self.link._acknowledged_number()
 
     def answer_start(self) -> None:
+        answers.record_attempt_over(
+            self.bench.state, "i-0", self.order, self.bench.sent_at)
         answers.record_started(
             self.bench.state, "i-0", self.order, self.bench.now)
 
--- a/tests/test_fleet_review_findings.py
+++ b/tests/test_fleet_review_findings.py
@@ -93,6 +93,20 @@
     assert life.ends_at(6.0, False) >= 105.0 + lives.LATE_S + 6.0
 
 
+def test_worker_with_many_ends_forgets_none_behind_an_unanswered_start(
+        fixture):
+    """Guards against a delay that was over before the start was sent."""
+    fixture.answer_start()
+    assert fixture.next_number() == test_fleet_acknowledgements.STORED
+    fixture.bench.now += 5.0
+    fixture.link.ends.store(recordedends.LifeEnds(
+        test_fleet_acknowledgements.BORN_MS,
+        test_fleet_acknowledgements.STORED + 1))
+    fixture.bench.sent_at = fixture.bench.now
+    fixture.bench.leave_start_unanswered()
+    assert fixture.next_number() == 0
+
+
 def test_ends_of_a_later_life_are_acknowledged(fixture, monkeypatch):
     """Guards against an end that is taken for one of the life before."""
     fixture.answer_start()
