Send no start that the record of a planned stop lacks

Cause: the lease of a start is granted under the lock of the fleet, and its attempt is recorded under it later. If the record for the successor is made in between, it has the lease alone, and the start is sent after it.

Change: an attempt is refused once the record is made. The test holds with it.

--- a/sycamorefield/fleet/answers.py
+++ b/sycamorefield/fleet/answers.py
@@ -183,16 +183,20 @@
 
 
 def record_attempt(fleet: state_mod.FleetState, worker_id: str,
-                   order: messages.StartOrder, sent_at: float) -> None:
-    """Record that an attempt to start a run is sent.
+                   order: messages.StartOrder, sent_at: float) -> bool:
+    """Record that an attempt to start a run is sent; return whether it may be.
 
-    It may be carried out from now on, also once this owner has stopped.
+    It may be carried out from now on, also once this owner has stopped.  None
+    is sent that the record for a successor lacks.
     """
     with fleet.lock:
+        if fleet.leases_closed:
+            return False
         worker = fleet.workers.get(worker_id)
         run = (order.task, order.run)
         if worker is not None and run in worker.tasks:
             worker.unreported_life.add_attempt(run, sent_at)
+        return True
 
 
 def record_attempt_over(fleet: state_mod.FleetState, worker_id: str,
--- a/sycamorefield/fleet/link.py
+++ b/sycamorefield/fleet/link.py
@@ -580,7 +580,9 @@
 
     async def _start(self, order: messages.StartOrder, lease_end_ms: float,
                      sent_at: float) -> None:
-        answers.record_attempt(self.fleet, self.worker_id, order, sent_at)
+        if not answers.record_attempt(
+                self.fleet, self.worker_id, order, sent_at):
+            raise interfaces.CallRefused(NO_LEASE)
         clock_ms = await self._call_order(lambda fence: self.worker.start(
             order, fence, lease_end_ms))
         answers.record_attempt_over(self.fleet, self.worker_id, order, sent_at)
--- a/tests/test_fleet_review_findings.py
+++ b/tests/test_fleet_review_findings.py
@@ -10,6 +10,7 @@
 from sycamorefield.fleet import silentworkers
 from sycamorefield.fleet import unreportedlife
 from tests import test_fleet_acknowledgements
+from tests import test_fleet_link
 from tests import test_fleet_unanswered_start_records as chains
 from tests import test_fleet_unreported_life as lives
 
@@ -120,3 +121,22 @@
     fixture.link.ends.note_report(2_000)
     fixture.link.ends.store(recordedends.LifeEnds(2_000, number))
     assert fixture.next_number() == number
+
+
+def test_no_start_is_sent_that_the_record_of_a_planned_stop_lacks(
+        chain, monkeypatch):
+    """Guards against a start between its lease and its record."""
+    worker = chains.CollectingWorker(chain)
+    worker.handover_data = b""
+    link = test_fleet_link.make_link(chain.owner, worker)
+    monkeypatch.setattr(link, "_lease_end_ms", lambda longest_ms: 5_000.0)
+    started = []
+
+    async def start(order, fence, lease_end_ms):
+        started.append(order)
+        return 0.0
+
+    monkeypatch.setattr(worker, "start", start)
+    chain.owner.state.leases_closed = True
+    asyncio.run(link._send_start(chain.order))
+    assert not started
