Bound the wait for a listed life whose birth is ahead of the clock

What callers may see: no task of an older job starts for as long as the clock of a silent worker is ahead, or the owner's has been set back, if the earlier owner was killed.

Cause: a worker that no record names is awaited while its listed life is young by the time of day, whatever that shows.

Evidence: by a test alone, which failed: after 60 s, its end, the task still waits for a life that is listed with a birth an hour ahead; no play shows it.

Change: the wait ends once no start of an earlier owner can matter any more, by this owner's own clock. The test holds with it.

--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -573,7 +573,8 @@
                 self.round_needed = True
             return
         if (worker_id not in self.silent_workers.loaded
-                and worker is not None and self._has_just_begun(worker)):
+                and worker is not None
+                and self._has_just_begun(worker, now)):
             return
         self._log_awaited_end(
             worker_id, born_ms,
@@ -583,15 +584,19 @@
         self.end_jobs_of(self.crash_records.expire_leases(worker_id))
         self.round_needed = True
 
-    def _has_just_begun(self, worker: workerstate.WorkerState) -> bool:
+    def _has_just_begun(self, worker: workerstate.WorkerState,
+                        now: float) -> bool:
         """Return whether a listed life may run starts meant for another.
 
-        They were sent before it began.  Its birth is a time of day.
+        They were sent before it began.  Its birth is a time of day, which may
+        be far ahead of the clock here.
         """
         age_s = (clock.wall_ms() - worker.entry.born_ms) / 1000.0
-        return bool(worker.listed and worker.entry.born_ms) and (
-            age_s < unreportedlife.LATE_CALL_S + learnedstate.MAX_CLOCK_ERROR_S
-            + workerstate.longest_lease_s(self.hold_max_ms))
+        lasts_s = (unreportedlife.LATE_CALL_S
+                   + workerstate.longest_lease_s(self.hold_max_ms))
+        return (bool(worker.listed and worker.entry.born_ms)
+                and age_s < lasts_s + learnedstate.MAX_CLOCK_ERROR_S
+                and now - self.awaited_since < lasts_s + EARLIER_STARTS_S)
 
     def _log_awaited_end(
             self, worker_id: str, born_ms: int,
--- a/tests/test_fleet_review_findings.py
+++ b/tests/test_fleet_review_findings.py
@@ -5,9 +5,11 @@
 import pytest
 
 from sycamorefield.fleet import answers
+from sycamorefield.fleet import clock
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import recordedends
 from sycamorefield.fleet import silentworkers
+from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import unreportedlife
 from tests import test_fleet_acknowledgements
 from tests import test_fleet_link
@@ -140,3 +142,15 @@
     chain.owner.state.leases_closed = True
     asyncio.run(link._send_start(chain.order))
     assert not started
+
+
+def test_life_by_a_clock_that_is_far_ahead_does_not_stop_the_fleet(
+        chain, monkeypatch):
+    """Guards against older tasks that wait until the clocks agree."""
+    monkeypatch.setattr(chains, "AWAITED_S", 6.0)
+    chain.wait_until(chains.KILLED_AT_S)
+    chain.owner.list_next_life(int(clock.wall_ms()) + 3_600_000)
+    chain.change_owner("killed")
+    assert chain.freed_after(chains.NEW, 60.0) <= (
+        chains.KILLED_AT_S + state_mod.EARLIER_STARTS_S + chains.LATE_S
+        + chains.SLACK_S)
