Wait for late starts of earlier runs of a task on the same worker

Cause: once a worker has acknowledged the stop of a run, or reports its end, the attempts to start it are forgotten: that life refuses them. The next life has seen no fence and carries them out. If the task runs on the same worker again, it is free after the known leases while the next life may run the start.

Change: the latest time of such attempts is kept by task, and holds the next runs of the task on that worker. What is left: a task that is placed on another worker meanwhile, and a start after an acknowledged success.

--- a/sycamorefield/fleet/unreportedlife.py
+++ b/sycamorefield/fleet/unreportedlife.py
@@ -34,8 +34,11 @@
         # Runs that a life with another clock has started, and when it
         # answered.
         self.answered_starts: dict[RunId, float] = {}
-        # When starts that an earlier owner sent are carried out at the latest.
+        # When starts are carried out at the latest that an earlier owner sent,
+        # or that were meant for an earlier run of the task.
         self.earlier_starts: dict[RunId, float] = {}
+        # The same by task, for attempts to start runs that are over.
+        self.late_tasks: dict[messages.TaskId, float] = {}
         # When each call was sent that grants leases and got no answer, and
         # when the present one was sent.  Older ones may be carried out later
         # than newer ones, as only they are held up.
@@ -61,6 +64,15 @@
         if not attempts:
             self.unanswered_starts.pop(run, None)
 
+    def add_run(self, run: RunId) -> None:
+        """Add a run; starts of earlier runs of its task may be late.
+
+        The life that has ended these runs refuses their starts, the next one
+        does not.
+        """
+        if run[0] in self.late_tasks:
+            self.earlier_starts[run] = self.late_tasks[run[0]]
+
     def add_earlier_start(self, run: RunId, latest: float) -> None:
         """Record a start of an earlier owner, carried out by then or never."""
         self.earlier_starts[run] = latest
@@ -94,7 +106,13 @@
 
     def remove(self, run: RunId) -> None:
         """Forget a run that is over; calls for it may still grant leases."""
-        self.unanswered_leases += self.unanswered_starts.pop(run, ())
+        attempts = self.unanswered_starts.pop(run, [])
+        self.unanswered_leases += attempts
+        if attempts:
+            self.late_tasks = {
+                task: latest for task, latest in self.late_tasks.items()
+                if latest > attempts[-1]}
+            self.late_tasks[run[0]] = attempts[-1] + LATE_CALL_S
         self.answered_starts.pop(run, None)
         self.earlier_starts.pop(run, None)
 
--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -329,6 +329,7 @@
         self.record_change()
         resources = step.reserved()
         self.reserved[run] = resources
+        self.unreported_life.add_run(run)
         self.used = self.used.plus(resources)
         if step.fills:
             self.best_effort_cpu += step.room.cpu
--- a/tests/test_fleet_review_findings.py
+++ b/tests/test_fleet_review_findings.py
@@ -1,6 +1,7 @@
 """Test what is known of starts without an answer after an owner or a life."""
 
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -11,6 +12,7 @@
 from sycamorefield.fleet import silentworkers
 from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import unreportedlife
+from sycamorefield.fleet import workerstate
 from tests import test_fleet_acknowledgements
 from tests import test_fleet_link
 from tests import test_fleet_unanswered_start_records as chains
@@ -154,3 +156,21 @@
     assert chain.freed_after(chains.NEW, 60.0) <= (
         chains.KILLED_AT_S + state_mod.EARLIER_STARTS_S + chains.LATE_S
         + chains.SLACK_S)
+
+
+def test_start_of_an_earlier_run_may_begin_in_the_next_life(bench):
+    """Guards against a start that the life refused which ended its run."""
+    bench.leave_start_unanswered()
+    job = bench.state.jobs["new"]
+    task = next(iter(job.all_tasks()))
+    bench.worker.release((bench.order.task, 1), task.step)
+    task.reset_run()
+    bench.state.start(job, task, bench.worker, 2)
+    bench.worker.unsent_starts.clear()
+    answers.record_started(
+        bench.state, "i-0", dataclasses.replace(bench.order, run=2),
+        bench.now)
+    bench.worker.grant_lease(workerstate.LEASE_MS, bench.now)
+    bench.silence()
+    lives.assert_waits_for(
+        bench.free_after("new"), lives.LATE_S + lives.LONGEST_LEASE_S)
