Count a later life as listed if the worker has started again twice

Cause: a listed life was taken for a later one only if the entry before it was of the life that reports. Once a third life is listed the entry before is of the second one, so late starts are waited for as if there was no later life.

Change: that the listed life has changed since the last life began to report is kept. The test holds with it, and one that a listed life which reports is no later one.

--- a/sycamorefield/fleet/workerstate.py
+++ b/sycamorefield/fleet/workerstate.py
@@ -75,6 +75,9 @@
         self.entry = entry
         # The entry of the life before the one of the present entry, if any.
         self.earlier_entry: messages.WorkerEntry | None = None
+        # Whether another life has been listed since the one that last
+        # reported began to.
+        self.other_life_listed = False
         # When the life that last reported began, in ms since 1970 (0: not
         # known), and when its last report was requested.  The time of day may
         # jump, so a later life may state an earlier birth.
@@ -170,6 +173,7 @@
             return
         if entry.born_ms != self.entry.born_ms:
             self.earlier_entry = self.entry
+            self.other_life_listed = bool(self.born_ms)
         self.entry = entry
         self.record_change()
 
@@ -184,9 +188,11 @@
 
     def later_life_is_listed(self) -> bool:
         """Return whether the entry is of a life after the one that reports."""
-        return (self.earlier_entry is not None
-                and self.earlier_entry.born_ms == self.born_ms
-                and not self.entry_is_of_current_life())
+        if self.entry_is_of_current_life():
+            return False
+        return self.other_life_listed or (
+            self.earlier_entry is not None
+            and self.earlier_entry.born_ms == self.born_ms)
 
     def was_draining(self) -> bool:
         """Return whether the life that last reported was draining."""
@@ -227,6 +233,7 @@
         """
         self.born_ms = born_ms
         self.restart_seen_at = now
+        self.other_life_listed = False
         self.last_processed_end = 0
         self.clock_ms = self.clock_read_at = self.granted_end_ms = 0.0
         self.failures = self.over_reports = self.unanswered_starts = 0
--- a/tests/test_fleet_review_findings.py
+++ b/tests/test_fleet_review_findings.py
@@ -174,3 +174,24 @@
     bench.silence()
     lives.assert_waits_for(
         bench.free_after("new"), lives.LATE_S + lives.LONGEST_LEASE_S)
+
+
+@pytest.mark.parametrize("listed", [(2_000, 3_000), (2_000, 3_000, 4_000)])
+def test_each_life_after_the_known_one_may_run_a_late_start(bench, listed):
+    """Guards against a worker that starts again twice before it reports."""
+    bench.leave_start_unanswered()
+    for born_ms in listed:
+        bench.worker.update_entry(dataclasses.replace(
+            bench.worker.entry, born_ms=born_ms))
+    bench.silence()
+    lives.assert_waits_for(
+        bench.free_after("new"), lives.LATE_S + lives.LONGEST_LEASE_S)
+
+
+def test_listed_life_that_reports_is_no_later_one(bench):
+    """Guards against a wait for a life that is known."""
+    for born_ms in (2_000, 3_000):
+        bench.worker.update_entry(dataclasses.replace(
+            bench.worker.entry, born_ms=born_ms))
+    bench.report("i-0", born_ms=3_000)
+    assert not bench.worker.later_life_is_listed()
