--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -81,7 +81,8 @@
             # A full list may omit ends of tasks that seem not to have started.
             needs_round |= _release_missing(fleet, worker, report, sent_at)
             worker.has_reported = True
-            fleet.note_reported(worker, {row.task for row in report.running})
+            fleet.note_first_report(
+                worker, {row.task for row in report.running})
         fleet.pacer.process_report(worker, report, now)
         worker.has_stalled_run = any(pacer.is_stalled(task)
                                      for task in worker.tasks.values())
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -558,11 +558,12 @@
         It is awaited further while a later life of it may run a start that an
         earlier owner sent.
         """
-        uncertain = self.silent_workers.uncertain_starts(worker_id)
         worker = self.workers.get(worker_id)
         born_ms = worker.entry.born_ms if worker is not None else 0
-        if (uncertain is not None and now - self.awaited_since
-                < uncertain.remaining_by(born_ms)):
+        self.silent_workers.note_listed(worker_id, born_ms)
+        uncertain = self.silent_workers.uncertain_starts(worker_id)
+        if (uncertain is not None
+                and now - self.awaited_since < uncertain.remaining_s):
             before = self.silent_workers.unproven_tasks([worker_id])
             if self.silent_workers.note_leases_expired(worker_id):
                 self._log_awaited_end(
@@ -572,7 +573,8 @@
                 self.round_needed = True
             return
         if (not self.silent_workers.knows_starts(worker_id)
-                and worker is not None and self._has_just_begun(worker)):
+                and worker is not None
+                and self._has_just_begun(worker, now)):
             return
         self._log_awaited_end(
             worker_id, born_ms,
@@ -582,35 +584,44 @@
         self.end_jobs_of(self.crash_records.expire_leases(worker_id))
         self.round_needed = True
 
-    def note_reported(self, worker: workerstate.WorkerState,
-                      reported: typing.Container[messages.TaskId]) -> None:
-        """Handle the first whole report of a worker to this owner.
+    def note_first_report(self, worker: workerstate.WorkerState,
+                          reported: typing.Container[messages.TaskId]
+                          ) -> None:
+        """Wait for an awaited worker no longer, but keep its earlier starts.
 
-        Starts of earlier owners that were meant for a life before are refused
-        by this one, but not by the next.
+        The life that reports refuses them; one that begins after it does not.
         """
         worker_id = worker.entry.worker_id
+        if self.awaited_workers.pop(worker_id, None) is None:
+            return
         uncertain = self.silent_workers.uncertain_starts(worker_id)
-        if (self.awaited_workers.pop(worker_id, None) is None
-                or uncertain is None or not uncertain.born_ms
-                or worker.born_ms == uncertain.born_ms):
+        if uncertain is None:
+            return
+        latest = (self.awaited_since + uncertain.late_remaining_s
+                  - workerstate.longest_lease_s(self.hold_max_ms))
+        for run in worker.tasks:
+            if run[0] in uncertain.tasks:
+                worker.unreported_life.add_earlier_start(run, latest)
+        if not uncertain.born_ms or worker.born_ms == uncertain.born_ms:
             return
-        until = (self.awaited_since + uncertain.late_remaining_s
-                 - workerstate.longest_lease_s(self.hold_max_ms))
         for task_id in uncertain.tasks:
             found = self.find(task_id)
             if found is not None and task_id not in reported:
-                self.late_starts.add(found[1], until)
+                self.late_starts.add(found[1], latest)
 
-    def _has_just_begun(self, worker: workerstate.WorkerState) -> bool:
+    def _has_just_begun(self, worker: workerstate.WorkerState,
+                        now: float) -> bool:
         """Return whether a listed life may run starts meant for another.
 
-        They were sent before it began.  Its birth is a time of day.
+        They were sent before it began.  Its birth is a time of day, which may
+        be far ahead of the clock here.
         """
         age_s = (clock.wall_ms() - worker.entry.born_ms) / 1000.0
-        return bool(worker.listed and worker.entry.born_ms) and (
-            age_s < unreportedlife.LATE_CALL_S + learnedstate.MAX_CLOCK_ERROR_S
-            + workerstate.longest_lease_s(self.hold_max_ms))
+        lasts_s = (unreportedlife.LATE_CALL_S
+                   + workerstate.longest_lease_s(self.hold_max_ms))
+        return (bool(worker.listed and worker.entry.born_ms)
+                and age_s < lasts_s + learnedstate.MAX_CLOCK_ERROR_S
+                and now - self.awaited_since < lasts_s + EARLIER_STARTS_S)
 
     def _log_awaited_end(
             self, worker_id: str, born_ms: int,
