Start a task again where an earlier start of it may be late

Cause: a worker that has answered the stop of a run refuses its start, which is held up; the next life of that worker has seen no fence and carries it out. By then the task runs on another worker.

Change: the task is placed on that worker while the start may be late, if it fits there: a run there ends with that life, and a silent worker holds it. No task waits longer. What is left: the worker has no capacity for it, gangs, long-running tasks, later owners.

--- a/sycamorefield/fleet/progress.py
+++ b/sycamorefield/fleet/progress.py
@@ -38,10 +38,10 @@
     """
 
     __slots__ = ("task", "step", "done", "failed_runs", "last_run", "saved",
-                 "phase", "run", "worker_id", "not_before", "avoided_lives",
-                 "started_at", "percent", "confirmed_at", "pace_percent",
-                 "slowed_at", "stop_sent_at", "stuck", "has_run",
-                 "start_confirmed", "job", "projected_run_s",
+                 "phase", "run", "worker_id", "last_worker_id", "not_before",
+                 "avoided_lives", "started_at", "percent", "confirmed_at",
+                 "pace_percent", "slowed_at", "stop_sent_at", "stuck",
+                 "has_run", "start_confirmed", "job", "projected_run_s",
                  "previous_run_s", "suspicion", "measurable", "copy",
                  "copy_not_before", "is_low_pace_start")
 
@@ -58,6 +58,8 @@
         self.phase = IDLE
         self.run = 0
         self.worker_id = ""
+        # The worker of the run before.
+        self.last_worker_id = ""
         self.not_before = 0.0
         # Lives of workers in which runs failed or got stuck: the worker's ID
         # and its birth.
@@ -131,6 +133,7 @@
         """
         self.phase = IDLE
         self.run = 0
+        self.last_worker_id = self.worker_id or self.last_worker_id
         self.worker_id = ""
         self.percent = 0
         self.pace_percent = 100
--- a/sycamorefield/fleet/rounds.py
+++ b/sycamorefield/fleet/rounds.py
@@ -211,6 +211,9 @@
             if preemption.start_where_held(self, state, task, eligible):
                 placed_count += 1
                 continue
+            if not keeps_headroom and self._start_beside_late_start(
+                    state, task, eligible):
+                continue
             required = headroom.required_headroom(
                 task, placed_count, self.policy.spread_lasting_jobs)
             if (keeps_headroom
@@ -231,6 +234,25 @@
                 self._note_overdue(state, task, eligible)
                 break
 
+    def _start_beside_late_start(
+            self, state: progress.JobState, task: progress.TaskState,
+            eligible: eligibleworkers.EligibleWorkers) -> bool:
+        """Start a task where an attempt to start an earlier run may be late.
+
+        The next life of that worker may carry the attempt out.  A run there
+        has ended by then, a run elsewhere would go on beside it.
+        """
+        worker = self.fleet.workers.get(task.last_worker_id)
+        if worker is None or not worker.unreported_life.has_late_start(
+                task.task, self.now):
+            return False
+        if worker not in eligible.workers or placing.choose(
+                task, eligible.service, [worker],
+                self.fleet.interference_model) is None:
+            return False
+        self.start(state, task, worker, eligible)
+        return True
+
     def _start_overdue(self, state: progress.JobState,
                        task: progress.TaskState,
                        eligible: eligibleworkers.EligibleWorkers) -> bool:
--- a/sycamorefield/fleet/unreportedlife.py
+++ b/sycamorefield/fleet/unreportedlife.py
@@ -73,6 +73,10 @@
         if run[0] in self.late_tasks:
             self.earlier_starts[run] = self.late_tasks[run[0]]
 
+    def has_late_start(self, task: messages.TaskId, now: float) -> bool:
+        """Return whether a start of an earlier run may be late."""
+        return self.late_tasks.get(task, 0.0) > now
+
     def add_earlier_start(self, run: RunId, latest: float) -> None:
         """Record a start of an earlier owner, carried out by then or never."""
         self.earlier_starts[run] = latest
--- a/tests/test_fleet_review_findings.py
+++ b/tests/test_fleet_review_findings.py
@@ -15,6 +15,7 @@
 from sycamorefield.fleet import workerstate
 from tests import test_fleet_acknowledgements
 from tests import test_fleet_link
+from tests import test_fleet_restarts
 from tests import test_fleet_unanswered_start_records as chains
 from tests import test_fleet_unreported_life as lives
 
@@ -195,3 +196,23 @@
             bench.worker.entry, born_ms=born_ms))
     bench.report("i-0", born_ms=3_000)
     assert not bench.worker.later_life_is_listed()
+
+
+@pytest.mark.parametrize("is_late", [False, True])
+def test_task_starts_again_where_its_start_may_be_late(bench, is_late):
+    """Guards against a run beside one that the next life begins elsewhere."""
+    bench.state.add_worker(test_fleet_restarts.entry(1))
+    bench.report("i-1")
+    bench.state.enrol(["i-0", "i-1"])
+    for number in range(2):
+        # The fuller worker is used first.
+        bench.state.workers["i-1"].reserve(
+            (messages.TaskId("other", 0, 0, number), 1),
+            bench.worker.tasks[bench.order.task, 1].step, None)
+    if is_late:
+        bench.leave_start_unanswered()
+    task = bench.worker.tasks[bench.order.task, 1]
+    bench.worker.release((bench.order.task, 1), task.step)
+    task.reset_run()
+    assert bench.place() == [
+        "new.0.0.0@i-0" if is_late else "new.0.0.0@i-1"]
