Name all silent workers in a request for relays

Callers saw: where no process reaches most workers, so that the owner stays, workers that a relay reaches stood empty for 5 s more, while jobs waited.

Cause: workers that are cut off together fall silent over about a second. The request was made as soon as the first of them had been silent for 4 s and named those that had been by then; the others waited 5 s for the next request.

Change: a request that is due names all listed workers that are silent, those that need a relay first. last_unreached holds the latter only, so a worker that was named early and not reached is requested again after 5 s, as before.

test_request_names_workers_that_fell_silent_after_others fails without the change. test_worker_named_before_it_was_silent_for_long_is_requested_again fails with a variant (trial) that counts all named workers as requested for good.

--- a/sycamorefield/fleet/relays.py
+++ b/sycamorefield/fleet/relays.py
@@ -157,43 +157,55 @@
         """Make a request if there are workers that nothing reaches."""
         if not self.fleet.policy.relay_calls:
             return
-        workers = self._unreached_addresses(now)
+        silent = self._silent_addresses()
+        workers = self._unreached_addresses(silent, now)
         if not self.last_unreached.issuperset(workers):
             self.period_s = REQUEST_PERIOD_S
         if not workers or now - self.requested_at < self.period_s:
             return
         self.period_s = min(MAX_REQUEST_PERIOD_S, 2 * self.period_s)
-        self.last_unreached = set(workers)
-        self._make_request(workers, now)
+        self.last_unreached = workers
+        # Workers that are cut off together fall silent one after the other.
+        # Those that are not named would wait for the next request.
+        named = _choose(workers, MAX_ADDRESSES)
+        named += _choose(set(silent.values()).difference(workers),
+                         MAX_ADDRESSES - len(named))
+        self._make_request(named, now)
+
+    def _silent_addresses(self) -> dict[str, str]:
+        """Return the addresses of listed workers that do not answer, by ID."""
+        with self.fleet.lock:
+            return {worker_id: worker.entry.address
+                    for worker_id in self.unreached.silent_ids() if (
+                        worker := self.fleet.workers.get(worker_id))}
 
-    def _unreached_addresses(self, now: float) -> list[str]:
+    def _unreached_addresses(self, silent: dict[str, str],
+                             now: float) -> set[str]:
         """Return the addresses of workers that need a relay.
 
         A silent worker that was requested before has lost its relay.
         """
         unreached = set(self.unreached.unreached_ids(now))
-        silent = self.unreached.silent_ids()
-        with self.fleet.lock:
-            addresses = {worker_id: worker.entry.address
-                         for worker_id in silent if (
-                             worker := self.fleet.workers.get(worker_id))}
-        return [address for worker_id, address in addresses.items()
-                if worker_id in unreached or address in self.requested]
-
-    def _make_request(self, workers: list[str], now: float) -> None:
-        chosen = tuple(random.sample(workers,
-                                     min(MAX_ADDRESSES, len(workers))))
+        return {address for worker_id, address in silent.items()
+                if worker_id in unreached or address in self.requested}
+
+    def _make_request(self, named: tuple[str, ...], now: float) -> None:
         self.requested_at = now
-        self.requested.update(chosen)
+        self.requested.update(named)
         try:
             self.store.commit(messages.Transaction(
                 (messages.Expect(records.OWNER_KEY, self.fleet.fence),),
                 (messages.Put(records.RELAY_REQUEST_KEY,
-                              encode_request(chosen), self.lease_id),)))
+                              encode_request(named), self.lease_id),)))
         except (interfaces.CallFailed, interfaces.Conflict,
                 interfaces.LeaseEnded) as exc:
             events.emit(events.STORE_UNREACHABLE,
                         reason=f"request for relays: {exc}")
             return
         events.emit(events.RELAYS_REQUESTED, fence=self.fleet.fence,
-                    workers=len(chosen))
+                    workers=len(named))
+
+
+def _choose(addresses: typing.Collection[str], count: int) -> tuple[str, ...]:
+    return tuple(random.sample(sorted(addresses),
+                               min(count, len(addresses))))
--- a/tests/test_fleet_relays.py
+++ b/tests/test_fleet_relays.py
@@ -120,6 +120,36 @@
     assert bench.run(1.0) == [[ADDRESSES[0], ADDRESSES[2]]]
 
 
+def test_request_names_workers_that_fell_silent_after_others():
+    """Guards against workers that wait for a second request."""
+    bench = RequestBench()
+    bench.silence(0)
+    bench.run(0.5)
+    bench.silence(0, 2)
+    assert bench.run(SILENT_S + 1.0) == [[ADDRESSES[0], ADDRESSES[2]]]
+
+
+def test_worker_named_before_it_was_silent_for_long_is_requested_again():
+    """Guards against a long wait if no relay reached it that early."""
+    bench = RequestBench()
+    bench.silence(0)
+    bench.run(0.5)
+    bench.silence(0, 2)
+    bench.run(SILENT_S + 1.0)
+    assert bench.run(relays.REQUEST_PERIOD_S) == [[ADDRESSES[0], ADDRESSES[2]]]
+
+
+def test_request_of_limited_size_names_workers_that_were_silent_longest(
+        monkeypatch):
+    """Guards against requests filled by workers that have just crashed."""
+    monkeypatch.setattr(relays, "MAX_ADDRESSES", 2)
+    bench = RequestBench()
+    bench.silence(0, 2)
+    bench.run(0.5)
+    bench.silence(0, 1, 2, 3)
+    assert bench.run(SILENT_S)[0] == [ADDRESSES[0], ADDRESSES[2]]
+
+
 def test_request_without_an_offer_is_repeated_less_and_less():
     """Guards against probes by all processes every five seconds."""
     bench = RequestBench()
