--- a/tests/rebornworkers.py
+++ b/tests/rebornworkers.py
@@ -164,12 +164,25 @@
 
     def _carry_out_late(self, fence: int, call: typing.Callable[
             [float], object]) -> None:
+        with self.lock:
+            begins_in_s = self.began_at - clock.now()
+        if begins_in_s > 0.0:
+            # A worker carries out nothing between two lives.
+            self._defer(begins_in_s, fence, call)
+            return
         try:
             self._carry_out(fence, call)
         except interfaces.OrderRejected:
             return
         self.history.late_calls += 1
 
+    def _defer(self, seconds: float, fence: int,
+               call: typing.Callable[[float], object]) -> None:
+        timer = threading.Timer(
+            seconds, self._carry_out_late, (fence, call))
+        timer.daemon = True
+        timer.start()
+
     async def _call(self, fence: int,
                     call: typing.Callable[[float], Result]) -> Result:
         """Carry out a call now, late or not at all."""
@@ -180,11 +193,8 @@
         left_s = self.next_crash_at - now
         if (0.0 <= left_s < LATE_CALLS_S
                 and self.rng.random() < self.late_share):
-            timer = threading.Timer(
-                max(left_s + 0.1, self.rng.uniform(*LATE_DELAY_S)),
-                self._carry_out_late, (fence, call))
-            timer.daemon = True
-            timer.start()
+            self._defer(max(left_s + 0.1, self.rng.uniform(*LATE_DELAY_S)),
+                        fence, call)
             await asyncio.sleep(NO_ANSWER_S)
             raise interfaces.CallFailed("no answer")
         life = self.life
