Wait for a life that has just begun behind a record without its starts

What callers may see: two runs of a task at once (TWICE).

Cause: an owner that is killed before it records a silent worker leaves no word of its starts without an answer. Its successor waits for a listed life that has just begun, as that life may carry out such a start.

Change: an entry made by an owner that knew nothing of the worker says so (starts_known), along a chain of owners and in the record of a planned stop.

Evidence: test_recorded_worker_of_a_killed_owner_may_have_unknown_starts, for an owner that is killed and one that stops as planned.

--- a/sycamorefield/fleet/silentworkers.py
+++ b/sycamorefield/fleet/silentworkers.py
@@ -56,6 +56,7 @@
     remaining_ms: float
     tasks: list[str] | None = None
     uncertain: StoredStarts | None = None
+    starts_known: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,11 +92,14 @@
     """How long leases of a worker may last, and the tasks it may run.
 
     tasks is None if it may run any task.  The uncertain ones may last longer.
+    They may lack some if starts_known is false: an earlier owner ended before
+    it recorded the worker.
     """
 
     remaining_s: float
     tasks: frozenset[messages.TaskId] | None
     uncertain: UncertainStarts | None = None
+    starts_known: bool = True
 
     def task_count(self) -> int:
         """Return how many tasks it names."""
@@ -105,7 +109,8 @@
     def without_tasks(self) -> "SilentWorker":
         """Return the same if any task may last as long as any other."""
         late_s = self.uncertain.late_remaining_s if self.uncertain else 0.0
-        return SilentWorker(max(self.remaining_s, late_s), None)
+        return SilentWorker(max(self.remaining_s, late_s), None,
+                            starts_known=self.starts_known)
 
 
 def describe(worker: workerstate.WorkerState, hold_max_ms: float,
@@ -135,6 +140,8 @@
         "remaining_ms": math.ceil(worker.remaining_s * 1000.0),
         "tasks": (None if worker.tasks is None
                   else sorted(str(task) for task in worker.tasks))}
+    if not worker.starts_known:
+        stored["starts_known"] = False
     starts = worker.uncertain
     if starts is not None:
         stored["uncertain"] = {
@@ -172,7 +179,7 @@
         worker_id: SilentWorker(
             max(0.0, worker.remaining_ms / 1000.0),
             None if worker.tasks is None else _parse_tasks(worker.tasks),
-            _parse_starts(worker.uncertain))
+            _parse_starts(worker.uncertain), worker.starts_known)
         for worker_id, worker in stored.items()}
 
 
@@ -230,7 +237,13 @@
             self.loaded[worker_id] = SilentWorker(
                 min(worker.remaining_s, known.remaining_s),
                 known.tasks if worker.tasks is None else worker.tasks,
-                worker.uncertain or known.uncertain)
+                worker.uncertain or known.uncertain,
+                worker.starts_known or known.starts_known)
+
+    def knows_starts(self, worker_id: str) -> bool:
+        """Return whether all starts are known that a worker may carry out."""
+        worker = self.loaded.get(worker_id)
+        return worker is not None and worker.starts_known
 
     def uncertain_starts(self, worker_id: str) -> UncertainStarts | None:
         """Return the starts of earlier owners that a worker may carry out."""
@@ -327,9 +340,9 @@
         remaining_s = max(0.0, fleet.awaited_until(worker_id) - now)
         known = self.loaded.get(worker_id)
         if known is None:
-            return SilentWorker(remaining_s, None)
-        return SilentWorker(
-            remaining_s, known.tasks, known.uncertain.after(
+            return SilentWorker(remaining_s, None, starts_known=False)
+        return dataclasses.replace(
+            known, remaining_s=remaining_s, uncertain=known.uncertain.after(
                 now - fleet.awaited_since) if known.uncertain else None)
 
     def _is_silent(self, worker: workerstate.WorkerState, now: float) -> bool:
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -554,7 +554,7 @@
                     "others", now)
                 self.round_needed = True
             return
-        if (worker_id not in self.silent_workers.loaded
+        if (not self.silent_workers.knows_starts(worker_id)
                 and worker is not None and self._has_just_begun(worker)):
             return
         self._log_awaited_end(
--- a/tests/test_fleet_unanswered_start_records.py
+++ b/tests/test_fleet_unanswered_start_records.py
@@ -261,6 +261,23 @@
         assert waited_s <= KILLED_AT_S + AWAITED_S + SLACK_S
 
 
+@pytest.mark.parametrize("end", ["killed", "stopped"])
+def test_recorded_worker_of_a_killed_owner_may_have_unknown_starts(
+        chain, end, monkeypatch):
+    """Guards against a start of a killed owner that no record names.
+
+    Its successor has recorded the worker without knowing of the start.
+    """
+    monkeypatch.setattr(sys.modules[__name__], "AWAITED_S", 6.0)
+    chain.leave_start_unanswered()
+    chain.wait_until(KILLED_AT_S)
+    chain.owner.list_next_life(int(clock.wall_ms()))
+    chain.change_owner("killed")
+    chain.wait_until(KILLED_AT_S + 2 * silentworkers.MIN_SILENCE_S)
+    chain.change_owner(end)
+    assert chain.freed_after(NEW, 40.0) >= LATE_S
+
+
 class CollectingWorker(fleetfakes.MemoryWorker):
     """Make the record of a planned stop while a start is under way."""
 
