Count the wait for a lost worker from the claim of an earlier owner

Cause: a successor without a record of a worker waits 6.9 s from when most workers have reported to it. Such a record was written after 0.5 s of silence in one term, and the time between two owners never counted.

Change: an owner records a worker that refuses or closes connections as soon as most others have reported. The record states how long after its writer's claim it was made. Every process watches the owner's key, so a successor knows when it saw that claim, which is never before the claim, and takes what has passed since off the remaining times. No process's clock is compared with another's, no lease of the store is relied on, and nothing more is written or watched. A process that starts again on the last owner's VM has not seen the claim: it leaves the key to expire if the record names a wait of over 2 s.

Limits: an owner that is killed before most workers have reported proves nothing of the one before it, so its term is still added. The same holds for a worker that neither answers nor refuses, within 0.5 s of the claim. A worker that refused once gets no lease until a write has removed it from the record.

The state machine of the fleet now lets each process see the claims, at once.

--- a/sycamorefield/fleet/controlwatcher.py
+++ b/sycamorefield/fleet/controlwatcher.py
@@ -133,6 +133,7 @@
         owner_item = items_by_key.get(records.OWNER_KEY)
         if owner_item is not None:
             self.owner_changes.add(owner_item.revision, known_at)
+            self.owner_changes.add_seen(owner_item.revision, clock.now())
         elif self.owner_item is not None or not self.owner_revision:
             # There is no owner any more for what is stored by now.
             self.owner_changes.add(listing.revision + 1, known_at)
@@ -163,6 +164,7 @@
     def _apply_change(self, change: messages.Change) -> None:
         if change.key == records.OWNER_KEY:
             self.owner_changes.add(change.revision, clock.now())
+            self.owner_changes.add_seen(change.revision, clock.now())
             self._set_owner(change.item, change.revision)
             return
         self._set_handover(change.key, change.item)
--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import functools
+import math
 import threading
 import typing
 
@@ -85,6 +86,11 @@
         self.recovered = False
         # The record of the last owner's planned stop, as the claim found it.
         self.handover_item: messages.Item | None = None
+        # When the claim was sent, if known, and when this process saw the
+        # claims of earlier owners.
+        self.claim_sent_at: float | None = None
+        self.claim_seen_at: typing.Callable[[int], float] = (
+            lambda claim: math.inf)
         self.started_at = clock.now()
         self.note_lease_renewal(self.started_at)
         # The utilisation as last logged.  Metrics use this copy because
@@ -292,6 +298,9 @@
 
         Return None if the term ends first.
         """
+        silent_workers = self.fleet.silent_workers
+        silent_workers.claim_sent_at = self.claim_sent_at
+        silent_workers.claim_seen_at = self.claim_seen_at
         while self.may_act():
             try:
                 return self.recovery.load(self.handover_item)
--- a/sycamorefield/fleet/ownerchanges.py
+++ b/sycamorefield/fleet/ownerchanges.py
@@ -18,12 +18,28 @@
         # known.
         self.changes: collections.deque[tuple[int, float]] = (
             collections.deque(maxlen=MAX_CHANGES))
+        # The revisions of the key that were seen, and when each one was.
+        self.seen: collections.deque[tuple[int, float]] = (
+            collections.deque(maxlen=MAX_CHANGES))
 
     def add(self, revision: int, at: float) -> None:
         """Record a change at a revision of the store."""
         if not self.changes or revision > self.changes[-1][0]:
             self.changes.append((revision, at))
 
+    def add_seen(self, revision: int, now: float) -> None:
+        """Record that a change at a revision of the store is seen now."""
+        if not self.seen or revision > self.seen[-1][0]:
+            self.seen.append((revision, now))
+
+    def seen_at(self, revision: int) -> float:
+        """Return a time at which the store certainly had a revision.
+
+        It is infinite if no change at this revision or a later one was seen.
+        """
+        return next((at for seen, at in list(self.seen) if seen >= revision),
+                    math.inf)
+
     def first_after(self, revision: int) -> float:
         """Return when the first change after a revision became known.
 
--- a/sycamorefield/fleet/ownership.py
+++ b/sycamorefield/fleet/ownership.py
@@ -17,6 +17,7 @@
 from sycamorefield.fleet import recentstarts
 from sycamorefield.fleet import records
 from sycamorefield.fleet import relays
+from sycamorefield.fleet import silentworkers
 
 LEASE_TTL_MS = int(owner_mod.OWNER_LEASE_S * 1000)
 RENEW_PERIOD_S = 0.5
@@ -41,6 +42,8 @@
 # the pause a weak VM can claim the fleet, with its delay and with a store that
 # answers slowly.
 FAILED_TERM_PAUSE_S = 1.0
+# How long a process leaves a free key to those that saw the claim before.
+OBSERVER_PRIORITY_S = 0.15
 
 # The rules by which a process waits before it claims the key.
 REPLACES_KEY = "key replaced"
@@ -49,6 +52,7 @@
 OTHER_STARTED_LATER = "other started later"
 HAS_OFFERED = "has offered"
 OTHER_HAS_OFFERED = "other has offered"
+OTHER_SAW_CLAIM = "other saw claim"
 
 OwnerFactory = typing.Callable[[int], owner_mod.Owner]
 
@@ -109,6 +113,8 @@
         self.request_limit = handover.RequestLimit()
         # The fence of the last term that was ended by a handover.
         self.handed_over_fence = 0
+        # The claim of the process before on this VM that is left to expire.
+        self.unreplaced_claim = 0
         self.stopped = threading.Event()
 
     def run(self) -> None:
@@ -140,6 +146,9 @@
                 if (self.watcher.owner_known
                         and self.watcher.configuration_known):
                     item = self.watcher.owner_item
+                    if (item is not None
+                            and item.revision != self.unreplaced_claim):
+                        self.unreplaced_claim = 0
                     if item is None or (
                             self._may_replace(item)
                             and item.revision != self.handed_over_fence):
@@ -190,6 +199,10 @@
         """
         stopped = self.watcher.stopped_owner()
         starts = self.watcher.recent_starts
+        if self.unreplaced_claim and not stopped:
+            return ClaimWait(
+                self.claim_delay_s + jitter_s + OBSERVER_PRIORITY_S,
+                OTHER_SAW_CLAIM)
         if stopped and starts.has_later(self.claim_delay_s, stopped):
             return ClaimWait(
                 self.claim_delay_s + jitter_s
@@ -216,6 +229,9 @@
         if item is not None and not self._may_replace(item):
             # Another process claimed the key during the wait.
             return 0
+        if item is not None and self._leaves_to_observers(item):
+            self.stopped.wait(RETRY_PAUSE_S)
+            return 0
         release = self.claim_wait.release
         if release not in (None, self.watcher.planned_release_revision()):
             return 0
@@ -250,6 +266,27 @@
         self._note_offer()
         return fence
 
+    def _leaves_to_observers(self, item: messages.Item) -> bool:
+        """Return whether other processes should claim the key once it expires.
+
+        The process before on this VM left workers that are silent.  Those
+        that saw its claim know how long ago that was, so tasks of these
+        workers wait less under them.  If none claims the key, this one does.
+        """
+        if item.value == self.identity:
+            return False
+        seen_s = clock.now() - self.watcher.owner_changes.seen_at(
+            item.revision)
+        if seen_s >= owner_mod.OWNER_LEASE_S:
+            return False
+        if self.unreplaced_claim != item.revision:
+            record = self.store.get(records.SILENT_WORKERS_KEY)
+            if record is None or not silentworkers.has_longer_wait(
+                    record.value, owner_mod.OWNER_LEASE_S):
+                return False
+            self.unreplaced_claim = item.revision
+        return True
+
     def _note_offer(self) -> None:
         """Limit the requests of a term that began by an offer."""
         offer = self.watcher.handover_offer
@@ -287,6 +324,8 @@
         # The claim may succeed seconds after its lease was granted.
         owner.note_lease_renewal(self.lease_requested_at)
         owner.handover_item = self.handover_item
+        owner.claim_sent_at = self.lease_requested_at
+        owner.claim_seen_at = self.watcher.owner_changes.seen_at
         self.owner = owner
         if self.stopped.is_set():
             # stop() was called during the claim and found no owner to stop.
--- a/sycamorefield/fleet/silentworkers.py
+++ b/sycamorefield/fleet/silentworkers.py
@@ -14,6 +14,10 @@
 later.  The remaining time is a duration that its writer has measured, because
 processes share no clock, and keys with a lease may vanish early during an
 outage of the store.
+
+The record also states how long after the claim of its writer it was made.  A
+successor that saw this claim, which each process watches, knows how much of
+the remaining time has passed since, by its own clock.
 """
 
 import dataclasses
@@ -24,6 +28,7 @@
 import msgspec
 
 from sycamorefield import events
+from sycamorefield.fleet import clock
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import records
 from sycamorefield.fleet import workerstate
@@ -41,6 +46,10 @@
 MAX_RECORDED_TASKS = 4000
 
 
+# Returns how long ago a claim was made at least.
+ClaimAge = typing.Callable[[int], float]
+
+
 class StoredStarts(msgspec.Struct, frozen=True):
     """The stored form of uncertain starts."""
 
@@ -57,6 +66,9 @@
     tasks: list[str] | None = None
     uncertain: StoredStarts | None = None
     starts_known: bool = True
+    # The claim of the owner that measured the times, and how long after it.
+    claim: int = 0
+    since_claim_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -101,6 +113,13 @@
     uncertain: UncertainStarts | None = None
     starts_known: bool = True
 
+    def after(self, elapsed_s: float) -> "SilentWorker":
+        """Return what is left of this some time later."""
+        return dataclasses.replace(
+            self, remaining_s=max(0.0, self.remaining_s - elapsed_s),
+            uncertain=self.uncertain.after(elapsed_s)
+            if self.uncertain else None)
+
     def task_count(self) -> int:
         """Return how many tasks it names."""
         uncertain = self.uncertain.tasks if self.uncertain else ()
@@ -129,7 +148,8 @@
         max(0.0, leases_end_at - now), tasks, uncertain.after(0.0))
 
 
-def stored_form(silent: dict[str, SilentWorker]) -> dict[str, object]:
+def stored_form(silent: dict[str, SilentWorker]
+                ) -> dict[str, dict[str, object]]:
     """Return silent workers by ID as values of JSON."""
     return {worker_id: _stored_worker(worker)
             for worker_id, worker in sorted(silent.items())}
@@ -152,23 +172,64 @@
     return stored
 
 
-def encode(silent: dict[str, SilentWorker]) -> bytes:
-    """Return the stored form of silent workers by ID."""
-    return json.dumps(stored_form(silent)).encode()
+def encode(silent: dict[str, SilentWorker], claim: int = 0,
+           since_claim_s: float = 0.0) -> bytes:
+    """Return the stored form of silent workers by ID.
 
+    claim is the revision of the writer's claim, made since_claim_s ago at
+    most, or 0 if this is not known.
+    """
+    stored = stored_form(silent)
+    if claim:
+        for worker in stored.values():
+            worker["claim"] = claim
+            worker["since_claim_ms"] = math.ceil(since_claim_s * 1000.0)
+    return json.dumps(stored).encode()
 
-def decode(value: bytes) -> dict[str, SilentWorker]:
-    """Return the silent workers by ID; raises ValueError if unreadable."""
+
+def decode(value: bytes, age_s: ClaimAge | None = None
+           ) -> dict[str, SilentWorker]:
+    """Return the silent workers by ID; raises ValueError if unreadable.
+
+    Without age_s, the times are those at which the record was made.
+    """
     try:
         stored = msgspec.convert(json.loads(value), dict[str, StoredWorker])
     except (msgspec.MsgspecError, RecursionError) as exc:
         raise ValueError(repr(exc)[:200]) from exc
-    return parse(stored)
+    found = parse(stored)
+    if age_s is None:
+        return found
+    return {worker_id: worker.after(_elapsed_s(stored[worker_id], age_s))
+            for worker_id, worker in found.items()}
+
+
+def has_longer_wait(value: bytes, wait_s: float) -> bool:
+    """Return whether a worker may have leases for longer by a record.
+
+    Only workers count of which an earlier observer of its writer's claim may
+    know a shorter wait than any other process.
+    """
+    try:
+        stored = msgspec.convert(json.loads(value), dict[str, StoredWorker])
+    except (msgspec.MsgspecError, RecursionError, ValueError):
+        return False
+    return any(worker.claim and worker.remaining_ms > wait_s * 1000.0
+               for worker in stored.values())
+
+
+def _elapsed_s(stored: StoredWorker, age_s: ClaimAge) -> float:
+    """Return how much time has certainly passed since an entry was made."""
+    if not stored.claim:
+        return 0.0
+    return max(0.0, age_s(stored.claim)
+               - max(0.0, stored.since_claim_ms) / 1000.0)
 
 
 def parse(stored: dict[str, StoredWorker]) -> dict[str, SilentWorker]:
     """Return the silent workers by ID; raises ValueError if unreadable."""
     times_ms = [worker.remaining_ms for worker in stored.values()]
+    times_ms += [worker.since_claim_ms for worker in stored.values()]
     for worker in stored.values():
         if worker.uncertain is not None:
             times_ms += [worker.uncertain.remaining_ms,
@@ -212,21 +273,33 @@
         self.written_at = -math.inf
         # Whether the term is about to end as planned.
         self.term_ends = False
+        # When the claim of this term was sent, if known, and when this
+        # process saw the claims of others.  Seconds on clock.now().
+        self.claim_sent_at: float | None = None
+        self.claim_seen_at: typing.Callable[[int], float] = (
+            lambda claim: math.inf)
 
     def load(self, item: messages.Item | None) -> None:
-        """Load the stored record; log an unreadable one."""
+        """Load the stored record; log an unreadable one.
+
+        Only the writer of the record and owners that have read it may have
+        removed a worker from it, so it holds from when it was made.
+        """
         if item is None:
             return
         # The first write replaces the record, even if no worker is silent.
         self.written = None
         try:
-            self.loaded = decode(item.value)
+            self.loaded = decode(item.value, self._claim_age_s)
         except ValueError as exc:
             events.emit(events.RECORD_UNREADABLE,
                         key=records.SILENT_WORKERS_KEY, reason=str(exc)[:200],
                         default="any worker may run any task")
         self.possible_ids = [frozenset(self.loaded)]
 
+    def _claim_age_s(self, claim: int) -> float:
+        return max(0.0, clock.now() - self.claim_seen_at(claim))
+
     def add_handover(self, workers: dict[str, SilentWorker]) -> None:
         """Add what the last owner stored at its planned stop.
 
@@ -301,7 +374,9 @@
             return None
         self.written, self.written_at = named, now
         self.possible_ids.append(frozenset(silent))
-        return encode(silent)
+        if self.claim_sent_at is None:
+            return encode(silent)
+        return encode(silent, fleet.fence, now - self.claim_sent_at)
 
     def note_stored(self, value: bytes) -> None:
         """Note that a value is stored and that no other one may be."""
@@ -317,7 +392,8 @@
         silent: dict[str, SilentWorker] = {}
         recorded_tasks = 0
         for worker_id in fleet.awaited_workers:
-            if self._is_due(worker_id, now - fleet.awaited_since):
+            if (self._is_due(worker_id, now - fleet.awaited_since)
+                    or self._has_final_wait(fleet, worker_id)):
                 silent[worker_id] = self.awaited_worker(
                     fleet, worker_id, now)
         for worker_id, worker in fleet.workers.items():
@@ -342,8 +418,19 @@
         if known is None:
             return SilentWorker(remaining_s, None, starts_known=False)
         return dataclasses.replace(
-            known, remaining_s=remaining_s, uncertain=known.uncertain.after(
-                now - fleet.awaited_since) if known.uncertain else None)
+            known.after(now - fleet.awaited_since), remaining_s=remaining_s)
+
+    @staticmethod
+    def _has_final_wait(fleet: "state_mod.FleetState",
+                        worker_id: str) -> bool:
+        """Return whether no further report shortens the wait for a worker.
+
+        It has not answered, and most others have reported.  If this owner
+        ends now, its successor knows of that from the record alone.
+        """
+        worker = fleet.workers.get(worker_id)
+        return (fleet.most_have_reported and worker is not None
+                and worker.unresponsive)
 
     def _is_silent(self, worker: workerstate.WorkerState, now: float) -> bool:
         """Return whether a worker is to be recorded.
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -90,6 +90,8 @@
         self.awaited_total = 0
         # When this owner began to wait for them, or 0.
         self.awaited_since = 0.0
+        # Whether the waits are those after reports of most of them.
+        self.most_have_reported = False
         self.silent_workers = silentworkers.SilentWorkers()
         # Whether it is recorded for a successor how long leases may last, so
         # that no more are granted.
@@ -609,6 +611,7 @@
         latest = now + QUORUM_WINDOW_S + workerstate.LEASE_EXPIRY_S
         for worker_id, deadline in self.awaited_workers.items():
             self.awaited_workers[worker_id] = min(deadline, latest)
+        self.most_have_reported = True
 
     # Lookups
 
--- a/tests/test_fleet_chain_machine.py
+++ b/tests/test_fleet_chain_machine.py
@@ -18,6 +18,7 @@
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import owner as owner_mod
 from sycamorefield.fleet import recovery
+from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import workerstate
 from tests import test_fleet_machine as machine_mod
 
@@ -196,6 +197,39 @@
         machine._take_over(process_index, "answered")
 
 
+# The first owner's lease and the longest wait once most workers report, for
+# one that is lost with it, and time to recover, to store and to place.
+SHORT_TERMS_LIMIT_S = (owner_mod.OWNER_LEASE_S + state_mod.QUORUM_WINDOW_S
+                       + workerstate.LEASE_EXPIRY_S + 1.0)
+
+
+@pytest.mark.parametrize("terms", range(1, 5))
+def test_owners_killed_right_after_their_claim_delay_tasks_by_one_takeover(
+        machine, terms):
+    """Guards against waits that begin anew after each term of 0.3 s."""
+    machine.submit((messages.Step(
+        3, messages.Resources(500, 10), perpetual=True),))
+    for _ in range(4):
+        machine.deliver_everything()
+    silent = 0
+    tasks = {task for task, _ in machine._alive()[silent].runs}
+    limit = machine.now + SHORT_TERMS_LIMIT_S
+    for number in range(terms):
+        machine._step_down()
+        machine.pass_time(owner_mod.OWNER_LEASE_S)
+        machine._take_over((number + 1) % machine_mod.PROCESSES, "answered")
+        machine._act({silent}, "answered")
+        machine.store_progress("answered")
+        machine.pass_time(STEP_S)
+    # Nothing can start while there is no owner.
+    limit = max(limit, machine.now + 1.0)
+    while not tasks <= running_elsewhere(machine, silent):
+        assert machine.now < limit
+        machine.pass_time(STEP_S)
+        machine._act({silent}, "answered")
+        machine.store_progress("answered")
+
+
 def running_elsewhere(machine: ChainMachine, number: int
                       ) -> set[messages.TaskId]:
     """Return the tasks that run on the workers but one."""
--- a/tests/test_fleet_machine.py
+++ b/tests/test_fleet_machine.py
@@ -309,6 +309,8 @@
                 fence = process._claim()
             except interfaces.CallFailed:
                 continue
+        for observer in self.processes:
+            observer.watcher.owner_changes.add_seen(fence, self.now)
         return fence
 
     def _set_commit_outcome(self, call_outcome: str) -> None:
@@ -392,6 +394,10 @@
         self.fleet.enrol(stored_addresses)
 
     def _load_silent_workers(self) -> None:
+        silent_workers = self.fleet.silent_workers
+        silent_workers.claim_sent_at = self.process.lease_requested_at
+        silent_workers.claim_seen_at = (
+            self.process.watcher.owner_changes.seen_at)
         item = self.store.items.get(records.SILENT_WORKERS_KEY)
         if item is not None:
             self.recorder.revisions[records.SILENT_WORKERS_KEY] = item.revision
--- a/tests/test_fleet_owner_chains.py
+++ b/tests/test_fleet_owner_chains.py
@@ -12,6 +12,7 @@
 from sycamorefield.fleet import ownership as ownership_mod
 from sycamorefield.fleet import records
 from sycamorefield.fleet import recovery
+from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import workerstate
 from tests import fleetfakes
 from tests import test_fleet_takeover as takeover
@@ -128,6 +129,46 @@
     assert records.OWNER_KEY not in fleet.store.items
 
 
+# Terms that end before a silence of silentworkers.MIN_SILENCE_S, and as many
+# processes as may own the fleet within the limit.
+SHORT_TERM_S = 0.2
+SHORT_TERMS = 24
+
+
+def test_owners_killed_right_after_their_claim_delay_a_task_by_one_takeover(
+        fleet):
+    """Guards against waits for a lost worker that go on with each claim.
+
+    The processes that follow have seen the claims of the killed owners.
+    """
+    start_process(fleet).kill()
+    processes = [Process(fleet) for _ in range(SHORT_TERMS)]
+    takeover.wait_for(lambda: owner_of(processes) is not None)
+    fleet.submit(fleetfakes.job("a"))
+    takeover.wait_for(lambda: fleet.running() == ["a.0.0.0"])
+    worker = silence_worker_of(fleet, "a.0.0.0")
+    lost_at = clock.now()
+    while fleet.starts().count("a.0.0.0") == 1:
+        assert clock.now() - lost_at < (
+            state_mod.QUORUM_WINDOW_S + LEASE_EXPIRY_S + 2 * MARGIN_S)
+        process = owner_of(processes)
+        process.kill()
+        processes.remove(process)
+        takeover.wait_for(lambda: owner_of(processes) is not None)
+        time.sleep(SHORT_TERM_S)
+    assert worker.clock() > worker.lease_end_ms
+    for process in processes:
+        process.watcher.stopped.set()
+        process.ownership.stop()
+
+
+def owner_of(processes: list[Process]) -> Process | None:
+    """Return the process that schedules the fleet, if any."""
+    return next((p for p in processes
+                 if p.ownership.owner is not None
+                 and p.ownership.owner.recovered), None)
+
+
 def test_downtime_of_a_task_goes_on_under_the_next_owner(fleet):
     """Guards against a task that is down and never goes before others.
 
--- a/tests/test_fleet_ownership.py
+++ b/tests/test_fleet_ownership.py
@@ -6,12 +6,15 @@
 
 import pytest
 
+from sycamorefield.fleet import clock
 from sycamorefield.fleet import controlwatcher
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import owner as owner_mod
 from sycamorefield.fleet import ownership as ownership_mod
 from sycamorefield.fleet import recordedends
 from sycamorefield.fleet import recorder as recorder_mod
 from sycamorefield.fleet import records
+from sycamorefield.fleet import silentworkers
 from sycamorefield.fleet import state as state_mod
 from tests import fleetfakes
 
@@ -91,6 +94,39 @@
     assert bool(fence) is claims
 
 
+@pytest.mark.parametrize(("remaining_s", "claims"), [
+    (None, True), (owner_mod.OWNER_LEASE_S / 2, True),
+    (owner_mod.OWNER_LEASE_S * 2, False)])
+def test_restarted_process_leaves_long_waits_to_observers(
+        remaining_s, claims, monkeypatch):
+    """Guards against waits for lost workers that a restarted owner begins.
+
+    Processes that saw the claim of the owner before know when it was.
+    """
+    now = 50.0
+    monkeypatch.setattr(clock, "now", lambda: now)
+    store = fleetfakes.MemoryStore()
+    fence = make_ownership(store, "a", vm="10.0.0.1")._claim()
+    if remaining_s is not None:
+        store.commit(messages.Transaction(puts=(messages.Put(
+            records.SILENT_WORKERS_KEY, silentworkers.encode(
+                {"i-1": silentworkers.SilentWorker(remaining_s, None)},
+                fence, 0.1)),)))
+    restarted = make_ownership(store, "a", vm="10.0.0.1")
+    monkeypatch.setattr(restarted.stopped, "wait", lambda _: False)
+    see_owner_key(restarted)
+    restarted.watcher.owner_changes.add_seen(fence, now)
+    assert bool(restarted._claim()) is claims
+    if claims:
+        return
+    restarted.watcher.owner_item = None
+    assert (restarted._claim_wait_s()
+            > ownership_mod.CLAIM_JITTER_S)
+    see_owner_key(restarted)
+    now += owner_mod.OWNER_LEASE_S
+    assert restarted._claim() > fence
+
+
 @pytest.mark.parametrize(("cores", "is_delayed"), [
     (0.516, True), (0.99, True), (1.0, False), (2.15, False)])
 def test_weak_vm_delays_its_claim(cores, is_delayed):
--- a/tests/test_fleet_silent_workers.py
+++ b/tests/test_fleet_silent_workers.py
@@ -2,17 +2,21 @@
 
 import asyncio
 import dataclasses
+import math
 
 import pytest
 
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import link as link_mod
 from sycamorefield.fleet import messages
+from sycamorefield.fleet import ownerchanges
 from sycamorefield.fleet import recorder as recorder_mod
 from sycamorefield.fleet import records
 from sycamorefield.fleet import reports
 from sycamorefield.fleet import silentworkers
+from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import waitingreasons
+from sycamorefield.fleet import workerstate
 from tests import fleetfakes
 from tests import test_fleet_state
 
@@ -65,6 +69,51 @@
     assert silentworkers.decode(silentworkers.encode(silent)) == silent
 
 
+# The age of a record by the claim of its writer: when that was seen, how long
+# before now, and how long after it the record was made.
+@pytest.mark.parametrize(("seen_s_ago", "since_claim_s", "elapsed_s"), [
+    (None, 0.1, 0.0), (0.05, 0.1, 0.0), (2.1, 0.1, 2.0), (30.0, 0.1, 5.0)])
+def test_time_since_a_claim_that_was_seen_counts(
+        seen_s_ago, since_claim_s, elapsed_s):
+    """Guards against waits that each owner counts from its own beginning."""
+    bench = make_bench(0)
+    silent_workers = bench.state.silent_workers
+    changes = ownerchanges.OwnerChanges()
+    if seen_s_ago is not None:
+        changes.add_seen(20, clock.now() - seen_s_ago)
+    silent_workers.claim_seen_at = changes.seen_at
+    load_record(bench, silentworkers.encode(
+        {"i-1": silentworkers.SilentWorker(5.0, frozenset(TASKS[:1]))},
+        20, since_claim_s))
+    found = silent_workers.loaded["i-1"]
+    assert found.remaining_s == pytest.approx(5.0 - elapsed_s, abs=0.02)
+    assert found.tasks == frozenset(TASKS[:1])
+
+
+def test_claim_that_was_seen_before_the_one_of_the_record_does_not_count():
+    """Guards against waits that a claim of an earlier owner shortens."""
+    changes = ownerchanges.OwnerChanges()
+    changes.add_seen(19, 1.0)
+    assert changes.seen_at(20) == math.inf
+    changes.add_seen(23, 4.0)
+    assert changes.seen_at(20) == 4.0
+
+
+def test_worker_that_refuses_is_recorded_once_most_others_have_reported():
+    """Guards against owners that are killed before a record is stored."""
+    bench = loaded({})
+    for number in range(3):
+        assert not find_silent(bench, 0.0)
+        bench.report(f"i-{number}")
+    bench.state.expire(bench.now)
+    assert not find_silent(bench, 0.0)
+    bench.state.mark_unresponsive("i-3", "refused")
+    found = find_silent(bench, 0.0)
+    assert list(found) == ["i-3"]
+    assert found["i-3"].remaining_s == pytest.approx(
+        state_mod.QUORUM_WINDOW_S + workerstate.LEASE_EXPIRY_S, abs=0.1)
+
+
 @pytest.mark.parametrize("value", [
     b"", b"[]", b'{"i-1": 3}', b'{"i-1": {"remaining_ms": "x"}}',
     b'{"i-1": {"remaining_ms": 1, "tasks": ["j"]}}',
