Measure the widest gap on workers that may get runs

Cause: the usage is measured after the worker list was read, so a worker that has just joined counted with its whole capacity before its first report, and a draining one with what it has left.

Change: workers that got no runs in the last round don't count.

Tested: test_widest_gap_is_on_a_worker_that_may_get_runs fails before (2 of 2).

--- a/sycamorefield/fleet/usage.py
+++ b/sycamorefield/fleet/usage.py
@@ -30,7 +30,7 @@
     reserved_memory: float
     # What best-effort runs request; it is not reserved.
     filling_cores: float
-    # The most CPU that is free on a single worker.
+    # The most CPU that is free on a single worker that may get runs.
     widest_gap_cores: float
     workers: int
     workers_silent: int
@@ -96,7 +96,8 @@
             capacity_cpu / 1000.0, sum(w.used.cpu for w in workers) / 1000.0,
             sum(w.used.mem_mb for w in workers) / max(1, memory_mb),
             sum(w.best_effort_cpu for w in workers) / 1000.0,
-            max((w.free_capacity().cpu for w in workers), default=0) / 1000.0,
+            max((w.free_capacity().cpu for w in workers if w.was_usable),
+                default=0) / 1000.0,
             len(workers),
             sum(1 for w in fleet.workers.values() if w.unresponsive),
             len(fleet.awaited_workers), len(fleet.trials.by_worker),
--- a/tests/test_fleet_usage.py
+++ b/tests/test_fleet_usage.py
@@ -92,6 +92,27 @@
     assert found.widest_gap_cores == 4.0
 
 
+@pytest.mark.parametrize(("overrides", "reports_before"), [
+    ({}, False), ({"draining": True}, True)], ids=["joins", "drains"])
+def test_widest_gap_is_on_a_worker_that_may_get_runs(
+        overrides, reports_before):
+    """Guards against a log that shows room beside tasks that are down.
+
+    The usage is measured after each read of the worker list, when a worker
+    that has just joined has not reported.
+    """
+    fleet = make_fleet(1)
+    fleet.add_worker(fleetfakes.entry(1, 8000, **overrides))
+    if reports_before:
+        report(fleet, "i-1")
+        fleet.enrol(["i-0", "i-1"])
+    fleet.add_job(fleetfakes.job("j", LONG_RUNNING_STEP), 20)
+    rounds.place(fleet, 100.0, 1e12)
+    found = usage.measure(fleet, 100.0, clock.wall_ms())
+    assert found.capacity_cores == 12.0
+    assert found.widest_gap_cores == 1.0
+
+
 def test_usage_does_not_report_unstarted_long_running_task_as_down():
     fleet = make_fleet(0)
     fleet.add_job(fleetfakes.job("j", LONG_RUNNING_STEP), 20)
