Read the worker list each 0.1 s while a task that is down fits nowhere

Change: as often as rounds run at least, and never sooner than nine times as long as the last read took, so that reads of the list of a large fleet take at most a tenth of the owner's time.

Tested: test_long_reads_of_the_list_are_not_made_more_often.

--- a/sycamorefield/fleet/owner.py
+++ b/sycamorefield/fleet/owner.py
@@ -40,7 +40,10 @@
 # How often it is read while a task that is down fits on no worker.  Where
 # workers are replaced one after the other, there is nearly always one that has
 # joined since the last read, and its capacity is free until the next.
-DOWN_TASKS_LIST_PERIOD_S = 0.2
+DOWN_TASKS_LIST_PERIOD_S = 0.1
+# Such a pause is at least this many times as long as the read before took: on
+# a large fleet, reads would otherwise leave the owner no time.
+PAUSE_PER_READ_TIME = 9.0
 # The longest wait for a change before the next round.
 MAX_IDLE_S = 0.1
 # The least pause between placement rounds, so that tasks that become ready
@@ -308,7 +311,8 @@
         logged_at = 0.0
         times = usage_mod.RoundTimes()
         pause_s = WORKER_LIST_PERIOD_S
-        while self._wait_for_list_read(pause_s):
+        took_s = 0.0
+        while self._wait_for_list_read(pause_s, took_s):
             pause_s = WORKER_LIST_PERIOD_S
             read_at = clock.now()
             try:
@@ -321,17 +325,21 @@
                 # read again soon.
                 pause_s = WORKER_LIST_RETRY_S
             self.worker_links.close_removed()
+            took_s = clock.now() - read_at
             if clock.now() - logged_at >= USAGE_LOG_PERIOD_S:
                 logged_at = clock.now()
                 times = self._log_usage(times)
 
-    def _wait_for_list_read(self, pause_s: float) -> bool:
+    def _wait_for_list_read(self, pause_s: float, took_s: float) -> bool:
         """Wait before the list is read again; return False if the term ends.
 
         The pause is cut short while a task that is down fits on no worker.
+        took_s is how long the last read took.
         """
+        shortest_s = max(DOWN_TASKS_LIST_PERIOD_S,
+                         PAUSE_PER_READ_TIME * took_s)
         while pause_s > 0.0:
-            wait_s = min(pause_s, DOWN_TASKS_LIST_PERIOD_S)
+            wait_s = min(pause_s, shortest_s)
             if self.stepped_down.wait(wait_s):
                 return False
             if self.fleet.down_tasks_wait:
--- a/tests/test_fleet_worker_list_reads.py
+++ b/tests/test_fleet_worker_list_reads.py
@@ -25,9 +25,12 @@
     """Count the reads of a list."""
 
     reads = 0
+    # How long each of them takes.
+    read_s = 0.0
 
     def workers(self) -> tuple[messages.WorkerEntry, ...]:
         self.reads += 1
+        time.sleep(self.read_s)
         return super().workers()
 
 
@@ -98,11 +101,22 @@
     fleet.submit(fleetfakes.job("b", step))
     time.sleep(0.3)
     reads = fleet.worker_list.reads
-    time.sleep(3 * owner_mod.DOWN_TASKS_LIST_PERIOD_S)
+    time.sleep(0.6)
     assert fleet.worker_list.reads == reads
     assert len(fleet.running()) == 2
 
 
+def test_long_reads_of_the_list_are_not_made_more_often(fleet):
+    """Guards against an owner of a large fleet that only reads the list."""
+    fleet.worker_list.read_s = 0.1
+    fleet.take_over()
+    run_job(fleet, SINGLE)
+    replace_workers(fleet, dataclasses.replace(SINGLE, count=0))
+    reads = fleet.worker_list.reads
+    time.sleep(2.2)
+    assert 1 <= fleet.worker_list.reads - reads <= 3
+
+
 def test_pause_between_reads_is_as_long_as_asked(fleet, monkeypatch):
     """Guards against a list that is read too seldom to show drains in time."""
     monkeypatch.setattr(owner_mod, "WORKER_LIST_PERIOD_S", 0.8)
