--- a/sycamorefield/fleet/latestarts.py
+++ b/sycamorefield/fleet/latestarts.py
@@ -31,14 +31,13 @@
             self.until[task.task] = max(
                 until, self.until.get(task.task, until))
 
-    def add_outlived(self, worker: workerstate.WorkerState,
+    def add_attempts(self, worker: workerstate.WorkerState,
                      run: workerstate.RunId, task: progress.TaskState,
-                     now: float) -> None:
-        """Hold a task whose start was sent before a worker started again."""
+                     restarted_at: float) -> None:
+        """Hold a task while starts may be late that a restart has outrun."""
         for sent_at in worker.unreported_life.unanswered_starts.get(run, ()):
-            until = sent_at + unreportedlife.LATE_CALL_S
-            if sent_at < worker.restart_seen_at and until > now:
-                self.add(task, until)
+            if sent_at < restarted_at:
+                self.add(task, sent_at + unreportedlife.LATE_CALL_S)
 
     def forget_old(self, now: float) -> bool:
         """Forget tasks that may start; return whether there are any."""
@@ -57,6 +56,7 @@
         late_starts.until.update(self.until)
         for worker in workers:
             for run, task in worker.tasks.items():
-                late_starts.add_outlived(worker, run, task, now)
+                late_starts.add_attempts(
+                    worker, run, task, worker.restart_seen_at)
         return {task: until - now
                 for task, until in late_starts.until.items() if until > now}
--- a/sycamorefield/fleet/reports.py
+++ b/sycamorefield/fleet/reports.py
@@ -1,6 +1,7 @@
 """Apply workers' reports of running and ended tasks to the fleet state."""
 
 from sycamorefield import events
+from sycamorefield.fleet import awaitedworkers
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import copies
 from sycamorefield.fleet import crashes
@@ -81,8 +82,8 @@
             # A full list may omit ends of tasks that seem not to have started.
             needs_round |= _release_missing(fleet, worker, report, sent_at)
             worker.has_reported = True
-            fleet.note_first_report(
-                worker, {row.task for row in report.running})
+            awaitedworkers.note_first_report(
+                fleet, worker, {row.task for row in report.running})
         fleet.pacer.process_report(worker, report, now)
         worker.has_stalled_run = any(pacer.is_stalled(task)
                                      for task in worker.tasks.values())
@@ -306,7 +307,8 @@
             if (task.phase == progress.STARTING
                     or not 0 < task.confirmed_at < sent_at):
                 continue
-            fleet.late_starts.add_outlived(worker, run, task, sent_at)
+            fleet.late_starts.add_attempts(
+                worker, run, task, worker.restart_seen_at)
             task.reset_run()
             events.emit(events.RUN_VANISHED, task=str(run[0]),
                         run=run[1], worker=worker.entry.worker_id,
--- a/sycamorefield/fleet/restarts.py
+++ b/sycamorefield/fleet/restarts.py
@@ -6,7 +6,6 @@
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import progress
 from sycamorefield.fleet import state as state_mod
-from sycamorefield.fleet import unreportedlife
 from sycamorefield.fleet import workerstate
 
 
@@ -28,10 +27,8 @@
     _log_restart(worker, report, [(task, run) for (_, run), task in lost], now)
     for run, task in lost:
         if fleet.is_current(worker, task, run[1]):
-            for sent_at in worker.unreported_life.unanswered_starts.get(
-                    run, ()):
-                fleet.late_starts.add(
-                    task.original(), sent_at + unreportedlife.LATE_CALL_S)
+            fleet.late_starts.add_attempts(
+                worker, run, task.original(), now)
             task.reset_run()
         worker.release(run, task.step)
     fleet.failures.note(worker, now)
--- a/sycamorefield/fleet/state.py
+++ b/sycamorefield/fleet/state.py
@@ -13,6 +13,7 @@
 
 from sycamorefield import events
 from sycamorefield.fleet import advice
+from sycamorefield.fleet import awaitedworkers
 from sycamorefield.fleet import callfences
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import copies
@@ -41,7 +42,6 @@
 from sycamorefield.fleet import runtimes
 from sycamorefield.fleet import silentworkers
 from sycamorefield.fleet import suspicion
-from sycamorefield.fleet import unreportedlife
 from sycamorefield.fleet import unwantedruns
 from sycamorefield.fleet import victims
 from sycamorefield.fleet import workerspeed
@@ -59,9 +59,6 @@
 MAX_LIST_AGE_S = 2.8
 # A worker is listed as draining for at least this long before it leaves.
 DRAIN_NOTICE_S = 2.0
-# An earlier owner may start tasks for this long after a successor has loaded
-# the jobs: without the store, and with a clock that is ahead.
-EARLIER_STARTS_S = 15.0
 
 
 class FleetState:
@@ -182,7 +179,8 @@
                 state.owner_changes = self.terms.changes_since(
                     created_revision)
                 state.earlier_starts_ms = (
-                    clock.wall_ms() + EARLIER_STARTS_S * 1000.0)
+                    clock.wall_ms()
+                    + awaitedworkers.EARLIER_STARTS_S * 1000.0)
             self.jobs[job.job_id] = state
             self.active[job.job_id] = state
             self.request_round()
@@ -523,7 +521,7 @@
             self._shorten_deadlines(now)
             for worker_id in list(self.awaited_workers):
                 if lease_held and now >= self.awaited_until(worker_id):
-                    self._expire_awaited(worker_id, now)
+                    awaitedworkers.expire(self, worker_id, now)
             self._note_takeover_end(now)
             if self.late_starts.forget_old(now):
                 self.round_needed = True
@@ -556,90 +554,6 @@
             worker.release(run, task.step)
         self.round_needed = True
 
-    def _expire_awaited(self, worker_id: str, now: float) -> None:
-        """Handle that the known leases on an awaited worker have expired.
-
-        It is awaited further while a later life of it may run a start that an
-        earlier owner sent.
-        """
-        worker = self.workers.get(worker_id)
-        born_ms = worker.entry.born_ms if worker is not None else 0
-        self.silent_workers.note_listed(worker_id, born_ms)
-        uncertain = self.silent_workers.uncertain_starts(worker_id)
-        if (uncertain is not None
-                and now - self.awaited_since < uncertain.remaining_s):
-            before = self.silent_workers.unproven_tasks([worker_id])
-            if self.silent_workers.note_leases_expired(worker_id):
-                self._log_awaited_end(
-                    worker_id, born_ms, before,
-                    "leases of previous owner expired, later life may run "
-                    "others", now)
-                self.round_needed = True
-            return
-        if (not self.silent_workers.knows_starts(worker_id)
-                and worker is not None
-                and self._has_just_begun(worker, now)):
-            return
-        self._log_awaited_end(
-            worker_id, born_ms,
-            self.silent_workers.unproven_tasks([worker_id]),
-            "leases of previous owner expired", now)
-        del self.awaited_workers[worker_id]
-        self.end_jobs_of(self.crash_records.expire_leases(worker_id))
-        self.round_needed = True
-
-    def note_first_report(self, worker: workerstate.WorkerState,
-                          reported: typing.Container[messages.TaskId]
-                          ) -> None:
-        """Wait for an awaited worker no longer, but keep its earlier starts.
-
-        The life that reports refuses them; one that begins after it does not.
-        """
-        worker_id = worker.entry.worker_id
-        if self.awaited_workers.pop(worker_id, None) is None:
-            return
-        uncertain = self.silent_workers.uncertain_starts(worker_id)
-        if uncertain is None:
-            return
-        latest = (self.awaited_since + uncertain.late_remaining_s
-                  - workerstate.longest_lease_s(self.hold_max_ms))
-        for run in worker.tasks:
-            if run[0] in uncertain.tasks:
-                worker.unreported_life.add_earlier_start(run, latest)
-        if not uncertain.born_ms or worker.born_ms == uncertain.born_ms:
-            return
-        for task_id in uncertain.tasks:
-            found = self.find(task_id)
-            if found is not None and task_id not in reported:
-                self.late_starts.add(found[1], latest)
-
-    def _has_just_begun(self, worker: workerstate.WorkerState,
-                        now: float) -> bool:
-        """Return whether a listed life may run starts meant for another.
-
-        They were sent before it began.  Its birth is a time of day, which may
-        be far ahead of the clock here.
-        """
-        age_s = (clock.wall_ms() - worker.entry.born_ms) / 1000.0
-        lasts_s = (unreportedlife.LATE_CALL_S
-                   + workerstate.longest_lease_s(self.hold_max_ms))
-        return (bool(worker.listed and worker.entry.born_ms)
-                and age_s < lasts_s + learnedstate.MAX_CLOCK_ERROR_S
-                and now - self.awaited_since < lasts_s + EARLIER_STARTS_S)
-
-    def _log_awaited_end(
-            self, worker_id: str, born_ms: int,
-            tasks: frozenset[messages.TaskId] | None, reason: str,
-            now: float) -> None:
-        """Log that tasks wait for an awaited worker no longer, and why."""
-        events.emit(
-            events.WORKER_RUNS_LOST, worker=worker_id, reason=reason,
-            listed_born_ms=born_ms,
-            recorded=worker_id in self.silent_workers.loaded,
-            waited_s=round(now - self.awaited_since, 3),
-            tasks=None if tasks is None
-            else sorted(map(str, tasks))[:runlog.RUNS_PER_LINE])
-
     def _note_takeover_end(self, now: float) -> None:
         """Log once that no worker of a previous owner is awaited any more."""
         if not self.awaited_since or self.awaited_workers:
--- a/tests/test_fleet_review_findings.py
+++ b/tests/test_fleet_review_findings.py
@@ -6,11 +6,11 @@
 import pytest
 
 from sycamorefield.fleet import answers
+from sycamorefield.fleet import awaitedworkers
 from sycamorefield.fleet import clock
 from sycamorefield.fleet import messages
 from sycamorefield.fleet import recordedends
 from sycamorefield.fleet import silentworkers
-from sycamorefield.fleet import state as state_mod
 from sycamorefield.fleet import unreportedlife
 from sycamorefield.fleet import workerstate
 from tests import test_fleet_acknowledgements
@@ -155,7 +155,7 @@
     chain.owner.list_next_life(int(clock.wall_ms()) + 3_600_000)
     chain.change_owner("killed")
     assert chain.freed_after(chains.NEW, 60.0) <= (
-        chains.KILLED_AT_S + state_mod.EARLIER_STARTS_S + chains.LATE_S
+        chains.KILLED_AT_S + awaitedworkers.EARLIER_STARTS_S + chains.LATE_S
         + chains.SLACK_S)
 
 
