Leave the key to other processes only after a brief term

Cause: after each kill beside a silent worker, there was no owner until the key expired, up to 2 s, for waits that were nearly over.

Change: the key is left only if the last owner ended right after its claim, so that its record was stored within a second of it.

--- a/sycamorefield/fleet/ownership.py
+++ b/sycamorefield/fleet/ownership.py
@@ -269,9 +269,12 @@
     def _leaves_to_observers(self, item: messages.Item) -> bool:
         """Return whether other processes should claim the key once it expires.
 
-        The process before on this VM left workers that are silent.  Those
+        The process before on this VM ended right after its claim and left
+        workers that are silent, which wait since the owner before.  Processes
         that saw its claim know how long ago that was, so tasks of these
         workers wait less under them.  If none claims the key, this one does.
+        After a longer term, most of the wait is over by then, and no owner
+        for so long costs all other tasks more.
         """
         if item.value == self.identity:
             return False
@@ -281,7 +284,7 @@
             return False
         if self.unreplaced_claim != item.revision:
             record = self.store.get(records.SILENT_WORKERS_KEY)
-            if record is None or not silentworkers.has_longer_wait(
+            if record is None or not silentworkers.shows_brief_term(
                     record.value, owner_mod.OWNER_LEASE_S):
                 return False
             self.unreplaced_claim = item.revision
--- a/sycamorefield/fleet/silentworkers.py
+++ b/sycamorefield/fleet/silentworkers.py
@@ -41,6 +41,8 @@
 MIN_SILENCE_S = 0.5
 # How often the remaining times are stored anew.
 UPDATE_PERIOD_S = 0.5
+# An owner whose last record is that young has ended soon after its claim.
+BRIEF_TERM_S = 1.0
 # Bounds the size of the record.  Workers with more tasks than are left of it
 # are recorded without their tasks.
 MAX_RECORDED_TASKS = 4000
@@ -203,17 +205,18 @@
             for worker_id, worker in found.items()}
 
 
-def has_longer_wait(value: bytes, wait_s: float) -> bool:
-    """Return whether a worker may have leases for longer by a record.
+def shows_brief_term(value: bytes, wait_s: float) -> bool:
+    """Return whether a record is of an owner that ended right after its claim.
 
-    Only workers count of which an earlier observer of its writer's claim may
-    know a shorter wait than any other process.
+    Otherwise it would have stored the remaining times again.  Only workers
+    count that may have leases for longer than wait_s.
     """
     try:
         stored = msgspec.convert(json.loads(value), dict[str, StoredWorker])
     except (msgspec.MsgspecError, RecursionError, ValueError):
         return False
     return any(worker.claim and worker.remaining_ms > wait_s * 1000.0
+               and worker.since_claim_ms < BRIEF_TERM_S * 1000.0
                for worker in stored.values())
 
 
