--- a/tests/test_fleet_ownership.py
+++ b/tests/test_fleet_ownership.py
@@ -94,14 +94,17 @@
     assert bool(fence) is claims
 
 
-@pytest.mark.parametrize(("remaining_s", "claims"), [
-    (None, True), (owner_mod.OWNER_LEASE_S / 2, True),
-    (owner_mod.OWNER_LEASE_S * 2, False)])
+@pytest.mark.parametrize(("remaining_s", "since_claim_s", "claims"), [
+    (None, 0.1, True), (owner_mod.OWNER_LEASE_S / 2, 0.1, True),
+    (owner_mod.OWNER_LEASE_S * 2, 0.1, False),
+    (owner_mod.OWNER_LEASE_S * 2, silentworkers.BRIEF_TERM_S, True)],
+    ids=["unrecorded", "short-wait", "brief-term", "long-term"])
 def test_restarted_process_leaves_long_waits_to_observers(
-        remaining_s, claims, monkeypatch):
+        remaining_s, since_claim_s, claims, monkeypatch):
     """Guards against waits for lost workers that a restarted owner begins.
 
-    Processes that saw the claim of the owner before know when it was.
+    Processes that saw the claim of the owner before know when it was.  After a
+    longer term, a fleet without an owner costs more than the wait.
     """
     now = 50.0
     monkeypatch.setattr(clock, "now", lambda: now)
@@ -111,7 +114,7 @@
         store.commit(messages.Transaction(puts=(messages.Put(
             records.SILENT_WORKERS_KEY, silentworkers.encode(
                 {"i-1": silentworkers.SilentWorker(remaining_s, None)},
-                fence, 0.1)),)))
+                fence, since_claim_s)),)))
     restarted = make_ownership(store, "a", vm="10.0.0.1")
     monkeypatch.setattr(restarted.stopped, "wait", lambda _: False)
     see_owner_key(restarted)
