End the processes of test fleets with their tests

Cause: the soak of chains of owners stepped its last owner down but left the process, which claimed the fleet again and again. The processes of test_fleet_owner_chains.py and test_fleet_planned_handover.py were left running as well.

--- a/tests/test_fleet_owner_chains.py
+++ b/tests/test_fleet_owner_chains.py
@@ -40,6 +40,7 @@
 
     def __init__(self, fleet: takeover.Fleet) -> None:
         self.fleet = fleet
+        fleet.at_end.append(self.kill)
         self.watcher = controlwatcher.ControlWatcher(
             fleet.store, takeover.CONFIG_KEY,
             lambda _: fleetfakes.configuration())
@@ -76,8 +77,7 @@
     fleet.store.commit(messages.Transaction(
         puts=(messages.Put(takeover.CONFIG_KEY, b"any"),)))
     yield fleet
-    if fleet.owner is not None:
-        fleet.owner.step_down("test over")
+    fleet.end()
 
 
 def start_process(fleet: takeover.Fleet) -> Process:
--- a/tests/test_fleet_planned_handover.py
+++ b/tests/test_fleet_planned_handover.py
@@ -76,8 +76,7 @@
     fleet.store.commit(messages.Transaction(
         puts=(messages.Put(takeover.CONFIG_KEY, b"any"),)))
     yield fleet
-    if fleet.owner is not None:
-        fleet.owner.step_down("test over")
+    fleet.end()
 
 
 class Change(typing.NamedTuple):
--- a/tests/test_fleet_reborn_owners_soak.py
+++ b/tests/test_fleet_reborn_owners_soak.py
@@ -58,6 +58,7 @@
             for entry in self.worker_list.entries)
         self.changes_rng = random.Random(f"{seed}/owners")
         self.owners = 0
+        self.process: test_fleet_owner_chains.Process | None = None
 
     def run(self) -> None:
         """Run the whole plan."""
@@ -68,20 +69,20 @@
         test_fleet_takeover.wait_for(lambda: self.owner is not None)
         self.follow_plan()
         changes.join()
-        self.owner.step_down("test over")
+        self.end()
 
     def _change_owners(self) -> None:
-        process = test_fleet_owner_chains.Process(self)
+        self.process = test_fleet_owner_chains.Process(self)
         for begin_s, end_s in CHANGES_S:
             at = self.began_at + begin_s
             while at < self.began_at + end_s:
                 at += self.changes_rng.uniform(*TERMS_S)
                 time.sleep(max(0.0, at - clock.now()))
                 if self.changes_rng.random() < STOPPED_SHARE:
-                    process.stop_as_planned()
+                    self.process.stop_as_planned()
                 else:
-                    process.kill()
-                process = test_fleet_owner_chains.Process(self)
+                    self.process.kill()
+                self.process = test_fleet_owner_chains.Process(self)
                 self.owners += 1
 
 
--- a/tests/test_fleet_takeover.py
+++ b/tests/test_fleet_takeover.py
@@ -41,6 +41,15 @@
         self.workers = {e.worker_id: fleetfakes.MemoryWorker(e.worker_id)
                         for e in entries}
         self.owner: owner_mod.Owner | None = None
+        # Functions that end processes which go on by themselves.
+        self.at_end: list[typing.Callable[[], None]] = []
+
+    def end(self) -> None:
+        """End the processes, so that none logs anything in later tests."""
+        for end_process in self.at_end:
+            end_process()
+        if self.owner is not None:
+            self.owner.step_down("test over")
 
     def take_over(self) -> owner_mod.Owner:
         """Start a new owner, replacing the owner's key."""
