--- a/tests/test_fleet_reborn_owners_soak.py
+++ b/tests/test_fleet_reborn_owners_soak.py
@@ -6,7 +6,6 @@
 """
 
 import dataclasses
-import os
 import random
 import threading
 import time
@@ -29,15 +28,6 @@
 SEEDS = (3, 122)
 
 
-def seeds():
-    """Return the seeds to run, as stated in the environment."""
-    stated = os.environ.get("SYCAMOREFIELD_REBORN_OWNERS_SEEDS")
-    if not stated:
-        return SEEDS
-    first, _, last = stated.partition("-")
-    return range(int(first), int(last or first) + 1)
-
-
 class DatedWorker(rebornworkers.RebornWorker):
     """A worker that states the time of day at which its life began."""
 
@@ -87,7 +77,8 @@
 
 
 @pytest.mark.parametrize("late_share", [0.0, 0.5])
-@pytest.mark.parametrize("seed", seeds())
+@pytest.mark.parametrize("seed", test_fleet_reborn_soak.seeds(
+    "SYCAMOREFIELD_REBORN_OWNERS_SEEDS", SEEDS))
 def test_no_task_runs_twice_as_owners_change_beside_workers_that_restart(
         seed, late_share):
     """Guards against starts that an owner sent and its successors forget."""
--- a/tests/test_fleet_reborn_soak.py
+++ b/tests/test_fleet_reborn_soak.py
@@ -30,11 +30,11 @@
 CUT_S = 9.0
 
 
-def seeds():
+def seeds(variable, seeds_by_default):
     """Return the seeds to run, as stated in the environment."""
-    stated = os.environ.get("SYCAMOREFIELD_REBORN_SEEDS")
+    stated = os.environ.get(variable)
     if not stated:
-        return SEEDS
+        return seeds_by_default
     first, _, last = stated.partition("-")
     return range(int(first), int(last or first) + 1)
 
@@ -115,7 +115,8 @@
 
 
 @pytest.mark.parametrize("late_share", [0.0, 0.5])
-@pytest.mark.parametrize("seed", seeds())
+@pytest.mark.parametrize(
+    "seed", seeds("SYCAMOREFIELD_REBORN_SEEDS", SEEDS))
 def test_workers_that_start_again_and_are_cut_off_run_no_task_twice(
         seed, late_share):
     """Guards against leases and calls that reach the next life of a worker."""
