--- a/sycamorefield/fleet/silentworkers.py
+++ b/sycamorefield/fleet/silentworkers.py
@@ -194,10 +194,7 @@
 
     Without age_s, the times are those at which the record was made.
     """
-    try:
-        stored = msgspec.convert(json.loads(value), dict[str, StoredWorker])
-    except (msgspec.MsgspecError, RecursionError) as exc:
-        raise ValueError(repr(exc)[:200]) from exc
+    stored = _decode_stored(value)
     found = parse(stored)
     if age_s is None:
         return found
@@ -205,6 +202,14 @@
             for worker_id, worker in found.items()}
 
 
+def _decode_stored(value: bytes) -> dict[str, StoredWorker]:
+    """Return a record as stored; raises ValueError if unreadable."""
+    try:
+        return msgspec.convert(json.loads(value), dict[str, StoredWorker])
+    except (msgspec.MsgspecError, RecursionError) as exc:
+        raise ValueError(repr(exc)[:200]) from exc
+
+
 def shows_brief_term(value: bytes, wait_s: float) -> bool:
     """Return whether a record is of an owner that ended right after its claim.
 
@@ -212,8 +217,8 @@
     count that may have leases for longer than wait_s.
     """
     try:
-        stored = msgspec.convert(json.loads(value), dict[str, StoredWorker])
-    except (msgspec.MsgspecError, RecursionError, ValueError):
+        stored = _decode_stored(value)
+    except ValueError:
         return False
     return any(worker.claim and worker.remaining_ms > wait_s * 1000.0
                and worker.since_claim_ms < BRIEF_TERM_S * 1000.0
