--- a/review/lib3/rig.py
+++ b/review/lib3/rig.py
@@ -560,7 +560,7 @@
 
     def __init__(self, rig, number):
         self.rig, self.number = rig, number
-        self.ip = f"127.0.{rig.net}.{10 + number}"
+        self.ip = f"127.{rig.net}.{10 + number}"
         self.name = f"edge-z1-{number}"
         self.front = f"{self.ip}:{rig.front_port}"
         self.ready = f"{self.ip}:{rig.front_port + 1}"
@@ -662,7 +662,8 @@
     def __init__(self, daemons=3, workers=6, seed=1, advice=False,
                  record=None, racks=2):
         self.random = random.Random(seed)
-        self.net = random.SystemRandom().randint(2, 250)
+        chooser = random.SystemRandom()
+        self.net = f"{chooser.randint(2, 250)}.{chooser.randint(2, 250)}"
         self.front_port = self.free_ports()
         self.folder = tempfile.mkdtemp(prefix="review3-")
         self.record = open(record, "w") if record else None
