Review: case 10, a late start is carried out by the next life of its worker

Cause: an answered stop counts as proof that the run never begins, also in a life of the worker that is still to come; the task starts elsewhere meanwhile.

--- a/review/lib3/rig.py
+++ b/review/lib3/rig.py
@@ -307,6 +307,8 @@
         self.capacity, self.labels = capacity, labels
         self.service, self.zone = service, zone
         self.clock_base = now() - rig.random.uniform(100, 1000)
+        # Of workers that start again under their ID: when this life began.
+        self.born = 0
         self.fence = 0
         self.until_ms = 0.0
         self.running = {}
@@ -329,7 +331,8 @@
 
     def entry(self):
         self.seq += 1
-        return {"service": self.service, "addr": self.address,
+        born = {"born": self.born} if self.born else {}
+        return {**born, "service": self.service, "addr": self.address,
                 "zone": self.zone, "version": "v1", "slots": 8,
                 "state": self.state, "cold_left_ms": 0,
                 "capacity": self.capacity, "labels": self.labels,
@@ -356,6 +359,21 @@
             await self.rig.store.delete("servers/" + self.id)
         self.rig.spawn(unlist())
 
+    def start_again(self):
+        """Begin the next life under the same ID and address."""
+        self.rig.log("worker-starts-again", worker=self.id)
+        for writer in list(self.writers):
+            writer.transport.abort()
+        for run in list(self.running.values()):
+            self._cancel_timers(run)
+            run.ended = True
+            self.rig.note_lost(run)
+        self.running.clear()
+        self.ends, self.end_number, self.highest_over = [], 0, {}
+        self.fence, self.until_ms, self.seq = 0, 0.0, 0
+        self.clock_base = now()
+        self.born = int(time.time() * 1000)
+
     async def _watch_lease(self):
         while self.up:
             await asyncio.sleep(0.02)
@@ -398,7 +416,8 @@
             running.append([run.task, run.run, run.saved, percent,
                             int(run.info.get("cpu", 0))
                             if not run.info.get("target_ms") else 1])
-        return {"clock_ms": int(self.clock_ms()), "running": running,
+        born = {"born": self.born} if self.born else {}
+        return {**born, "clock_ms": int(self.clock_ms()), "running": running,
                 "ended": [list(e) for e in self.ends[:500]]}
 
     async def answer(self, method, path, headers, body):
