--- a/review/lib3/rig.py
+++ b/review/lib3/rig.py
@@ -307,8 +307,8 @@
         self.capacity, self.labels = capacity, labels
         self.service, self.zone = service, zone
         self.clock_base = now() - rig.random.uniform(100, 1000)
-        # Of workers that start again under their ID: when this life began.
-        self.born = 0
+        # When this life began, in ms since 1970.
+        self.born = int(time.time() * 1000)
         self.fence = 0
         self.until_ms = 0.0
         self.running = {}
